Choose daemons for a key by rendezvous hashing over failure domains

Cause: witnesses, homes of organisations and owners of slices need the same choice on every daemon without an agreement.

--- /dev/null
+++ b/internal/state/spread/spread_test.go
@@ -0,0 +1,80 @@
+package spread
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
+
+func fleet(n, domains int) []Node {
+	nodes := make([]Node, n)
+	for i := range nodes {
+		nodes[i] = Node{
+			ID:     ident.DaemonID(fmt.Sprintf("d%03d", i)),
+			Domain: ident.FailureDomain(fmt.Sprintf("f%d", i%domains)),
+		}
+	}
+	return nodes
+}
+
+func TestPickProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := fleet(rapid.IntRange(1, 40).Draw(t, "nodes"), rapid.IntRange(1, 10).Draw(t, "domains"))
+		key := rapid.String().Draw(t, "key")
+		n := rapid.IntRange(0, 45).Draw(t, "n")
+		picked := Pick(key, nodes, n)
+
+		require.Len(t, picked, min(n, len(nodes)))
+		require.Equal(t, picked, Pick(key, rapid.Permutation(nodes).Draw(t, "order"), n), "order of the nodes matters")
+		requireSpread(t, nodes, picked)
+		for i := range picked {
+			require.Equal(t, picked[:i], append([]ident.DaemonID{}, Pick(key, nodes, i)...), "not a prefix")
+		}
+	})
+}
+
+// requireSpread checks that no domain gives two nodes more than another that has nodes left.
+func requireSpread(t *rapid.T, nodes []Node, picked []ident.DaemonID) {
+	taken, left := map[ident.FailureDomain]int{}, map[ident.FailureDomain]int{}
+	for _, node := range nodes {
+		if slices.Contains(picked, node.ID) {
+			taken[node.Domain]++
+		} else {
+			left[node.Domain]++
+		}
+	}
+	for domain := range left {
+		for _, most := range taken {
+			require.LessOrEqual(t, most, taken[domain]+1, "domain %s was passed over", domain)
+		}
+	}
+}
+
+func TestPickMovesOnlyKeysOfALostNode(t *testing.T) {
+	nodes := fleet(8, 8)
+	for i := range 1000 {
+		key := fmt.Sprint(i)
+		before := Pick(key, nodes, 1)
+		after := Pick(key, nodes[1:], 1)
+		if before[0] != nodes[0].ID {
+			require.Equal(t, before, after)
+		}
+	}
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, size := range []int{8, 410} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			nodes := fleet(size, 10)
+			b.ReportAllocs()
+			for b.Loop() {
+				Pick("organisation", nodes, 5)
+			}
+		})
+	}
+}
