Follow the control stream, agree on what is in force, hold serving leases

Cause: daemons need one configuration and one view of the fleet without a coordination service of their own.

--- /dev/null
+++ b/internal/coordination/member/view.go
@@ -0,0 +1,116 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/config"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/state/spread"
+)
+
+// View is what this daemon knows of the fleet. It is immutable.
+type View struct {
+	Self        ident.DaemonID
+	Incarnation ident.Incarnation
+	// State is this daemon's own state in the applied state; "" while it has not joined.
+	State config.MemberState
+	// Recovering is true until a restarted daemon knows all that it may have acknowledged before.
+	Recovering bool
+	// Superseded is true once a newer incarnation of this daemon is known.
+	Superseded bool
+	// Members are the active daemons of the applied state, by id.
+	Members []Peer
+	// Answers holds the newest answer of each daemon that supports a lease at the applied state.
+	Answers []Answer
+	// Applied is the state after the last record, InForce the newest that no lease holder is behind.
+	Applied, InForce *config.State
+}
+
+// Peer is one daemon of the fleet.
+type Peer struct {
+	config.Member
+	// Live is false after some missed heartbeats; this daemon itself is always live.
+	Live bool
+	// Applied is the offset that the daemon is known to have applied.
+	Applied ident.Offset
+	// Heard is when a message of the daemon last came, the zero time if none did.
+	Heard time.Time
+}
+
+// Live returns the joined daemons that answer.
+func (v *View) Live() []spread.Node {
+	var nodes []spread.Node
+	for _, p := range v.Members {
+		if p.Live && p.State == config.MemberJoined {
+			nodes = append(nodes, spread.Node{ID: p.ID, Domain: p.FailureDomain})
+		}
+	}
+	return nodes
+}
+
+// Joined returns the joined daemons of a state, answering or not, by id. All daemons at the same state agree on it.
+func Joined(state *config.State) []spread.Node {
+	var nodes []spread.Node
+	for _, m := range state.Members() {
+		if m.State == config.MemberJoined {
+			nodes = append(nodes, spread.Node{ID: m.ID, Domain: m.FailureDomain})
+		}
+	}
+	slices.SortFunc(nodes, func(a, b spread.Node) int { return cmp.Compare(a.ID, b.ID) })
+	return nodes
+}
+
+// Peer returns the active daemon with the id.
+func (v *View) Peer(id ident.DaemonID) (Peer, bool) {
+	i, ok := slices.BinarySearchFunc(v.Members, id, func(p Peer, id ident.DaemonID) int { return cmp.Compare(p.ID, id) })
+	if !ok {
+		return Peer{}, false
+	}
+	return v.Members[i], true
+}
+
+// buildView is called with mu held.
+func (f *Fleet) buildView(applied, inForce *config.State) *View {
+	v := &View{
+		Self:        f.Self.ID,
+		Incarnation: f.incarnation,
+		Recovering:  f.recovering,
+		Superseded:  f.superseded,
+		Applied:     applied,
+		InForce:     inForce,
+	}
+	v.State = f.ownState(applied)
+	for _, id := range Witnesses(applied) {
+		m, _ := applied.Member(id)
+		v.Members = append(v.Members, f.peerView(m, applied))
+		if p := f.peers[id]; p != nil {
+			if a, ok := p.support(applied.Offset()); ok {
+				v.Answers = append(v.Answers, a)
+			}
+		}
+	}
+	return v
+}
+
+// ownState returns this daemon's state; the end of an earlier incarnation does not count for this one.
+func (f *Fleet) ownState(applied *config.State) config.MemberState {
+	own, ok := applied.Member(f.Self.ID)
+	if !ok || (own.Incarnation < f.incarnation && !own.State.Active()) {
+		return ""
+	}
+	return own.State
+}
+
+func (f *Fleet) peerView(m *config.Member, applied *config.State) Peer {
+	if m.ID == f.Self.ID {
+		return Peer{Member: *m, Live: true, Applied: applied.Offset(), Heard: time.Now()}
+	}
+	p := f.peers[m.ID]
+	if p == nil {
+		return Peer{Member: *m}
+	}
+	live := !p.heard.IsZero() && p.misses < liveMisses
+	return Peer{Member: *m, Live: live, Applied: p.applied, Heard: p.heard}
+}
--- /dev/null
+++ b/internal/coordination/replay/follower.go
@@ -0,0 +1,196 @@
+// Package replay keeps a daemon's copy of the control stream: it follows the log service, or other daemons while
+// the log service is down, publishes the state after each record, and writes records and checkpoints.
+package replay
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
+	"github.com/gooseberryway/gooseberryway/internal/state/config"
+	"github.com/gooseberryway/gooseberryway/internal/state/extern"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/state/scope"
+)
+
+// Peers reads the control stream from other daemons.
+type Peers interface {
+	// Relay reads records that the daemon has applied.
+	Relay(ctx context.Context, daemon ident.DaemonID, req *wire.RelayRequest) (*wire.RelayResponse, error)
+	// Snapshot reads the state that is in force at the daemon.
+	Snapshot(ctx context.Context, daemon ident.DaemonID) ([]*wire.CheckpointChunk, error)
+}
+
+// Follower follows the control stream. Its fields are set before Run.
+type Follower struct {
+	Log   extern.Log
+	Peers Peers
+	// Seeds returns daemons that a start can ask for a snapshot, the nearest first; nil for none.
+	Seeds func() []ident.DaemonID
+	// Changed is called after every new state and every read that reached the tail, without locks held; nil for none.
+	Changed func()
+	// Urgent reports whether reads of the tail must keep the lease alive; nil for never.
+	Urgent func() bool
+	// PollInterval is the shortest time between reads of the tail; 0 is 400 ms.
+	PollInterval time.Duration
+	// ReadsPerSecond bounds the reads of all daemons together; 0 is 20.
+	ReadsPerSecond int
+
+	store    store
+	life     scope.Scope
+	kick     signal
+	hinted   signal
+	hint     atomic.Pointer[hint]
+	tail     atomic.Pointer[tailRead]
+	warm     atomic.Bool
+	snapshot snapshotCache
+}
+
+type hint struct {
+	daemon ident.DaemonID
+	offset ident.Offset
+}
+
+// tailRead describes a read that reached the tail.
+type tailRead struct {
+	started     time.Time
+	first, tail ident.Offset
+}
+
+// Run follows the stream until ctx ends or Close is called. It returns ctx's error.
+func (f *Follower) Run(ctx context.Context) error {
+	f.init()
+	ctx, leave := f.life.Enter(ctx)
+	defer leave()
+	f.bootstrap(ctx)
+	f.warm.Store(true)
+	f.notify()
+	f.life.Go(func() { f.followRelay(ctx) })
+	f.followLog(ctx)
+	return ctx.Err()
+}
+
+// Close ends Run and waits for all that it started.
+func (f *Follower) Close() { f.life.Close() }
+
+func (f *Follower) init() {
+	f.store.init()
+	f.kick.init()
+	f.hinted.init()
+}
+
+// State returns the state after the last record applied.
+func (f *Follower) State() *config.State {
+	if state := f.store.applied.Load(); state != nil {
+		return state
+	}
+	f.init()
+	return f.store.applied.Load()
+}
+
+// InForce returns the newest state that is known to be in force: no daemon that holds a serving lease is behind it.
+func (f *Follower) InForce() *config.State {
+	f.State()
+	return f.store.inForce.Load()
+}
+
+// SetInForce moves the state in force up to the newest one at or below the offset and returns it.
+func (f *Follower) SetInForce(offset ident.Offset) *config.State {
+	f.init()
+	return f.store.setInForce(offset)
+}
+
+// StateAt returns the newest state at or below the offset, from the one in force on; false if the offset is older.
+func (f *Follower) StateAt(offset ident.Offset) (*config.State, bool) {
+	f.init()
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	i := f.store.newestAt(offset)
+	if i < 0 {
+		return nil, false
+	}
+	return f.store.history[i], true
+}
+
+// History returns the states from the one in force to the applied one, in order. It holds a state for every change
+// of the members, and not all others.
+func (f *Follower) History() []*config.State {
+	f.init()
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	return slices.Clone(f.store.history)
+}
+
+// Outcome returns what became of a record, if it is one of the last that this daemon has applied.
+func (f *Follower) Outcome(id ident.RecordID) (Result, bool) {
+	f.init()
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	return f.store.outcomes.get(id)
+}
+
+// Warm reports whether a start has loaded a snapshot from another daemon or found that there is none.
+func (f *Follower) Warm() bool { return f.warm.Load() }
+
+// TailReadStarted returns when the last read that reached the tail of the stream was started, with the clock's
+// monotonic reading; the zero time if there was none.
+func (f *Follower) TailReadStarted() time.Time {
+	if read := f.tail.Load(); read != nil {
+		return read.started
+	}
+	return time.Time{}
+}
+
+// Kick asks for a read of the log now.
+func (f *Follower) Kick() {
+	f.init()
+	f.kick.raise()
+}
+
+// Learn tells that the daemon has applied the offset, so that its records can be had from there.
+func (f *Follower) Learn(daemon ident.DaemonID, offset ident.Offset) {
+	if offset <= f.State().Offset() {
+		return
+	}
+	for {
+		known := f.hint.Load()
+		if known != nil && known.offset >= offset {
+			break
+		}
+		if f.hint.CompareAndSwap(known, &hint{daemon: daemon, offset: offset}) {
+			break
+		}
+	}
+	f.hinted.raise()
+}
+
+// WaitFor returns when the offset has been applied, or with ctx's error.
+func (f *Follower) WaitFor(ctx context.Context, offset ident.Offset) error {
+	return f.wait(ctx, func() bool { return f.State().Offset() >= offset })
+}
+
+// wait returns when done reports true; it asks after every new state.
+func (f *Follower) wait(ctx context.Context, done func() bool) error {
+	f.init()
+	for {
+		f.store.mu.Lock()
+		changed := f.store.changed
+		f.store.mu.Unlock()
+		if done() {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (f *Follower) notify() {
+	if f.Changed != nil {
+		f.Changed()
+	}
+}
--- /dev/null
+++ b/internal/coordination/replay/outcome.go
@@ -0,0 +1,32 @@
+package replay
+
+import (
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
+
+// outcomes remembers what became of the last records, by the id of the record.
+type outcomes struct {
+	byID  map[ident.RecordID]Result
+	order []ident.RecordID
+}
+
+// add keeps the first outcome of a record; copies of it that were appended later change nothing.
+func (o *outcomes) add(id ident.RecordID, result Result) {
+	if o.byID == nil {
+		o.byID = map[ident.RecordID]Result{}
+	}
+	if _, known := o.byID[id]; known || id == "" {
+		return
+	}
+	if len(o.order) >= maxOutcomes {
+		delete(o.byID, o.order[0])
+		o.order = o.order[1:]
+	}
+	o.byID[id] = result
+	o.order = append(o.order, id)
+}
+
+func (o *outcomes) get(id ident.RecordID) (Result, bool) {
+	result, ok := o.byID[id]
+	return result, ok
+}
--- /dev/null
+++ b/internal/coordination/replay/signal.go
@@ -0,0 +1,20 @@
+package replay
+
+import "sync"
+
+// signal wakes one goroutine; several raises before it looks count once.
+type signal struct {
+	once sync.Once
+	c    chan struct{}
+}
+
+func (s *signal) init() {
+	s.once.Do(func() { s.c = make(chan struct{}, 1) })
+}
+
+func (s *signal) raise() {
+	select {
+	case s.c <- struct{}{}:
+	default:
+	}
+}
--- a/internal/state/config/apply.go
+++ b/internal/state/config/apply.go
@@ -1,42 +1,13 @@
 package config
 
 import (
-	"fmt"
+	"cmp"
+	"slices"
 
 	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 )
 
-// ConflictError says that a record was based on an older revision of its path than the one in the log.
-type ConflictError struct {
-	Path ident.Path
-	// Based is the revision that the record was based on, Current the one in the log.
-	Based, Current ident.Offset
-}
-
-func (e *ConflictError) Error() string {
-	return fmt.Sprintf("%s was changed at revision %d, the change was based on revision %d", e.Path, e.Current, e.Based)
-}
-
-// InvalidError says that a record can't be applied to any state or not to this one.
-type InvalidError struct {
-	Path   ident.Path
-	Reason string
-}
-
-func (e *InvalidError) Error() string {
-	return fmt.Sprintf("%s is invalid: %s", e.Path, e.Reason)
-}
-
-// OffsetError says that a record does not follow the state that it is applied to.
-type OffsetError struct {
-	State, Record ident.Offset
-}
-
-func (e *OffsetError) Error() string {
-	return fmt.Sprintf("record %d does not follow offset %d", e.Record, e.State)
-}
-
 // Apply returns the state after the record at the offset. The error is a *ConflictError or an *InvalidError
 // when the record changes nothing but the offset, which every replay decides alike; with an *OffsetError
 // the state is returned as it was.
@@ -44,152 +15,195 @@
 	if offset <= s.offset {
 		return s, &OffsetError{State: s.offset, Record: offset}
 	}
-	next, err := s.applied(offset, rec)
-	if err != nil {
-		same := *s
-		same.offset = offset
-		return &same, err
+	next := s.fork()
+	err := next.apply(offset, rec)
+	return next, err
+}
+
+// ApplyAll returns the state after the entries, which must be in order, and the error of each as Apply gives it.
+// It is much faster than Apply for many entries.
+func (s *State) ApplyAll(entries []*wire.LogEntry) (*State, []error) {
+	next := s.fork()
+	errs := make([]error, len(entries))
+	for i, entry := range entries {
+		offset := ident.Offset(entry.GetOffset())
+		if offset <= next.offset {
+			errs[i] = &OffsetError{State: next.offset, Record: offset}
+			continue
+		}
+		errs[i] = next.apply(offset, entry.GetRecord())
 	}
-	next.offset = offset
-	return next, nil
+	return next, errs
 }
 
-func (s *State) applied(offset ident.Offset, rec *wire.Record) (*State, error) {
-	if rec.GetCheckpointChunk() != nil {
-		same := *s
-		return &same, nil
+// apply changes a forked state.
+func (s *State) apply(offset ident.Offset, rec *wire.Record) error {
+	s.offset = offset
+	if mark := rec.GetCheckpointMark(); mark != nil {
+		s.setMark(mark)
+		return nil
 	}
 	path := ident.Path(rec.GetPath())
-	based, current := ident.Offset(rec.GetBaseRevision()), s.revisions[path]
+	id := ident.RecordID(rec.GetRecordId())
+	if reason := s.checkRecordID(id); reason != "" {
+		return &InvalidError{Path: path, Reason: reason}
+	}
+	based, current := ident.Offset(rec.GetBaseRevision()), s.Revision(path)
 	if based != current {
-		return nil, &ConflictError{Path: path, Based: based, Current: current}
+		return &ConflictError{Path: path, Based: based, Current: current, Other: s.Node(path)}
+	}
+	err := s.change(path, offset, rec)
+	if err != nil {
+		s.reject(id)
+	}
+	return err
+}
+
+func (s *State) checkRecordID(id ident.RecordID) string {
+	if id == "" || len(id) > maxRecordID {
+		return "the record id is empty or too long"
+	}
+	if slices.Contains(s.rejected, id) {
+		return "the record was invalid when it first came"
+	}
+	return ""
+}
+
+// reject remembers an invalid record: a copy of it that comes late must not take effect after
+// its author was told that it is invalid.
+func (s *State) reject(id ident.RecordID) {
+	kept := s.rejected[max(0, len(s.rejected)+1-maxRejected):]
+	s.rejected = append(slices.Clone(kept), id)
+}
+
+// change sets or deletes the entity at the path.
+func (s *State) change(path ident.Path, offset ident.Offset, rec *wire.Record) error {
+	node := &Node{
+		Revision:      offset,
+		Author:        rec.GetAuthor(),
+		CreatedUnixMs: rec.GetCreatedUnixMs(),
+		Record:        ident.RecordID(rec.GetRecordId()),
 	}
 	if rec.GetDeleted() {
-		return s.withDeleted(path)
+		return s.delete(path, node)
 	}
 	entity, err := EntityFromRecord(rec)
 	if err != nil {
-		return nil, err
+		return err
+	}
+	if err := s.Validate(entity); err != nil {
+		return err
+	}
+	s.unlink(path)
+	s.unbury(path)
+	node.Entity = entity
+	s.put(path, node)
+	return nil
+}
+
+func (s *State) delete(path ident.Path, node *Node) error {
+	entity := s.Entity(path)
+	if entity == nil {
+		return &InvalidError{Path: path, Reason: "nothing to delete"}
+	}
+	if user := s.userOf(entity); user != "" {
+		return &InvalidError{Path: path, Reason: "it is still used by " + string(user)}
 	}
-	if err := s.validate(entity); err != nil {
-		return nil, err
+	s.unlink(path)
+	s.bury(path, node)
+	return nil
+}
+
+// bury remembers the revision of a deleted path and forgets the oldest one beyond the bound.
+func (s *State) bury(path ident.Path, node *Node) {
+	s.nodes.put(path, node)
+	s.own(indexTombstones)
+	s.tombstones = append(s.tombstones, tombstone{path: path, revision: node.Revision})
+	if len(s.tombstones) <= maxTombstones {
+		return
 	}
-	next := s.clone()
-	next.remove(path)
-	next.put(path, offset, entity)
-	return next, nil
+	s.nodes.remove(s.tombstones[0].path)
+	s.tombstones = s.tombstones[1:]
 }
 
-func (s *State) withDeleted(path ident.Path) (*State, error) {
-	if s.entities[path] == nil {
-		return nil, &InvalidError{Path: path, Reason: "nothing to delete"}
+// unbury drops the path from the deleted ones, so that it counts once however often it was deleted.
+func (s *State) unbury(path ident.Path) {
+	node := s.Node(path)
+	if node == nil || node.Entity != nil {
+		return
+	}
+	s.own(indexTombstones)
+	i, found := slices.BinarySearchFunc(s.tombstones, node.Revision, func(t tombstone, revision ident.Offset) int {
+		return cmp.Compare(t.revision, revision)
+	})
+	if found {
+		s.tombstones = slices.Delete(s.tombstones, i, i+1)
 	}
-	next := s.clone()
-	next.remove(path)
-	return next, nil
 }
 
-// put adds an entity to a state that is not shared yet.
-func (s *State) put(path ident.Path, revision ident.Offset, e Entity) {
-	s.revisions[path] = revision
-	s.entities[path] = e
-	switch e := e.(type) {
+// put adds an entity to a forked state.
+func (s *State) put(path ident.Path, node *Node) {
+	s.nodes.put(path, node)
+	switch e := node.Entity.(type) {
 	case *Operator:
+		s.own(indexOperators)
 		s.operators[e.KeyDigest] = e
 	case *Organisation:
-		s.organisations[e.ID] = e
+		s.organisations.put(e.ID, e)
 	case *Key:
-		s.keys[e.Digest] = e
+		s.keys.put(e.Digest, e)
 	case *Route:
+		s.own(indexRoutes)
 		s.routes[e.ID] = e
 	case *Upstream:
+		s.own(indexUpstreams)
 		s.upstreams[e.ID] = e
 	case *Model:
+		s.own(indexModels)
 		s.models[e.ID] = e
 	case *Version:
+		s.own(indexVersions)
 		s.versions[e.ID] = e
 	case *Member:
+		s.own(indexMembers)
 		s.members[e.ID] = e
+		s.membersChanged = max(s.membersChanged, node.Revision)
 	case *Move:
+		s.own(indexMoves)
 		s.moves[e.ID] = e
 	case *Setting:
 	}
 }
 
-// remove drops the entity at the path from a state that is not shared yet.
-func (s *State) remove(path ident.Path) {
-	switch e := s.entities[path].(type) {
+// unlink drops the entity at the path from the indexes of a forked state.
+func (s *State) unlink(path ident.Path) {
+	switch e := s.Entity(path).(type) {
 	case *Operator:
+		s.own(indexOperators)
 		delete(s.operators, e.KeyDigest)
 	case *Organisation:
-		delete(s.organisations, e.ID)
+		s.organisations.remove(e.ID)
 	case *Key:
-		delete(s.keys, e.Digest)
+		s.keys.remove(e.Digest)
 	case *Route:
+		s.own(indexRoutes)
 		delete(s.routes, e.ID)
 	case *Upstream:
+		s.own(indexUpstreams)
 		delete(s.upstreams, e.ID)
 	case *Model:
+		s.own(indexModels)
 		delete(s.models, e.ID)
 	case *Version:
+		s.own(indexVersions)
 		delete(s.versions, e.ID)
 	case *Member:
+		s.own(indexMembers)
 		delete(s.members, e.ID)
+		s.membersChanged = s.offset
 	case *Move:
+		s.own(indexMoves)
 		delete(s.moves, e.ID)
 	case *Setting:
 	}
-	delete(s.entities, path)
-	delete(s.revisions, path)
-}
-
-// validate checks an entity against the rest of the state.
-func (s *State) validate(e Entity) error {
-	path := PathOf(e)
-	if path == "" {
-		return &InvalidError{Path: path, Reason: "the path is empty"}
-	}
-	if other, taken := s.holderOf(e); taken && other != path {
-		return &InvalidError{Path: path, Reason: fmt.Sprintf("its id or key is taken by %s", other)}
-	}
-	switch e := e.(type) {
-	case *Key:
-		org, ok := s.organisations[e.Organisation]
-		if !ok || org.Team != e.Team {
-			return &InvalidError{Path: path, Reason: "its organisation does not exist in the team"}
-		}
-	case *Move:
-		if e.From == e.To {
-			return &InvalidError{Path: path, Reason: "from and to are the same version"}
-		}
-	}
-	return nil
-}
-
-// holderOf returns the path of the entity that already has the id or key digest of e.
-func (s *State) holderOf(e Entity) (ident.Path, bool) {
-	switch e := e.(type) {
-	case *Operator:
-		return pathIn(s.operators, e.KeyDigest)
-	case *Organisation:
-		return pathIn(s.organisations, e.ID)
-	case *Key:
-		return pathIn(s.keys, e.Digest)
-	case *Route:
-		return pathIn(s.routes, e.ID)
-	case *Version:
-		return pathIn(s.versions, e.ID)
-	case *Move:
-		return pathIn(s.moves, e.ID)
-	default:
-		return "", false
-	}
-}
-
-func pathIn[K comparable, E Entity](index map[K]E, key K) (ident.Path, bool) {
-	e, ok := index[key]
-	if !ok {
-		return "", false
-	}
-	return PathOf(e), true
 }
--- a/internal/state/config/entity.go
+++ b/internal/state/config/entity.go
@@ -138,8 +138,15 @@
 	MemberJoined  MemberState = "joined"
 	MemberLeaving MemberState = "leaving"
 	MemberRemoved MemberState = "removed"
+	// MemberDead is a removed daemon of which an operator vouches that its VM no longer runs.
+	MemberDead MemberState = "dead"
 )
 
+// Active reports whether the daemon takes part in the fleet.
+func (s MemberState) Active() bool {
+	return s == MemberJoined || s == MemberLeaving
+}
+
 // Member is a daemon as the control stream knows it.
 type Member struct {
 	ID            ident.DaemonID      `json:"id"`
--- a/internal/state/config/state.go
+++ b/internal/state/config/state.go
@@ -1,7 +1,9 @@
 package config
 
 import (
+	"iter"
 	"maps"
+	"slices"
 
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 )
@@ -9,29 +11,69 @@
 // State is the configuration at one offset of the control stream. It is immutable: Apply returns a new State.
 // The entities that its methods return are shared and must not be changed.
 type State struct {
-	offset    ident.Offset
-	revisions map[ident.Path]ident.Offset
-	entities  map[ident.Path]Entity
+	offset ident.Offset
+	// membersChanged is the offset of the last record that changed a member.
+	membersChanged ident.Offset
+	mark           CheckpointMark
+
+	nodes         *table[ident.Path, *Node]
+	organisations *table[ident.OrganisationID, *Organisation]
+	keys          *table[ident.Digest, *Key]
+
+	operators map[ident.Digest]*Operator
+	routes    map[ident.RouteID]*Route
+	upstreams map[ident.UpstreamID]*Upstream
+	models    map[ident.ModelID]*Model
+	versions  map[ident.VersionID]*Version
+	members   map[ident.DaemonID]*Member
+	moves     map[ident.MoveID]*Move
+
+	// tombstones are the deleted paths, the oldest first.
+	tombstones []tombstone
+	// rejected are the ids of the last invalid records, the oldest first.
+	rejected []ident.RecordID
+	// owned names the small indexes that no other state shares.
+	owned index
+}
+
+// Node is what the state knows of one path.
+type Node struct {
+	// Revision is the offset of the record that last changed the path.
+	Revision ident.Offset
+	// Author and CreatedUnixMs are those of that record; the time is for people only.
+	Author        string
+	CreatedUnixMs int64
+	Record        ident.RecordID
+	// Entity is nil if the path was deleted.
+	Entity Entity
+}
 
-	operators     map[ident.Digest]*Operator
-	organisations map[ident.OrganisationID]*Organisation
-	keys          map[ident.Digest]*Key
-	routes        map[ident.RouteID]*Route
-	upstreams     map[ident.UpstreamID]*Upstream
-	models        map[ident.ModelID]*Model
-	versions      map[ident.VersionID]*Version
-	members       map[ident.DaemonID]*Member
-	moves         map[ident.MoveID]*Move
+type tombstone struct {
+	path     ident.Path
+	revision ident.Offset
 }
 
+// index is a set of the small indexes of a state.
+type index uint
+
+const (
+	indexOperators index = 1 << iota
+	indexRoutes
+	indexUpstreams
+	indexModels
+	indexVersions
+	indexMembers
+	indexMoves
+	indexTombstones
+)
+
 // NewState returns the state before the first record.
 func NewState() *State {
 	return &State{
-		revisions:     map[ident.Path]ident.Offset{},
-		entities:      map[ident.Path]Entity{},
+		nodes:         &table[ident.Path, *Node]{},
+		organisations: &table[ident.OrganisationID, *Organisation]{},
+		keys:          &table[ident.Digest, *Key]{},
 		operators:     map[ident.Digest]*Operator{},
-		organisations: map[ident.OrganisationID]*Organisation{},
-		keys:          map[ident.Digest]*Key{},
 		routes:        map[ident.RouteID]*Route{},
 		upstreams:     map[ident.UpstreamID]*Upstream{},
 		models:        map[ident.ModelID]*Model{},
@@ -44,11 +86,34 @@
 // Offset returns the offset of the last record that the state includes.
 func (s *State) Offset() ident.Offset { return s.offset }
 
-// Revision returns the offset of the record that last changed the path, 0 if nothing lives there.
-func (s *State) Revision(path ident.Path) ident.Offset { return s.revisions[path] }
+// MembersChanged returns the offset of the last record that changed a member, 0 if none did.
+func (s *State) MembersChanged() ident.Offset { return s.membersChanged }
+
+// Mark returns the newest checkpoint that the stream announced; its AsOf is 0 if there is none.
+func (s *State) Mark() CheckpointMark { return s.mark }
+
+// Revision returns the offset of the record that last changed or deleted the path, 0 if none is known.
+// A new record for the path must be based on it.
+func (s *State) Revision(path ident.Path) ident.Offset {
+	if node, ok := s.nodes.get(path); ok {
+		return node.Revision
+	}
+	return 0
+}
+
+// Node returns what is known of the path, deleted paths included; nil if nothing is.
+func (s *State) Node(path ident.Path) *Node {
+	node, _ := s.nodes.get(path)
+	return node
+}
 
 // Entity returns the entity at the path, nil if nothing lives there.
-func (s *State) Entity(path ident.Path) Entity { return s.entities[path] }
+func (s *State) Entity(path ident.Path) Entity {
+	if node, ok := s.nodes.get(path); ok {
+		return node.Entity
+	}
+	return nil
+}
 
 // OperatorByKey returns the operator whose key has the digest.
 func (s *State) OperatorByKey(digest ident.Digest) (*Operator, bool) {
@@ -57,15 +122,11 @@
 }
 
 // KeyByDigest returns the caller's key with the digest, withdrawn keys included.
-func (s *State) KeyByDigest(digest ident.Digest) (*Key, bool) {
-	key, ok := s.keys[digest]
-	return key, ok
-}
+func (s *State) KeyByDigest(digest ident.Digest) (*Key, bool) { return s.keys.get(digest) }
 
 // Organisation returns the organisation with the id.
 func (s *State) Organisation(id ident.OrganisationID) (*Organisation, bool) {
-	org, ok := s.organisations[id]
-	return org, ok
+	return s.organisations.get(id)
 }
 
 // Route returns the route with the id.
@@ -104,11 +165,19 @@
 	return m, ok
 }
 
-// Organisations returns all organisations, in no order. The map must not be changed.
-func (s *State) Organisations() map[ident.OrganisationID]*Organisation { return s.organisations }
+// Organisations yields all organisations, in no order.
+func (s *State) Organisations() iter.Seq2[ident.OrganisationID, *Organisation] {
+	return s.organisations.all()
+}
+
+// OrganisationCount returns the number of organisations.
+func (s *State) OrganisationCount() int { return s.organisations.size }
 
-// Keys returns all keys by digest. The map must not be changed.
-func (s *State) Keys() map[ident.Digest]*Key { return s.keys }
+// Keys yields all keys by digest, in no order.
+func (s *State) Keys() iter.Seq2[ident.Digest, *Key] { return s.keys.all() }
+
+// KeyCount returns the number of keys, withdrawn ones included.
+func (s *State) KeyCount() int { return s.keys.size }
 
 // Operators returns all operators by the digest of their key. The map must not be changed.
 func (s *State) Operators() map[ident.Digest]*Operator { return s.operators }
@@ -131,23 +200,45 @@
 // Moves returns all moves. The map must not be changed.
 func (s *State) Moves() map[ident.MoveID]*Move { return s.moves }
 
-// Entities returns all entities by path. The map must not be changed.
-func (s *State) Entities() map[ident.Path]Entity { return s.entities }
+// Entities yields all entities by path, in no order.
+func (s *State) Entities() iter.Seq2[ident.Path, Entity] {
+	return func(yield func(ident.Path, Entity) bool) {
+		for path, node := range s.nodes.all() {
+			if node.Entity != nil && !yield(path, node.Entity) {
+				return
+			}
+		}
+	}
+}
+
+// fork returns a copy that can be changed without touching s.
+func (s *State) fork() *State {
+	next := *s
+	next.nodes = s.nodes.fork()
+	next.organisations = s.organisations.fork()
+	next.keys = s.keys.fork()
+	next.owned = 0
+	return &next
+}
 
-// clone returns a copy whose indexes can be changed without touching s.
-func (s *State) clone() *State {
-	return &State{
-		offset:        s.offset,
-		revisions:     maps.Clone(s.revisions),
-		entities:      maps.Clone(s.entities),
-		operators:     maps.Clone(s.operators),
-		organisations: maps.Clone(s.organisations),
-		keys:          maps.Clone(s.keys),
-		routes:        maps.Clone(s.routes),
-		upstreams:     maps.Clone(s.upstreams),
-		models:        maps.Clone(s.models),
-		versions:      maps.Clone(s.versions),
-		members:       maps.Clone(s.members),
-		moves:         maps.Clone(s.moves),
+// own makes the small indexes in the set private to a forked state.
+func (s *State) own(set index) {
+	set &^= s.owned
+	s.owned |= set
+	ownMap(set&indexOperators, &s.operators)
+	ownMap(set&indexRoutes, &s.routes)
+	ownMap(set&indexUpstreams, &s.upstreams)
+	ownMap(set&indexModels, &s.models)
+	ownMap(set&indexVersions, &s.versions)
+	ownMap(set&indexMembers, &s.members)
+	ownMap(set&indexMoves, &s.moves)
+	if set&indexTombstones != 0 {
+		s.tombstones = slices.Clone(s.tombstones)
+	}
+}
+
+func ownMap[K comparable, V any](wanted index, m *map[K]V) {
+	if wanted != 0 {
+		*m = maps.Clone(*m)
 	}
 }
--- a/internal/state/extern/log.go
+++ b/internal/state/extern/log.go
@@ -18,6 +18,8 @@
 	StreamControl Stream = "control"
 	// StreamClaims holds claims of idempotency keys.
 	StreamClaims Stream = "claims"
+	// StreamCheckpoints holds checkpoints of the control stream.
+	StreamCheckpoints Stream = "checkpoints"
 )
 
 // Log is the platform's append-only log service. It takes several hundred appends a second,
--- /dev/null
+++ b/internal/state/scope/scope_test.go
@@ -0,0 +1,36 @@
+package scope
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestCloseCancelsAndWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var s Scope
+		ctx, leave := s.Enter(t.Context())
+		ended := false
+		s.Go(func() {
+			defer leave()
+			<-ctx.Done()
+			time.Sleep(time.Second)
+			ended = true
+		})
+		s.Close()
+		require.True(t, ended)
+	})
+}
+
+func TestEnterAfterCloseIsCancelled(t *testing.T) {
+	var s Scope
+	s.Close()
+	ctx, leave := s.Enter(context.Background())
+	defer leave()
+	require.Error(t, ctx.Err())
+	s.Go(func() { t.Error("started after Close") })
+	s.Close()
+}
