--- a/internal/coordination/member/export_test.go
+++ b/internal/coordination/member/export_test.go
@@ -11,6 +11,8 @@
 		f.amnesiac = true
 	case RuleConfirmation:
 		f.tracker.trusting = true
+	case RuleViews:
+		f.tracker.latest = true
 	case RuleNone:
 	}
 }
@@ -25,4 +27,5 @@
 	RuleAcknowledgement Rule = "acknowledgement"
 	RuleRecovery        Rule = "recovery"
 	RuleConfirmation    Rule = "confirmation"
+	RuleViews           Rule = "views"
 )
--- a/internal/coordination/member/force.go
+++ b/internal/coordination/member/force.go
@@ -26,6 +26,8 @@
 	// trusting counts holders without a second answer, unheld does without holders; tests set them to show that
 	// the confirmation and the acknowledgements are needed.
 	trusting, unheld bool
+	// latest goes by the newest view only; tests set it to show that the older views are needed.
+	latest bool
 }
 
 // advance starts and ends rounds and returns the newest offset known to be in force, 0 if no round has ended.
@@ -112,7 +114,7 @@
 	offset := state.Offset()
 	for !f.tracker.unheld {
 		held := offset
-		for _, ids := range views(history, state, offset) {
+		for _, ids := range f.views(history, offset) {
 			held = min(held, f.heldBy(ids, state))
 		}
 		if held == offset {
@@ -123,6 +125,15 @@
 	return offset
 }
 
+// views returns the sets of witnesses that a record at the offset needs a quorum of.
+func (f *Fleet) views(history []*config.State, offset ident.Offset) [][]ident.DaemonID {
+	newest := history[len(history)-1]
+	if f.tracker.latest {
+		history = history[len(history)-1:]
+	}
+	return views(history, newest, offset)
+}
+
 // heldBy returns the newest offset that a quorum of the witnesses has applied.
 func (f *Fleet) heldBy(ids []ident.DaemonID, state *config.State) ident.Offset {
 	var applied []ident.Offset
@@ -145,7 +156,7 @@
 	if f.tracker.unheld {
 		return true
 	}
-	for _, ids := range views(history, state, r.offset) {
+	for _, ids := range f.views(history, r.offset) {
 		n := 0
 		for _, id := range ids {
 			if f.confirms(id, r, state) {
--- a/internal/coordination/member/sim_test.go
+++ b/internal/coordination/member/sim_test.go
@@ -43,6 +43,8 @@
 	sim     *sim
 	id      ident.DaemonID
 	process *process
+	// gone is true for a daemon that never comes back.
+	gone bool
 	// resumed is closed when a pause ends; nil while not paused.
 	resumed chan struct{}
 }
@@ -69,12 +71,19 @@
 		cut:    map[[2]ident.DaemonID]bool{},
 		logCut: map[ident.DaemonID]bool{},
 	}
-	for i := range daemons {
-		s.nodes = append(s.nodes, &node{sim: s, id: ident.DaemonID(fmt.Sprintf("d%d", i))})
+	for range daemons {
+		s.add()
 	}
 	return s
 }
 
+// add adds a daemon that is not running yet.
+func (s *sim) add() *node {
+	n := &node{sim: s, id: ident.DaemonID(fmt.Sprintf("d%d", len(s.nodes)))}
+	s.nodes = append(s.nodes, n)
+	return n
+}
+
 // boot starts all daemons and waits until all have joined, serve and agree on what is in force.
 func (s *sim) boot() {
 	for _, n := range s.nodes {
@@ -98,17 +107,26 @@
 		n.crash()
 	}
 	s.wg.Wait()
+	s.log.Close()
 }
 
 func (s *sim) eventually(within time.Duration, what string, done func() bool) {
 	s.t.Helper()
-	deadline := time.Now().Add(within)
+	if !s.within(within, done) {
+		require.FailNow(s.t, "not in time", "%s: %s", what, s.describe())
+	}
+}
+
+// within reports whether done becomes true in time.
+func (s *sim) within(d time.Duration, done func() bool) bool {
+	deadline := time.Now().Add(d)
 	for !done() {
 		if time.Now().After(deadline) {
-			require.Fail(s.t, "not in time", "%s: %s", what, s.describe())
+			return false
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
+	return true
 }
 
 func (s *sim) describe() string {
@@ -218,7 +236,7 @@
 func (n *node) others() []ident.DaemonID {
 	var ids []ident.DaemonID
 	for _, other := range n.sim.nodes {
-		if other != n {
+		if other != n && !other.gone {
 			ids = append(ids, other.id)
 		}
 	}
@@ -341,6 +359,17 @@
 	}
 }
 
+// present returns the daemons that are not gone.
+func (s *sim) present() []*node {
+	var present []*node
+	for _, n := range s.nodes {
+		if !n.gone {
+			present = append(present, n)
+		}
+	}
+	return present
+}
+
 func (s *sim) all() []int {
 	ids := make([]int, len(s.nodes))
 	for i := range ids {
--- a/internal/coordination/replay/store.go
+++ b/internal/coordination/replay/store.go
@@ -55,6 +55,7 @@
 	}
 	s.trimWindow()
 	s.publish(current)
+	s.adopt(current.KnownInForce())
 	return true
 }
 
@@ -147,6 +148,11 @@
 func (s *store) setInForce(offset ident.Offset) *config.State {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.adopt(offset)
+}
+
+// adopt is setInForce with mu held.
+func (s *store) adopt(offset ident.Offset) *config.State {
 	i := s.newestAt(offset)
 	if i <= 0 {
 		return s.history[0]
--- a/internal/coordination/replay/writer.go
+++ b/internal/coordination/replay/writer.go
@@ -40,7 +40,12 @@
 	if err := w.check(rec); err != nil {
 		return Result{}, err
 	}
-	payload, err := proto.Marshal(rec)
+	stamped, ok := proto.Clone(rec).(*wire.Record)
+	if !ok {
+		return Result{}, &config.InvalidError{Path: ident.Path(rec.GetPath()), Reason: "the record can't be copied"}
+	}
+	stamped.InForceOffset = uint64(w.Follower.InForce().Offset())
+	payload, err := proto.Marshal(stamped)
 	if err != nil {
 		return Result{}, &config.InvalidError{Path: ident.Path(rec.GetPath()), Reason: err.Error()}
 	}
--- a/internal/standin/fakes/log.go
+++ b/internal/standin/fakes/log.go
@@ -42,8 +42,12 @@
 	streams map[extern.Stream]*stream
 	second  time.Time
 	appends int
+	calls   sync.WaitGroup
 }
 
+// Close waits for the calls that are still to take effect.
+func (l *Log) Close() { l.calls.Wait() }
+
 type stream struct {
 	entries []extern.LogEntry
 	first   ident.Offset
@@ -78,14 +82,14 @@
 
 // Append implements extern.Log.
 func (c *LogClient) Append(ctx context.Context, name extern.Stream, payload []byte) (ident.Offset, error) {
-	return call(ctx, c.fault(OperationAppend), name, func() (ident.Offset, error) {
+	return call(ctx, c.Log, c.fault(OperationAppend), name, func() (ident.Offset, error) {
 		return c.Log.append(name, payload)
 	})
 }
 
 // Read implements extern.Log.
 func (c *LogClient) Read(ctx context.Context, name extern.Stream, from ident.Offset, limit int) (extern.LogBatch, error) {
-	return call(ctx, c.fault(OperationRead), name, func() (extern.LogBatch, error) {
+	return call(ctx, c.Log, c.fault(OperationRead), name, func() (extern.LogBatch, error) {
 		return c.Log.read(name, from, limit)
 	})
 }
@@ -98,7 +102,7 @@
 }
 
 // call runs do with the fault. It goes on after the caller has given up.
-func call[T any](ctx context.Context, fault Fault, name extern.Stream, do func() (T, error)) (T, error) {
+func call[T any](ctx context.Context, l *Log, fault Fault, name extern.Stream, do func() (T, error)) (T, error) {
 	if fault == (Fault{}) {
 		return do()
 	}
@@ -107,7 +111,7 @@
 		err   error
 	}
 	answers := make(chan answer, 1)
-	go func() {
+	l.calls.Go(func() {
 		time.Sleep(fault.Delay)
 		var a answer
 		if fault.Refused {
@@ -119,7 +123,7 @@
 		if !fault.Lost {
 			answers <- a
 		}
-	}()
+	})
 	select {
 	case a := <-answers:
 		return a.value, a.err
--- a/internal/state/config/apply.go
+++ b/internal/state/config/apply.go
@@ -39,6 +39,9 @@
 // apply changes a forked state.
 func (s *State) apply(offset ident.Offset, rec *wire.Record) error {
 	s.offset = offset
+	if known := ident.Offset(rec.GetInForceOffset()); known < offset {
+		s.inForce = max(s.inForce, known)
+	}
 	if mark := rec.GetCheckpointMark(); mark != nil {
 		s.setMark(mark)
 		return nil
--- a/internal/state/config/checkpoint.go
+++ b/internal/state/config/checkpoint.go
@@ -76,6 +76,7 @@
 		c.Count = int32(len(chunks))
 		c.MembersChanged = uint64(s.membersChanged)
 		c.Mark = s.mark.Wire()
+		c.InForceOffset = uint64(s.inForce)
 	}
 	for _, id := range s.rejected {
 		chunks[0].Rejected = append(chunks[0].Rejected, string(id))
@@ -126,6 +127,7 @@
 	slices.SortFunc(s.tombstones, func(a, b tombstone) int { return cmp.Compare(a.revision, b.revision) })
 	s.membersChanged = ident.Offset(whole[0].GetMembersChanged())
 	s.mark = DecodeMark(whole[0].GetMark())
+	s.inForce = ident.Offset(whole[0].GetInForceOffset())
 	for _, id := range whole[0].GetRejected() {
 		s.rejected = append(s.rejected, ident.RecordID(id))
 	}
--- a/internal/state/config/state.go
+++ b/internal/state/config/state.go
@@ -14,7 +14,9 @@
 	offset ident.Offset
 	// membersChanged is the offset of the last record that changed a member.
 	membersChanged ident.Offset
-	mark           CheckpointMark
+	// inForce is the highest offset that a record named as being in force.
+	inForce ident.Offset
+	mark    CheckpointMark
 
 	nodes         *table[ident.Path, *Node]
 	organisations *table[ident.OrganisationID, *Organisation]
@@ -89,6 +91,9 @@
 // MembersChanged returns the offset of the last record that changed a member, 0 if none did.
 func (s *State) MembersChanged() ident.Offset { return s.membersChanged }
 
+// KnownInForce returns the highest offset that the author of a record knew to be in force.
+func (s *State) KnownInForce() ident.Offset { return s.inForce }
+
 // Mark returns the newest checkpoint that the stream announced; its AsOf is 0 if there is none.
 func (s *State) Mark() CheckpointMark { return s.mark }
 
