Guard the node list of the simulated fleet and let calls in flight end first

Cause: the race detector found reads of the node list while a daemon was added; the acknowledgement scenario once found nothing, because a read of the log that was under way saw the record. Change: a lock around the list; a second between the cut and the write.

--- a/internal/coordination/member/random_test.go
+++ b/internal/coordination/member/random_test.go
@@ -115,7 +115,9 @@
 	old := s.nodes[picked[0]]
 	old.crash()
 	old.resume()
+	s.mu.Lock()
 	old.gone = true
+	s.mu.Unlock()
 	s.add().start()
 }
 
--- a/internal/coordination/member/rules_test.go
+++ b/internal/coordination/member/rules_test.go
@@ -46,6 +46,7 @@
 func acknowledgementScenario(s *sim) string {
 	s.logOnly(0, 1)
 	s.partition(0, 1)
+	s.run(time.Second)
 	s.set(0, "a", 1)
 	return s.run(20 * time.Second)
 }
@@ -54,6 +55,7 @@
 func recoveryScenario(s *sim) string {
 	s.logOnly(0, 1, 2)
 	s.partition(3, 4)
+	s.run(time.Second)
 	s.set(0, "a", 1)
 	if v := s.run(15 * time.Second); v != "" {
 		return v
--- a/internal/coordination/member/sim_test.go
+++ b/internal/coordination/member/sim_test.go
@@ -79,6 +79,8 @@
 
 // add adds a daemon that is not running yet.
 func (s *sim) add() *node {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	n := &node{sim: s, id: ident.DaemonID(fmt.Sprintf("d%d", len(s.nodes)))}
 	s.nodes = append(s.nodes, n)
 	return n
@@ -234,6 +236,8 @@
 }
 
 func (n *node) others() []ident.DaemonID {
+	n.sim.mu.Lock()
+	defer n.sim.mu.Unlock()
 	var ids []ident.DaemonID
 	for _, other := range n.sim.nodes {
 		if other != n && !other.gone {
@@ -303,6 +307,8 @@
 }
 
 func (s *sim) node(id ident.DaemonID) *node {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, n := range s.nodes {
 		if n.id == id {
 			return n
