Provoke the failures of the fleet: outages, lost answers, races, pauses, partitions, restarts

Cause: each failure that the agreement is built for needs a test of its own. Change: focused tests; a daemon whose clock was ahead before its restart bumps its incarnation in place of taking itself for superseded; a lost answer of an append is settled as soon as the record is read back; pauses of the simulated daemons hold their log calls too.

--- a/internal/coordination/member/fleet.go
+++ b/internal/coordination/member/fleet.go
@@ -44,10 +44,12 @@
 	incarnation ident.Incarnation
 	recovering  bool
 	superseded  bool
-	wanted      config.MemberState
-	peers       map[ident.DaemonID]*peer
-	tracker     tracker
-	vms         vmHint
+	// recorded is true once the control stream has named this process.
+	recorded bool
+	wanted   config.MemberState
+	peers    map[ident.DaemonID]*peer
+	tracker  tracker
+	vms      vmHint
 	// amnesiac lets a restarted daemon vouch at once; tests set it to show that recovery is needed.
 	amnesiac bool
 }
@@ -123,11 +125,18 @@
 	}
 }
 
-// checkSuperseded notes when the control stream names a newer incarnation of this daemon.
+// checkSuperseded notes when the control stream names a newer incarnation of this daemon. While this one has never been
+// recorded, the other one is the older, from a time when the VM's clock was ahead.
 func (f *Fleet) checkSuperseded(applied *config.State) {
 	own, ok := applied.Member(f.Self.ID)
-	if ok && own.Incarnation > f.incarnation {
+	switch {
+	case !ok || own.Incarnation < f.incarnation:
+	case own.Incarnation == f.incarnation:
+		f.recorded = true
+	case f.recorded:
 		f.superseded = true
+	default:
+		f.incarnation = f.nextIncarnation()
 	}
 }
 
--- a/internal/coordination/member/sim_test.go
+++ b/internal/coordination/member/sim_test.go
@@ -16,6 +16,7 @@
 	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
 	"github.com/gooseberryway/gooseberryway/internal/standin/fakes"
 	"github.com/gooseberryway/gooseberryway/internal/state/config"
+	"github.com/gooseberryway/gooseberryway/internal/state/extern"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 )
 
@@ -152,7 +153,7 @@
 func (n *node) start() {
 	s := n.sim
 	ctx, cancel := context.WithCancel(context.Background())
-	client := &fakes.LogClient{Log: s.log, Fault: n.logFault}
+	client := &gatedLog{node: n, client: &fakes.LogClient{Log: s.log, Fault: n.logFault}}
 	p := &process{node: n, cancel: cancel}
 	p.follower = &replay.Follower{Log: client, Peers: p, Seeds: n.others}
 	p.writer = &replay.Writer{Log: client, Follower: p.follower}
@@ -186,9 +187,12 @@
 	p := n.process
 	n.process = nil
 	n.sim.mu.Unlock()
-	if p == nil {
-		return
+	if p != nil {
+		p.stop()
 	}
+}
+
+func (p *process) stop() {
 	p.cancel()
 	p.fleet.Close()
 	p.checkpoint.Close()
@@ -261,6 +265,34 @@
 	return fault
 }
 
+// gatedLog is the access of a daemon that may be paused to the log.
+type gatedLog struct {
+	node   *node
+	client *fakes.LogClient
+}
+
+// Append implements extern.Log.
+func (g *gatedLog) Append(ctx context.Context, name extern.Stream, payload []byte) (ident.Offset, error) {
+	return gated(ctx, g.node, name, func() (ident.Offset, error) { return g.client.Append(ctx, name, payload) })
+}
+
+// Read implements extern.Log.
+func (g *gatedLog) Read(ctx context.Context, name extern.Stream, from ident.Offset, limit int) (extern.LogBatch, error) {
+	return gated(ctx, g.node, name, func() (extern.LogBatch, error) { return g.client.Read(ctx, name, from, limit) })
+}
+
+func gated[T any](ctx context.Context, n *node, name extern.Stream, do func() (T, error)) (T, error) {
+	var none T
+	if err := n.gate(ctx); err != nil {
+		return none, &extern.LogError{Kind: extern.LogRefused, Stream: name, Err: err}
+	}
+	answer, err := do()
+	if gateErr := n.gate(ctx); err == nil && gateErr != nil {
+		return none, &extern.LogError{Kind: extern.LogUnknown, Stream: name, Err: gateErr}
+	}
+	return answer, err
+}
+
 // unreachableError is a message that was lost.
 type unreachableError struct{}
 
--- a/internal/coordination/replay/writer.go
+++ b/internal/coordination/replay/writer.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -127,13 +128,19 @@
 	}
 }
 
-// append makes one call to the log service.
+// append makes one call to the log service. It ends early when the record is read back.
 func (a *attempt) append(ctx context.Context) {
 	if err := a.writer.pace.wait(ctx, a.writer.Interval); err != nil {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	var watch sync.WaitGroup
+	defer watch.Wait()
 	defer cancel()
+	watch.Go(func() {
+		_ = a.writer.Follower.wait(ctx, a.known)
+		cancel()
+	})
 	offset, err := a.writer.Log.Append(ctx, extern.StreamControl, a.payload)
 	if err == nil {
 		a.offset, a.maybe = offset, true
@@ -146,6 +153,12 @@
 	}
 }
 
+// known reports whether the record has been read back.
+func (a *attempt) known() bool {
+	_, known := a.writer.Follower.Outcome(a.id)
+	return known
+}
+
 // settle waits for the record to be read back, for as long as the next append is not due.
 func (a *attempt) settle(ctx context.Context, pause time.Duration) (Result, bool) {
 	ctx, cancel := context.WithTimeout(ctx, pause)
