Add the OpenAI codec, settings, peer transport and reloading certificates

Cause: the daemon's shell needs checked settings, the callers' message shapes and calls between daemons. Change: protocol/openai, program/setup, transport/peer (connect-go), transport/secure.

--- /dev/null
+++ b/internal/coordination/serve/errors.go
@@ -0,0 +1,66 @@
+package serve
+
+import (
+	"fmt"
+	"time"
+)
+
+// Code says why a request was refused or failed.
+type Code string
+
+// Codes of refusals and failures. docs/operators/refusals.md explains each.
+const (
+	CodeInvalidRequest       Code = "invalidRequest"
+	CodeBodyTooLarge         Code = "bodyTooLarge"
+	CodeKeyMissing           Code = "keyMissing"
+	CodeKeyInvalid           Code = "keyInvalid"
+	CodeKeyWithdrawn         Code = "keyWithdrawn"
+	CodeOrganisationDisabled Code = "organisationDisabled"
+	CodeRouteNotFound        Code = "routeNotFound"
+	CodeModelNotFound        Code = "modelNotFound"
+	CodeRateLimited          Code = "rateLimited"
+	CodeCostAboveBurst       Code = "costAboveBurst"
+	CodeNoLease              Code = "noLease"
+	CodeDraining             Code = "draining"
+	CodeLimitsUnavailable    Code = "limitsUnavailable"
+	CodeClaimUnavailable     Code = "claimUnavailable"
+	CodeAlreadyRan           Code = "alreadyRan"
+	CodeKeyReused            Code = "idempotencyKeyReused"
+	CodeNoUpstream           Code = "noUpstream"
+	CodeUpstreamFailed       Code = "upstreamFailed"
+	CodeTimeout              Code = "timeout"
+	CodeCancelled            Code = "cancelled"
+)
+
+// Ran tells whether the request can have run.
+type Ran int
+
+// Values of Ran.
+const (
+	// NotRun: the request did not reach any upstream.
+	NotRun Ran = iota
+	// MayHaveRun: the request reached an upstream and its outcome is unknown.
+	MayHaveRun
+	// HasRun: the request ran.
+	HasRun
+)
+
+// Error is a refused or failed request.
+type Error struct {
+	Code Code
+	Ran  Ran
+	// Message is one sentence for the caller.
+	Message string
+	// RetryAfter is when a retry makes sense; 0 if it makes none.
+	RetryAfter time.Duration
+	Err        error
+}
+
+func (e *Error) Error() string {
+	if e.Err == nil {
+		return fmt.Sprintf("%s: %s", e.Code, e.Message)
+	}
+	return fmt.Sprintf("%s: %s: %v", e.Code, e.Message, e.Err)
+}
+
+func (e *Error) Unwrap() error { return e.Err }
--- /dev/null
+++ b/internal/program/setup/load_test.go
@@ -0,0 +1,99 @@
+package setup
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const goodSettings = `{
+	"daemonId": "d1", "failureDomain": "riga-1",
+	"listen": {"callers": "127.0.0.1:8080", "peers": "127.0.0.1:8081", "admin": "127.0.0.1:8082"},
+	"advertise": {"callers": "127.0.0.1:8080", "peers": "127.0.0.1:8081", "admin": "127.0.0.1:8082"},
+	"logService": {"url": "http://127.0.0.1:9000"},
+	"vmList": {"url": "http://127.0.0.1:9001"},
+	"weightStore": {"url": "http://127.0.0.1:9002"},
+	"sharedToken": "0123456789abcdef"
+}`
+
+func writeSettings(t *testing.T, text string) string {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "settings.json")
+	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+	return file
+}
+
+func TestLoadFillsDefaults(t *testing.T) {
+	s, err := Load(writeSettings(t, goodSettings))
+	require.NoError(t, err)
+	require.Equal(t, "prefix", s.Policy)
+	require.Equal(t, int64(2000), s.LogService.TimeoutMs)
+}
+
+func TestLoadNamesEveryFault(t *testing.T) {
+	cases := []struct {
+		name, old, new, path string
+	}{
+		{"unknown field", `"sharedToken"`, `"colour": 1, "sharedToken"`, "colour"},
+		{"unknown nested field", `"listen": {`, `"listen": {"metrics": "x", `, "listen.metrics"},
+		{"wrong case", `"failureDomain"`, `"FailureDomain"`, "FailureDomain"},
+		{"wrong type", `"d1"`, `5`, "daemonId"},
+		{"missing", `"daemonId": "d1",`, ``, "daemonId"},
+		{"host name", `"callers": "127.0.0.1:8080", "peers"`, `"callers": "localhost:8080", "peers"`, "listen.callers"},
+		{"same port twice", `"peers": "127.0.0.1:8081", "admin"`, `"peers": "127.0.0.1:8080", "admin"`, "listen.peers"},
+		{"unit in a string", `"http://127.0.0.1:9000"`, `"http://127.0.0.1:9000", "timeoutMs": "2s"`, "logService.timeoutMs"},
+		{"below the minimum", `"http://127.0.0.1:9000"`, `"http://127.0.0.1:9000", "timeoutMs": 1`, "logService.timeoutMs"},
+		{"no credentials between daemons", `,
+	"sharedToken": "0123456789abcdef"`, ``, "tls.peers"},
+		{"shared token off loopback", `"peers": "127.0.0.1:8081"`, `"peers": "10.0.0.1:8081"`, "sharedToken"},
+		{"plain admin off loopback", `"admin": "127.0.0.1:8082"`, `"admin": "10.0.0.1:8082"`, "tls.admin"},
+		{"policy", `"sharedToken"`, `"policy": "best", "sharedToken"`, "policy"},
+		{"wait beyond the timeout", `"sharedToken"`, `"limits": {"requestTimeoutMs": 1000, "admitWaitMs": 2000}, "sharedToken"`, "limits.admitWaitMs"},
+		{"trailing data", `"sharedToken": "0123456789abcdef"
+}`, `"sharedToken": "0123456789abcdef"} {}`, ""},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			text := replaceOnce(t, goodSettings, tc.old, tc.new)
+			_, err := Load(writeSettings(t, text))
+			var settingsErr *SettingsError
+			require.ErrorAs(t, err, &settingsErr)
+			paths := make([]string, 0, len(settingsErr.Faults))
+			for _, f := range settingsErr.Faults {
+				paths = append(paths, f.Path)
+			}
+			require.Contains(t, paths, tc.path, "%v", err)
+		})
+	}
+}
+
+func replaceOnce(t *testing.T, text, old, with string) string {
+	t.Helper()
+	for i := range len(text) - len(old) + 1 {
+		if text[i:i+len(old)] == old {
+			return text[:i] + with + text[i+len(old):]
+		}
+	}
+	t.Fatalf("%q is not in the settings", old)
+	return ""
+}
+
+func TestLoadOfAMissingFile(t *testing.T) {
+	_, err := Load(filepath.Join(t.TempDir(), "none.json"))
+	var settingsErr *SettingsError
+	require.True(t, errors.As(err, &settingsErr))
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(goodSettings))
+	f.Add([]byte(`{"limits":{"bodyBytes":1e99},"tls":null,"listen":[]}`))
+	f.Fuzz(func(_ *testing.T, raw []byte) {
+		s := Default()
+		if faults := Decode(raw, &s); len(faults) == 0 {
+			checkCombinations(&s)
+		}
+	})
+}
--- /dev/null
+++ b/internal/transport/peer/client.go
@@ -0,0 +1,182 @@
+// Package peer carries the calls between daemons over connect-go.
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/transport/secure"
+)
+
+const (
+	// callTimeout bounds a call between daemons unless the caller's context is shorter.
+	callTimeout = 2 * time.Second
+	// dialTimeout bounds the set-up of a connection.
+	dialTimeout = time.Second
+	// idleTimeout closes connections that carry nothing.
+	idleTimeout = 90 * time.Second
+	// maxMessageBytes bounds one message between daemons.
+	maxMessageBytes = 4 << 20
+)
+
+// UnknownDaemonError says that no address of a daemon is known.
+type UnknownDaemonError struct {
+	Daemon ident.DaemonID
+}
+
+func (e *UnknownDaemonError) Error() string {
+	return fmt.Sprintf("no address of daemon %s is known", e.Daemon)
+}
+
+// CallError is a failed call to another daemon. The call may have taken effect.
+type CallError struct {
+	Daemon ident.DaemonID
+	Err    error
+}
+
+func (e *CallError) Error() string { return fmt.Sprintf("daemon %s: %v", e.Daemon, e.Err) }
+
+func (e *CallError) Unwrap() error { return e.Err }
+
+// Client calls other daemons. Its fields are set before the first call.
+type Client struct {
+	// Resolve returns the peer address of a daemon.
+	Resolve func(ident.DaemonID) (string, bool)
+	// TLS is nil on loopback, where Token authenticates.
+	TLS   *tls.Config
+	Token string
+
+	once    sync.Once
+	http    *http.Client
+	mu      sync.Mutex
+	clients map[string]wire.PeerServiceClient
+}
+
+// Close closes idle connections.
+func (c *Client) Close() {
+	c.once.Do(c.init)
+	c.http.CloseIdleConnections()
+}
+
+func (c *Client) init() {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP2(c.TLS != nil)
+	protocols.SetUnencryptedHTTP2(c.TLS == nil)
+	c.http = &http.Client{Transport: &http.Transport{
+		TLSClientConfig:     c.TLS,
+		Protocols:           protocols,
+		DialContext:         dialer().DialContext,
+		IdleConnTimeout:     idleTimeout,
+		TLSHandshakeTimeout: dialTimeout,
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout: callTimeout,
+			PingTimeout:     callTimeout,
+		},
+	}}
+	c.clients = map[string]wire.PeerServiceClient{}
+}
+
+func (c *Client) client(daemon ident.DaemonID) (wire.PeerServiceClient, error) {
+	c.once.Do(c.init)
+	addr, ok := c.Resolve(daemon)
+	if !ok {
+		return nil, &UnknownDaemonError{Daemon: daemon}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	client, ok := c.clients[addr]
+	if !ok {
+		client = wire.NewPeerServiceClient(c.http, c.baseURL(addr), connect.WithReadMaxBytes(maxMessageBytes))
+		c.clients[addr] = client
+	}
+	return client, nil
+}
+
+func (c *Client) baseURL(addr string) string {
+	if c.TLS != nil {
+		return "https://" + addr
+	}
+	return "http://" + addr
+}
+
+// call runs one unary call with the token and a deadline. The error is an *UnknownDaemonError or a *CallError.
+func call[Req, Resp any](
+	ctx context.Context, c *Client, daemon ident.DaemonID, req *Req,
+	method func(wire.PeerServiceClient, context.Context, *connect.Request[Req]) (*connect.Response[Resp], error),
+) (*Resp, error) {
+	client, err := c.client(daemon)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	r := connect.NewRequest(req)
+	secure.AddToken(r.Header(), c.Token)
+	resp, err := method(client, ctx, r)
+	if err != nil {
+		return nil, &CallError{Daemon: daemon, Err: err}
+	}
+	return resp.Msg, nil
+}
+
+// Heartbeat sends a heartbeat.
+func (c *Client) Heartbeat(ctx context.Context, to ident.DaemonID, req *wire.HeartbeatRequest) (*wire.HeartbeatResponse, error) {
+	return call(ctx, c, to, req, wire.PeerServiceClient.Heartbeat)
+}
+
+// Relay reads records that the daemon has applied.
+func (c *Client) Relay(ctx context.Context, to ident.DaemonID, req *wire.RelayRequest) (*wire.RelayResponse, error) {
+	return call(ctx, c, to, req, wire.PeerServiceClient.Relay)
+}
+
+// Grant asks for tokens.
+func (c *Client) Grant(ctx context.Context, to ident.DaemonID, req *wire.GrantRequest) (*wire.GrantResponse, error) {
+	return call(ctx, c, to, req, wire.PeerServiceClient.Grant)
+}
+
+// Claim asks for the right to run a request once.
+func (c *Client) Claim(ctx context.Context, to ident.DaemonID, req *wire.ClaimRequest) (*wire.ClaimResponse, error) {
+	return call(ctx, c, to, req, wire.PeerServiceClient.Claim)
+}
+
+// Finish hands over the answer of a claimed request.
+func (c *Client) Finish(ctx context.Context, to ident.DaemonID, req *wire.FinishRequest) (*wire.FinishResponse, error) {
+	return call(ctx, c, to, req, wire.PeerServiceClient.Finish)
+}
+
+// Backup copies claims that are not in the log yet.
+func (c *Client) Backup(ctx context.Context, to ident.DaemonID, req *wire.BackupRequest) (*wire.BackupResponse, error) {
+	return call(ctx, c, to, req, wire.PeerServiceClient.Backup)
+}
+
+// Snapshot reads the whole state of the daemon, chunk by chunk, in order.
+func (c *Client) Snapshot(ctx context.Context, to ident.DaemonID, req *wire.SnapshotRequest, each func(*wire.SnapshotChunk) error) error {
+	client, err := c.client(to)
+	if err != nil {
+		return err
+	}
+	r := connect.NewRequest(req)
+	secure.AddToken(r.Header(), c.Token)
+	stream, err := client.Snapshot(ctx, r)
+	if err != nil {
+		return &CallError{Daemon: to, Err: err}
+	}
+	defer stream.Close()
+	for stream.Receive() {
+		if err := each(stream.Msg()); err != nil {
+			return err
+		}
+	}
+	if err := stream.Err(); err != nil {
+		return &CallError{Daemon: to, Err: err}
+	}
+	return nil
+}
