Add the request service and the callers' interface

Cause: requests need one place that decides who may run what, and an OpenAI-compatible edge before it.

--- /dev/null
+++ b/internal/coordination/serve/auth.go
@@ -0,0 +1,66 @@
+package serve
+
+import (
+	"github.com/gooseberryway/gooseberryway/internal/state/config"
+	"github.com/gooseberryway/gooseberryway/internal/state/guard"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
+
+// Caller is who sent a request, as the configuration of now knows it.
+type Caller struct {
+	Organisation ident.OrganisationID
+	Team         ident.TeamID
+	// Key is nil on an open route without a key.
+	Key *config.Key
+}
+
+// authenticate returns the caller of the credentials.
+func authenticate(st *config.State, cred Credentials) (Caller, error) {
+	if !cred.Present {
+		return Caller{}, &Error{Code: CodeKeyMissing, Message: "a bearer key is needed"}
+	}
+	key, ok := st.KeyByDigest(cred.Digest)
+	if !ok {
+		return Caller{}, &Error{Code: CodeKeyInvalid, Message: "the key is not known"}
+	}
+	if key.Withdrawn {
+		return Caller{}, &Error{Code: CodeKeyWithdrawn, Message: "the key has been withdrawn"}
+	}
+	org, ok := st.Organisation(key.Organisation)
+	if !ok {
+		return Caller{}, &Error{Code: CodeKeyInvalid, Message: "the key's organisation does not exist"}
+	}
+	if org.Disabled {
+		return Caller{}, &Error{Code: CodeOrganisationDisabled, Message: "the organisation is disabled"}
+	}
+	return Caller{Organisation: org.ID, Team: org.Team, Key: key}, nil
+}
+
+// authorise returns the caller of a request on a route. Only open routes take requests without a key.
+func authorise(st *config.State, cred Credentials, route *config.Route) (Caller, error) {
+	caller, err := authenticate(st, cred)
+	if err == nil {
+		if !route.Open && caller.Team != route.Team {
+			return Caller{}, &Error{Code: CodeRouteNotFound, Message: "the route does not exist for this key"}
+		}
+		return caller, nil
+	}
+	if route.Open && !cred.Present {
+		return Caller{Team: route.Team}, nil
+	}
+	return Caller{}, err
+}
+
+// checkDispatch asserts that a request runs for the organisation of its key and that the key is in use.
+func checkDispatch(st *config.State, cred Credentials, caller Caller, route *config.Route) bool {
+	if !cred.Present {
+		return guard.Check(route.Open && caller.Organisation == "", guard.OrganisationIsolated,
+			"route %s took a request without a key", route.ID)
+	}
+	key, ok := st.KeyByDigest(cred.Digest)
+	if !guard.Check(ok && key.Organisation == caller.Organisation, guard.OrganisationIsolated,
+		"a request on route %s runs for organisation %s, not for that of its key", route.ID, caller.Organisation) {
+		return false
+	}
+	return guard.Check(!key.Withdrawn, guard.KeyWithdrawn, "key %s was withdrawn before dispatch", key.ID)
+}
--- a/internal/coordination/serve/consts.go
+++ b/internal/coordination/serve/consts.go
@@ -3,6 +3,8 @@
 import "time"
 
 const (
+	// statusOK is the HTTP status of a kept completion.
+	statusOK = 200
 	// defaultMaxTokens is the output limit of a request that names none.
 	defaultMaxTokens = 1024
 	// retryNoLease is when a caller may try a daemon again that has no serving lease.
--- a/internal/coordination/serve/errors.go
+++ b/internal/coordination/serve/errors.go
@@ -28,6 +28,7 @@
 	CodeKeyReused            Code = "idempotencyKeyReused"
 	CodeNoUpstream           Code = "noUpstream"
 	CodeUpstreamFailed       Code = "upstreamFailed"
+	CodeOverloaded           Code = "overloaded"
 	CodeTimeout              Code = "timeout"
 	CodeCancelled            Code = "cancelled"
 )
--- /dev/null
+++ b/internal/coordination/serve/run.go
@@ -0,0 +1,176 @@
+package serve
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync/atomic"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/config"
+	"github.com/gooseberryway/gooseberryway/internal/state/extern"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/state/prefix"
+)
+
+// keptType is the content type under which answers of completions are kept.
+const keptType = "application/vnd.gooseberryway.completion+json"
+
+// Result is the end of a complete answer.
+type Result struct {
+	FinishReason string       `json:"finishReason"`
+	PromptTokens ident.Tokens `json:"promptTokens"`
+	CachedTokens ident.Tokens `json:"cachedTokens"`
+	OutputTokens ident.Tokens `json:"outputTokens"`
+}
+
+// keptCompletion is the body of a kept answer of a completion.
+type keptCompletion struct {
+	Result
+	Text string `json:"text"`
+}
+
+// Run is an admitted completion.
+type Run struct {
+	service     *Service
+	call        *Call
+	route       *config.Route
+	caller      Caller
+	version     ident.VersionID
+	maxTokens   ident.Tokens
+	reservation Reservation
+	claimed     bool
+	kept        *KeptAnswer
+	state       atomic.Pointer[config.State]
+	sent        ident.Tokens
+	started     bool
+	text        []byte
+	closed      bool
+}
+
+// Route returns the route of the request.
+func (r *Run) Route() ident.RouteID { return r.route.ID }
+
+// Organisation returns the organisation that the request runs for; empty on an open route without a key.
+func (r *Run) Organisation() ident.OrganisationID { return r.caller.Organisation }
+
+// Version returns the version that serves the request; empty for a kept answer.
+func (r *Run) Version() ident.VersionID { return r.version }
+
+// Stream runs the completion and passes each piece of text on, in order. It returns when the answer is whole
+// or can't be completed; the error is an *Error, or that of emit.
+func (r *Run) Stream(ctx context.Context, emit func(text string) error) (*Result, error) {
+	if r.kept != nil {
+		return r.streamKept(emit)
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.service.timeout(r.route))
+	defer cancel()
+	r.started = true
+	done, err := r.service.Runner.Run(ctx, r.engineRequest(), func(c *extern.EngineChunk) error { return r.pass(c, emit) })
+	if err != nil {
+		return nil, r.failed(err)
+	}
+	result := &Result{
+		FinishReason: done.FinishReason,
+		PromptTokens: done.PromptTokens,
+		CachedTokens: done.CachedTokens,
+		OutputTokens: done.OutputTokens,
+	}
+	r.settle(done.PromptTokens + done.OutputTokens)
+	r.finish(result)
+	return result, nil
+}
+
+func (r *Run) pass(c *extern.EngineChunk, emit func(string) error) error {
+	if err := r.checkWithdrawal(); err != nil {
+		return err
+	}
+	r.sent += c.Count
+	if r.claimed {
+		r.text = append(r.text, c.Text...)
+	}
+	return emit(c.Text)
+}
+
+// checkWithdrawal ends a stream whose key has been withdrawn, where the route wants that.
+func (r *Run) checkWithdrawal() error {
+	now := r.service.State()
+	if r.state.Load() == now {
+		return nil
+	}
+	r.state.Store(now)
+	if r.route.OnKeyWithdrawal != config.WithdrawalCut || !r.call.Credentials.Present {
+		return nil
+	}
+	_, err := authenticate(now, r.call.Credentials)
+	var refusal *Error
+	if errors.As(err, &refusal) {
+		refusal.Ran = HasRun
+		return refusal
+	}
+	return nil
+}
+
+func (r *Run) failed(err error) error {
+	var failure *Error
+	if !errors.As(err, &failure) || failure.Ran != NotRun {
+		// The prompt and what was sent so far have been computed.
+		r.settle(prefix.TokensOf(r.call.Prompt) + r.sent)
+		return err
+	}
+	r.started = false
+	return err
+}
+
+func (r *Run) settle(used ident.Tokens) {
+	if r.reservation != nil {
+		r.reservation.Settle(used)
+		r.reservation = nil
+	}
+}
+
+// finish keeps the answer of a claimed request for repeats.
+func (r *Run) finish(result *Result) {
+	if !r.claimed {
+		return
+	}
+	body, err := json.Marshal(keptCompletion{Result: *result, Text: string(r.text)})
+	if err != nil {
+		return
+	}
+	answer := &KeptAnswer{Status: statusOK, ContentType: keptType, Body: body}
+	r.service.Claims.Finish(context.Background(), r.caller.Organisation, r.call.IdempotencyKey, r.call.Request, answer)
+	r.claimed = false
+}
+
+func (r *Run) streamKept(emit func(string) error) (*Result, error) {
+	var kept keptCompletion
+	if err := json.Unmarshal(r.kept.Body, &kept); err != nil {
+		return nil, &Error{Code: CodeAlreadyRan, Ran: HasRun, Message: "the request ran, its answer is not kept", Err: err}
+	}
+	if err := emit(kept.Text); err != nil {
+		return nil, err
+	}
+	r.settle(0)
+	return &kept.Result, nil
+}
+
+// Close ends the request. It frees what a request that never ran had reserved and claimed.
+func (r *Run) Close() {
+	if r.closed {
+		return
+	}
+	r.closed = true
+	if !r.started {
+		r.settle(0)
+		r.freeClaim()
+	}
+	r.settle(prefix.TokensOf(r.call.Prompt) + r.sent)
+	r.service.end()
+}
+
+func (r *Run) freeClaim() {
+	if r.claimed {
+		r.service.Claims.Finish(context.Background(), r.caller.Organisation, r.call.IdempotencyKey, r.call.Request, nil)
+		r.claimed = false
+	}
+}
--- /dev/null
+++ b/internal/transport/caller/decode.go
@@ -0,0 +1,170 @@
+package caller
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gooseberryway/gooseberryway/internal/coordination/serve"
+	"github.com/gooseberryway/gooseberryway/internal/protocol/openai"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
+
+// singleHeaders may occur only once in a request: two of them could be read differently by others.
+var singleHeaders = []string{headerAuthorization, headerIdempotencyKey, headerTimeout, "Content-Type"}
+
+// completion is a decoded completion request.
+type completion struct {
+	kind    openai.Kind
+	request *openai.Request
+	call    *serve.Call
+	timeout time.Duration
+}
+
+// decoder returns the decoder of a kind of completion.
+func (s *Server) decoder(kind openai.Kind, decode func([]byte) (*openai.Request, error)) func(context.Context, *http.Request) (*completion, error) {
+	return func(ctx context.Context, r *http.Request) (*completion, error) {
+		common, err := decodeCommon(r)
+		if err != nil {
+			return nil, err
+		}
+		body, err := s.readBody(ctx, r)
+		if err != nil {
+			return nil, err
+		}
+		req, err := decode(body)
+		if err != nil {
+			return nil, &serve.Error{Code: serve.CodeInvalidRequest, Message: err.Error()}
+		}
+		return &completion{kind: kind, request: req, timeout: common.timeout, call: newCall(ctx, r, common, req, body)}, nil
+	}
+}
+
+func newCall(ctx context.Context, r *http.Request, common common, req *openai.Request, body []byte) *serve.Call {
+	prefix := strings.TrimSuffix(strings.TrimSuffix(r.URL.Path, pathChat), pathCompletion)
+	call := &serve.Call{
+		Request:        requestOf(ctx),
+		Credentials:    common.credentials,
+		PathPrefix:     prefix,
+		Model:          req.Model,
+		Prompt:         req.Prompt,
+		MaxTokens:      req.MaxTokens,
+		Seed:           req.Seed,
+		Sampling:       req.Sampling,
+		IdempotencyKey: common.idempotencyKey,
+	}
+	if common.idempotencyKey != "" {
+		call.Digest = sha256.Sum256(body)
+	}
+	return call
+}
+
+// common is what every request of a caller may carry.
+type common struct {
+	credentials    serve.Credentials
+	idempotencyKey string
+	timeout        time.Duration
+}
+
+func decodeCommon(r *http.Request) (common, error) {
+	var c common
+	for _, name := range singleHeaders {
+		if len(r.Header.Values(name)) > 1 {
+			return c, &serve.Error{Code: serve.CodeInvalidRequest, Message: "the header " + name + " occurs twice"}
+		}
+	}
+	credentials, err := decodeCredentials(r)
+	if err != nil {
+		return c, err
+	}
+	timeout, err := decodeTimeout(r.Header.Get(headerTimeout))
+	if err != nil {
+		return c, err
+	}
+	key := r.Header.Get(headerIdempotencyKey)
+	if len(key) > maxIdempotencyKeyBytes {
+		return c, &serve.Error{Code: serve.CodeInvalidRequest, Message: fmt.Sprintf("the idempotency key is longer than %d bytes", maxIdempotencyKeyBytes)}
+	}
+	return common{credentials: credentials, idempotencyKey: key, timeout: timeout}, nil
+}
+
+func decodeCredentials(r *http.Request) (serve.Credentials, error) {
+	header := r.Header.Get(headerAuthorization)
+	if header == "" {
+		return serve.Credentials{}, nil
+	}
+	scheme, key, ok := strings.Cut(header, " ")
+	key = strings.TrimSpace(key)
+	if !ok || !strings.EqualFold(scheme, "Bearer") || key == "" {
+		return serve.Credentials{}, &serve.Error{Code: serve.CodeKeyInvalid, Message: "the Authorization header is not of the form Bearer KEY"}
+	}
+	return serve.Credentials{Present: true, Digest: ident.DigestOf(key)}, nil
+}
+
+func decodeTimeout(header string) (time.Duration, error) {
+	if header == "" {
+		return 0, nil
+	}
+	ms, err := strconv.ParseInt(header, 10, 64)
+	if err != nil || ms < 1 || ms > maxCallerTimeout.Milliseconds() {
+		return 0, &serve.Error{
+			Code:    serve.CodeInvalidRequest,
+			Message: fmt.Sprintf("%s is not a number of milliseconds from 1 to %d", headerTimeout, maxCallerTimeout.Milliseconds()),
+		}
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+// readBody reads the body within its limits of size and time.
+func (s *Server) readBody(ctx context.Context, r *http.Request) ([]byte, error) {
+	defer s.boundRead(ctx)()
+	if r.ContentLength > s.BodyBytes {
+		return nil, s.tooLarge()
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, s.BodyBytes+1))
+	if err != nil {
+		return nil, bodyError(err)
+	}
+	if int64(len(body)) > s.BodyBytes {
+		return nil, s.tooLarge()
+	}
+	return body, nil
+}
+
+func (s *Server) tooLarge() error {
+	return &serve.Error{Code: serve.CodeBodyTooLarge, Message: fmt.Sprintf("the body is larger than %d bytes", s.BodyBytes)}
+}
+
+func bodyError(err error) error {
+	message := "the body could not be read"
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		message = "the body came too slowly"
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		message = "the body ended early"
+	}
+	return &serve.Error{Code: serve.CodeInvalidRequest, Message: message, Err: err}
+}
+
+type controllerKey struct{}
+
+// withController makes the connection's deadlines available to decoders, which see no response writer.
+func withController(w http.ResponseWriter, r *http.Request) *http.Request {
+	return r.WithContext(context.WithValue(r.Context(), controllerKey{}, http.NewResponseController(w)))
+}
+
+// boundRead sets the deadline for reading a body and returns the function that lifts it.
+func (s *Server) boundRead(ctx context.Context) (lift func()) {
+	rc, ok := ctx.Value(controllerKey{}).(*http.ResponseController)
+	if !ok || rc.SetReadDeadline(time.Now().Add(s.BodyTimeout)) != nil {
+		return func() {}
+	}
+	return func() { _ = rc.SetReadDeadline(time.Time{}) }
+}
