Add the log service and engine adapters with their stand-ins

The daemon and the demo need outside systems to talk to. The adapters speak HTTP with JSON and server-sent events over one tuned connection pool for each kind; the pool tells exactly whether a byte of a failed request can have left, so that 'refused' and 'not run' are said only when true. The stand-in engine batches, caches prefixes, resumes, takes orders and shows faults; its core runs on the runtime's clock without sockets (engine.Local). extern.EngineRequest gains Route, which the engine needs to tell apart routes.

--- /dev/null
+++ b/internal/standin/engine/local.go
@@ -0,0 +1,139 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/extern"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	wireng "github.com/gooseberryway/gooseberryway/internal/transport/engine"
+)
+
+// Local implements extern.Engine without sockets, so that tests run under testing/synctest.
+type Local struct {
+	// Engines are the engines by base URL.
+	Engines map[string]*Engine
+	// Credential is shown with orders.
+	Credential string
+}
+
+var _ extern.Engine = (*Local)(nil)
+
+// UnknownEngineError is a base URL that no engine has.
+type UnknownEngineError struct {
+	BaseURL string
+}
+
+func (e *UnknownEngineError) Error() string { return "no engine at " + e.BaseURL }
+
+// Complete implements extern.Engine.
+func (l *Local) Complete(ctx context.Context, upstream ident.UpstreamID, baseURL string, req extern.EngineRequest) (extern.EngineStream, error) {
+	e, err := l.engine(baseURL)
+	if err != nil {
+		return nil, err
+	}
+	c, err := e.Submit(ctx, req)
+	if err != nil {
+		return nil, upstreamError(upstream, err)
+	}
+	return &localStream{ctx: ctx, upstream: upstream, request: req.Request, completion: c}, nil
+}
+
+// Watch implements extern.Engine.
+func (l *Local) Watch(ctx context.Context, baseURL string, from extern.EnginePosition, sink extern.EngineSink) error {
+	e, err := l.engine(baseURL)
+	if err != nil {
+		return err
+	}
+	err = e.Watch(ctx, from, func(event any) error {
+		switch event := event.(type) {
+		case extern.CacheEvent:
+			sink.CacheEvent(event)
+		case extern.LoadReport:
+			sink.LoadReport(event)
+		}
+		return nil
+	})
+	return upstreamError(e.ID, err)
+}
+
+// Order implements extern.Engine.
+func (l *Local) Order(ctx context.Context, baseURL string, order extern.EngineOrder) error {
+	e, err := l.engine(baseURL)
+	if err != nil {
+		return err
+	}
+	if err := e.Order(ctx, order, l.Credential); err != nil {
+		return upstreamError(e.ID, err)
+	}
+	return nil
+}
+
+func (l *Local) engine(baseURL string) (*Engine, error) {
+	if e, ok := l.Engines[baseURL]; ok {
+		return e, nil
+	}
+	return nil, &extern.UpstreamError{Kind: extern.UpstreamUnreachable, NotRun: true, Err: &UnknownEngineError{BaseURL: baseURL}}
+}
+
+// localStream is an answer of a Local engine.
+type localStream struct {
+	ctx        context.Context //nolint:containedctx // Next has none
+	upstream   ident.UpstreamID
+	request    ident.RequestID
+	completion *Completion
+	ended      bool
+}
+
+// Next implements extern.EngineStream.
+func (s *localStream) Next() (extern.EngineEvent, error) {
+	if s.ended {
+		return nil, upstreamError(s.upstream, &TruncatedError{})
+	}
+	event, err := s.completion.Next(s.ctx)
+	if err != nil {
+		s.ended = true
+		return nil, upstreamError(s.upstream, err)
+	}
+	if got := s.completion.answers.Request; got != s.request {
+		s.ended = true
+		crossed := &wireng.CrossedError{Want: s.request, Got: got}
+		return nil, &extern.UpstreamError{Kind: extern.UpstreamCrossed, Upstream: s.upstream, Err: crossed}
+	}
+	_, s.ended = event.(*extern.EngineDone)
+	return event, nil
+}
+
+// Close implements extern.EngineStream.
+func (s *localStream) Close() error {
+	s.completion.Close()
+	return nil
+}
+
+// upstreamError returns what an adapter makes of an engine's error.
+func upstreamError(upstream ident.UpstreamID, err error) error {
+	up := &extern.UpstreamError{Kind: extern.UpstreamBroken, Upstream: upstream, Err: err}
+	var refusal *RefusalError
+	switch {
+	case errors.As(err, &refusal):
+		up.NotRun, up.RetryAfter = refusal.NotRun, refusal.RetryAfter
+		up.Kind = kindOf(refusal)
+	case errors.Is(err, context.DeadlineExceeded):
+		up.Kind = extern.UpstreamTimeout
+	}
+	return up
+}
+
+func kindOf(refusal *RefusalError) extern.UpstreamErrorKind {
+	switch {
+	case refusal.Code == wireng.CodeFenced:
+		return extern.UpstreamFenced
+	case refusal.Code == wireng.CodeOverloaded:
+		return extern.UpstreamOverloaded
+	case refusal.Status < http.StatusInternalServerError:
+		return extern.UpstreamRejected
+	default:
+		return extern.UpstreamBroken
+	}
+}
--- /dev/null
+++ b/internal/standin/events/consts.go
@@ -0,0 +1,8 @@
+package events
+
+import "github.com/gooseberryway/gooseberryway/internal/state/ident"
+
+// maxKept is the number of events that a reader can be behind without a resync.
+const maxKept = 4096
+
+type sequence = ident.Sequence
--- /dev/null
+++ b/internal/standin/logsvc/handler.go
@@ -0,0 +1,120 @@
+package logsvc
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/gooseberryway/gooseberryway/internal/standin/serve"
+	"github.com/gooseberryway/gooseberryway/internal/state/extern"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	wirelog "github.com/gooseberryway/gooseberryway/internal/transport/logsvc"
+)
+
+// Start listens on Address and serves until Close.
+func (s *Service) Start(ctx context.Context) error {
+	address := s.Address
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	server := &serve.Server{Address: address, Handler: s.Handler()}
+	if err := server.Start(ctx); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.server = server
+	s.mu.Unlock()
+	return nil
+}
+
+// URL returns the base URL after Start.
+func (s *Service) URL() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.server.URL()
+}
+
+// Handler serves the log's protocol, and /standin/stats and /standin/control for tests.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/streams/{stream}/records", s.serveAppend)
+	mux.HandleFunc("GET /v1/streams/{stream}/records", s.serveRead)
+	mux.HandleFunc("GET /standin/stats", func(w http.ResponseWriter, _ *http.Request) {
+		serve.JSON(w, http.StatusOK, s.Stats())
+	})
+	mux.HandleFunc("POST /standin/control", s.serveControl)
+	return mux
+}
+
+func (s *Service) serveAppend(w http.ResponseWriter, r *http.Request) {
+	payload, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxPayloadBytes))
+	if err != nil {
+		serve.JSON(w, http.StatusBadRequest, wirelog.Failure{Kind: string(extern.LogRefused), Message: err.Error()})
+		return
+	}
+	offset, err := s.Append(r.Context(), extern.Stream(r.PathValue("stream")), payload)
+	if err != nil {
+		serveFailure(w, err)
+		return
+	}
+	serve.JSON(w, http.StatusOK, wirelog.AppendAnswer{Offset: offset})
+}
+
+func (s *Service) serveRead(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseUint(r.FormValue("from"), 10, 64)
+	limit, errLimit := strconv.Atoi(r.FormValue("limit"))
+	if err = errors.Join(err, errLimit); err != nil {
+		serve.JSON(w, http.StatusBadRequest, wirelog.Failure{Kind: string(extern.LogRefused), Message: err.Error()})
+		return
+	}
+	batch, err := s.Read(r.Context(), extern.Stream(r.PathValue("stream")), ident.Offset(from), limit)
+	if err != nil {
+		serveFailure(w, err)
+		return
+	}
+	answer := wirelog.ReadAnswer{First: batch.First, Tail: batch.Tail}
+	for _, e := range batch.Entries {
+		answer.Entries = append(answer.Entries, wirelog.Entry(e))
+	}
+	serve.JSON(w, http.StatusOK, answer)
+}
+
+// serveFailure answers with what a real service could tell: nothing at all when the answer is lost.
+func serveFailure(w http.ResponseWriter, err error) {
+	var rate *RateError
+	var outage *OutageError
+	var logErr *extern.LogError
+	switch {
+	case errors.As(err, &rate):
+		w.Header().Set("Retry-After", "1")
+		serve.JSON(w, http.StatusTooManyRequests, wirelog.Failure{Kind: string(extern.LogRefused), Message: rate.Error()})
+	case errors.As(err, &outage) && outage.Mode == ModeFailing:
+		serve.JSON(w, http.StatusServiceUnavailable, wirelog.Failure{Message: outage.Error()})
+	case errors.As(err, &logErr) && logErr.Kind == extern.LogExpired:
+		serve.JSON(w, http.StatusGone, wirelog.Failure{Kind: string(extern.LogExpired), Message: "older than the oldest record"})
+	default:
+		serve.Abort()
+	}
+}
+
+func (s *Service) serveControl(w http.ResponseWriter, r *http.Request) {
+	faults := s.Faults()
+	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
+		serve.JSON(w, http.StatusBadRequest, wirelog.Failure{Message: err.Error()})
+		return
+	}
+	if faults.Mode == ModeRefusing {
+		w.WriteHeader(http.StatusAccepted)
+		_ = http.NewResponseController(w).Flush()
+		_ = s.SetFaults(faults)
+		return
+	}
+	if err := s.SetFaults(faults); err != nil {
+		serve.JSON(w, http.StatusInternalServerError, wirelog.Failure{Message: err.Error()})
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/standin/serve/consts.go
@@ -0,0 +1,5 @@
+package serve
+
+import "time"
+
+const readHeaderTimeout = 10 * time.Second
--- a/internal/state/extern/engine.go
+++ b/internal/state/extern/engine.go
@@ -11,6 +11,8 @@
 // EngineRequest is one completion to run on an engine.
 type EngineRequest struct {
 	Request ident.RequestID
+	// Route is passed on so that the engine can account for it; empty if there is none.
+	Route ident.RouteID
 	// Organisation salts the engine's prefix cache; blocks of one organisation are never used for another.
 	Organisation ident.OrganisationID
 	Model        ident.ModelID
@@ -59,7 +61,8 @@
 
 // EngineStream is a running answer.
 type EngineStream interface {
-	// Next blocks for the next event. The error is an *UpstreamError; after *EngineDone there is no more event.
+	// Next blocks for the next event, which is valid until the call after. The error is an *UpstreamError;
+	// after *EngineDone there is no more event.
 	Next() (EngineEvent, error)
 	// Close cancels the answer at the engine if it is still running and waits until its resources are free.
 	Close() error
--- /dev/null
+++ b/internal/transport/engine/client.go
@@ -0,0 +1,121 @@
+// Package engine is the adapter of the model engines. It speaks HTTP with JSON and server-sent events:
+// POST /v1/completions, GET /v1/events and POST /v1/orders.
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/extern"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/transport/httpc"
+)
+
+// Client talks to all engines. It is safe for use by several goroutines.
+type Client struct {
+	// Credential returns the bearer token for a base URL, empty for none; nil sends none.
+	Credential func(baseURL string) string
+	// OrderTimeout bounds an order, which may include loading weights; 0 is two minutes.
+	OrderTimeout time.Duration
+	// Pool holds the connections.
+	Pool httpc.Pool
+}
+
+var _ extern.Engine = (*Client)(nil)
+
+// Complete implements extern.Engine.
+func (c *Client) Complete(ctx context.Context, upstream ident.UpstreamID, baseURL string, req extern.EngineRequest) (extern.EngineStream, error) {
+	body, err := json.Marshal(requestOf(&req))
+	if err != nil {
+		return nil, &extern.UpstreamError{Kind: extern.UpstreamRejected, Upstream: upstream, NotRun: true, Err: err}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	resp, err := c.post(ctx, upstream, baseURL, "/v1/completions", body, req.Route) //nolint:bodyclose // the stream closes it
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	return newStream(resp.Body, cancel, upstream, req.Request), nil
+}
+
+// Order implements extern.Engine.
+func (c *Client) Order(ctx context.Context, baseURL string, order extern.EngineOrder) error {
+	body, err := json.Marshal(Order{
+		Kind:    string(order.Kind),
+		Model:   order.Model,
+		Version: order.Version,
+		Adapter: order.Adapter,
+		Role:    order.Role,
+		Fencing: order.Fencing,
+	})
+	if err != nil {
+		return &extern.UpstreamError{Kind: extern.UpstreamRejected, NotRun: true, Err: err}
+	}
+	timeout := c.OrderTimeout
+	if timeout <= 0 {
+		timeout = defaultOrderTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	resp, err := c.post(ctx, "", baseURL, "/v1/orders", body, "")
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() error { return c.Pool.Close() }
+
+// post sends a body and returns the answer if it is 200.
+func (c *Client) post(ctx context.Context, upstream ident.UpstreamID, baseURL, path string, body []byte, route ident.RouteID) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, baseURL+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, &extern.UpstreamError{Kind: extern.UpstreamRejected, Upstream: upstream, NotRun: true, Err: err}
+	}
+	req.Header["Content-Type"] = contentTypeJSON
+	if route != "" {
+		req.Header.Set(headerRoute, string(route))
+	}
+	c.authorise(req, baseURL)
+	resp, err := c.Pool.Do(req)
+	if err != nil {
+		return nil, sendFailure(upstream, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		defer resp.Body.Close()
+		return nil, statusFailure(upstream, resp)
+	}
+	return resp, nil
+}
+
+func (c *Client) authorise(req *http.Request, baseURL string) {
+	if c.Credential == nil {
+		return
+	}
+	if credential := c.Credential(baseURL); credential != "" {
+		req.Header.Set("Authorization", "Bearer "+credential)
+	}
+}
+
+var contentTypeJSON = []string{"application/json"}
+
+func requestOf(req *extern.EngineRequest) *Request {
+	return &Request{
+		Model:        string(req.Model),
+		Prompt:       string(req.Prompt),
+		MaxTokens:    req.MaxTokens,
+		Seed:         req.Seed,
+		Stream:       true,
+		RequestID:    req.Request,
+		CacheSalt:    string(req.Organisation),
+		Version:      req.Version,
+		Adapter:      req.Adapter,
+		Priority:     req.Priority,
+		ResumeFrom:   req.ResumeFrom,
+		ImportBlocks: req.ImportBlocks,
+	}
+}
--- /dev/null
+++ b/internal/transport/engine/stream.go
@@ -0,0 +1,155 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"sync"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/extern"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
+
+// stream reads the server-sent events of one answer. It reuses its buffers and its events.
+type stream struct {
+	body     io.ReadCloser
+	reader   *bufio.Reader
+	cancel   context.CancelFunc
+	upstream ident.UpstreamID
+	request  ident.RequestID
+
+	wire  Chunk
+	chunk extern.EngineChunk
+	done  bool
+	err   error
+}
+
+// CrossedError is an answer to another request.
+type CrossedError struct {
+	Want, Got ident.RequestID
+}
+
+func (e *CrossedError) Error() string {
+	return "the answer belongs to request " + string(e.Got) + ", not to " + string(e.Want)
+}
+
+var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, streamBufferBytes) }}
+
+func newStream(body io.ReadCloser, cancel context.CancelFunc, upstream ident.UpstreamID, request ident.RequestID) *stream {
+	reader, ok := readers.Get().(*bufio.Reader)
+	if !ok {
+		reader = bufio.NewReaderSize(nil, streamBufferBytes)
+	}
+	reader.Reset(body)
+	return &stream{body: body, reader: reader, cancel: cancel, upstream: upstream, request: request}
+}
+
+// Next implements extern.EngineStream.
+func (s *stream) Next() (extern.EngineEvent, error) {
+	if s.err != nil {
+		return nil, s.err
+	}
+	event, err := s.next()
+	if err != nil {
+		s.err = err
+	}
+	return event, err
+}
+
+func (s *stream) next() (extern.EngineEvent, error) {
+	if s.done || s.reader == nil {
+		return nil, readFailure(s.upstream, io.EOF)
+	}
+	data, err := readEvent(s.reader, streamBufferBytes)
+	if err != nil {
+		return nil, readFailure(s.upstream, err)
+	}
+	if string(data) == doneMarker {
+		return nil, readFailure(s.upstream, io.EOF)
+	}
+	return s.decode(data)
+}
+
+func (s *stream) decode(data []byte) (extern.EngineEvent, error) {
+	choices := s.wire.Choices[:0]
+	if cap(choices) > 0 {
+		choices[:1][0] = Choice{}
+	}
+	s.wire = Chunk{Choices: choices}
+	if err := json.Unmarshal(data, &s.wire); err != nil {
+		return nil, s.broken(err.Error())
+	}
+	if s.wire.ID != s.request {
+		crossed := &CrossedError{Want: s.request, Got: s.wire.ID}
+		return nil, &extern.UpstreamError{Kind: extern.UpstreamCrossed, Upstream: s.upstream, Err: crossed}
+	}
+	if len(s.wire.Choices) != 1 {
+		return nil, s.broken("a chunk has not exactly one choice")
+	}
+	choice := &s.wire.Choices[0]
+	if s.wire.Usage == nil {
+		s.chunk = extern.EngineChunk{Index: s.wire.TokenIndex, Count: s.wire.TokenCount, Text: choice.Text}
+		return &s.chunk, nil
+	}
+	s.done = true
+	return &extern.EngineDone{
+		Request:      s.wire.ID,
+		FinishReason: choice.FinishReason,
+		PromptTokens: s.wire.Usage.PromptTokens,
+		CachedTokens: s.wire.Usage.CachedTokens,
+		OutputTokens: s.wire.Usage.CompletionTokens,
+	}, nil
+}
+
+func (s *stream) broken(reason string) error {
+	return &extern.UpstreamError{Kind: extern.UpstreamBroken, Upstream: s.upstream, Err: &FormatError{Reason: reason}}
+}
+
+// Close implements extern.EngineStream. A complete answer is read to its end so that its connection can be used again.
+func (s *stream) Close() error {
+	if s.reader == nil {
+		return nil
+	}
+	if s.done {
+		_, _ = io.CopyN(io.Discard, s.reader, streamBufferBytes)
+	}
+	s.cancel()
+	err := s.body.Close()
+	s.reader.Reset(nil)
+	readers.Put(s.reader)
+	s.reader = nil
+	return err
+}
+
+// readEvent returns the data of the next event of at most limit bytes. It is valid until the next read.
+func readEvent(r *bufio.Reader, limit int) ([]byte, error) {
+	for {
+		line, err := readLine(r, limit)
+		if err != nil {
+			return nil, err
+		}
+		if data, ok := bytes.CutPrefix(line, []byte(dataPrefix)); ok {
+			return bytes.TrimSpace(data), nil
+		}
+	}
+}
+
+// readLine returns the next line. Lines longer than the reader's buffer are copied.
+func readLine(r *bufio.Reader, limit int) ([]byte, error) {
+	line, err := r.ReadSlice('\n')
+	if !errors.Is(err, bufio.ErrBufferFull) {
+		return line, err
+	}
+	whole := bytes.Clone(line)
+	for errors.Is(err, bufio.ErrBufferFull) {
+		if len(whole) > limit {
+			return nil, &FormatError{Reason: "an event is too long"}
+		}
+		line, err = r.ReadSlice('\n')
+		whole = append(whole, line...)
+	}
+	return whole, err
+}
--- /dev/null
+++ b/internal/transport/httpc/pool.go
@@ -0,0 +1,93 @@
+package httpc
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"time"
+)
+
+// Pool is a pool of connections to the outside systems of one kind. It speaks HTTP/1.1, follows no redirects and
+// uses no proxy from the environment. The zero value works with the defaults.
+type Pool struct {
+	// DialTimeout bounds the set-up of a connection; 0 is two seconds.
+	DialTimeout time.Duration
+	// HeaderTimeout bounds the wait for the answer's header after the request was written; 0 is no bound.
+	HeaderTimeout time.Duration
+	// IdlePerHost is the number of idle connections kept to one host; 0 is 256.
+	IdlePerHost int
+
+	once      sync.Once
+	transport *http.Transport
+	client    *http.Client
+}
+
+// SendError is a request that got no answer.
+type SendError struct {
+	// NotSent is true if no byte of the request has left and none will.
+	NotSent bool
+	Err     error
+}
+
+func (e *SendError) Error() string {
+	if e.NotSent {
+		return fmt.Sprintf("request not sent: %v", e.Err)
+	}
+	return fmt.Sprintf("no answer: %v", e.Err)
+}
+
+func (e *SendError) Unwrap() error { return e.Err }
+
+// Do sends the request and returns the answer, whose body the caller must close. The error is a *SendError.
+func (p *Pool) Do(req *http.Request) (*http.Response, error) {
+	p.once.Do(p.init)
+	var a attempt
+	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: a.gotConn})
+	resp, err := p.client.Do(req.WithContext(ctx)) //nolint:bodyclose,gosec // the caller closes the body and chose the address
+	if err != nil {
+		return nil, &SendError{NotSent: a.seal(), Err: err}
+	}
+	return resp, nil
+}
+
+// Close closes the idle connections.
+func (p *Pool) Close() error {
+	p.once.Do(p.init)
+	p.transport.CloseIdleConnections()
+	return nil
+}
+
+func (p *Pool) init() {
+	dialer := &net.Dialer{Timeout: orDefault(p.DialTimeout, defaultDialTimeout)}
+	p.transport = &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &conn{Conn: c}, nil
+		},
+		MaxIdleConns:           0,
+		MaxIdleConnsPerHost:    orDefault(p.IdlePerHost, defaultIdlePerHost),
+		IdleConnTimeout:        defaultIdleTimeout,
+		ResponseHeaderTimeout:  p.HeaderTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		ReadBufferSize:         defaultResponseHeader,
+		DisableCompression:     true,
+	}
+	p.client = &http.Client{
+		Transport:     p.transport,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+func orDefault[T comparable](value, fallback T) T {
+	var zero T
+	if value == zero {
+		return fallback
+	}
+	return value
+}
--- /dev/null
+++ b/internal/transport/logsvc/wire.go
@@ -0,0 +1,27 @@
+package logsvc
+
+import "github.com/gooseberryway/gooseberryway/internal/state/ident"
+
+// AppendAnswer answers an append.
+type AppendAnswer struct {
+	Offset ident.Offset `json:"offset"`
+}
+
+// Entry is one record in the answer to a read; the payload is base64 in JSON.
+type Entry struct {
+	Offset  ident.Offset `json:"offset"`
+	Payload []byte       `json:"payload"`
+}
+
+// ReadAnswer answers a read.
+type ReadAnswer struct {
+	First   ident.Offset `json:"first"`
+	Tail    ident.Offset `json:"tail"`
+	Entries []Entry      `json:"entries"`
+}
+
+// Failure is the body of an answer that is not 200. Kind is "refused" only if the call had no effect.
+type Failure struct {
+	Kind    string `json:"kind"`
+	Message string `json:"message"`
+}
