Share the typed HTTP handlers between the interfaces

Change: transport/rest holds them; the duplicate field is gone. Conclusion: one implementation of bounded bodies, with typed errors.

--- a/internal/state/extern/engine.go
+++ b/internal/state/extern/engine.go
@@ -27,8 +27,6 @@
 	ResumeFrom ident.Tokens
 	// Sampling is a JSON object of sampling parameters that is passed on unchanged; nil if there are none.
 	Sampling []byte
-	// Route is the route that the request came by.
-	Route ident.RouteID
 	// Priority orders waiting requests; lower runs first.
 	Priority int
 	// ImportBlocks asks the engine to import the first n blocks from the KV cache store before prefill.
--- a/internal/transport/caller/completion.go
+++ b/internal/transport/caller/completion.go
@@ -2,45 +2,23 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"slices"
 	"strings"
 	"time"
 
-	"github.com/go-kit/kit/endpoint"
-	kithttp "github.com/go-kit/kit/transport/http"
-
 	"github.com/gooseberryway/gooseberryway/internal/coordination/serve"
 	"github.com/gooseberryway/gooseberryway/internal/protocol/openai"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/transport/rest"
 )
 
-// newServer builds a go-kit server from typed functions.
-func newServer[Req, Resp any](
-	decode func(context.Context, *http.Request) (Req, error),
-	handle func(context.Context, Req) (Resp, error),
-	encode func(context.Context, http.ResponseWriter, Resp) error,
-) http.Handler {
-	var e endpoint.Endpoint = func(ctx context.Context, request any) (any, error) {
-		return handle(ctx, request.(Req)) //nolint:errcheck // decode returns Req.
-	}
-	kit := kithttp.NewServer(e,
-		func(ctx context.Context, r *http.Request) (any, error) { return decode(ctx, r) },
-		func(ctx context.Context, w http.ResponseWriter, response any) error {
-			return encode(ctx, w, response.(Resp)) //nolint:errcheck // handle returns Resp.
-		},
-		kithttp.ServerErrorEncoder(func(ctx context.Context, err error, w http.ResponseWriter) { writeError(ctx, w, err) }),
-	)
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { kit.ServeHTTP(w, withController(w, r)) })
-}
-
 func (s *Server) chatServer() http.Handler {
-	return newServer(s.decoder(openai.Chat, openai.DecodeChat), s.start, s.answer)
+	return rest.Handler(s.decoder(openai.Chat, openai.DecodeChat), s.start, s.answer, writeError)
 }
 
 func (s *Server) textServer() http.Handler {
-	return newServer(s.decoder(openai.Text, openai.DecodeCompletion), s.start, s.answer)
+	return rest.Handler(s.decoder(openai.Text, openai.DecodeCompletion), s.start, s.answer, writeError)
 }
 
 // started is an admitted completion with the context that bounds it.
@@ -149,20 +127,21 @@
 func (e *eventStream) end() { _ = e.rc.SetWriteDeadline(time.Time{}) }
 
 func (s *Server) modelsServer() http.Handler {
-	return newServer(decodeCredentialsOnly,
+	return rest.Handler(decodeCredentialsOnly,
 		func(_ context.Context, cred serve.Credentials) ([]ident.ModelID, error) {
 			return s.Service.Models(cred)
 		},
 		func(_ context.Context, w http.ResponseWriter, models []ident.ModelID) error {
 			slices.Sort(models)
 			return s.writeJSON(w, openai.NewModelList(models))
-		})
+		}, writeError)
 }
 
 func (s *Server) locateServer() http.Handler {
-	return newServer(decodeCredentialsOnly,
+	return rest.Handler(decodeCredentialsOnly,
 		func(_ context.Context, cred serve.Credentials) (Location, error) { return s.Locate(cred) },
-		func(_ context.Context, w http.ResponseWriter, l Location) error { return s.writeJSON(w, l) })
+		func(_ context.Context, w http.ResponseWriter, l Location) error { return s.writeJSON(w, l) },
+		writeError)
 }
 
 func decodeCredentialsOnly(_ context.Context, r *http.Request) (serve.Credentials, error) {
@@ -170,12 +149,7 @@
 	return common.credentials, err
 }
 
-// writeJSON writes a whole answer. A failure to write means that the caller has gone, which needs no answer.
 func (s *Server) writeJSON(w http.ResponseWriter, v any) error {
-	rc := http.NewResponseController(w)
-	_ = rc.SetWriteDeadline(time.Now().Add(s.WriteTimeout))
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
-	_ = rc.SetWriteDeadline(time.Time{})
+	rest.WriteJSON(w, http.StatusOK, v, s.WriteTimeout)
 	return nil
 }
--- a/internal/transport/caller/decode.go
+++ b/internal/transport/caller/decode.go
@@ -5,9 +5,7 @@
 	"crypto/sha256"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -15,6 +13,7 @@
 	"github.com/gooseberryway/gooseberryway/internal/coordination/serve"
 	"github.com/gooseberryway/gooseberryway/internal/protocol/openai"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/transport/rest"
 )
 
 // singleHeaders may occur only once in a request: two of them could be read differently by others.
@@ -124,47 +123,14 @@
 
 // readBody reads the body within its limits of size and time.
 func (s *Server) readBody(ctx context.Context, r *http.Request) ([]byte, error) {
-	defer s.boundRead(ctx)()
-	if r.ContentLength > s.BodyBytes {
-		return nil, s.tooLarge()
+	body, err := rest.ReadBody(ctx, r, s.BodyBytes, s.BodyTimeout)
+	var bodyErr *rest.BodyError
+	if !errors.As(err, &bodyErr) {
+		return body, nil
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, s.BodyBytes+1))
-	if err != nil {
-		return nil, bodyError(err)
-	}
-	if int64(len(body)) > s.BodyBytes {
-		return nil, s.tooLarge()
-	}
-	return body, nil
-}
-
-func (s *Server) tooLarge() error {
-	return &serve.Error{Code: serve.CodeBodyTooLarge, Message: fmt.Sprintf("the body is larger than %d bytes", s.BodyBytes)}
-}
-
-func bodyError(err error) error {
-	message := "the body could not be read"
-	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		message = "the body came too slowly"
-	case errors.Is(err, io.ErrUnexpectedEOF):
-		message = "the body ended early"
-	}
-	return &serve.Error{Code: serve.CodeInvalidRequest, Message: message, Err: err}
-}
-
-type controllerKey struct{}
-
-// withController makes the connection's deadlines available to decoders, which see no response writer.
-func withController(w http.ResponseWriter, r *http.Request) *http.Request {
-	return r.WithContext(context.WithValue(r.Context(), controllerKey{}, http.NewResponseController(w)))
-}
-
-// boundRead sets the deadline for reading a body and returns the function that lifts it.
-func (s *Server) boundRead(ctx context.Context) (lift func()) {
-	rc, ok := ctx.Value(controllerKey{}).(*http.ResponseController)
-	if !ok || rc.SetReadDeadline(time.Now().Add(s.BodyTimeout)) != nil {
-		return func() {}
+	code := serve.CodeInvalidRequest
+	if bodyErr.Kind == rest.BodyTooLarge {
+		code = serve.CodeBodyTooLarge
 	}
-	return func() { _ = rc.SetReadDeadline(time.Time{}) }
+	return nil, &serve.Error{Code: code, Message: bodyErr.Error(), Err: bodyErr.Err}
 }
