Index cached blocks, keep the engines' health and choose engines by estimated time to first token

First usable version: prefix.Index (entries bound to engine, incarnation and event sequence; 16-byte entries in a set-associative table, lookups without a lock), health.Table (lag-corrected load, ejection, slow start, leaving), route.Router with the policies random, roundRobin, leastLoad and prefix, attempts that feed back, retry budget, fair priorities and digests.

--- /dev/null
+++ b/internal/coordination/route/attempt.go
@@ -0,0 +1,116 @@
+package route
+
+import (
+	"errors"
+	"time"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/extern"
+	"github.com/gooseberryway/gooseberryway/internal/state/guard"
+	"github.com/gooseberryway/gooseberryway/internal/state/health"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
+
+// Attempt is one attempt of a request at an engine, from Started to Finished, Failed or Cancelled. The router learns
+// from it. It is not safe for concurrent use.
+type Attempt struct {
+	router   *Router
+	upstream *health.Upstream
+	work     health.Work
+	req      Request
+	decision Decision
+	queued   ident.Tokens
+	started  time.Time
+	ttft     time.Duration
+	done     bool
+}
+
+// Started notes that an attempt is about to be sent. The caller must end the attempt.
+func (r *Router) Started(req *Request, d Decision) *Attempt {
+	now := time.Now()
+	guard.Check(d.Scope == req.Scope, guard.CacheFresh,
+		"a decision for organisation %s, version %s serves a request of organisation %s, version %s",
+		d.Scope.Organisation, d.Scope.Version, req.Scope.Organisation, req.Scope.Version)
+	a := &Attempt{router: r, req: *req, decision: d, started: now, upstream: r.Health.Upstream(d.Upstream)}
+	if a.upstream == nil {
+		return a
+	}
+	held := d.ExpectedCachedTokens
+	if d.ImportBlocks > 0 {
+		held = ident.Tokens(d.ImportBlocks) * req.BlockTokens
+	}
+	a.queued = a.upstream.Load(now, r.senders()).Queued
+	a.work = a.upstream.Begin(max(0, req.PromptTokens-held), now)
+	if a.upstream.Incarnation() == d.Incarnation {
+		r.Index.Expect(d.Upstream, req.Chain)
+	}
+	return a
+}
+
+// FirstToken notes that the first token of the answer has come. Later calls change nothing.
+func (a *Attempt) FirstToken() {
+	if a.ttft != 0 || a.upstream == nil {
+		return
+	}
+	a.ttft = time.Since(a.started)
+	a.work.FirstToken()
+}
+
+// Finished notes that the answer is complete.
+func (a *Attempt) Finished(done *extern.EngineDone) {
+	if !a.end() {
+		return
+	}
+	now := time.Now()
+	a.router.Health.Succeeded(a.upstream, now)
+	if a.decision.ImportBlocks == 0 {
+		computed := max(0, done.PromptTokens-done.CachedTokens)
+		a.upstream.LearnPrefill(a.queued+computed, a.ttft)
+		a.upstream.LearnTrust(a.decision.ExpectedCachedTokens, done.CachedTokens)
+	}
+	a.served(done.PromptTokens, done.OutputTokens, now)
+	countFinished(a.decision, done)
+}
+
+// Cancelled notes that the caller has gone after so many output tokens.
+func (a *Attempt) Cancelled(output ident.Tokens) {
+	if a.end() {
+		a.served(a.req.PromptTokens, output, time.Now())
+	}
+}
+
+// Failed notes that the engine has failed the attempt.
+func (a *Attempt) Failed(err error) {
+	if !a.end() {
+		return
+	}
+	a.router.Index.Unexpect(a.decision.Upstream, a.req.Chain)
+	now := time.Now()
+	var failure *extern.UpstreamError
+	if !errors.As(err, &failure) {
+		a.router.Health.Failed(a.upstream, now)
+		return
+	}
+	switch failure.Kind {
+	case extern.UpstreamUnreachable:
+		a.router.Health.Unreachable(a.upstream, now)
+	case extern.UpstreamBroken, extern.UpstreamCrossed, extern.UpstreamTimeout:
+		a.router.Health.Failed(a.upstream, now)
+	default:
+	}
+}
+
+// end ends the attempt's accounting and reports whether it was running.
+func (a *Attempt) end() bool {
+	if a.done || a.upstream == nil {
+		return false
+	}
+	a.done = true
+	a.work.End()
+	return true
+}
+
+func (a *Attempt) served(prompt, output ident.Tokens, now time.Time) {
+	if f := a.router.Fair; f != nil {
+		f.Served(a.req.Scope.Organisation, a.req.Rate, prompt, output, now)
+	}
+}
--- /dev/null
+++ b/internal/coordination/route/router_test.go
@@ -0,0 +1,261 @@
+package route
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
+	"github.com/gooseberryway/gooseberryway/internal/state/config"
+	"github.com/gooseberryway/gooseberryway/internal/state/extern"
+	"github.com/gooseberryway/gooseberryway/internal/state/health"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/state/prefix"
+)
+
+const blockTokens = 1000
+
+func upstreams(n int) map[ident.UpstreamID]*config.Upstream {
+	all := map[ident.UpstreamID]*config.Upstream{}
+	for i := range n {
+		id := ident.UpstreamID(fmt.Sprintf("e%02d", i))
+		all[id] = &config.Upstream{ID: id, Kind: config.UpstreamEngine, Model: "m", BaseURL: "http://" + string(id)}
+	}
+	return all
+}
+
+// newRouter returns a router over n idle engines of model m that have loaded version v1.
+func newRouter(n int, p Policy) *Router {
+	r := &Router{Policy: p, Index: &prefix.Index{Capacity: 10000}, Health: &health.Table{}}
+	r.Update(upstreams(n))
+	for id := range r.Health.Upstreams() {
+		report(r, id, 1, 0)
+	}
+	return r
+}
+
+func report(r *Router, id ident.UpstreamID, incarnation ident.Incarnation, queued ident.Tokens) {
+	feed := &Feed{Router: r, Upstream: id}
+	feed.LoadReport(extern.LoadReport{
+		Incarnation: incarnation, QueuedTokens: queued, Versions: []ident.VersionID{"v1"},
+	})
+}
+
+func request(chain ...ident.BlockHash) *Request {
+	return &Request{
+		Scope:        prefix.Scope{Organisation: "survey", Model: "m", Version: "v1"},
+		Chain:        chain,
+		BlockTokens:  blockTokens,
+		PromptTokens: ident.Tokens(len(chain))*blockTokens + 10,
+	}
+}
+
+func hold(r *Router, id ident.UpstreamID, chain ...ident.BlockHash) {
+	feed := &Feed{Router: r, Upstream: id}
+	feed.CacheEvent(extern.CacheEvent{
+		Position: extern.EnginePosition{Incarnation: 1, Sequence: 1}, Added: chain,
+	})
+}
+
+func refusal(t *testing.T, err error) *NoEngineError {
+	t.Helper()
+	var refused *NoEngineError
+	require.ErrorAs(t, err, &refused)
+	return refused
+}
+
+func TestPoliciesChooseOnlyFitEngines(t *testing.T) {
+	for _, name := range []PolicyName{PolicyRandom, PolicyRoundRobin, PolicyLeastLoad, PolicyPrefix} {
+		t.Run(string(name), func(t *testing.T) {
+			p, unknown := PolicyOf(name)
+			require.NoError(t, unknown)
+			r := newRouter(4, p)
+			cfg := upstreams(4)
+			cfg["e00"].Leaving = true
+			r.Update(cfg)
+			r.Health.Unreachable(r.Health.Upstream("e01"), time.Now())
+			(&Feed{Router: r, Upstream: "e02"}).LoadReport(extern.LoadReport{Incarnation: 1, Versions: []ident.VersionID{"v2"}})
+			for i := range 20 {
+				chosen, refused := r.Pick(request(ident.BlockHash(i)))
+				require.NoError(t, refused)
+				require.EqualValues(t, "e03", chosen.Upstream)
+				require.Equal(t, "http://e03", chosen.BaseURL)
+			}
+			req := request(1)
+			req.Tried = []ident.UpstreamID{"e03"}
+			d, err := r.Pick(req)
+			require.NoError(t, err)
+			require.EqualValues(t, "e01", d.Upstream, "an ejected engine is better than none")
+			req.Tried = append(req.Tried, "e01")
+			_, err = r.Pick(req)
+			require.Equal(t, RefusedTried, refusal(t, err).Reason)
+		})
+	}
+	_, err := PolicyOf("best")
+	var unknown *PolicyError
+	require.ErrorAs(t, err, &unknown)
+}
+
+func TestRefusals(t *testing.T) {
+	r := newRouter(2, Prefix{})
+	req := request(1)
+	req.Scope.Version = "v9"
+	_, err := r.Pick(req)
+	require.Equal(t, RefusedNotLoaded, refusal(t, err).Reason)
+	req.Scope.Model = "other"
+	_, err = r.Pick(req)
+	require.Equal(t, RefusedNoEngines, refusal(t, err).Reason)
+	require.Positive(t, refusal(t, err).RetryAfter)
+	req = request(1)
+	req.Deadline = time.Now().Add(-time.Second)
+	_, err = r.Pick(req)
+	require.Equal(t, RefusedDeadline, refusal(t, err).Reason)
+}
+
+func TestDeadlineRefusesWhatCannotBeInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRouter(1, Prefix{})
+		report(r, "e00", 1, 10*health.DefaultPrefillRate)
+		req := request(1)
+		req.Deadline = time.Now().Add(time.Second)
+		_, err := r.Pick(req)
+		refused := refusal(t, err)
+		require.Equal(t, RefusedDeadline, refused.Reason)
+		require.InDelta(t, 9, refused.RetryAfter.Seconds(), 0.2)
+		time.Sleep(10 * time.Second)
+		req.Deadline = time.Now().Add(time.Second)
+		_, err = r.Pick(req)
+		require.NoError(t, err)
+	})
+}
+
+func TestPrefixPrefersTheHolderUntilItsQueueCostsMore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRouter(4, Prefix{})
+		hold(r, "e02", 1, 2, 3)
+		d, err := r.Pick(request(1, 2, 3, 4))
+		require.NoError(t, err)
+		require.EqualValues(t, "e02", d.Upstream)
+		require.Equal(t, ReasonHolder, d.Reason)
+		require.EqualValues(t, 3*blockTokens, d.ExpectedCachedTokens)
+
+		report(r, "e02", 1, 100*blockTokens)
+		d, err = r.Pick(request(1, 2, 3, 4))
+		require.NoError(t, err)
+		require.NotEqualValues(t, "e02", d.Upstream)
+		require.Equal(t, ReasonReplicated, d.Reason)
+		require.Zero(t, d.ExpectedCachedTokens)
+	})
+}
+
+func TestBlocksOfADeadIncarnationCountForNothing(t *testing.T) {
+	r := newRouter(3, Prefix{})
+	hold(r, "e01", 1, 2, 3)
+	report(r, "e01", 2, 0)
+	for range 20 {
+		d, err := r.Pick(request(1, 2, 3))
+		require.NoError(t, err)
+		require.Zero(t, d.ExpectedCachedTokens)
+		require.Equal(t, ReasonPlaced, d.Reason)
+	}
+}
+
+func TestDaemonsAgreeWhereAColdPrefixLives(t *testing.T) {
+	a, b := newRouter(12, Prefix{}), newRouter(12, Prefix{})
+	used := map[ident.UpstreamID]bool{}
+	for i := range 100 {
+		chain := prefix.Chain(prefix.Scope{}, []byte(fmt.Sprintf("%04d and so on to the end", i)), 1)
+		da, err := a.Pick(request(chain...))
+		require.NoError(t, err)
+		db, err := b.Pick(request(chain...))
+		require.NoError(t, err)
+		require.Equal(t, da.Upstream, db.Upstream)
+		used[da.Upstream] = true
+	}
+	require.Len(t, used, 12)
+}
+
+func TestAttemptFeedsTheRouter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRouter(2, Prefix{})
+		req := request(1, 2)
+		d, err := r.Pick(req)
+		require.NoError(t, err)
+		a := r.Started(req, d)
+		u := r.Health.Upstream(d.Upstream)
+		require.EqualValues(t, 2010, u.Load(time.Now(), 1).Queued)
+		again, err := r.Pick(req)
+		require.NoError(t, err)
+		require.Equal(t, d.Upstream, again.Upstream, "its own send counts as held")
+		require.EqualValues(t, 2*blockTokens, again.ExpectedCachedTokens)
+		time.Sleep(time.Second)
+		a.FirstToken()
+		require.Zero(t, u.Load(time.Now(), 1).Queued)
+		a.Finished(&extern.EngineDone{PromptTokens: 2010, OutputTokens: 5})
+		require.InDelta(t, 2010, u.PrefillRate(), 1)
+
+		a = r.Started(req, again)
+		a.Failed(&extern.UpstreamError{Kind: extern.UpstreamUnreachable, Upstream: d.Upstream})
+		a.Failed(errors.New("twice"))
+		require.True(t, u.Ejected(time.Now()))
+		require.Empty(t, r.Index.Match(nil, req.Chain))
+	})
+}
+
+func TestImportWhenCheaper(t *testing.T) {
+	r := newRouter(2, Prefix{})
+	cfg := upstreams(2)
+	cfg["store"] = &config.Upstream{ID: "store", Kind: config.UpstreamKVStore}
+	r.Update(cfg)
+	r.Store, r.ImportRate, r.ImportLatency = "store", 100*health.DefaultPrefillRate, time.Millisecond
+	hold(r, "store", 1, 2, 3)
+	d, err := r.Pick(request(1, 2, 3, 4))
+	require.NoError(t, err)
+	require.Equal(t, 3, d.ImportBlocks)
+	require.Equal(t, ReasonImported, d.Reason)
+	r.ImportRate = health.DefaultPrefillRate / 2
+	d, err = r.Pick(request(1, 2, 3, 4))
+	require.NoError(t, err)
+	require.Zero(t, d.ImportBlocks)
+}
+
+func TestRetriesKeepTheirBudget(t *testing.T) {
+	r := newRouter(4, Prefix{})
+	r.Retries = &RetryBudget{Burst: 3}
+	first, again := request(1), request(1)
+	again.Tried = []ident.UpstreamID{"e00"}
+	retries := 0
+	for range 200 {
+		_, err := r.Pick(first)
+		require.NoError(t, err)
+		if _, err = r.Pick(again); err == nil {
+			retries++
+		} else {
+			require.Equal(t, RefusedRetryBudget, refusal(t, err).Reason)
+		}
+	}
+	require.InDelta(t, 200/10+3, retries, 1)
+	again.Resume = true
+	_, err := r.Pick(again)
+	require.NoError(t, err, "a stream that has begun goes on")
+}
+
+func TestSnapshotWarmsARouter(t *testing.T) {
+	a, b := newRouter(4, Prefix{}), &Router{Policy: Prefix{}, Index: &prefix.Index{Capacity: 1000}, Health: &health.Table{}}
+	b.Update(upstreams(4))
+	hold(a, "e03", 1, 2, 3)
+	report(a, "e00", 1, 777)
+	a.Health.Upstream("e03").LearnPrefill(1234, time.Second)
+	d := &wire.Digest{}
+	a.Snapshot(d)
+	b.Merge(d)
+	got, err := b.Pick(request(1, 2, 3))
+	require.NoError(t, err)
+	require.EqualValues(t, "e03", got.Upstream)
+	require.EqualValues(t, 3*blockTokens, got.ExpectedCachedTokens)
+	require.EqualValues(t, 1234, b.Health.Upstream("e03").PrefillRate())
+}
--- /dev/null
+++ b/internal/state/health/consts.go
@@ -0,0 +1,41 @@
+package health
+
+import "time"
+
+const (
+	// DefaultPrefillRate in tokens a second is assumed of an engine that has not been measured.
+	DefaultPrefillRate = 10000
+	// DefaultEjectShare bounds the ejected part of a model's engines, in thousandths.
+	DefaultEjectShare = 334
+	// EjectFailures is the number of consecutive failures that ejects an engine.
+	EjectFailures = 3
+	// EjectTime is how long an engine is ejected the first time; it doubles with each ejection up to EjectTimeMax.
+	EjectTime = 2 * time.Second
+	// EjectTimeMax bounds the time of one ejection.
+	EjectTimeMax = 60 * time.Second
+	// SlowStart is the time over which an engine that came back gets to its full share of work.
+	SlowStart = 3 * time.Second
+	// LeavingGrace is the time within which an upstream that is leaving must get no new work any more.
+	LeavingGrace = 3 * time.Second
+	// ReportStale is the age from which a load report says nothing on the load any more.
+	ReportStale = 10 * time.Second
+)
+
+const (
+	// slowStartFloor is the share of work at the start of a slow start.
+	slowStartFloor = 0.1
+	// maxEjections bounds the count of ejections, which doubles the time of the next.
+	maxEjections = 16
+	// sliceTime is the length of a slice of the recent past in which own requests are counted.
+	sliceTime = 50 * time.Millisecond
+	// windowSlices is the number of slices kept.
+	windowSlices = 64
+	// rateRise and rateFall weigh a sample above and below the learned prefill rate.
+	rateRise, rateFall = 0.3, 0.05
+	// rateFloor in tokens a second bounds the learned prefill rate from below.
+	rateFloor = 100
+	// trustWeight weighs a sample of the part of expected blocks that an engine really held.
+	trustWeight = 0.1
+	// trustFloor bounds the learned trust from below.
+	trustFloor = 0.2
+)
--- /dev/null
+++ b/internal/state/health/health_test.go
@@ -0,0 +1,187 @@
+package health
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/config"
+	"github.com/gooseberryway/gooseberryway/internal/state/extern"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
+
+func engines(n int) map[ident.UpstreamID]*config.Upstream {
+	all := map[ident.UpstreamID]*config.Upstream{}
+	for i := range n {
+		id := ident.UpstreamID(fmt.Sprintf("e%02d", i))
+		all[id] = &config.Upstream{ID: id, Kind: config.UpstreamEngine, Model: "m"}
+	}
+	return all
+}
+
+func TestUpdateKeepsTheStateOfThoseThatStay(t *testing.T) {
+	table := &Table{}
+	require.Empty(t, table.Update(engines(3)))
+	u := table.Upstream("e00")
+	u.Report(extern.LoadReport{Incarnation: 4}, time.Now())
+	gone := table.Update(engines(2))
+	require.Equal(t, []ident.UpstreamID{"e02"}, gone)
+	require.Same(t, u, table.Upstream("e00"))
+	require.Len(t, table.Engines("m"), 2)
+	require.Empty(t, table.Engines("other"))
+}
+
+func TestLoadCorrectsALaggingReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &Table{}
+		table.Update(engines(1))
+		u := table.Upstream("e00")
+		u.LearnPrefill(1000, time.Second)
+		before := u.Begin(300, time.Now())
+		time.Sleep(time.Second)
+		u.Report(extern.LoadReport{Incarnation: 1, QueuedTokens: 5000, Lag: 500 * time.Millisecond}, time.Now())
+		require.EqualValues(t, 4500, u.Load(time.Now(), 1).Queued, "half a second was computed since; earlier sends are in the report")
+		after := u.Begin(700, time.Now())
+		require.EqualValues(t, 5200, u.Load(time.Now(), 1).Queued)
+		require.EqualValues(t, 5900, u.Load(time.Now(), 2).Queued)
+		after.FirstToken()
+		require.EqualValues(t, 4500, u.Load(time.Now(), 1).Queued)
+		require.Equal(t, 1, u.Load(time.Now(), 1).Requests)
+		after.End()
+		before.End()
+		before.End()
+		require.Zero(t, u.Load(time.Now(), 1).Requests)
+		time.Sleep(ReportStale)
+		require.Zero(t, u.Load(time.Now(), 1).Queued)
+		require.False(t, u.Load(time.Now(), 1).Reported)
+	})
+}
+
+func TestReportsOfOlderIncarnationsOrTimesAreIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &Table{}
+		table.Update(engines(1))
+		u := table.Upstream("e00")
+		time.Sleep(time.Minute)
+		require.False(t, u.Report(extern.LoadReport{Incarnation: 2, QueuedTokens: 7, Versions: []ident.VersionID{"v1"}}, time.Now()))
+		u.Report(extern.LoadReport{Incarnation: 2, QueuedTokens: 9, Lag: time.Second}, time.Now())
+		u.Report(extern.LoadReport{Incarnation: 1, QueuedTokens: 9}, time.Now())
+		require.EqualValues(t, 7, u.Load(time.Now(), 1).Queued)
+		serves, known := u.Serves("v1")
+		require.True(t, serves && known)
+		require.True(t, u.Report(extern.LoadReport{Incarnation: 3}, time.Now()), "restarted")
+		serves, known = u.Serves("v1")
+		require.True(t, !serves && known)
+		require.InDelta(t, slowStartFloor, u.Weight(time.Now()), 1e-9)
+		time.Sleep(SlowStart / 2)
+		require.InDelta(t, 0.5, u.Weight(time.Now()), 0.01)
+		time.Sleep(SlowStart)
+		require.InDelta(t, 1, u.Weight(time.Now()), 1e-9)
+	})
+}
+
+func TestLeavingIsTimed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &Table{}
+		table.Update(engines(1))
+		_, leaving := table.Upstream("e00").Leaving(time.Now())
+		require.False(t, leaving)
+		cfg := engines(1)
+		cfg["e00"].Leaving = true
+		table.Update(cfg)
+		time.Sleep(time.Second)
+		table.Update(cfg)
+		left, leaving := table.Upstream("e00").Leaving(time.Now())
+		require.True(t, leaving)
+		require.Equal(t, time.Second, left)
+		table.Update(engines(1))
+		_, leaving = table.Upstream("e00").Leaving(time.Now())
+		require.False(t, leaving)
+	})
+}
+
+func TestEjectionEndsAndDoubles(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &Table{}
+		table.Update(engines(3))
+		u := table.Upstream("e00")
+		fail := func() bool { return table.Failed(u, time.Now()) }
+		require.False(t, fail())
+		table.Succeeded(u, time.Now())
+		require.False(t, fail())
+		require.False(t, fail())
+		require.True(t, fail())
+		require.True(t, u.Ejected(time.Now()))
+		time.Sleep(EjectTime)
+		require.False(t, u.Ejected(time.Now()))
+		require.InDelta(t, slowStartFloor, u.Weight(time.Now()), 1e-9)
+		require.True(t, table.Unreachable(u, time.Now()))
+		time.Sleep(EjectTime)
+		require.True(t, u.Ejected(time.Now()), "the second time is longer")
+		time.Sleep(EjectTime + SlowStart)
+		table.Succeeded(u, time.Now())
+		require.True(t, table.Unreachable(u, time.Now()))
+		time.Sleep(EjectTime)
+		require.False(t, u.Ejected(time.Now()), "a success forgives")
+	})
+}
+
+// TestEjectionIsBounded fails engines at random and checks that never more than a third of them is ejected, or one.
+func TestEjectionIsBounded(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(1, 20).Draw(rt, "engines")
+		table := &Table{}
+		table.Update(engines(n))
+		all := table.Engines("m")
+		now := time.Now()
+		for range rapid.IntRange(1, 100).Draw(rt, "steps") {
+			u := rapid.SampledFrom(all).Draw(rt, "engine")
+			switch rapid.IntRange(0, 3).Draw(rt, "what") {
+			case 0:
+				table.Unreachable(u, now)
+			case 1:
+				table.Failed(u, now)
+			case 2:
+				now = now.Add(time.Second)
+			default:
+				table.Succeeded(u, now)
+			}
+			ejected := 0
+			for _, e := range all {
+				if e.Ejected(now) {
+					ejected++
+				}
+			}
+			bound := max(1, n/3)
+			if n == 1 {
+				bound = 0
+			}
+			if ejected > bound {
+				rt.Fatalf("%d of %d engines are ejected", ejected, n)
+			}
+		}
+	})
+}
+
+func TestLearning(t *testing.T) {
+	table := &Table{}
+	table.Update(engines(1))
+	u := table.Upstream("e00")
+	require.EqualValues(t, DefaultPrefillRate, u.PrefillRate())
+	u.AssumePrefillRate(500)
+	require.EqualValues(t, 500, u.PrefillRate())
+	for range 200 {
+		u.LearnPrefill(4000, time.Second)
+		u.LearnTrust(1000, 500)
+	}
+	require.InDelta(t, 4000, u.PrefillRate(), 40)
+	require.InDelta(t, 0.5, u.Trust(), 0.01)
+	u.AssumePrefillRate(1)
+	u.LearnPrefill(0, time.Second)
+	u.LearnTrust(0, 0)
+	require.InDelta(t, 4000, u.PrefillRate(), 40)
+}
--- /dev/null
+++ b/internal/state/health/work.go
@@ -0,0 +1,40 @@
+package health
+
+import (
+	"time"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
+
+// Work is one request that this daemon has sent to an upstream, from Begin to End. It is not safe for concurrent use.
+type Work struct {
+	upstream *Upstream
+	tag      int64
+	tokens   ident.Tokens
+	ended    bool
+}
+
+// Begin counts a request with the tokens that the engine has to compute before the first token of the answer.
+func (u *Upstream) Begin(tokens ident.Tokens, now time.Time) Work {
+	u.inFlight.Add(1)
+	return Work{upstream: u, tag: u.sent.add(u.since(now), tokens), tokens: tokens}
+}
+
+// FirstToken ends the prefill. Repeated calls change nothing.
+func (w *Work) FirstToken() {
+	if w.tokens > 0 {
+		w.upstream.sent.computed(w.tag, w.tokens)
+		w.tokens = 0
+	}
+}
+
+// End ends the request. Repeated calls change nothing.
+func (w *Work) End() {
+	if w.ended {
+		return
+	}
+	w.ended = true
+	w.FirstToken()
+	w.upstream.sent.ended(w.tag)
+	w.upstream.inFlight.Add(-1)
+}
--- /dev/null
+++ b/internal/state/prefix/index_test.go
@@ -0,0 +1,162 @@
+package prefix
+
+import (
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/extern"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
+
+func event(incarnation ident.Incarnation, sequence ident.Sequence, added ...ident.BlockHash) extern.CacheEvent {
+	return extern.CacheEvent{
+		Position: extern.EnginePosition{Incarnation: incarnation, Sequence: sequence},
+		Added:    added,
+	}
+}
+
+// blocks returns how many blocks of the chain each engine is believed to hold.
+func blocks(x *Index, chain ...ident.BlockHash) map[ident.UpstreamID]int {
+	held := map[ident.UpstreamID]int{}
+	for _, m := range x.Match(nil, chain) {
+		held[m.Engine] = m.Blocks
+	}
+	return held
+}
+
+type holdings = map[ident.UpstreamID]int
+
+func TestMatchFindsTheLongestPrefixWithoutHoles(t *testing.T) {
+	x := &Index{Capacity: 1000}
+	x.Apply("a", event(1, 1, 1, 2, 3))
+	x.Apply("b", event(1, 1, 1, 3, 4))
+	x.Apply("c", event(1, 1, 2, 3))
+	require.Equal(t, holdings{"a": 3, "b": 1}, blocks(x, 1, 2, 3, 4))
+	require.Empty(t, blocks(x, 9, 1))
+	require.Empty(t, blocks(x))
+}
+
+func TestRestartVoidsTheOldIncarnation(t *testing.T) {
+	x := &Index{Capacity: 1000}
+	x.Apply("a", event(1, 1, 1, 2))
+	x.Restarted("a", 2)
+	require.Empty(t, blocks(x, 1, 2))
+	x.Apply("a", event(1, 2, 1, 2))
+	require.Empty(t, blocks(x, 1, 2), "a late event of the old incarnation")
+	x.Apply("a", event(2, 1, 1))
+	require.Equal(t, holdings{"a": 1}, blocks(x, 1, 2))
+}
+
+func TestGapVoidsUntilResync(t *testing.T) {
+	x := &Index{Capacity: 1000}
+	require.False(t, x.Apply("a", event(1, 1, 1, 2)))
+	require.True(t, x.Apply("a", event(1, 3, 7)))
+	require.Empty(t, blocks(x, 1, 2))
+	require.Zero(t, x.Position("a").Sequence)
+	resync := event(1, 4, 1)
+	resync.Resync = true
+	require.False(t, x.Apply("a", resync))
+	require.Equal(t, holdings{"a": 1}, blocks(x, 1, 2))
+	require.EqualValues(t, 4, x.Position("a").Sequence)
+}
+
+func TestExpectedEntriesExpireUnlessConfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := &Index{Capacity: 1000, ExpectedTTL: time.Second}
+		x.Apply("a", event(1, 1))
+		x.Expect("a", []ident.BlockHash{1, 2})
+		require.Equal(t, holdings{"a": 2}, blocks(x, 1, 2))
+		x.Apply("a", event(1, 2, 1))
+		time.Sleep(1200 * time.Millisecond)
+		require.Equal(t, holdings{"a": 1}, blocks(x, 1, 2))
+		x.Expect("a", []ident.BlockHash{1, 2})
+		x.Unexpect("a", []ident.BlockHash{1, 2})
+		require.Equal(t, holdings{"a": 1}, blocks(x, 1, 2), "what an event has confirmed stays")
+	})
+}
+
+func TestForgottenEngineLeavesItsSlotClean(t *testing.T) {
+	x := &Index{Capacity: 1000}
+	x.Apply("a", event(1, 1, 1))
+	x.Forget("a")
+	require.Empty(t, blocks(x, 1))
+	x.Apply("b", event(1, 1, 2))
+	require.Empty(t, blocks(x, 1))
+	require.Equal(t, holdings{"b": 1}, blocks(x, 2))
+}
+
+func TestGenerationsThatStartAgainReviveNothing(t *testing.T) {
+	x := &Index{Capacity: 100}
+	x.Apply("a", event(1, 1, 1))
+	for i := range generationMask + 1 {
+		x.Restarted("a", ident.Incarnation(i+2))
+	}
+	require.Empty(t, blocks(x, 1))
+}
+
+func TestCapacityEvictsTheLeastRecentlyUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := &Index{Capacity: 64}
+		for i := range 2000 {
+			x.Apply("a", event(1, ident.Sequence(i+1), ident.BlockHash(uint64(i)*0x9e3779b97f4a7c15)))
+			time.Sleep(stampUnit)
+		}
+		total := len(x.table.entries)
+		require.LessOrEqual(t, x.Entries(), total)
+		require.Greater(t, x.Entries(), total/2)
+		require.Equal(t, 1, blocks(x, 1999*0x9e3779b97f4a7c15&(1<<64-1))["a"])
+	})
+}
+
+func TestManyHoldersOfOneBlock(t *testing.T) {
+	x := &Index{Capacity: 1000}
+	for i := range 18 {
+		x.Apply(ident.UpstreamID(rune('a'+i)), event(1, 1, 5))
+	}
+	require.Len(t, blocks(x, 5), 18)
+	for i := range 18 {
+		ev := event(1, 2)
+		ev.Removed = []ident.BlockHash{5}
+		x.Apply(ident.UpstreamID(rune('a'+i)), ev)
+		require.Len(t, blocks(x, 5), 17-i)
+	}
+	for i := range x.table.overflow {
+		require.Zero(t, x.table.overflow[i].Load())
+	}
+}
+
+func TestLookupsRunBesideWriters(t *testing.T) {
+	x := &Index{Capacity: 256}
+	var wg sync.WaitGroup
+	stop := make(chan struct{})
+	for range 3 {
+		wg.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				for _, m := range x.Match(nil, []ident.BlockHash{1, 2, 3}) {
+					if m.Engine == "never" {
+						t.Error("an engine that holds none of the blocks was matched")
+					}
+				}
+			}
+		})
+	}
+	x.Apply("never", event(1, 1, 99))
+	for i := range 3000 {
+		ev := event(1, ident.Sequence(i+1), ident.BlockHash(i%5+1))
+		ev.Removed = []ident.BlockHash{ident.BlockHash((i+2)%5 + 1)}
+		x.Apply("a", ev)
+		x.Expect("b", []ident.BlockHash{1, 2})
+		x.Restarted("b", ident.Incarnation(i))
+	}
+	close(stop)
+	wg.Wait()
+}
--- /dev/null
+++ b/internal/state/prefix/table.go
@@ -0,0 +1,143 @@
+package prefix
+
+import (
+	"math/bits"
+	"sync/atomic"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
+
+// entry says that an engine holds a block. A writer clears the meta word, sets the hash and then sets the
+// meta word, so that a reader that finds the same binding before and after the hash has read one entry.
+type entry struct {
+	hash atomic.Uint64
+	meta atomic.Uint64
+}
+
+func (e *entry) load() (uint64, meta, bool) {
+	before := meta(e.meta.Load())
+	if before == 0 {
+		return 0, 0, false
+	}
+	hash := e.hash.Load()
+	after := meta(e.meta.Load())
+	return hash, after, before.binding() == after.binding()
+}
+
+func (e *entry) store(hash uint64, m meta) {
+	e.meta.Store(0)
+	e.hash.Store(hash)
+	e.meta.Store(uint64(m))
+}
+
+// table is a set-associative hash table of fixed size. Readers need no lock; writers take turns.
+type table struct {
+	entries []entry
+	// overflow counts for each bucket the entries that belong there and stand in a later bucket.
+	overflow []atomic.Uint32
+}
+
+func newTable(capacity int) *table {
+	buckets := max(windowBuckets, capacity*spareNumerator/spareDenominator/bucketEntries+1)
+	return &table{
+		entries:  make([]entry, buckets*bucketEntries),
+		overflow: make([]atomic.Uint32, buckets),
+	}
+}
+
+func (t *table) home(hash uint64) int {
+	hi, _ := bits.Mul64(hash, uint64(len(t.overflow)))
+	return int(hi)
+}
+
+// window returns the i-th bucket that may hold the hashes of a home bucket.
+func (t *table) window(home, i int) []entry {
+	bucket := home + i
+	if bucket >= len(t.overflow) {
+		bucket -= len(t.overflow)
+	}
+	return t.entries[bucket*bucketEntries : (bucket+1)*bucketEntries]
+}
+
+// reach returns how many buckets hold entries of a home bucket.
+func (t *table) reach(home int) int {
+	if t.overflow[home].Load() == 0 {
+		return 1
+	}
+	return windowBuckets
+}
+
+// holders appends the entries of a hash to dst.
+func (t *table) holders(dst []*entry, hash ident.BlockHash) []*entry {
+	home := t.home(uint64(hash))
+	for i := range t.reach(home) {
+		bucket := t.window(home, i)
+		for j := range bucket {
+			if bucket[j].hash.Load() == uint64(hash) {
+				dst = append(dst, &bucket[j])
+			}
+		}
+	}
+	return dst
+}
+
+// find returns the entry of a hash and an engine's slot, or nil. Writers only.
+func (t *table) find(hash ident.BlockHash, slot uint16) *entry {
+	home := t.home(uint64(hash))
+	for i := range t.reach(home) {
+		bucket := t.window(home, i)
+		for j := range bucket {
+			h, m, ok := bucket[j].load()
+			if ok && h == uint64(hash) && m.slot() == slot {
+				return &bucket[j]
+			}
+		}
+	}
+	return nil
+}
+
+// insert puts a new entry at the free place or at the one of least worth in its window. Writers only.
+func (t *table) insert(hash ident.BlockHash, m meta, worth func(meta) uint32) {
+	home := t.home(uint64(hash))
+	var victim *entry
+	at, least := 0, ^uint32(0)
+	for i := 0; i < windowBuckets && least > 0; i++ {
+		bucket := t.window(home, i)
+		for j := range bucket {
+			w := uint32(0)
+			if old := meta(bucket[j].meta.Load()); old != 0 {
+				w = worth(old)
+			}
+			if victim == nil || w < least {
+				victim, at, least = &bucket[j], i, w
+			}
+			if w == 0 {
+				break
+			}
+		}
+	}
+	t.clear(victim)
+	if at > 0 {
+		t.overflow[home].Add(1)
+	}
+	victim.store(uint64(hash), m)
+}
+
+// clear frees an entry. Writers only.
+func (t *table) clear(e *entry) {
+	if e.meta.Load() == 0 {
+		return
+	}
+	hash := e.hash.Load()
+	e.meta.Store(0)
+	home := t.home(hash)
+	for i := 1; i < windowBuckets; i++ {
+		bucket := t.window(home, i)
+		for j := range bucket {
+			if &bucket[j] == e {
+				t.overflow[home].Add(^uint32(0))
+				return
+			}
+		}
+	}
+}
