Relay answers over attempts on engines

The random scripts showed that an engine which replays the answer could end it early; the attempt's own position is now compared with the announced length. extern.EngineChunk gains Request, so that crossed chunks are seen where they are delivered.

--- /dev/null
+++ b/internal/coordination/relay/attempt.go
@@ -0,0 +1,170 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/extern"
+	"github.com/gooseberryway/gooseberryway/internal/state/guard"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
+
+// attempt is one try of a request on one engine.
+type attempt struct {
+	run        *run
+	picked     Attempt
+	started    time.Time
+	firstToken time.Duration
+	tokens     ident.Tokens
+	// position is the end of the last chunk that came, delivered or dropped; valid once chunks is true.
+	position ident.Tokens
+	// chunks is true once a chunk came, running once any event came.
+	chunks  bool
+	running bool
+}
+
+// do asks the engine and delivers what comes until the answer is whole or fails.
+func (a *attempt) do(ctx context.Context) (*extern.EngineDone, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watchdog := time.AfterFunc(a.run.relay.firstTokenTimeout(), func() { cancel(&silentError{}) })
+	defer watchdog.Stop()
+
+	req := a.run.req
+	req.Priority, req.ImportBlocks = a.picked.Priority, a.picked.ImportBlocks
+	stream, err := a.run.relay.Engine.Complete(ctx, a.picked.Upstream, a.picked.BaseURL, req)
+	if err != nil {
+		return nil, a.cause(ctx, err)
+	}
+	defer stream.Close()
+	for {
+		event, err := stream.Next()
+		if err != nil {
+			return nil, a.cause(ctx, err)
+		}
+		if !watchdog.Stop() && ctx.Err() != nil {
+			return nil, a.cause(ctx, ctx.Err())
+		}
+		switch event := event.(type) {
+		case *extern.EngineChunk:
+			if err := a.chunk(event); err != nil {
+				return nil, err
+			}
+		case *extern.EngineDone:
+			return a.end(event)
+		}
+		a.running = true
+		watchdog.Reset(a.run.relay.interTokenTimeout())
+	}
+}
+
+// cause replaces the error of an attempt that the watchdog ended.
+func (a *attempt) cause(ctx context.Context, err error) error {
+	var silent *silentError
+	if !errors.As(context.Cause(ctx), &silent) {
+		return err
+	}
+	timeout := &TimeoutError{After: a.run.relay.firstTokenTimeout(), First: true}
+	if a.running {
+		timeout = &TimeoutError{After: a.run.relay.interTokenTimeout()}
+	}
+	e := &extern.UpstreamError{Kind: extern.UpstreamTimeout, Upstream: a.picked.Upstream, Err: timeout}
+	var up *extern.UpstreamError
+	if errors.As(err, &up) {
+		e.NotRun = up.NotRun
+	}
+	return e
+}
+
+// chunk delivers a chunk, or drops it if the caller already has it.
+func (a *attempt) chunk(c *extern.EngineChunk) error {
+	s := a.run
+	if c.Request != s.req.Request {
+		return a.crossed(c.Request)
+	}
+	if c.Count == 0 && c.Text == "" {
+		return nil
+	}
+	end := c.Index + c.Count
+	if a.chunks && c.Index != a.position {
+		return a.broken(&GapError{Want: a.position, Got: c.Index})
+	}
+	a.position, a.chunks = end, true
+	switch {
+	case c.Count <= 0 || c.Index > s.delivered:
+		return a.broken(&GapError{Want: s.delivered, Got: c.Index})
+	case end <= s.delivered:
+		return nil
+	case c.Index < s.delivered:
+		return a.broken(&OverlapError{Want: s.delivered, First: c.Index, End: end})
+	case end > s.req.MaxTokens:
+		return a.broken(&OverrunError{Limit: s.req.MaxTokens})
+	}
+	if a.firstToken == 0 {
+		a.firstToken = max(time.Since(a.started), 1)
+	}
+	return a.deliver(c)
+}
+
+// deliver is the only place from which the caller gets tokens.
+func (a *attempt) deliver(c *extern.EngineChunk) error {
+	s := a.run
+	if !guard.Check(c.Index == s.delivered, guard.StreamWhole,
+		"request %s: token %d delivered after %d tokens", s.req.Request, c.Index, s.delivered) {
+		return a.broken(&GapError{Want: s.delivered, Got: c.Index})
+	}
+	if !guard.Check(c.Request == s.req.Request, guard.AnswerOwned,
+		"request %s: tokens of request %s delivered", s.req.Request, c.Request) {
+		return a.crossed(c.Request)
+	}
+	if err := s.emit(c); err != nil {
+		return &emitError{err: err}
+	}
+	a.tokens += c.Count
+	s.progress(c.Count)
+	return nil
+}
+
+// end checks the last event of an answer.
+func (a *attempt) end(done *extern.EngineDone) (*extern.EngineDone, error) {
+	s := a.run
+	if done.Request != s.req.Request {
+		return nil, a.crossed(done.Request)
+	}
+	came := s.delivered
+	if a.chunks {
+		came = min(came, a.position)
+	}
+	if done.OutputTokens != came || came != s.delivered {
+		return nil, a.broken(&LengthError{Came: came, Said: done.OutputTokens})
+	}
+	return done, nil
+}
+
+func (a *attempt) broken(err error) error {
+	return &extern.UpstreamError{Kind: extern.UpstreamBroken, Upstream: a.picked.Upstream, Err: err}
+}
+
+func (a *attempt) crossed(got ident.RequestID) error {
+	err := &CrossedError{Want: a.run.req.Request, Got: got}
+	return &extern.UpstreamError{Kind: extern.UpstreamCrossed, Upstream: a.picked.Upstream, Err: err}
+}
+
+func (a *attempt) report(ctx context.Context, done *extern.EngineDone, err error) {
+	if a.picked.Report == nil {
+		return
+	}
+	var caller *emitError
+	report := Report{
+		Err:        err,
+		Cancelled:  err != nil && (ctx.Err() != nil || errors.As(err, &caller)),
+		FirstToken: a.firstToken,
+		Duration:   time.Since(a.started),
+		Tokens:     a.tokens,
+	}
+	if done != nil {
+		report.PromptTokens, report.CachedTokens = done.PromptTokens, done.CachedTokens
+	}
+	a.picked.Report(report)
+}
--- /dev/null
+++ b/internal/coordination/relay/consts.go
@@ -0,0 +1,24 @@
+package relay
+
+import "time"
+
+// Defaults of Relay and Budget.
+const (
+	defaultMaxAttempts       = 4
+	defaultFirstTokenTimeout = 30 * time.Second
+	defaultInterTokenTimeout = 10 * time.Second
+	defaultResumePatience    = 15 * time.Second
+
+	// maxParts bounds the attempts that brought tokens of one answer, so that a request which makes engines crash
+	// ends.
+	maxParts = 16
+
+	backoffInitial = 20 * time.Millisecond
+	backoffMax     = time.Second
+
+	defaultBudgetShare   = 100 // permille
+	defaultBudgetReserve = 64  // retries
+	permille             = 1000
+
+	finishLength = "length"
+)
--- /dev/null
+++ b/internal/coordination/relay/relay_test.go
@@ -0,0 +1,438 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/extern"
+	"github.com/gooseberryway/gooseberryway/internal/state/guard"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
+
+// Ways in which a scripted attempt ends.
+const (
+	endDone = iota
+	endCrash
+	endCrossedChunk
+	endCrossedDone
+	endStall
+	endGap
+	endShortDone
+	endUnreachable
+	endOverloaded
+	endOverrun
+	endKinds
+)
+
+// script is what one attempt does: it starts back tokens before the asked one, sends tokens in chunks, then ends.
+type script struct {
+	back, tokens, chunk int
+	delay               time.Duration
+	end                 int
+}
+
+// scripted is an extern.Engine whose attempts follow scripts; further attempts answer whole.
+type scripted struct {
+	extern.Engine
+	scripts []script
+	seen    []extern.EngineRequest
+	open    int
+	// shift resumes at another token than asked and labels it as asked.
+	shift int
+}
+
+func token(i ident.Tokens) string { return fmt.Sprintf(" t%d", i) }
+
+func text(from, to ident.Tokens) string {
+	var b strings.Builder
+	for i := from; i < to; i++ {
+		b.WriteString(token(i))
+	}
+	return b.String()
+}
+
+func (e *scripted) Complete(ctx context.Context, upstream ident.UpstreamID, _ string, req extern.EngineRequest) (extern.EngineStream, error) {
+	s := script{tokens: int(req.MaxTokens), chunk: 1, end: endDone}
+	if n := len(e.seen); n < len(e.scripts) {
+		s = e.scripts[n]
+	}
+	e.seen = append(e.seen, req)
+	switch s.end {
+	case endUnreachable:
+		return nil, &extern.UpstreamError{Kind: extern.UpstreamUnreachable, Upstream: upstream, NotRun: true}
+	case endOverloaded:
+		return nil, &extern.UpstreamError{Kind: extern.UpstreamOverloaded, Upstream: upstream, NotRun: true, RetryAfter: time.Second}
+	}
+	e.open++
+	return &scriptedStream{
+		ctx: ctx, engine: e, script: s, req: req, upstream: upstream,
+		at: max(req.ResumeFrom-ident.Tokens(s.back), 0), left: s.tokens,
+	}, nil
+}
+
+type scriptedStream struct {
+	ctx      context.Context
+	engine   *scripted
+	script   script
+	req      extern.EngineRequest
+	upstream ident.UpstreamID
+	at       ident.Tokens
+	left     int
+}
+
+func (s *scriptedStream) Next() (extern.EngineEvent, error) {
+	if err := s.wait(s.script.delay); err != nil {
+		return nil, err
+	}
+	if s.left > 0 && s.at < s.req.MaxTokens {
+		n := min(ident.Tokens(min(s.script.chunk, s.left)), s.req.MaxTokens-s.at)
+		return s.chunkOf(s.at, n, s.req.Request), nil
+	}
+	switch s.script.end {
+	case endDone:
+		if s.at >= s.req.MaxTokens {
+			return &extern.EngineDone{Request: s.req.Request, OutputTokens: s.req.MaxTokens}, nil
+		}
+	case endCrossedChunk:
+		return s.chunkOf(s.at, 1, "other"), nil
+	case endCrossedDone:
+		return &extern.EngineDone{Request: "other", OutputTokens: s.at}, nil
+	case endStall:
+		return nil, s.wait(time.Hour)
+	case endGap:
+		s.at++
+		return s.chunkOf(s.at, 1, s.req.Request), nil
+	case endShortDone:
+		// Without a chunk, an end at the asked token would be that of a whole answer.
+		if s.left == s.script.tokens {
+			s.at = s.req.ResumeFrom
+		}
+		return &extern.EngineDone{Request: s.req.Request, OutputTokens: s.at + 1}, nil
+	case endOverrun:
+		return s.chunkOf(s.at, s.req.MaxTokens+1, s.req.Request), nil
+	}
+	return nil, &extern.UpstreamError{Kind: extern.UpstreamBroken, Upstream: s.upstream}
+}
+
+func (s *scriptedStream) chunkOf(at, n ident.Tokens, id ident.RequestID) *extern.EngineChunk {
+	s.at = at + n
+	s.left -= int(n)
+	from := at
+	if s.req.ResumeFrom > 0 {
+		from += ident.Tokens(s.engine.shift)
+	}
+	return &extern.EngineChunk{Request: id, Index: at, Count: n, Text: text(from, from+n)}
+}
+
+func (s *scriptedStream) wait(d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-s.ctx.Done():
+		return &extern.UpstreamError{Kind: extern.UpstreamTimeout, Upstream: s.upstream, Err: s.ctx.Err()}
+	}
+}
+
+func (s *scriptedStream) Close() error {
+	s.engine.open--
+	return nil
+}
+
+// rotation picks engines in turn and collects the reports.
+type rotation struct {
+	picks   int
+	reports []Report
+	missing int // first picks that find no engine
+}
+
+func (p *rotation) Pick(context.Context, *extern.EngineRequest, []ident.UpstreamID) (Attempt, error) {
+	p.picks++
+	if p.picks <= p.missing {
+		return Attempt{}, &extern.UpstreamError{Kind: extern.UpstreamUnreachable, NotRun: true}
+	}
+	id := ident.UpstreamID(fmt.Sprintf("e%d", p.picks))
+	return Attempt{Upstream: id, Report: func(r Report) { p.reports = append(p.reports, r) }}, nil
+}
+
+func request(limit ident.Tokens) extern.EngineRequest {
+	return extern.EngineRequest{Request: "r1", Version: "v1", MaxTokens: limit}
+}
+
+// collect returns an emit that appends to the text.
+func collect(out *strings.Builder) func(*extern.EngineChunk) error {
+	return func(c *extern.EngineChunk) error {
+		out.WriteString(c.Text)
+		return nil
+	}
+}
+
+func drawScript(t *rapid.T) script {
+	return script{
+		back:   rapid.IntRange(0, 3).Draw(t, "back"),
+		tokens: rapid.IntRange(0, 12).Draw(t, "tokens"),
+		chunk:  rapid.IntRange(1, 3).Draw(t, "chunk"),
+		delay:  rapid.SampledFrom([]time.Duration{0, time.Millisecond, 3 * time.Second}).Draw(t, "delay"),
+		end:    rapid.IntRange(0, endKinds-1).Draw(t, "end"),
+	}
+}
+
+// verdict runs a request against the engine and returns what is wrong with the outcome, empty if nothing is.
+func verdict(engine *scripted, limit ident.Tokens) string {
+	picker := &rotation{}
+	r := &Relay{Engine: engine, Picker: picker, FirstTokenTimeout: 2 * time.Second, InterTokenTimeout: 2 * time.Second}
+	var out strings.Builder
+	done, err := r.Run(context.Background(), request(limit), collect(&out))
+	delivered := limit
+	var run *RunError
+	if errors.As(err, &run) {
+		delivered = run.Delivered
+		if run.NotRun && delivered > 0 {
+			return "an answer with tokens is said not to have run"
+		}
+	} else if done.OutputTokens != limit || done.Request != "r1" {
+		return fmt.Sprintf("wrong end %+v", done)
+	}
+	switch {
+	case out.String() != text(0, delivered):
+		return fmt.Sprintf("wrong text of %d tokens: %q", delivered, out.String())
+	case engine.open != 0:
+		return "a stream was left open"
+	case len(picker.reports) != picker.picks:
+		return "an attempt was not reported"
+	case delivered > 0 && delivered < limit:
+		return fmt.Sprintf("given up after %d tokens: %v", delivered, err)
+	}
+	return ""
+}
+
+func TestAnswersAreContiguousWhateverEnginesDo(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		engine := &scripted{scripts: rapid.SliceOfN(rapid.Custom(drawScript), 0, 12).Draw(rt, "scripts")}
+		limit := ident.Tokens(rapid.IntRange(1, 30).Draw(rt, "limit"))
+		var wrong string
+		synctest.Test(t, func(*testing.T) { wrong = verdict(engine, limit) })
+		if wrong != "" {
+			rt.Fatal(wrong)
+		}
+	})
+}
+
+// TestVerdictSeesAShiftedResumption proves that the check above can fail.
+func TestVerdictSeesAShiftedResumption(t *testing.T) {
+	for _, shift := range []int{-1, 1} {
+		engine := &scripted{scripts: []script{{tokens: 5, chunk: 1, end: endCrash}}, shift: shift}
+		require.Contains(t, verdict(engine, 10), "wrong text", "shift %d", shift)
+	}
+}
+
+// TestGuardsCatchAWrongDelivery calls the delivery directly with what the attempt's own checks keep away.
+func TestGuardsCatchAWrongDelivery(t *testing.T) {
+	cases := map[string]struct {
+		chunk extern.EngineChunk
+		want  guard.Invariant
+	}{
+		"a token early":   {extern.EngineChunk{Request: "r1", Index: 4, Count: 1}, guard.StreamWhole},
+		"a token late":    {extern.EngineChunk{Request: "r1", Index: 6, Count: 1}, guard.StreamWhole},
+		"another request": {extern.EngineChunk{Request: "r2", Index: 5, Count: 1}, guard.AnswerOwned},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			var seen []guard.Invariant
+			defer guard.Capture(func(v *guard.ViolationError) { seen = append(seen, v.Invariant) })()
+			emit := func(*extern.EngineChunk) error { t.Error("delivered"); return nil }
+			a := attempt{run: &run{relay: &Relay{}, req: request(10), emit: emit, delivered: 5}}
+			require.Error(t, a.deliver(&tc.chunk))
+			require.Equal(t, []guard.Invariant{tc.want}, seen)
+		})
+	}
+}
+
+func TestResumptionAsksForTheNextToken(t *testing.T) {
+	engine := &scripted{scripts: []script{{tokens: 4, chunk: 2, end: endCrash}, {tokens: 3, chunk: 1, end: endStall}}}
+	synctest.Test(t, func(t *testing.T) { require.Empty(t, verdict(engine, 10)) })
+	var from []ident.Tokens
+	for _, req := range engine.seen {
+		from = append(from, req.ResumeFrom)
+		require.Equal(t, ident.VersionID("v1"), req.Version)
+	}
+	require.Equal(t, []ident.Tokens{0, 4, 7}, from)
+}
+
+func TestRepeatedTokensAreDropped(t *testing.T) {
+	engine := &scripted{scripts: []script{{tokens: 4, chunk: 1, end: endCrash}, {back: 3, tokens: 20, chunk: 1, end: endDone}}}
+	synctest.Test(t, func(t *testing.T) { require.Empty(t, verdict(engine, 10)) })
+	require.Len(t, engine.seen, 2)
+}
+
+func TestLostLastEventEndsAWholeAnswer(t *testing.T) {
+	engine := &scripted{scripts: []script{{tokens: 10, chunk: 1, end: endCrash}}}
+	require.Empty(t, verdict(engine, 10))
+	require.Len(t, engine.seen, 1)
+}
+
+func TestFailuresBeforeTheFirstToken(t *testing.T) {
+	crash := script{end: endCrash}
+	unreachable := script{end: endUnreachable}
+	cases := map[string]struct {
+		scripts []script
+		budget  *Budget
+		missing int
+		reason  Reason
+		notRun  bool
+		seen    int
+	}{
+		"no engine":       {missing: 1, reason: ReasonNoEngine, notRun: true},
+		"all unreachable": {scripts: []script{unreachable, unreachable, unreachable}, reason: ReasonAttempts, notRun: true, seen: 3},
+		"one may have run": {
+			scripts: []script{unreachable, crash, unreachable}, reason: ReasonAttempts, seen: 3,
+		},
+		"no budget": {scripts: []script{crash}, budget: &Budget{Reserve: 1}, reason: ReasonBudget, seen: 1},
+		"unreachable needs no budget": {
+			scripts: []script{unreachable, unreachable, unreachable}, budget: &Budget{Reserve: 1},
+			reason: ReasonAttempts, notRun: true, seen: 3,
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			engine := &scripted{scripts: tc.scripts}
+			if tc.budget != nil {
+				require.True(t, tc.budget.Withdraw())
+			}
+			r := &Relay{Engine: engine, Picker: &rotation{missing: tc.missing}, Budget: tc.budget, MaxAttempts: 3}
+			_, err := r.Run(t.Context(), request(5), nil)
+			var run *RunError
+			require.ErrorAs(t, err, &run)
+			require.Equal(t, tc.reason, run.Reason)
+			require.Equal(t, tc.notRun, run.NotRun)
+			require.Len(t, engine.seen, tc.seen)
+		})
+	}
+}
+
+// brokenOnce picks one engine, then none for a while.
+type brokenOnce struct {
+	rotation
+	until time.Time
+}
+
+func (p *brokenOnce) Pick(ctx context.Context, req *extern.EngineRequest, tried []ident.UpstreamID) (Attempt, error) {
+	if p.picks > 0 && time.Now().Before(p.until) {
+		return Attempt{}, &extern.UpstreamError{Kind: extern.UpstreamUnreachable, NotRun: true}
+	}
+	return p.rotation.Pick(ctx, req, tried)
+}
+
+func TestAnInterruptedAnswerWaitsForAnEngine(t *testing.T) {
+	for away, want := range map[time.Duration]Reason{5 * time.Second: "", time.Minute: ReasonNoEngine} {
+		synctest.Test(t, func(t *testing.T) {
+			engine := &scripted{scripts: []script{{tokens: 4, chunk: 1, end: endCrash}}}
+			r := &Relay{Engine: engine, Picker: &brokenOnce{until: time.Now().Add(away)}}
+			var out strings.Builder
+			_, err := r.Run(t.Context(), request(10), collect(&out))
+			if want == "" {
+				require.NoError(t, err)
+				require.Equal(t, text(0, 10), out.String())
+				return
+			}
+			var run *RunError
+			require.ErrorAs(t, err, &run)
+			require.Equal(t, want, run.Reason)
+			require.Equal(t, ident.Tokens(4), run.Delivered)
+			require.False(t, run.NotRun)
+		})
+	}
+}
+
+func TestDeadlineAndCallerEndTheAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engine := &scripted{scripts: []script{{tokens: 4, chunk: 1, end: endStall}}}
+		picker := &rotation{}
+		r := &Relay{Engine: engine, Picker: picker}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := r.Run(ctx, request(10), collect(&strings.Builder{}))
+		var run *RunError
+		require.ErrorAs(t, err, &run)
+		require.Equal(t, ReasonDeadline, run.Reason)
+		require.Zero(t, engine.open)
+		require.True(t, picker.reports[0].Cancelled)
+	})
+	gone := &extern.UpstreamError{Kind: extern.UpstreamBroken}
+	engine, picker := &scripted{}, &rotation{}
+	r := &Relay{Engine: engine, Picker: picker}
+	_, err := r.Run(t.Context(), request(10), func(*extern.EngineChunk) error { return gone })
+	var run *RunError
+	require.ErrorAs(t, err, &run)
+	require.Equal(t, ReasonCaller, run.Reason)
+	require.ErrorIs(t, err, gone)
+	require.Len(t, engine.seen, 1, "no retry for a caller that went")
+	require.True(t, picker.reports[0].Cancelled)
+}
+
+func TestASlowCallerIsNoSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engine := &scripted{}
+		r := &Relay{Engine: engine, Picker: &rotation{}, InterTokenTimeout: time.Second}
+		_, err := r.Run(t.Context(), request(3), func(*extern.EngineChunk) error {
+			time.Sleep(time.Minute)
+			return nil
+		})
+		require.NoError(t, err)
+		require.Len(t, engine.seen, 1)
+	})
+}
+
+// otherVersion picks v2 from the second attempt on.
+type otherVersion struct{ rotation }
+
+func (p *otherVersion) Pick(ctx context.Context, req *extern.EngineRequest, tried []ident.UpstreamID) (Attempt, error) {
+	a, err := p.rotation.Pick(ctx, req, tried)
+	if p.picks > 1 {
+		a.Version = "v2"
+	}
+	return a, err
+}
+
+func TestAnAnswerStaysOnItsVersion(t *testing.T) {
+	for tokens, want := range map[int][]ident.VersionID{0: {"v1", "v2"}, 4: {"v1"}} {
+		synctest.Test(t, func(t *testing.T) {
+			engine := &scripted{scripts: []script{{tokens: tokens, chunk: 1, end: endCrash}}}
+			r := &Relay{Engine: engine, Picker: &otherVersion{}}
+			_, err := r.Run(t.Context(), request(10), collect(&strings.Builder{}))
+			require.Equal(t, tokens > 0, err != nil)
+			var versions []ident.VersionID
+			for _, req := range engine.seen {
+				versions = append(versions, req.Version)
+			}
+			require.Equal(t, want, versions)
+		})
+	}
+}
+
+func TestBudgetIsAShareOfRequests(t *testing.T) {
+	b := &Budget{Reserve: 2}
+	require.True(t, b.Withdraw())
+	require.True(t, b.Withdraw())
+	require.False(t, b.Withdraw())
+	for range 9 {
+		b.Deposit()
+	}
+	require.False(t, b.Withdraw())
+	b.Deposit()
+	require.True(t, b.Withdraw())
+	b.Draw()
+	for range 10 {
+		b.Deposit()
+	}
+	require.False(t, b.Withdraw(), "resumptions count")
+}
--- a/internal/standin/engine/job.go
+++ b/internal/standin/engine/job.go
@@ -93,7 +93,7 @@
 	if n := min(c.produced-c.delivered, maxChunkTokens); n > 0 {
 		from := c.delivered
 		c.delivered += n
-		return &extern.EngineChunk{Index: from, Count: n, Text: answerText(c.key, from, from+n)}, nil
+		return &extern.EngineChunk{Request: c.answers.Request, Index: from, Count: n, Text: answerText(c.key, from, from+n)}, nil
 	}
 	if !c.ended {
 		return nil, nil //nolint:nilnil // nothing yet
--- a/internal/state/extern/engine.go
+++ b/internal/state/extern/engine.go
@@ -38,6 +38,8 @@
 
 // EngineChunk is one or more output tokens.
 type EngineChunk struct {
+	// Request is the id that the engine answers; a chunk of another request is crossed.
+	Request ident.RequestID
 	// Index is the position of the first token in the whole answer, from 0.
 	Index ident.Tokens
 	// Count is the number of tokens in Text.
@@ -53,6 +55,7 @@
 	PromptTokens ident.Tokens
 	// CachedTokens is the part of the prompt that the engine's prefix cache held.
 	CachedTokens ident.Tokens
+	// OutputTokens is the length of the whole answer, the tokens before ResumeFrom included.
 	OutputTokens ident.Tokens
 }
 
--- a/internal/transport/engine/stream.go
+++ b/internal/transport/engine/stream.go
@@ -91,7 +91,7 @@
 	}
 	choice := &s.wire.Choices[0]
 	if s.wire.Usage == nil {
-		s.chunk = extern.EngineChunk{Index: s.wire.TokenIndex, Count: s.wire.TokenCount, Text: choice.Text}
+		s.chunk = extern.EngineChunk{Request: s.wire.ID, Index: s.wire.TokenIndex, Count: s.wire.TokenCount, Text: choice.Text}
 		return &s.chunk, nil
 	}
 	s.done = true
