Tell the router of the first token when it comes

Cause: the router corrects an engine's queue by what this daemon has sent and is still waiting for; the relay reported the first token only at the end of the attempt. Change: relay.Attempt has a FirstToken callback; usage is charged by the router's own count of tokens, capped by the reservation.

--- a/internal/coordination/relay/attempt.go
+++ b/internal/coordination/relay/attempt.go
@@ -103,6 +103,9 @@
 	}
 	if a.firstToken == 0 {
 		a.firstToken = max(time.Since(a.started), 1)
+		if a.picked.FirstToken != nil {
+			a.picked.FirstToken()
+		}
 	}
 	return a.deliver(c)
 }
--- a/internal/coordination/relay/relay.go
+++ b/internal/coordination/relay/relay.go
@@ -28,6 +28,8 @@
 	Version      ident.VersionID
 	Priority     int
 	ImportBlocks int
+	// FirstToken is called once when the first token comes; it may be nil.
+	FirstToken func()
 	// Report is called once when the attempt has ended; it may be nil.
 	Report func(Report)
 }
--- a/internal/coordination/serve/run.go
+++ b/internal/coordination/serve/run.go
@@ -75,7 +75,7 @@
 		CachedTokens: done.CachedTokens,
 		OutputTokens: done.OutputTokens,
 	}
-	r.settle(done.PromptTokens + done.OutputTokens)
+	r.settle(prefix.TokensOf(r.call.Prompt) + min(done.OutputTokens, r.maxTokens))
 	r.finish(result)
 	return result, nil
 }
