Add the administration API

Cause: operators need to create organisations, keys, routes and moves, each team in its own subtree. Conclusion: conflicts show the other's change; what may not be seen looks absent.

--- /dev/null
+++ b/internal/transport/admin/auth.go
@@ -0,0 +1,58 @@
+package admin
+
+import (
+	"context"
+	"net/http"
+	"strings"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/config"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
+
+type operatorKey struct{}
+
+// operatorOf returns the operator of an authenticated request.
+func operatorOf(ctx context.Context) *config.Operator {
+	op, _ := ctx.Value(operatorKey{}).(*config.Operator)
+	return op
+}
+
+// authenticated refuses requests without an operator's key.
+func (s *Server) authenticated(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		op, err := s.operator(r)
+		if err != nil {
+			writeError(r.Context(), w, err)
+			return
+		}
+		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), operatorKey{}, op)))
+	})
+}
+
+func (s *Server) operator(r *http.Request) (*config.Operator, error) {
+	header := r.Header.Get(headerAuthorization)
+	if header == "" {
+		return nil, &Error{Code: CodeKeyMissing, Message: "an operator's key is needed: Authorization: Bearer KEY"}
+	}
+	scheme, key, ok := strings.Cut(header, " ")
+	if !ok || !strings.EqualFold(scheme, "Bearer") {
+		return nil, &Error{Code: CodeKeyInvalid, Message: "the Authorization header is not of the form Bearer KEY"}
+	}
+	digest := ident.DigestOf(strings.TrimSpace(key))
+	if s.Bootstrap != nil && digest == s.Bootstrap.KeyDigest {
+		return s.Bootstrap, nil
+	}
+	op, ok := s.State().OperatorByKey(digest)
+	if !ok {
+		return nil, &Error{Code: CodeKeyInvalid, Message: "the operator's key is not known"}
+	}
+	return op, nil
+}
+
+// checkRole returns an *Error unless the operator has the role on the path.
+func checkRole(op *config.Operator, role config.Role, path ident.Path) error {
+	if op.May(role, path) {
+		return nil
+	}
+	return &Error{Code: CodeForbidden, Path: path, Message: "operator " + string(op.ID) + " needs the role " + string(role) + " on " + string(path)}
+}
--- /dev/null
+++ b/internal/transport/admin/openapi.go
@@ -0,0 +1,126 @@
+package admin
+
+import (
+	_ "embed" // for the OpenAPI document
+	"encoding/json"
+	"net/http"
+	"regexp"
+	"strconv"
+
+	"github.com/getkin/kin-openapi/openapi3"
+	"github.com/getkin/kin-openapi/openapi3gen"
+)
+
+//go:embed openapi.json
+var openAPIDocument []byte
+
+func serveOpenAPI(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(openAPIDocument)
+}
+
+var pathParameter = regexp.MustCompile(`\{(\w+)(?:\.\.\.)?\}`)
+
+// BuildOpenAPI returns the OpenAPI document of the administration API as indented JSON.
+func BuildOpenAPI() ([]byte, error) {
+	doc := &openapi3.T{
+		OpenAPI: "3.0.3",
+		Info: &openapi3.Info{
+			Title:       "gooseberryway administration API",
+			Version:     "1",
+			Description: "Every change is a record of the log service. Changes are based on a revision; a change based on an old one is a conflict.",
+		},
+		Servers: openapi3.Servers{{URL: basePath}},
+		Paths:   openapi3.NewPaths(),
+		Components: &openapi3.Components{SecuritySchemes: openapi3.SecuritySchemes{
+			"operatorKey": {Value: openapi3.NewSecurityScheme().WithType("http").WithScheme("bearer")},
+		}},
+		Security: openapi3.SecurityRequirements{openapi3.NewSecurityRequirement().Authenticate("operatorKey")},
+	}
+	for _, op := range (&Server{}).operations() {
+		if err := addOperation(doc, op); err != nil {
+			return nil, err
+		}
+	}
+	return json.MarshalIndent(doc, "", "  ")
+}
+
+func addOperation(doc *openapi3.T, op operation) error {
+	path := pathParameter.ReplaceAllString(op.path, "{$1}")
+	item := doc.Paths.Value(path)
+	if item == nil {
+		item = &openapi3.PathItem{}
+		doc.Paths.Set(path, item)
+	}
+	spec := openapi3.NewOperation()
+	spec.OperationID = op.id
+	spec.Summary = op.summary
+	for _, match := range pathParameter.FindAllStringSubmatch(op.path, -1) {
+		spec.AddParameter(openapi3.NewPathParameter(match[1]).WithSchema(openapi3.NewStringSchema()))
+	}
+	if op.request != nil {
+		schema, err := schemaOf(op.request)
+		if err != nil {
+			return err
+		}
+		spec.RequestBody = &openapi3.RequestBodyRef{Value: openapi3.NewRequestBody().WithRequired(true).WithJSONSchemaRef(schema)}
+	}
+	schema, err := responseSchema(op)
+	if err != nil {
+		return err
+	}
+	spec.Responses = openapi3.NewResponses()
+	spec.Responses.Delete("default")
+	spec.AddResponse(op.status, openapi3.NewResponse().WithDescription("done or accepted").WithJSONSchemaRef(schema))
+	failure, err := schemaOf(errorBody{Error: &Error{}})
+	if err != nil {
+		return err
+	}
+	spec.AddResponse(0, openapi3.NewResponse().WithDescription("refused; statuses "+failureStatuses()).WithJSONSchemaRef(failure))
+	item.SetOperation(op.method, spec)
+	return nil
+}
+
+func failureStatuses() string {
+	text := ""
+	for _, code := range []Code{CodeKeyMissing, CodeForbidden, CodeNotFound, CodeConflict, CodeInvalid, CodePrecondition, CodeUnavailable} {
+		if text != "" {
+			text += ", "
+		}
+		text += strconv.Itoa(statuses[code]) + " " + string(code)
+	}
+	return text
+}
+
+// schemaOf returns the JSON schema of an example value.
+func schemaOf(example any) (*openapi3.SchemaRef, error) {
+	return openapi3gen.NewGenerator(openapi3gen.UseAllExportedFields()).NewSchemaRefForValue(example, nil)
+}
+
+// responseSchema returns the schema of a response, in which the entity has the schema of its type.
+func responseSchema(op operation) (*openapi3.SchemaRef, error) {
+	schema, err := schemaOf(op.response)
+	if err != nil || op.entity == nil {
+		return schema, err
+	}
+	entity, err := schemaOf(op.entity)
+	if err != nil {
+		return nil, err
+	}
+	setEntity(schema.Value, entity)
+	return schema, nil
+}
+
+// setEntity gives every property named entity, at any depth, the schema.
+func setEntity(schema *openapi3.Schema, entity *openapi3.SchemaRef) {
+	for name, property := range schema.Properties {
+		if name == "entity" {
+			schema.Properties[name] = entity
+			continue
+		}
+		setEntity(property.Value, entity)
+	}
+	if schema.Items != nil {
+		setEntity(schema.Items.Value, entity)
+	}
+}
--- /dev/null
+++ b/internal/transport/admin/server_test.go
@@ -0,0 +1,208 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
+	"github.com/gooseberryway/gooseberryway/internal/state/config"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
+
+// memoryLog applies records to a state at once.
+type memoryLog struct {
+	mu    sync.Mutex
+	state *config.State
+	err   error
+}
+
+func (m *memoryLog) State() *config.State {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state
+}
+
+func (m *memoryLog) Write(_ context.Context, rec *wire.Record) (ident.Offset, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.err != nil {
+		return 0, m.err
+	}
+	next, err := m.state.Apply(m.state.Offset()+1, rec)
+	m.state = next
+	return next.Offset(), err
+}
+
+// client calls a server with one operator's key.
+type client struct {
+	t   *testing.T
+	url string
+	key string
+}
+
+func startAdmin(t *testing.T) (*memoryLog, *client) {
+	t.Helper()
+	log := &memoryLog{state: config.NewState()}
+	s := &Server{
+		State:    log.State,
+		Writer:   log,
+		Progress: func(offset ident.Offset) Progress { return Progress{Offset: offset, State: StateInForce} },
+		Status:   func() any { return map[string]string{"daemon": "d1"} },
+		Burn:     func() any { return map[string]string{} },
+		Ready:    func() error { return nil },
+		Bootstrap: &config.Operator{
+			ID:        "root",
+			KeyDigest: ident.DigestOf("root key"),
+			Grants:    []config.RoleGrant{{Subtree: "/", Role: config.RoleAdmin}},
+		},
+	}
+	srv := httptest.NewServer(s.Handler())
+	t.Cleanup(srv.Close)
+	return log, &client{t: t, url: srv.URL, key: "root key"}
+}
+
+// call sends a request and decodes the answer into v. Headers are pairs of names and values.
+func (c *client) call(method, path, body string, v any, headers ...string) int {
+	c.t.Helper()
+	r, err := http.NewRequestWithContext(c.t.Context(), method, c.url+path, strings.NewReader(body))
+	require.NoError(c.t, err)
+	if c.key != "" {
+		r.Header.Set("Authorization", "Bearer "+c.key)
+	}
+	for i := 0; i < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultClient.Do(r)
+	require.NoError(c.t, err)
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	require.NoError(c.t, err)
+	if v != nil {
+		require.NoError(c.t, json.Unmarshal(raw, v), string(raw))
+	}
+	return resp.StatusCode
+}
+
+type failure struct {
+	Error struct {
+		Code     Code         `json:"code"`
+		Revision ident.Offset `json:"revision"`
+	} `json:"error"`
+}
+
+const girth = `{"team":"alder","rateTokensPerSecond":1000,"burstTokens":5000}`
+
+func TestChangesAreBasedOnARevision(t *testing.T) {
+	_, c := startAdmin(t)
+	var f failure
+	require.Equal(t, http.StatusPreconditionRequired, c.call(http.MethodPut, "/admin/v1/organisations/survey", girth, &f))
+	require.Equal(t, http.StatusAccepted, c.call(http.MethodPut, "/admin/v1/organisations/survey", girth, nil, "If-None-Match", "*"))
+	require.Equal(t, http.StatusConflict, c.call(http.MethodPut, "/admin/v1/organisations/survey", girth, &f, "If-None-Match", "*"))
+	require.Equal(t, ident.Offset(1), f.Error.Revision, "the conflict shows the current revision")
+	require.Equal(t, http.StatusAccepted, c.call(http.MethodPut, "/admin/v1/organisations/survey", girth, nil, "If-Match", `"1"`))
+	require.Equal(t, http.StatusUnprocessableEntity, c.call(http.MethodPut, "/admin/v1/organisations/survey", `{"colour":1}`, &f, "If-Match", `"3"`))
+	require.Equal(t, CodeInvalid, f.Error.Code)
+}
+
+func TestAKeyIsShownOnceAndWithdrawn(t *testing.T) {
+	log, c := startAdmin(t)
+	c.call(http.MethodPut, "/admin/v1/organisations/survey", girth, nil, "If-None-Match", "*")
+	var created struct {
+		Secret string `json:"secret"`
+	}
+	require.Equal(t, http.StatusCreated, c.call(http.MethodPost, "/admin/v1/keys", `{"id":"k1","organisation":"survey"}`, &created))
+	key, ok := log.State().KeyByDigest(ident.DigestOf(created.Secret))
+	require.True(t, ok)
+	require.False(t, key.Withdrawn)
+
+	var read map[string]any
+	require.Equal(t, http.StatusOK, c.call(http.MethodGet, "/admin/v1/keys/k1", "", &read))
+	require.NotContains(t, read, "secret")
+
+	for range 2 {
+		require.Equal(t, http.StatusAccepted, c.call(http.MethodPost, "/admin/v1/keys/k1/withdraw", "", nil))
+	}
+	key, _ = log.State().KeyByDigest(ident.DigestOf(created.Secret))
+	require.True(t, key.Withdrawn)
+}
+
+func TestATeamChangesOnlyItsOwnSubtree(t *testing.T) {
+	_, c := startAdmin(t)
+	c.call(http.MethodPut, "/admin/v1/organisations/survey", girth, nil, "If-None-Match", "*")
+	var created struct {
+		Secret string `json:"secret"`
+	}
+	require.Equal(t, http.StatusCreated, c.call(http.MethodPost, "/admin/v1/operators",
+		`{"id":"amara","grants":[{"subtree":"/teams/birch","role":"admin"}]}`, &created))
+	c.key = created.Secret
+	var f failure
+	require.Equal(t, http.StatusForbidden, c.call(http.MethodPut, "/admin/v1/organisations/survey", girth, &f, "If-Match", `"1"`))
+	require.Equal(t, http.StatusNotFound, c.call(http.MethodGet, "/admin/v1/organisations/survey", "", &f), "what may not be seen is not there")
+	require.Equal(t, http.StatusForbidden, c.call(http.MethodPost, "/admin/v1/operators",
+		`{"id":"b","grants":[{"subtree":"/teams/alder","role":"admin"}]}`, &f), "no grant beyond one's own")
+	own := strings.Replace(girth, "alder", "birch", 1)
+	require.Equal(t, http.StatusAccepted, c.call(http.MethodPut, "/admin/v1/organisations/birchOrg", own, nil, "If-None-Match", "*"))
+	require.Equal(t, http.StatusAccepted, c.call(http.MethodPut, "/admin/v1/settings/teams/birch/settings/retry", `{"n":1}`, nil, "If-None-Match", "*"))
+	require.Equal(t, http.StatusForbidden, c.call(http.MethodPut, "/admin/v1/settings/platform/settings/retry", `1`, &f, "If-None-Match", "*"))
+}
+
+func TestRequestsWithoutAnOperatorsKeyAreRefused(t *testing.T) {
+	_, c := startAdmin(t)
+	for _, key := range []string{"", "wrong"} {
+		c.key = key
+		for _, op := range (&Server{}).operations() {
+			path := strings.NewReplacer("{id}", "x", "{path...}", "teams/a/settings/b").Replace(op.path)
+			require.Equal(t, http.StatusUnauthorized, c.call(op.method, "/admin/v1"+path, "{}", nil), op.id)
+		}
+	}
+	require.Equal(t, http.StatusOK, c.call(http.MethodGet, "/healthz", "", nil))
+}
+
+func TestALostAnswerNamesTheRecord(t *testing.T) {
+	log, c := startAdmin(t)
+	log.err = &Error{Code: CodeUnknown, RecordID: "r1", Message: "no answer"}
+	var f struct {
+		Error struct {
+			RecordID string `json:"recordId"`
+		} `json:"error"`
+	}
+	require.Equal(t, http.StatusServiceUnavailable, c.call(http.MethodPut, "/admin/v1/organisations/survey", girth, &f, "If-None-Match", "*"))
+	require.Equal(t, "r1", f.Error.RecordID)
+}
+
+func TestMoveActions(t *testing.T) {
+	_, c := startAdmin(t)
+	for path, body := range map[string]string{
+		"versions/girth-1": `{"model":"girth","weights":"a"}`,
+		"versions/girth-2": `{"model":"girth","weights":"b"}`,
+	} {
+		require.Equal(t, http.StatusAccepted, c.call(http.MethodPut, "/admin/v1/"+path, body, nil, "If-None-Match", "*"), path)
+	}
+	require.Equal(t, http.StatusAccepted, c.call(http.MethodPut, "/admin/v1/models/girth",
+		`{"currentVersion":"girth-1","blockTokens":1000}`, nil, "If-None-Match", "*"))
+	move := `{"id":"m1","team":"alder","model":"girth","to":"girth-2","deadline":"2999-01-01T00:00:00Z"}`
+	require.Equal(t, http.StatusCreated, c.call(http.MethodPost, "/admin/v1/moves", move, nil))
+	cases := []struct {
+		action string
+		status int
+	}{
+		{`{"action":"resume"}`, http.StatusUnprocessableEntity},
+		{`{"action":"pause"}`, http.StatusAccepted},
+		{`{"action":"resume"}`, http.StatusAccepted},
+		{`{"action":"dance"}`, http.StatusUnprocessableEntity},
+		{`{"action":"deadline","deadline":"2000-01-01T00:00:00Z"}`, http.StatusUnprocessableEntity},
+		{`{"action":"takeBack"}`, http.StatusAccepted},
+		{`{"action":"pause"}`, http.StatusUnprocessableEntity},
+	}
+	for _, tc := range cases {
+		require.Equal(t, tc.status, c.call(http.MethodPost, "/admin/v1/moves/m1/actions", tc.action, nil), tc.action)
+	}
+}
--- a/internal/transport/caller/server.go
+++ b/internal/transport/caller/server.go
@@ -5,7 +5,9 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/hex"
+	"errors"
 	"net"
 	"net/http"
 	"strings"
@@ -31,6 +33,8 @@
 	WriteTimeout  time.Duration
 	// MaxOpen bounds the requests that are open at once.
 	MaxOpen int64
+	// TLS is nil for plain text.
+	TLS *tls.Config
 
 	http *http.Server
 }
@@ -77,8 +81,11 @@
 // Serve answers callers on the listener until Close. It returns nil after Close.
 func (s *Server) Serve(l net.Listener) error {
 	s.Prepare()
+	if s.TLS != nil {
+		l = tls.NewListener(l, s.TLS)
+	}
 	err := s.http.Serve(l)
-	if err == http.ErrServerClosed {
+	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return err
