--- a/internal/program/client/client.go
+++ b/internal/program/client/client.go
@@ -194,23 +194,28 @@
 	return errors.As(err, &op) && op.Op == "dial"
 }
 
-func (c *Client) newRequest(ctx context.Context, addr string, req *Request) (*http.Request, error) {
+// Body returns the JSON body of the request.
+func (r *Request) Body() []byte {
 	body, err := json.Marshal(map[string]any{
-		"model":          req.Model,
+		"model":          r.Model,
 		"stream":         true,
 		"stream_options": map[string]any{"include_usage": true},
-		"max_tokens":     req.MaxTokens,
-		"seed":           req.Seed,
+		"max_tokens":     r.MaxTokens,
+		"seed":           r.Seed,
 		"messages": []openai.Message{
-			{Role: "system", Content: req.System},
-			{Role: "user", Content: req.User},
+			{Role: "system", Content: r.System},
+			{Role: "user", Content: r.User},
 		},
 	})
 	if err != nil {
-		return nil, &TransportError{Err: err}
+		panic(err) // strings and numbers can always be encoded
 	}
+	return body
+}
+
+func (c *Client) newRequest(ctx context.Context, addr string, req *Request) (*http.Request, error) {
 	url := "http://" + addr + req.PathPrefix + "/v1/chat/completions"
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(req.Body()))
 	if err != nil {
 		return nil, &TransportError{Err: err}
 	}
--- /dev/null
+++ b/internal/program/cmds/root.go
@@ -0,0 +1,86 @@
+// Package cmds is the command line of gooseberryway.
+package cmds
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+	"k8s.io/klog/v2"
+)
+
+// Exit codes.
+const (
+	ExitGood   = 0
+	ExitFailed = 1
+	// ExitUsage is for wrong arguments and bad settings.
+	ExitUsage = 2
+)
+
+// UsageError says that the command line or a settings file is wrong.
+type UsageError struct {
+	Err error
+}
+
+func (e *UsageError) Error() string { return e.Err.Error() }
+
+func (e *UsageError) Unwrap() error { return e.Err }
+
+// Execute runs the command line and returns the exit code.
+func Execute(args []string, out, errOut io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	root := newRoot()
+	root.SetArgs(args)
+	root.SetOut(out)
+	root.SetErr(errOut)
+	err := root.ExecuteContext(ctx)
+	klog.Flush()
+	if err == nil {
+		return ExitGood
+	}
+	fmt.Fprintln(errOut, "gooseberryway:", err)
+	var usage *UsageError
+	if errors.As(err, &usage) {
+		return ExitUsage
+	}
+	return ExitFailed
+}
+
+func newRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "gooseberryway",
+		Short:         "Routes language-model traffic that carries long shared prompts",
+		SilenceErrors: true,
+		SilenceUsage:  true,
+		Args:          usageArgs(cobra.NoArgs),
+	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &UsageError{Err: err} })
+	addLogFlags(root)
+	root.AddCommand(newServe(), newCheck(), newDemo())
+	return root
+}
+
+// addLogFlags offers the verbosity of klog; its other flags keep their defaults.
+func addLogFlags(root *cobra.Command) {
+	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(flags)
+	_ = flags.Set("logtostderr", "true")
+	root.PersistentFlags().AddGoFlag(flags.Lookup("v"))
+}
+
+// usageArgs turns wrong arguments into a *UsageError.
+func usageArgs(check cobra.PositionalArgs) cobra.PositionalArgs {
+	return func(cmd *cobra.Command, args []string) error {
+		if err := check(cmd, args); err != nil {
+			return &UsageError{Err: err}
+		}
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/program/cmds/serve.go
@@ -0,0 +1,27 @@
+package cmds
+
+import (
+	"github.com/spf13/cobra"
+
+	"github.com/gooseberryway/gooseberryway/internal/program/daemon"
+	"github.com/gooseberryway/gooseberryway/internal/program/setup"
+)
+
+func newServe() *cobra.Command {
+	var file string
+	cmd := &cobra.Command{
+		Use:     "serve --settings FILE",
+		Short:   "Run the daemon of an entry VM until it is told to stop (SIGTERM)",
+		Example: "  gooseberryway serve --settings daemon.json",
+		Args:    usageArgs(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			settings, err := setup.Load(file)
+			if err != nil {
+				return printFaults(cmd, err)
+			}
+			return (&daemon.Daemon{Settings: settings}).Run(cmd.Context())
+		},
+	}
+	settingsFlag(cmd, &file)
+	return cmd
+}
--- /dev/null
+++ b/internal/program/daemon/consts.go
@@ -0,0 +1,20 @@
+package daemon
+
+import "time"
+
+const (
+	// retryAfter is when a caller may try again after a failure that names no time.
+	retryAfter = 500 * time.Millisecond
+	// watchPause is the mean pause before an engine's events are read again.
+	watchPause = 250 * time.Millisecond
+	// familyBytes is the length of the prompt's head by which moves keep prefix families together.
+	familyBytes = 1024
+	// stopTimeout bounds the end of the listeners for peers and operators.
+	stopTimeout = 5 * time.Second
+	// leaveTimeout bounds the writing of the record that a daemon leaves.
+	leaveTimeout = 5 * time.Second
+	// drainPoll is how often a leaving daemon looks whether its requests have ended.
+	drainPoll = 20 * time.Millisecond
+	// digestHotBlocks bounds the blocks in one digest.
+	digestHotBlocks = 64
+)
--- /dev/null
+++ b/internal/program/daemon/limits.go
@@ -0,0 +1,86 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+
+	"github.com/gooseberryway/gooseberryway/internal/coordination/quota"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/serve"
+	"github.com/gooseberryway/gooseberryway/internal/state/config"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
+
+// quotaState shows a configuration to the limiter.
+type quotaState struct {
+	state   *config.State
+	members ident.Offset
+}
+
+func newQuotaState(st *config.State) quotaState {
+	var newest ident.Offset
+	for _, m := range st.Members() {
+		newest = max(newest, st.Revision(config.PathOf(m)))
+	}
+	return quotaState{state: st, members: newest}
+}
+
+// Limit implements quota.State.
+func (q quotaState) Limit(id ident.OrganisationID) (quota.Limit, bool) {
+	org, ok := q.state.Organisation(id)
+	if !ok || org.Disabled {
+		return quota.Limit{}, false
+	}
+	return quota.Limit{Rate: org.Rate, Burst: org.Burst}, true
+}
+
+// Homes implements quota.State.
+func (q quotaState) Homes(id ident.OrganisationID) []ident.DaemonID { return serve.Homes(q.state, id) }
+
+// MembersRevision implements quota.State.
+func (q quotaState) MembersRevision() ident.Offset { return q.members }
+
+// quotaView shows the states from the one in force to the applied one to the limiter.
+func quotaView(history []*config.State) quota.View {
+	view := quota.View{States: make([]quota.State, 0, len(history))}
+	for _, st := range history {
+		view.States = append(view.States, newQuotaState(st))
+	}
+	return view
+}
+
+// limits shows the limiter to the request service.
+type limits struct {
+	limiter *quota.Limiter
+}
+
+// Admit implements serve.Limiter.
+func (l limits) Admit(ctx context.Context, org ident.OrganisationID, cost ident.Tokens) (serve.Reservation, error) {
+	reservation, err := l.limiter.Admit(ctx, org, cost)
+	if err != nil {
+		return nil, refusalOf(err)
+	}
+	return reservation, nil
+}
+
+func refusalOf(err error) error {
+	var refused *quota.RefusedError
+	if !errors.As(err, &refused) {
+		return &serve.Error{Code: serve.CodeLimitsUnavailable, Message: "the limits could not be checked", Err: err}
+	}
+	failure := &serve.Error{RetryAfter: refused.RetryAfter, Err: err}
+	switch refused.Reason {
+	case quota.ReasonOverRate:
+		failure.Code, failure.Message = serve.CodeRateLimited, "the organisation has used up its rate and burst"
+	case quota.ReasonAboveBurst:
+		failure.Code, failure.Message = serve.CodeCostAboveBurst, "prompt and output limit together are above the organisation's burst"
+	case quota.ReasonUnknownOrganisation:
+		failure.Code, failure.Message = serve.CodeOrganisationDisabled, "the organisation is disabled or does not exist"
+	case quota.ReasonNotServing:
+		failure.Code, failure.Message = serve.CodeNoLease, "this daemon holds no serving lease"
+	case quota.ReasonCancelled:
+		failure.Code, failure.Message = serve.CodeTimeout, "the request ended while it waited for its organisation's rate"
+	default:
+		failure.Code, failure.Message = serve.CodeLimitsUnavailable, "no daemon that holds the organisation's tokens answers"
+	}
+	return failure
+}
--- /dev/null
+++ b/internal/program/daemon/parts.go
@@ -0,0 +1,246 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/gooseberryway/gooseberryway/internal/coordination/lease"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/member"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/quota"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/relay"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/replay"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/route"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/serve"
+	"github.com/gooseberryway/gooseberryway/internal/program/setup"
+	"github.com/gooseberryway/gooseberryway/internal/state/config"
+	"github.com/gooseberryway/gooseberryway/internal/state/extern"
+	"github.com/gooseberryway/gooseberryway/internal/state/health"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/state/prefix"
+	"github.com/gooseberryway/gooseberryway/internal/transport/admin"
+	"github.com/gooseberryway/gooseberryway/internal/transport/caller"
+	"github.com/gooseberryway/gooseberryway/internal/transport/engine"
+	"github.com/gooseberryway/gooseberryway/internal/transport/logsvc"
+	"github.com/gooseberryway/gooseberryway/internal/transport/peer"
+	"github.com/gooseberryway/gooseberryway/internal/transport/secure"
+)
+
+// parts are the components of a daemon.
+type parts struct {
+	settings *setup.Settings
+
+	log    extern.Log
+	engine *engine.Client
+	calls  *peer.Client
+
+	follower     *replay.Follower
+	writer       *replay.Writer
+	checkpointer *replay.Checkpointer
+	fleet        *member.Fleet
+	lease        *lease.Holder
+	limiter      *quota.Limiter
+	router       *route.Router
+	watchers     *watchers
+	service      *serve.Service
+
+	callers *caller.Server
+	peers   *peer.Server
+	admin   *admin.Server
+
+	life     context.Context
+	changing sync.Mutex
+	seen     seen
+}
+
+// seen is the last configuration that the parts have been told of.
+type seen struct {
+	applied, inForce *config.State
+}
+
+// build makes the parts of a daemon; nothing runs yet. The error is a *secure.CertificateError or a *route.PolicyError.
+func build(s *setup.Settings, advertised setup.Addresses) (*parts, error) {
+	p := &parts{settings: s}
+	credentials, err := p.buildTransports()
+	if err != nil {
+		return nil, err
+	}
+	p.buildAgreement(advertised)
+	if err := p.buildRouting(); err != nil {
+		return nil, err
+	}
+	p.buildService()
+	p.buildServers(credentials)
+	return p, nil
+}
+
+// credentials are the TLS configurations of the listeners; nil where TLS is off.
+type credentials struct {
+	callers, peers, admin *secure.Reloader
+}
+
+func (p *parts) buildTransports() (*credentials, error) {
+	p.log = &logsvc.Client{BaseURL: p.settings.LogService.URL, Timeout: p.settings.LogService.Timeout()}
+	p.engine = &engine.Client{Credential: func(string) string { return p.settings.UpstreamCredential }}
+	c := &credentials{}
+	for _, listener := range []struct {
+		files  setup.Certificate
+		reload **secure.Reloader
+	}{{p.settings.TLS.Callers, &c.callers}, {p.settings.TLS.Peers, &c.peers}, {p.settings.TLS.Admin, &c.admin}} {
+		if !listener.files.Enabled() {
+			continue
+		}
+		r := &secure.Reloader{CertFile: listener.files.CertFile, KeyFile: listener.files.KeyFile, CAFile: listener.files.CAFile}
+		if err := r.Load(); err != nil {
+			return nil, err
+		}
+		*listener.reload = r
+	}
+	p.calls = &peer.Client{Resolve: p.resolve, Token: p.settings.SharedToken}
+	if c.peers != nil {
+		p.calls.TLS = c.peers.Client()
+		p.calls.Token = ""
+	}
+	return c, nil
+}
+
+// resolve returns the peer address of a daemon.
+func (p *parts) resolve(id ident.DaemonID) (string, bool) {
+	m, ok := p.follower.State().Member(id)
+	if !ok {
+		return "", false
+	}
+	return m.PeerAddress, true
+}
+
+func (p *parts) buildAgreement(advertised setup.Addresses) {
+	p.follower = &replay.Follower{Log: p.log, Peers: snapshots{p.calls}, Changed: p.changed}
+	p.writer = &replay.Writer{Log: p.log, Follower: p.follower}
+	p.checkpointer = &replay.Checkpointer{Self: p.settings.DaemonID, Log: p.log, Follower: p.follower, Writer: p.writer}
+	p.fleet = &member.Fleet{
+		Self: config.Member{
+			ID:            p.settings.DaemonID,
+			CallerAddress: advertised.Callers,
+			PeerAddress:   advertised.Peers,
+			AdminAddress:  advertised.Admin,
+			FailureDomain: p.settings.FailureDomain,
+		},
+		Follower: p.follower,
+		Writer:   p.writer,
+		Peers:    p.calls,
+		Changed:  p.changed,
+	}
+	p.lease = &lease.Holder{Follower: p.follower, Fleet: p.fleet}
+	p.follower.Urgent = p.lease.NeedsLog
+	p.limiter = &quota.Limiter{
+		Self:    p.settings.DaemonID,
+		Peers:   p.calls,
+		Serving: p.lease.Valid,
+		MaxWait: milliseconds(p.settings.Limits.AdmitWaitMs),
+	}
+}
+
+func (p *parts) buildRouting() error {
+	policy, err := route.PolicyOf(route.PolicyName(p.settings.Policy))
+	if err != nil {
+		return err
+	}
+	p.router = &route.Router{
+		Policy:  policy,
+		Index:   &prefix.Index{},
+		Health:  &health.Table{},
+		Fair:    &route.Fair{},
+		Retries: &route.RetryBudget{},
+	}
+	p.watchers = &watchers{engine: p.engine, router: p.router}
+	return nil
+}
+
+func (p *parts) buildService() {
+	picks := &picker{router: p.router, state: p.follower.State}
+	p.service = &serve.Service{
+		State:          p.follower.State,
+		Lease:          p.lease,
+		Limits:         limits{p.limiter},
+		Claims:         claims{},
+		Versions:       versions{state: p.follower.State},
+		Runner:         runner{relay: &relay.Relay{Engine: p.engine, Picker: picks}},
+		Ready:          p.follower.Warm,
+		AdmitWait:      milliseconds(p.settings.Limits.AdmitWaitMs),
+		RequestTimeout: milliseconds(p.settings.Limits.RequestTimeoutMs),
+		FamilyBytes:    familyBytes,
+	}
+}
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// changed tells the parts of a new configuration or a new view of the fleet, in this order: what takes something away
+// holds before the lease can be renewed.
+func (p *parts) changed() {
+	p.changing.Lock()
+	defer p.changing.Unlock()
+	p.fleet.Refresh()
+	view := p.fleet.View()
+	if view == nil {
+		return
+	}
+	now := seen{applied: view.Applied, inForce: view.InForce}
+	if now != p.seen {
+		p.configure(view)
+		p.seen = now
+	}
+	p.lease.Renew()
+}
+
+func (p *parts) configure(view *member.View) {
+	if p.seen.applied == nil {
+		p.limiter.Incarnation = view.Incarnation
+	}
+	p.limiter.Observe(quotaView(p.follower.History()))
+	p.router.Update(view.Applied.Upstreams())
+	p.watchers.update(p.life, view.Applied.Upstreams())
+}
+
+// start runs all parts in the background until ctx ends.
+func (p *parts) start(ctx context.Context, wg *sync.WaitGroup) {
+	p.life = ctx
+	wg.Go(func() { _ = p.follower.Run(ctx) })
+	wg.Go(func() { _ = p.fleet.Run(ctx) })
+	wg.Go(func() { _ = p.checkpointer.Run(ctx) })
+	wg.Go(func() { p.limiter.Run(ctx) })
+}
+
+// stopListeners ends the listeners; requests that are running have had their time.
+func (p *parts) stopListeners() {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	_ = p.callers.Close(ctx)
+	_ = p.admin.Close(stopTimeout)
+	_ = p.peers.Close(stopTimeout)
+}
+
+// cutListeners ends the listeners and breaks their connections.
+func (p *parts) cutListeners() {
+	p.callers.Cut()
+	p.admin.Cut()
+	p.peers.Cut()
+}
+
+// close waits for the parts, whose context has ended.
+func (p *parts) close() {
+	p.limiter.Close()
+	p.checkpointer.Close()
+	p.fleet.Close()
+	p.follower.Close()
+	p.watchers.wait()
+	p.calls.Close()
+	_ = p.engine.Close()
+}
+
+// ready returns nil if the daemon may serve callers.
+func (p *parts) ready() error {
+	if !p.follower.Warm() {
+		return &StartingError{}
+	}
+	return p.lease.Check()
+}
--- /dev/null
+++ b/internal/program/daemon/picks.go
@@ -0,0 +1,133 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/gooseberryway/gooseberryway/internal/coordination/relay"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/route"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/serve"
+	"github.com/gooseberryway/gooseberryway/internal/state/config"
+	"github.com/gooseberryway/gooseberryway/internal/state/extern"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/state/prefix"
+)
+
+// picker shows the router to the relay.
+type picker struct {
+	router *route.Router
+	state  func() *config.State
+}
+
+// Pick implements relay.Picker.
+func (p *picker) Pick(ctx context.Context, req *extern.EngineRequest, tried []ident.UpstreamID) (relay.Attempt, error) {
+	r := p.request(ctx, req, tried)
+	decision, err := p.router.Pick(r)
+	if err != nil {
+		return relay.Attempt{}, err
+	}
+	attempt := p.router.Started(r, decision)
+	return relay.Attempt{
+		Upstream:     decision.Upstream,
+		BaseURL:      decision.BaseURL,
+		Priority:     decision.Priority,
+		ImportBlocks: decision.ImportBlocks,
+		FirstToken:   attempt.FirstToken,
+		Report:       func(report relay.Report) { end(attempt, report) },
+	}, nil
+}
+
+func (p *picker) request(ctx context.Context, req *extern.EngineRequest, tried []ident.UpstreamID) *route.Request {
+	st := p.state()
+	var blockTokens ident.Tokens
+	if model, ok := st.Model(req.Model); ok {
+		blockTokens = model.BlockTokens
+	}
+	scope := prefix.Scope{Organisation: req.Organisation, Model: req.Model, Version: req.Version, Adapter: req.Adapter}
+	r := &route.Request{
+		Scope:        scope,
+		Chain:        prefix.Chain(scope, req.Prompt, blockTokens),
+		BlockTokens:  blockTokens,
+		PromptTokens: prefix.TokensOf(req.Prompt),
+		MaxTokens:    req.MaxTokens,
+		Tried:        tried,
+		Resume:       req.ResumeFrom > 0,
+	}
+	if org, ok := st.Organisation(req.Organisation); ok {
+		r.Rate = org.Rate
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		r.Deadline = deadline
+	}
+	return r
+}
+
+// end tells the router how an attempt ended.
+func end(attempt *route.Attempt, report relay.Report) {
+	switch {
+	case report.Cancelled:
+		attempt.Cancelled(report.Tokens)
+	case report.Err != nil:
+		attempt.Failed(report.Err)
+	default:
+		attempt.Finished(&extern.EngineDone{
+			PromptTokens: report.PromptTokens,
+			CachedTokens: report.CachedTokens,
+			OutputTokens: report.Tokens,
+		})
+	}
+}
+
+// runner shows the relay to the request service.
+type runner struct {
+	relay *relay.Relay
+}
+
+// Run implements serve.Runner.
+func (r runner) Run(ctx context.Context, req extern.EngineRequest, emit func(*extern.EngineChunk) error) (*extern.EngineDone, error) {
+	done, err := r.relay.Run(ctx, req, emit)
+	if err != nil {
+		return nil, failureOf(err)
+	}
+	return done, nil
+}
+
+// failureOf returns the failure of a run as the request service's. A refusal of emit is passed on as it is.
+func failureOf(err error) error {
+	var own *serve.Error
+	if errors.As(err, &own) {
+		return own
+	}
+	var run *relay.RunError
+	if !errors.As(err, &run) {
+		return &serve.Error{Code: serve.CodeUpstreamFailed, Ran: serve.MayHaveRun, Message: "the upstream failed", Err: err}
+	}
+	failure := &serve.Error{Ran: serve.MayHaveRun, Err: err}
+	if run.NotRun {
+		failure.Ran = serve.NotRun
+		failure.RetryAfter = max(run.RetryAfter, retryAfter)
+	}
+	switch run.Reason {
+	case relay.ReasonDeadline:
+		failure.Code, failure.Message = serve.CodeTimeout, "the request took longer than its route or its caller allows"
+	case relay.ReasonCancelled, relay.ReasonCaller:
+		failure.Code, failure.Message = serve.CodeCancelled, "the caller went away"
+	case relay.ReasonNoEngine:
+		failure.Code, failure.Message = serve.CodeNoUpstream, "no engine can take the request now"
+		failure.RetryAfter = max(failure.RetryAfter, pickRetry(err))
+	case relay.ReasonRejected:
+		failure.Code, failure.Message = serve.CodeUpstreamFailed, "the engine rejected the request"
+	default:
+		failure.Code, failure.Message = serve.CodeUpstreamFailed, "the engines that were tried failed"
+	}
+	return failure
+}
+
+func pickRetry(err error) time.Duration {
+	var none *route.NoEngineError
+	if errors.As(err, &none) {
+		return none.RetryAfter
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/program/daemon/servers.go
@@ -0,0 +1,134 @@
+package daemon
+
+import (
+	"context"
+	"encoding/hex"
+
+	"github.com/gooseberryway/gooseberryway/internal/coordination/member"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/serve"
+	"github.com/gooseberryway/gooseberryway/internal/program/setup"
+	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
+	"github.com/gooseberryway/gooseberryway/internal/state/config"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/transport/admin"
+	"github.com/gooseberryway/gooseberryway/internal/transport/caller"
+	"github.com/gooseberryway/gooseberryway/internal/transport/peer"
+)
+
+func (p *parts) buildServers(c *credentials) {
+	p.peers = &peer.Server{Handler: peer.Handler(p.handlers(), p.calls.Token)}
+	if c.peers != nil {
+		p.peers.TLS = c.peers.Server(true)
+	}
+	p.callers = &caller.Server{
+		Daemon:        p.settings.DaemonID,
+		Service:       p.service,
+		Locate:        p.locate,
+		BodyBytes:     p.settings.Limits.BodyBytes,
+		HeaderTimeout: milliseconds(p.settings.Limits.HeaderTimeoutMs),
+		BodyTimeout:   milliseconds(p.settings.Limits.BodyTimeoutMs),
+		IdleTimeout:   milliseconds(p.settings.Limits.IdleTimeoutMs),
+		WriteTimeout:  milliseconds(p.settings.Limits.WriteTimeoutMs),
+		MaxOpen:       int64(p.settings.Limits.MaxStreams),
+	}
+	if c.callers != nil {
+		p.callers.TLS = c.callers.Server(false)
+	}
+	p.admin = &admin.Server{
+		State:     p.follower.State,
+		Writer:    changes{p.writer},
+		Progress:  p.progress,
+		Status:    func() any { return p.status() },
+		Burn:      func() any { return nil },
+		Records:   p.records,
+		Ready:     p.ready,
+		Bootstrap: bootstrap(p.settings.BootstrapOperator),
+	}
+	if c.admin != nil {
+		p.admin.TLS = c.admin.Server(false)
+	}
+	p.peers.Prepare()
+	p.callers.Prepare()
+	p.admin.Prepare()
+}
+
+// handlers answer the calls of other daemons.
+func (p *parts) handlers() peer.Handlers {
+	return peer.Handlers{
+		Heartbeat: func(_ context.Context, r *wire.HeartbeatRequest) (*wire.HeartbeatResponse, error) {
+			return p.fleet.HandleHeartbeat(r)
+		},
+		Relay: func(_ context.Context, r *wire.RelayRequest) (*wire.RelayResponse, error) {
+			return p.follower.HandleRelay(r), nil
+		},
+		Snapshot: func(_ context.Context, _ *wire.SnapshotRequest, send func(*wire.SnapshotChunk) error) error {
+			for _, chunk := range p.follower.HandleSnapshot() {
+				if err := send(&wire.SnapshotChunk{Checkpoint: chunk}); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+		Grant: func(ctx context.Context, r *wire.GrantRequest) (*wire.GrantResponse, error) {
+			return p.limiter.HandleGrant(ctx, r), nil
+		},
+	}
+}
+
+// snapshots collects the chunks of other daemons' snapshots.
+type snapshots struct {
+	*peer.Client
+}
+
+// Snapshot implements replay.Peers.
+func (s snapshots) Snapshot(ctx context.Context, daemon ident.DaemonID) ([]*wire.CheckpointChunk, error) {
+	var chunks []*wire.CheckpointChunk
+	err := s.Client.Snapshot(ctx, daemon, &wire.SnapshotRequest{}, func(c *wire.SnapshotChunk) error {
+		if c.GetCheckpoint() != nil {
+			chunks = append(chunks, c.GetCheckpoint())
+		}
+		return nil
+	})
+	return chunks, err
+}
+
+// locate returns the daemons that a caller shall use: those that answer and are not leaving, best first.
+func (p *parts) locate(cred serve.Credentials) (caller.Location, error) {
+	members, err := p.service.Locate(cred)
+	if err != nil {
+		return caller.Location{}, err
+	}
+	loc := caller.Location{TTLMs: p.settings.Drain.LocateTTLMs}
+	view := p.fleet.View()
+	for _, m := range members {
+		if isLive(view, m.ID) {
+			loc.Addresses = append(loc.Addresses, caller.Address{Address: m.CallerAddress, FailureDomain: m.FailureDomain})
+		}
+	}
+	if len(loc.Addresses) == 0 {
+		own := p.fleet.Self
+		loc.Addresses = []caller.Address{{Address: own.CallerAddress, FailureDomain: own.FailureDomain}}
+	}
+	return loc, nil
+}
+
+func isLive(view *member.View, id ident.DaemonID) bool {
+	if view == nil {
+		return false
+	}
+	peer, ok := view.Peer(id)
+	return ok && peer.Live
+}
+
+func bootstrap(b *setup.BootstrapOperator) *config.Operator {
+	if b == nil {
+		return nil
+	}
+	op := &config.Operator{ID: b.ID, Grants: []config.RoleGrant{{Subtree: "/", Role: config.RoleAdmin}}}
+	raw, err := hex.DecodeString(b.KeyDigestSHA256)
+	if err != nil || len(raw) != len(op.KeyDigest) {
+		return nil
+	}
+	copy(op.KeyDigest[:], raw)
+	return op
+}
--- /dev/null
+++ b/internal/program/local/configure.go
@@ -0,0 +1,92 @@
+package local
+
+import (
+	"context"
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/config"
+	"github.com/gooseberryway/gooseberryway/internal/state/extern"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
+
+// author is the author of the first configuration.
+const author = "bootstrap"
+
+// writeConfiguration appends the first configuration to the control stream.
+func (s *System) writeConfiguration(ctx context.Context) error {
+	s.Keys = map[ident.OrganisationID]string{}
+	entities := []config.Entity{
+		&config.Version{ID: s.Version, Model: s.Model, Weights: string(s.Version)},
+		&config.Model{ID: s.Model, CurrentVersion: s.Version, BlockTokens: s.blockTokens()},
+	}
+	for _, v := range s.EngineSettings.Versions {
+		entities = append(entities, &config.Version{ID: v, Model: s.Model, Weights: string(v)})
+	}
+	for i, e := range s.engines {
+		entities = append(entities, &config.Upstream{
+			ID:             e.ID,
+			Kind:           config.UpstreamEngine,
+			BaseURL:        e.URL(),
+			FailureDomain:  s.domain(i),
+			Model:          s.Model,
+			ChecksFencing:  e.ChecksFencing,
+			ChecksIdentity: e.ChecksIdentity,
+		})
+	}
+	entities = append(entities, s.organisations()...)
+	for i, e := range entities {
+		if err := s.append(ctx, i, e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *System) blockTokens() ident.Tokens {
+	if s.EngineSettings.BlockTokens > 0 {
+		return s.EngineSettings.BlockTokens
+	}
+	return defaultBlockTokens
+}
+
+// organisations returns the organisations with a key each, and a route of each team for the model.
+func (s *System) organisations() []config.Entity {
+	var entities []config.Entity
+	teams := map[ident.TeamID]bool{}
+	for _, org := range s.Organisations {
+		secret := "gbw-" + randomHex(sharedTokenBytes)
+		s.Keys[org.ID] = secret
+		entities = append(entities, &org, &config.Key{
+			ID:           ident.KeyID(string(org.ID) + "-key"),
+			Team:         org.Team,
+			Organisation: org.ID,
+			Digest:       ident.DigestOf(secret),
+		})
+		if !teams[org.Team] {
+			teams[org.Team] = true
+			entities = append(entities, &config.Route{
+				ID:              ident.RouteID(string(org.Team) + "-" + string(s.Model)),
+				Team:            org.Team,
+				Kind:            config.RouteModel,
+				Model:           s.Model,
+				OnKeyWithdrawal: config.WithdrawalFinish,
+			})
+		}
+	}
+	for _, route := range s.Routes {
+		entities = append(entities, &route)
+	}
+	return entities
+}
+
+func (s *System) append(ctx context.Context, i int, e config.Entity) error {
+	rec := config.NewRecord(ident.RecordID(fmt.Sprintf("%s-%d", author, i)), author, 0, e)
+	payload, err := proto.Marshal(rec)
+	if err != nil {
+		return err
+	}
+	_, err = s.Log.Append(ctx, extern.StreamControl, payload)
+	return err
+}
--- /dev/null
+++ b/internal/program/local/system.go
@@ -0,0 +1,250 @@
+// Package local runs a whole system on loopback in one process: stand-ins of the platform and of engines,
+// and daemons that talk over real sockets. The demo, the load tool and tests use it.
+package local
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/gooseberryway/gooseberryway/internal/program/daemon"
+	"github.com/gooseberryway/gooseberryway/internal/program/setup"
+	"github.com/gooseberryway/gooseberryway/internal/standin/engine"
+	"github.com/gooseberryway/gooseberryway/internal/standin/logsvc"
+	"github.com/gooseberryway/gooseberryway/internal/state/config"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
+
+// System is a whole system. Its fields are set before Start.
+type System struct {
+	// Daemons is the number of daemons, spread over the Domains in turn.
+	Daemons int
+	Domains []ident.FailureDomain
+	// Engines is the number of engines, EngineSettings what they have in common.
+	Engines        int
+	EngineSettings engine.Settings
+	Model          ident.ModelID
+	Version        ident.VersionID
+	Organisations  []config.Organisation
+	// Routes are routes beside the one of each team for the model.
+	Routes []config.Route
+	// Settings changes the settings of each daemon; nil for none.
+	Settings func(*setup.Settings)
+
+	// Log is the stand-in of the log service.
+	Log *logsvc.Service
+	// Keys holds a key of each organisation, OperatorKey that of an operator with all rights.
+	Keys        map[ident.OrganisationID]string
+	OperatorKey string
+
+	engines     []*engine.Engine
+	token       string
+	life        context.Context
+	end         context.CancelFunc
+	mu          sync.Mutex
+	running     []*process
+	incarnation int
+}
+
+// process is one daemon and its end.
+type process struct {
+	settings *setup.Settings
+	daemon   *daemon.Daemon
+	stop     context.CancelFunc
+	done     chan struct{}
+	err      error
+}
+
+// NotReadyError says that a daemon did not serve in time.
+type NotReadyError struct {
+	Daemon ident.DaemonID
+	Err    error
+}
+
+func (e *NotReadyError) Error() string {
+	return fmt.Sprintf("daemon %s does not serve: %v", e.Daemon, e.Err)
+}
+
+func (e *NotReadyError) Unwrap() error { return e.Err }
+
+// Start starts everything and returns when all daemons serve.
+func (s *System) Start(ctx context.Context) error {
+	s.life, s.end = context.WithCancel(context.WithoutCancel(ctx))
+	s.token = randomHex(sharedTokenBytes)
+	s.OperatorKey = "gbo-" + randomHex(sharedTokenBytes)
+	if s.Log == nil {
+		s.Log = &logsvc.Service{AppendsPerSecond: appendsPerSecond}
+	}
+	if err := s.Log.Start(s.life); err != nil {
+		return err
+	}
+	if err := s.startEngines(); err != nil {
+		return err
+	}
+	if err := s.writeConfiguration(ctx); err != nil {
+		return err
+	}
+	s.running = make([]*process, s.Daemons)
+	for i := range s.Daemons {
+		s.StartDaemon(i)
+	}
+	return s.WaitReady(ctx)
+}
+
+func (s *System) startEngines() error {
+	for i := range s.Engines {
+		e := &engine.Engine{Settings: s.EngineSettings}
+		e.ID = ident.UpstreamID(fmt.Sprintf("engine-%02d", i+1))
+		e.Model = s.Model
+		e.Versions = append([]ident.VersionID{s.Version}, s.EngineSettings.Versions...)
+		e.Seed = s.EngineSettings.Seed + uint64(i)
+		if e.BlockTokens == 0 {
+			e.BlockTokens = defaultBlockTokens
+		}
+		if err := e.Start(s.life); err != nil {
+			return err
+		}
+		s.engines = append(s.engines, e)
+	}
+	return nil
+}
+
+// EngineList returns the engines.
+func (s *System) EngineList() []*engine.Engine { return s.engines }
+
+// DaemonID returns the id of a daemon.
+func DaemonID(i int) ident.DaemonID { return ident.DaemonID(fmt.Sprintf("daemon-%d", i+1)) }
+
+// domain returns the failure domain of the daemon or engine with the index.
+func (s *System) domain(i int) ident.FailureDomain { return s.Domains[i%len(s.Domains)] }
+
+// StartDaemon starts a daemon that is not running.
+func (s *System) StartDaemon(i int) {
+	settings := setup.Default()
+	settings.DaemonID = DaemonID(i)
+	settings.FailureDomain = s.domain(i)
+	settings.Listen = setup.Addresses{Callers: loopback, Peers: loopback, Admin: loopback}
+	settings.Advertise = settings.Listen
+	settings.LogService = setup.Service{URL: s.Log.URL(), TimeoutMs: callTimeoutMs}
+	settings.SharedToken = s.token
+	digest := ident.DigestOf(s.OperatorKey)
+	settings.BootstrapOperator = &setup.BootstrapOperator{ID: "root", KeyDigestSHA256: hex.EncodeToString(digest[:])}
+	if s.Settings != nil {
+		s.Settings(&settings)
+	}
+	ctx, stop := context.WithCancel(s.life)
+	p := &process{settings: &settings, daemon: &daemon.Daemon{Settings: &settings}, stop: stop, done: make(chan struct{})}
+	s.mu.Lock()
+	s.running[i] = p
+	s.mu.Unlock()
+	go func() {
+		defer close(p.done)
+		p.err = p.daemon.Run(ctx)
+	}()
+}
+
+func (s *System) process(i int) *process {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running[i]
+}
+
+// StopDaemon shuts a daemon down gracefully and returns when it has stopped.
+func (s *System) StopDaemon(i int) error {
+	p := s.process(i)
+	p.stop()
+	<-p.done
+	return p.err
+}
+
+// KillDaemon ends a daemon at once, as a crash of its VM does.
+func (s *System) KillDaemon(i int) {
+	p := s.process(i)
+	p.daemon.Kill()
+	<-p.done
+}
+
+// Daemon returns the daemon with the index.
+func (s *System) Daemon(i int) *daemon.Daemon { return s.process(i).daemon }
+
+// Addresses returns the callers' addresses of all daemons that listen.
+func (s *System) Addresses() []string {
+	return s.collect(func(a setup.Addresses) string { return a.Callers })
+}
+
+// AdminAddresses returns the operators' addresses of all daemons that listen.
+func (s *System) AdminAddresses() []string {
+	return s.collect(func(a setup.Addresses) string { return a.Admin })
+}
+
+func (s *System) collect(pick func(setup.Addresses) string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var addresses []string
+	for _, p := range s.running {
+		select {
+		case <-p.done:
+		case <-p.daemon.Listening():
+			addresses = append(addresses, pick(p.daemon.Addresses()))
+		}
+	}
+	return addresses
+}
+
+// WaitReady returns when all daemons serve. The error is a *NotReadyError.
+func (s *System) WaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for i := range s.Daemons {
+		if err := s.waitReady(ctx, i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *System) waitReady(ctx context.Context, i int) error {
+	ticker := time.NewTicker(readyPoll)
+	defer ticker.Stop()
+	for {
+		p := s.process(i)
+		err := p.daemon.Ready()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-p.done:
+			return &NotReadyError{Daemon: DaemonID(i), Err: p.err}
+		case <-ctx.Done():
+			return &NotReadyError{Daemon: DaemonID(i), Err: err}
+		case <-ticker.C:
+		}
+	}
+}
+
+// Close ends everything at once.
+func (s *System) Close() {
+	for i, p := range s.running {
+		if p != nil {
+			s.KillDaemon(i)
+		}
+	}
+	for _, e := range s.engines {
+		_ = e.Close()
+	}
+	if s.Log != nil {
+		_ = s.Log.Close()
+	}
+	if s.end != nil {
+		s.end()
+	}
+}
+
+func randomHex(n int) string {
+	raw := make([]byte, n)
+	_, _ = rand.Read(raw)
+	return hex.EncodeToString(raw)
+}
--- a/internal/transport/caller/server.go
+++ b/internal/transport/caller/server.go
@@ -143,3 +143,9 @@
 	id, _ := ctx.Value(requestKey{}).(ident.RequestID)
 	return id
 }
+
+// Cut ends the server at once and breaks its connections.
+func (s *Server) Cut() {
+	s.Prepare()
+	_ = s.http.Close()
+}
--- a/internal/transport/peer/listen.go
+++ b/internal/transport/peer/listen.go
@@ -64,3 +64,9 @@
 	}
 	return nil
 }
+
+// Cut ends the server at once and breaks its connections.
+func (s *Server) Cut() {
+	s.Prepare()
+	_ = s.http.Close()
+}
--- a/main.go
+++ b/main.go
@@ -1,4 +1,12 @@
 // Command gooseberryway routes language-model traffic that carries long shared prompts.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/gooseberryway/gooseberryway/internal/program/cmds"
+)
+
+func main() {
+	os.Exit(cmds.Execute(os.Args[1:], os.Stdout, os.Stderr))
+}
