Claim idempotency keys at slice owners before dispatch

A non-idempotent request must run at most once over all daemons. Tested: one of twenty claims is granted, kept answers, keys freed by requests that did not run.

--- /dev/null
+++ b/internal/coordination/claim/ask.go
@@ -0,0 +1,124 @@
+package claim
+
+import (
+	"context"
+	"time"
+
+	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
+
+// Claim asks the owner of the key's slice for the right to run a request. The request id must be new with each call.
+// The error is an *UnavailableError; the request must not run then.
+func (c *Claimer) Claim(ctx context.Context, org ident.OrganisationID, keyDigest, requestDigest ident.Digest,
+	requestID ident.RequestID,
+) (Decision, error) {
+	c.init()
+	req := &wire.ClaimRequest{
+		OrganisationId: string(org),
+		KeyDigest:      keyDigest[:],
+		RequestDigest:  requestDigest[:],
+		RequestId:      string(requestID),
+		DaemonId:       string(c.Self),
+		Incarnation:    uint64(c.Incarnation),
+	}
+	s := SliceOf(org, keyDigest)
+	owner := c.Owner(s).Owner
+	if owner == "" {
+		return nil, &UnavailableError{Slice: s, RetryAfter: retryAfter}
+	}
+	resp, err := c.ask(ctx, owner, req)
+	if err != nil {
+		c.spawn(func() { c.giveUp(owner, req) })
+		return nil, &UnavailableError{Slice: s, Owner: owner, RetryAfter: retryAfter, Err: err}
+	}
+	switch resp.GetOutcome() {
+	case wire.ClaimOutcome_CLAIM_OUTCOME_GRANTED:
+		return Granted{}, nil
+	case wire.ClaimOutcome_CLAIM_OUTCOME_ANSWERED:
+		return Answered{Answer: resp.GetAnswer()}, nil
+	case wire.ClaimOutcome_CLAIM_OUTCOME_RAN:
+		return Ran{}, nil
+	case wire.ClaimOutcome_CLAIM_OUTCOME_MISMATCH:
+		return Mismatch{}, nil
+	default:
+		retry := time.Duration(resp.GetRetryAfterMs()) * time.Millisecond
+		return nil, &UnavailableError{Slice: s, Owner: owner, RetryAfter: orDefault(retry, retryAfter)}
+	}
+}
+
+// ask sends the claim until it is answered. A repeated claim of the same request gets the same answer.
+func (c *Claimer) ask(ctx context.Context, owner ident.DaemonID, req *wire.ClaimRequest) (*wire.ClaimResponse, error) {
+	var err error
+	for range askAttempts {
+		var resp *wire.ClaimResponse
+		resp, err = c.askOnce(ctx, owner, req)
+		if err == nil {
+			return resp, nil
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return nil, err
+}
+
+func (c *Claimer) askOnce(ctx context.Context, owner ident.DaemonID, req *wire.ClaimRequest) (*wire.ClaimResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	if owner != c.Self {
+		return c.Peers.Claim(ctx, owner, req)
+	}
+	resp := c.HandleClaim(ctx, req)
+	return resp, ctx.Err()
+}
+
+// giveUp frees a claim whose answer did not come, so that the caller can try again.
+func (c *Claimer) giveUp(owner ident.DaemonID, req *wire.ClaimRequest) {
+	c.finish(c.life, owner, &wire.FinishRequest{
+		OrganisationId: req.GetOrganisationId(),
+		KeyDigest:      req.GetKeyDigest(),
+		RequestId:      req.GetRequestId(),
+		NotRun:         true,
+	})
+}
+
+// Finish ends a granted claim. With notRun, which says that no byte of the request left the daemon, the key is free
+// again; else the answer, which may be nil, is kept for repeats.
+func (c *Claimer) Finish(ctx context.Context, org ident.OrganisationID, keyDigest ident.Digest, requestID ident.RequestID,
+	answer *wire.KeptAnswer, notRun bool,
+) {
+	owner := c.Owner(SliceOf(org, keyDigest)).Owner
+	if owner == "" {
+		return
+	}
+	if len(answer.GetBody()) > c.maxAnswerBytes() {
+		answer = nil
+	}
+	c.finish(ctx, owner, &wire.FinishRequest{
+		OrganisationId: string(org),
+		KeyDigest:      keyDigest[:],
+		RequestId:      string(requestID),
+		Answer:         answer,
+		NotRun:         notRun,
+	})
+}
+
+func (c *Claimer) finish(ctx context.Context, owner ident.DaemonID, req *wire.FinishRequest) {
+	if owner == c.Self {
+		c.HandleFinish(ctx, req)
+		return
+	}
+	for range askAttempts {
+		if c.finishOnce(ctx, owner, req) || ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+func (c *Claimer) finishOnce(ctx context.Context, owner ident.DaemonID, req *wire.FinishRequest) bool {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	_, err := c.Peers.Finish(ctx, owner, req)
+	return err == nil
+}
--- /dev/null
+++ b/internal/coordination/claim/claimer_test.go
@@ -0,0 +1,87 @@
+package claim
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
+
+// settle is long enough for owners to open their slices.
+const settle = time.Second
+
+func TestOneOfManyClaimsIsGranted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(4)
+		defer f.close()
+		time.Sleep(settle)
+		var granted, ran atomic.Int32
+		var wg sync.WaitGroup
+		for i := range 20 {
+			wg.Go(func() {
+				d, err := f.try(t, f.members[i%4], "k", fmt.Sprint("r", i))
+				require.NoError(t, err)
+				switch d.(type) {
+				case Granted:
+					granted.Add(1)
+				case Ran:
+					ran.Add(1)
+				}
+			})
+		}
+		wg.Wait()
+		require.EqualValues(t, 1, granted.Load())
+		require.EqualValues(t, 19, ran.Load())
+		require.NotZero(t, f.log.appends)
+	})
+}
+
+func TestRepeatGetsTheKeptAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(3)
+		defer f.close()
+		time.Sleep(settle)
+		d, err := f.try(t, "d00", "k", "r1")
+		require.NoError(t, err)
+		require.Equal(t, Granted{}, d)
+		c := f.claimers["d00"]
+		key := ident.DigestOf("k")
+		c.Finish(t.Context(), "survey", key, "r1", &wire.KeptAnswer{Status: 200, Body: []byte("done")}, false)
+
+		d, err = f.try(t, "d01", "k", "r2")
+		require.NoError(t, err)
+		answered, ok := d.(Answered)
+		require.True(t, ok, "%T", d)
+		require.Equal(t, "done", string(answered.Answer.GetBody()))
+		d, err = c.Claim(t.Context(), "survey", key, ident.DigestOf("other body"), "r3")
+		require.NoError(t, err)
+		require.Equal(t, Mismatch{}, d)
+
+		time.Sleep(DefaultWindow + time.Minute)
+		d, err = f.try(t, "d01", "k", "r4")
+		require.NoError(t, err)
+		require.Equal(t, Granted{}, d)
+	})
+}
+
+func TestRequestThatDidNotRunFreesItsKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(3)
+		defer f.close()
+		time.Sleep(settle)
+		for i := range 3 {
+			id := fmt.Sprint("r", i)
+			d, err := f.try(t, "d02", "k", id)
+			require.NoError(t, err)
+			require.Equal(t, Granted{}, d)
+			f.claimers["d02"].Finish(t.Context(), "survey", ident.DigestOf("k"), ident.RequestID(id), nil, true)
+		}
+	})
+}
