--- /dev/null
+++ b/internal/standin/plain/consts.go
@@ -0,0 +1,3 @@
+package plain
+
+const maxBodyBytes = 16 << 20
--- a/internal/standin/serve/consts.go
+++ b/internal/standin/serve/consts.go
@@ -2,4 +2,7 @@
 
 import "time"
 
-const readHeaderTimeout = 10 * time.Second
+const (
+	readHeaderTimeout = 10 * time.Second
+	maxBodyBytes      = 16 << 20
+)
--- a/internal/transport/engine/client.go
+++ b/internal/transport/engine/client.go
@@ -83,7 +83,7 @@
 	c.authorise(req, baseURL)
 	resp, err := c.Pool.Do(req)
 	if err != nil {
-		return nil, sendFailure(upstream, err)
+		return nil, httpc.SendFailure(upstream, err)
 	}
 	if resp.StatusCode != http.StatusOK {
 		defer resp.Body.Close()
@@ -96,9 +96,7 @@
 	if c.Credential == nil {
 		return
 	}
-	if credential := c.Credential(baseURL); credential != "" {
-		req.Header.Set("Authorization", "Bearer "+credential)
-	}
+	httpc.Bearer(req.Header, c.Credential(baseURL))
 }
 
 var contentTypeJSON = []string{"application/json"}
--- a/internal/transport/engine/watch.go
+++ b/internal/transport/engine/watch.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/gooseberryway/gooseberryway/internal/state/extern"
+	"github.com/gooseberryway/gooseberryway/internal/transport/httpc"
 )
 
 // Watch implements extern.Engine. It returns an *extern.UpstreamError when the stream breaks or ctx ends.
@@ -21,7 +22,7 @@
 	c.authorise(req, baseURL)
 	resp, err := c.Pool.Do(req)
 	if err != nil {
-		return sendFailure("", err)
+		return httpc.SendFailure("", err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
--- a/internal/transport/httpc/consts.go
+++ b/internal/transport/httpc/consts.go
@@ -9,4 +9,5 @@
 	defaultIdlePerHost    = 256
 	defaultResponseHeader = 4 << 10 // bytes of the read buffer of a connection
 	maxHeaderBytes        = 64 << 10
+	maxDocumentBytes      = 16 << 20
 )
--- /dev/null
+++ b/internal/transport/httpc/failure.go
@@ -0,0 +1,74 @@
+package httpc
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/extern"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
+
+// StatusError is an answer whose status is not the expected one.
+type StatusError struct {
+	Status  int
+	Code    string
+	Message string
+}
+
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("status %d %s: %s", e.Status, e.Code, e.Message)
+}
+
+// SendFailure returns the upstream error of a request that got no answer.
+func SendFailure(upstream ident.UpstreamID, err error) *extern.UpstreamError {
+	var send *SendError
+	notRun := errors.As(err, &send) && send.NotSent
+	kind := extern.UpstreamBroken
+	switch {
+	case IsTimeout(err):
+		kind = extern.UpstreamTimeout
+	case notRun:
+		kind = extern.UpstreamUnreachable
+	}
+	return &extern.UpstreamError{Kind: kind, Upstream: upstream, NotRun: notRun, Err: err}
+}
+
+// KindOfStatus classifies a status that means failure.
+func KindOfStatus(status int) extern.UpstreamErrorKind {
+	switch {
+	case status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable:
+		return extern.UpstreamOverloaded
+	case status == http.StatusGatewayTimeout, status == http.StatusRequestTimeout:
+		return extern.UpstreamTimeout
+	case status >= http.StatusBadRequest && status < http.StatusInternalServerError:
+		return extern.UpstreamRejected
+	default:
+		return extern.UpstreamBroken
+	}
+}
+
+// IsTimeout reports whether the error is that of a deadline.
+func IsTimeout(err error) bool {
+	return errors.Is(err, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// RetryAfter returns how long the answer asks to wait in whole seconds, 0 if it doesn't say.
+func RetryAfter(h http.Header) time.Duration {
+	seconds, err := strconv.Atoi(h.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
+
+// Bearer sets the credential as the bearer token unless it is empty.
+func Bearer(h http.Header, credential string) {
+	if credential != "" {
+		h.Set("Authorization", "Bearer "+credential)
+	}
+}
--- /dev/null
+++ b/internal/transport/httpc/json.go
@@ -0,0 +1,36 @@
+package httpc
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/extern"
+)
+
+// GetJSON fetches a document of at most 16 MiB. The error is an *extern.UpstreamError.
+func GetJSON[T any](ctx context.Context, p *Pool, target, credential string) (T, error) {
+	var value T
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, http.NoBody)
+	if err != nil {
+		return value, &extern.UpstreamError{Kind: extern.UpstreamRejected, NotRun: true, Err: err}
+	}
+	Bearer(req.Header, credential)
+	resp, err := p.Do(req)
+	if err != nil {
+		return value, SendFailure("", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return value, &extern.UpstreamError{
+			Kind:       KindOfStatus(resp.StatusCode),
+			RetryAfter: RetryAfter(resp.Header),
+			Err:        &StatusError{Status: resp.StatusCode},
+		}
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxDocumentBytes)).Decode(&value); err != nil {
+		return value, &extern.UpstreamError{Kind: extern.UpstreamBroken, Err: err}
+	}
+	return value, nil
+}
--- a/internal/transport/logsvc/client.go
+++ b/internal/transport/logsvc/client.go
@@ -6,7 +6,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -32,16 +31,6 @@
 
 var _ extern.Log = (*Client)(nil)
 
-// StatusError is an answer of the log service that is not 200.
-type StatusError struct {
-	Status  int
-	Message string
-}
-
-func (e *StatusError) Error() string {
-	return fmt.Sprintf("status %d: %s", e.Status, e.Message)
-}
-
 // Append implements extern.Log.
 func (c *Client) Append(ctx context.Context, stream extern.Stream, payload []byte) (ident.Offset, error) {
 	var answer AppendAnswer
@@ -81,9 +70,7 @@
 	if err != nil {
 		return &extern.LogError{Kind: extern.LogRefused, Stream: stream, Err: err}
 	}
-	if c.Credential != "" {
-		req.Header.Set("Authorization", "Bearer "+c.Credential)
-	}
+	httpc.Bearer(req.Header, c.Credential)
 	resp, err := c.Pool.Do(req)
 	if err != nil {
 		return &extern.LogError{Kind: kindOfSendError(err), Stream: stream, Err: err}
--- a/internal/transport/logsvc/client_test.go
+++ b/internal/transport/logsvc/client_test.go
@@ -12,6 +12,7 @@
 	standin "github.com/gooseberryway/gooseberryway/internal/standin/logsvc"
 	"github.com/gooseberryway/gooseberryway/internal/state/extern"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/transport/httpc"
 	"github.com/gooseberryway/gooseberryway/internal/transport/logsvc"
 )
 
@@ -111,7 +112,7 @@
 		if err == nil {
 			continue
 		}
-		var rate *logsvc.StatusError
+		var rate *httpc.StatusError
 		require.Equal(t, extern.LogRefused, kindOf(t, err))
 		require.True(t, errors.As(err, &rate) && rate.Status == 429)
 		refused++
--- a/internal/transport/logsvc/failure.go
+++ b/internal/transport/logsvc/failure.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		f = Failure{Message: "the answer has no readable failure"}
 	}
-	cause := &StatusError{Status: resp.StatusCode, Message: f.Message}
+	cause := &httpc.StatusError{Status: resp.StatusCode, Message: f.Message}
 	switch extern.LogErrorKind(f.Kind) {
 	case extern.LogRefused:
 		return &extern.LogError{Kind: extern.LogRefused, Stream: stream, Err: cause}
--- /dev/null
+++ b/internal/transport/plain/send.go
@@ -0,0 +1,96 @@
+package plain
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/extern"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/transport/httpc"
+)
+
+// KeyShownError is a call whose path shows the caller's key.
+type KeyShownError struct{}
+
+func (e *KeyShownError) Error() string { return "the path shows the caller's key" }
+
+// CrossedError is an answer to another call.
+type CrossedError struct {
+	Want, Got ident.RequestID
+}
+
+func (e *CrossedError) Error() string {
+	return fmt.Sprintf("an answer to call %s came for call %s", e.Got, e.Want)
+}
+
+// send makes one attempt. The error is an *extern.UpstreamError.
+func (c *Client) send(ctx context.Context, r *Request, t Target, b *body) (*Response, error) {
+	req, err := c.newRequest(ctx, r, t, b)
+	if err != nil {
+		return nil, &extern.UpstreamError{Kind: extern.UpstreamRejected, Upstream: t.Upstream, NotRun: true, Err: err}
+	}
+	resp, err := c.Pool.Do(req)
+	if err != nil {
+		return nil, httpc.SendFailure(t.Upstream, err)
+	}
+	if got := ident.RequestID(resp.Header.Get(headerRequestID)); got != "" && got != r.ID {
+		_ = resp.Body.Close()
+		crossed := &CrossedError{Want: r.ID, Got: got}
+		return nil, &extern.UpstreamError{Kind: extern.UpstreamCrossed, Upstream: t.Upstream, Err: crossed}
+	}
+	notRun := resp.StatusCode >= http.StatusBadRequest && resp.Header.Get(headerNotRun) == "true"
+	return &Response{
+		Upstream: t.Upstream,
+		Status:   resp.StatusCode,
+		Header:   answered(resp.Header),
+		Body:     resp.Body,
+		NotRun:   notRun,
+	}, nil
+}
+
+func (c *Client) newRequest(ctx context.Context, r *Request, t Target, b *body) (*http.Request, error) {
+	if r.CallerKey != "" && showsKey(r.Path, r.CallerKey) {
+		return nil, &KeyShownError{}
+	}
+	target := t.BaseURL + r.Path
+	if query := strippedQuery(r.RawQuery, r.CallerKey); query != "" {
+		target += "?" + query
+	}
+	req, err := http.NewRequestWithContext(ctx, r.Method, target, b.reader())
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = b.length
+	req.Header = forwarded(r.Header, r.CallerKey)
+	if req.Header.Get("User-Agent") == "" {
+		req.Header.Set("User-Agent", "")
+	}
+	req.Header.Set(headerRequestID, string(r.ID))
+	if r.Route != "" {
+		req.Header.Set(headerRoute, string(r.Route))
+	}
+	if r.Organisation != "" {
+		req.Header.Set(headerOrganisation, string(r.Organisation))
+	}
+	if c.Credential != nil {
+		httpc.Bearer(req.Header, c.Credential(t.BaseURL))
+	}
+	if b.empty() && (r.Idempotent || !replayedByTransport(req)) {
+		req.Body = http.NoBody
+	}
+	if !checkStripped(req, r.CallerKey) {
+		return nil, &KeyShownError{}
+	}
+	return req, nil
+}
+
+// replayedByTransport reports whether net/http may send a request without a body again by itself.
+func replayedByTransport(req *http.Request) bool {
+	switch req.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	default:
+		return req.Header.Get("Idempotency-Key") != "" || req.Header.Get("X-Idempotency-Key") != ""
+	}
+}
