Test the stand-ins under the paused clock

They showed that load reports with a lag above their interval were never delivered, as each replaced the one before; the feed now queues them.

--- /dev/null
+++ b/internal/standin/engine/engine_test.go
@@ -0,0 +1,338 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/extern"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
+
+// bubble is a test whose clock is paused.
+type bubble struct{ *testing.T }
+
+// with runs a test against an engine under the paused clock.
+func with(t *testing.T, e *Engine, test func(t bubble, local *Local)) {
+	t.Helper()
+	e.ID, e.Model, e.Versions = "e1", "m", []ident.VersionID{"v1", "v2"}
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			e.Run(ctx)
+		}()
+		test(bubble{t}, &Local{Engines: map[string]*Engine{"e1": e}})
+		cancel()
+		<-done
+	})
+}
+
+func ask(id string, blocks int, tokens ident.Tokens) extern.EngineRequest {
+	prompt := bytes.Repeat([]byte("abcd"), blocks*defaultBlockTokens)
+	return extern.EngineRequest{
+		Request: ident.RequestID(id), Organisation: "survey", Model: "m", Version: "v1", Prompt: prompt, MaxTokens: tokens,
+	}
+}
+
+// answer reads a whole answer and returns the time to its first token and its last event.
+func answer(t *testing.T, l *Local, req extern.EngineRequest) (time.Duration, *extern.EngineDone, error) {
+	t.Helper()
+	started := time.Now()
+	s, err := l.Complete(t.Context(), "e1", "e1", req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer s.Close()
+	var first time.Duration
+	var text strings.Builder
+	for {
+		event, err := s.Next()
+		if err != nil {
+			return first, nil, err
+		}
+		if first == 0 {
+			first = time.Since(started)
+		}
+		switch event := event.(type) {
+		case *extern.EngineChunk:
+			text.WriteString(event.Text)
+		case *extern.EngineDone:
+			want := Answer(req.Model, req.Version, DigestPrompt(req.Prompt), req.Seed, req.ResumeFrom, req.MaxTokens)
+			require.Equal(t, want, text.String())
+			return first, event, nil
+		}
+	}
+}
+
+func TestTokenIsAPureFunction(t *testing.T) {
+	digest := DigestPrompt([]byte("prompt"))
+	var whole strings.Builder
+	for i := range ident.Tokens(20) {
+		whole.WriteString(Token("m", "v1", digest, 3, i))
+	}
+	require.Equal(t, whole.String(), Answer("m", "v1", digest, 3, 0, 20))
+	for _, other := range []string{
+		Answer("n", "v1", digest, 3, 0, 20), Answer("m", "v2", digest, 3, 0, 20),
+		Answer("m", "v1", digest+1, 3, 0, 20), Answer("m", "v1", digest, 4, 0, 20),
+	} {
+		require.NotEqual(t, whole.String(), other)
+	}
+}
+
+func TestCachedPrefixIsFarCheaperThanAMissedOne(t *testing.T) {
+	e := &Engine{}
+	with(t, e, func(t bubble, l *Local) {
+		cold, done, err := answer(t.T, l, ask("r1", 32, 4))
+		require.NoError(t, err)
+		require.Zero(t, done.CachedTokens)
+		warm, done, err := answer(t.T, l, ask("r2", 32, 4))
+		require.NoError(t, err)
+		require.Equal(t, ident.Tokens(32_000), done.CachedTokens)
+		require.Greater(t, cold, 10*warm)
+
+		other := ask("r3", 32, 4)
+		other.Organisation = "audit"
+		_, done, err = answer(t.T, l, other)
+		require.NoError(t, err)
+		require.Zero(t, done.CachedTokens, "no blocks of another organisation")
+		other = ask("r4", 32, 4)
+		other.Version = "v2"
+		_, done, err = answer(t.T, l, other)
+		require.NoError(t, err)
+		require.Zero(t, done.CachedTokens, "no blocks of another version")
+		require.Zero(t, e.Stats().CrossOrganisationBlocks)
+	})
+}
+
+func TestCacheIsLimitedAndForgets(t *testing.T) {
+	e := &Engine{Settings: Settings{CacheBlocks: 8, EvictIdle: 5 * time.Second}}
+	with(t, e, func(t bubble, l *Local) {
+		for i, req := range []extern.EngineRequest{ask("r1", 6, 2), ask("r2", 6, 2)} {
+			req.Organisation = ident.OrganisationID([]string{"survey", "audit"}[i])
+			_, _, err := answer(t.T, l, req)
+			require.NoError(t, err)
+			require.LessOrEqual(t, len(e.HeldBlocks()), 8)
+		}
+		_, done, err := answer(t.T, l, ask("r3", 6, 2))
+		require.NoError(t, err)
+		require.Less(t, done.CachedTokens, ident.Tokens(6000), "the older blocks had to go")
+		time.Sleep(6 * time.Second)
+		require.Empty(t, e.HeldBlocks())
+	})
+}
+
+func TestImportIsCheaperThanPrefill(t *testing.T) {
+	e := &Engine{Store: everything{}}
+	with(t, e, func(t bubble, l *Local) {
+		cold, _, err := answer(t.T, l, ask("r1", 16, 2))
+		require.NoError(t, err)
+		imported := ask("r2", 16, 2)
+		imported.Organisation, imported.ImportBlocks = "audit", 16
+		first, _, err := answer(t.T, l, imported)
+		require.NoError(t, err)
+		require.Less(t, first, cold/2)
+		require.Equal(t, ident.Tokens(16_000), e.Stats().ImportedTokens)
+	})
+}
+
+// everything is a block store that has every block.
+type everything struct{}
+
+func (everything) Held(_ context.Context, chain []ident.BlockHash) int { return len(chain) }
+func (everything) Export(context.Context, []ident.BlockHash)           {}
+
+func TestBatchIsBoundedAndPrioritiesComeFirst(t *testing.T) {
+	e := &Engine{Settings: Settings{MaxRunning: 2, MaxWaiting: 3}}
+	with(t, e, func(t bubble, l *Local) {
+		var order []ident.RequestID
+		var streams []extern.EngineStream
+		for _, r := range []struct {
+			id       string
+			priority int
+		}{{"a", 0}, {"b", 0}} {
+			req := ask(r.id, 0, 50)
+			req.Priority = r.priority
+			s, err := l.Complete(t.Context(), "e1", "e1", req)
+			require.NoError(t, err)
+			streams = append(streams, s)
+		}
+		time.Sleep(100 * time.Millisecond)
+		ended := make(chan ident.RequestID, 3)
+		for id, priority := range map[string]int{"low": 9, "high": 1, "middle": 5} {
+			req := ask(id, 0, 50)
+			req.Priority = priority
+			s, err := l.Complete(t.Context(), "e1", "e1", req)
+			require.NoError(t, err)
+			streams = append(streams, s)
+			go func() {
+				for {
+					event, err := s.Next()
+					if _, done := event.(*extern.EngineDone); done || err != nil {
+						ended <- req.Request
+						return
+					}
+				}
+			}()
+		}
+		_, err := l.Complete(t.Context(), "e1", "e1", ask("late", 0, 1))
+		var up *extern.UpstreamError
+		require.ErrorAs(t, err, &up)
+		require.Equal(t, extern.UpstreamOverloaded, up.Kind)
+		require.True(t, up.NotRun)
+		require.NoError(t, streams[0].Close())
+		for range 3 {
+			order = append(order, <-ended)
+		}
+		require.Equal(t, []ident.RequestID{"high", "middle", "low"}, order)
+		require.Equal(t, 2, e.Stats().MaxRunning)
+		for _, s := range streams {
+			require.NoError(t, s.Close())
+		}
+	})
+}
+
+func TestSlowReaderHoldsItsAnswerBack(t *testing.T) {
+	e := &Engine{}
+	with(t, e, func(t bubble, l *Local) {
+		s, err := l.Complete(t.Context(), "e1", "e1", ask("r1", 0, 1000))
+		require.NoError(t, err)
+		time.Sleep(time.Minute)
+		require.Equal(t, ident.Tokens(outputBuffer), e.Stats().OutputTokens)
+		require.NoError(t, s.Close())
+		require.Equal(t, 1, e.Stats().Cancelled)
+	})
+}
+
+func TestCrashEndsAnswersAndEmptiesTheCache(t *testing.T) {
+	e := &Engine{}
+	with(t, e, func(t bubble, l *Local) {
+		_, _, err := answer(t.T, l, ask("r1", 4, 2))
+		require.NoError(t, err)
+		s, err := l.Complete(t.Context(), "e1", "e1", ask("r2", 4, 100))
+		require.NoError(t, err)
+		e.Crash(2 * time.Second)
+		for err == nil {
+			_, err = s.Next()
+		}
+		var up *extern.UpstreamError
+		require.ErrorAs(t, err, &up)
+		require.False(t, up.NotRun)
+		_, _, err = answer(t.T, l, ask("r3", 4, 2))
+		require.ErrorAs(t, err, &up)
+		time.Sleep(2 * time.Second)
+		_, done, err := answer(t.T, l, ask("r4", 4, 2))
+		require.NoError(t, err)
+		require.Zero(t, done.CachedTokens)
+		require.Equal(t, ident.Incarnation(2), e.Stats().Incarnation)
+	})
+}
+
+// seen collects what an engine publishes.
+type seen struct {
+	mu    sync.Mutex
+	cache []extern.CacheEvent
+	load  []extern.LoadReport
+	at    []time.Duration
+	start time.Time
+}
+
+func (s *seen) CacheEvent(e extern.CacheEvent) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cache = append(s.cache, e)
+	s.at = append(s.at, time.Since(s.start))
+}
+
+func (s *seen) LoadReport(r extern.LoadReport) { s.load = append(s.load, r) }
+
+func (s *seen) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.cache)
+}
+
+// watch collects events in the background until the returned function is called.
+func watch(t *testing.T, l *Local, from extern.EnginePosition) (*seen, func() error) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	s, done := &seen{start: time.Now()}, make(chan error, 1)
+	go func() { done <- l.Watch(ctx, "e1", from, s) }()
+	synctest.Wait()
+	return s, func() error {
+		cancel()
+		return <-done
+	}
+}
+
+func TestEventsComeLate(t *testing.T) {
+	e := &Engine{Settings: Settings{EventLag: time.Second, Step: time.Millisecond}}
+	with(t, e, func(t bubble, l *Local) {
+		s, stop := watch(t.T, l, extern.EnginePosition{})
+		_, _, err := answer(t.T, l, ask("r1", 2, 1))
+		require.NoError(t, err)
+		held := e.HeldBlocks()
+		time.Sleep(900 * time.Millisecond)
+		require.Equal(t, 1, s.count(), "the resync only")
+		time.Sleep(2 * time.Second)
+		require.Error(t, stop())
+		require.True(t, s.cache[0].Resync)
+		var added []ident.BlockHash
+		for i, event := range s.cache[1:] {
+			require.False(t, event.Resync)
+			require.Equal(t, extern.EnginePosition{Incarnation: 1, Sequence: ident.Sequence(i + 1)}, event.Position)
+			require.GreaterOrEqual(t, s.at[i+1], time.Second)
+			added = append(added, event.Added...)
+		}
+		require.ElementsMatch(t, held, added)
+		require.NotEmpty(t, s.load)
+		require.Equal(t, time.Second, s.load[0].Lag)
+	})
+}
+
+func TestEventsHaveGapsAndAResyncMendsThem(t *testing.T) {
+	e := &Engine{Settings: Settings{EventGaps: 0.5, CacheBlocks: 1000, Seed: 1}}
+	with(t, e, func(t bubble, l *Local) {
+		s, stop := watch(t.T, l, extern.EnginePosition{})
+		for i := range 20 {
+			req := ask("r", 1, 1)
+			req.Organisation = ident.OrganisationID(rune('a' + i))
+			_, _, err := answer(t.T, l, req)
+			require.NoError(t, err)
+		}
+		require.Error(t, stop())
+		last := s.cache[len(s.cache)-1].Position.Sequence
+		require.Less(t, len(s.cache)-1, 20, "some were lost")
+		require.Greater(t, int(last), len(s.cache)-1, "the sequence shows the gap")
+
+		s, stop = watch(t.T, l, extern.EnginePosition{Incarnation: 1, Sequence: last})
+		require.Error(t, stop())
+		for _, event := range s.cache {
+			require.False(t, event.Resync, "nothing is missing since")
+		}
+		for _, from := range []extern.EnginePosition{{}, {Incarnation: 7, Sequence: 3}, {Incarnation: 1, Sequence: 999}} {
+			s, stop = watch(t.T, l, from)
+			require.Error(t, stop())
+			require.True(t, s.cache[0].Resync)
+			require.ElementsMatch(t, e.HeldBlocks(), s.cache[0].Added)
+		}
+	})
+}
+
+func TestWatchEndsWithACrash(t *testing.T) {
+	e := &Engine{}
+	with(t, e, func(t bubble, l *Local) {
+		_, stop := watch(t.T, l, extern.EnginePosition{})
+		e.Crash(time.Second)
+		var up *extern.UpstreamError
+		require.ErrorAs(t, stop(), &up)
+		require.Equal(t, extern.UpstreamBroken, up.Kind)
+	})
+}
--- a/internal/standin/events/feed.go
+++ b/internal/standin/events/feed.go
@@ -26,8 +26,7 @@
 	incarnation ident.Incarnation
 	sequence    ident.Sequence
 	kept        []entry
-	load        extern.LoadReport
-	loadAt      time.Time
+	reports     []report
 	changed     chan struct{}
 	random      *rand.Rand
 }
@@ -38,6 +37,12 @@
 	lost  bool
 }
 
+// report is a load report and the time that it describes.
+type report struct {
+	load extern.LoadReport
+	at   time.Time
+}
+
 // Reset starts a new incarnation without events.
 func (f *Feed) Reset(incarnation ident.Incarnation) {
 	f.mu.Lock()
@@ -45,8 +50,7 @@
 	f.incarnation = incarnation
 	f.sequence = 0
 	f.kept = nil
-	f.load = extern.LoadReport{}
-	f.loadAt = time.Time{}
+	f.reports = nil
 	f.wake()
 }
 
@@ -83,13 +87,15 @@
 	f.wake()
 }
 
-// Report sets the latest load report.
+// Report adds a load report.
 func (f *Feed) Report(load extern.LoadReport) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	load.Incarnation = f.incarnation
-	f.load = load
-	f.loadAt = time.Now()
+	f.reports = append(f.reports, report{load: load, at: time.Now()})
+	for len(f.reports) > 1 && time.Since(f.reports[1].at) >= f.Lag {
+		f.reports = f.reports[1:]
+	}
 	f.wake()
 }
 
--- a/internal/standin/events/watcher.go
+++ b/internal/standin/events/watcher.go
@@ -33,9 +33,11 @@
 		batch = append(batch, *resync)
 	}
 	batch, wait = w.collectCache(batch, now)
-	if load := w.collectLoad(now); load != nil {
+	load, due := w.collectLoad(now)
+	if load != nil {
 		batch = append(batch, *load)
-	} else if due := f.loadAt.Add(f.Lag).Sub(now); f.loadAt.After(w.loadAt) && (wait == 0 || due < wait) {
+	}
+	if due > 0 && (wait == 0 || due < wait) {
 		wait = due
 	}
 	return batch, wait, f.changed
@@ -91,13 +93,26 @@
 	return batch, 0
 }
 
-func (w *watcher) collectLoad(now time.Time) *extern.LoadReport {
+// collectLoad returns the newest report that is due and new to the reader, and how long until the next is.
+func (w *watcher) collectLoad(now time.Time) (*extern.LoadReport, time.Duration) {
 	f := w.feed
-	if !f.loadAt.After(w.loadAt) || now.Sub(f.loadAt) < f.Lag {
+	var newest *report
+	for i := range f.reports {
+		r := &f.reports[i]
+		if wait := r.at.Add(f.Lag).Sub(now); wait > 0 {
+			return w.deliverLoad(newest, now), wait
+		}
+		newest = r
+	}
+	return w.deliverLoad(newest, now), 0
+}
+
+func (w *watcher) deliverLoad(r *report, now time.Time) *extern.LoadReport {
+	if r == nil || !r.at.After(w.loadAt) {
 		return nil
 	}
-	w.loadAt = f.loadAt
-	load := f.load
-	load.Lag = now.Sub(f.loadAt)
+	w.loadAt = r.at
+	load := r.load
+	load.Lag = now.Sub(r.at)
 	return &load
 }
--- /dev/null
+++ b/internal/standin/wstore/store_test.go
@@ -0,0 +1,84 @@
+package wstore
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/extern"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	adapter "github.com/gooseberryway/gooseberryway/internal/transport/wstore"
+)
+
+func TestLoadsShareTheRate(t *testing.T) {
+	cases := map[string]struct {
+		parallel, loads int
+		want            time.Duration
+	}{
+		"one":                {parallel: 2, loads: 1, want: 600 * time.Millisecond},
+		"as many as allowed": {parallel: 2, loads: 2, want: 600 * time.Millisecond},
+		"twice as many":      {parallel: 2, loads: 4, want: 1200 * time.Millisecond},
+		"three at once":      {parallel: 3, loads: 3, want: 600 * time.Millisecond},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &Store{Parallel: tc.parallel}
+				started := time.Now()
+				var wg sync.WaitGroup
+				for range tc.loads {
+					wg.Go(func() { _ = s.Load(t.Context(), "v1") })
+				}
+				wg.Wait()
+				require.InDelta(t, tc.want, time.Since(started), float64(10*time.Millisecond))
+				require.Equal(t, Stats{Loads: tc.loads, Peak: tc.loads}, s.Stats())
+			})
+		})
+	}
+}
+
+func TestALateLoadSlowsTheOthersOnlyWhileItRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &Store{Parallel: 1}
+		ctx, cancel := context.WithCancel(t.Context())
+		started := time.Now()
+		var wg sync.WaitGroup
+		wg.Go(func() { _ = s.Load(t.Context(), "v1") })
+		time.Sleep(100 * time.Millisecond)
+		wg.Go(func() { _ = s.Load(ctx, "v2") })
+		time.Sleep(200 * time.Millisecond)
+		cancel()
+		wg.Wait()
+		require.InDelta(t, 700*time.Millisecond, time.Since(started), float64(time.Millisecond))
+	})
+}
+
+func TestStatOverHTTP(t *testing.T) {
+	weights := extern.Weights{Name: "ledger-v2", Bytes: 5}
+	s := &Store{Weights: map[ident.VersionID]extern.Weights{"v2": weights}, TimeScale: 0.01}
+	require.NoError(t, s.Start(t.Context()))
+	c, r := &adapter.Client{BaseURL: s.URL()}, &Remote{BaseURL: s.URL()}
+	t.Cleanup(func() {
+		require.NoError(t, c.Close())
+		require.NoError(t, r.Pool.Close())
+		require.NoError(t, s.Close())
+	})
+	got, err := c.Stat(t.Context(), "v2")
+	require.NoError(t, err)
+	require.Equal(t, weights, got)
+	require.NoError(t, r.Load(t.Context(), "v2"))
+
+	var up *extern.UpstreamError
+	_, err = c.Stat(t.Context(), "v9")
+	require.ErrorAs(t, err, &up)
+	require.Equal(t, extern.UpstreamRejected, up.Kind)
+	require.ErrorAs(t, r.Load(t.Context(), "v9"), &up)
+	s.SetOutage(true)
+	_, err = c.Stat(t.Context(), "v2")
+	require.ErrorAs(t, err, &up)
+	require.Equal(t, extern.UpstreamOverloaded, up.Kind)
+}
