Decode streamed chunks with one allocation and relay them with none

Fuzzing the plain adapter found a query with a space, which made an unreadable request line; it is refused now.

--- a/internal/coordination/relay/attempt.go
+++ b/internal/coordination/relay/attempt.go
@@ -110,12 +110,13 @@
 // deliver is the only place from which the caller gets tokens.
 func (a *attempt) deliver(c *extern.EngineChunk) error {
 	s := a.run
-	if !guard.Check(c.Index == s.delivered, guard.StreamWhole,
-		"request %s: token %d delivered after %d tokens", s.req.Request, c.Index, s.delivered) {
+	if c.Index != s.delivered {
+		guard.Check(false, guard.StreamWhole,
+			"request %s: token %d delivered after %d tokens", s.req.Request, c.Index, s.delivered)
 		return a.broken(&GapError{Want: s.delivered, Got: c.Index})
 	}
-	if !guard.Check(c.Request == s.req.Request, guard.AnswerOwned,
-		"request %s: tokens of request %s delivered", s.req.Request, c.Request) {
+	if c.Request != s.req.Request {
+		guard.Check(false, guard.AnswerOwned, "request %s: tokens of request %s delivered", s.req.Request, c.Request)
 		return a.crossed(c.Request)
 	}
 	if err := s.emit(c); err != nil {
--- /dev/null
+++ b/internal/transport/engine/bench_test.go
@@ -0,0 +1,84 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"testing"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/extern"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
+
+// recorded returns the stream of an answer of n tokens.
+func recorded(n int) []byte {
+	var b bytes.Buffer
+	for i := range n {
+		data, _ := json.Marshal(Chunk{
+			ID: "0123456789abcdef0123456789abcdef", Choices: []Choice{{Text: " word"}},
+			TokenIndex: ident.Tokens(i), TokenCount: 1,
+		})
+		fmt.Fprintf(&b, "data: %s\n\n", data)
+	}
+	return b.Bytes()
+}
+
+// endless repeats a recorded stream.
+type endless struct {
+	data []byte
+	rest []byte
+}
+
+func (e *endless) Read(p []byte) (int, error) {
+	if len(e.rest) == 0 {
+		e.rest = e.data
+	}
+	n := copy(p, e.rest)
+	e.rest = e.rest[n:]
+	return n, nil
+}
+
+func (e *endless) Close() error { return nil }
+
+func BenchmarkStreamChunk(b *testing.B) {
+	_, cancel := context.WithCancel(b.Context())
+	s := newStream(&endless{data: recorded(64)}, cancel, "e1", "0123456789abcdef0123456789abcdef")
+	defer s.Close()
+	b.ReportAllocs()
+	for b.Loop() {
+		event, err := s.Next()
+		if _, ok := event.(*extern.EngineChunk); !ok {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkReadEvent(b *testing.B) {
+	r := bufio.NewReaderSize(&endless{data: recorded(64)}, streamBufferBytes)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := readEvent(r, streamBufferBytes); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkRequestBody(b *testing.B) {
+	for _, blocks := range []int{1, 64} {
+		b.Run(fmt.Sprintf("%dBlocks", blocks), func(b *testing.B) {
+			req := extern.EngineRequest{Request: "r1", Prompt: bytes.Repeat([]byte("word"), blocks*1000)}
+			b.SetBytes(int64(len(req.Prompt)))
+			b.ReportAllocs()
+			for b.Loop() {
+				body, err := json.Marshal(requestOf(&req))
+				if err != nil {
+					b.Fatal(err)
+				}
+				_, _ = io.Discard.Write(body)
+			}
+		})
+	}
+}
--- a/internal/transport/engine/stream.go
+++ b/internal/transport/engine/stream.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
 	"sync"
@@ -21,7 +20,6 @@
 	upstream ident.UpstreamID
 	request  ident.RequestID
 
-	wire  Chunk
 	chunk extern.EngineChunk
 	done  bool
 	err   error
@@ -74,33 +72,30 @@
 }
 
 func (s *stream) decode(data []byte) (extern.EngineEvent, error) {
-	choices := s.wire.Choices[:0]
-	if cap(choices) > 0 {
-		choices[:1][0] = Choice{}
-	}
-	s.wire = Chunk{Choices: choices}
-	if err := json.Unmarshal(data, &s.wire); err != nil {
-		return nil, s.broken(err.Error())
+	chunk, ok := decodeChunk(data)
+	if !ok {
+		return nil, s.broken("an event is not a chunk with exactly one choice")
 	}
-	if s.wire.ID != s.request {
-		crossed := &CrossedError{Want: s.request, Got: s.wire.ID}
+	if chunk.ID != s.request {
+		crossed := &CrossedError{Want: s.request, Got: chunk.ID}
 		return nil, &extern.UpstreamError{Kind: extern.UpstreamCrossed, Upstream: s.upstream, Err: crossed}
 	}
-	if len(s.wire.Choices) != 1 {
-		return nil, s.broken("a chunk has not exactly one choice")
-	}
-	choice := &s.wire.Choices[0]
-	if s.wire.Usage == nil {
-		s.chunk = extern.EngineChunk{Request: s.wire.ID, Index: s.wire.TokenIndex, Count: s.wire.TokenCount, Text: choice.Text}
+	if !chunk.last {
+		s.chunk = extern.EngineChunk{
+			Request: s.request,
+			Index:   chunk.TokenIndex,
+			Count:   chunk.TokenCount,
+			Text:    chunk.choice.Text,
+		}
 		return &s.chunk, nil
 	}
 	s.done = true
 	return &extern.EngineDone{
-		Request:      s.wire.ID,
-		FinishReason: choice.FinishReason,
-		PromptTokens: s.wire.Usage.PromptTokens,
-		CachedTokens: s.wire.Usage.CachedTokens,
-		OutputTokens: s.wire.Usage.CompletionTokens,
+		Request:      s.request,
+		FinishReason: chunk.choice.FinishReason,
+		PromptTokens: chunk.usage.PromptTokens,
+		CachedTokens: chunk.usage.CachedTokens,
+		OutputTokens: chunk.usage.CompletionTokens,
 	}, nil
 }
 
--- a/internal/transport/plain/client_test.go
+++ b/internal/transport/plain/client_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	standin "github.com/gooseberryway/gooseberryway/internal/standin/plain"
+	"github.com/gooseberryway/gooseberryway/internal/standin/serve"
 	"github.com/gooseberryway/gooseberryway/internal/state/extern"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/transport/plain"
@@ -256,3 +257,29 @@
 	}
 	require.Zero(t, a.Stats().RepeatedEffects+b.Stats().RepeatedEffects)
 }
+
+// FuzzForwardedHidesTheKey checks that no header or query reaches a service with the caller's key.
+func FuzzForwardedHidesTheKey(f *testing.F) {
+	f.Add("Authorization", "Bearer "+callerKey, "a=1&b="+callerKey)
+	f.Add("Connection", "x-hop, Authorization", "%73k-caller-secret")
+	f.Add("cookie", "s="+callerKey, "&&=&")
+	got := make(chan *http.Request, 1)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(f, err)
+	server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { got <- r })}
+	go server.Serve(l)
+	f.Cleanup(func() { server.Close() })
+	c := &plain.Client{}
+	f.Fuzz(func(t *testing.T, name, value, query string) {
+		req := booking("")
+		req.Header, req.RawQuery = http.Header{name: {value}}, query
+		resp, err := c.Do(t.Context(), req, &inOrder{urls: []string{"http://" + l.Addr().String()}})
+		if err != nil {
+			return
+		}
+		require.NoError(t, resp.Body.Close())
+		seen := <-got
+		require.False(t, serve.Shows(seen, callerKey))
+		require.NotContains(t, seen.URL.Query().Encode(), callerKey)
+	})
+}
--- a/internal/transport/plain/send.go
+++ b/internal/transport/plain/send.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 
 	"github.com/gooseberryway/gooseberryway/internal/state/extern"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
@@ -24,6 +25,11 @@
 	return fmt.Sprintf("an answer to call %s came for call %s", e.Got, e.Want)
 }
 
+// TargetError is a path or query that can't stand in a request line.
+type TargetError struct{}
+
+func (e *TargetError) Error() string { return "the path or query has a space or a control character" }
+
 // send makes one attempt. The error is an *extern.UpstreamError.
 func (c *Client) send(ctx context.Context, r *Request, t Target, b *body) (*Response, error) {
 	req, err := c.newRequest(ctx, r, t, b)
@@ -53,6 +59,9 @@
 	if r.CallerKey != "" && showsKey(r.Path, r.CallerKey) {
 		return nil, &KeyShownError{}
 	}
+	if strings.ContainsFunc(r.Path+r.RawQuery, unsafeInTarget) {
+		return nil, &TargetError{}
+	}
 	target := t.BaseURL + r.Path
 	if query := strippedQuery(r.RawQuery, r.CallerKey); query != "" {
 		target += "?" + query
@@ -85,6 +94,8 @@
 	return req, nil
 }
 
+func unsafeInTarget(c rune) bool { return c <= ' ' || c == 0x7f }
+
 // replayedByTransport reports whether net/http may send a request without a body again by itself.
 func replayedByTransport(req *http.Request) bool {
 	switch req.Method {
