--- /dev/null
+++ b/internal/transport/httpc/pool_test.go
@@ -0,0 +1,108 @@
+package httpc
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/extern"
+)
+
+// TestNotSentIsTrue cancels requests at random moments: none that is said not to be sent may arrive, at once or later.
+func TestNotSentIsTrue(t *testing.T) {
+	var arrived sync.Map
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		arrived.Store(r.URL.Path, true)
+	}))
+	p := &Pool{}
+	var notSent []string
+	for i := range 2000 {
+		path := fmt.Sprintf("/%d", i)
+		ctx, cancel := context.WithCancel(t.Context())
+		timer := time.AfterFunc(time.Duration(rand.IntN(300))*time.Microsecond, cancel)
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL+path, strings.NewReader("body"))
+		require.NoError(t, err)
+		resp, err := p.Do(req)
+		var send *SendError
+		if errors.As(err, &send) && send.NotSent {
+			notSent = append(notSent, path)
+		}
+		if err == nil {
+			require.NoError(t, resp.Body.Close())
+		}
+		timer.Stop()
+		cancel()
+	}
+	require.NoError(t, p.Close())
+	server.Close()
+	require.NotEmpty(t, notSent)
+	for _, path := range notSent {
+		_, seen := arrived.Load(path)
+		require.False(t, seen, path)
+	}
+}
+
+func TestNoConnectionIsNotSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+	p := &Pool{}
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+l.Addr().String(), strings.NewReader("x"))
+	require.NoError(t, err)
+	_, err = p.Do(req)
+	var send *SendError
+	require.ErrorAs(t, err, &send)
+	require.True(t, send.NotSent)
+	up := SendFailure("e1", err)
+	require.Equal(t, extern.UpstreamUnreachable, up.Kind)
+	require.True(t, up.NotRun)
+}
+
+func TestRedirectsAreNotFollowed(t *testing.T) {
+	server := httptest.NewServer(http.RedirectHandler("http://192.0.2.1/", http.StatusFound))
+	defer server.Close()
+	p := &Pool{}
+	defer p.Close()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, server.URL, http.NoBody)
+	require.NoError(t, err)
+	resp, err := p.Do(req)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	require.Equal(t, http.StatusFound, resp.StatusCode)
+}
+
+func TestKindOfStatus(t *testing.T) {
+	for status, want := range map[int]extern.UpstreamErrorKind{
+		400: extern.UpstreamRejected, 404: extern.UpstreamRejected, 408: extern.UpstreamTimeout,
+		429: extern.UpstreamOverloaded, 500: extern.UpstreamBroken, 502: extern.UpstreamBroken,
+		503: extern.UpstreamOverloaded, 504: extern.UpstreamTimeout,
+	} {
+		require.Equal(t, want, KindOfStatus(status), "%d", status)
+	}
+}
+
+func TestASealedConnectionTakesNoByte(t *testing.T) {
+	near, far := net.Pipe()
+	defer near.Close()
+	defer far.Close()
+	go func() { _, _ = far.Read(make([]byte, 8)) }()
+	c := &conn{Conn: near}
+	require.True(t, c.seal())
+	_, err := c.Write([]byte("x"))
+	require.ErrorIs(t, err, net.ErrClosed)
+
+	used := &conn{Conn: near}
+	_, err = used.Write([]byte("x"))
+	require.NoError(t, err)
+	require.False(t, used.seal())
+}
--- a/internal/transport/plain/client_test.go
+++ b/internal/transport/plain/client_test.go
@@ -104,13 +104,21 @@
 	server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { got <- r.Header })}
 	go server.Serve(l)
 	defer server.Close()
-	resp, err := startClient(t).Do(t.Context(), booking(""), &inOrder{urls: []string{"http://" + l.Addr().String()}})
-	require.NoError(t, err)
-	require.NoError(t, resp.Body.Close())
+	headers := func(c *plain.Client, req *plain.Request) http.Header {
+		resp, err := c.Do(t.Context(), req, &inOrder{urls: []string{"http://" + l.Addr().String()}})
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		return withoutLength(<-got)
+	}
 	require.Equal(t, http.Header{
 		"Authorization": {"Bearer service-secret"}, "Content-Type": {"text/plain"}, "Idempotency-Key": {"k1"},
 		"X-Request-Id": {"r1"}, "X-Route-Id": {"bookings"}, "X-Organisation-Id": {"survey"},
-	}, withoutLength(<-got))
+	}, headers(startClient(t), booking("")))
+
+	open := booking("")
+	open.CallerKey, open.Organisation = "", ""
+	open.Header = http.Header{"Authorization": {"Bearer x"}, "X-Api-Key": {"x"}, "X-Organisation-Id": {"spoofed"}}
+	require.Equal(t, http.Header{"X-Request-Id": {"r1"}, "X-Route-Id": {"bookings"}}, headers(&plain.Client{}, open))
 }
 
 func withoutLength(h http.Header) http.Header {
