--- a/internal/state/extern/engine.go
+++ b/internal/state/extern/engine.go
@@ -25,6 +25,8 @@
 	Seed uint64
 	// ResumeFrom is the number of output tokens that the caller already has.
 	ResumeFrom ident.Tokens
+	// Sampling is a JSON object of sampling parameters that is passed on unchanged; nil if there are none.
+	Sampling []byte
 	// Priority orders waiting requests; lower runs first.
 	Priority int
 	// ImportBlocks asks the engine to import the first n blocks from the KV cache store before prefill.
