--- a/internal/standin/serve/server.go
+++ b/internal/standin/serve/server.go
@@ -19,10 +19,11 @@
 	Address string
 	Handler http.Handler
 
-	mu      sync.Mutex
-	address string
-	server  *http.Server
-	served  sync.WaitGroup
+	mu       sync.Mutex
+	address  string
+	listener net.Listener
+	server   *http.Server
+	served   sync.WaitGroup
 }
 
 // Start listens and serves until Close. The error is a *net.OpError, wrapped.
@@ -43,9 +44,9 @@
 	}
 	s.address = l.Addr().String()
 	server := &http.Server{Handler: s.Handler, ReadHeaderTimeout: readHeaderTimeout}
-	s.server = server
+	s.server, s.listener = server, l
 	s.served.Go(func() {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			klog.ErrorS(err, "Stand-in stopped serving", "address", l.Addr())
 		}
 	})
@@ -62,12 +63,14 @@
 // Suspend closes the listener and all connections. Start listens on the same address again.
 func (s *Server) Suspend() {
 	s.mu.Lock()
-	server := s.server
-	s.server = nil
-	s.mu.Unlock()
-	if server != nil {
-		_ = server.Close()
+	defer s.mu.Unlock()
+	if s.server == nil {
+		return
 	}
+	// The server closes only the listeners that it has begun to serve.
+	_ = s.listener.Close()
+	_ = s.server.Close()
+	s.server = nil
 }
 
 // Close closes the listener and all connections and waits for the serving goroutine.
--- a/internal/transport/engine/bench_test.go
+++ b/internal/transport/engine/bench_test.go
@@ -73,7 +73,7 @@
 			b.SetBytes(int64(len(req.Prompt)))
 			b.ReportAllocs()
 			for b.Loop() {
-				body, err := json.Marshal(requestOf(&req))
+				body, err := encodeRequest(&req)
 				if err != nil {
 					b.Fatal(err)
 				}
--- a/internal/transport/engine/client.go
+++ b/internal/transport/engine/client.go
@@ -28,7 +28,7 @@
 
 // Complete implements extern.Engine.
 func (c *Client) Complete(ctx context.Context, upstream ident.UpstreamID, baseURL string, req extern.EngineRequest) (extern.EngineStream, error) {
-	body, err := json.Marshal(requestOf(&req))
+	body, err := encodeRequest(&req)
 	if err != nil {
 		return nil, &extern.UpstreamError{Kind: extern.UpstreamRejected, Upstream: upstream, NotRun: true, Err: err}
 	}
@@ -100,20 +100,3 @@
 }
 
 var contentTypeJSON = []string{"application/json"}
-
-func requestOf(req *extern.EngineRequest) *Request {
-	return &Request{
-		Model:        string(req.Model),
-		Prompt:       string(req.Prompt),
-		MaxTokens:    req.MaxTokens,
-		Seed:         req.Seed,
-		Stream:       true,
-		RequestID:    req.Request,
-		CacheSalt:    string(req.Organisation),
-		Version:      req.Version,
-		Adapter:      req.Adapter,
-		Priority:     req.Priority,
-		ResumeFrom:   req.ResumeFrom,
-		ImportBlocks: req.ImportBlocks,
-	}
-}
