--- /dev/null
+++ b/internal/standin/engine/config.go
@@ -0,0 +1,83 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/gooseberryway/gooseberryway/internal/standin/kvstor"
+	"github.com/gooseberryway/gooseberryway/internal/standin/serve"
+	"github.com/gooseberryway/gooseberryway/internal/standin/wstore"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
+
+// Config is the settings file of an engine that runs as a process of its own. Zero numbers are the defaults of
+// Settings; times are in unscaled milliseconds or microseconds.
+type Config struct {
+	Listen   string            `json:"listen" validate:"required,ipport"`
+	ID       ident.UpstreamID  `json:"id" validate:"required,max=64,id"`
+	Model    ident.ModelID     `json:"model" validate:"required,max=64"`
+	Versions []ident.VersionID `json:"versions" validate:"min=1"`
+
+	BlockTokens    ident.Tokens `json:"blockTokens" validate:"min=0,max=65536"`
+	CacheBlocks    int          `json:"cacheBlocks" validate:"min=0,max=10000000"`
+	EvictIdleMs    int64        `json:"evictIdleMs" validate:"min=0,max=3600000"`
+	MaxRunning     int          `json:"maxRunning" validate:"min=0,max=4096"`
+	MaxWaiting     int          `json:"maxWaiting" validate:"min=0,max=65536"`
+	StepUs         int64        `json:"stepUs" validate:"min=0,max=10000000"`
+	StepRequestUs  int64        `json:"stepPerRequestUs" validate:"min=0,max=10000000"`
+	PrefillTokenNs int64        `json:"prefillPerTokenNs" validate:"min=0,max=100000000"`
+	ImportTokenNs  int64        `json:"importPerTokenNs" validate:"min=0,max=100000000"`
+	PrefillChunk   ident.Tokens `json:"prefillChunkTokens" validate:"min=0,max=1000000"`
+	EventLagMs     int64        `json:"eventLagMs" validate:"min=0,max=600000"`
+	EventGaps      float64      `json:"eventGaps" validate:"min=0,max=1"`
+	ReportEveryMs  int64        `json:"reportEveryMs" validate:"min=0,max=600000"`
+	LoadVersionMs  int64        `json:"loadVersionMs" validate:"min=0,max=3600000"`
+	ChecksFencing  bool         `json:"checksFencing"`
+	ChecksIdentity bool         `json:"checksIdentity"`
+	Credential     string       `json:"credential"`
+	ExportBlocks   bool         `json:"exportBlocks"`
+	TimeScale      float64      `json:"timeScale" validate:"min=0,max=1000"`
+	Seed           uint64       `json:"seed"`
+	// KVStore and WeightStore are base URLs; empty is none.
+	KVStore     string `json:"kvStore" validate:"omitempty,ipurl"`
+	WeightStore string `json:"weightStore" validate:"omitempty,ipurl"`
+}
+
+// Process returns the engine that the settings describe.
+func (c *Config) Process() serve.Process {
+	e := &Engine{Address: c.Listen, Settings: c.settings()}
+	if c.KVStore != "" {
+		e.Store = &kvstor.Remote{BaseURL: c.KVStore}
+	}
+	if c.WeightStore != "" {
+		e.Weights = &wstore.Remote{BaseURL: c.WeightStore}
+	}
+	return e
+}
+
+func (c *Config) settings() Settings {
+	return Settings{
+		ID:              c.ID,
+		Model:           c.Model,
+		Versions:        c.Versions,
+		BlockTokens:     c.BlockTokens,
+		CacheBlocks:     c.CacheBlocks,
+		EvictIdle:       time.Duration(c.EvictIdleMs) * time.Millisecond,
+		MaxRunning:      c.MaxRunning,
+		MaxWaiting:      c.MaxWaiting,
+		Step:            time.Duration(c.StepUs) * time.Microsecond,
+		StepPerRequest:  time.Duration(c.StepRequestUs) * time.Microsecond,
+		PrefillPerToken: time.Duration(c.PrefillTokenNs),
+		ImportPerToken:  time.Duration(c.ImportTokenNs),
+		PrefillChunk:    c.PrefillChunk,
+		EventLag:        time.Duration(c.EventLagMs) * time.Millisecond,
+		EventGaps:       c.EventGaps,
+		ReportEvery:     time.Duration(c.ReportEveryMs) * time.Millisecond,
+		LoadVersion:     time.Duration(c.LoadVersionMs) * time.Millisecond,
+		ChecksFencing:   c.ChecksFencing,
+		ChecksIdentity:  c.ChecksIdentity,
+		Credential:      c.Credential,
+		ExportBlocks:    c.ExportBlocks,
+		TimeScale:       c.TimeScale,
+		Seed:            c.Seed,
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/control_test.go
@@ -0,0 +1,87 @@
+package engine_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/gooseberryway/gooseberryway/internal/standin/engine"
+	"github.com/gooseberryway/gooseberryway/internal/standin/logsvc"
+	"github.com/gooseberryway/gooseberryway/internal/standin/plain"
+	"github.com/gooseberryway/gooseberryway/internal/state/extern"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	adapter "github.com/gooseberryway/gooseberryway/internal/transport/engine"
+)
+
+// control posts a control message and returns the status of the answer.
+func control(t *testing.T, url, body string) int {
+	t.Helper()
+	resp, err := http.Post(url+"/standin/control", "application/json", strings.NewReader(body))
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	return resp.StatusCode
+}
+
+func TestControlOverHTTP(t *testing.T) {
+	e := &engine.Engine{Settings: engine.Settings{ID: "e1", Model: "m", Versions: []ident.VersionID{"v1"}, TimeScale: 0.01}}
+	require.NoError(t, e.Start(t.Context()))
+	c := &adapter.Client{Credential: func(string) string { return "caller-key" }}
+	t.Cleanup(func() {
+		require.NoError(t, c.Close())
+		require.NoError(t, e.Close())
+	})
+	ask := func() error {
+		s, err := c.Complete(t.Context(), "e1", e.URL(), extern.EngineRequest{Request: "r", Model: "m", Version: "v1", MaxTokens: 1})
+		if err != nil {
+			return err
+		}
+		_, err = s.Next()
+		require.NoError(t, s.Close())
+		return err
+	}
+	require.Equal(t, http.StatusNoContent, control(t, e.URL(), `{"callerKeys":["caller-key"],"leaveMs":0}`))
+	require.NoError(t, ask())
+	require.Equal(t, 1, e.Stats().CallerKeysSeen)
+	require.Equal(t, 1, e.Stats().WorkAfterLeaving)
+	require.Equal(t, http.StatusNoContent, control(t, e.URL(), `{"behaviours":{"v1":{"errors":1}}}`))
+	require.Error(t, ask())
+	require.Equal(t, http.StatusNoContent, control(t, e.URL(), `{"behaviours":{"v1":{}},"faults":{"errors":1}}`))
+	require.Error(t, ask())
+	require.Equal(t, http.StatusNoContent, control(t, e.URL(), `{"faults":{}}`))
+	require.NoError(t, ask())
+	require.Equal(t, http.StatusBadRequest, control(t, e.URL(), `{"faults":[]}`))
+
+	e.Crash(10 * time.Second)
+	require.Error(t, ask())
+	require.Eventually(t, func() bool { return ask() == nil }, 5*time.Second, 5*time.Millisecond, "it comes back")
+	require.Equal(t, ident.Incarnation(2), e.Stats().Incarnation)
+}
+
+func TestControlOfTheLogService(t *testing.T) {
+	s := &logsvc.Service{}
+	require.NoError(t, s.Start(t.Context()))
+	t.Cleanup(func() { require.NoError(t, s.Close()) })
+	require.Equal(t, http.StatusNoContent, control(t, s.URL(), `{"lostAnswers":0.5}`))
+	require.InDelta(t, 0.5, s.Faults().LostAnswers, 0)
+	require.Equal(t, http.StatusBadRequest, control(t, s.URL(), `{"lostAnswers":"x"}`))
+	require.Equal(t, http.StatusAccepted, control(t, s.URL(), `{"mode":"refusing"}`))
+	_, err := http.Get(s.URL() + "/standin/stats")
+	require.Error(t, err)
+	require.NoError(t, s.SetFaults(logsvc.Faults{}))
+	require.Equal(t, http.StatusNoContent, control(t, s.URL(), `{}`))
+}
+
+func TestControlOfAPlainService(t *testing.T) {
+	s := &plain.Service{}
+	require.NoError(t, s.Start(t.Context()))
+	t.Cleanup(func() { require.NoError(t, s.Close()) })
+	require.Equal(t, http.StatusNoContent, control(t, s.URL(), `{"faults":{"refused":1},"callerKeys":["k1"],"leaveMs":0}`))
+	resp, err := http.Get(s.URL() + "/visits?key=k1")
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.Equal(t, plain.Stats{Requests: 1, Refused: 1, CallerKeysSeen: 1, WorkAfterLeaving: 1}, s.Stats())
+}
--- /dev/null
+++ b/internal/standin/kvstor/config.go
@@ -0,0 +1,26 @@
+package kvstor
+
+import (
+	"time"
+
+	"github.com/gooseberryway/gooseberryway/internal/standin/serve"
+)
+
+// Config is the settings file of a KV cache store that runs as a process of its own. Zero numbers are the defaults of
+// Store.
+type Config struct {
+	Listen     string  `json:"listen" validate:"required,ipport"`
+	Blocks     int     `json:"blocks" validate:"min=0,max=100000000"`
+	EventLagMs int64   `json:"eventLagMs" validate:"min=0,max=600000"`
+	EventGaps  float64 `json:"eventGaps" validate:"min=0,max=1"`
+}
+
+// Process returns the KV cache store that the settings describe.
+func (c *Config) Process() serve.Process {
+	return &Store{
+		Fake:      serve.Fake{Address: c.Listen},
+		Blocks:    c.Blocks,
+		EventLag:  time.Duration(c.EventLagMs) * time.Millisecond,
+		EventGaps: c.EventGaps,
+	}
+}
--- /dev/null
+++ b/internal/standin/logsvc/config.go
@@ -0,0 +1,28 @@
+package logsvc
+
+import (
+	"time"
+
+	"github.com/gooseberryway/gooseberryway/internal/standin/serve"
+)
+
+// Config is the settings file of a log service that runs as a process of its own. Zero numbers are the defaults of
+// Service.
+type Config struct {
+	Listen           string `json:"listen" validate:"required,ipport"`
+	AppendsPerSecond int    `json:"appendsPerSecond" validate:"min=0,max=1000000"`
+	MaxAgeMs         int64  `json:"maxAgeMs" validate:"min=0"`
+	MaxRecords       int    `json:"maxRecords" validate:"min=0"`
+	Seed             uint64 `json:"seed"`
+}
+
+// Process returns the log service that the settings describe.
+func (c *Config) Process() serve.Process {
+	return &Service{
+		Address:          c.Listen,
+		AppendsPerSecond: c.AppendsPerSecond,
+		MaxAge:           time.Duration(c.MaxAgeMs) * time.Millisecond,
+		MaxRecords:       c.MaxRecords,
+		Seed:             c.Seed,
+	}
+}
--- /dev/null
+++ b/internal/standin/plain/config.go
@@ -0,0 +1,17 @@
+package plain
+
+import "github.com/gooseberryway/gooseberryway/internal/standin/serve"
+
+// Config is the settings file of a plain service that runs as a process of its own.
+type Config struct {
+	Listen string `json:"listen" validate:"required,ipport"`
+	Faults Faults `json:"faults"`
+	Seed   uint64 `json:"seed"`
+}
+
+// Process returns the plain service that the settings describe.
+func (c *Config) Process() serve.Process {
+	s := &Service{Fake: serve.Fake{Address: c.Listen}, Seed: c.Seed}
+	s.SetFaults(c.Faults)
+	return s
+}
--- /dev/null
+++ b/internal/standin/serve/process.go
@@ -0,0 +1,13 @@
+package serve
+
+import "context"
+
+// Process is a stand-in that serves over HTTP.
+type Process interface {
+	// Start listens and serves until Close.
+	Start(ctx context.Context) error
+	// URL returns the base URL after Start.
+	URL() string
+	// Close drops all connections and waits for everything that Start started.
+	Close() error
+}
--- /dev/null
+++ b/internal/standin/vmlist/config.go
@@ -0,0 +1,22 @@
+package vmlist
+
+import (
+	"time"
+
+	"github.com/gooseberryway/gooseberryway/internal/standin/serve"
+	"github.com/gooseberryway/gooseberryway/internal/state/extern"
+)
+
+// Config is the settings file of a VM list that runs as a process of its own.
+type Config struct {
+	Listen string      `json:"listen" validate:"required,ipport"`
+	LagMs  int64       `json:"lagMs" validate:"min=0,max=3600000"`
+	VMs    []extern.VM `json:"vms"`
+}
+
+// Process returns the VM list that the settings describe.
+func (c *Config) Process() serve.Process {
+	l := &List{Fake: serve.Fake{Address: c.Listen}, Lag: time.Duration(c.LagMs) * time.Millisecond}
+	l.Set(c.VMs)
+	return l
+}
--- /dev/null
+++ b/internal/standin/wstore/config.go
@@ -0,0 +1,30 @@
+package wstore
+
+import (
+	"time"
+
+	"github.com/gooseberryway/gooseberryway/internal/standin/serve"
+	"github.com/gooseberryway/gooseberryway/internal/state/extern"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
+
+// Config is the settings file of a weight store that runs as a process of its own. Zero numbers are the defaults of
+// Store.
+type Config struct {
+	Listen     string                             `json:"listen" validate:"required,ipport"`
+	Weights    map[ident.VersionID]extern.Weights `json:"weights"`
+	LoadTimeMs int64                              `json:"loadTimeMs" validate:"min=0,max=3600000"`
+	Parallel   int                                `json:"parallel" validate:"min=0,max=1024"`
+	TimeScale  float64                            `json:"timeScale" validate:"min=0,max=1000"`
+}
+
+// Process returns the weight store that the settings describe.
+func (c *Config) Process() serve.Process {
+	return &Store{
+		Fake:      serve.Fake{Address: c.Listen},
+		Weights:   c.Weights,
+		LoadTime:  time.Duration(c.LoadTimeMs) * time.Millisecond,
+		Parallel:  c.Parallel,
+		TimeScale: c.TimeScale,
+	}
+}
