--- a/internal/coordination/relay/attempt.go
+++ b/internal/coordination/relay/attempt.go
@@ -61,8 +61,7 @@
 
 // cause replaces the error of an attempt that the watchdog ended.
 func (a *attempt) cause(ctx context.Context, err error) error {
-	var silent *silentError
-	if !errors.As(context.Cause(ctx), &silent) {
+	if _, ok := errors.AsType[*silentError](context.Cause(ctx)); !ok {
 		return err
 	}
 	timeout := &TimeoutError{After: a.run.relay.firstTokenTimeout(), First: true}
@@ -70,10 +69,7 @@
 		timeout = &TimeoutError{After: a.run.relay.interTokenTimeout()}
 	}
 	e := &extern.UpstreamError{Kind: extern.UpstreamTimeout, Upstream: a.picked.Upstream, Err: timeout}
-	var up *extern.UpstreamError
-	if errors.As(err, &up) {
-		e.NotRun = up.NotRun
-	}
+	e.NotRun = isNotRun(err)
 	return e
 }
 
@@ -156,13 +152,10 @@
 }
 
 func (a *attempt) report(ctx context.Context, done *extern.EngineDone, err error) {
-	if a.picked.Report == nil {
-		return
-	}
-	var caller *emitError
+	_, caller := errors.AsType[*emitError](err)
 	report := Report{
 		Err:        err,
-		Cancelled:  err != nil && (ctx.Err() != nil || errors.As(err, &caller)),
+		Cancelled:  err != nil && (ctx.Err() != nil || caller),
 		FirstToken: a.firstToken,
 		Duration:   time.Since(a.started),
 		Tokens:     a.tokens,
@@ -170,5 +163,8 @@
 	if done != nil {
 		report.PromptTokens, report.CachedTokens = done.PromptTokens, done.CachedTokens
 	}
-	a.picked.Report(report)
+	countAttempt(report)
+	if a.picked.Report != nil {
+		a.picked.Report(report)
+	}
 }
--- a/internal/coordination/relay/relay.go
+++ b/internal/coordination/relay/relay.go
@@ -8,6 +8,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/gooseberryway/gooseberryway/internal/state/extern"
+	"github.com/gooseberryway/gooseberryway/internal/state/guard"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/state/prefix"
 )
@@ -140,15 +141,13 @@
 
 // stop returns why the request ends after a failure, empty if another attempt may be made.
 func (s *run) stop(ctx context.Context, err error) Reason {
-	var caller *emitError
-	if errors.As(err, &caller) {
+	if _, ok := errors.AsType[*emitError](err); ok {
 		return ReasonCaller
 	}
 	if ctx.Err() != nil {
 		return reasonOf(ctx.Err())
 	}
-	var picked *pickError
-	if errors.As(err, &picked) {
+	if _, ok := errors.AsType[*pickError](err); ok {
 		if s.delivered == 0 {
 			return ReasonNoEngine
 		}
@@ -186,14 +185,14 @@
 	if s.relay.Budget != nil {
 		s.relay.Budget.Draw()
 	}
+	s.logResumption(err)
 	return ""
 }
 
 // pause waits before the next attempt of an interrupted answer if engines are scarce, and returns why the request
 // ends if its patience does.
 func (s *run) pause(ctx context.Context, err error) Reason {
-	var picked *pickError
-	scarce := errors.As(err, &picked)
+	_, scarce := errors.AsType[*pickError](err)
 	if s.delivered == 0 || (!scarce && s.idle < s.relay.maxAttempts()) {
 		return ""
 	}
@@ -239,21 +238,23 @@
 
 func (s *run) failure(reason Reason, err error) *RunError {
 	e := &RunError{Reason: reason, Delivered: s.delivered, NotRun: !s.ran, Attempts: s.attempts, Err: err}
-	var up *extern.UpstreamError
-	if errors.As(err, &up) {
+	if up, ok := errors.AsType[*extern.UpstreamError](err); ok {
 		e.RetryAfter = up.RetryAfter
 	}
+	guard.Check(!e.NotRun || s.delivered == 0, guard.NotRunTrue,
+		"request %s: said not to have run after %d tokens", s.req.Request, s.delivered)
+	countFailure(e)
 	return e
 }
 
 func isNotRun(err error) bool {
-	var up *extern.UpstreamError
-	return errors.As(err, &up) && up.NotRun
+	up, ok := errors.AsType[*extern.UpstreamError](err)
+	return ok && up.NotRun
 }
 
 func isRejected(err error) bool {
-	var up *extern.UpstreamError
-	return errors.As(err, &up) && up.Kind == extern.UpstreamRejected
+	up, ok := errors.AsType[*extern.UpstreamError](err)
+	return ok && up.Kind == extern.UpstreamRejected
 }
 
 func (r *Relay) maxAttempts() int {
