Give up on silent event streams, and speak TLS to outside systems

An engine that hangs without closing its connection left Watch waiting for ever, and with it a stale index. Feeds now send heartbeats and Watch ends after 15 s without a byte. A log outage set over the control endpoint can end by itself.

--- a/internal/standin/engine/control_test.go
+++ b/internal/standin/engine/control_test.go
@@ -71,6 +71,8 @@
 	_, err := http.Get(s.URL() + "/standin/stats")
 	require.Error(t, err)
 	require.NoError(t, s.SetFaults(logsvc.Faults{}))
+	require.Equal(t, http.StatusAccepted, control(t, s.URL(), `{"mode":"refusing","forMs":20}`))
+	require.Eventually(t, func() bool { return s.Faults().Mode == logsvc.ModeUp }, 5*time.Second, time.Millisecond)
 	require.Equal(t, http.StatusNoContent, control(t, s.URL(), `{}`))
 }
 
--- a/internal/standin/events/feed.go
+++ b/internal/standin/events/feed.go
@@ -104,6 +104,9 @@
 
 func (e *ResetError) Error() string { return "a new incarnation has started" }
 
+// Heartbeat is delivered when nothing else was for a while, so that a reader can tell a quiet feed from a dead one.
+type Heartbeat struct{}
+
 // Watch delivers events after the position until ctx ends, deliver fails or a new incarnation starts. It begins with
 // a resync when the position is zero, of another incarnation or older than what is kept.
 func (f *Feed) Watch(ctx context.Context, from extern.EnginePosition, deliver func(any) error) error {
@@ -122,27 +125,33 @@
 		if len(batch) > 0 {
 			continue
 		}
-		if err := idle(ctx, wait, changed); err != nil {
+		quiet, err := idle(ctx, wait, changed)
+		if err != nil {
 			return err
 		}
+		if quiet {
+			if err := deliver(Heartbeat{}); err != nil {
+				return err
+			}
+		}
 	}
 }
 
-// idle waits until something is due or changed. A wait of 0 is no timer.
-func idle(ctx context.Context, wait time.Duration, changed <-chan struct{}) error {
-	var due <-chan time.Time
-	if wait > 0 {
-		timer := time.NewTimer(wait)
-		defer timer.Stop()
-		due = timer.C
+// idle waits until something is due or changed, and reports whether neither came for long. A wait of 0 is none.
+func idle(ctx context.Context, wait time.Duration, changed <-chan struct{}) (quiet bool, err error) {
+	quiet = wait <= 0 || wait > heartbeatEvery
+	if quiet {
+		wait = heartbeatEvery
 	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
 	select {
-	case <-due:
-		return nil
+	case <-timer.C:
+		return quiet, nil
 	case <-changed:
-		return nil
+		return false, nil
 	case <-ctx.Done():
-		return ctx.Err()
+		return false, ctx.Err()
 	}
 }
 
--- a/internal/standin/events/handler.go
+++ b/internal/standin/events/handler.go
@@ -23,17 +23,29 @@
 		return
 	}
 	_ = f.Watch(r.Context(), from, func(event any) error {
-		data, err := json.Marshal(wireEvent(event))
+		line, err := lineOf(event)
 		if err != nil {
 			return err
 		}
-		if _, err := w.Write(append(append([]byte("data: "), data...), '\n', '\n')); err != nil {
+		if _, err := w.Write(line); err != nil {
 			return err
 		}
 		return flusher.Flush()
 	})
 }
 
+// lineOf returns an event as the stream has it; a heartbeat is a comment.
+func lineOf(event any) ([]byte, error) {
+	if _, ok := event.(Heartbeat); ok {
+		return []byte(": heartbeat\n\n"), nil
+	}
+	data, err := json.Marshal(wireEvent(event))
+	if err != nil {
+		return nil, err
+	}
+	return append(append([]byte("data: "), data...), "\n\n"...), nil
+}
+
 func wireEvent(event any) wireng.Event {
 	switch e := event.(type) {
 	case extern.CacheEvent:
--- a/internal/standin/logsvc/handler.go
+++ b/internal/standin/logsvc/handler.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/gooseberryway/gooseberryway/internal/standin/serve"
 	"github.com/gooseberryway/gooseberryway/internal/state/extern"
@@ -100,19 +101,29 @@
 	}
 }
 
+// Control is the body of POST /standin/control. Fields that are absent change nothing.
+type Control struct {
+	Faults
+	// ForMs ends all faults after so many milliseconds; 0 lets them last.
+	ForMs int64 `json:"forMs"`
+}
+
 func (s *Service) serveControl(w http.ResponseWriter, r *http.Request) {
-	faults := s.Faults()
-	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
+	control := Control{Faults: s.Faults()}
+	if err := json.NewDecoder(r.Body).Decode(&control); err != nil {
 		serve.JSON(w, http.StatusBadRequest, wirelog.Failure{Message: err.Error()})
 		return
 	}
-	if faults.Mode == ModeRefusing {
+	if control.ForMs > 0 {
+		s.after(time.Duration(control.ForMs)*time.Millisecond, func() { _ = s.SetFaults(Faults{}) })
+	}
+	if control.Mode == ModeRefusing {
 		w.WriteHeader(http.StatusAccepted)
 		_ = http.NewResponseController(w).Flush()
-		_ = s.SetFaults(faults)
+		_ = s.SetFaults(control.Faults)
 		return
 	}
-	if err := s.SetFaults(faults); err != nil {
+	if err := s.SetFaults(control.Faults); err != nil {
 		serve.JSON(w, http.StatusInternalServerError, wirelog.Failure{Message: err.Error()})
 		return
 	}
--- a/internal/transport/engine/client.go
+++ b/internal/transport/engine/client.go
@@ -20,6 +20,9 @@
 	Credential func(baseURL string) string
 	// OrderTimeout bounds an order, which may include loading weights; 0 is two minutes.
 	OrderTimeout time.Duration
+	// WatchTimeout is the silence after which Watch gives up; 0 is 15 seconds. Engines report their load or send
+	// heartbeats more often.
+	WatchTimeout time.Duration
 	// Pool holds the connections.
 	Pool httpc.Pool
 }
--- a/internal/transport/engine/watch.go
+++ b/internal/transport/engine/watch.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
@@ -12,8 +14,26 @@
 	"github.com/gooseberryway/gooseberryway/internal/transport/httpc"
 )
 
-// Watch implements extern.Engine. It returns an *extern.UpstreamError when the stream breaks or ctx ends.
+// Watch implements extern.Engine. It returns an *extern.UpstreamError when the stream breaks, is silent for
+// WatchTimeout, or ctx ends.
 func (c *Client) Watch(ctx context.Context, baseURL string, from extern.EnginePosition, sink extern.EngineSink) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	timeout := c.WatchTimeout
+	if timeout <= 0 {
+		timeout = defaultWatchTimeout
+	}
+	watchdog := time.AfterFunc(timeout, func() { cancel(context.DeadlineExceeded) })
+	defer watchdog.Stop()
+	err := c.watch(ctx, baseURL, from, sink, func() { watchdog.Reset(timeout) })
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		return &extern.UpstreamError{Kind: extern.UpstreamTimeout, Err: err}
+	}
+	return err
+}
+
+// watch calls alive whenever bytes come.
+func (c *Client) watch(ctx context.Context, baseURL string, from extern.EnginePosition, sink extern.EngineSink, alive func()) error {
 	target := fmt.Sprintf("%s/v1/events?incarnation=%d&after=%d", baseURL, from.Incarnation, from.Sequence)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, http.NoBody)
 	if err != nil {
@@ -28,7 +48,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return statusFailure("", resp)
 	}
-	r := bufio.NewReader(resp.Body)
+	r := bufio.NewReader(&watchedReader{Reader: resp.Body, alive: alive})
 	for {
 		data, err := readEvent(r, maxEventBytes)
 		if err != nil {
@@ -40,6 +60,20 @@
 	}
 }
 
+// watchedReader calls alive whenever bytes come.
+type watchedReader struct {
+	io.Reader
+	alive func()
+}
+
+func (r *watchedReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if n > 0 {
+		r.alive()
+	}
+	return n, err
+}
+
 func deliver(data []byte, sink extern.EngineSink) error {
 	var e Event
 	if err := json.Unmarshal(data, &e); err != nil {
--- a/internal/transport/httpc/pool.go
+++ b/internal/transport/httpc/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"net/http"
@@ -17,6 +18,8 @@
 	DialTimeout time.Duration
 	// HeaderTimeout bounds the wait for the answer's header after the request was written; 0 is no bound.
 	HeaderTimeout time.Duration
+	// TLS is used for https addresses; nil trusts the system's certificates.
+	TLS *tls.Config
 	// IdlePerHost is the number of idle connections kept to one host; 0 is 256.
 	IdlePerHost int
 
@@ -70,6 +73,8 @@
 			}
 			return &conn{Conn: c}, nil
 		},
+		TLSClientConfig:        p.TLS,
+		TLSHandshakeTimeout:    orDefault(p.DialTimeout, defaultDialTimeout),
 		MaxIdleConns:           0,
 		MaxIdleConnsPerHost:    orDefault(p.IdlePerHost, defaultIdlePerHost),
 		IdleConnTimeout:        defaultIdleTimeout,
--- a/internal/transport/httpc/pool_test.go
+++ b/internal/transport/httpc/pool_test.go
@@ -2,14 +2,18 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -106,3 +110,38 @@
 	require.NoError(t, err)
 	require.False(t, used.seal())
 }
+
+func TestNotSentOverTLS(t *testing.T) {
+	var drop atomic.Bool
+	server := httptest.NewTLSServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		if drop.Load() {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	server.Config.ErrorLog = slog.NewLogLogger(slog.DiscardHandler, slog.LevelInfo)
+	roots := x509.NewCertPool()
+	roots.AddCert(server.Certificate())
+	p := &Pool{TLS: &tls.Config{RootCAs: roots}}
+	defer p.Close()
+	post := func(p *Pool) error {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL, strings.NewReader("x"))
+		require.NoError(t, err)
+		resp, err := p.Do(req)
+		if err == nil {
+			require.NoError(t, resp.Body.Close())
+		}
+		return err
+	}
+	require.NoError(t, post(p))
+	var send *SendError
+	stranger := &Pool{}
+	defer stranger.Close()
+	require.ErrorAs(t, post(stranger), &send, "the certificate is not trusted")
+	require.True(t, send.NotSent)
+	drop.Store(true)
+	require.ErrorAs(t, post(p), &send)
+	require.False(t, send.NotSent)
+	server.Close()
+	require.ErrorAs(t, post(p), &send)
+	require.True(t, send.NotSent)
+}
