--- a/internal/transport/engine/client.go
+++ b/internal/transport/engine/client.go
@@ -20,6 +20,9 @@
 	Credential func(baseURL string) string
 	// OrderTimeout bounds an order, which may include loading weights; 0 is two minutes.
 	OrderTimeout time.Duration
+	// WatchTimeout is the silence after which Watch gives up; 0 is 15 seconds. Engines report their load or send
+	// heartbeats more often.
+	WatchTimeout time.Duration
 	// Pool holds the connections.
 	Pool httpc.Pool
 }
@@ -28,7 +31,7 @@
 
 // Complete implements extern.Engine.
 func (c *Client) Complete(ctx context.Context, upstream ident.UpstreamID, baseURL string, req extern.EngineRequest) (extern.EngineStream, error) {
-	body, err := json.Marshal(requestOf(&req))
+	body, err := encodeRequest(&req)
 	if err != nil {
 		return nil, &extern.UpstreamError{Kind: extern.UpstreamRejected, Upstream: upstream, NotRun: true, Err: err}
 	}
@@ -83,7 +86,7 @@
 	c.authorise(req, baseURL)
 	resp, err := c.Pool.Do(req)
 	if err != nil {
-		return nil, sendFailure(upstream, err)
+		return nil, httpc.SendFailure(upstream, err)
 	}
 	if resp.StatusCode != http.StatusOK {
 		defer resp.Body.Close()
@@ -96,26 +99,7 @@
 	if c.Credential == nil {
 		return
 	}
-	if credential := c.Credential(baseURL); credential != "" {
-		req.Header.Set("Authorization", "Bearer "+credential)
-	}
+	httpc.Bearer(req.Header, c.Credential(baseURL))
 }
 
 var contentTypeJSON = []string{"application/json"}
-
-func requestOf(req *extern.EngineRequest) *Request {
-	return &Request{
-		Model:        string(req.Model),
-		Prompt:       string(req.Prompt),
-		MaxTokens:    req.MaxTokens,
-		Seed:         req.Seed,
-		Stream:       true,
-		RequestID:    req.Request,
-		CacheSalt:    string(req.Organisation),
-		Version:      req.Version,
-		Adapter:      req.Adapter,
-		Priority:     req.Priority,
-		ResumeFrom:   req.ResumeFrom,
-		ImportBlocks: req.ImportBlocks,
-	}
-}
