--- a/internal/coordination/route/attempt.go
+++ b/internal/coordination/route/attempt.go
@@ -18,10 +18,11 @@
 	work     health.Work
 	req      Request
 	decision Decision
-	queued   ident.Tokens
-	started  time.Time
-	ttft     time.Duration
-	done     bool
+	// queued are the tokens that the engine's last report called queued when the attempt was sent.
+	queued  ident.Tokens
+	started time.Time
+	ttft    time.Duration
+	done    bool
 }
 
 // Started notes that an attempt is about to be sent. The caller must end the attempt.
@@ -38,7 +39,8 @@
 	if d.ImportBlocks > 0 {
 		held = ident.Tokens(d.ImportBlocks) * req.BlockTokens
 	}
-	a.queued = a.upstream.Load(now, r.senders()).Queued
+	a.served(req.PromptTokens, now)
+	a.queued = a.upstream.ReportedQueue(now)
 	a.work = a.upstream.Begin(max(0, req.PromptTokens-held), now)
 	if a.upstream.Incarnation() == d.Incarnation {
 		r.Index.Expect(d.Upstream, req.Chain)
@@ -53,6 +55,9 @@
 	}
 	a.ttft = time.Since(a.started)
 	a.work.FirstToken()
+	missed := float64(a.req.PromptTokens - a.decision.ExpectedCachedTokens)
+	prefill := time.Duration(missed / a.upstream.PrefillRate() * float64(time.Second))
+	a.upstream.LearnQueue(a.queued, max(0, a.ttft-prefill))
 }
 
 // Finished notes that the answer is complete.
@@ -64,17 +69,17 @@
 	a.router.Health.Succeeded(a.upstream, now)
 	if a.decision.ImportBlocks == 0 {
 		computed := max(0, done.PromptTokens-done.CachedTokens)
-		a.upstream.LearnPrefill(a.queued+computed, a.ttft)
+		a.upstream.LearnPrefill(computed, a.ttft)
 		a.upstream.LearnTrust(a.decision.ExpectedCachedTokens, done.CachedTokens)
 	}
-	a.served(done.PromptTokens, done.OutputTokens, now)
+	a.served(OutputWeight*done.OutputTokens, now)
 	countFinished(a.decision, done)
 }
 
 // Cancelled notes that the caller has gone after so many output tokens.
 func (a *Attempt) Cancelled(output ident.Tokens) {
 	if a.end() {
-		a.served(a.req.PromptTokens, output, time.Now())
+		a.served(OutputWeight*output, time.Now())
 	}
 }
 
@@ -109,8 +114,8 @@
 	return true
 }
 
-func (a *Attempt) served(prompt, output ident.Tokens, now time.Time) {
+func (a *Attempt) served(tokens ident.Tokens, now time.Time) {
 	if f := a.router.Fair; f != nil {
-		f.Served(a.req.Scope.Organisation, a.req.Rate, prompt, output, now)
+		f.Served(a.req.Scope.Organisation, a.req.Rate, tokens, now)
 	}
 }
--- a/internal/coordination/route/collect.go
+++ b/internal/coordination/route/collect.go
@@ -55,6 +55,10 @@
 		return s.refusal
 	}
 	s.attach()
+	s.waiting = 0
+	for i := range s.candidates {
+		s.waiting += float64(s.candidates[i].load.Waiting) / float64(len(s.candidates))
+	}
 	return ""
 }
 
--- a/internal/coordination/route/cost.go
+++ b/internal/coordination/route/cost.go
@@ -23,7 +23,7 @@
 }
 
 // estimate works out the times and the cost of a candidate.
-func (r *Router) estimate(p Prefix, c *candidate, req *Request, stored int, weight float64) {
+func (r *Router) estimate(p Prefix, s *scratch, c *candidate, req *Request, stored int, weight float64) {
 	rate := c.upstream.PrefillRate()
 	held := float64(c.blocks) * float64(req.BlockTokens) * c.upstream.Trust()
 	c.wait = float64(c.load.Queued) / rate
@@ -31,7 +31,7 @@
 	if seconds, ok := r.importTime(c, req, stored, rate); ok && seconds < c.compute {
 		c.imports, c.compute = stored, seconds
 	}
-	c.cost = (c.wait + c.compute*(1+p.recomputeWeight())) / weight
+	c.cost = (c.wait + c.compute*(1+p.recomputeWeight()+s.waiting)) / weight
 	c.cost *= float64(1 + c.upstream.Failures())
 }
 
--- a/internal/coordination/route/fair.go
+++ b/internal/coordination/route/fair.go
@@ -1,7 +1,6 @@
 package route
 
 import (
-	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,115 +9,89 @@
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 )
 
-// Fair keeps a virtual token counter for each organisation: what it was served, as time of its own rate. Requests of
-// organisations that are ahead of the least served active one get a higher priority number, so that engines run
-// them later.
+// Fair keeps a virtual token counter for each organisation, which its requests fill and its rate drains. Requests of
+// an organisation that has used more than half of its burst get a higher priority number, so that engines run them
+// later; one within its rate waits for nobody's burst. Reads and updates take no lock.
 type Fair struct {
-	counters counters
-	base     time.Time
-	once     sync.Once
-	// floor is the use of the least served active organisation in nanoseconds, floorAt when it was worked out.
-	floor, floorAt atomic.Int64
+	once  sync.Once
+	base  time.Time
+	byOrg sync.Map // ident.OrganisationID to *counter
 }
 
 // counter is the use of one organisation.
 type counter struct {
-	// used is in nanoseconds of the organisation's rate.
-	used atomic.Int64
-	// seen is the time of the last request, in nanoseconds since base.
-	seen atomic.Int64
+	// drained is when its rate will have made up for its use, in nanoseconds since base.
+	drained atomic.Int64
+	// rate in tokens a second, as last seen; 0 is unknown.
+	rate atomic.Int64
 	// untold are tokens served here that no digest has carried.
 	untold atomic.Int64
-	rate   atomic.Int64
 }
 
-func (f *Fair) init() {
-	f.once.Do(func() {
-		f.base = time.Now().Add(-ActiveTime)
-	})
-}
-
-func (f *Fair) since(now time.Time) int64 { return int64(now.Sub(f.base)) }
-
 func (f *Fair) counter(org ident.OrganisationID) *counter {
-	f.init()
-	return f.counters.get(org)
-}
-
-// Served adds to the use of an organisation with the given rate; 0 counts as DefaultRate.
-func (f *Fair) Served(org ident.OrganisationID, rate ident.TokensPerSecond, prompt, output ident.Tokens, now time.Time) {
-	c := f.counter(org)
-	tokens := prompt + OutputWeight*output
-	c.rate.Store(int64(rate))
-	c.untold.Add(int64(tokens))
-	f.lift(c, f.since(now))
-	c.add(tokens)
+	f.once.Do(func() { f.base = time.Now() })
+	v, ok := f.byOrg.Load(org)
+	if !ok {
+		v, _ = f.byOrg.LoadOrStore(org, &counter{})
+	}
+	c, _ := v.(*counter)
+	return c
 }
 
-func (c *counter) add(tokens ident.Tokens) {
+// add counts tokens at the time t since base.
+func (c *counter) add(tokens ident.Tokens, t time.Duration) {
 	rate := c.rate.Load()
 	if rate <= 0 {
-		rate = int64(DefaultRate)
-	}
-	c.used.Add(int64(float64(tokens) / float64(rate) * float64(time.Second)))
-}
-
-// lift notes that the organisation is active. One that comes back from idleness has saved up nothing.
-func (f *Fair) lift(c *counter, t int64) {
-	seen := c.seen.Load()
-	c.seen.Store(t)
-	if seen != 0 && t-seen < int64(ActiveTime) {
 		return
 	}
-	floor := f.floor.Load()
+	cost := int64(float64(tokens) / float64(rate) * float64(time.Second))
 	for {
-		old := c.used.Load()
-		if old >= floor || c.used.CompareAndSwap(old, floor) {
+		old := c.drained.Load()
+		if c.drained.CompareAndSwap(old, max(old, int64(t))+cost) {
 			return
 		}
 	}
 }
 
-// Priority returns the priority of the organisation's next request, from 0 to MaxPriority; lower runs first.
-func (f *Fair) Priority(org ident.OrganisationID, now time.Time) int {
+// Served adds tokens to the use of an organisation with the given rate; 0 is no rate.
+func (f *Fair) Served(org ident.OrganisationID, rate ident.TokensPerSecond, tokens ident.Tokens, now time.Time) {
 	c := f.counter(org)
-	t := f.since(now)
-	f.lift(c, t)
-	f.refresh(t)
-	ahead := c.used.Load() - f.floor.Load()
-	return int(min(MaxPriority, max(0, ahead)/int64(PriorityQuantum)))
+	c.rate.Store(int64(rate))
+	c.untold.Add(int64(tokens))
+	c.add(tokens, now.Sub(f.base))
 }
 
-// refresh works out the floor anew when it is older than FloorTime.
-func (f *Fair) refresh(t int64) {
-	at := f.floorAt.Load()
-	if t-at < int64(FloorTime) || !f.floorAt.CompareAndSwap(at, t) {
-		return
+// Priority returns the priority of the next request of an organisation with the given rate and burst, from 0 to
+// MaxPriority; lower runs first. It is 0 up to half of the burst and rises evenly with the other half.
+func (f *Fair) Priority(org ident.OrganisationID, rate ident.TokensPerSecond, burst ident.Tokens, now time.Time) int {
+	if rate <= 0 {
+		return 0
 	}
-	floor := int64(math.MaxInt64)
-	f.counters.each(func(_ ident.OrganisationID, c *counter) {
-		if seen := c.seen.Load(); seen != 0 && t-seen < int64(ActiveTime) {
-			floor = min(floor, c.used.Load())
-		}
-	})
-	if floor != math.MaxInt64 {
-		f.floor.Store(floor)
+	half := time.Duration(float64(burst) / float64(rate) * float64(time.Second) / 2)
+	half = max(half, MinAllowance)
+	ahead := time.Duration(f.counter(org).drained.Load()) - now.Sub(f.base)
+	if ahead <= half {
+		return 0
 	}
+	return int(min(MaxPriority, 1+MaxPriority*(ahead-half)/half))
 }
 
 // Delta returns the tokens served to each organisation since the last call.
 func (f *Fair) Delta() []*wire.OrganisationDigest {
-	f.init()
 	var out []*wire.OrganisationDigest
-	f.counters.each(func(org ident.OrganisationID, c *counter) {
+	f.byOrg.Range(func(k, v any) bool {
+		org, _ := k.(ident.OrganisationID)
+		c, _ := v.(*counter)
 		if n := c.untold.Swap(0); n > 0 {
 			out = append(out, &wire.OrganisationDigest{OrganisationId: string(org), ServedTokens: n})
 		}
+		return true
 	})
 	return out
 }
 
 // Merge adds what another daemon has served an organisation.
 func (f *Fair) Merge(d *wire.OrganisationDigest) {
-	f.counter(ident.OrganisationID(d.GetOrganisationId())).add(ident.Tokens(d.GetServedTokens()))
+	c := f.counter(ident.OrganisationID(d.GetOrganisationId()))
+	c.add(ident.Tokens(d.GetServedTokens()), time.Since(f.base))
 }
--- a/internal/coordination/route/policy.go
+++ b/internal/coordination/route/policy.go
@@ -25,7 +25,8 @@
 // Prefix chooses the engine with the least estimated time to the first token, counting what its cache holds.
 type Prefix struct {
 	// RecomputeWeight is how much computing a missed token weighs more than waiting for as long, because it takes
-	// the time of others and room in the cache; 0 is DefaultRecomputeWeight.
+	// room in the cache and the time of later requests; the mean number of waiting requests comes on top.
+	// 0 is DefaultRecomputeWeight.
 	RecomputeWeight float64
 	// Slack is the part of the prompt's computation by which estimates may differ and count as equal;
 	// 0 is DefaultSlack.
--- a/internal/coordination/route/request.go
+++ b/internal/coordination/route/request.go
@@ -20,8 +20,10 @@
 	BlockTokens  ident.Tokens
 	PromptTokens ident.Tokens
 	MaxTokens    ident.Tokens
-	// Rate is the organisation's rate, by which its use is weighed; 0 counts as DefaultRate.
+	// Rate is the organisation's rate, by which its use is weighed; 0 is no rate.
 	Rate ident.TokensPerSecond
+	// Burst is the organisation's burst; a request runs later once half of it is used.
+	Burst ident.Tokens
 	// Tried are the upstreams of earlier attempts, which are avoided.
 	Tried []ident.UpstreamID
 	// Resume tells that the caller has a part of the answer, so that the attempt is not held to the retry budget.
--- a/internal/coordination/route/router.go
+++ b/internal/coordination/route/router.go
@@ -40,6 +40,8 @@
 type scratch struct {
 	candidates []candidate
 	matches    []prefix.Match
+	// waiting is the mean number of requests that wait at a candidate.
+	waiting float64
 	// best is the fitness of the candidates, refusal the reason if there are none.
 	best    fitness
 	refusal Refusal
@@ -106,11 +108,11 @@
 	if p, ok := r.Policy.(Prefix); ok {
 		for i := range s.candidates {
 			c := &s.candidates[i]
-			r.estimate(p, c, req, stored, c.upstream.Weight(now))
+			r.estimate(p, s, c, req, stored, c.upstream.Weight(now))
 		}
 	} else {
 		for i := range s.candidates {
-			r.estimate(Prefix{}, &s.candidates[i], req, 0, 1)
+			r.estimate(Prefix{}, s, &s.candidates[i], req, 0, 1)
 		}
 	}
 	i, reason := r.choose(r.Policy, s, req)
@@ -151,7 +153,7 @@
 		Reason:               reason,
 	}
 	if r.Fair != nil {
-		d.Priority = r.Fair.Priority(req.Scope.Organisation, now)
+		d.Priority = r.Fair.Priority(req.Scope.Organisation, req.Rate, req.Burst, now)
 	}
 	return d, nil
 }
--- a/internal/state/health/consts.go
+++ b/internal/state/health/consts.go
@@ -31,9 +31,14 @@
 	// windowSlices is the number of slices kept.
 	windowSlices = 64
 	// rateRise and rateFall weigh a sample above and below the learned prefill rate.
-	rateRise, rateFall = 0.3, 0.05
+	rateRise, rateFall = 0.5, 0.02
 	// rateFloor in tokens a second bounds the learned prefill rate from below.
 	rateFloor = 100
+	// queueWeight weighs a sample of the queue factor, queueFactorMin and queueFactorMax bound it.
+	queueWeight                    = 0.1
+	queueFactorMin, queueFactorMax = 0.02, 4
+	// queueSampleTokens is the shortest queue from which the factor is learned.
+	queueSampleTokens = 1000
 	// trustWeight weighs a sample of the part of expected blocks that an engine really held.
 	trustWeight = 0.1
 	// trustFloor bounds the learned trust from below.
--- a/internal/state/health/engine.go
+++ b/internal/state/health/engine.go
@@ -34,6 +34,7 @@
 	ejections    atomic.Int32
 	inFlight     atomic.Int64
 	prefillRate  atomicFloat
+	queueFactor  atomicFloat
 	trust        atomicFloat
 }
 
@@ -47,6 +48,7 @@
 	u := &Upstream{ID: cfg.ID, Hash: xxhash.Sum64String(string(cfg.ID)), base: base}
 	u.config.Store(cfg)
 	u.trust.store(1)
+	u.queueFactor.store(1)
 	return u
 }
 
@@ -124,6 +126,8 @@
 	Queued ident.Tokens
 	// Requests are running and waiting requests.
 	Requests int
+	// Waiting are the requests that the last report called waiting.
+	Waiting int
 	// Reported tells that a load report underlies the estimate.
 	Reported bool
 }
@@ -137,11 +141,12 @@
 		return Load{Queued: u.sent.all(), Requests: int(u.inFlight.Load())}
 	}
 	pending, begun := u.sent.after(r.asOf, t)
-	drained := ident.Tokens(u.PrefillRate() * (t - r.asOf).Seconds())
-	queued := max(0, r.QueuedTokens-drained) + ident.Tokens(float64(pending)*senders)
+	drained := u.PrefillRate() * (t - r.asOf).Seconds()
+	queued := ident.Tokens(max(0, float64(r.QueuedTokens)*u.QueueFactor()-drained) + float64(pending)*senders)
 	return Load{
 		Queued:   queued,
 		Requests: r.WaitingRequests + r.RunningRequests + int(float64(begun)*senders),
+		Waiting:  r.WaitingRequests,
 		Reported: true,
 	}
 }
@@ -185,7 +190,17 @@
 	return r.LoadReport, u.since(now) - r.asOf, true
 }
 
-// LearnPrefill takes in how long the engine took to compute tokens that its cache did not hold.
+// ReportedQueue returns the tokens that the last report called queued, less what was computed since.
+func (u *Upstream) ReportedQueue(now time.Time) ident.Tokens {
+	r, age, ok := u.LastReport(now)
+	if !ok || age > ReportStale {
+		return 0
+	}
+	return r.QueuedTokens
+}
+
+// LearnPrefill takes in the time to the first token of a request for which the engine computed so many tokens. As part
+// of the time may have been spent in the queue, the learned speed rises quickly and falls slowly.
 func (u *Upstream) LearnPrefill(computed ident.Tokens, d time.Duration) {
 	if computed <= 0 || d <= 0 {
 		return
@@ -203,6 +218,20 @@
 	})
 }
 
+// QueueFactor returns the learned part of the tokens reported as queued that the engine has to compute. The others turn
+// out to be cached.
+func (u *Upstream) QueueFactor() float64 { return u.queueFactor.load() }
+
+// LearnQueue takes in how long a request waited while so many tokens were reported as queued.
+func (u *Upstream) LearnQueue(reported ident.Tokens, wait time.Duration) {
+	if reported < queueSampleTokens {
+		return
+	}
+	sample := wait.Seconds() * u.PrefillRate() / float64(reported)
+	sample = min(queueFactorMax, max(queueFactorMin, sample))
+	u.queueFactor.update(func(old float64) float64 { return old + queueWeight*(sample-old) })
+}
+
 // Trust returns the learned part of the expected blocks that the engine really holds, from 0 to 1.
 func (u *Upstream) Trust() float64 { return u.trust.load() }
 
--- a/internal/state/prefix/table.go
+++ b/internal/state/prefix/table.go
@@ -87,8 +87,10 @@
 	for i := range t.reach(home) {
 		bucket := t.window(home, i)
 		for j := range bucket {
-			h, m, ok := bucket[j].load()
-			if ok && h == uint64(hash) && m.slot() == slot {
+			if bucket[j].hash.Load() != uint64(hash) {
+				continue
+			}
+			if m := meta(bucket[j].meta.Load()); m != 0 && m.slot() == slot {
 				return &bucket[j]
 			}
 		}
