--- a/internal/coordination/member/export_test.go
+++ b/internal/coordination/member/export_test.go
@@ -1,5 +1,7 @@
 package member
 
+import "context"
+
 // Break disables one rule, to show that the checks find its absence.
 func (f *Fleet) Break(rule Rule) {
 	switch rule {
@@ -29,3 +31,14 @@
 	RuleConfirmation    Rule = "confirmation"
 	RuleViews           Rule = "views"
 )
+
+// Boot does what Run does before the first heartbeat.
+func (f *Fleet) Boot(ctx context.Context) { f.start(ctx) }
+
+// BeatOnce sends a heartbeat to every witness and waits for the answers.
+func (f *Fleet) BeatOnce(ctx context.Context) {
+	for _, id := range f.targets() {
+		f.beatOne(ctx, id, nil)
+	}
+	f.Refresh()
+}
--- /dev/null
+++ b/internal/coordination/member/measure_test.go
@@ -0,0 +1,116 @@
+package member_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/gooseberryway/gooseberryway/internal/coordination/member"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/replay"
+	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
+	"github.com/gooseberryway/gooseberryway/internal/standin/fakes"
+	"github.com/gooseberryway/gooseberryway/internal/state/config"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
+
+var changes = flag.Int("changes", 10, "changes whose way into force is measured")
+
+// forceTarget is the stated bound for a change to be in force everywhere.
+const forceTarget = 11 * time.Second
+
+// TestChangesAreInForceEverywhereInTime logs the virtual time from the operator's answer on.
+func TestChangesAreInForceEverywhereInTime(t *testing.T) {
+	inBubble(t, 8, member.RuleNone, func(s *sim) {
+		var applied, inForce []time.Duration
+		for i := range *changes {
+			result, err := s.nodes[i%8].process.set(context.Background(), fmt.Sprint(i), i)
+			require.NoError(t, err)
+			accepted := time.Now()
+			s.eventually(forceTarget, "used everywhere", func() bool { return s.everywhere(result.Offset, appliedOffset) })
+			applied = append(applied, time.Since(accepted))
+			s.eventually(forceTarget-time.Since(accepted), "in force everywhere", func() bool {
+				return s.everywhere(result.Offset, inForceOffset)
+			})
+			inForce = append(inForce, time.Since(accepted))
+		}
+		t.Logf("accepted to used by all of 8: p50 %s p99 %s max %s", at(applied, 50), at(applied, 99), at(applied, 100))
+		t.Logf("accepted to known in force on all of 8: p50 %s p99 %s max %s", at(inForce, 50), at(inForce, 99), at(inForce, 100))
+	})
+}
+
+func appliedOffset(f *replay.Follower) ident.Offset { return f.State().Offset() }
+
+func inForceOffset(f *replay.Follower) ident.Offset { return f.InForce().Offset() }
+
+func (s *sim) everywhere(offset ident.Offset, at func(*replay.Follower) ident.Offset) bool {
+	for _, n := range s.nodes {
+		if at(n.process.follower) < offset {
+			return false
+		}
+	}
+	return true
+}
+
+func at(d []time.Duration, percent int) time.Duration {
+	slices.Sort(d)
+	return d[min(len(d)-1, len(d)*percent/100)]
+}
+
+// echo answers heartbeats at once from memory.
+type echo struct {
+	offset uint64
+}
+
+// Heartbeat implements member.Peers.
+func (e *echo) Heartbeat(_ context.Context, id ident.DaemonID, _ *wire.HeartbeatRequest) (*wire.HeartbeatResponse, error) {
+	return &wire.HeartbeatResponse{DaemonId: string(id), Incarnation: 1, AppliedOffset: e.offset}, nil
+}
+
+// BenchmarkHeartbeats measures one second of heartbeats of one daemon: to all its witnesses, and the answers to theirs.
+// With each heartbeat go the sizes of both messages, without the framing of HTTP/2.
+func BenchmarkHeartbeats(b *testing.B) {
+	for _, daemons := range []int{5, 8, 16} {
+		b.Run(fmt.Sprint(daemons), func(b *testing.B) {
+			log := &fakes.Log{}
+			client := &fakes.LogClient{Log: log}
+			follower := &replay.Follower{Log: client}
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			go func() { _ = follower.Run(ctx) }()
+			defer follower.Close()
+			writer := &replay.Writer{Log: client, Follower: follower}
+			for i := range daemons {
+				m := &config.Member{ID: ident.DaemonID(fmt.Sprint("daemon-", i)), Incarnation: 1, State: config.MemberJoined}
+				if _, err := writer.Write(ctx, config.NewRecord(replay.NewRecordID(), "o", 0, m)); err != nil {
+					b.Fatal(err)
+				}
+			}
+			fleet := &member.Fleet{
+				Self:     config.Member{ID: "daemon-0"},
+				Follower: follower,
+				Writer:   writer,
+				Peers:    &echo{offset: uint64(daemons)},
+			}
+			fleet.Boot(ctx)
+			req := &wire.HeartbeatRequest{Incarnation: 1764800000000, AppliedOffset: uint64(daemons)}
+			b.ReportAllocs()
+			for b.Loop() {
+				fleet.BeatOnce(ctx)
+				for i := 1; i < daemons; i++ {
+					req.DaemonId = fmt.Sprint("daemon-", i)
+					if _, err := fleet.HandleHeartbeat(req); err != nil {
+						b.Fatal(err)
+					}
+				}
+			}
+			resp, _ := fleet.HandleHeartbeat(req)
+			b.ReportMetric(float64((daemons-1)*2*(proto.Size(req)+proto.Size(resp))), "messageBytes/s")
+		})
+	}
+}
