--- a/internal/coordination/replay/replay_test.go
+++ b/internal/coordination/replay/replay_test.go
@@ -51,8 +51,8 @@
 	return m[id].follower.HandleSnapshot(), nil
 }
 
-func startDaemon(log *fakes.Log, id ident.DaemonID, peers mesh, seeds ...ident.DaemonID) *daemon {
-	d := newDaemon(log, id, peers, seeds...)
+func startDaemon(log *fakes.Log, id ident.DaemonID) *daemon {
+	d := newDaemon(log, id, nil)
 	d.start()
 	return d
 }
@@ -103,14 +103,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		log := &fakes.Log{Retain: 120}
 		defer log.Close()
-		a := startDaemon(log, "a", nil)
+		a := startDaemon(log, "a")
 		defer a.close()
 		for i := range 500 {
 			_, err := a.set(context.Background(), fmt.Sprint(i%100), i)
 			require.NoError(t, err)
 			time.Sleep(time.Second)
 		}
-		b := startDaemon(log, "b", nil)
+		b := startDaemon(log, "b")
 		defer b.close()
 		time.Sleep(2 * time.Second)
 		require.Equal(t, a.follower.State().Offset(), b.follower.State().Offset())
@@ -123,7 +123,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		log := &fakes.Log{Retain: 120}
 		defer log.Close()
-		a, b := startDaemon(log, "a", nil), startDaemon(log, "b", nil)
+		a, b := startDaemon(log, "a"), startDaemon(log, "b")
 		defer a.close()
 		defer b.close()
 		_, err := a.set(context.Background(), "first", 1)
@@ -166,7 +166,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		log := &fakes.Log{}
 		defer log.Close()
-		a := startDaemon(log, "a", nil)
+		a := startDaemon(log, "a")
 		defer a.close()
 		_, err := a.set(context.Background(), "a", 1)
 		require.NoError(t, err)
@@ -189,7 +189,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		log := &fakes.Log{}
 		defer log.Close()
-		a := startDaemon(log, "a", nil)
+		a := startDaemon(log, "a")
 		defer a.close()
 		b := newDaemon(log, "b", mesh{"a": a})
 		b.cut.Store(true)
@@ -228,7 +228,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		log := &fakes.Log{AppendsPerSecond: 20}
 		defer log.Close()
-		a := startDaemon(log, "a", nil)
+		a := startDaemon(log, "a")
 		defer a.close()
 		var wg sync.WaitGroup
 		for i := range 100 {
@@ -248,7 +248,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		log := &fakes.Log{}
 		defer log.Close()
-		a := startDaemon(log, "a", nil)
+		a := startDaemon(log, "a")
 		defer a.close()
 		setting := &config.Setting{Path: "/platform/settings/a", Value: "1"}
 		_, err := a.writer.Write(context.Background(), config.NewRecord("r1", "o", 0, setting))
@@ -268,7 +268,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		log := &fakes.Log{}
 		defer log.Close()
-		a := startDaemon(log, "a", nil)
+		a := startDaemon(log, "a")
 		defer a.close()
 		_, err := a.client.Append(context.Background(), extern.StreamControl, []byte{0xff, 0xff})
 		require.NoError(t, err)
