--- a/internal/coordination/member/force.go
+++ b/internal/coordination/member/force.go
@@ -39,6 +39,7 @@
 		if now.Sub(r.started) < t.graceTime() || !f.confirmed(r, state, history) {
 			continue
 		}
+		countInForce.Inc()
 		t.rounds = append([]round(nil), t.rounds[i+1:]...)
 		return r.offset
 	}
--- a/internal/coordination/member/heartbeat.go
+++ b/internal/coordination/member/heartbeat.go
@@ -88,10 +88,12 @@
 		klog.InfoS("Heartbeat was answered by another daemon", "asked", id, "answered", resp.GetDaemonId())
 		err = &SupersededError{Daemon: id}
 	}
+	countHeartbeats.Inc()
 	f.mu.Lock()
 	p := f.peer(id)
 	p.inFlight = false
 	if err != nil {
+		countHeartbeatsMissed.Inc()
 		p.misses++
 		f.mu.Unlock()
 		return
--- a/internal/coordination/member/measure_test.go
+++ b/internal/coordination/member/measure_test.go
@@ -114,3 +114,34 @@
 		})
 	}
 }
+
+// restartTarget is the stated bound for a restarted daemon to be warm.
+const restartTarget = time.Second
+
+// TestARestartedDaemonIsWarmAtOnce logs the virtual time from the start to the first serving lease.
+func TestARestartedDaemonIsWarmAtOnce(t *testing.T) {
+	for name, logUp := range map[string]bool{"log up": true, "log down": false} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, 8, member.RuleNone, func(s *sim) {
+				if !logUp {
+					s.logOnly()
+				}
+				s.run(5 * time.Second)
+				var warm []time.Duration
+				for i := range *changes {
+					n := s.nodes[i%8]
+					before := n.process.follower.InForce().Offset()
+					n.crash()
+					s.run(time.Second)
+					started := time.Now()
+					n.start()
+					s.eventually(restartTarget, "serves", func() bool { return n.process.holder.Valid() })
+					warm = append(warm, time.Since(started))
+					require.GreaterOrEqual(t, n.process.follower.State().Offset(), before)
+					s.run(time.Second)
+				}
+				t.Logf("start to serving lease, %s: p50 %s p99 %s max %s", name, at(warm, 50), at(warm, 99), at(warm, 100))
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/coordination/member/metrics.go
@@ -0,0 +1,11 @@
+package member
+
+import "github.com/VictoriaMetrics/metrics"
+
+// Counters of all fleets of the process.
+var (
+	countHeartbeats       = metrics.GetOrCreateCounter("gooseberrywayHeartbeats")
+	countHeartbeatsMissed = metrics.GetOrCreateCounter("gooseberrywayHeartbeatsMissed")
+	countRemovals         = metrics.GetOrCreateCounter("gooseberrywayDaemonsRemoved")
+	countInForce          = metrics.GetOrCreateCounter("gooseberrywayRoundsInForce")
+)
--- a/internal/coordination/member/record.go
+++ b/internal/coordination/member/record.go
@@ -37,6 +37,7 @@
 		return f.write(ctx, rec)
 	}
 	if rec, needed := f.removal(); needed {
+		countRemovals.Inc()
 		klog.InfoS("Removing a daemon that does not answer", "daemon", rec.ID, "incarnation", rec.Incarnation)
 		return f.write(ctx, rec)
 	}
--- a/internal/coordination/replay/checkpoint.go
+++ b/internal/coordination/replay/checkpoint.go
@@ -129,6 +129,7 @@
 		Entity:        &wire.Record_CheckpointMark{CheckpointMark: mark.Wire()},
 	})
 	if err == nil {
+		countCheckpoints.Inc()
 		klog.InfoS("Wrote a checkpoint", "asOf", mark.AsOf, "chunks", mark.Count)
 	}
 	return err
--- a/internal/coordination/replay/relay.go
+++ b/internal/coordination/replay/relay.go
@@ -46,6 +46,7 @@
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	from := f.State().Offset() + 1
+	countRelays.Inc()
 	resp, err := f.Peers.Relay(ctx, daemon, &wire.RelayRequest{FromOffset: uint64(from), MaxEntries: relayLimit})
 	if err != nil {
 		return err
@@ -87,6 +88,7 @@
 	if !f.store.reset(base) {
 		return &RelayError{Daemon: daemon, Reason: "its snapshot is not newer"}
 	}
+	countSnapshots.Inc()
 	f.notify()
 	return nil
 }
--- a/internal/coordination/replay/store.go
+++ b/internal/coordination/replay/store.go
@@ -53,6 +53,7 @@
 		current = s.applyRun(current, entries[:n])
 		entries = entries[n:]
 	}
+	countRecords.Add(int(current.Offset() - s.applied.Load().Offset()))
 	s.trimWindow()
 	s.publish(current)
 	s.adopt(current.KnownInForce())
@@ -163,6 +164,7 @@
 		"offset %d in force after offset %d", next.Offset(), before.Offset())
 	s.history = slices.Clone(s.history[i:])
 	s.inForce.Store(next)
+	s.trimWindow()
 	return next
 }
 
--- a/internal/coordination/replay/tail.go
+++ b/internal/coordination/replay/tail.go
@@ -21,6 +21,7 @@
 		err := f.readTail(ctx)
 		if err != nil && ctx.Err() == nil {
 			failures++
+			countReadFailures.Inc()
 			logReadFailure(failures, err)
 		}
 		if err == nil {
--- a/internal/coordination/replay/writer.go
+++ b/internal/coordination/replay/writer.go
@@ -142,10 +142,12 @@
 		cancel()
 	})
 	offset, err := a.writer.Log.Append(ctx, extern.StreamControl, a.payload)
+	countAppends.Inc()
 	if err == nil {
 		a.offset, a.maybe = offset, true
 		return
 	}
+	countAppendsFailed.Inc()
 	a.last = err
 	var logErr *extern.LogError
 	if !errors.As(err, &logErr) || logErr.Kind != extern.LogRefused {
--- a/internal/state/config/replay_test.go
+++ b/internal/state/config/replay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -231,6 +232,24 @@
 	b.ReportMetric(float64(len(entries))*float64(b.N)/b.Elapsed().Seconds(), "records/s")
 }
 
+// BenchmarkHeap measures the memory that a state keeps.
+func BenchmarkHeap(b *testing.B) {
+	entries := fleetEntries(benchOrganisations, benchKeys)
+	for b.Loop() {
+		before := heapBytes()
+		s, _ := NewState().ApplyAll(entries)
+		b.ReportMetric(float64(heapBytes()-before), "stateBytes")
+		runtime.KeepAlive(s)
+	}
+}
+
+func heapBytes() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
 func BenchmarkCheckpoint(b *testing.B) {
 	s, _ := NewState().ApplyAll(fleetEntries(benchOrganisations, benchKeys))
 	chunks := s.EncodeCheckpoint("c")
