Report in the program when a daemon served behind what was in force

Cause: the main promise of the agreement was checked by tests only. Change: a record names an offset in force; a daemon that holds the lease and had not applied that offset reports configMonotonic. A newcomer without the log is tested as a guest; silent daemons outside the fleet are forgotten.

--- a/internal/coordination/member/consts.go
+++ b/internal/coordination/member/consts.go
@@ -28,6 +28,9 @@
 	// removeTurn is the number of further misses that each next daemon in the order waits before it removes another.
 	removeTurn = 3
 
+	// forgetAfter is how long a daemon that takes no part is remembered.
+	forgetAfter = 10 * time.Minute
+
 	vmListInterval = 10 * time.Second
 	vmListMaxAge   = time.Minute
 
--- a/internal/coordination/member/fleet_test.go
+++ b/internal/coordination/member/fleet_test.go
@@ -9,11 +9,15 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/gooseberryway/gooseberryway/internal/coordination/member"
+	"github.com/gooseberryway/gooseberryway/internal/state/guard"
 )
 
 // inBubble runs a scenario on a fleet that has booted.
 func inBubble(t *testing.T, daemons int, rule member.Rule, scenario func(s *sim)) {
 	t.Helper()
+	if rule != member.RuleNone {
+		defer guard.Capture(func(*guard.ViolationError) {})()
+	}
 	synctest.Test(t, func(t *testing.T) {
 		s := newSim(t, daemons, 1, rule)
 		defer s.close()
--- a/internal/coordination/member/heartbeat.go
+++ b/internal/coordination/member/heartbeat.go
@@ -57,6 +57,7 @@
 			due[id] = id != f.Self.ID
 		}
 	}
+	f.forget(due)
 	var targets []ident.DaemonID
 	for id, wanted := range due {
 		p := f.peer(id)
@@ -68,6 +69,15 @@
 	return targets
 }
 
+// forget drops daemons that are in no view and silent.
+func (f *Fleet) forget(due map[ident.DaemonID]bool) {
+	for id, p := range f.peers {
+		if !due[id] && !p.inFlight && time.Since(p.heard) > forgetAfter {
+			delete(f.peers, id)
+		}
+	}
+}
+
 // peer is called with mu held.
 func (f *Fleet) peer(id ident.DaemonID) *peer {
 	p := f.peers[id]
--- a/internal/coordination/member/outage_test.go
+++ b/internal/coordination/member/outage_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/gooseberryway/gooseberryway/internal/coordination/replay"
 	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
 	"github.com/gooseberryway/gooseberryway/internal/state/config"
+	"github.com/gooseberryway/gooseberryway/internal/state/guard"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 )
 
@@ -270,6 +272,47 @@
 	})
 }
 
+func TestANewcomerWithoutTheLogServesAsAGuest(t *testing.T) {
+	inBubble(t, 5, member.RuleNone, func(s *sim) {
+		s.logOnly()
+		s.run(5 * time.Second)
+		guest := s.add()
+		s.logOnly()
+		guest.start()
+		s.eventually(2*time.Second, "the guest serves", func() bool { return guest.process.holder.Valid() })
+		require.Empty(t, guest.process.fleet.View().State)
+		require.Len(t, guest.process.fleet.View().Members, 5)
+		s.requireServing(time.Minute, s.all()...)
+		s.logOnly(s.all()...)
+		s.eventually(20*time.Second, "it has joined", func() bool {
+			return guest.process.fleet.View().State == config.MemberJoined && s.settled()
+		})
+	})
+}
+
+// TestServingBehindWhatIsInForceIsReported breaks the rules and looks for the report of the invariant.
+func TestServingBehindWhatIsInForceIsReported(t *testing.T) {
+	var reports atomic.Int64
+	synctest.Test(t, func(t *testing.T) {
+		defer guard.Capture(func(v *guard.ViolationError) {
+			if v.Invariant == guard.ConfigMonotonic {
+				reports.Add(1)
+			}
+		})()
+		s := newSim(t, 5, 1, member.RuleAcknowledgement)
+		defer s.close()
+		s.boot()
+		acknowledgementScenario(s)
+		time.Sleep(5 * time.Second)
+		s.set(0, "a", 2)
+		time.Sleep(2 * time.Second)
+		require.Zero(t, reports.Load())
+		s.logOnly(s.all()...)
+		time.Sleep(5 * time.Second)
+	})
+	require.NotZero(t, reports.Load())
+}
+
 func TestAFleetWithoutMembersDoesNotServe(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSim(t, 3, 1, member.RuleNone)
--- a/internal/coordination/member/random_test.go
+++ b/internal/coordination/member/random_test.go
@@ -12,6 +12,7 @@
 	"github.com/gooseberryway/gooseberryway/internal/coordination/member"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/replay"
 	"github.com/gooseberryway/gooseberryway/internal/state/config"
+	"github.com/gooseberryway/gooseberryway/internal/state/guard"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 )
 
@@ -173,6 +174,9 @@
 
 func playScript(t *testing.T, rule member.Rule, seed uint64, script []step) (violation string) {
 	t.Helper()
+	if rule != member.RuleNone {
+		defer guard.Capture(func(*guard.ViolationError) {})()
+	}
 	synctest.Test(t, func(t *testing.T) {
 		s := newSim(t, 5, seed, rule)
 		defer s.close()
--- a/internal/coordination/member/sim_test.go
+++ b/internal/coordination/member/sim_test.go
@@ -172,6 +172,7 @@
 	p.checkpoint = &replay.Checkpointer{Self: n.id, Log: client, Follower: p.follower, Writer: p.writer}
 	p.follower.Changed = p.fleet.Refresh
 	p.follower.Urgent = p.holder.NeedsLog
+	p.follower.Serving = p.holder.Valid
 	p.fleet.Changed = p.holder.Renew
 	p.wg.Go(func() { _ = p.follower.Run(ctx) })
 	p.wg.Go(func() { _ = p.fleet.Run(ctx) })
--- a/internal/coordination/replay/follower.go
+++ b/internal/coordination/replay/follower.go
@@ -11,6 +11,7 @@
 	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
 	"github.com/gooseberryway/gooseberryway/internal/state/config"
 	"github.com/gooseberryway/gooseberryway/internal/state/extern"
+	"github.com/gooseberryway/gooseberryway/internal/state/guard"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/state/scope"
 )
@@ -31,6 +32,8 @@
 	Seeds func() []ident.DaemonID
 	// Changed is called after every new state and every read that reached the tail, without locks held; nil for none.
 	Changed func()
+	// Serving reports whether this daemon holds the serving lease; it is for checking invariants only, nil for no check.
+	Serving func() bool
 	// Urgent reports whether reads of the tail must keep the lease alive; nil for never.
 	Urgent func() bool
 	// PollInterval is the shortest time between reads of the tail; 0 is 400 ms.
@@ -189,6 +192,18 @@
 	}
 }
 
+// apply applies entries that follow and reports whether any was new. A record that names an offset as being in force,
+// which this daemon had not applied while it served, shows that the rules of the lease were broken.
+func (f *Follower) apply(entries []*wire.LogEntry) bool {
+	serving := f.Serving != nil && f.Serving()
+	before := f.State().Offset()
+	applied := f.store.append(entries)
+	known := f.State().KnownInForce()
+	guard.Check(!serving || known <= before, guard.ConfigMonotonic,
+		"served at offset %d while %d was in force", before, known)
+	return applied
+}
+
 func (f *Follower) notify() {
 	if f.Changed != nil {
 		f.Changed()
--- a/internal/coordination/replay/relay.go
+++ b/internal/coordination/replay/relay.go
@@ -57,7 +57,7 @@
 	if !inOrder(resp.GetEntries(), from) {
 		return &RelayError{Daemon: daemon, Reason: "the records are not in order"}
 	}
-	if !f.store.append(resp.GetEntries()) && f.State().Offset() < from {
+	if !f.apply(resp.GetEntries()) && f.State().Offset() < from {
 		return &RelayError{Daemon: daemon, Reason: "no newer records"}
 	}
 	f.notify()
--- a/internal/coordination/replay/tail.go
+++ b/internal/coordination/replay/tail.go
@@ -96,7 +96,7 @@
 	if err != nil {
 		return false, err
 	}
-	applied := f.store.append(decodeEntries(batch.Entries))
+	applied := f.apply(decodeEntries(batch.Entries))
 	reached = f.State().Offset() >= batch.Tail
 	if !reached && !applied && len(batch.Entries) == 0 {
 		return false, &extern.LogError{Kind: extern.LogRefused, Stream: extern.StreamControl}
