--- a/internal/coordination/member/random_test.go
+++ b/internal/coordination/member/random_test.go
@@ -191,6 +191,11 @@
 		s.buryGone()
 		if !s.within(time.Minute, s.settled) {
 			violation = "no liveness after the faults:" + s.describe()
+			return
+		}
+		s.logOnly()
+		if violation = s.run(10 * time.Second); violation == "" && len(s.serving()) < len(s.present()) {
+			violation = "not all serve with the log down:" + s.describe()
 		}
 	})
 	return violation
