Run the whole path: locate, key, limit, claim, route, stream

Cause: the parts of the system had not met in one process. Found on the way: the fleet's Changed callback called Refresh, which calls Changed: the start hung. Only the follower's callback refreshes now.

--- a/internal/coordination/serve/auth.go
+++ b/internal/coordination/serve/auth.go
@@ -52,15 +52,14 @@
 }
 
 // checkDispatch asserts that a request runs for the organisation of its key and that the key is in use.
-func checkDispatch(st *config.State, cred Credentials, caller Caller, route *config.Route) bool {
+func checkDispatch(st *config.State, cred Credentials, caller Caller, route *config.Route) {
 	if !cred.Present {
-		return guard.Check(route.Open && caller.Organisation == "", guard.OrganisationIsolated,
+		guard.Check(route.Open && caller.Organisation == "", guard.OrganisationIsolated,
 			"route %s took a request without a key", route.ID)
+		return
 	}
 	key, ok := st.KeyByDigest(cred.Digest)
-	if !guard.Check(ok && key.Organisation == caller.Organisation, guard.OrganisationIsolated,
-		"a request on route %s runs for organisation %s, not for that of its key", route.ID, caller.Organisation) {
-		return false
-	}
-	return guard.Check(!key.Withdrawn, guard.KeyWithdrawn, "key %s was withdrawn before dispatch", key.ID)
+	guard.Check(ok && key.Organisation == caller.Organisation, guard.OrganisationIsolated,
+		"a request on route %s runs for organisation %s, not for that of its key", route.ID, caller.Organisation)
+	guard.Check(ok && !key.Withdrawn, guard.KeyWithdrawn, "a key was withdrawn before dispatch on route %s", route.ID)
 }
--- a/internal/program/daemon/consts.go
+++ b/internal/program/daemon/consts.go
@@ -15,6 +15,6 @@
 	leaveTimeout = 5 * time.Second
 	// drainPoll is how often a leaving daemon looks whether its requests have ended.
 	drainPoll = 20 * time.Millisecond
-	// digestHotBlocks bounds the blocks in one digest.
-	digestHotBlocks = 64
+	// seedTimeout bounds the reading of the VM list at the start.
+	seedTimeout = 2 * time.Second
 )
--- a/internal/program/daemon/daemon.go
+++ b/internal/program/daemon/daemon.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -52,6 +53,23 @@
 	}
 }
 
+// Settled returns nil once, beyond Ready, the newest configuration that the daemon knows is in force.
+func (d *Daemon) Settled() error {
+	if err := d.Ready(); err != nil {
+		return err
+	}
+	return d.parts.settled()
+}
+
+// UnsettledError says that the newest configuration is not in force yet.
+type UnsettledError struct {
+	Applied, InForce ident.Offset
+}
+
+func (e *UnsettledError) Error() string {
+	return fmt.Sprintf("offset %d is applied, %d is in force", e.Applied, e.InForce)
+}
+
 // StartingError says that a daemon has not loaded a snapshot yet.
 type StartingError struct{}
 
--- a/internal/program/daemon/parts.go
+++ b/internal/program/daemon/parts.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/gooseberryway/gooseberryway/internal/coordination/claim"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/lease"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/member"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/quota"
@@ -23,7 +24,9 @@
 	"github.com/gooseberryway/gooseberryway/internal/transport/engine"
 	"github.com/gooseberryway/gooseberryway/internal/transport/logsvc"
 	"github.com/gooseberryway/gooseberryway/internal/transport/peer"
+	"github.com/gooseberryway/gooseberryway/internal/transport/plain"
 	"github.com/gooseberryway/gooseberryway/internal/transport/secure"
+	"github.com/gooseberryway/gooseberryway/internal/transport/vmlist"
 )
 
 // parts are the components of a daemon.
@@ -32,6 +35,7 @@
 
 	log    extern.Log
 	engine *engine.Client
+	plain  *plain.Client
 	calls  *peer.Client
 
 	follower     *replay.Follower
@@ -39,7 +43,10 @@
 	checkpointer *replay.Checkpointer
 	fleet        *member.Fleet
 	lease        *lease.Holder
+	directory    *directory
 	limiter      *quota.Limiter
+	claimer      *claim.Claimer
+	owners       ownerships
 	router       *route.Router
 	watchers     *watchers
 	service      *serve.Service
@@ -48,9 +55,10 @@
 	peers   *peer.Server
 	admin   *admin.Server
 
-	life     context.Context
-	changing sync.Mutex
-	seen     seen
+	life       context.Context
+	background *sync.WaitGroup
+	changing   sync.Mutex
+	seen       seen
 }
 
 // seen is the last configuration that the parts have been told of.
@@ -82,6 +90,12 @@
 func (p *parts) buildTransports() (*credentials, error) {
 	p.log = &logsvc.Client{BaseURL: p.settings.LogService.URL, Timeout: p.settings.LogService.Timeout()}
 	p.engine = &engine.Client{Credential: func(string) string { return p.settings.UpstreamCredential }}
+	p.plain = &plain.Client{Credential: func(string) string { return p.settings.UpstreamCredential }}
+	p.directory = &directory{
+		vms:    &vmlist.Client{BaseURL: p.settings.VMList.URL, Timeout: p.settings.VMList.Timeout()},
+		self:   p.settings.DaemonID,
+		domain: p.settings.FailureDomain,
+	}
 	c := &credentials{}
 	for _, listener := range []struct {
 		files  setup.Certificate
@@ -106,15 +120,14 @@
 
 // resolve returns the peer address of a daemon.
 func (p *parts) resolve(id ident.DaemonID) (string, bool) {
-	m, ok := p.follower.State().Member(id)
-	if !ok {
-		return "", false
+	if m, ok := p.follower.State().Member(id); ok {
+		return m.PeerAddress, true
 	}
-	return m.PeerAddress, true
+	return p.directory.address(id)
 }
 
 func (p *parts) buildAgreement(advertised setup.Addresses) {
-	p.follower = &replay.Follower{Log: p.log, Peers: snapshots{p.calls}, Changed: p.changed}
+	p.follower = &replay.Follower{Log: p.log, Peers: snapshots{p.calls}, Seeds: p.directory.seeds, Changed: func() { p.fleet.Refresh() }}
 	p.writer = &replay.Writer{Log: p.log, Follower: p.follower}
 	p.checkpointer = &replay.Checkpointer{Self: p.settings.DaemonID, Log: p.log, Follower: p.follower, Writer: p.writer}
 	p.fleet = &member.Fleet{
@@ -128,6 +141,7 @@
 		Follower: p.follower,
 		Writer:   p.writer,
 		Peers:    p.calls,
+		VMs:      p.directory,
 		Changed:  p.changed,
 	}
 	p.lease = &lease.Holder{Follower: p.follower, Fleet: p.fleet}
@@ -138,6 +152,13 @@
 		Serving: p.lease.Valid,
 		MaxWait: milliseconds(p.settings.Limits.AdmitWaitMs),
 	}
+	p.claimer = &claim.Claimer{
+		Self:    p.settings.DaemonID,
+		Log:     p.log,
+		Peers:   p.calls,
+		Owner:   p.owners.of,
+		Serving: p.lease.Valid,
+	}
 }
 
 func (p *parts) buildRouting() error {
@@ -162,7 +183,7 @@
 		State:          p.follower.State,
 		Lease:          p.lease,
 		Limits:         limits{p.limiter},
-		Claims:         claims{},
+		Claims:         claims{p.claimer},
 		Versions:       versions{state: p.follower.State},
 		Runner:         runner{relay: &relay.Relay{Engine: p.engine, Picker: picks}},
 		Ready:          p.follower.Warm,
@@ -174,12 +195,10 @@
 
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
-// changed tells the parts of a new configuration or a new view of the fleet, in this order: what takes something away
-// holds before the lease can be renewed.
+// changed tells the parts of a new view of the fleet: what takes something away holds before the lease can be renewed.
 func (p *parts) changed() {
 	p.changing.Lock()
 	defer p.changing.Unlock()
-	p.fleet.Refresh()
 	view := p.fleet.View()
 	if view == nil {
 		return
@@ -195,15 +214,18 @@
 func (p *parts) configure(view *member.View) {
 	if p.seen.applied == nil {
 		p.limiter.Incarnation = view.Incarnation
+		p.claimer.Incarnation = view.Incarnation
+		p.background.Go(func() { p.claimer.Run(p.life) })
 	}
 	p.limiter.Observe(quotaView(p.follower.History()))
+	p.owners.update(view.Applied, view.InForce)
 	p.router.Update(view.Applied.Upstreams())
 	p.watchers.update(p.life, view.Applied.Upstreams())
 }
 
 // start runs all parts in the background until ctx ends.
 func (p *parts) start(ctx context.Context, wg *sync.WaitGroup) {
-	p.life = ctx
+	p.life, p.background = ctx, wg
 	wg.Go(func() { _ = p.follower.Run(ctx) })
 	wg.Go(func() { _ = p.fleet.Run(ctx) })
 	wg.Go(func() { _ = p.checkpointer.Run(ctx) })
@@ -228,6 +250,7 @@
 
 // close waits for the parts, whose context has ended.
 func (p *parts) close() {
+	p.claimer.Close()
 	p.limiter.Close()
 	p.checkpointer.Close()
 	p.fleet.Close()
@@ -235,6 +258,19 @@
 	p.watchers.wait()
 	p.calls.Close()
 	_ = p.engine.Close()
+	_ = p.plain.Close()
+}
+
+// settled returns nil once the newest configuration is in force.
+func (p *parts) settled() error {
+	if err := p.ready(); err != nil {
+		return err
+	}
+	view := p.fleet.View()
+	if view.State != config.MemberJoined || view.InForce.Offset() < view.Applied.Offset() {
+		return &UnsettledError{Applied: view.Applied.Offset(), InForce: view.InForce.Offset()}
+	}
+	return nil
 }
 
 // ready returns nil if the daemon may serve callers.
--- a/internal/program/daemon/servers.go
+++ b/internal/program/daemon/servers.go
@@ -13,6 +13,7 @@
 	"github.com/gooseberryway/gooseberryway/internal/transport/admin"
 	"github.com/gooseberryway/gooseberryway/internal/transport/caller"
 	"github.com/gooseberryway/gooseberryway/internal/transport/peer"
+	"github.com/gooseberryway/gooseberryway/internal/transport/plain"
 )
 
 func (p *parts) buildServers(c *credentials) {
@@ -21,9 +22,13 @@
 		p.peers.TLS = c.peers.Server(true)
 	}
 	p.callers = &caller.Server{
-		Daemon:        p.settings.DaemonID,
-		Service:       p.service,
-		Locate:        p.locate,
+		Daemon:  p.settings.DaemonID,
+		Service: p.service,
+		Locate:  p.locate,
+		Plain: caller.Plain{
+			Client: p.plain,
+			Picker: func(r *config.Route) plain.Picker { return &plainPicker{health: p.router.Health, route: r} },
+		},
 		BodyBytes:     p.settings.Limits.BodyBytes,
 		HeaderTimeout: milliseconds(p.settings.Limits.HeaderTimeoutMs),
 		BodyTimeout:   milliseconds(p.settings.Limits.BodyTimeoutMs),
@@ -72,6 +77,15 @@
 		Grant: func(ctx context.Context, r *wire.GrantRequest) (*wire.GrantResponse, error) {
 			return p.limiter.HandleGrant(ctx, r), nil
 		},
+		Claim: func(ctx context.Context, r *wire.ClaimRequest) (*wire.ClaimResponse, error) {
+			return p.claimer.HandleClaim(ctx, r), nil
+		},
+		Finish: func(ctx context.Context, r *wire.FinishRequest) (*wire.FinishResponse, error) {
+			return p.claimer.HandleFinish(ctx, r), nil
+		},
+		Backup: func(ctx context.Context, r *wire.BackupRequest) (*wire.BackupResponse, error) {
+			return p.claimer.HandleBackup(ctx, r), nil
+		},
 	}
 }
 
--- a/internal/program/local/system.go
+++ b/internal/program/local/system.go
@@ -14,7 +14,9 @@
 	"github.com/gooseberryway/gooseberryway/internal/program/setup"
 	"github.com/gooseberryway/gooseberryway/internal/standin/engine"
 	"github.com/gooseberryway/gooseberryway/internal/standin/logsvc"
+	"github.com/gooseberryway/gooseberryway/internal/standin/vmlist"
 	"github.com/gooseberryway/gooseberryway/internal/state/config"
+	"github.com/gooseberryway/gooseberryway/internal/state/extern"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 )
 
@@ -36,17 +38,18 @@
 
 	// Log is the stand-in of the log service.
 	Log *logsvc.Service
+	// VMs is the stand-in of the VM list.
+	VMs *vmlist.List
 	// Keys holds a key of each organisation, OperatorKey that of an operator with all rights.
 	Keys        map[ident.OrganisationID]string
 	OperatorKey string
 
-	engines     []*engine.Engine
-	token       string
-	life        context.Context
-	end         context.CancelFunc
-	mu          sync.Mutex
-	running     []*process
-	incarnation int
+	engines []*engine.Engine
+	token   string
+	life    context.Context
+	end     context.CancelFunc
+	mu      sync.Mutex
+	running []*process
 }
 
 // process is one daemon and its end.
@@ -70,7 +73,7 @@
 
 func (e *NotReadyError) Unwrap() error { return e.Err }
 
-// Start starts everything and returns when all daemons serve.
+// Start starts everything and returns when all daemons serve and the configuration is in force.
 func (s *System) Start(ctx context.Context) error {
 	s.life, s.end = context.WithCancel(context.WithoutCancel(ctx))
 	s.token = randomHex(sharedTokenBytes)
@@ -81,6 +84,12 @@
 	if err := s.Log.Start(s.life); err != nil {
 		return err
 	}
+	if s.VMs == nil {
+		s.VMs = &vmlist.List{}
+	}
+	if err := s.VMs.Start(s.life); err != nil {
+		return err
+	}
 	if err := s.startEngines(); err != nil {
 		return err
 	}
@@ -129,6 +138,7 @@
 	settings.Listen = setup.Addresses{Callers: loopback, Peers: loopback, Admin: loopback}
 	settings.Advertise = settings.Listen
 	settings.LogService = setup.Service{URL: s.Log.URL(), TimeoutMs: callTimeoutMs}
+	settings.VMList = setup.Service{URL: s.VMs.URL(), TimeoutMs: callTimeoutMs}
 	settings.SharedToken = s.token
 	digest := ident.DigestOf(s.OperatorKey)
 	settings.BootstrapOperator = &setup.BootstrapOperator{ID: "root", KeyDigestSHA256: hex.EncodeToString(digest[:])}
@@ -140,6 +150,10 @@
 	s.mu.Lock()
 	s.running[i] = p
 	s.mu.Unlock()
+	go func() {
+		<-p.daemon.Listening()
+		s.VMs.Put(extern.VM{Daemon: settings.DaemonID, PeerAddress: p.daemon.Addresses().Peers, FailureDomain: settings.FailureDomain})
+	}()
 	go func() {
 		defer close(p.done)
 		p.err = p.daemon.Run(ctx)
@@ -194,7 +208,7 @@
 	return addresses
 }
 
-// WaitReady returns when all daemons serve. The error is a *NotReadyError.
+// WaitReady returns when all daemons serve and the newest configuration is in force. The error is a *NotReadyError.
 func (s *System) WaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
@@ -211,7 +225,7 @@
 	defer ticker.Stop()
 	for {
 		p := s.process(i)
-		err := p.daemon.Ready()
+		err := p.daemon.Settled()
 		if err == nil {
 			return nil
 		}
@@ -238,6 +252,9 @@
 	if s.Log != nil {
 		_ = s.Log.Close()
 	}
+	if s.VMs != nil {
+		_ = s.VMs.Close()
+	}
 	if s.end != nil {
 		s.end()
 	}
--- a/internal/transport/caller/consts.go
+++ b/internal/transport/caller/consts.go
@@ -27,6 +27,8 @@
 	maxIdempotencyKeyBytes = 255
 	// maxCallerTimeout bounds the time that a caller can ask for.
 	maxCallerTimeout = time.Hour
+	// keptBodyBytes bounds an answer of a plain service that is kept for repeats.
+	keptBodyBytes = 64 << 10
 	// overloadedRetry is when a caller may try again a daemon with too many open requests.
 	overloadedRetry = 500 * time.Millisecond
 	// requestIDBytes is the length of the random part of a request id.
--- a/internal/transport/caller/server.go
+++ b/internal/transport/caller/server.go
@@ -23,8 +23,8 @@
 	Service *serve.Service
 	// Locate returns the daemons that a caller shall use.
 	Locate func(serve.Credentials) (Location, error)
-	// Plain serves the routes of plain services; nil if there are none.
-	Plain http.Handler
+	// Plain passes calls on to plain services.
+	Plain Plain
 
 	BodyBytes     int64
 	HeaderTimeout time.Duration
@@ -58,6 +58,7 @@
 	text := s.textServer()
 	models := s.modelsServer()
 	locate := s.locateServer()
+	plain := s.plainServer()
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		r = r.WithContext(withRequest(r.Context(), s.newRequestID()))
 		w.Header().Set(headerRequestID, string(requestOf(r.Context())))
@@ -70,10 +71,8 @@
 			only(http.MethodPost, chat).ServeHTTP(w, r)
 		case strings.HasSuffix(path, pathCompletion):
 			only(http.MethodPost, text).ServeHTTP(w, r)
-		case s.Plain != nil:
-			s.Plain.ServeHTTP(w, r)
 		default:
-			writeError(r.Context(), w, &serve.Error{Code: serve.CodeRouteNotFound, Message: "there is nothing at this path"})
+			plain.ServeHTTP(w, r)
 		}
 	})
 }
