--- a/internal/coordination/quota/fleet_test.go
+++ b/internal/coordination/quota/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -73,14 +74,23 @@
 
 func (e *unreachableError) Error() string { return "no answer from " + string(e.to) }
 
+// fate is what happens to one message.
+type fate struct {
+	extra       time.Duration
+	lost, twice bool
+}
+
 // network carries messages between limiters with a delay, and loses, repeats and delays them as a test says.
 type network struct {
 	mu       sync.Mutex
 	limiters map[ident.DaemonID]*Limiter
 	bytes    int
 	messages int
-	// fault returns the extra delay of a message and whether it is lost or delivered twice; nil for none.
-	fault func(from, to ident.DaemonID) (extra time.Duration, lost, twice bool)
+	// fates returns what happens to a message; nil for nothing.
+	fates func(from, to ident.DaemonID) fate
+	// after is called after a home has handled a request; tests of faulty homes use it.
+	after func(home *Limiter, req *wire.GrantRequest)
+	late  sync.WaitGroup
 }
 
 // port is a daemon's access to the network.
@@ -89,55 +99,49 @@
 	self    ident.DaemonID
 }
 
+// Grant delivers the request and the answer. Late ones are handled although the asker has given up.
 func (p port) Grant(ctx context.Context, to ident.DaemonID, req *wire.GrantRequest) (*wire.GrantResponse, error) {
 	raw, _ := proto.Marshal(req)
-	if err := p.network.pass(ctx, p.self, to, len(raw)); err != nil {
-		return nil, err
-	}
-	resp := p.network.handle(ctx, p.self, to, raw)
-	if resp == nil {
-		<-ctx.Done()
+	answered := make(chan []byte, 1)
+	p.network.late.Go(func() {
+		if f := p.network.pass(p.self, to, len(raw)); f.lost {
+			return
+		} else if f.twice {
+			p.network.handle(to, raw)
+		}
+		answer := p.network.handle(to, raw)
+		if answer == nil || p.network.pass(to, p.self, len(answer)).lost {
+			return
+		}
+		answered <- answer
+	})
+	select {
+	case answer := <-answered:
+		resp := &wire.GrantResponse{}
+		return resp, proto.Unmarshal(answer, resp)
+	case <-ctx.Done():
 		return nil, &unreachableError{to: to}
 	}
-	raw, _ = proto.Marshal(resp)
-	if err := p.network.pass(ctx, to, p.self, len(raw)); err != nil {
-		return nil, err
-	}
-	answer := &wire.GrantResponse{}
-	return answer, proto.Unmarshal(raw, answer)
 }
 
-// pass takes a message to the other side, or blocks until the caller gives up.
-func (n *network) pass(ctx context.Context, from, to ident.DaemonID, size int) error {
+// pass takes the time of a message.
+func (n *network) pass(from, to ident.DaemonID, size int) fate {
 	n.mu.Lock()
 	n.bytes += size
 	n.messages++
-	delay, lost := oneWay, false
-	if n.fault != nil {
-		var extra time.Duration
-		extra, lost, _ = n.fault(from, to)
-		delay += extra
+	var f fate
+	if n.fates != nil {
+		f = n.fates(from, to)
 	}
 	n.mu.Unlock()
-	if lost {
-		<-ctx.Done()
-		return &unreachableError{to: to}
-	}
-	select {
-	case <-time.After(delay):
-		return nil
-	case <-ctx.Done():
-		return &unreachableError{to: to}
-	}
+	time.Sleep(oneWay + f.extra)
+	return f
 }
 
-func (n *network) handle(ctx context.Context, from, to ident.DaemonID, raw []byte) *wire.GrantResponse {
+// handle returns the answer of a home; nil when it is down.
+func (n *network) handle(to ident.DaemonID, raw []byte) []byte {
 	n.mu.Lock()
 	l := n.limiters[to]
-	twice := false
-	if n.fault != nil {
-		_, _, twice = n.fault(from, to)
-	}
 	n.mu.Unlock()
 	if l == nil {
 		return nil
@@ -146,11 +150,14 @@
 	if proto.Unmarshal(raw, req) != nil {
 		return nil
 	}
-	resp := l.HandleGrant(ctx, req)
-	if twice {
-		resp = l.HandleGrant(ctx, req)
+	answer, _ := proto.Marshal(l.HandleGrant(context.Background(), req))
+	if n.after != nil {
+		n.after(l, req)
 	}
-	return resp
+	if answer == nil {
+		return []byte{}
+	}
+	return answer
 }
 
 // start adds a daemon with a view.
@@ -174,9 +181,13 @@
 }
 
 func (n *network) close() {
-	for _, id := range daemonIDs(len(n.limiters)) {
+	n.mu.Lock()
+	ids := slices.Collect(maps.Keys(n.limiters))
+	n.mu.Unlock()
+	for _, id := range ids {
 		n.stop(id)
 	}
+	n.late.Wait()
 }
 
 func daemonIDs(n int) []ident.DaemonID {
