Fetch the buckets of a lookup together and keep generations in one array

Changes: lookups touch the home buckets of 16 blocks at a time, generations are in one array, guards box no arguments unless they fail, the table has half as much room again as its capacity.

--- a/internal/coordination/route/attempt.go
+++ b/internal/coordination/route/attempt.go
@@ -28,9 +28,11 @@
 // Started notes that an attempt is about to be sent. The caller must end the attempt.
 func (r *Router) Started(req *Request, d Decision) *Attempt {
 	now := time.Now()
-	guard.Check(d.Scope == req.Scope, guard.CacheFresh,
-		"a decision for organisation %s, version %s serves a request of organisation %s, version %s",
-		d.Scope.Organisation, d.Scope.Version, req.Scope.Organisation, req.Scope.Version)
+	if d.Scope != req.Scope {
+		guard.Check(false, guard.CacheFresh,
+			"a decision for organisation %s, version %s serves a request of organisation %s, version %s",
+			d.Scope.Organisation, d.Scope.Version, req.Scope.Organisation, req.Scope.Version)
+	}
 	a := &Attempt{router: r, req: *req, decision: d, started: now, upstream: r.Health.Upstream(d.Upstream)}
 	if a.upstream == nil {
 		return a
--- a/internal/coordination/route/bench_test.go
+++ b/internal/coordination/route/bench_test.go
@@ -14,9 +14,10 @@
 
 const benchBlocks = 64
 
-// benchRouter returns a router whose index holds a million entries, and requests of 64 blocks each held in part by some
-// of the engines; the first blocks are held by up to 18 of them.
-func benchRouter(engines int) (*Router, []*Request) {
+// benchRouter returns a router whose index holds a million entries, and requests of 64 blocks. Of nested prefixes up to
+// 18 engines hold the first four blocks, three the first half and one all but one; of flat ones each of the 18 holds
+// three or four blocks more than the one before.
+func benchRouter(engines int, nested bool) (*Router, []*Request) {
 	r := &Router{Policy: Prefix{}, Index: &prefix.Index{}, Health: &health.Table{}, Fair: &Fair{}, Retries: &RetryBudget{}}
 	r.Update(upstreams(engines))
 	names := make([]ident.UpstreamID, 0, engines)
@@ -36,7 +37,11 @@
 		requests[i].Rate = 1000
 		for j := range min(engines, 18) {
 			id := names[(i+j*7)%engines]
-			held[id] = append(held[id], chain[:benchBlocks*(j+1)/18]...)
+			part := benchBlocks * (j + 1) / 18
+			if nested {
+				part = nestedPart(j)
+			}
+			held[id] = append(held[id], chain[:part]...)
 		}
 	}
 	filler := ident.BlockHash(1)
@@ -53,32 +58,47 @@
 	return r, requests
 }
 
+func nestedPart(j int) int {
+	switch {
+	case j == 0:
+		return benchBlocks - 1
+	case j < 3:
+		return benchBlocks / 2
+	default:
+		return 4
+	}
+}
+
 // BenchmarkPick measures the decision for a prompt of 64 blocks, and its 99th percentile.
 func BenchmarkPick(b *testing.B) {
 	for _, engines := range []int{18, 100, 1000, 7300} {
-		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
-			r, requests := benchRouter(engines)
-			times := make([]time.Duration, 0, 1<<20)
-			b.ReportAllocs()
-			i := 0
-			for b.Loop() {
-				start := time.Now()
-				if _, err := r.Pick(requests[i%len(requests)]); err != nil {
-					b.Fatal(err)
-				}
-				if len(times) < cap(times) {
-					times = append(times, time.Since(start))
-				}
-				i++
-			}
-			b.ReportMetric(float64(quantile(times, 0.99))/1000, "p99-µs")
-		})
+		b.Run(fmt.Sprintf("nested/engines=%d", engines), func(b *testing.B) { benchmarkPick(b, engines, true) })
+		b.Run(fmt.Sprintf("flat/engines=%d", engines), func(b *testing.B) { benchmarkPick(b, engines, false) })
+	}
+}
+
+func benchmarkPick(b *testing.B, engines int, nested bool) {
+	b.Helper()
+	r, requests := benchRouter(engines, nested)
+	times := make([]time.Duration, 0, 1<<20)
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		start := time.Now()
+		if _, err := r.Pick(requests[i%len(requests)]); err != nil {
+			b.Fatal(err)
+		}
+		if len(times) < cap(times) {
+			times = append(times, time.Since(start))
+		}
+		i++
 	}
+	b.ReportMetric(float64(quantile(times, 0.99))/1000, "p99-µs")
 }
 
 // BenchmarkPickParallel measures decisions on several threads while events change the index.
 func BenchmarkPickParallel(b *testing.B) {
-	r, requests := benchRouter(18)
+	r, requests := benchRouter(18, true)
 	stop, stopped := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(stopped)
@@ -107,7 +127,7 @@
 
 // BenchmarkAttempt measures the accounting of one attempt beside the decision.
 func BenchmarkAttempt(b *testing.B) {
-	r, requests := benchRouter(18)
+	r, requests := benchRouter(18, true)
 	done := &extern.EngineDone{PromptTokens: 64000, CachedTokens: 60000, OutputTokens: 300}
 	b.ReportAllocs()
 	i := 0
--- a/internal/coordination/route/router.go
+++ b/internal/coordination/route/router.go
@@ -137,10 +137,13 @@
 		return Decision{}, r.refuse(req, RefusedDeadline, now.Add(ttft).Sub(req.Deadline))
 	}
 	left, leaving := u.Leaving(now)
-	guard.Check(!leaving || left < health.LeavingGrace, guard.UpstreamLeft,
-		"new work for upstream %s, leaving for %s", u.ID, left)
+	if leaving && left >= health.LeavingGrace {
+		guard.Check(false, guard.UpstreamLeft, "new work for upstream %s, leaving for %s", u.ID, left)
+	}
 	cfg := u.Config()
-	guard.Check(cfg.Model == req.Scope.Model, guard.CacheFresh, "upstream %s does not serve model %s", u.ID, req.Scope.Model)
+	if cfg.Model != req.Scope.Model {
+		guard.Check(false, guard.CacheFresh, "upstream %s does not serve model %s", u.ID, req.Scope.Model)
+	}
 	d := Decision{
 		Upstream:             u.ID,
 		BaseURL:              cfg.BaseURL,
--- a/internal/state/prefix/bench_test.go
+++ b/internal/state/prefix/bench_test.go
@@ -20,15 +20,17 @@
 	}
 }
 
-// filled returns an index with n entries of random blocks over the engines, and the blocks.
-func filled(n, engines int) (*Index, []ident.BlockHash) {
+const entries = 1_000_000
+
+// filled returns an index with a million entries of random blocks over the engines, and the blocks.
+func filled(engines int) (*Index, []ident.BlockHash) {
 	rng := rand.New(rand.NewPCG(1, 2))
 	x := &Index{}
-	hashes := make([]ident.BlockHash, n)
+	hashes := make([]ident.BlockHash, entries)
 	for i := range hashes {
 		hashes[i] = ident.BlockHash(rng.Uint64())
 	}
-	part := n / engines
+	part := entries / engines
 	for i := range engines {
 		x.Apply(ident.UpstreamID(fmt.Sprintf("e%04d", i)), extern.CacheEvent{
 			Position: extern.EnginePosition{Incarnation: 1, Sequence: 1}, Added: hashes[i*part : (i+1)*part],
@@ -41,7 +43,7 @@
 func BenchmarkMatch(b *testing.B) {
 	for _, engines := range []int{18, 7300} {
 		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
-			x, hashes := filled(1_000_000, engines)
+			x, hashes := filled(engines)
 			part := len(hashes) / engines
 			var matches []Match
 			b.ReportAllocs()
@@ -57,26 +59,23 @@
 
 // BenchmarkMemory fills an index with a million entries and reports its bytes an entry and how many it kept.
 func BenchmarkMemory(b *testing.B) {
-	const n = 1_000_000
 	for b.Loop() {
 		var before, after runtime.MemStats
 		runtime.GC()
 		runtime.ReadMemStats(&before)
-		x, hashes := filled(n, 1000)
+		x, _ := filled(1000)
 		kept := x.Entries()
-		hashes = nil
 		runtime.GC()
 		runtime.ReadMemStats(&after)
-		_ = hashes
-		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/n, "B/entry")
-		b.ReportMetric(float64(kept)/n, "kept")
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/entries, "B/entry")
+		b.ReportMetric(float64(kept)/entries, "kept")
 		runtime.KeepAlive(x)
 	}
 }
 
 // BenchmarkApply adds and removes a block, as one cache event does.
 func BenchmarkApply(b *testing.B) {
-	x, hashes := filled(1_000_000, 1000)
+	x, hashes := filled(1000)
 	b.ReportAllocs()
 	ev := extern.CacheEvent{Position: extern.EnginePosition{Incarnation: 1, Sequence: 1}}
 	i := 0
@@ -90,7 +89,7 @@
 
 // BenchmarkDelta packs a digest, which looks at a part of the table.
 func BenchmarkDelta(b *testing.B) {
-	x, _ := filled(1_000_000, 1000)
+	x, _ := filled(1000)
 	b.ReportAllocs()
 	for b.Loop() {
 		x.Delta(2048)
--- a/internal/state/prefix/consts.go
+++ b/internal/state/prefix/consts.go
@@ -18,10 +18,10 @@
 	bucketEntries = 8
 	// windowBuckets is the number of adjacent buckets that may hold the entries of a hash.
 	windowBuckets = 4
-	// maxHolders is the number of engines that can be indexed as holders of one block.
-	maxHolders = bucketEntries * windowBuckets
+	// touchBlocks is the number of blocks whose buckets a lookup fetches at the same time.
+	touchBlocks = 16
 	// spareNumerator and spareDenominator give the room that a table has per entry of its capacity.
-	spareNumerator, spareDenominator = 5, 4
+	spareNumerator, spareDenominator = 3, 2
 	// stampUnit is the resolution of the age of an entry.
 	stampUnit = 100 * time.Millisecond
 	// useStamps is the age, in stampUnit, from which a lookup renews the age of an entry.
--- a/internal/state/prefix/digest.go
+++ b/internal/state/prefix/digest.go
@@ -41,7 +41,7 @@
 	for range len(x.table.entries) / scanShare {
 		at := &x.table.entries[x.cursor]
 		hash, m, ok := at.load()
-		if ok && m.has(used) && !m.has(expected) && x.valid(all, m, now) {
+		if ok && m.has(used) && !m.has(expected) && x.valid(m, now) {
 			d := out.engine(all.slots[m.slot()])
 			if d == nil {
 				return
@@ -147,7 +147,7 @@
 	}
 	for i := range x.table.entries {
 		hash, m, ok := x.table.entries[i].load()
-		if !ok || m.has(expected) || !x.valid(all, m, now) || digests[m.slot()] == nil {
+		if !ok || m.has(expected) || !x.valid(m, now) || digests[m.slot()] == nil {
 			continue
 		}
 		d := digests[m.slot()]
--- a/internal/state/prefix/engines.go
+++ b/internal/state/prefix/engines.go
@@ -12,7 +12,6 @@
 type engine struct {
 	id          ident.UpstreamID
 	slot        uint16
-	generation  atomic.Uint32
 	incarnation atomic.Uint64
 	sequence    atomic.Uint64
 	// suspect is set after a gap, until a resync.
@@ -55,15 +54,12 @@
 	return next
 }
 
-// free returns the slot for a new engine and the generation that its predecessor in the slot has left.
-func (s *engines) free() (slot uint16, generation uint32, ok bool) {
+// free returns the slot for a new engine.
+func (s *engines) free() (slot uint16, ok bool) {
 	for _, e := range s.slots {
 		if e.gone {
-			return e.slot, e.generation.Load(), true
+			return e.slot, true
 		}
 	}
-	if len(s.slots) >= maxEngines {
-		return 0, 0, false
-	}
-	return uint16(len(s.slots)), 0, true
+	return uint16(len(s.slots)), len(s.slots) < maxEngines
 }
--- a/internal/state/prefix/events.go
+++ b/internal/state/prefix/events.go
@@ -68,9 +68,7 @@
 		return
 	}
 	x.void(e)
-	gone := &engine{slot: e.slot, gone: true}
-	gone.generation.Store(e.generation.Load())
-	x.engines.Store(all.with(gone))
+	x.engines.Store(all.with(&engine{slot: e.slot, gone: true}))
 }
 
 // Expect notes that an engine is about to hold the blocks of a chain, because this daemon has sent it a request.
@@ -110,12 +108,11 @@
 	if e := all.byID[id]; e != nil {
 		return e
 	}
-	slot, generation, ok := all.free()
+	slot, ok := all.free()
 	if !ok {
 		return nil
 	}
 	e := &engine{id: id, slot: slot}
-	e.generation.Store(generation)
 	x.void(e)
 	x.engines.Store(all.with(e))
 	return e
@@ -134,11 +131,11 @@
 // void makes all entries of the engine invalid. When the generations start again from 0, entries of earlier
 // generations are cleared, so that none becomes valid again.
 func (x *Index) void(e *engine) {
-	next := (e.generation.Load() + 1) & generationMask
+	next := (x.generation(e.slot) + 1) & generationMask
 	if next == 0 {
 		x.sweep(e.slot)
 	}
-	e.generation.Store(next)
+	x.generations[e.slot].Store(next)
 }
 
 func (x *Index) sweep(slot uint16) {
@@ -152,7 +149,7 @@
 
 // put adds an entry or renews it. What an event has confirmed stays confirmed.
 func (x *Index) put(e *engine, hash ident.BlockHash, flags meta) {
-	now, generation := x.now(), e.generation.Load()
+	now, generation := x.now(), x.generation(e.slot)
 	m := newMeta(e.slot, generation, now, flags)
 	at := x.table.find(hash, e.slot)
 	if at == nil {
@@ -177,7 +174,7 @@
 	}
 	m := meta(at.meta.Load())
 	x.table.clear(at)
-	if m.has(told) && m.generation() == e.generation.Load() && len(x.removals) < maxRemovals {
+	if m.has(told) && m.generation() == x.generation(e.slot) && len(x.removals) < maxRemovals {
 		x.removals = append(x.removals, removal{engine: e, incarnation: e.incarnation.Load(), hash: hash})
 	}
 }
@@ -185,9 +182,8 @@
 // worth ranks entries for replacement: 0 for one that can't be relied on any more, else the higher the more
 // recently it was used.
 func (x *Index) worth(now uint32) func(meta) uint32 {
-	all := x.engines.Load()
 	return func(m meta) uint32 {
-		if !x.valid(all, m, now) {
+		if !x.valid(m, now) {
 			return 0
 		}
 		return stampMask - m.age(now) + 1
--- a/internal/state/prefix/index.go
+++ b/internal/state/prefix/index.go
@@ -13,7 +13,7 @@
 // Lookups take no lock. Set the fields before the first use; the zero value uses the defaults.
 type Index struct {
 	// Capacity is the number of entries, one per block and engine, beyond which the least recently used ones go.
-	// The memory is 20.5 bytes an entry of capacity.
+	// The memory is 25 bytes an entry of capacity.
 	Capacity int
 	// ExpectedTTL bounds the life of entries that no event has confirmed.
 	ExpectedTTL time.Duration
@@ -24,6 +24,8 @@
 	table   *table
 	engines atomic.Pointer[engines]
 	scratch sync.Pool
+	// generations holds the generation of each engine's slot.
+	generations []atomic.Uint32
 
 	// mu serialises writers.
 	mu       sync.Mutex
@@ -50,6 +52,7 @@
 		x.base = time.Now()
 		x.ttl = uint32(x.ExpectedTTL / stampUnit)
 		x.table = newTable(x.Capacity)
+		x.generations = make([]atomic.Uint32, maxEngines)
 		x.engines.Store(&engines{})
 	})
 }
@@ -58,15 +61,12 @@
 	return uint32(time.Since(x.base)/stampUnit) & stampMask
 }
 
+// generation returns the generation whose entries of a slot are valid.
+func (x *Index) generation(slot uint16) uint32 { return x.generations[slot].Load() }
+
 // valid reports whether an entry may be relied on.
-func (x *Index) valid(all *engines, m meta, now uint32) bool {
-	if int(m.slot()) >= len(all.slots) {
-		return false
-	}
-	if all.slots[m.slot()].generation.Load() != m.generation() {
-		return false
-	}
-	return !m.has(expected) || m.age(now) <= x.ttl
+func (x *Index) valid(m meta, now uint32) bool {
+	return x.generation(m.slot()) == m.generation() && (!m.has(expected) || m.age(now) <= x.ttl)
 }
 
 // lookup is the working memory of one Match.
@@ -74,7 +74,6 @@
 	// blocks is the length of the prefix found so far, by slot; found lists the slots with any.
 	blocks []uint16
 	found  []uint16
-	held   []*entry
 }
 
 // Match appends to dst the longest prefix of the chain that each engine holds, for engines that hold at least the
@@ -83,22 +82,30 @@
 	x.init()
 	all := x.engines.Load()
 	look, _ := x.scratch.Get().(*lookup)
-	if look == nil || len(look.blocks) < len(all.slots) {
-		look = &lookup{blocks: make([]uint16, len(all.slots)), held: make([]*entry, 0, maxHolders)}
+	if look == nil || cap(look.blocks) < len(all.slots) {
+		look = &lookup{blocks: make([]uint16, len(all.slots))}
 	}
+	look.blocks = look.blocks[:len(all.slots)]
 	now := x.now()
 	for i, hash := range chain {
-		if !x.extend(look, all, hash, uint16(i), now) {
+		if i%touchBlocks == 0 {
+			x.table.touch(chain[i:min(len(chain), i+touchBlocks)])
+		}
+		if !x.extend(look, hash, uint16(i), now) {
 			break
 		}
 	}
+	current := x.engines.Load()
 	for _, slot := range look.found {
 		e := all.slots[slot]
-		dst = append(dst, Match{
-			Engine:      e.id,
-			Incarnation: ident.Incarnation(e.incarnation.Load()),
-			Blocks:      int(look.blocks[slot]),
-		})
+		// A slot that was given to another engine meanwhile tells nothing of either.
+		if current.slots[slot] == e {
+			dst = append(dst, Match{
+				Engine:      e.id,
+				Incarnation: ident.Incarnation(e.incarnation.Load()),
+				Blocks:      int(look.blocks[slot]),
+			})
+		}
 		look.blocks[slot] = 0
 	}
 	look.found = look.found[:0]
@@ -107,24 +114,28 @@
 }
 
 // extend looks up one block and reports whether any engine holds it and all blocks before.
-func (x *Index) extend(look *lookup, all *engines, hash ident.BlockHash, i uint16, now uint32) bool {
+func (x *Index) extend(look *lookup, hash ident.BlockHash, i uint16, now uint32) bool {
 	held := false
-	look.held = x.table.holders(look.held[:0], hash)
-	for _, e := range look.held {
-		h, m, ok := e.load()
-		if !ok || h != uint64(hash) || !x.valid(all, m, now) {
-			continue
-		}
-		slot := m.slot()
-		if look.blocks[slot] != i {
-			continue
+	home := x.table.home(uint64(hash))
+	for w := range x.table.reach(home) {
+		bucket := x.table.window(home, w)
+		for j := range bucket {
+			e := &bucket[j]
+			if e.hash.Load() != uint64(hash) {
+				continue
+			}
+			h, m, ok := e.load()
+			slot := m.slot()
+			if !ok || h != uint64(hash) || int(slot) >= len(look.blocks) || look.blocks[slot] != i || !x.valid(m, now) {
+				continue
+			}
+			if i == 0 {
+				look.found = append(look.found, slot)
+			}
+			look.blocks[slot] = i + 1
+			held = true
+			markUsed(e, m, now)
 		}
-		if i == 0 {
-			look.found = append(look.found, slot)
-		}
-		look.blocks[slot] = i + 1
-		held = true
-		markUsed(e, m, now)
 	}
 	return held
 }
@@ -154,11 +165,11 @@
 // Entries counts the entries that may be relied on. It reads the whole index.
 func (x *Index) Entries() int {
 	x.init()
-	all, now := x.engines.Load(), x.now()
+	now := x.now()
 	n := 0
 	for i := range x.table.entries {
 		_, m, ok := x.table.entries[i].load()
-		if ok && x.valid(all, m, now) {
+		if ok && x.valid(m, now) {
 			n++
 		}
 	}
--- a/internal/state/prefix/table.go
+++ b/internal/state/prefix/table.go
@@ -67,18 +67,16 @@
 	return windowBuckets
 }
 
-// holders appends the entries of a hash to dst.
-func (t *table) holders(dst []*entry, hash ident.BlockHash) []*entry {
-	home := t.home(uint64(hash))
-	for i := range t.reach(home) {
-		bucket := t.window(home, i)
-		for j := range bucket {
-			if bucket[j].hash.Load() == uint64(hash) {
-				dst = append(dst, &bucket[j])
-			}
-		}
+// touch reads the home buckets of hashes, so that the processor fetches them from memory at the same time.
+func (t *table) touch(hashes []ident.BlockHash) {
+	sum := uint64(0)
+	for _, hash := range hashes {
+		home := t.home(uint64(hash))
+		first := &t.entries[home*bucketEntries]
+		middle := &t.entries[home*bucketEntries+bucketEntries/2]
+		sum |= first.hash.Load() | middle.hash.Load() | uint64(t.overflow[home].Load())
 	}
-	return dst
+	_ = sum
 }
 
 // find returns the entry of a hash and an engine's slot, or nil. Writers only.
