Switch the log stand-in's faults one at a time

The test of the control endpoint took the end of an outage for the time when the port is open again and failed once in eight runs; it now waits for an answer. Switches from a timer and from a caller no longer interleave.

--- a/internal/standin/engine/control_test.go
+++ b/internal/standin/engine/control_test.go
@@ -72,7 +72,10 @@
 	require.Error(t, err)
 	require.NoError(t, s.SetFaults(logsvc.Faults{}))
 	require.Equal(t, http.StatusAccepted, control(t, s.URL(), `{"mode":"refusing","forMs":20}`))
-	require.Eventually(t, func() bool { return s.Faults().Mode == logsvc.ModeUp }, 5*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool {
+		resp, err := http.Get(s.URL() + "/standin/stats")
+		return err == nil && resp.Body.Close() == nil
+	}, 5*time.Second, time.Millisecond, "it listens again")
 	require.Equal(t, http.StatusNoContent, control(t, s.URL(), `{}`))
 }
 
--- a/internal/standin/logsvc/faults.go
+++ b/internal/standin/logsvc/faults.go
@@ -63,6 +63,8 @@
 	if f.Mode == "" {
 		f.Mode = ModeUp
 	}
+	s.switching.Lock()
+	defer s.switching.Unlock()
 	s.mu.Lock()
 	s.faults = f
 	if s.changed != nil {
--- a/internal/standin/logsvc/service.go
+++ b/internal/standin/logsvc/service.go
@@ -27,6 +27,9 @@
 	// Address is where Start listens; empty is a free loopback port.
 	Address string
 
+	// switching keeps the server's state in step with the faults.
+	switching sync.Mutex
+
 	mu      sync.Mutex
 	streams map[extern.Stream]*stream
 	recent  []time.Time
