Leave time for another engine when one is silent

The attempt now ends half way if the budget has a retry, and five seconds of silence at the deadline are the engine's failure.

--- a/internal/coordination/relay/attempt.go
+++ b/internal/coordination/relay/attempt.go
@@ -22,13 +22,20 @@
 	// chunks is true once a chunk came, running once any event came.
 	chunks  bool
 	running bool
+	// waiting is when the wait for the next event began.
+	waiting time.Time
 }
 
 // do asks the engine and delivers what comes until the answer is whole or fails.
 func (a *attempt) do(ctx context.Context) (*extern.EngineDone, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watchdog := time.AfterFunc(a.run.relay.firstTokenTimeout(), func() { cancel(&silentError{}) })
+	patience, retry := a.firstPatience(ctx)
+	watchdog := time.AfterFunc(patience, func() {
+		if !retry || a.run.prepay() {
+			cancel(&silentError{after: patience})
+		}
+	})
 	defer watchdog.Stop()
 
 	req := a.run.req
@@ -39,6 +46,7 @@
 	}
 	defer stream.Close()
 	for {
+		a.waiting = time.Now()
 		event, err := stream.Next()
 		if err != nil {
 			return nil, a.cause(ctx, err)
@@ -59,12 +67,25 @@
 	}
 }
 
+// firstPatience returns how long the attempt may wait for its first event. Where the request's deadline allows
+// another attempt only if this one ends early, that is half of the time left, and retry is true.
+func (a *attempt) firstPatience(ctx context.Context) (patience time.Duration, retry bool) {
+	patience = a.run.relay.firstTokenTimeout()
+	deadline, ok := ctx.Deadline()
+	if !ok || a.run.idle >= a.run.relay.maxAttempts() {
+		return patience, false
+	}
+	half := max(time.Until(deadline)/2, minFirstPatience)
+	return min(patience, half), half < patience
+}
+
 // cause replaces the error of an attempt that the watchdog ended.
 func (a *attempt) cause(ctx context.Context, err error) error {
-	if _, ok := errors.AsType[*silentError](context.Cause(ctx)); !ok {
+	silent, ok := errors.AsType[*silentError](context.Cause(ctx))
+	if !ok {
 		return err
 	}
-	timeout := &TimeoutError{After: a.run.relay.firstTokenTimeout(), First: true}
+	timeout := &TimeoutError{After: silent.after, First: true}
 	if a.running {
 		timeout = &TimeoutError{After: a.run.relay.interTokenTimeout()}
 	}
@@ -152,10 +173,9 @@
 }
 
 func (a *attempt) report(ctx context.Context, done *extern.EngineDone, err error) {
-	_, caller := errors.AsType[*emitError](err)
 	report := Report{
 		Err:        err,
-		Cancelled:  err != nil && (ctx.Err() != nil || caller),
+		Cancelled:  err != nil && a.cancelled(ctx, err),
 		FirstToken: a.firstToken,
 		Duration:   time.Since(a.started),
 		Tokens:     a.tokens,
@@ -168,3 +188,15 @@
 		a.picked.Report(report)
 	}
 }
+
+// cancelled reports whether the caller ended the attempt. A deadline that found the engine silent for long is the
+// engine's failure; a short deadline is not.
+func (a *attempt) cancelled(ctx context.Context, err error) bool {
+	if _, ok := errors.AsType[*emitError](err); ok {
+		return true
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return time.Since(a.waiting) < blamedSilence
+	}
+	return ctx.Err() != nil
+}
--- a/internal/coordination/relay/consts.go
+++ b/internal/coordination/relay/consts.go
@@ -13,6 +13,11 @@
 	// ends.
 	maxParts = 16
 
+	// minFirstPatience is the least time that an attempt may wait for its first event.
+	minFirstPatience = time.Second
+	// blamedSilence is the silence at a request's deadline that counts as a failure of the engine.
+	blamedSilence = 5 * time.Second
+
 	backoffInitial = 20 * time.Millisecond
 	backoffMax     = time.Second
 
--- a/internal/coordination/relay/errors.go
+++ b/internal/coordination/relay/errors.go
@@ -128,6 +128,8 @@
 func (e *emitError) Unwrap() error { return e.err }
 
 // silentError is the cause of an attempt that the watchdog ended.
-type silentError struct{}
+type silentError struct {
+	after time.Duration
+}
 
 func (e *silentError) Error() string { return "the engine is silent" }
--- a/internal/coordination/relay/relay.go
+++ b/internal/coordination/relay/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -39,7 +40,8 @@
 type Report struct {
 	// Err is nil if the answer was completed.
 	Err error
-	// Cancelled is true if the attempt ended because the caller went; Err says nothing about the engine then.
+	// Cancelled is true if the attempt ended because the caller went or its deadline passed while the engine was at
+	// work; Err says nothing about the engine then.
 	Cancelled bool
 	// FirstToken is the time to the first token, 0 if none came. Duration is the time of the whole attempt.
 	FirstToken, Duration time.Duration
@@ -57,7 +59,8 @@
 	Budget *Budget
 	// MaxAttempts bounds the attempts that bring no token in a row; 0 is four.
 	MaxAttempts int
-	// FirstTokenTimeout and InterTokenTimeout bound the silence of an engine; 0 is 30 s and 10 s.
+	// FirstTokenTimeout and InterTokenTimeout bound the silence of an engine; 0 is 30 s and 10 s. A request with a
+	// deadline waits for the first token for half of the time left at most, if the budget has a retry.
 	FirstTokenTimeout, InterTokenTimeout time.Duration
 	// ResumePatience is how long an interrupted answer waits for an engine that can resume it; 0 is 15 s.
 	ResumePatience time.Duration
@@ -73,9 +76,11 @@
 	idle      int // attempts since the last token
 	parts     int // attempts that brought tokens
 	ran       bool
-	tried     []ident.UpstreamID
-	backoff   *backoff.ExponentialBackOff
-	patience  time.Time
+	// prepaid is true if the retry after this attempt has been taken from the budget.
+	prepaid  atomic.Bool
+	tried    []ident.UpstreamID
+	backoff  *backoff.ExponentialBackOff
+	patience time.Time
 }
 
 // Run answers a request. It calls emit for each chunk in order, without gaps and repetitions; the chunk is valid
@@ -118,7 +123,8 @@
 	s.attempts++
 	s.idle++
 	s.tried = append(s.tried, picked.Upstream)
-	a := attempt{run: s, picked: picked, started: time.Now()}
+	now := time.Now()
+	a := attempt{run: s, picked: picked, started: now, waiting: now}
 	done, err := a.do(ctx)
 	a.report(ctx, done, err)
 	s.ran = s.ran || !isNotRun(err)
@@ -167,13 +173,25 @@
 		return ReasonRejected
 	case s.idle >= s.relay.maxAttempts():
 		return ReasonAttempts
-	case notRun || s.relay.Budget == nil || s.relay.Budget.Withdraw():
+	case s.prepaid.Swap(false) || notRun || s.withdraw():
 		return ""
 	default:
 		return ReasonBudget
 	}
 }
 
+// withdraw takes a retry from the budget and reports whether there was one.
+func (s *run) withdraw() bool {
+	return s.relay.Budget == nil || s.relay.Budget.Withdraw()
+}
+
+// prepay takes the retry that an attempt needs which is about to be given up, so that it goes on if there is none.
+func (s *run) prepay() bool {
+	ok := s.withdraw()
+	s.prepaid.Store(ok)
+	return ok
+}
+
 // stopInterrupted decides after an attempt has failed of which the caller has tokens. The budget does not stop it.
 func (s *run) stopInterrupted(err error) Reason {
 	switch {
--- a/internal/coordination/relay/relay_test.go
+++ b/internal/coordination/relay/relay_test.go
@@ -248,6 +248,54 @@
 	require.True(t, picker.reports[0].Cancelled)
 }
 
+func TestASilentEngineLeavesTimeForAnother(t *testing.T) {
+	spent := &Budget{Reserve: 1}
+	require.True(t, spent.Withdraw())
+	cases := map[string]struct {
+		budget *Budget
+		script script
+		took   time.Duration
+		asked  int
+	}{
+		"given up half way":                        {script: script{end: endStall}, took: 5 * time.Second, asked: 2},
+		"without a retry, an answer may come late": {budget: spent, script: script{tokens: 1, chunk: 1, delay: 8 * time.Second}, took: 8 * time.Second, asked: 1},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				engine := &scripted{scripts: []script{tc.script}}
+				r := &Relay{Engine: engine, Picker: &rotation{}, Budget: tc.budget}
+				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+				defer cancel()
+				started, took := time.Now(), time.Duration(0)
+				_, err := r.Run(ctx, request(1), func(*extern.EngineChunk) error {
+					took = time.Since(started)
+					return nil
+				})
+				require.NoError(t, err)
+				require.Equal(t, tc.took, took)
+				require.Len(t, engine.seen, tc.asked)
+			})
+		})
+	}
+}
+
+func TestOnlyALongSilenceIsTheEnginesFault(t *testing.T) {
+	for deadline, cancelled := range map[time.Duration]bool{500 * time.Millisecond: true, 20 * time.Second: false} {
+		synctest.Test(t, func(t *testing.T) {
+			picker := &rotation{}
+			r := &Relay{Engine: &scripted{scripts: []script{{end: endStall}}}, Picker: picker, MaxAttempts: 1}
+			ctx, cancel := context.WithTimeout(t.Context(), deadline)
+			defer cancel()
+			_, err := r.Run(ctx, request(1), nil)
+			var run *RunError
+			require.ErrorAs(t, err, &run)
+			require.Equal(t, ReasonDeadline, run.Reason)
+			require.Equal(t, cancelled, picker.reports[0].Cancelled)
+		})
+	}
+}
+
 func TestASlowCallerIsNoSilence(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		engine := &scripted{}
