Leave time for another plain service when one is silent

A service that took idempotent calls and never answered used up their deadlines and was not blamed. An attempt now waits for half of the time left; five seconds of silence at a deadline are the service's failure.

--- a/internal/transport/plain/client.go
+++ b/internal/transport/plain/client.go
@@ -148,7 +148,7 @@
 	}
 	s.tried = append(s.tried, target.Upstream)
 	started := time.Now()
-	resp, err := s.client.send(ctx, s.req, target, s.body)
+	resp, err := s.client.send(ctx, s.req, target, s.body, s.patience(ctx))
 	s.report(ctx, target, started, resp, err)
 	if err != nil {
 		s.last = asUpstreamError(target.Upstream, err)
@@ -162,17 +162,37 @@
 	return resp, nil
 }
 
+// patience returns how long the attempt may wait for the answer's header, 0 for as long as the call itself. Of a call
+// that may be repeated it is half of the time left, so that a silent service leaves time for another.
+func (s *call) patience(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok || !s.req.Idempotent || len(s.tried) >= orDefault(s.client.MaxAttempts, defaultMaxAttempts) {
+		return 0
+	}
+	return max(time.Until(deadline)/2, minPatience)
+}
+
 func (s *call) report(ctx context.Context, target Target, started time.Time, resp *Response, err error) {
 	if target.Report == nil {
 		return
 	}
-	outcome := Outcome{Err: err, Cancelled: err != nil && (ctx.Err() != nil || isCallers(err)), Duration: time.Since(started)}
+	outcome := Outcome{Err: err, Duration: time.Since(started)}
+	outcome.Cancelled = err != nil && (isCallers(err) || endedByCaller(ctx, outcome.Duration))
 	if resp != nil {
 		outcome.Status = resp.Status
 	}
 	target.Report(outcome)
 }
 
+// endedByCaller reports whether the caller ended an attempt. A deadline that found the service silent for long is the
+// service's failure.
+func endedByCaller(ctx context.Context, silence time.Duration) bool {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return silence < blamedSilence
+	}
+	return ctx.Err() != nil
+}
+
 // refused returns the failure that an answer amounts to which says that nothing ran.
 func refused(upstream ident.UpstreamID, resp *Response) *extern.UpstreamError {
 	return &extern.UpstreamError{
--- a/internal/transport/plain/client_test.go
+++ b/internal/transport/plain/client_test.go
@@ -170,6 +170,22 @@
 	}
 }
 
+func TestASilentServiceLeavesTimeForAnother(t *testing.T) {
+	silent, second, c := startService(t, standin.Faults{Delay: time.Hour}), startService(t, standin.Faults{}), startClient(t)
+	req := booking("x")
+	req.Idempotent = true
+	ctx, cancel := context.WithTimeout(t.Context(), 2500*time.Millisecond)
+	defer cancel()
+	picker := &inOrder{urls: []string{silent.URL(), second.URL()}}
+	resp, err := c.Do(ctx, req, picker)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	require.False(t, picker.outcomes[0].Cancelled, "the service's fault")
+	whole, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Contains(t, string(whole), `"run":1`)
+}
+
 func TestNotRunCoversAllAttempts(t *testing.T) {
 	c := startClient(t)
 	var up *extern.UpstreamError
--- a/internal/transport/plain/consts.go
+++ b/internal/transport/plain/consts.go
@@ -1,10 +1,17 @@
 package plain
 
+import "time"
+
 const (
 	defaultMaxBodyBytes   = 16 << 20
 	defaultMaxReplayBytes = 1 << 20
 	defaultMaxAttempts    = 3
 
+	// minPatience is the least time that an attempt may wait for the answer's header.
+	minPatience = time.Second
+	// blamedSilence is the silence at a call's deadline that counts as a failure of the service.
+	blamedSilence = 5 * time.Second
+
 	headerRequestID    = "X-Request-Id"
 	headerRoute        = "X-Route-Id"
 	headerOrganisation = "X-Organisation-Id"
--- a/internal/transport/plain/send.go
+++ b/internal/transport/plain/send.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/gooseberryway/gooseberryway/internal/state/extern"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
@@ -30,8 +33,52 @@
 
 func (e *TargetError) Error() string { return "the path or query has a space or a control character" }
 
-// send makes one attempt. The error is an *extern.UpstreamError.
-func (c *Client) send(ctx context.Context, r *Request, t Target, b *body) (*Response, error) {
+// SilentError is a service whose answer did not begin in time.
+type SilentError struct {
+	After time.Duration
+}
+
+func (e *SilentError) Error() string { return fmt.Sprintf("no answer within %v", e.After) }
+
+// send makes one attempt, which may wait for the answer's header for so long. The error is an *extern.UpstreamError.
+func (c *Client) send(ctx context.Context, r *Request, t Target, b *body, patience time.Duration) (*Response, error) {
+	if patience == 0 {
+		return c.exchange(ctx, r, t, b)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	timer := time.AfterFunc(patience, cancel)
+	resp, err := c.exchange(ctx, r, t, b)
+	if timer.Stop() {
+		if err != nil {
+			cancel()
+			return nil, err
+		}
+		resp.Body = &cancelling{ReadCloser: resp.Body, cancel: cancel}
+		return resp, nil
+	}
+	silent := &extern.UpstreamError{Kind: extern.UpstreamTimeout, Upstream: t.Upstream, Err: &SilentError{After: patience}}
+	if err == nil {
+		_ = resp.Body.Close()
+		return nil, silent
+	}
+	up, ok := errors.AsType[*extern.UpstreamError](err)
+	silent.NotRun = ok && up.NotRun
+	return nil, silent
+}
+
+// cancelling is a body that ends its context when it is closed.
+type cancelling struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+// Close closes the body and ends its context.
+func (c *cancelling) Close() error {
+	defer c.cancel()
+	return c.ReadCloser.Close()
+}
+
+func (c *Client) exchange(ctx context.Context, r *Request, t Target, b *body) (*Response, error) {
 	req, err := c.newRequest(ctx, r, t, b)
 	if err != nil {
 		return nil, &extern.UpstreamError{Kind: extern.UpstreamRejected, Upstream: t.Upstream, NotRun: true, Err: err}
