Measure policies with real daemons on the same arrivals

Cause: routing had no measurement through real sockets. Change: gooseberryway load: seeded open-loop arrivals with nested prefixes, Zipf popularity and shifts, faults, exact buckets, a bound for a router that knows everything.

--- a/internal/coordination/serve/service.go
+++ b/internal/coordination/serve/service.go
@@ -32,6 +32,8 @@
 	RequestTimeout time.Duration
 	// FamilyBytes is the length of the prompt's head that tells prefix families apart.
 	FamilyBytes int
+	// Admitted is called with the reserved tokens of each request that is admitted; nil for none.
+	Admitted func(ident.OrganisationID, ident.Tokens)
 
 	routes   routeCache
 	draining atomic.Bool
@@ -148,6 +150,9 @@
 		return err
 	}
 	run.reservation = reservation
+	if s.Admitted != nil {
+		s.Admitted(run.caller.Organisation, cost)
+	}
 	return nil
 }
 
--- a/internal/program/client/client.go
+++ b/internal/program/client/client.go
@@ -213,6 +213,15 @@
 	return body
 }
 
+// Prompt returns the canonical prompt that a daemon makes of the request.
+func (r *Request) Prompt() []byte {
+	decoded, err := openai.DecodeChat(r.Body())
+	if err != nil {
+		return nil
+	}
+	return decoded.Prompt
+}
+
 func (c *Client) newRequest(ctx context.Context, addr string, req *Request) (*http.Request, error) {
 	url := "http://" + addr + req.PathPrefix + "/v1/chat/completions"
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(req.Body()))
--- a/internal/program/cmds/root.go
+++ b/internal/program/cmds/root.go
@@ -63,7 +63,7 @@
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &UsageError{Err: err} })
 	addLogFlags(root)
-	root.AddCommand(newServe(), newCheck(), newDemo())
+	root.AddCommand(newServe(), newCheck(), newDemo(), newLoad())
 	return root
 }
 
--- a/internal/program/daemon/daemon.go
+++ b/internal/program/daemon/daemon.go
@@ -18,6 +18,8 @@
 // Daemon is one process of the system. Its fields are set before Run.
 type Daemon struct {
 	Settings *setup.Settings
+	// Admitted is called with the reserved tokens of each request that is admitted; nil for none.
+	Admitted func(ident.OrganisationID, ident.Tokens)
 
 	addresses atomic.Pointer[setup.Addresses]
 	listening chan struct{}
@@ -89,6 +91,7 @@
 	if err != nil {
 		return err
 	}
+	p.service.Admitted = d.Admitted
 	d.parts = p
 	d.addresses.Store(&advertised)
 	close(d.listening)
--- /dev/null
+++ b/internal/program/load/consts.go
@@ -0,0 +1,25 @@
+package load
+
+import "time"
+
+const (
+	model   = "girth"
+	version = "girth-1"
+
+	codeRateLimited = "rateLimited"
+
+	// longestMicros and digits are the range and precision of the histograms of times.
+	longestMicros = 600_000_000
+	digits        = 3
+
+	// prefillStep and prefillPerToken are the stand-in engine's costs, in engine time.
+	prefillStep     = 20 * time.Millisecond
+	prefillPerToken = 20 * time.Microsecond
+
+	// retries bounds how often a caller sends a request again that did not run.
+	retries = 4
+	// drainTimeout bounds the wait for the last answers.
+	drainTimeout = 60 * time.Second
+	// faultWindow is the time before and after a fault for which hit rates are compared, in engine time.
+	faultWindow = 10 * time.Second
+)
--- /dev/null
+++ b/internal/program/load/figures.go
@@ -0,0 +1,91 @@
+package load
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
+
+// Figures are the measures of a policy or of one organisation. Times are engine time in milliseconds.
+type Figures struct {
+	Sent       int `json:"sent"`
+	Answered   int `json:"answered"`
+	Whole      int `json:"whole"`
+	Lost       int `json:"lost"`
+	Duplicated int `json:"duplicated"`
+	Refused    int `json:"refused"`
+	// RefusedWithinRate are refusals for the rate that an exact bucket would have admitted.
+	RefusedWithinRate int `json:"refusedWithinRate"`
+	// OverAdmittedTokens is the most by which any interval exceeds burst plus rate times its length.
+	OverAdmittedTokens ident.Tokens `json:"overAdmittedTokens"`
+	// PrefixHitRate is the share of prompt tokens that came from a cache.
+	PrefixHitRate float64 `json:"prefixHitRate"`
+	// WastedRecompute is the share of prompt tokens that were computed although a healthy engine held them.
+	WastedRecompute float64 `json:"wastedRecompute"`
+	TTFTP50Ms       float64 `json:"ttftP50Ms"`
+	TTFTP99Ms       float64 `json:"ttftP99Ms"`
+}
+
+// PolicyFigures are the measures of a policy with those of each organisation.
+type PolicyFigures struct {
+	Figures
+	Organisations map[ident.OrganisationID]*Figures `json:"organisations"`
+	// WorstToFleet is the worst organisation's p99 of the time to first token over the fleet's.
+	WorstToFleet float64 `json:"worstToFleet"`
+	// HitRateBefore and HitRateAfter are the hit rates in the ten seconds before and after the fault of a run.
+	HitRateBefore float64 `json:"hitRateBefore"`
+	HitRateAfter  float64 `json:"hitRateAfter"`
+}
+
+// collector adds up outcomes.
+type collector struct {
+	Figures
+	sent, answered         int
+	prompt, cached, wasted ident.Tokens
+	times                  *hdrhistogram.Histogram
+}
+
+func newCollector() *collector {
+	return &collector{times: hdrhistogram.New(1, longestMicros, digits)}
+}
+
+func (c *collector) time(d time.Duration) { _ = c.times.RecordValue(max(1, d.Microseconds())) }
+
+// add takes in an outcome of a run with the profile.
+func (c *collector) add(p *Profile, o *outcome) {
+	c.sent++
+	switch {
+	case o.err == nil:
+		c.answered++
+	case o.refused():
+		c.Refused++
+		return
+	default:
+		c.Lost++
+		return
+	}
+	if o.whole {
+		c.Whole++
+	}
+	usage := o.answer.Usage
+	c.prompt += usage.PromptTokens
+	c.cached += usage.PromptTokensDetails.CachedTokens
+	c.wasted += max(0, ident.Tokens(o.held)*p.BlockTokens-usage.PromptTokensDetails.CachedTokens)
+	c.time(time.Duration(float64(o.answer.FirstToken) / p.TimeScale))
+}
+
+func (c *collector) figures() *Figures {
+	f := c.Figures
+	f.Sent, f.Answered = c.sent, c.answered
+	if c.prompt > 0 {
+		f.PrefixHitRate = float64(c.cached) / float64(c.prompt)
+		f.WastedRecompute = float64(c.wasted) / float64(c.prompt)
+	}
+	f.TTFTP50Ms = inMs(c.times.ValueAtQuantile(50))
+	f.TTFTP99Ms = inMs(c.times.ValueAtQuantile(99))
+	return &f
+}
+
+func inMs(micros int64) float64 { return float64(micros) / 1000 }
--- /dev/null
+++ b/internal/program/load/load.go
@@ -0,0 +1,115 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/gooseberryway/gooseberryway/internal/program/setup"
+)
+
+// Load is a measurement. Its fields are set before Run.
+type Load struct {
+	// Profile is the name of a built-in profile or a file in JSON.
+	Profile  string
+	Policies []string
+	Seed     uint64
+	// Duration of each run in wall time.
+	Duration time.Duration
+	Faults   []Fault
+	// JSON is the file for the report, "-" for standard output; empty for none.
+	JSON string
+	// Plot is the file for the plot in SVG or PNG; empty for none.
+	Plot string
+	Out  io.Writer
+}
+
+// Report is the outcome of a measurement.
+type Report struct {
+	Profile  string                    `json:"profile"`
+	Seed     uint64                    `json:"seed"`
+	Seconds  float64                   `json:"seconds"`
+	Faults   []Fault                   `json:"faults"`
+	Policies map[string]*PolicyFigures `json:"policies"`
+	// Best bounds what a router could reach that knows everything.
+	Best *Figures `json:"best"`
+}
+
+// UnknownProfileError names a profile that is neither built in nor a file.
+type UnknownProfileError struct {
+	Name string
+	Err  error
+}
+
+func (e *UnknownProfileError) Error() string {
+	return fmt.Sprintf("profile %s is neither consortium, spogulis nor a readable file: %v", e.Name, e.Err)
+}
+
+func (e *UnknownProfileError) Unwrap() error { return e.Err }
+
+// Run measures each policy on the same arrivals and reports the figures. The error is an *UnknownProfileError, a
+// *setup.SettingsError or that of a system that did not start.
+func (l *Load) Run(ctx context.Context) error {
+	profile, err := l.profile()
+	if err != nil {
+		return err
+	}
+	trace := makeTrace(profile, l.Seed, l.Duration)
+	report := &Report{
+		Profile:  profile.Name,
+		Seed:     l.Seed,
+		Seconds:  l.Duration.Seconds(),
+		Faults:   l.Faults,
+		Policies: map[string]*PolicyFigures{},
+		Best:     best(profile, trace),
+	}
+	for _, policy := range l.Policies {
+		klog.InfoS("Run", "profile", profile.Name, "policy", policy, "seed", l.Seed, "requests", len(trace))
+		r := &run{profile: profile, policy: policy, trace: trace, length: l.Duration, faults: l.Faults}
+		figures, err := r.play(ctx)
+		if err != nil {
+			return err
+		}
+		report.Policies[policy] = figures
+	}
+	return l.publish(report)
+}
+
+func (l *Load) profile() (*Profile, error) {
+	if p, ok := Profiles()[l.Profile]; ok {
+		return &p, nil
+	}
+	if _, err := os.Stat(l.Profile); err != nil {
+		return nil, &UnknownProfileError{Name: l.Profile, Err: err}
+	}
+	p := &Profile{}
+	if err := setup.LoadInto(l.Profile, p); err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
+func (l *Load) publish(report *Report) error {
+	if l.Plot != "" {
+		if err := plotReport(report, l.Plot); err != nil {
+			return err
+		}
+	}
+	if l.JSON == "-" {
+		return json.NewEncoder(l.Out).Encode(report)
+	}
+	printReport(l.Out, report)
+	if l.JSON == "" {
+		return nil
+	}
+	raw, err := json.MarshalIndent(report, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(l.JSON, append(raw, '\n'), reportMode)
+}
--- /dev/null
+++ b/internal/program/load/outcome.go
@@ -0,0 +1,58 @@
+package load
+
+import (
+	"cmp"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gooseberryway/gooseberryway/internal/program/client"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
+
+// inOrder sorts a trace by time.
+func inOrder(trace []arrival) []arrival {
+	slices.SortStableFunc(trace, func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
+	return trace
+}
+
+// outcome is what became of one arrival.
+type outcome struct {
+	arrival *arrival
+	sent    time.Time
+	answer  *client.Answer
+	err     error
+	whole   bool
+	// held is the number of leading blocks that some healthy engine held when the request was sent.
+	held int
+}
+
+func (o *outcome) refused() bool {
+	var refusal *client.APIError
+	return errors.As(o.err, &refusal) && !refusal.InStream
+}
+
+func (o *outcome) overRate() bool {
+	var refusal *client.APIError
+	return errors.As(o.err, &refusal) && refusal.Detail.Code == codeRateLimited
+}
+
+// admission is a request that a daemon admitted.
+type admission struct {
+	organisation ident.OrganisationID
+	at           time.Time
+	cost         ident.Tokens
+}
+
+// admissions collects what the daemons admitted, by request.
+type admissions struct {
+	mu   sync.Mutex
+	list []admission
+}
+
+func (a *admissions) add(org ident.OrganisationID, cost ident.Tokens) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.list = append(a.list, admission{organisation: org, at: time.Now(), cost: cost})
+}
--- /dev/null
+++ b/internal/program/load/print.go
@@ -0,0 +1,47 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+)
+
+// reportMode is the mode of a report file.
+const reportMode = 0o600
+
+// printReport writes the figures as tables.
+func printReport(w io.Writer, r *Report) {
+	fmt.Fprintf(w, "profile %s, seed %d, %.0f s a run, faults %v; times in ms of engine time\n\n", r.Profile, r.Seed, r.Seconds, r.Faults)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "policy\tsent\tanswered\tlost\tdup\trefused\twithin rate\tover tokens\thit rate\twasted\tp50\tp99\tworst/fleet\t")
+	for _, name := range slices.Sorted(maps.Keys(r.Policies)) {
+		f := r.Policies[name]
+		printRow(t, name, &f.Figures, fmt.Sprintf("%.2f", f.WorstToFleet))
+	}
+	printRow(t, "best", r.Best, "")
+	_ = t.Flush()
+	for _, name := range slices.Sorted(maps.Keys(r.Policies)) {
+		printOrganisations(w, name, r.Policies[name])
+	}
+}
+
+func printRow(w io.Writer, name string, f *Figures, last string) {
+	fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f %%\t%.1f %%\t%.1f\t%.1f\t%s\t\n", name, f.Sent, f.Answered, f.Lost,
+		f.Duplicated, f.Refused, f.RefusedWithinRate, f.OverAdmittedTokens, 100*f.PrefixHitRate, 100*f.WastedRecompute,
+		f.TTFTP50Ms, f.TTFTP99Ms, last)
+}
+
+func printOrganisations(w io.Writer, policy string, p *PolicyFigures) {
+	fmt.Fprintf(w, "\n%s by organisation", policy)
+	if p.HitRateBefore > 0 {
+		fmt.Fprintf(w, "; hit rate %.1f %% before the middle of the run, %.1f %% after", 100*p.HitRateBefore, 100*p.HitRateAfter)
+	}
+	fmt.Fprintln(w)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	for _, id := range slices.Sorted(maps.Keys(p.Organisations)) {
+		printRow(t, string(id), p.Organisations[id], "")
+	}
+	_ = t.Flush()
+}
--- /dev/null
+++ b/internal/program/load/run.go
@@ -0,0 +1,195 @@
+package load
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gooseberryway/gooseberryway/internal/program/client"
+	"github.com/gooseberryway/gooseberryway/internal/program/local"
+	"github.com/gooseberryway/gooseberryway/internal/program/setup"
+	"github.com/gooseberryway/gooseberryway/internal/protocol/openai"
+	"github.com/gooseberryway/gooseberryway/internal/standin/engine"
+	"github.com/gooseberryway/gooseberryway/internal/state/config"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
+
+// run is one policy's run of a trace.
+type run struct {
+	profile *Profile
+	policy  string
+	trace   []arrival
+	length  time.Duration
+	faults  []Fault
+
+	system     *local.System
+	admissions admissions
+	faultAt    time.Time
+
+	mu       sync.Mutex
+	outcomes []*outcome
+}
+
+// play starts a system, sends the trace and returns the figures.
+func (r *run) play(ctx context.Context) (*PolicyFigures, error) {
+	r.system = r.newSystem()
+	defer r.system.Close()
+	if err := r.system.Start(ctx); err != nil {
+		return nil, err
+	}
+	clients := r.clients()
+	var wg sync.WaitGroup
+	wg.Go(func() { r.breakThings(ctx) })
+	r.send(ctx, clients, &wg)
+	wg.Wait()
+	for _, c := range clients {
+		c.Close()
+	}
+	return r.figures(), nil
+}
+
+func (r *run) newSystem() *local.System {
+	p := r.profile
+	system := &local.System{
+		Daemons: p.Daemons,
+		Domains: p.Domains,
+		Engines: p.Engines,
+		EngineSettings: engine.Settings{
+			BlockTokens: p.BlockTokens,
+			CacheBlocks: p.CacheBlocks,
+			EvictIdle:   time.Duration(p.EvictIdleMs) * time.Millisecond,
+			LoadVersion: time.Duration(p.LoadVersionMs) * time.Millisecond,
+			TimeScale:   p.TimeScale,
+		},
+		Model:    model,
+		Version:  version,
+		Admitted: r.admissions.add,
+		Settings: func(s *setup.Settings) { s.Policy = r.policy },
+	}
+	for _, o := range p.Organisations {
+		rate := p.rate(o)
+		system.Organisations = append(system.Organisations, config.Organisation{
+			ID: o.ID, Team: "forest", Rate: rate, Burst: burstSeconds * ident.Tokens(rate),
+		})
+	}
+	return system
+}
+
+func (r *run) clients() []*client.Client {
+	clients := make([]*client.Client, 0, len(r.profile.Organisations))
+	for _, o := range r.profile.Organisations {
+		clients = append(clients, &client.Client{Seeds: r.system.Addresses(), Key: r.system.Keys[o.ID], Retries: retries})
+	}
+	return clients
+}
+
+// send sends each request at its time, whatever became of those before.
+func (r *run) send(ctx context.Context, clients []*client.Client, wg *sync.WaitGroup) {
+	ctx, cancel := context.WithTimeout(ctx, r.length+drainTimeout)
+	defer cancel()
+	start := time.Now()
+	var answers sync.WaitGroup
+	for i := range r.trace {
+		a := &r.trace[i]
+		if !sleepUntil(ctx, start.Add(a.at)) {
+			break
+		}
+		answers.Go(func() { r.one(ctx, clients[a.organisation], a) })
+	}
+	answers.Wait()
+	wg.Wait()
+}
+
+func (r *run) one(ctx context.Context, c *client.Client, a *arrival) {
+	o := &outcome{arrival: a, sent: time.Now(), held: r.held(a.chain)}
+	o.answer, o.err = c.Complete(ctx, a.request)
+	if o.err == nil {
+		o.whole = o.answer.Text == expected(a.request, o.answer.Version)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.outcomes = append(r.outcomes, o)
+}
+
+// held returns the number of leading blocks that some engine holds now.
+func (r *run) held(chain []ident.BlockHash) int {
+	most := 0
+	for _, e := range r.system.EngineList() {
+		most = max(most, e.Held(chain))
+	}
+	return most
+}
+
+// expected returns the text that an engine of the version answers.
+func expected(req *client.Request, version string) string {
+	decoded, err := openai.DecodeChat(req.Body())
+	if err != nil {
+		return ""
+	}
+	digest := engine.DigestPrompt(decoded.Prompt)
+	return engine.Answer(decoded.Model, ident.VersionID(version), digest, *decoded.Seed, 0, decoded.MaxTokens)
+}
+
+func (r *run) figures() *PolicyFigures {
+	slices.SortFunc(r.outcomes, func(a, b *outcome) int { return a.sent.Compare(b.sent) })
+	fleet := newCollector()
+	f := &PolicyFigures{Organisations: map[ident.OrganisationID]*Figures{}}
+	worst := 0.0
+	for i, o := range r.profile.Organisations {
+		own := r.organisation(i, o, fleet)
+		f.Organisations[o.ID] = own
+		fleet.RefusedWithinRate += own.RefusedWithinRate
+		fleet.OverAdmittedTokens = max(fleet.OverAdmittedTokens, own.OverAdmittedTokens)
+		worst = max(worst, own.TTFTP99Ms)
+	}
+	for _, e := range r.system.EngineList() {
+		fleet.Duplicated += e.Stats().RepeatedRuns
+	}
+	f.Figures = *fleet.figures()
+	if f.TTFTP99Ms > 0 {
+		f.WorstToFleet = worst / f.TTFTP99Ms
+	}
+	f.HitRateBefore = r.hitRate(r.faultAt.Add(-r.profile.wall(faultWindow)), r.faultAt)
+	f.HitRateAfter = r.hitRate(r.faultAt, r.faultAt.Add(r.profile.wall(faultWindow)))
+	return f
+}
+
+func (r *run) organisation(i int, o Organisation, fleet *collector) *Figures {
+	c := newCollector()
+	var own []*outcome
+	for _, out := range r.outcomes {
+		if out.arrival.organisation == i {
+			own = append(own, out)
+			c.add(r.profile, out)
+			fleet.add(r.profile, out)
+		}
+	}
+	rate := r.profile.rate(o)
+	burst := burstSeconds * ident.Tokens(rate)
+	c.RefusedWithinRate = refusedWithinRate(own, rate, burst)
+	c.OverAdmittedTokens = overAdmitted(r.admissions.list, o.ID, rate, burst)
+	return c.figures()
+}
+
+// hitRate returns the prefix hit rate of the requests sent in a span of time.
+func (r *run) hitRate(from, to time.Time) float64 {
+	c := newCollector()
+	for _, o := range r.outcomes {
+		if !o.sent.Before(from) && o.sent.Before(to) {
+			c.add(r.profile, o)
+		}
+	}
+	return c.figures().PrefixHitRate
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/program/local/system.go
+++ b/internal/program/local/system.go
@@ -36,6 +36,9 @@
 	// Settings changes the settings of each daemon; nil for none.
 	Settings func(*setup.Settings)
 
+	// Admitted is called for each request that a daemon admits; nil for none.
+	Admitted func(ident.OrganisationID, ident.Tokens)
+
 	// Log is the stand-in of the log service.
 	Log *logsvc.Service
 	// VMs is the stand-in of the VM list.
@@ -146,7 +149,7 @@
 		s.Settings(&settings)
 	}
 	ctx, stop := context.WithCancel(s.life)
-	p := &process{settings: &settings, daemon: &daemon.Daemon{Settings: &settings}, stop: stop, done: make(chan struct{})}
+	p := &process{settings: &settings, daemon: &daemon.Daemon{Settings: &settings, Admitted: s.Admitted}, stop: stop, done: make(chan struct{})}
 	s.mu.Lock()
 	s.running[i] = p
 	s.mu.Unlock()
