Judge refusals by an exact bucket of what was admitted

Cause: the first measure compared with a bucket that lets later requests pass while earlier ones wait, and mixed the times of requests beyond the rate into the tail. Change: refusals and times are judged by a ledger of all admissions; a warm-up of 8 s of engine time is left out.

--- a/internal/program/load/consts.go
+++ b/internal/program/load/consts.go
@@ -20,6 +20,8 @@
 	retries = 4
 	// drainTimeout bounds the wait for the last answers.
 	drainTimeout = 60 * time.Second
+	// warmup is the time at the start of a run whose hit rates and times are left out, in engine time.
+	warmup = 8 * time.Second
 	// faultWindow is the time before and after a fault for which hit rates are compared, in engine time.
 	faultWindow = 10 * time.Second
 )
--- a/internal/program/load/figures.go
+++ b/internal/program/load/figures.go
@@ -16,7 +16,10 @@
 	Lost       int `json:"lost"`
 	Duplicated int `json:"duplicated"`
 	Refused    int `json:"refused"`
-	// RefusedWithinRate are refusals for the rate that an exact bucket would have admitted.
+	// Beyond are answered requests that were sent when the organisation had used up its rate and burst. The times to
+	// the first token leave them out.
+	Beyond int `json:"beyondRate"`
+	// RefusedWithinRate are refusals for the rate when an exact bucket of all admissions had room.
 	RefusedWithinRate int `json:"refusedWithinRate"`
 	// OverAdmittedTokens is the most by which any interval exceeds burst plus rate times its length.
 	OverAdmittedTokens ident.Tokens `json:"overAdmittedTokens"`
@@ -69,10 +72,17 @@
 	if o.whole {
 		c.Whole++
 	}
+	if o.warmup {
+		return
+	}
 	usage := o.answer.Usage
 	c.prompt += usage.PromptTokens
 	c.cached += usage.PromptTokensDetails.CachedTokens
 	c.wasted += max(0, ident.Tokens(o.held)*p.BlockTokens-usage.PromptTokensDetails.CachedTokens)
+	if o.beyond {
+		c.Beyond++
+		return
+	}
 	c.time(time.Duration(float64(o.answer.FirstToken) / p.TimeScale))
 }
 
--- a/internal/program/load/print.go
+++ b/internal/program/load/print.go
@@ -15,7 +15,7 @@
 func printReport(w io.Writer, r *Report) {
 	fmt.Fprintf(w, "profile %s, seed %d, %.0f s a run, faults %v; times in ms of engine time\n\n", r.Profile, r.Seed, r.Seconds, r.Faults)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "policy\tsent\tanswered\tlost\tdup\trefused\twithin rate\tover tokens\thit rate\twasted\tp50\tp99\tworst/fleet\t")
+	fmt.Fprintln(t, "policy\tsent\tanswered\tlost\tdup\trefused\tbeyond\twithin rate\tover tokens\thit rate\twasted\tp50\tp99\tworst/fleet\t")
 	for _, name := range slices.Sorted(maps.Keys(r.Policies)) {
 		f := r.Policies[name]
 		printRow(t, name, &f.Figures, fmt.Sprintf("%.2f", f.WorstToFleet))
@@ -28,8 +28,8 @@
 }
 
 func printRow(w io.Writer, name string, f *Figures, last string) {
-	fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f %%\t%.1f %%\t%.1f\t%.1f\t%s\t\n", name, f.Sent, f.Answered, f.Lost,
-		f.Duplicated, f.Refused, f.RefusedWithinRate, f.OverAdmittedTokens, 100*f.PrefixHitRate, 100*f.WastedRecompute,
+	fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f %%\t%.1f %%\t%.1f\t%.1f\t%s\t\n", name, f.Sent, f.Answered, f.Lost,
+		f.Duplicated, f.Refused, f.Beyond, f.RefusedWithinRate, f.OverAdmittedTokens, 100*f.PrefixHitRate, 100*f.WastedRecompute,
 		f.TTFTP50Ms, f.TTFTP99Ms, last)
 }
 
--- a/internal/program/load/run.go
+++ b/internal/program/load/run.go
@@ -107,6 +107,8 @@
 	if o.err == nil {
 		o.whole = o.answer.Text == expected(a.request, o.answer.Version)
 	}
+	o.ended = time.Now()
+	o.warmup = a.at < r.profile.wall(warmup)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.outcomes = append(r.outcomes, o)
@@ -161,14 +163,19 @@
 	for _, out := range r.outcomes {
 		if out.arrival.organisation == i {
 			own = append(own, out)
-			c.add(r.profile, out)
-			fleet.add(r.profile, out)
 		}
 	}
 	rate := r.profile.rate(o)
-	burst := burstSeconds * ident.Tokens(rate)
-	c.RefusedWithinRate = refusedWithinRate(own, rate, burst)
-	c.OverAdmittedTokens = overAdmitted(r.admissions.list, o.ID, rate, burst)
+	ledger := newLedger(r.admissions.list, o.ID, rate, burstSeconds*ident.Tokens(rate))
+	for _, out := range own {
+		out.beyond = !ledger.fits(out.sent, out.arrival.cost)
+		if out.overRate() && ledger.fits(out.ended, out.arrival.cost) {
+			c.RefusedWithinRate++
+		}
+		c.add(r.profile, out)
+		fleet.add(r.profile, out)
+	}
+	c.OverAdmittedTokens = ledger.worst
 	return c.figures()
 }
 
