--- a/internal/coordination/route/attempt.go
+++ b/internal/coordination/route/attempt.go
@@ -44,12 +44,17 @@
 	a.served(req.PromptTokens, now)
 	a.queued = a.upstream.ReportedQueue(now)
 	a.work = a.upstream.Begin(max(0, req.PromptTokens-held), now)
-	if a.upstream.Incarnation() == d.Incarnation {
-		r.Index.Expect(d.Upstream, req.Chain)
-	}
+	a.expect()
 	return a
 }
 
+// expect notes that the engine is about to hold the prompt, unless it has restarted since the decision.
+func (a *Attempt) expect() {
+	if a.upstream.Incarnation() == a.decision.Incarnation {
+		a.router.Index.Expect(a.decision.Upstream, a.req.Chain)
+	}
+}
+
 // FirstToken notes that the first token of the answer has come. Later calls change nothing.
 func (a *Attempt) FirstToken() {
 	if a.ttft != 0 || a.upstream == nil {
@@ -57,6 +62,7 @@
 	}
 	a.ttft = time.Since(a.started)
 	a.work.FirstToken()
+	a.expect()
 	missed := float64(a.req.PromptTokens - a.decision.ExpectedCachedTokens)
 	prefill := time.Duration(missed / a.upstream.PrefillRate() * float64(time.Second))
 	a.upstream.LearnQueue(a.queued, max(0, a.ttft-prefill))
--- a/internal/coordination/route/collect.go
+++ b/internal/coordination/route/collect.go
@@ -67,15 +67,15 @@
 	s.best, s.refusal = unfit, RefusedNotLoaded
 }
 
-// weigh adds an engine to the candidates if none of them is fitter.
-func (r *Router) weigh(s *scratch, u *health.Upstream, req *Request, now time.Time) {
+// weigh adds an engine to the candidates if none of them is fitter, and reports whether it did.
+func (r *Router) weigh(s *scratch, u *health.Upstream, req *Request, now time.Time) bool {
 	f := fitnessOf(u, req.Scope.Version, now)
 	if f == unfit || f < s.best {
-		return
+		return false
 	}
 	if tried(req, u.ID) {
 		s.refusal = RefusedTried
-		return
+		return false
 	}
 	if f > s.best {
 		s.best = f
@@ -86,6 +86,7 @@
 		incarnation: u.Incarnation(),
 		load:        u.Load(now, r.senders()),
 	})
+	return true
 }
 
 func (s *scratch) has(u *health.Upstream) bool {
@@ -126,15 +127,14 @@
 	}
 	at := sort.Search(len(engines), func(i int) bool { return engines[i].Hash >= uint64(key) })
 	for i := range placedCandidates {
-		r.weighOnce(s, engines[(at+i)%len(engines)], req, now)
+		if u := engines[(at+i)%len(engines)]; !s.has(u) {
+			r.weigh(s, u, req, now)
+		}
 	}
 	for range randomCandidates {
-		r.weighOnce(s, engines[r.random(len(engines))], req, now)
-	}
-}
-
-func (r *Router) weighOnce(s *scratch, u *health.Upstream, req *Request, now time.Time) {
-	if !s.has(u) {
-		r.weigh(s, u, req, now)
+		u := engines[r.random(len(engines))]
+		if !s.has(u) && r.weigh(s, u, req, now) {
+			s.candidates[len(s.candidates)-1].chance = true
+		}
 	}
 }
--- a/internal/coordination/route/cost.go
+++ b/internal/coordination/route/cost.go
@@ -12,6 +12,8 @@
 	upstream    *health.Upstream
 	incarnation ident.Incarnation
 	load        health.Load
+	// chance marks a candidate drawn at random, on which other daemons need not agree.
+	chance bool
 	// blocks are the leading blocks of the prompt that the engine holds.
 	blocks int
 	// imports are the leading blocks that it would import.
@@ -85,14 +87,30 @@
 	if !ok {
 		key = ident.BlockHash(r.random(math.MaxInt))
 	}
-	first, second := -1, -1
+	first, second := rank(candidates, uint64(key), func(c *candidate) bool {
+		return c.cost <= bound && c.blocks == held && !c.chance
+	})
+	if first < 0 {
+		first, second = rank(candidates, uint64(key), func(c *candidate) bool {
+			return c.cost <= bound && c.blocks == held
+		})
+	}
+	if second >= 0 && len(req.Chain)-held <= spreadBlocks && candidates[second].wait < candidates[first].wait {
+		return second
+	}
+	return first
+}
+
+// rank returns the two candidates of highest score for a key among those that suit; -1 when there is none.
+func rank(candidates []candidate, key uint64, suits func(*candidate) bool) (first, second int) {
+	first, second = -1, -1
 	var firstScore, secondScore uint64
 	for i := range candidates {
 		c := &candidates[i]
-		if c.cost > bound || c.blocks != held {
+		if !suits(c) {
 			continue
 		}
-		score := rendezvous(uint64(key), c.upstream.Hash)
+		score := rendezvous(key, c.upstream.Hash)
 		switch {
 		case first < 0 || score > firstScore:
 			second, secondScore = first, firstScore
@@ -101,10 +119,7 @@
 			second, secondScore = i, score
 		}
 	}
-	if second >= 0 && len(req.Chain)-held <= spreadBlocks && candidates[second].wait < candidates[first].wait {
-		return second
-	}
-	return first
+	return first, second
 }
 
 func reasonOf(c *candidate, most int) Reason {
