--- /dev/null
+++ b/internal/coordination/moves/flight.go
@@ -0,0 +1,194 @@
+package moves
+
+import (
+	"time"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
+
+// Flight is a request under way at an engine. Its methods are for one goroutine.
+type Flight struct {
+	// Started is when the request was sent.
+	Started time.Time
+
+	target  Target
+	watch   *Watch
+	share   *share
+	figures *moveFigures
+	route   *routeFigures
+	// base is where the latencies of the version that serves are kept.
+	base  *latencyBase
+	isNew bool
+	cell  *cell
+	// waiting is nil once the first token has come.
+	waiting *pendingNode
+	// first says that the first token has come, at firstAt.
+	first   bool
+	firstAt time.Time
+	// paced says that the time between tokens has been counted.
+	paced bool
+}
+
+// Begin counts a request that is sent to an engine now. uncached is the part of the prompt that the engine is
+// expected to compute. End must be called on the result once.
+func (w *Watch) Begin(at Target, uncached ident.Tokens) Flight {
+	fl := Flight{Started: time.Now(), target: at, watch: w}
+	w.checkSent(at, fl.Started)
+	fl.share, fl.figures, fl.isNew = w.find(at)
+	if fl.figures == nil {
+		fl.base = w.base(baseKey{routeKey{at.Model, at.Route}, at.Version})
+		return fl
+	}
+	fl.route = w.routeOf(fl.figures, at.Route)
+	if !fl.isNew {
+		fl.base = fl.route.base
+	}
+	fl.cell = fl.figures.cell(at, fl.isNew)
+	fl.waiting = &pendingNode{started: fl.Started, class: uncachedClass(uncached), cell: fl.cell}
+	fl.route.pending[sideOf(fl.isNew)].add(fl.waiting)
+	return fl
+}
+
+// First counts the first token, which has come now. uncached is the part of the prompt that the engine computed.
+// The answer counts as good from here on, unless it ends otherwise: a version that fails at once would else seem
+// worse than it is, as its good answers take longer.
+func (fl *Flight) First(uncached ident.Tokens) {
+	if fl.first {
+		return
+	}
+	fl.first, fl.firstAt = true, time.Now()
+	ttft, class := fl.firstAt.Sub(fl.Started), uncachedClass(uncached)
+	if fl.base != nil {
+		fl.base.addTTFT(class, ttft)
+	}
+	if fl.figures == nil {
+		return
+	}
+	fl.cell.requests.Add(1)
+	if overdue := fl.endWait(); overdue {
+		return
+	}
+	slow := fl.route.addTTFT(fl.cell, ttft, class)
+	fl.signalIf(slow)
+}
+
+// Tokens tells how many tokens have come so far. The time between tokens is counted as soon as there are enough of
+// them, and not only at the end of a long answer.
+func (fl *Flight) Tokens(n ident.Tokens) {
+	if fl.paced || !fl.first || n < pacedTokens {
+		return
+	}
+	fl.addITL(time.Since(fl.firstAt) / time.Duration(n-1))
+}
+
+func (fl *Flight) addITL(itl time.Duration) {
+	fl.paced = true
+	if fl.base != nil {
+		fl.base.itl.add(itl)
+	}
+	if fl.figures == nil {
+		return
+	}
+	fl.freeProbe()
+	slow := fl.route.addITL(fl.cell, itl)
+	fl.signalIf(slow)
+}
+
+// signalIf tells the other daemons soon when the new version does badly.
+func (fl *Flight) signalIf(bad bool) {
+	if bad && fl.isNew {
+		fl.watch.signal()
+	}
+}
+
+// endWait takes the request off the waiting ones and reports whether it was counted as slow while it waited.
+func (fl *Flight) endWait() bool {
+	overdue := fl.route.pending[sideOf(fl.isNew)].remove(fl.waiting)
+	fl.waiting = nil
+	return overdue
+}
+
+// freeProbe lets the next probe go, if this was one.
+func (fl *Flight) freeProbe() {
+	if fl.isNew {
+		fl.share.probes.answered(fl.target.Route, fl.target.Organisation)
+	}
+}
+
+// End counts the outcome of an answer of n tokens.
+func (fl *Flight) End(outcome Outcome, n ident.Tokens) {
+	if fl.first && !fl.paced && n > 1 {
+		fl.addITL(time.Since(fl.firstAt) / time.Duration(n-1))
+	}
+	if fl.figures == nil {
+		return
+	}
+	if fl.waiting != nil {
+		fl.endWait()
+	}
+	fl.freeProbe()
+	s := sample{Target: fl.target, Started: fl.Started, Outcome: outcome}
+	fl.ended(&s)
+}
+
+// ended counts the end of a request, which may have been counted at its first token.
+func (fl *Flight) ended(s *sample) {
+	fl.signalIf(s.Outcome > OutcomeWhole && s.Outcome < OutcomeIgnored)
+	switch s.Outcome {
+	case OutcomeIgnored:
+	case OutcomeBroken, OutcomeUnreachable:
+		fl.figures.broken.saw(s, fl.isNew)
+	default:
+		fl.figures.broken.answered(s.Upstream, s.Started)
+		fl.cell.add(s.Outcome, fl.first)
+	}
+}
+
+// checkSent checks that nothing goes to a version after its stop.
+func (w *Watch) checkSent(at Target, started time.Time) {
+	if t := w.Splitter.table.Load(); t != nil {
+		t.checkSent(routeKey{at.Model, at.Route}, at.Version, started)
+	}
+}
+
+// countOverdue counts requests that wait for their first token longer than the limit as slow, and reports whether
+// any of the new version do.
+func (f *moveFigures) countOverdue(now time.Time) bool {
+	late := 0
+	for _, r := range *f.routes.Load() {
+		limits := r.limits()
+		r.pending[sideOf(false)].countOverdue(now, limits)
+		late += r.pending[sideOf(true)].countOverdue(now, limits)
+	}
+	return late > 0
+}
+
+// addTTFT counts a time to first token and reports whether it was slow.
+func (r *routeFigures) addTTFT(c *cell, ttft time.Duration, class int) bool {
+	c.ttftMicros.Add(ttft.Microseconds())
+	limit := time.Duration(r.ttftLimits[class].Load())
+	if limit == 0 {
+		return false
+	}
+	c.ttftSamples.Add(1)
+	if ttft <= limit {
+		return false
+	}
+	c.ttftSlow.Add(1)
+	return true
+}
+
+// addITL counts a time between tokens and reports whether it was slow.
+func (r *routeFigures) addITL(c *cell, itl time.Duration) bool {
+	c.itlMicros.Add(itl.Microseconds())
+	limit := time.Duration(r.itlLimit.Load())
+	if limit == 0 {
+		return false
+	}
+	c.itlSamples.Add(1)
+	if itl <= limit {
+		return false
+	}
+	c.itlSlow.Add(1)
+	return true
+}
--- /dev/null
+++ b/internal/coordination/moves/owner.go
@@ -0,0 +1,333 @@
+package moves
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"k8s.io/klog/v2"
+
+	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
+	"github.com/gooseberryway/gooseberryway/internal/state/config"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
+
+// Writer appends records to the control stream and reads them back. The error is a *config.ConflictError when the
+// path was changed meanwhile; with any other error the record may or may not be in the log.
+type Writer interface {
+	Write(ctx context.Context, rec *wire.Record) (ident.Offset, error)
+}
+
+// Owner runs on every daemon. It stops versions on this daemon's evidence, and it steers the moves that this daemon
+// owns by records that are based on the revision they were decided on.
+type Owner struct {
+	Daemon      ident.DaemonID
+	Incarnation ident.Incarnation
+	// State returns the configuration as replayed so far.
+	State  func() *config.State
+	Writer Writer
+	// Live returns the daemons that are joined and answer, this one included.
+	Live func() []ident.DaemonID
+	// Leased reports whether this daemon holds its serving lease.
+	Leased func() bool
+	// InForce reports whether every daemon acts on the record at the offset; nil waits for the lease and the grace.
+	InForce func(ident.Offset) bool
+	// Capacity reports whether enough engines have loaded the move's new version for a share; nil means always.
+	Capacity func(*config.Move, ident.Permille) bool
+	// Loading returns how long the engines still need to load the move's new version; nil means not at all.
+	Loading func(*config.Move) time.Duration
+
+	Splitter *Splitter
+	Watch    *Watch
+	Settings Settings
+
+	judge    Judge
+	mu       sync.Mutex
+	verdicts map[ident.MoveID]Verdict
+	trails   map[ident.MoveID]*trail
+	applied  *config.State
+	sequence uint64
+	writes   sync.WaitGroup
+	cancel   context.CancelFunc
+	finished chan struct{}
+}
+
+// trail is what this daemon knows of a move beyond its entity. It is guarded by Owner.mu.
+type trail struct {
+	revision ident.Offset
+	stage    stage
+	// since is when this daemon saw the stage first, and epochSeen when it saw the owner's epoch first.
+	since, epochSeen time.Time
+	epoch            ident.Offset
+	ownerLiveAt      time.Time
+	writing          bool
+	retryAt          time.Time
+	backoff          time.Duration
+}
+
+// stage is the part of a move whose change starts a new time to hold.
+type stage struct {
+	state config.MoveState
+	step  int
+	share ident.Permille
+}
+
+// Run works until ctx ends or Close is called.
+func (o *Owner) Run(ctx context.Context) {
+	ctx = o.start(ctx)
+	defer close(o.finished)
+	defer o.writes.Wait()
+	o.Watch.init()
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		o.tick(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-o.Watch.wake:
+		}
+	}
+}
+
+func (o *Owner) start(ctx context.Context) context.Context {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	ctx, o.cancel = context.WithCancel(ctx)
+	o.finished = make(chan struct{})
+	o.trails = map[ident.MoveID]*trail{}
+	o.judge = Judge{Watch: o.Watch, Settings: o.Settings}
+	return ctx
+}
+
+// Close ends Run and waits for it.
+func (o *Owner) Close() {
+	o.mu.Lock()
+	cancel, finished := o.cancel, o.finished
+	o.mu.Unlock()
+	if cancel == nil {
+		return
+	}
+	cancel()
+	<-finished
+}
+
+// Verdicts returns the latest verdict of every active move.
+func (o *Owner) Verdicts() map[ident.MoveID]Verdict {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.verdicts
+}
+
+func (o *Owner) tick(ctx context.Context) {
+	state := o.State()
+	if state != o.applied {
+		o.Splitter.Update(state)
+		o.applied = state
+	}
+	now := time.Now()
+	verdicts := o.judge.Tick(now)
+	o.stopBad(verdicts)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.verdicts = verdicts
+	live := o.Live()
+	for _, m := range state.Moves() {
+		o.follow(state, m, live, now)
+	}
+	if !o.Leased() {
+		return
+	}
+	for _, m := range state.Moves() {
+		o.steer(ctx, state, m, live, now)
+	}
+}
+
+// stopBad stops the versions that are judged bad, on this daemon at once.
+func (o *Owner) stopBad(verdicts map[ident.MoveID]Verdict) {
+	for id, v := range verdicts {
+		if v.Finding != FindingBad || !o.Splitter.Stop(id, v.Reason) {
+			continue
+		}
+		klog.InfoS("Stopped sending to the new version", "move", id, "reason", v.Reason)
+		o.Watch.signal()
+	}
+}
+
+// follow notes what changed of a move.
+func (o *Owner) follow(state *config.State, m *config.Move, live []ident.DaemonID, now time.Time) {
+	tr := o.trails[m.ID]
+	if tr == nil {
+		tr = &trail{ownerLiveAt: now}
+		o.trails[m.ID] = tr
+	}
+	if st := (stage{m.State, m.Step, m.Share}); tr.stage != st || tr.since.IsZero() {
+		tr.stage, tr.since = st, now
+	}
+	if epoch := EpochOf(state, m); tr.epoch != epoch || tr.epochSeen.IsZero() {
+		tr.epoch, tr.epochSeen = epoch, now
+	}
+	if slices.Contains(live, m.Owner) {
+		tr.ownerLiveAt = now
+	}
+	if revision := state.Revision(config.PathOf(m)); revision != tr.revision {
+		tr.revision, tr.backoff, tr.retryAt = revision, 0, time.Time{}
+	}
+}
+
+// steer decides on one move and starts the write of what was decided.
+func (o *Owner) steer(ctx context.Context, state *config.State, m *config.Move, live []ident.DaemonID, now time.Time) {
+	tr := o.trails[m.ID]
+	if tr.writing || now.Before(tr.retryAt) {
+		return
+	}
+	next := o.next(state, m, live, now)
+	if next == nil {
+		return
+	}
+	o.sequence++
+	id := ident.RecordID(fmt.Sprintf("%s-%d-move-%d", o.Daemon, o.Incarnation, o.sequence))
+	path := entityPath(next)
+	rec := config.NewRecord(id, string(o.Daemon), state.Revision(path), next)
+	tr.writing = true
+	o.writes.Go(func() { o.write(ctx, m.ID, tr, rec) })
+}
+
+// next returns the entity to write for a move, nil if there is none.
+func (o *Owner) next(state *config.State, m *config.Move, live []ident.DaemonID, now time.Time) config.Entity {
+	if m.State == config.MoveDone {
+		if model := o.finishedModel(state, m, live); model != nil {
+			return model
+		}
+		return nil
+	}
+	s := o.situation(state, m, live, now)
+	if next := decide(&s, o.Settings.withDefaults()); next != nil {
+		if next.Owner == o.Daemon && next.OwnerEpoch == 0 && m.Owner == o.Daemon {
+			next.OwnerEpoch = EpochOf(state, m)
+		}
+		return next
+	}
+	return nil
+}
+
+func entityPath(e config.Entity) ident.Path { return config.PathOf(e) }
+
+func (o *Owner) situation(state *config.State, m *config.Move, live []ident.DaemonID, now time.Time) situation {
+	tr := o.trails[m.ID]
+	s := situation{
+		move:         *m,
+		self:         o.Daemon,
+		winner:       electOwner(m.ID, live) == o.Daemon,
+		ownerMissing: now.Sub(tr.ownerLiveAt),
+		inForce:      o.inForce(tr, now),
+		verdict:      o.verdicts[m.ID],
+		stopped:      o.Splitter.StopReason(m.ID),
+		overlap:      overlapBefore(state, m),
+		held:         now.Sub(tr.since),
+		now:          now,
+		capacity:     true,
+	}
+	if o.Capacity != nil {
+		settings := o.Settings.withDefaults()
+		s.capacity = o.Capacity(m, settings.Steps[settings.nextStep(m)])
+	}
+	if o.Loading != nil {
+		s.loading = o.Loading(m)
+	}
+	return s
+}
+
+func (o *Owner) inForce(tr *trail, now time.Time) bool {
+	if o.InForce != nil {
+		return o.InForce(tr.epoch)
+	}
+	return now.Sub(tr.epochSeen) >= leaseTTL+removalGrace
+}
+
+// finishedModel returns the model with the version of a move that is done, nil if it needs no change.
+func (o *Owner) finishedModel(state *config.State, m *config.Move, live []ident.DaemonID) *config.Model {
+	model, ok := state.Model(m.Model)
+	if !ok || len(m.Routes) > 0 || model.CurrentVersion != m.From || electOwner(m.ID, live) != o.Daemon {
+		return nil
+	}
+	if state.Revision(config.PathOf(m)) < state.Revision(config.PathOf(model)) {
+		return nil
+	}
+	next := *model
+	next.CurrentVersion = m.To
+	return &next
+}
+
+// write appends a record. After an error the move is decided anew, on what has been replayed by then: if the record
+// did take effect, the next one conflicts with it or is not needed.
+func (o *Owner) write(ctx context.Context, id ident.MoveID, tr *trail, rec *wire.Record) {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	_, err := o.Writer.Write(ctx, rec)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	tr.writing = false
+	var conflict *config.ConflictError
+	switch {
+	case err == nil || errors.As(err, &conflict):
+		tr.backoff = 0
+		tr.retryAt = time.Now().Add(tickInterval)
+	default:
+		tr.backoff = min(max(2*tr.backoff, retryInitial), retryMax)
+		tr.retryAt = time.Now().Add(tr.backoff)
+		klog.ErrorS(err, "Writing a move failed", "move", id, "retryIn", tr.backoff)
+	}
+	notify(o.Watch.wake)
+}
+
+// EpochOf returns the fencing number of the move's owner: the offset of the record that made it the owner.
+func EpochOf(state *config.State, m *config.Move) ident.Offset {
+	if m.OwnerEpoch != 0 {
+		return m.OwnerEpoch
+	}
+	return state.Revision(config.PathOf(m))
+}
+
+// electOwner returns the daemon that should own a move, by rendezvous hashing.
+func electOwner(move ident.MoveID, live []ident.DaemonID) ident.DaemonID {
+	if len(live) == 0 {
+		return ""
+	}
+	return slices.MaxFunc(live, func(a, b ident.DaemonID) int {
+		return cmp.Or(cmp.Compare(ownerWeight(move, a), ownerWeight(move, b)), cmp.Compare(a, b))
+	})
+}
+
+func ownerWeight(move ident.MoveID, daemon ident.DaemonID) uint64 {
+	return mix(xxhash.Sum64String(string(move)) ^ mix(xxhash.Sum64String(string(daemon))))
+}
+
+// overlapBefore returns another active move of one of the routes that has gone further, "" if there is none.
+func overlapBefore(state *config.State, m *config.Move) ident.MoveID {
+	for _, other := range activeMoves(state) {
+		if other.ID == m.ID {
+			return ""
+		}
+		if overlap(other, m) {
+			return other.ID
+		}
+	}
+	return ""
+}
+
+func overlap(a, b *config.Move) bool {
+	if a.Model != b.Model {
+		return false
+	}
+	if len(a.Routes) == 0 || len(b.Routes) == 0 {
+		return true
+	}
+	return slices.ContainsFunc(a.Routes, func(r ident.RouteID) bool { return slices.Contains(b.Routes, r) })
+}
--- /dev/null
+++ b/internal/coordination/moves/sample.go
@@ -0,0 +1,79 @@
+package moves
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/extern"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
+
+// Outcome is what became of a request at an engine.
+type Outcome uint8
+
+// Outcomes.
+const (
+	// OutcomeWhole is a complete answer.
+	OutcomeWhole Outcome = iota + 1
+	// OutcomeFailed is an answer that is an error, or none within the time allowed.
+	OutcomeFailed
+	// OutcomeTruncated is a stream that ended before its last event while the engine went on running.
+	OutcomeTruncated
+	// OutcomeBroken is a connection that broke while the engine answered.
+	OutcomeBroken
+	// OutcomeUnreachable is an engine that could not be reached.
+	OutcomeUnreachable
+	// OutcomeIgnored tells nothing about the version: the caller left or the engine was overloaded.
+	OutcomeIgnored
+)
+
+// Target names where a request went.
+type Target struct {
+	Model        ident.ModelID
+	Route        ident.RouteID
+	Version      ident.VersionID
+	Organisation ident.OrganisationID
+	Upstream     ident.UpstreamID
+}
+
+// sample is what became of one request at one engine.
+type sample struct {
+	Target
+	// Started is when the request was sent to the engine.
+	Started time.Time
+	Outcome Outcome
+}
+
+// uncachedClass groups prompts by the work of their prefill, so that answers are compared with like ones.
+func uncachedClass(n ident.Tokens) int {
+	class := 0
+	for n /= uncachedClassTokens; n > 0 && class < uncachedClasses-1; n /= 2 {
+		class++
+	}
+	return class
+}
+
+// OutcomeOf returns the outcome of a call to an engine that ended with err.
+func OutcomeOf(err error) Outcome {
+	if err == nil {
+		return OutcomeWhole
+	}
+	if errors.Is(err, context.Canceled) {
+		return OutcomeIgnored
+	}
+	var up *extern.UpstreamError
+	if !errors.As(err, &up) {
+		return OutcomeFailed
+	}
+	switch up.Kind {
+	case extern.UpstreamOverloaded, extern.UpstreamFenced:
+		return OutcomeIgnored
+	case extern.UpstreamUnreachable:
+		return OutcomeUnreachable
+	case extern.UpstreamBroken:
+		return OutcomeBroken
+	default:
+		return OutcomeFailed
+	}
+}
