--- /dev/null
+++ b/internal/state/burn/codec.go
@@ -0,0 +1,41 @@
+package burn
+
+import (
+	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
+
+// Encode returns counts as messages for another daemon.
+func Encode(all []SeriesCounts) []*wire.BurnSeries {
+	out := make([]*wire.BurnSeries, 0, len(all))
+	for _, s := range all {
+		series := &wire.BurnSeries{RouteId: string(s.Route), OrganisationId: string(s.Organisation)}
+		for _, c := range s.Windows {
+			series.Windows = append(series.Windows, &wire.BurnCounts{
+				Requests: c.Requests, Failed: c.Failed, FirstTokens: c.FirstTokens,
+				LateFirstTokens: c.LateFirstTokens, Paced: c.Paced, SlowPaced: c.SlowPaced,
+			})
+		}
+		out = append(out, series)
+	}
+	return out
+}
+
+// Decode returns the counts of another daemon. Windows that this daemon doesn't know are dropped.
+func Decode(all []*wire.BurnSeries) []SeriesCounts {
+	out := make([]SeriesCounts, 0, len(all))
+	for _, w := range all {
+		s := SeriesCounts{Key: Key{ident.RouteID(w.GetRouteId()), ident.OrganisationID(w.GetOrganisationId())}}
+		for i, c := range w.GetWindows() {
+			if i >= len(s.Windows) {
+				break
+			}
+			s.Windows[i] = Counts{
+				Requests: c.GetRequests(), Failed: c.GetFailed(), FirstTokens: c.GetFirstTokens(),
+				LateFirstTokens: c.GetLateFirstTokens(), Paced: c.GetPaced(), SlowPaced: c.GetSlowPaced(),
+			}
+		}
+		out = append(out, s)
+	}
+	return out
+}
