Place cold prompts on a part of the engines of each daemon

Cause: load reports lag, so several daemons chose the same idle engine for cold prompts before a report showed it; the slowest answers were cold prompts behind such a neighbour. Change: Router.SetPart gives each daemon a part of the engines that it prefers for prompts with much to compute and no better holder.

--- a/internal/coordination/route/collect.go
+++ b/internal/coordination/route/collect.go
@@ -47,8 +47,11 @@
 	}
 	if s.best < fit {
 		s.reset()
-		for _, u := range engines {
-			r.weigh(s, u, req, now)
+		own := r.part.Load()
+		for i, u := range engines {
+			if r.weigh(s, u, req, now) {
+				s.candidates[len(s.candidates)-1].own = own.owns(i, len(engines))
+			}
 		}
 	}
 	if len(s.candidates) == 0 {
--- a/internal/coordination/route/cost.go
+++ b/internal/coordination/route/cost.go
@@ -12,6 +12,8 @@
 	upstream    *health.Upstream
 	incarnation ident.Incarnation
 	load        health.Load
+	// own marks an engine of this daemon's part.
+	own bool
 	// chance marks a candidate drawn at random, on which other daemons need not agree.
 	chance bool
 	// blocks are the leading blocks of the prompt that the engine holds.
@@ -62,8 +64,8 @@
 }
 
 // bestPrefix takes the candidate of least cost. Among those that cost about as much, it takes one that holds most;
-// among several of these, the hash of the first missing block decides, or, when hardly a block is missing, the
-// shorter queue of two.
+// among several of these, this daemon's own part goes first if much is missing, as what it sends there it knows before
+// any report. The hash of the first missing block decides, or, when hardly a block is missing, the shorter queue of two.
 func (r *Router) bestPrefix(p Prefix, s *scratch, req *Request) (int, Reason) {
 	least, most := math.Inf(1), 0
 	for i := range s.candidates {
@@ -87,13 +89,16 @@
 	if !ok {
 		key = ident.BlockHash(r.random(math.MaxInt))
 	}
-	first, second := rank(candidates, uint64(key), func(c *candidate) bool {
-		return c.cost <= bound && c.blocks == held && !c.chance
-	})
+	suits := func(c *candidate) bool { return c.cost <= bound && c.blocks == held }
+	first, second := -1, -1
+	if len(req.Chain)-held > spreadBlocks {
+		first, second = rank(candidates, uint64(key), func(c *candidate) bool { return suits(c) && c.own })
+	}
+	if first < 0 {
+		first, second = rank(candidates, uint64(key), func(c *candidate) bool { return suits(c) && !c.chance })
+	}
 	if first < 0 {
-		first, second = rank(candidates, uint64(key), func(c *candidate) bool {
-			return c.cost <= bound && c.blocks == held
-		})
+		first, second = rank(candidates, uint64(key), suits)
 	}
 	if second >= 0 && len(req.Chain)-held <= spreadBlocks && candidates[second].wait < candidates[first].wait {
 		return second
--- a/internal/coordination/route/experiment_test.go
+++ b/internal/coordination/route/experiment_test.go
@@ -47,6 +47,8 @@
 	crash bool
 	// unfair leaves the engines' priorities alike.
 	unfair bool
+	// alike gives the daemons no parts of the engines of their own.
+	alike bool
 	// flood lets the organisation that surges exceed its rate.
 	flood bool
 	// steered is the number of daemons to which the callers of a prefix family are sent; 0 is all.
@@ -123,7 +125,7 @@
 			x.addEngine(i)
 		}
 		for range tr.daemons {
-			x.routers = append(x.routers, x.newRouter())
+			x.routers = append(x.routers, x.newRouter(len(x.routers)))
 		}
 		x.subscribe()
 		x.exchange()
@@ -151,11 +153,14 @@
 	x.line.after(time.Duration(x.rng.IntN(250))*time.Millisecond, func() { e.reportEvery(250 * time.Millisecond) })
 }
 
-func (x *run) newRouter() *Router {
+func (x *run) newRouter(d int) *Router {
 	r := &Router{
 		Policy: x.policy, Index: &prefix.Index{Capacity: 16384}, Health: &health.Table{},
 		Random: x.rng.IntN, Senders: x.senders,
 	}
+	if !x.alike {
+		r.SetPart(d, x.daemons)
+	}
 	if !x.unfair {
 		r.Fair = &Fair{}
 	}
@@ -190,7 +195,7 @@
 
 func (x *run) restartHalf() {
 	for i := range x.daemons / 2 {
-		r := x.newRouter()
+		r := x.newRouter(i)
 		if !x.cold {
 			d := &wire.Digest{}
 			x.routers[x.daemons-1].Snapshot(d)
@@ -331,6 +336,7 @@
 		{"prefix", func(tr *trial) { tr.policy = p }},
 		{"prefix-senders", func(tr *trial) { tr.policy, tr.senders = p, *sendersFlag }},
 		{"prefix-steered", func(tr *trial) { tr.policy, tr.steered = p, 2 }},
+		{"prefix-alike", func(tr *trial) { tr.policy, tr.alike = p, true }},
 		{"prefix-cold", func(tr *trial) { tr.policy, tr.cold = p, true }},
 		{"prefix-unfair", func(tr *trial) { tr.policy, tr.unfair = p, true }},
 		{"leastLoad-flood", func(tr *trial) { tr.policy, tr.flood = LeastLoad{}, true }},
--- a/internal/coordination/route/router.go
+++ b/internal/coordination/route/router.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gooseberryway/gooseberryway/internal/state/guard"
@@ -34,6 +35,7 @@
 	Random func(n int) int
 
 	scratches sync.Pool
+	part      atomic.Pointer[part]
 }
 
 // scratch is the working memory of one Pick.
