--- a/internal/program/daemon/daemon.go
+++ b/internal/program/daemon/daemon.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -17,6 +18,8 @@
 // Daemon is one process of the system. Its fields are set before Run.
 type Daemon struct {
 	Settings *setup.Settings
+	// Admitted is called with the reserved tokens of each request that is admitted; nil for none.
+	Admitted func(ident.OrganisationID, ident.Tokens)
 
 	addresses atomic.Pointer[setup.Addresses]
 	listening chan struct{}
@@ -52,6 +55,23 @@
 	}
 }
 
+// Settled returns nil once, beyond Ready, the newest configuration that the daemon knows is in force.
+func (d *Daemon) Settled() error {
+	if err := d.Ready(); err != nil {
+		return err
+	}
+	return d.parts.settled()
+}
+
+// UnsettledError says that the newest configuration is not in force yet.
+type UnsettledError struct {
+	Applied, InForce ident.Offset
+}
+
+func (e *UnsettledError) Error() string {
+	return fmt.Sprintf("offset %d is applied, %d is in force", e.Applied, e.InForce)
+}
+
 // StartingError says that a daemon has not loaded a snapshot yet.
 type StartingError struct{}
 
@@ -71,6 +91,7 @@
 	if err != nil {
 		return err
 	}
+	p.service.Admitted = d.Admitted
 	d.parts = p
 	d.addresses.Store(&advertised)
 	close(d.listening)
