--- a/internal/coordination/lease/holder.go
+++ b/internal/coordination/lease/holder.go
@@ -39,10 +39,10 @@
 type Status struct {
 	Valid  bool   `json:"valid"`
 	Ground Ground `json:"ground"`
-	// Remaining is how long the lease would last without news.
-	Remaining time.Duration `json:"remaining"`
-	// TailReadAge is the age of the last read that reached the log's tail; below 0 if there was none.
-	TailReadAge time.Duration `json:"tailReadAge"`
+	// RemainingMs is how long the lease would last without news.
+	RemainingMs int64 `json:"remainingMs"`
+	// TailReadAgeMs is the age of the last read that reached the log's tail; below 0 if there was none.
+	TailReadAgeMs int64 `json:"tailReadAgeMs"`
 	// Witnesses of Needed witnesses have answered in time, this daemon counted.
 	Witnesses  int          `json:"witnesses"`
 	Needed     int          `json:"needed"`
@@ -51,8 +51,8 @@
 }
 
 func (s Status) String() string {
-	return fmt.Sprintf("ground %s, log read %s ago, %d witnesses of %d needed, recovering %t, applied %d",
-		s.Ground, s.TailReadAge.Round(time.Millisecond), s.Witnesses, s.Needed, s.Recovering, s.Applied)
+	return fmt.Sprintf("ground %s, log read %d ms ago, %d witnesses of %d needed, recovering %t, applied %d",
+		s.Ground, s.TailReadAgeMs, s.Witnesses, s.Needed, s.Recovering, s.Applied)
 }
 
 // Holder holds the serving lease of a daemon. Its fields are set before use, and Renew is to be called after
@@ -130,9 +130,9 @@
 // Why returns the status for operators.
 func (h *Holder) Why() Status {
 	now := time.Now()
-	status := Status{Ground: GroundNone, TailReadAge: -1}
+	status := Status{Ground: GroundNone, TailReadAgeMs: -1}
 	if read := h.Follower.TailReadStarted(); !read.IsZero() {
-		status.TailReadAge = now.Sub(read)
+		status.TailReadAgeMs = now.Sub(read).Milliseconds()
 	}
 	view := h.Fleet.View()
 	if view == nil {
@@ -144,7 +144,7 @@
 	status.Applied = view.Applied.Offset()
 	if g := h.grant.Load(); g != nil {
 		status.Valid = g.holds(now)
-		status.Remaining = max(0, g.until.Sub(now))
+		status.RemainingMs = max(0, g.until.Sub(now).Milliseconds())
 		status.Ground = g.ground
 		if !status.Valid && g.ground != GroundRemoved {
 			status.Ground = GroundNone
