--- a/internal/coordination/lease/holder.go
+++ b/internal/coordination/lease/holder.go
@@ -3,14 +3,12 @@
 package lease
 
 import (
-	"fmt"
 	"sync/atomic"
 	"time"
 
 	"github.com/gooseberryway/gooseberryway/internal/coordination/member"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/replay"
 	"github.com/gooseberryway/gooseberryway/internal/state/config"
-	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 )
 
 // Ground is what a lease rests on.
@@ -35,26 +33,6 @@
 
 func (e *LapsedError) Error() string { return "no serving lease: " + e.Status.String() }
 
-// Status tells operators what the lease rests on.
-type Status struct {
-	Valid  bool   `json:"valid"`
-	Ground Ground `json:"ground"`
-	// RemainingMs is how long the lease would last without news.
-	RemainingMs int64 `json:"remainingMs"`
-	// TailReadAgeMs is the age of the last read that reached the log's tail; below 0 if there was none.
-	TailReadAgeMs int64 `json:"tailReadAgeMs"`
-	// Witnesses of Needed witnesses have answered in time, this daemon counted.
-	Witnesses  int          `json:"witnesses"`
-	Needed     int          `json:"needed"`
-	Recovering bool         `json:"recovering"`
-	Applied    ident.Offset `json:"applied"`
-}
-
-func (s Status) String() string {
-	return fmt.Sprintf("ground %s, log read %d ms ago, %d witnesses of %d needed, recovering %t, applied %d",
-		s.Ground, s.TailReadAgeMs, s.Witnesses, s.Needed, s.Recovering, s.Applied)
-}
-
 // Holder holds the serving lease of a daemon. Its fields are set before use, and Renew is to be called after
 // every change of the Fleet.
 type Holder struct {
@@ -130,9 +108,9 @@
 // Why returns the status for operators.
 func (h *Holder) Why() Status {
 	now := time.Now()
-	status := Status{Ground: GroundNone, TailReadAgeMs: -1}
+	status := Status{Ground: GroundNone, TailReadAge: -1}
 	if read := h.Follower.TailReadStarted(); !read.IsZero() {
-		status.TailReadAgeMs = now.Sub(read).Milliseconds()
+		status.TailReadAge = now.Sub(read)
 	}
 	view := h.Fleet.View()
 	if view == nil {
@@ -144,7 +122,7 @@
 	status.Applied = view.Applied.Offset()
 	if g := h.grant.Load(); g != nil {
 		status.Valid = g.holds(now)
-		status.RemainingMs = max(0, g.until.Sub(now).Milliseconds())
+		status.Remaining = max(0, g.until.Sub(now))
 		status.Ground = g.ground
 		if !status.Valid && g.ground != GroundRemoved {
 			status.Ground = GroundNone
--- a/internal/coordination/lease/holder_test.go
+++ b/internal/coordination/lease/holder_test.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"encoding/json"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -80,3 +81,10 @@
 		}
 	})
 }
+
+func TestStatusGivesMilliseconds(t *testing.T) {
+	raw, err := json.Marshal(Status{Valid: true, Ground: GroundLog, Remaining: 1500 * time.Millisecond, TailReadAge: -1})
+	require.NoError(t, err)
+	require.JSONEq(t, `{"valid":true,"ground":"log","remainingMs":1500,"tailReadAgeMs":-1,"witnesses":0,"needed":0,
+		"recovering":false,"applied":0}`, string(raw))
+}
