Set apart the requests that one exact bucket would make wait

Cause: while a backlog waits in order, the bucket of actual admissions hovers below the burst, so every request looked as if it fitted. Change: an ideal bucket for the whole fleet, in order of arrival, decides which requests are beyond the rate; the trace starts once the shares of the new fleet are filled.

--- a/internal/program/load/consts.go
+++ b/internal/program/load/consts.go
@@ -18,8 +18,12 @@
 
 	// retries bounds how often a caller sends a request again that did not run.
 	retries = 4
+	// patience is how long a caller waits for the rate, retries included, in wall time.
+	patience = 10 * time.Second
 	// drainTimeout bounds the wait for the last answers.
 	drainTimeout = 60 * time.Second
+	// fillTime is how long a new fleet mints before the trace starts, in wall time.
+	fillTime = 10 * time.Second
 	// warmup is the time at the start of a run whose hit rates and times are left out, in engine time.
 	warmup = 8 * time.Second
 	// faultWindow is the time before and after a fault for which hit rates are compared, in engine time.
--- a/internal/program/load/faults.go
+++ b/internal/program/load/faults.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"k8s.io/klog/v2"
+
+	"github.com/gooseberryway/gooseberryway/internal/program/local"
 	"github.com/gooseberryway/gooseberryway/internal/standin/engine"
 	"github.com/gooseberryway/gooseberryway/internal/standin/logsvc"
 )
@@ -68,13 +71,15 @@
 }
 
 func (r *run) restartHalf() {
-	done := make(chan error, r.profile.Daemons)
+	done := make(chan struct{}, r.profile.Daemons)
 	half := r.profile.Daemons / 2
 	for i := range half {
 		go func() {
-			err := r.system.StopDaemon(i)
+			if err := r.system.StopDaemon(i); err != nil {
+				klog.ErrorS(err, "Daemon stopped with an error", "daemon", local.DaemonID(i))
+			}
 			r.system.StartDaemon(i)
-			done <- err
+			done <- struct{}{}
 		}()
 	}
 	for range half {
--- a/internal/program/load/figures.go
+++ b/internal/program/load/figures.go
@@ -16,10 +16,10 @@
 	Lost       int `json:"lost"`
 	Duplicated int `json:"duplicated"`
 	Refused    int `json:"refused"`
-	// Beyond are answered requests that were sent when the organisation had used up its rate and burst. The times to
-	// the first token leave them out.
+	// Beyond are answered requests that one exact bucket for the whole fleet would have made wait for the rate too. The
+	// times to the first token leave them out.
 	Beyond int `json:"beyondRate"`
-	// RefusedWithinRate are refusals for the rate when an exact bucket of all admissions had room.
+	// RefusedWithinRate are refusals for the rate of requests that such a bucket would have admitted at once.
 	RefusedWithinRate int `json:"refusedWithinRate"`
 	// OverAdmittedTokens is the most by which any interval exceeds burst plus rate times its length.
 	OverAdmittedTokens ident.Tokens `json:"overAdmittedTokens"`
--- a/internal/program/load/oracle.go
+++ b/internal/program/load/oracle.go
@@ -46,9 +46,37 @@
 	return max(0, l.levels[i-1]-at.Sub(l.times[i-1]).Seconds()*float64(l.rate))
 }
 
-// fits reports whether the bucket has room for the tokens at a time.
-func (l *ledger) fits(at time.Time, cost ident.Tokens) bool {
-	return l.level(at)+float64(cost) <= float64(l.burst)
+// idealBucket is one exact bucket for the whole fleet that admits in the order of arrival.
+type idealBucket struct {
+	rate     ident.TokensPerSecond
+	burst    ident.Tokens
+	patience time.Duration
+	level    float64
+	last     time.Time
+}
+
+// wait returns how long a request of the cost waits. One that would wait longer than the patience is not admitted.
+func (b *idealBucket) wait(at time.Time, cost ident.Tokens) time.Duration {
+	if at.Before(b.last) {
+		// Requests that wait go first.
+		return b.admit(b.last, at, cost)
+	}
+	return b.admit(at, at, cost)
+}
+
+func (b *idealBucket) admit(from, arrived time.Time, cost ident.Tokens) time.Duration {
+	level := b.level
+	if !b.last.IsZero() {
+		level = max(0, level-from.Sub(b.last).Seconds()*float64(b.rate))
+	}
+	missing := max(0, level+float64(cost)-float64(b.burst))
+	at := from.Add(time.Duration(missing / float64(b.rate) * float64(time.Second)))
+	wait := at.Sub(arrived)
+	if wait > b.patience {
+		return wait
+	}
+	b.level, b.last = level-missing+float64(cost), at
+	return wait
 }
 
 // best is the bound of a router that knows everything: the caches of all engines count as one, prompts never wait.
--- a/internal/program/load/outcome.go
+++ b/internal/program/load/outcome.go
@@ -21,13 +21,12 @@
 type outcome struct {
 	arrival *arrival
 	sent    time.Time
-	ended   time.Time
 	answer  *client.Answer
 	err     error
 	whole   bool
 	// held is the number of leading blocks that some healthy engine held when the request was sent.
 	held int
-	// beyond is true if the organisation had used up its rate and burst when the request was sent.
+	// beyond is true if an exact bucket for the whole fleet would have made the request wait for the rate.
 	beyond bool
 	// warmup is true for requests sent before the caches are warm; only their fate counts.
 	warmup bool
--- a/internal/program/load/run.go
+++ b/internal/program/load/run.go
@@ -38,6 +38,8 @@
 	if err := r.system.Start(ctx); err != nil {
 		return nil, err
 	}
+	// The shares of a new fleet start empty; its organisations have their burst only once it was minted.
+	sleepUntil(ctx, time.Now().Add(fillTime))
 	clients := r.clients()
 	var wg sync.WaitGroup
 	wg.Go(func() { r.breakThings(ctx) })
@@ -107,7 +109,6 @@
 	if o.err == nil {
 		o.whole = o.answer.Text == expected(a.request, o.answer.Version)
 	}
-	o.ended = time.Now()
 	o.warmup = a.at < r.profile.wall(warmup)
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -167,9 +168,10 @@
 	}
 	rate := r.profile.rate(o)
 	ledger := newLedger(r.admissions.list, o.ID, rate, burstSeconds*ident.Tokens(rate))
+	ideal := &idealBucket{rate: ledger.rate, burst: ledger.burst, patience: patience}
 	for _, out := range own {
-		out.beyond = !ledger.fits(out.sent, out.arrival.cost)
-		if out.overRate() && ledger.fits(out.ended, out.arrival.cost) {
+		out.beyond = ideal.wait(out.sent, out.arrival.cost) > 0
+		if out.overRate() && !out.beyond {
 			c.RefusedWithinRate++
 		}
 		c.add(r.profile, out)
