Move traffic between versions, pack digests into heartbeats, count service levels

Cause: the daemon sent everything to the current version and learned nothing from others. Change: splitter, watch, judge, owner and orders are wired; heartbeats carry digests, an urgent one goes out at once when a version does badly; a start loads what a peer knows of the engines; completions count towards the objectives in /platform/settings/objectives.

--- a/internal/coordination/relay/attempt.go
+++ b/internal/coordination/relay/attempt.go
@@ -143,6 +143,9 @@
 		return &emitError{err: err}
 	}
 	a.tokens += c.Count
+	if a.picked.Tokens != nil {
+		a.picked.Tokens(a.tokens)
+	}
 	s.progress(c.Count)
 	return nil
 }
--- a/internal/coordination/relay/relay.go
+++ b/internal/coordination/relay/relay.go
@@ -32,6 +32,8 @@
 	ImportBlocks int
 	// FirstToken is called once when the first token comes; it may be nil.
 	FirstToken func()
+	// Tokens is called with the number of tokens delivered so far by the attempt; it may be nil.
+	Tokens func(ident.Tokens)
 	// Report is called once when the attempt has ended; it may be nil.
 	Report func(Report)
 }
--- a/internal/coordination/route/feed.go
+++ b/internal/coordination/route/feed.go
@@ -13,6 +13,13 @@
 	for _, id := range r.Health.Update(upstreams) {
 		r.Index.Forget(id)
 	}
+	var store ident.UpstreamID
+	for id, cfg := range upstreams {
+		if cfg.Kind == config.UpstreamKVStore && (store == "" || id < store) {
+			store = id
+		}
+	}
+	r.store.Store(&store)
 }
 
 // Feed takes in what one engine publishes. It implements extern.EngineSink.
--- a/internal/coordination/route/router.go
+++ b/internal/coordination/route/router.go
@@ -23,7 +23,7 @@
 	Fair *Fair
 	// Retries bounds the part of retries in the traffic; nil leaves them unbounded.
 	Retries *RetryBudget
-	// Store is the KV cache store, whose blocks the index holds like those of an engine; "" when there is none.
+	// Store is the KV cache store, whose blocks the index holds like those of an engine; "" leaves it to Update.
 	Store ident.UpstreamID
 	// ImportRate is the speed of an import from the store in tokens a second, ImportLatency the time before it
 	// starts. Without a rate nothing is imported.
@@ -34,6 +34,8 @@
 	// Random returns a number in [0, n); nil uses math/rand.
 	Random func(n int) int
 
+	// store is the KV cache store among the upstreams.
+	store     atomic.Pointer[ident.UpstreamID]
 	scratches sync.Pool
 	part      atomic.Pointer[part]
 }
@@ -166,17 +168,28 @@
 // match looks the chain up and returns the number of leading blocks that the KV cache store holds.
 func (r *Router) match(s *scratch, req *Request) (stored int) {
 	s.matches = r.Index.Match(s.matches[:0], req.Chain)
-	if r.Store == "" {
+	store := r.storeID()
+	if store == "" {
 		return 0
 	}
 	for i := range s.matches {
-		if s.matches[i].Engine == r.Store {
+		if s.matches[i].Engine == store {
 			return s.matches[i].Blocks
 		}
 	}
 	return 0
 }
 
+func (r *Router) storeID() ident.UpstreamID {
+	if r.Store != "" {
+		return r.Store
+	}
+	if id := r.store.Load(); id != nil {
+		return *id
+	}
+	return ""
+}
+
 func (r *Router) random(n int) int {
 	if r.Random != nil {
 		return r.Random(n)
--- a/internal/coordination/serve/call.go
+++ b/internal/coordination/serve/call.go
@@ -76,6 +76,7 @@
 
 // Versions chooses the version that serves a request while moves shift traffic.
 type Versions interface {
+	// Version returns false if the model has no version that may serve. The family is a hash of the prompt's head.
 	Version(model ident.ModelID, route ident.RouteID, org ident.OrganisationID, request ident.RequestID, family uint64) (ident.VersionID, bool)
 }
 
--- a/internal/coordination/serve/run.go
+++ b/internal/coordination/serve/run.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"errors"
 	"sync/atomic"
+	"time"
 
+	"github.com/gooseberryway/gooseberryway/internal/state/burn"
 	"github.com/gooseberryway/gooseberryway/internal/state/config"
 	"github.com/gooseberryway/gooseberryway/internal/state/extern"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
@@ -45,6 +47,8 @@
 	started     bool
 	text        []byte
 	closed      bool
+	// began and first are the times of the first attempt and of the first token.
+	began, first time.Time
 }
 
 // Route returns the route of the request.
@@ -65,7 +69,9 @@
 	ctx, cancel := context.WithTimeout(ctx, r.service.timeout(r.route))
 	defer cancel()
 	r.started = true
+	r.began = time.Now()
 	done, err := r.service.Runner.Run(ctx, r.engineRequest(), func(c *extern.EngineChunk) error { return r.pass(c, emit) })
+	r.record(err)
 	if err != nil {
 		return nil, r.failed(err)
 	}
@@ -84,6 +90,9 @@
 	if err := r.checkWithdrawal(); err != nil {
 		return err
 	}
+	if r.sent == 0 {
+		r.first = time.Now()
+	}
 	r.sent += c.Count
 	if r.claimed {
 		r.text = append(r.text, c.Text...)
@@ -110,6 +119,27 @@
 	return nil
 }
 
+// record counts the completion for the service-level objectives.
+func (r *Run) record(err error) {
+	if r.service.Record == nil {
+		return
+	}
+	event := burn.Event{Route: r.route.ID, Organisation: r.caller.Organisation, Failed: blamesSystem(err)}
+	if !r.first.IsZero() {
+		event.TTFT = r.first.Sub(r.began)
+	}
+	if r.sent > 1 {
+		event.ITL = time.Since(r.first) / time.Duration(r.sent-1)
+	}
+	r.service.Record(event)
+}
+
+// blamesSystem reports whether a request failed through no fault of its caller.
+func blamesSystem(err error) bool {
+	var failure *Error
+	return errors.As(err, &failure) && failure.Code != CodeCancelled && failure.Code != CodeKeyWithdrawn
+}
+
 func (r *Run) failed(err error) error {
 	var failure *Error
 	if !errors.As(err, &failure) || failure.Ran != NotRun {
--- a/internal/coordination/serve/service.go
+++ b/internal/coordination/serve/service.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/gooseberryway/gooseberryway/internal/state/burn"
 	"github.com/gooseberryway/gooseberryway/internal/state/config"
 	"github.com/gooseberryway/gooseberryway/internal/state/extern"
 	"github.com/gooseberryway/gooseberryway/internal/state/guard"
@@ -32,6 +33,8 @@
 	RequestTimeout time.Duration
 	// FamilyBytes is the length of the prompt's head that tells prefix families apart.
 	FamilyBytes int
+	// Record is called with the outcome of each completion that was admitted; nil for none.
+	Record func(burn.Event)
 	// Admitted is called with the reserved tokens of each request that is admitted; nil for none.
 	Admitted func(ident.OrganisationID, ident.Tokens)
 
--- a/internal/program/daemon/parts.go
+++ b/internal/program/daemon/parts.go
@@ -3,17 +3,22 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gooseberryway/gooseberryway/internal/coordination/claim"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/lease"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/member"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/moves"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/orders"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/quota"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/relay"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/replay"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/route"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/serve"
 	"github.com/gooseberryway/gooseberryway/internal/program/setup"
+	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
+	"github.com/gooseberryway/gooseberryway/internal/state/burn"
 	"github.com/gooseberryway/gooseberryway/internal/state/config"
 	"github.com/gooseberryway/gooseberryway/internal/state/extern"
 	"github.com/gooseberryway/gooseberryway/internal/state/health"
@@ -46,6 +51,12 @@
 	directory    *directory
 	limiter      *quota.Limiter
 	claimer      *claim.Claimer
+	splitter     *moves.Splitter
+	watch        *moves.Watch
+	owner        *moves.Owner
+	orders       *orders.Orders
+	burn         *burn.Recorder
+	warm         atomic.Pointer[wire.Digest]
 	owners       ownerships
 	router       *route.Router
 	watchers     *watchers
@@ -77,6 +88,7 @@
 	if err := p.buildRouting(); err != nil {
 		return nil, err
 	}
+	p.buildMoves()
 	p.buildService()
 	p.buildServers(credentials)
 	return p, nil
@@ -127,7 +139,7 @@
 }
 
 func (p *parts) buildAgreement(advertised setup.Addresses) {
-	p.follower = &replay.Follower{Log: p.log, Peers: snapshots{p.calls}, Seeds: p.directory.seeds, Changed: func() { p.fleet.Refresh() }}
+	p.follower = &replay.Follower{Log: p.log, Peers: snapshots{p.calls, &p.warm}, Seeds: p.directory.seeds, Changed: func() { p.fleet.Refresh() }}
 	p.writer = &replay.Writer{Log: p.log, Follower: p.follower}
 	p.checkpointer = &replay.Checkpointer{Self: p.settings.DaemonID, Log: p.log, Follower: p.follower, Writer: p.writer}
 	p.fleet = &member.Fleet{
@@ -142,6 +154,8 @@
 		Writer:   p.writer,
 		Peers:    p.calls,
 		VMs:      p.directory,
+		Digest:   p.digest,
+		OnDigest: p.learn,
 		Changed:  p.changed,
 	}
 	p.lease = &lease.Holder{Follower: p.follower, Fleet: p.fleet}
@@ -172,21 +186,26 @@
 		Health:  &health.Table{},
 		Fair:    &route.Fair{},
 		Retries: &route.RetryBudget{},
+
+		ImportRate:    p.settings.Store.ImportTokensPerSecond,
+		ImportLatency: milliseconds(p.settings.Store.ImportLatencyMs),
 	}
 	p.watchers = &watchers{engine: p.engine, router: p.router}
 	return nil
 }
 
 func (p *parts) buildService() {
-	picks := &picker{router: p.router, state: p.follower.State}
+	picks := &picker{router: p.router, state: p.follower.State, splitter: p.splitter, watch: p.watch}
+	p.burn = &burn.Recorder{}
 	p.service = &serve.Service{
 		State:          p.follower.State,
 		Lease:          p.lease,
 		Limits:         limits{p.limiter},
 		Claims:         claims{p.claimer},
-		Versions:       versions{state: p.follower.State},
+		Versions:       versions{p.splitter},
 		Runner:         runner{relay: &relay.Relay{Engine: p.engine, Picker: picks}},
 		Ready:          p.follower.Warm,
+		Record:         p.burn.Record,
 		AdmitWait:      milliseconds(p.settings.Limits.AdmitWaitMs),
 		RequestTimeout: milliseconds(p.settings.Limits.RequestTimeoutMs),
 		FamilyBytes:    familyBytes,
@@ -215,11 +234,19 @@
 	if p.seen.applied == nil {
 		p.limiter.Incarnation = view.Incarnation
 		p.claimer.Incarnation = view.Incarnation
+		p.owner.Incarnation = view.Incarnation
 		p.background.Go(func() { p.claimer.Run(p.life) })
+		p.background.Go(func() { p.owner.Run(p.life) })
+		p.background.Go(func() { p.orders.Run(p.life) })
 	}
+	p.splitter.Update(view.Applied)
 	p.limiter.Observe(quotaView(p.follower.History()))
 	p.owners.update(view.Applied, view.InForce)
 	p.router.Update(view.Applied.Upstreams())
+	p.setObjectives(view.Applied)
+	if warm := p.warm.Swap(nil); warm != nil {
+		p.router.Merge(warm)
+	}
 	p.watchers.update(p.life, view.Applied.Upstreams())
 }
 
@@ -230,6 +257,7 @@
 	wg.Go(func() { _ = p.fleet.Run(ctx) })
 	wg.Go(func() { _ = p.checkpointer.Run(ctx) })
 	wg.Go(func() { p.limiter.Run(ctx) })
+	wg.Go(func() { p.tellUrgent(ctx) })
 }
 
 // stopListeners ends the listeners; requests that are running have had their time.
@@ -250,6 +278,8 @@
 
 // close waits for the parts, whose context has ended.
 func (p *parts) close() {
+	p.owner.Close()
+	p.orders.Close()
 	p.claimer.Close()
 	p.limiter.Close()
 	p.checkpointer.Close()
--- a/internal/program/daemon/picks.go
+++ b/internal/program/daemon/picks.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/gooseberryway/gooseberryway/internal/coordination/moves"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/relay"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/route"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/serve"
@@ -16,35 +17,57 @@
 
 // picker shows the router to the relay.
 type picker struct {
-	router *route.Router
-	state  func() *config.State
+	router   *route.Router
+	state    func() *config.State
+	splitter *moves.Splitter
+	watch    *moves.Watch
 }
 
 // Pick implements relay.Picker.
 func (p *picker) Pick(ctx context.Context, req *extern.EngineRequest, tried []ident.UpstreamID) (relay.Attempt, error) {
-	r := p.request(ctx, req, tried)
+	version := req.Version
+	if req.ResumeFrom == 0 && !p.splitter.Sendable(req.Model, req.Route, version) {
+		version = p.splitter.Serving(req.Model, req.Route)
+	}
+	r := p.request(ctx, req, version, tried)
 	decision, err := p.router.Pick(r)
 	if err != nil {
 		return relay.Attempt{}, err
 	}
 	attempt := p.router.Started(r, decision)
+	uncached := max(0, r.PromptTokens-decision.ExpectedCachedTokens)
+	flight := p.watch.Begin(moves.Target{
+		Model:        req.Model,
+		Route:        req.Route,
+		Version:      version,
+		Organisation: req.Organisation,
+		Upstream:     decision.Upstream,
+	}, uncached)
 	return relay.Attempt{
 		Upstream:     decision.Upstream,
 		BaseURL:      decision.BaseURL,
 		Priority:     decision.Priority,
 		ImportBlocks: decision.ImportBlocks,
-		FirstToken:   attempt.FirstToken,
-		Report:       func(report relay.Report) { end(attempt, report) },
+		Version:      version,
+		FirstToken: func() {
+			attempt.FirstToken()
+			flight.First(uncached)
+		},
+		Tokens: flight.Tokens,
+		Report: func(report relay.Report) {
+			end(attempt, report)
+			flight.End(outcomeOf(report), report.Tokens)
+		},
 	}, nil
 }
 
-func (p *picker) request(ctx context.Context, req *extern.EngineRequest, tried []ident.UpstreamID) *route.Request {
+func (p *picker) request(ctx context.Context, req *extern.EngineRequest, version ident.VersionID, tried []ident.UpstreamID) *route.Request {
 	st := p.state()
 	var blockTokens ident.Tokens
 	if model, ok := st.Model(req.Model); ok {
 		blockTokens = model.BlockTokens
 	}
-	scope := prefix.Scope{Organisation: req.Organisation, Model: req.Model, Version: req.Version, Adapter: req.Adapter}
+	scope := prefix.Scope{Organisation: req.Organisation, Model: req.Model, Version: version, Adapter: req.Adapter}
 	r := &route.Request{
 		Scope:        scope,
 		Chain:        prefix.Chain(scope, req.Prompt, blockTokens),
@@ -63,6 +86,14 @@
 	return r
 }
 
+// outcomeOf returns the outcome of an attempt for the watch on moves.
+func outcomeOf(report relay.Report) moves.Outcome {
+	if report.Cancelled {
+		return moves.OutcomeIgnored
+	}
+	return moves.OutcomeOf(report.Err)
+}
+
 // end tells the router how an attempt ended.
 func end(attempt *route.Attempt, report relay.Report) {
 	switch {
--- a/internal/program/daemon/servers.go
+++ b/internal/program/daemon/servers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/hex"
+	"sync/atomic"
 
 	"github.com/gooseberryway/gooseberryway/internal/coordination/member"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/serve"
@@ -44,7 +45,7 @@
 		Writer:    changes{p.writer},
 		Progress:  p.progress,
 		Status:    func() any { return p.status() },
-		Burn:      func() any { return nil },
+		Burn:      func() any { return p.burn.Report(p.follower.State(), burnRows) },
 		Records:   p.records,
 		Ready:     p.ready,
 		Bootstrap: bootstrap(p.settings.BootstrapOperator),
@@ -63,6 +64,10 @@
 		Heartbeat: func(_ context.Context, r *wire.HeartbeatRequest) (*wire.HeartbeatResponse, error) {
 			return p.fleet.HandleHeartbeat(r)
 		},
+		Tell: func(_ context.Context, r *wire.TellRequest) (*wire.TellResponse, error) {
+			p.learn(r.GetDigest())
+			return &wire.TellResponse{}, nil
+		},
 		Relay: func(_ context.Context, r *wire.RelayRequest) (*wire.RelayResponse, error) {
 			return p.follower.HandleRelay(r), nil
 		},
@@ -72,7 +77,9 @@
 					return err
 				}
 			}
-			return nil
+			warm := p.newDigest()
+			p.router.Snapshot(warm)
+			return send(&wire.SnapshotChunk{Digest: warm})
 		},
 		Grant: func(ctx context.Context, r *wire.GrantRequest) (*wire.GrantResponse, error) {
 			return p.limiter.HandleGrant(ctx, r), nil
@@ -92,12 +99,17 @@
 // snapshots collects the chunks of other daemons' snapshots.
 type snapshots struct {
 	*peer.Client
+	// warm keeps what the other daemon knows of the engines.
+	warm *atomic.Pointer[wire.Digest]
 }
 
 // Snapshot implements replay.Peers.
 func (s snapshots) Snapshot(ctx context.Context, daemon ident.DaemonID) ([]*wire.CheckpointChunk, error) {
 	var chunks []*wire.CheckpointChunk
 	err := s.Client.Snapshot(ctx, daemon, &wire.SnapshotRequest{}, func(c *wire.SnapshotChunk) error {
+		if c.GetDigest() != nil {
+			s.warm.Store(c.GetDigest())
+		}
 		if c.GetCheckpoint() != nil {
 			chunks = append(chunks, c.GetCheckpoint())
 		}
--- a/internal/program/daemon/versions.go
+++ b/internal/program/daemon/versions.go
@@ -1,20 +1,88 @@
 package daemon
 
 import (
+	"time"
+
+	"github.com/gooseberryway/gooseberryway/internal/coordination/moves"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/orders"
 	"github.com/gooseberryway/gooseberryway/internal/state/config"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 )
 
-// versions chooses the current version of a model.
+// versions shows the splitter to the request service.
 type versions struct {
-	state func() *config.State
+	splitter *moves.Splitter
 }
 
 // Version implements serve.Versions.
-func (v versions) Version(model ident.ModelID, _ ident.RouteID, _ ident.OrganisationID, _ ident.RequestID, _ uint64) (ident.VersionID, bool) {
-	m, ok := v.state().Model(model)
-	if !ok {
-		return "", false
+func (v versions) Version(model ident.ModelID, route ident.RouteID, org ident.OrganisationID, request ident.RequestID, family uint64) (ident.VersionID, bool) {
+	version := v.splitter.Version(moves.Ask{
+		Model:        model,
+		Route:        route,
+		Organisation: org,
+		Request:      request,
+		Family:       ident.BlockHash(family),
+	})
+	return version, version != ""
+}
+
+// buildMoves makes the parts that move traffic between versions.
+func (p *parts) buildMoves() {
+	p.splitter = &moves.Splitter{}
+	p.watch = &moves.Watch{Splitter: p.splitter, Settings: p.settings.Moves}
+	p.orders = &orders.Orders{
+		Daemon:   p.settings.DaemonID,
+		State:    p.follower.State,
+		Leased:   p.lease.Valid,
+		Reports:  p.engineReport,
+		Engine:   p.engine,
+		Splitter: p.splitter,
+		Settings: p.settings.Loads,
+	}
+	p.owner = &moves.Owner{
+		Daemon:   p.settings.DaemonID,
+		State:    p.follower.State,
+		Writer:   changes{p.writer},
+		Live:     p.live,
+		Leased:   p.lease.Valid,
+		InForce:  p.inForce,
+		Capacity: p.orders.Capacity,
+		Loading:  p.orders.Loading,
+		Splitter: p.splitter,
+		Watch:    p.watch,
+		Settings: p.settings.Moves,
+	}
+}
+
+// live returns the joined daemons that answer.
+func (p *parts) live() []ident.DaemonID {
+	view := p.fleet.View()
+	if view == nil {
+		return nil
+	}
+	var ids []ident.DaemonID
+	for _, node := range view.Live() {
+		ids = append(ids, node.ID)
+	}
+	return ids
+}
+
+// inForce reports whether every daemon that serves acts on the record at the offset.
+func (p *parts) inForce(offset ident.Offset) bool {
+	view := p.fleet.View()
+	return view != nil && view.InForce.Offset() >= offset
+}
+
+// engineReport returns what an engine last reported, false if it is unknown, silent or ejected.
+func (p *parts) engineReport(id ident.UpstreamID) (orders.Report, bool) {
+	now := time.Now()
+	u := p.router.Health.Upstream(id)
+	if u == nil || u.Config().Kind != config.UpstreamEngine || u.Ejected(now) {
+		return orders.Report{}, false
+	}
+	report, age, ok := u.LastReport(now)
+	if !ok || age > staleReport {
+		return orders.Report{}, false
 	}
-	return m.CurrentVersion, true
+	return orders.Report{Versions: report.Versions, Age: age, Busy: report.RunningRequests + report.WaitingRequests}, true
 }
--- a/internal/program/setup/settings.go
+++ b/internal/program/setup/settings.go
@@ -4,6 +4,8 @@
 import (
 	"time"
 
+	"github.com/gooseberryway/gooseberryway/internal/coordination/moves"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/orders"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 )
 
@@ -31,6 +33,11 @@
 	Policy string `json:"policy" validate:"oneof=prefix leastLoad roundRobin random"`
 	Limits Limits `json:"limits"`
 	Drain  Drain  `json:"drain"`
+	// Moves and Loads limit moves between versions and the loads of weights.
+	Moves moves.Settings  `json:"moves"`
+	Loads orders.Settings `json:"loads"`
+	// Store tells how fast the KV cache store is.
+	Store Store `json:"kvStore"`
 }
 
 // Addresses are the host:port pairs of the three listeners; hosts are IP numbers.
@@ -97,6 +104,14 @@
 	TimeoutMs int64 `json:"timeoutMs" validate:"min=1000,max=3600000"`
 }
 
+// Store tells the speed of imports from the KV cache store.
+type Store struct {
+	// ImportTokensPerSecond is the speed of an import; 0 imports nothing.
+	ImportTokensPerSecond ident.TokensPerSecond `json:"importTokensPerSecond" validate:"min=0"`
+	// ImportLatencyMs passes before an import starts.
+	ImportLatencyMs int64 `json:"importLatencyMs" validate:"min=0,max=60000"`
+}
+
 // Default returns settings with every value that has a default.
 func Default() Settings {
 	service := Service{TimeoutMs: 2000}
--- a/internal/protocol/wire/peer.connect.go
+++ b/internal/protocol/wire/peer.connect.go
@@ -35,6 +35,8 @@
 const (
 	// PeerServiceHeartbeatProcedure is the fully-qualified name of the PeerService's Heartbeat RPC.
 	PeerServiceHeartbeatProcedure = "/gooseberryway.v1.PeerService/Heartbeat"
+	// PeerServiceTellProcedure is the fully-qualified name of the PeerService's Tell RPC.
+	PeerServiceTellProcedure = "/gooseberryway.v1.PeerService/Tell"
 	// PeerServiceRelayProcedure is the fully-qualified name of the PeerService's Relay RPC.
 	PeerServiceRelayProcedure = "/gooseberryway.v1.PeerService/Relay"
 	// PeerServiceSnapshotProcedure is the fully-qualified name of the PeerService's Snapshot RPC.
@@ -53,6 +55,8 @@
 type PeerServiceClient interface {
 	// Heartbeat renews the serving lease and carries packed digests.
 	Heartbeat(context.Context, *connect.Request[HeartbeatRequest]) (*connect.Response[HeartbeatResponse], error)
+	// Tell passes a digest on at once, between heartbeats.
+	Tell(context.Context, *connect.Request[TellRequest]) (*connect.Response[TellResponse], error)
 	// Relay reads log records that the other daemon has applied.
 	Relay(context.Context, *connect.Request[RelayRequest]) (*connect.Response[RelayResponse], error)
 	// Snapshot reads the whole state of the other daemon, for a start without the log service.
@@ -84,6 +88,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Heartbeat")),
 			connect.WithClientOptions(opts...),
 		),
+		tell: connect.NewClient[TellRequest, TellResponse](
+			httpClient,
+			baseURL+PeerServiceTellProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Tell")),
+			connect.WithClientOptions(opts...),
+		),
 		relay: connect.NewClient[RelayRequest, RelayResponse](
 			httpClient,
 			baseURL+PeerServiceRelayProcedure,
@@ -126,6 +136,7 @@
 // peerServiceClient implements PeerServiceClient.
 type peerServiceClient struct {
 	heartbeat *connect.Client[HeartbeatRequest, HeartbeatResponse]
+	tell      *connect.Client[TellRequest, TellResponse]
 	relay     *connect.Client[RelayRequest, RelayResponse]
 	snapshot  *connect.Client[SnapshotRequest, SnapshotChunk]
 	grant     *connect.Client[GrantRequest, GrantResponse]
@@ -139,6 +150,11 @@
 	return c.heartbeat.CallUnary(ctx, req)
 }
 
+// Tell calls gooseberryway.v1.PeerService.Tell.
+func (c *peerServiceClient) Tell(ctx context.Context, req *connect.Request[TellRequest]) (*connect.Response[TellResponse], error) {
+	return c.tell.CallUnary(ctx, req)
+}
+
 // Relay calls gooseberryway.v1.PeerService.Relay.
 func (c *peerServiceClient) Relay(ctx context.Context, req *connect.Request[RelayRequest]) (*connect.Response[RelayResponse], error) {
 	return c.relay.CallUnary(ctx, req)
@@ -173,6 +189,8 @@
 type PeerServiceHandler interface {
 	// Heartbeat renews the serving lease and carries packed digests.
 	Heartbeat(context.Context, *connect.Request[HeartbeatRequest]) (*connect.Response[HeartbeatResponse], error)
+	// Tell passes a digest on at once, between heartbeats.
+	Tell(context.Context, *connect.Request[TellRequest]) (*connect.Response[TellResponse], error)
 	// Relay reads log records that the other daemon has applied.
 	Relay(context.Context, *connect.Request[RelayRequest]) (*connect.Response[RelayResponse], error)
 	// Snapshot reads the whole state of the other daemon, for a start without the log service.
@@ -200,6 +218,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Heartbeat")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceTellHandler := connect.NewUnaryHandler(
+		PeerServiceTellProcedure,
+		svc.Tell,
+		connect.WithSchema(peerServiceMethods.ByName("Tell")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServiceRelayHandler := connect.NewUnaryHandler(
 		PeerServiceRelayProcedure,
 		svc.Relay,
@@ -240,6 +264,8 @@
 		switch r.URL.Path {
 		case PeerServiceHeartbeatProcedure:
 			peerServiceHeartbeatHandler.ServeHTTP(w, r)
+		case PeerServiceTellProcedure:
+			peerServiceTellHandler.ServeHTTP(w, r)
 		case PeerServiceRelayProcedure:
 			peerServiceRelayHandler.ServeHTTP(w, r)
 		case PeerServiceSnapshotProcedure:
@@ -265,6 +291,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("gooseberryway.v1.PeerService.Heartbeat is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) Tell(context.Context, *connect.Request[TellRequest]) (*connect.Response[TellResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("gooseberryway.v1.PeerService.Tell is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) Relay(context.Context, *connect.Request[RelayRequest]) (*connect.Response[RelayResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("gooseberryway.v1.PeerService.Relay is not implemented"))
 }
--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -132,6 +132,11 @@
 	return call(ctx, c, to, req, wire.PeerServiceClient.Heartbeat)
 }
 
+// Tell passes a digest on.
+func (c *Client) Tell(ctx context.Context, to ident.DaemonID, req *wire.TellRequest) (*wire.TellResponse, error) {
+	return call(ctx, c, to, req, wire.PeerServiceClient.Tell)
+}
+
 // Relay reads records that the daemon has applied.
 func (c *Client) Relay(ctx context.Context, to ident.DaemonID, req *wire.RelayRequest) (*wire.RelayResponse, error) {
 	return call(ctx, c, to, req, wire.PeerServiceClient.Relay)
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -16,6 +16,7 @@
 // Handlers answer the calls of other daemons.
 type Handlers struct {
 	Heartbeat func(context.Context, *wire.HeartbeatRequest) (*wire.HeartbeatResponse, error)
+	Tell      func(context.Context, *wire.TellRequest) (*wire.TellResponse, error)
 	Relay     func(context.Context, *wire.RelayRequest) (*wire.RelayResponse, error)
 	Snapshot  func(context.Context, *wire.SnapshotRequest, func(*wire.SnapshotChunk) error) error
 	Grant     func(context.Context, *wire.GrantRequest) (*wire.GrantResponse, error)
@@ -50,6 +51,10 @@
 	return answer(ctx, r, s.h.Heartbeat)
 }
 
+func (s *service) Tell(ctx context.Context, r *connect.Request[wire.TellRequest]) (*connect.Response[wire.TellResponse], error) {
+	return answer(ctx, r, s.h.Tell)
+}
+
 func (s *service) Relay(ctx context.Context, r *connect.Request[wire.RelayRequest]) (*connect.Response[wire.RelayResponse], error) {
 	return answer(ctx, r, s.h.Relay)
 }
