--- /dev/null
+++ b/internal/program/client/admin.go
@@ -0,0 +1,206 @@
+package client
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// adminTimeout bounds one request of an operator.
+const adminTimeout = 15 * time.Second
+
+// AdminError is a failed request of an operator.
+type AdminError struct {
+	Status   int             `json:"-"`
+	Code     string          `json:"code"`
+	Message  string          `json:"message"`
+	Path     string          `json:"path"`
+	Current  json.RawMessage `json:"current"`
+	Revision uint64          `json:"revision"`
+	RecordID string          `json:"recordId"`
+}
+
+func (e *AdminError) Error() string {
+	text := fmt.Sprintf("%s (%s)", e.Message, e.Code)
+	if len(e.Current) > 0 {
+		text += fmt.Sprintf("; now at revision %d: %s", e.Revision, e.Current)
+	}
+	if e.RecordID != "" {
+		text += "; record " + e.RecordID
+	}
+	return text
+}
+
+// Resource is an entity with its place and revision.
+type Resource struct {
+	Path     string          `json:"path"`
+	Revision uint64          `json:"revision"`
+	Entity   json.RawMessage `json:"entity"`
+}
+
+// Progress tells how far a change has come.
+type Progress struct {
+	Offset  uint64 `json:"offset"`
+	State   string `json:"state"`
+	Summary string `json:"summary"`
+}
+
+// InForce reports whether no daemon that serves is without the change.
+func (p *Progress) InForce() bool { return p.State == "inForce" }
+
+// Change is the answer to an accepted change.
+type Change struct {
+	Resource
+	Progress Progress `json:"progress"`
+	Secret   string   `json:"secret"`
+}
+
+// Admin sends requests of an operator. Its fields are set before the first request.
+type Admin struct {
+	// Server is the address of a daemon's administration interface, with or without a scheme.
+	Server string
+	Key    string
+	// CAFile is the CA that has signed the server's certificate; empty for that of the system.
+	CAFile string
+
+	http *http.Client
+}
+
+// Get reads a path below the root of the API into v.
+func (a *Admin) Get(ctx context.Context, path string, v any) error {
+	return a.Do(ctx, http.MethodGet, path, nil, nil, v)
+}
+
+// Post sends a body to a path.
+func (a *Admin) Post(ctx context.Context, path string, body, v any) error {
+	return a.Do(ctx, http.MethodPost, path, nil, body, v)
+}
+
+// Put sets an entity based on a revision; 0 creates it.
+func (a *Admin) Put(ctx context.Context, path string, base uint64, body, v any) error {
+	return a.Do(ctx, http.MethodPut, path, precondition(base), body, v)
+}
+
+// Delete deletes an entity based on a revision.
+func (a *Admin) Delete(ctx context.Context, path string, base uint64, v any) error {
+	return a.Do(ctx, http.MethodDelete, path, precondition(base), nil, v)
+}
+
+func precondition(base uint64) http.Header {
+	if base == 0 {
+		return http.Header{"If-None-Match": {"*"}}
+	}
+	return http.Header{"If-Match": {strconv.Quote(strconv.FormatUint(base, 10))}}
+}
+
+// Do sends a request and reads the answer into v. The error is an *AdminError or a *TransportError.
+func (a *Admin) Do(ctx context.Context, method, path string, header http.Header, body, v any) error {
+	client, err := a.client()
+	if err != nil {
+		return &TransportError{Err: err}
+	}
+	ctx, cancel := context.WithTimeout(ctx, adminTimeout)
+	defer cancel()
+	r, err := a.newRequest(ctx, method, path, header, body)
+	if err != nil {
+		return &TransportError{Err: err}
+	}
+	resp, err := client.Do(r)
+	if err != nil {
+		return &TransportError{Sent: !isDialError(err), Err: err}
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxEventBytes))
+	if err != nil {
+		return &TransportError{Sent: true, Err: err}
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return adminError(resp.StatusCode, raw)
+	}
+	if v == nil {
+		return nil
+	}
+	if err := json.Unmarshal(raw, v); err != nil {
+		return &TransportError{Sent: true, Err: err}
+	}
+	return nil
+}
+
+func adminError(status int, raw []byte) error {
+	var body struct {
+		Error *AdminError `json:"error"`
+	}
+	if json.Unmarshal(raw, &body) != nil || body.Error == nil {
+		return &AdminError{Status: status, Code: strconv.Itoa(status), Message: strings.TrimSpace(string(raw))}
+	}
+	body.Error.Status = status
+	return body.Error
+}
+
+func (a *Admin) newRequest(ctx context.Context, method, path string, header http.Header, body any) (*http.Request, error) {
+	var reader io.Reader = http.NoBody
+	if body != nil {
+		raw, err := json.Marshal(body)
+		if err != nil {
+			return nil, err
+		}
+		reader = bytes.NewReader(raw)
+	}
+	server := a.Server
+	if !strings.Contains(server, "://") {
+		server = "http://" + server
+	}
+	r, err := http.NewRequestWithContext(ctx, method, server+"/admin/v1"+path, reader)
+	if err != nil {
+		return nil, err
+	}
+	for name, values := range header {
+		r.Header[name] = values
+	}
+	r.Header.Set("Authorization", "Bearer "+a.Key)
+	return r, nil
+}
+
+func (a *Admin) client() (*http.Client, error) {
+	if a.http != nil {
+		return a.http, nil
+	}
+	transport := &http.Transport{IdleConnTimeout: idleTimeout}
+	if a.CAFile != "" {
+		pool, err := loadCA(a.CAFile)
+		if err != nil {
+			return nil, err
+		}
+		transport.TLSClientConfig = &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: pool}
+	}
+	a.http = &http.Client{Transport: transport}
+	return a.http, nil
+}
+
+// CAError says that a CA file holds no certificate.
+type CAError struct {
+	File string
+}
+
+func (e *CAError) Error() string { return e.File + " holds no certificate in PEM form" }
+
+func loadCA(file string) (*x509.CertPool, error) {
+	raw, err := os.ReadFile(file) // #nosec G304 -- the operator names the file.
+	if err != nil {
+		return nil, err
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(raw) {
+		return nil, &CAError{File: file}
+	}
+	return pool, nil
+}
--- /dev/null
+++ b/internal/program/cmds/entity.go
@@ -0,0 +1,209 @@
+package cmds
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"net/url"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"github.com/gooseberryway/gooseberryway/internal/program/client"
+)
+
+// entityCommand describes the commands of one kind of entities.
+type entityCommand struct {
+	use, short string
+	// kind is the plural in the paths of the API.
+	kind string
+	// example shows the fields of set; empty if entities of the kind are not set.
+	example string
+}
+
+func entityCommands() []*cobra.Command {
+	described := []entityCommand{
+		{"org", "Organisations with their rates", "organisations", "survey team=alder rateTokensPerSecond=200000 burstTokens=800000"},
+		{"route", "Routes to models and plain services", "routes", "quotes team=birch kind=model model=girth onKeyWithdrawal=finish"},
+		{"upstream", "Engines, the KV cache store and plain services", "upstreams", "engine-1 kind=engine baseUrl=http://127.0.0.1:9001 failureDomain=riga-1 model=girth"},
+		{"model", "Models", "models", "girth currentVersion=girth-1 blockTokens=1000"},
+		{"version", "Versions of models", "versions", "girth-2 model=girth weights=girth-2"},
+		{"member", "Daemons of the fleet", "members", ""},
+	}
+	cmds := make([]*cobra.Command, 0, len(described))
+	for _, d := range described {
+		cmds = append(cmds, d.command())
+	}
+	return cmds
+}
+
+func (d entityCommand) command() *cobra.Command {
+	parent, s := newSession(d.use, d.short)
+	parent.AddCommand(s.listCommand(d.kind), s.getCommand(d.kind))
+	if d.example != "" {
+		parent.AddCommand(s.setCommand(d), s.deleteCommand(d.kind))
+	}
+	return parent
+}
+
+func (s *session) listCommand(kind string) *cobra.Command {
+	return &cobra.Command{
+		Use: "list", Short: "List all that you may see", Args: usageArgs(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var list struct {
+				Items []client.Resource `json:"items"`
+			}
+			if err := s.admin.Get(cmd.Context(), "/"+kind, &list); err != nil {
+				return err
+			}
+			if s.json {
+				return printJSON(cmd.OutOrStdout(), list.Items)
+			}
+			return printResources(cmd.OutOrStdout(), list.Items)
+		},
+	}
+}
+
+func (s *session) getCommand(kind string) *cobra.Command {
+	return &cobra.Command{
+		Use: "get ID", Short: "Show one with its revision", Args: usageArgs(cobra.ExactArgs(1)),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			var r client.Resource
+			if err := s.admin.Get(cmd.Context(), entityPath(kind, args[0]), &r); err != nil {
+				return err
+			}
+			if s.json {
+				return printJSON(cmd.OutOrStdout(), r)
+			}
+			return printResources(cmd.OutOrStdout(), []client.Resource{r})
+		},
+	}
+}
+
+func (s *session) setCommand(d entityCommand) *cobra.Command {
+	return &cobra.Command{
+		Use: "set ID FIELD=VALUE...", Short: "Create one or change fields of it; others stay as they are",
+		Example: "  gooseberryway " + d.use + " set " + d.example,
+		Args:    usageArgs(cobra.MinimumNArgs(2)),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			fields, err := parseFields(args[1:])
+			if err != nil {
+				return &UsageError{Err: err}
+			}
+			change, err := s.set(cmd.Context(), entityPath(d.kind, args[0]), fields)
+			if err != nil {
+				return err
+			}
+			return s.conclude(cmd, change)
+		},
+	}
+}
+
+// set merges fields into the entity as it is now.
+func (s *session) set(ctx context.Context, path string, fields map[string]json.RawMessage) (*client.Change, error) {
+	var current client.Resource
+	err := s.admin.Get(ctx, path, &current)
+	var failure *client.AdminError
+	if err != nil && (!errors.As(err, &failure) || failure.Status != http.StatusNotFound) {
+		return nil, err
+	}
+	merged := map[string]json.RawMessage{}
+	if len(current.Entity) > 0 {
+		if err := json.Unmarshal(current.Entity, &merged); err != nil {
+			return nil, err
+		}
+	}
+	maps.Copy(merged, fields)
+	change := &client.Change{}
+	return change, s.admin.Put(ctx, path, current.Revision, merged, change)
+}
+
+func (s *session) deleteCommand(kind string) *cobra.Command {
+	return &cobra.Command{
+		Use: "delete ID", Short: "Delete one", Args: usageArgs(cobra.ExactArgs(1)),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			path := entityPath(kind, args[0])
+			var current client.Resource
+			if err := s.admin.Get(cmd.Context(), path, &current); err != nil {
+				return err
+			}
+			change := &client.Change{}
+			if err := s.admin.Delete(cmd.Context(), path, current.Revision, change); err != nil {
+				return err
+			}
+			return s.conclude(cmd, change)
+		},
+	}
+}
+
+func entityPath(kind, id string) string { return "/" + kind + "/" + url.PathEscape(id) }
+
+// FieldError is an argument that is not of the form FIELD=VALUE.
+type FieldError struct {
+	Argument string
+}
+
+func (e *FieldError) Error() string {
+	return fmt.Sprintf("%q is not of the form FIELD=VALUE", e.Argument)
+}
+
+// parseFields reads FIELD=VALUE arguments. A value that is not valid JSON is a string.
+func parseFields(args []string) (map[string]json.RawMessage, error) {
+	fields := map[string]json.RawMessage{}
+	for _, arg := range args {
+		name, value, ok := strings.Cut(arg, "=")
+		if !ok || name == "" {
+			return nil, &FieldError{Argument: arg}
+		}
+		raw := json.RawMessage(value)
+		if !json.Valid(raw) {
+			raw, _ = json.Marshal(value)
+		}
+		fields[name] = raw
+	}
+	return fields, nil
+}
+
+// printResources writes a table with the fields of the first entity as columns.
+func printResources(w io.Writer, items []client.Resource) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	var names []string
+	for i, r := range items {
+		fields := map[string]json.RawMessage{}
+		if err := json.Unmarshal(r.Entity, &fields); err != nil {
+			return err
+		}
+		if i == 0 {
+			names = columns(fields)
+			fmt.Fprintln(t, "revision\t"+strings.Join(names, "\t"))
+		}
+		fmt.Fprint(t, r.Revision)
+		for _, name := range names {
+			fmt.Fprint(t, "\t", strings.Trim(string(fields[name]), `"`))
+		}
+		fmt.Fprintln(t)
+	}
+	return t.Flush()
+}
+
+// columns returns the names of the fields, the id first.
+func columns(fields map[string]json.RawMessage) []string {
+	names := slices.Sorted(maps.Keys(fields))
+	slices.SortStableFunc(names, func(a, b string) int {
+		switch {
+		case a == "id":
+			return -1
+		case b == "id":
+			return 1
+		default:
+			return 0
+		}
+	})
+	return names
+}
--- /dev/null
+++ b/internal/program/cmds/move.go
@@ -0,0 +1,139 @@
+package cmds
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/gooseberryway/gooseberryway/internal/program/client"
+	"github.com/gooseberryway/gooseberryway/internal/state/config"
+)
+
+func newMove() *cobra.Command {
+	parent, s := newSession("move", "Moves of traffic to another version")
+	parent.AddCommand(s.listCommand("moves"), s.getCommand("moves"), s.createMoveCommand())
+	for _, action := range []struct{ use, name, short string }{
+		{"pause", "pause", "Keep the share as it is; the version is still watched"},
+		{"resume", "resume", "Let a paused move go on"},
+		{"take-back", "takeBack", "Send all traffic to the old version and end the move"},
+	} {
+		parent.AddCommand(s.moveActionCommand(action.use, action.name, action.short))
+	}
+	parent.AddCommand(s.moveDeadlineCommand())
+	return parent
+}
+
+func (s *session) createMoveCommand() *cobra.Command {
+	var id string
+	var in time.Duration
+	var routes []string
+	cmd := &cobra.Command{
+		Use: "create TEAM MODEL VERSION --in DURATION", Short: "Start a move that shall be done within the duration",
+		Example: "  gooseberryway move create alder girth girth-2 --in 30m --wait",
+		Args:    usageArgs(cobra.ExactArgs(3)),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if in <= 0 {
+				return &UsageError{Err: &MissingFlagError{Flag: "in"}}
+			}
+			body := map[string]any{
+				"id": id, "team": args[0], "model": args[1], "to": args[2], "routes": routes,
+				"deadline": time.Now().Add(in).UTC().Format(time.RFC3339Nano),
+			}
+			change := &client.Change{}
+			if err := s.admin.Post(cmd.Context(), "/moves", body, change); err != nil {
+				return err
+			}
+			return s.concludeMove(cmd, change)
+		},
+	}
+	cmd.Flags().StringVar(&id, "id", "", "id of the move; one is chosen if it is empty")
+	cmd.Flags().DurationVar(&in, "in", 0, "time until the move shall be done (required)")
+	cmd.Flags().StringSliceVar(&routes, "routes", nil, "routes to move; all of the team for the model if empty")
+	return cmd
+}
+
+func (s *session) moveActionCommand(use, action, short string) *cobra.Command {
+	var reason string
+	cmd := &cobra.Command{
+		Use: use + " ID", Short: short, Args: usageArgs(cobra.ExactArgs(1)),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return s.actOnMove(cmd, args[0], map[string]any{"action": action, "reason": reason})
+		},
+	}
+	cmd.Flags().StringVar(&reason, "reason", "", "one sentence that is kept with the move")
+	return cmd
+}
+
+func (s *session) moveDeadlineCommand() *cobra.Command {
+	var in time.Duration
+	cmd := &cobra.Command{
+		Use: "deadline ID --in DURATION", Short: "Set another deadline", Args: usageArgs(cobra.ExactArgs(1)),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if in <= 0 {
+				return &UsageError{Err: &MissingFlagError{Flag: "in"}}
+			}
+			deadline := time.Now().Add(in).UTC().Format(time.RFC3339Nano)
+			return s.actOnMove(cmd, args[0], map[string]any{"action": "deadline", "deadline": deadline})
+		},
+	}
+	cmd.Flags().DurationVar(&in, "in", 0, "time until the move shall be done (required)")
+	return cmd
+}
+
+func (s *session) actOnMove(cmd *cobra.Command, id string, body any) error {
+	change := &client.Change{}
+	if err := s.admin.Post(cmd.Context(), entityPath("moves", id)+"/actions", body, change); err != nil {
+		return err
+	}
+	return s.concludeMove(cmd, change)
+}
+
+// MoveFailedError says that a move ended without the new version, or did not end within the wait.
+type MoveFailedError struct {
+	State  config.MoveState
+	Reason string
+}
+
+func (e *MoveFailedError) Error() string { return fmt.Sprintf("the move is %s: %s", e.State, e.Reason) }
+
+// concludeMove prints a change of a move and, if asked to, waits until the move has ended.
+func (s *session) concludeMove(cmd *cobra.Command, change *client.Change) error {
+	wait := s.wait
+	s.wait = false
+	if err := s.conclude(cmd, change); err != nil || !wait {
+		return err
+	}
+	var move config.Move
+	if err := json.Unmarshal(change.Entity, &move); err != nil {
+		return err
+	}
+	return s.waitMove(cmd.Context(), cmd.ErrOrStderr(), &move)
+}
+
+func (s *session) waitMove(ctx context.Context, out io.Writer, move *config.Move) error {
+	deadline := time.Now().Add(s.limit)
+	for !move.State.Ended() {
+		if time.Now().After(deadline) || !pause(ctx, waitPoll) {
+			return &MoveFailedError{State: move.State, Reason: move.Reason}
+		}
+		var r client.Resource
+		if err := s.admin.Get(ctx, entityPath("moves", string(move.ID)), &r); err != nil {
+			return err
+		}
+		last := move.Reason
+		if err := json.Unmarshal(r.Entity, move); err != nil {
+			return err
+		}
+		if move.Reason != last {
+			fmt.Fprintln(out, move.Reason)
+		}
+	}
+	if move.State != config.MoveDone {
+		return &MoveFailedError{State: move.State, Reason: move.Reason}
+	}
+	return nil
+}
--- a/internal/transport/admin/entities.go
+++ b/internal/transport/admin/entities.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	"github.com/gooseberryway/gooseberryway/internal/coordination/orders"
 	"github.com/gooseberryway/gooseberryway/internal/state/config"
 )
 
@@ -97,6 +98,11 @@
 		if !u.pre.given {
 			return nil, preconditionMissing()
 		}
+		if route, ok := e.(*config.Route); ok {
+			if err := orders.CheckRoute(s.State(), route); err != nil {
+				return nil, &Error{Code: CodeInvalid, Message: err.Error(), Path: config.PathOf(e), Err: err}
+			}
+		}
 		return s.put(ctx, k.role, u.pre.base, e)
 	}
 }
--- a/internal/transport/admin/moves.go
+++ b/internal/transport/admin/moves.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
+	"github.com/gooseberryway/gooseberryway/internal/coordination/moves"
 	"github.com/gooseberryway/gooseberryway/internal/state/config"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 )
@@ -76,18 +78,32 @@
 	if len(req.Routes) == 0 {
 		req.Routes = modelRoutes(st, req.Team, req.Model)
 	}
-	return s.put(ctx, config.RoleEditor, 0, &config.Move{
+	move := &config.Move{
 		ID:         req.ID,
 		Team:       req.Team,
 		Model:      req.Model,
-		From:       model.CurrentVersion,
+		From:       servingVersion(st, model, req.Routes),
 		To:         req.To,
 		Routes:     req.Routes,
 		Deadline:   req.Deadline,
 		State:      config.MoveRunning,
 		Reason:     "created by " + string(operatorOf(ctx).ID),
 		StateSince: time.Now(),
-	})
+	}
+	if err := moves.CheckNew(st, move); err != nil {
+		return nil, s.moveError(config.PathOf(move), "", err)
+	}
+	return s.put(ctx, config.RoleEditor, 0, move)
+}
+
+// servingVersion returns the version that the first of the routes has now.
+func servingVersion(st *config.State, model *config.Model, routes []ident.RouteID) ident.VersionID {
+	var splitter moves.Splitter
+	splitter.Update(st)
+	if len(routes) == 0 {
+		return splitter.Serving(model.ID, "")
+	}
+	return splitter.Serving(model.ID, routes[0])
 }
 
 func modelRoutes(st *config.State, team ident.TeamID, model ident.ModelID) []ident.RouteID {
@@ -101,48 +117,54 @@
 }
 
 func (s *Server) actOnMove(ctx context.Context, req moveRequest) (*Change, error) {
-	st := s.State()
-	move, ok := st.Move(ident.MoveID(req.id))
+	move, ok := s.State().Move(ident.MoveID(req.id))
 	if !ok {
 		return nil, &Error{Code: CodeNotFound, Message: "move " + req.id + " does not exist"}
 	}
-	next, err := afterAction(move, req.action)
+	op, path := operatorOf(ctx), config.PathOf(move)
+	if err := checkRole(op, config.RoleEditor, path); err != nil {
+		return nil, err
+	}
+	change, err := req.action.change()
 	if err != nil {
 		return nil, err
 	}
-	if req.action.Reason == "" {
-		next.Reason = req.action.Action + " by " + string(operatorOf(ctx).ID)
+	steering := &moves.Steering{State: s.State, Writer: s.Writer}
+	record := s.recordID(ctx, path)
+	offset, err := steering.Do(ctx, move.ID, string(op.ID), record, change)
+	if err != nil {
+		return nil, s.moveError(path, record, err)
 	}
-	return s.put(ctx, config.RoleEditor, st.Revision(config.PathOf(move)), next)
+	st := s.State()
+	return &Change{Resource: Resource{Path: path, Revision: offset, Entity: st.Entity(path)}, Progress: s.Progress(offset)}, nil
 }
 
-// afterAction returns the move as it is after the action of an operator.
-func afterAction(move *config.Move, action *MoveAction) (*config.Move, error) {
-	if move.State.Ended() {
-		return nil, &Error{Code: CodeInvalid, Message: "the move has ended: " + move.Reason}
-	}
-	next := *move
-	next.Reason = action.Reason
-	next.StateSince = time.Now()
-	switch action.Action {
+// change returns what the action does. The error is an *Error.
+func (a *MoveAction) change() (moves.Change, error) {
+	switch a.Action {
 	case "pause":
-		next.State = config.MovePaused
+		return moves.Pause{}, nil
 	case "resume":
-		if move.State != config.MovePaused {
-			return nil, &Error{Code: CodeInvalid, Message: "the move is not paused"}
-		}
-		next.State = config.MoveRunning
+		return moves.Resume{}, nil
 	case "takeBack":
-		next.State = config.MoveTakenBack
-		next.Share = 0
+		return moves.TakeBack{Reason: a.Reason}, nil
 	case "deadline":
-		if !action.Deadline.After(time.Now()) {
+		if !a.Deadline.After(time.Now()) {
 			return nil, &Error{Code: CodeInvalid, Message: "the deadline has passed"}
 		}
-		next.Deadline = action.Deadline
-		next.StateSince = move.StateSince
+		return moves.ChangeDeadline{Deadline: a.Deadline}, nil
 	default:
 		return nil, &Error{Code: CodeInvalid, Message: "allowed actions are pause, resume, takeBack and deadline"}
 	}
-	return &next, nil
+}
+
+// moveError returns the failure of a move's change.
+func (s *Server) moveError(path ident.Path, record ident.RecordID, err error) error {
+	var state *moves.StateError
+	var overlap *moves.OverlapError
+	var version *moves.VersionError
+	if errors.As(err, &state) || errors.As(err, &overlap) || errors.As(err, &version) {
+		return &Error{Code: CodeInvalid, Message: err.Error(), Path: path, Err: err}
+	}
+	return s.changeError(path, record, err)
 }
