Add the page for phones and the fleet's report on service-level burn

Cause: operators on call steer from a phone. Daemons gather each other's counts for the report on burn.

--- /dev/null
+++ b/internal/program/daemon/burn.go
@@ -0,0 +1,151 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/burn"
+	"github.com/gooseberryway/gooseberryway/internal/state/config"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
+
+const (
+	// burnRows bounds the rows of the report on service-level burn.
+	burnRows = 200
+	// burnAge is how long a report is shown before the daemons are asked again.
+	burnAge = 5 * time.Second
+	// burnTimeout bounds the question to the other daemons.
+	burnTimeout = time.Second
+	// refusalWindow is the time over which refusals for the rate are counted.
+	refusalWindow = time.Minute
+)
+
+// burnCache keeps the last report of the fleet.
+type burnCache struct {
+	mu     sync.Mutex
+	at     time.Time
+	report burn.Report
+}
+
+// burnReport returns the report on service-level burn over all daemons that answer.
+func (p *parts) burnReport() burn.Report {
+	p.reports.mu.Lock()
+	defer p.reports.mu.Unlock()
+	if time.Since(p.reports.at) > burnAge {
+		p.reports.report = p.gatherBurn()
+		p.reports.at = time.Now()
+	}
+	return p.reports.report
+}
+
+func (p *parts) gatherBurn() burn.Report {
+	ctx, cancel := context.WithTimeout(context.Background(), burnTimeout)
+	defer cancel()
+	all := [][]burn.SeriesCounts{p.burn.Counts()}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	peers := slices.DeleteFunc(p.live(), func(id ident.DaemonID) bool { return id == p.settings.DaemonID })
+	for _, id := range peers {
+		wg.Go(func() {
+			resp, err := p.calls.Burn(ctx, id)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			all = append(all, burn.Decode(resp.GetSeries()))
+		})
+	}
+	wg.Wait()
+	report := burn.Combine(p.burn.Settings(), p.follower.State(), burnRows, all...)
+	report.Daemons, report.DaemonsAsked = len(all), len(peers)+1
+	return report
+}
+
+// objectivesPath is the setting that holds the service-level objectives.
+const objectivesPath ident.Path = "/platform/settings/objectives"
+
+// setObjectives takes over the service-level objectives of the configuration.
+func (p *parts) setObjectives(st *config.State) {
+	setting, ok := st.Entity(objectivesPath).(*config.Setting)
+	if !ok {
+		p.burn.SetSettings(burn.Settings{})
+		return
+	}
+	var s burn.Settings
+	if err := json.Unmarshal([]byte(setting.Value), &s); err != nil {
+		klog.ErrorS(err, "Objectives are not valid, the former ones stay", "path", objectivesPath)
+		return
+	}
+	p.burn.SetSettings(s)
+}
+
+// refusals counts the refusals for the rate of each organisation in the last window.
+type refusals struct {
+	mu    sync.Mutex
+	times map[ident.OrganisationID][]time.Time
+}
+
+func (r *refusals) add(org ident.OrganisationID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.times == nil {
+		r.times = map[ident.OrganisationID][]time.Time{}
+	}
+	r.times[org] = append(recent(r.times[org]), time.Now())
+}
+
+// recent drops the times that are older than the window.
+func recent(times []time.Time) []time.Time {
+	limit := time.Now().Add(-refusalWindow)
+	i, _ := slices.BinarySearchFunc(times, limit, time.Time.Compare)
+	return times[i:]
+}
+
+// OverRate is an organisation that this daemon has refused requests for its rate.
+type OverRate struct {
+	ID      ident.OrganisationID `json:"id"`
+	Refused int                  `json:"refused"`
+}
+
+// list returns the organisations with refusals, those with most first.
+func (r *refusals) list() []OverRate {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := []OverRate{}
+	for id, times := range r.times {
+		left := recent(times)
+		if len(left) == 0 {
+			delete(r.times, id)
+			continue
+		}
+		r.times[id] = left
+		all = append(all, OverRate{ID: id, Refused: len(left)})
+	}
+	slices.SortFunc(all, func(a, b OverRate) int { return b.Refused - a.Refused })
+	return all
+}
+
+// Update is what the page for phones shows.
+type Update struct {
+	Status   *Status     `json:"status"`
+	Burn     burn.Report `json:"burn"`
+	OverRate []OverRate  `json:"overRate"`
+	// LogDown is set while the log service takes no changes.
+	LogDown bool `json:"logDown"`
+}
+
+func (p *parts) update() *Update {
+	status := p.status()
+	return &Update{
+		Status:   status,
+		Burn:     p.burnReport(),
+		OverRate: p.refused.list(),
+		LogDown:  status.logDown(),
+	}
+}
--- a/internal/program/daemon/consts.go
+++ b/internal/program/daemon/consts.go
@@ -17,8 +17,6 @@
 	drainPoll = 20 * time.Millisecond
 	// digestBytes bounds the blocks in the digest of one heartbeat.
 	digestBytes = 512
-	// burnRows bounds the rows of the report on service-level burn.
-	burnRows = 200
 	// seedTimeout bounds the reading of the VM list at the start.
 	seedTimeout = 2 * time.Second
 )
--- a/internal/program/daemon/digest.go
+++ b/internal/program/daemon/digest.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
-	"github.com/gooseberryway/gooseberryway/internal/state/burn"
-	"github.com/gooseberryway/gooseberryway/internal/state/config"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 )
 
@@ -60,23 +57,5 @@
 	}
 }
 
-// objectivesPath is the setting that holds the service-level objectives.
-const objectivesPath ident.Path = "/platform/settings/objectives"
-
-// setObjectives takes over the service-level objectives of the configuration.
-func (p *parts) setObjectives(st *config.State) {
-	setting, ok := st.Entity(objectivesPath).(*config.Setting)
-	if !ok {
-		p.burn.SetSettings(burn.Settings{})
-		return
-	}
-	var s burn.Settings
-	if err := json.Unmarshal([]byte(setting.Value), &s); err != nil {
-		klog.ErrorS(err, "Objectives are not valid, the former ones stay", "path", objectivesPath)
-		return
-	}
-	p.burn.SetSettings(s)
-}
-
 // urgentPause is the shortest time between two urgent digests.
 const urgentPause = 50 * time.Millisecond
--- a/internal/program/daemon/limits.go
+++ b/internal/program/daemon/limits.go
@@ -51,18 +51,23 @@
 // limits shows the limiter to the request service.
 type limits struct {
 	limiter *quota.Limiter
+	refused *refusals
 }
 
 // Admit implements serve.Limiter.
 func (l limits) Admit(ctx context.Context, org ident.OrganisationID, cost ident.Tokens) (serve.Reservation, error) {
 	reservation, err := l.limiter.Admit(ctx, org, cost)
 	if err != nil {
-		return nil, refusalOf(err)
+		failure := refusalOf(err)
+		if failure.Code == serve.CodeRateLimited {
+			l.refused.add(org)
+		}
+		return nil, failure
 	}
 	return reservation, nil
 }
 
-func refusalOf(err error) error {
+func refusalOf(err error) *serve.Error {
 	var refused *quota.RefusedError
 	if !errors.As(err, &refused) {
 		return &serve.Error{Code: serve.CodeLimitsUnavailable, Message: "the limits could not be checked", Err: err}
--- a/internal/program/daemon/parts.go
+++ b/internal/program/daemon/parts.go
@@ -56,6 +56,8 @@
 	owner        *moves.Owner
 	orders       *orders.Orders
 	burn         *burn.Recorder
+	reports      burnCache
+	refused      refusals
 	warm         atomic.Pointer[wire.Digest]
 	owners       ownerships
 	router       *route.Router
@@ -200,7 +202,7 @@
 	p.service = &serve.Service{
 		State:          p.follower.State,
 		Lease:          p.lease,
-		Limits:         limits{p.limiter},
+		Limits:         limits{p.limiter, &p.refused},
 		Claims:         claims{p.claimer},
 		Versions:       versions{p.splitter},
 		Runner:         runner{relay: &relay.Relay{Engine: p.engine, Picker: picks}},
--- a/internal/program/daemon/servers.go
+++ b/internal/program/daemon/servers.go
@@ -9,6 +9,7 @@
 	"github.com/gooseberryway/gooseberryway/internal/coordination/serve"
 	"github.com/gooseberryway/gooseberryway/internal/program/setup"
 	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
+	"github.com/gooseberryway/gooseberryway/internal/state/burn"
 	"github.com/gooseberryway/gooseberryway/internal/state/config"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/transport/admin"
@@ -45,7 +46,8 @@
 		Writer:    changes{p.writer},
 		Progress:  p.progress,
 		Status:    func() any { return p.status() },
-		Burn:      func() any { return p.burn.Report(p.follower.State(), burnRows) },
+		Burn:      func() any { return p.burnReport() },
+		Update:    func() any { return p.update() },
 		Records:   p.records,
 		Ready:     p.ready,
 		Bootstrap: bootstrap(p.settings.BootstrapOperator),
@@ -68,6 +70,9 @@
 			p.learn(r.GetDigest())
 			return &wire.TellResponse{}, nil
 		},
+		Burn: func(context.Context, *wire.BurnRequest) (*wire.BurnResponse, error) {
+			return &wire.BurnResponse{Series: burn.Encode(p.burn.Counts())}, nil
+		},
 		Relay: func(_ context.Context, r *wire.RelayRequest) (*wire.RelayResponse, error) {
 			return p.follower.HandleRelay(r), nil
 		},
--- a/internal/program/daemon/status.go
+++ b/internal/program/daemon/status.go
@@ -137,7 +137,7 @@
 	if !s.Lease.Valid {
 		s.problem("this daemon serves nobody: %s", s.Lease)
 	}
-	if s.Lease.TailReadAge < 0 || s.Lease.TailReadAge > staleReport {
+	if s.logDown() {
 		s.problem("the log service does not answer; changes wait, serving goes on while the daemons see each other")
 	}
 	for _, m := range s.Members {
@@ -160,6 +160,11 @@
 	}
 }
 
+// logDown reports whether the log service has not answered for a while.
+func (s *Status) logDown() bool {
+	return s.Lease.TailReadAge < 0 || s.Lease.TailReadAge > staleReport
+}
+
 func (s *Status) problem(format string, args ...any) {
 	s.Problems = append(s.Problems, fmt.Sprintf(format, args...))
 }
--- a/internal/protocol/wire/peer.connect.go
+++ b/internal/protocol/wire/peer.connect.go
@@ -37,6 +37,8 @@
 	PeerServiceHeartbeatProcedure = "/gooseberryway.v1.PeerService/Heartbeat"
 	// PeerServiceTellProcedure is the fully-qualified name of the PeerService's Tell RPC.
 	PeerServiceTellProcedure = "/gooseberryway.v1.PeerService/Tell"
+	// PeerServiceBurnProcedure is the fully-qualified name of the PeerService's Burn RPC.
+	PeerServiceBurnProcedure = "/gooseberryway.v1.PeerService/Burn"
 	// PeerServiceRelayProcedure is the fully-qualified name of the PeerService's Relay RPC.
 	PeerServiceRelayProcedure = "/gooseberryway.v1.PeerService/Relay"
 	// PeerServiceSnapshotProcedure is the fully-qualified name of the PeerService's Snapshot RPC.
@@ -57,6 +59,8 @@
 	Heartbeat(context.Context, *connect.Request[HeartbeatRequest]) (*connect.Response[HeartbeatResponse], error)
 	// Tell passes a digest on at once, between heartbeats.
 	Tell(context.Context, *connect.Request[TellRequest]) (*connect.Response[TellResponse], error)
+	// Burn reads the daemon's counts of service-level indicators.
+	Burn(context.Context, *connect.Request[BurnRequest]) (*connect.Response[BurnResponse], error)
 	// Relay reads log records that the other daemon has applied.
 	Relay(context.Context, *connect.Request[RelayRequest]) (*connect.Response[RelayResponse], error)
 	// Snapshot reads the whole state of the other daemon, for a start without the log service.
@@ -94,6 +98,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Tell")),
 			connect.WithClientOptions(opts...),
 		),
+		burn: connect.NewClient[BurnRequest, BurnResponse](
+			httpClient,
+			baseURL+PeerServiceBurnProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Burn")),
+			connect.WithClientOptions(opts...),
+		),
 		relay: connect.NewClient[RelayRequest, RelayResponse](
 			httpClient,
 			baseURL+PeerServiceRelayProcedure,
@@ -137,6 +147,7 @@
 type peerServiceClient struct {
 	heartbeat *connect.Client[HeartbeatRequest, HeartbeatResponse]
 	tell      *connect.Client[TellRequest, TellResponse]
+	burn      *connect.Client[BurnRequest, BurnResponse]
 	relay     *connect.Client[RelayRequest, RelayResponse]
 	snapshot  *connect.Client[SnapshotRequest, SnapshotChunk]
 	grant     *connect.Client[GrantRequest, GrantResponse]
@@ -155,6 +166,11 @@
 	return c.tell.CallUnary(ctx, req)
 }
 
+// Burn calls gooseberryway.v1.PeerService.Burn.
+func (c *peerServiceClient) Burn(ctx context.Context, req *connect.Request[BurnRequest]) (*connect.Response[BurnResponse], error) {
+	return c.burn.CallUnary(ctx, req)
+}
+
 // Relay calls gooseberryway.v1.PeerService.Relay.
 func (c *peerServiceClient) Relay(ctx context.Context, req *connect.Request[RelayRequest]) (*connect.Response[RelayResponse], error) {
 	return c.relay.CallUnary(ctx, req)
@@ -191,6 +207,8 @@
 	Heartbeat(context.Context, *connect.Request[HeartbeatRequest]) (*connect.Response[HeartbeatResponse], error)
 	// Tell passes a digest on at once, between heartbeats.
 	Tell(context.Context, *connect.Request[TellRequest]) (*connect.Response[TellResponse], error)
+	// Burn reads the daemon's counts of service-level indicators.
+	Burn(context.Context, *connect.Request[BurnRequest]) (*connect.Response[BurnResponse], error)
 	// Relay reads log records that the other daemon has applied.
 	Relay(context.Context, *connect.Request[RelayRequest]) (*connect.Response[RelayResponse], error)
 	// Snapshot reads the whole state of the other daemon, for a start without the log service.
@@ -224,6 +242,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Tell")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceBurnHandler := connect.NewUnaryHandler(
+		PeerServiceBurnProcedure,
+		svc.Burn,
+		connect.WithSchema(peerServiceMethods.ByName("Burn")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServiceRelayHandler := connect.NewUnaryHandler(
 		PeerServiceRelayProcedure,
 		svc.Relay,
@@ -266,6 +290,8 @@
 			peerServiceHeartbeatHandler.ServeHTTP(w, r)
 		case PeerServiceTellProcedure:
 			peerServiceTellHandler.ServeHTTP(w, r)
+		case PeerServiceBurnProcedure:
+			peerServiceBurnHandler.ServeHTTP(w, r)
 		case PeerServiceRelayProcedure:
 			peerServiceRelayHandler.ServeHTTP(w, r)
 		case PeerServiceSnapshotProcedure:
@@ -295,6 +321,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("gooseberryway.v1.PeerService.Tell is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) Burn(context.Context, *connect.Request[BurnRequest]) (*connect.Response[BurnResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("gooseberryway.v1.PeerService.Burn is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) Relay(context.Context, *connect.Request[RelayRequest]) (*connect.Response[RelayResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("gooseberryway.v1.PeerService.Relay is not implemented"))
 }
--- a/internal/transport/admin/server.go
+++ b/internal/transport/admin/server.go
@@ -8,6 +8,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -59,12 +60,14 @@
 	Ready func() error
 	// Bootstrap is an operator with all rights; nil if there is none.
 	Bootstrap *config.Operator
-	// Page is the page for phones; nil if there is none.
-	Page http.Handler
+	// Update returns what the page for phones shows.
+	Update func() any
 	// TLS is nil on loopback.
 	TLS *tls.Config
 
-	http *http.Server
+	http    *http.Server
+	closing chan struct{}
+	close   sync.Once
 }
 
 // Handler returns the handler of the interface.
@@ -77,9 +80,8 @@
 		mux.Handle(op.method+" "+basePath+op.path, op.handler)
 	}
 	mux.HandleFunc("GET "+basePath+"/openapi.json", serveOpenAPI)
-	if s.Page != nil {
-		mux.Handle("GET /", s.Page)
-	}
+	mux.Handle("GET "+basePath+"/updates", s.authenticated(http.HandlerFunc(s.serveUpdates)))
+	mux.Handle("GET /", page())
 	return mux
 }
 
@@ -109,6 +111,7 @@
 	if s.http != nil {
 		return
 	}
+	s.closing = make(chan struct{})
 	s.http = &http.Server{
 		Handler:           s.Handler(),
 		ReadHeaderTimeout: headerTimeout,
@@ -120,6 +123,7 @@
 // Close stops listening, lets running requests finish for up to the timeout and cuts the rest.
 func (s *Server) Close(timeout time.Duration) error {
 	s.Prepare()
+	s.close.Do(func() { close(s.closing) })
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	if err := s.http.Shutdown(ctx); err != nil {
@@ -132,5 +136,6 @@
 // Cut ends the server at once and breaks its connections.
 func (s *Server) Cut() {
 	s.Prepare()
+	s.close.Do(func() { close(s.closing) })
 	_ = s.http.Close()
 }
--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -137,6 +137,11 @@
 	return call(ctx, c, to, req, wire.PeerServiceClient.Tell)
 }
 
+// Burn reads the counts of service-level indicators.
+func (c *Client) Burn(ctx context.Context, to ident.DaemonID) (*wire.BurnResponse, error) {
+	return call(ctx, c, to, &wire.BurnRequest{}, wire.PeerServiceClient.Burn)
+}
+
 // Relay reads records that the daemon has applied.
 func (c *Client) Relay(ctx context.Context, to ident.DaemonID, req *wire.RelayRequest) (*wire.RelayResponse, error) {
 	return call(ctx, c, to, req, wire.PeerServiceClient.Relay)
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -17,6 +17,7 @@
 type Handlers struct {
 	Heartbeat func(context.Context, *wire.HeartbeatRequest) (*wire.HeartbeatResponse, error)
 	Tell      func(context.Context, *wire.TellRequest) (*wire.TellResponse, error)
+	Burn      func(context.Context, *wire.BurnRequest) (*wire.BurnResponse, error)
 	Relay     func(context.Context, *wire.RelayRequest) (*wire.RelayResponse, error)
 	Snapshot  func(context.Context, *wire.SnapshotRequest, func(*wire.SnapshotChunk) error) error
 	Grant     func(context.Context, *wire.GrantRequest) (*wire.GrantResponse, error)
@@ -55,6 +56,10 @@
 	return answer(ctx, r, s.h.Tell)
 }
 
+func (s *service) Burn(ctx context.Context, r *connect.Request[wire.BurnRequest]) (*connect.Response[wire.BurnResponse], error) {
+	return answer(ctx, r, s.h.Burn)
+}
+
 func (s *service) Relay(ctx context.Context, r *connect.Request[wire.RelayRequest]) (*connect.Response[wire.RelayResponse], error) {
 	return answer(ctx, r, s.h.Relay)
 }
