Let daemons hear at once of requests with much to compute

Cause: load reports are a third of a second old on average; within that time daemons chose the same engines without knowing of each other, which made the tail of the prefix policy.

--- a/internal/coordination/route/attempt.go
+++ b/internal/coordination/route/attempt.go
@@ -43,8 +43,10 @@
 	}
 	a.served(req.PromptTokens, now)
 	a.queued = a.upstream.ReportedQueue(now)
-	a.work = a.upstream.Begin(max(0, req.PromptTokens-held), now)
+	missed := max(0, req.PromptTokens-held)
+	a.work = a.upstream.Begin(missed, now)
 	a.expect()
+	r.notify(d, missed)
 	return a
 }
 
--- a/internal/coordination/route/consts.go
+++ b/internal/coordination/route/consts.go
@@ -23,6 +23,14 @@
 	RetryAfterNotLoaded = time.Second
 	// RetryAfterBusy is when to ask again after a refusal for the retry budget or tried engines.
 	RetryAfterBusy = 500 * time.Millisecond
+	// NoticeTokens is the least number of tokens to compute of which other daemons are told at once.
+	NoticeTokens = 500
+	// NoticeLinger is how long notices are collected before they are sent together.
+	NoticeLinger = 2 * time.Millisecond
+	// NoticeRate bounds the notices that a daemon sends a second.
+	NoticeRate = 50
+	// NoticeBurst bounds the notices that it sends at once.
+	NoticeBurst = 50
 	// ScanLimit is the number of engines of a model up to which all are weighed.
 	ScanLimit = 64
 	// placedCandidates and randomCandidates are weighed beside the holders among more engines than ScanLimit.
--- a/internal/coordination/route/experiment_test.go
+++ b/internal/coordination/route/experiment_test.go
@@ -47,6 +47,8 @@
 	crash bool
 	// unfair leaves the engines' priorities alike.
 	unfair bool
+	// silent keeps the daemons from telling each other of what they send.
+	silent bool
 	// alike gives the daemons no parts of the engines of their own.
 	alike bool
 	// flood lets the organisation that surges exceed its rate.
@@ -62,8 +64,9 @@
 	organisation = 5
 	families     = 60 // prefix families of an organisation
 	warmUp       = 10 * time.Second
-	burstSeconds = 6     // of an organisation's rate
-	meanPrompt   = 16500 // tokens, with the answer's weight
+	noticeDelay  = 4 * time.Millisecond // linger and way
+	burstSeconds = 6                    // of an organisation's rate
+	meanPrompt   = 16500                // tokens, with the answer's weight
 )
 
 var (
@@ -161,6 +164,9 @@
 	if !x.alike {
 		r.SetPart(d, x.daemons)
 	}
+	if !x.silent {
+		r.Notify = func(n *wire.SentNotice) { x.tell(r, n) }
+	}
 	if !x.unfair {
 		r.Fair = &Fair{}
 	}
@@ -193,6 +199,17 @@
 	}
 }
 
+// tell passes a notice to the other daemons.
+func (x *run) tell(from *Router, n *wire.SentNotice) {
+	x.line.after(noticeDelay, func() {
+		for _, r := range x.routers {
+			if r != from {
+				r.Hear(n)
+			}
+		}
+	})
+}
+
 func (x *run) restartHalf() {
 	for i := range x.daemons / 2 {
 		r := x.newRouter(i)
@@ -336,6 +353,8 @@
 		{"prefix", func(tr *trial) { tr.policy = p }},
 		{"prefix-senders", func(tr *trial) { tr.policy, tr.senders = p, *sendersFlag }},
 		{"prefix-steered", func(tr *trial) { tr.policy, tr.steered = p, 2 }},
+		{"prefix-silent", func(tr *trial) { tr.policy, tr.silent = p, true }},
+		{"prefix-alike-silent", func(tr *trial) { tr.policy, tr.alike, tr.silent = p, true, true }},
 		{"prefix-alike", func(tr *trial) { tr.policy, tr.alike = p, true }},
 		{"prefix-cold", func(tr *trial) { tr.policy, tr.cold = p, true }},
 		{"prefix-unfair", func(tr *trial) { tr.policy, tr.unfair = p, true }},
--- /dev/null
+++ b/internal/coordination/route/notice_test.go
@@ -0,0 +1,64 @@
+package route
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
+
+func TestDaemonsHearOfEachOthersRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := newRouter(4, Prefix{}), newRouter(4, Prefix{})
+		time.Sleep(time.Second)
+		a.Notify = b.Hear
+		req := request(1, 2, 3)
+		d, err := a.Pick(req)
+		require.NoError(t, err)
+		attempt := a.Started(req, d)
+		load := func(id ident.UpstreamID) ident.Tokens { return b.Health.Upstream(id).Load(time.Now(), 1).Queued }
+		require.Equal(t, req.PromptTokens, load(d.Upstream))
+		other, err := b.Pick(request(7, 8, 9))
+		require.NoError(t, err)
+		require.NotEqual(t, d.Upstream, other.Upstream)
+		time.Sleep(100 * time.Millisecond)
+		report(b, d.Upstream, 1, 5)
+		require.EqualValues(t, 5, load(d.Upstream), "the report counts what was heard before")
+		attempt.Cancelled(0)
+
+		b.Hear(&wire.SentNotice{UpstreamId: "e00", Incarnation: 9, Tokens: 1000})
+		b.Hear(&wire.SentNotice{UpstreamId: "gone", Incarnation: 1, Tokens: 1000})
+		require.Zero(t, load("e00"), "of another incarnation")
+	})
+}
+
+func TestNoticesArePackedAndBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var batches []int
+		n := &Notices{Send: func(_ context.Context, batch []*wire.SentNotice) { batches = append(batches, len(batch)) }}
+		n.Run(t.Context())
+		for range 3 {
+			n.Add(&wire.SentNotice{})
+		}
+		time.Sleep(time.Second)
+		synctest.Wait()
+		require.Equal(t, []int{3}, batches)
+		batches = nil
+		for range 10 * NoticeRate {
+			n.Add(&wire.SentNotice{})
+			time.Sleep(time.Second / (10 * NoticeRate))
+		}
+		n.Close()
+		total := 0
+		for _, size := range batches {
+			total += size
+		}
+		require.LessOrEqual(t, total, NoticeBurst+NoticeRate+1)
+		require.GreaterOrEqual(t, total, NoticeRate)
+	})
+}
--- a/internal/coordination/route/router.go
+++ b/internal/coordination/route/router.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
 	"github.com/gooseberryway/gooseberryway/internal/state/guard"
 	"github.com/gooseberryway/gooseberryway/internal/state/health"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
@@ -31,6 +32,9 @@
 	ImportLatency time.Duration
 	// Senders is the number of daemons that send as much to the same engines as this one; 0 counts as 1.
 	Senders float64
+	// Notify is told of each request sent with much to compute, so that other daemons may Hear of it at once. It must
+	// not block; nil tells nobody.
+	Notify func(*wire.SentNotice)
 	// Random returns a number in [0, n); nil uses math/rand.
 	Random func(n int) int
 
--- a/internal/state/health/window.go
+++ b/internal/state/health/window.go
@@ -23,18 +23,24 @@
 	begun atomic.Int64
 }
 
-// add counts tokens of a request at the time at, and returns the slice's number for later subtraction.
-func (w *window) add(at time.Duration, tokens ident.Tokens) int64 {
+// slice returns the slice of a time, emptied if it was last used for an earlier one.
+func (w *window) slice(at time.Duration) *slice {
 	tag := int64(at / sliceTime)
 	s := &w.slices[tag%windowSlices]
 	if old := s.tag.Load(); old != tag && s.tag.CompareAndSwap(old, tag) {
 		s.pending.Store(0)
 		s.begun.Store(0)
 	}
+	return s
+}
+
+// add counts tokens of a request at the time at, and returns the slice's number for later subtraction.
+func (w *window) add(at time.Duration, tokens ident.Tokens) int64 {
+	s := w.slice(at)
 	s.pending.Add(int64(tokens))
 	s.begun.Add(1)
 	w.total.Add(int64(tokens))
-	return tag
+	return int64(at / sliceTime)
 }
 
 // computed subtracts tokens whose prefill has ended.
--- a/internal/state/health/work.go
+++ b/internal/state/health/work.go
@@ -20,6 +20,11 @@
 	return Work{upstream: u, tag: u.sent.add(u.since(now), tokens), tokens: tokens}
 }
 
+// Heard counts a request that another daemon has sent, until a load report shows it.
+func (u *Upstream) Heard(tokens ident.Tokens, now time.Time) {
+	u.sent.slice(u.since(now)).pending.Add(int64(tokens))
+}
+
 // FirstToken ends the prefill. Repeated calls change nothing.
 func (w *Work) FirstToken() {
 	if w.tokens > 0 {
