--- a/internal/coordination/serve/service.go
+++ b/internal/coordination/serve/service.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/gooseberryway/gooseberryway/internal/state/burn"
 	"github.com/gooseberryway/gooseberryway/internal/state/config"
 	"github.com/gooseberryway/gooseberryway/internal/state/extern"
 	"github.com/gooseberryway/gooseberryway/internal/state/guard"
@@ -32,6 +33,10 @@
 	RequestTimeout time.Duration
 	// FamilyBytes is the length of the prompt's head that tells prefix families apart.
 	FamilyBytes int
+	// Record is called with the outcome of each completion that was admitted; nil for none.
+	Record func(burn.Event)
+	// Admitted is called with the reserved tokens of each request that is admitted; nil for none.
+	Admitted func(ident.OrganisationID, ident.Tokens)
 
 	routes   routeCache
 	draining atomic.Bool
@@ -148,6 +153,9 @@
 		return err
 	}
 	run.reservation = reservation
+	if s.Admitted != nil {
+		s.Admitted(run.caller.Organisation, cost)
+	}
 	return nil
 }
 
