Provoke false alarms and missing safeguards of moves

Cause: the checks of moves must be shown to fail without the mechanism they check. Change: tests of engine crashes, slow spells of the whole platform, cold caches, averaged judging and requests that ignore the local stop; no probes on slow answers while caches fill; the time between tokens counts after 5 tokens.

--- a/internal/coordination/moves/consts.go
+++ b/internal/coordination/moves/consts.go
@@ -56,7 +56,7 @@
 	// limitQuantile is the quantile of the old version's latencies that a limit starts from, in thousandths.
 	limitQuantile = 950
 	// pacedTokens is the number of tokens of an answer after which its time between tokens is counted.
-	pacedTokens = 8
+	pacedTokens = 5
 )
 
 // Judging.
--- a/internal/coordination/moves/fleet_test.go
+++ b/internal/coordination/moves/fleet_test.go
@@ -28,15 +28,15 @@
 
 // testLog is a log service that applies records to a configuration.
 type testLog struct {
-	mu      sync.Mutex
-	state   *config.State
-	down    bool
-	records []*wire.Record
-	moves   []config.Move
+	mu    sync.Mutex
+	state *config.State
+	down  bool
+	tried map[string]int
+	moves []config.Move
 }
 
 func newTestLog(deadline time.Duration, routes ...ident.RouteID) *testLog {
-	l := &testLog{state: config.NewState()}
+	l := &testLog{state: config.NewState(), tried: map[string]int{}}
 	l.put(&config.Model{ID: testModel, CurrentVersion: oldV, BlockTokens: 1024})
 	l.put(&config.Version{ID: oldV, Model: testModel})
 	l.put(&config.Version{ID: newV, Model: testModel})
@@ -64,6 +64,7 @@
 func (l *testLog) Write(_ context.Context, rec *wire.Record) (ident.Offset, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.tried[rec.GetAuthor()]++
 	if l.down {
 		return 0, unavailableError{}
 	}
@@ -73,7 +74,6 @@
 	if err != nil {
 		return 0, err
 	}
-	l.records = append(l.records, rec)
 	if m, ok := next.Move(testMove); ok && rec.GetMove() != nil {
 		l.moves = append(l.moves, *m)
 	}
@@ -86,6 +86,13 @@
 	return l.state
 }
 
+// triedBy returns how many records a daemon has tried to write.
+func (l *testLog) triedBy(id ident.DaemonID) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.tried[string(id)]
+}
+
 func (l *testLog) setDown(down bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -138,6 +145,9 @@
 	routes  []ident.RouteID
 	orgs    []ident.OrganisationID
 	answer  map[ident.VersionID]behaviour
+	// rare is a route that gets few of the requests; average hides routes and organisations from the watch.
+	rare    ident.RouteID
+	average bool
 
 	mu                sync.Mutex
 	total, toNew, bad int
@@ -153,6 +163,8 @@
 	splitter *Splitter
 	watch    *Watch
 	owner    *Owner
+	// picker takes the place of splitter for requests, in mutants.
+	picker *Splitter
 
 	mu     sync.Mutex
 	frozen *config.State
@@ -273,13 +285,16 @@
 // drive sends requests with exponential gaps.
 func (f *fleet) drive(ctx context.Context) {
 	for n := 0; ctx.Err() == nil; n++ {
-		time.Sleep(time.Duration(f.rng.ExpFloat64() / f.rate * float64(time.Second)))
+		time.Sleep(time.Duration(f.rng.ExpFloat64() / f.currentRate() * float64(time.Second)))
 		d := f.daemons[f.rng.IntN(len(f.daemons))]
 		if d.isGone() {
 			continue
 		}
 		org := f.orgs[min(int(f.rng.ExpFloat64()*1.5), len(f.orgs)-1)]
 		route := f.routes[f.rng.IntN(len(f.routes))]
+		if f.rare != "" && f.rng.IntN(30) == 0 {
+			route = f.rare
+		}
 		rng := rand.New(rand.NewPCG(f.rng.Uint64(), 2))
 		id := ident.RequestID(fmt.Sprintf("r%d", n))
 		f.wg.Go(func() { f.serve(d, id, org, route, rng) })
@@ -288,7 +303,7 @@
 
 func (f *fleet) serve(d *daemon, id ident.RequestID, org ident.OrganisationID, route ident.RouteID, rng *rand.Rand) {
 	family := ident.BlockHash(rng.IntN(40) + 1)
-	v := d.splitter.Version(Ask{Model: testModel, Route: route, Organisation: org, Request: id, Family: family})
+	v := f.pickerOf(d).Version(Ask{Model: testModel, Route: route, Organisation: org, Request: id, Family: family})
 	at := Target{
 		Model: testModel, Route: route, Version: v, Organisation: org,
 		Upstream: ident.UpstreamID(fmt.Sprintf("%s-e%d", v, rng.IntN(3))),
@@ -298,6 +313,9 @@
 	a := f.answer[v](r)
 	f.mu.Unlock()
 	f.count(r, a)
+	if f.average {
+		at.Route, at.Organisation = "quote", ""
+	}
 	fl := d.watch.Begin(at, r.uncach)
 	time.Sleep(a.ttft)
 	n := 0
@@ -315,6 +333,15 @@
 	fl.End(a.outcome, ident.Tokens(n))
 }
 
+func (f *fleet) pickerOf(d *daemon) *Splitter {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if d.picker != nil {
+		return d.picker
+	}
+	return d.splitter
+}
+
 func (f *fleet) count(r request, a answer) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -347,3 +374,15 @@
 	defer f.mu.Unlock()
 	return f.lastToNew.Sub(f.firstFault)
 }
+
+func (f *fleet) setRate(perSecond float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rate = perSecond
+}
+
+func (f *fleet) currentRate() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rate
+}
--- a/internal/coordination/moves/owner_test.go
+++ b/internal/coordination/moves/owner_test.go
@@ -78,6 +78,7 @@
 		m := f.waitMove(t, time.Minute, atShare(50))
 		old := f.owner(m)
 		old.freeze()
+		tried := f.log.triedBy(old.id)
 		next := f.waitMove(t, time.Minute, func(now config.Move) bool { return now.Owner != m.Owner })
 		require.NotEqual(t, old.id, next.Owner)
 
@@ -86,10 +87,14 @@
 		stale, _ := state.Move(testMove)
 		changed := *stale
 		changed.Share, changed.Step = 1000, 4
-		_, err := f.log.Write(t.Context(), config.NewRecord("late", string(old.id), state.Revision(config.PathOf(stale)), &changed))
+		_, err := f.log.Write(t.Context(), config.NewRecord("late", "test", state.Revision(config.PathOf(stale)), &changed))
 		var conflict *config.ConflictError
 		require.ErrorAs(t, err, &conflict)
 
+		// Without its lease it tries nothing by itself.
+		time.Sleep(30 * time.Second)
+		require.Equal(t, tried, f.log.triedBy(old.id))
+
 		old.thaw()
 		last := f.waitMove(t, 2*time.Minute, ended)
 		require.Equal(t, config.MoveDone, last.State)
--- a/internal/coordination/moves/verdict.go
+++ b/internal/coordination/moves/verdict.go
@@ -14,14 +14,14 @@
 	for key, sc := range cf.scores {
 		part := sc.value() / cf.alarm(key)
 		if part > suspicion {
-			suspects[key.controlKey] = true
+			v.Suspicious = true
+			suspects[key.controlKey] = suspects[key.controlKey] || key.signal == signalFailure || !cf.warming()
 		}
 		if part > over {
 			worst, over = key, part
 		}
 	}
 	cf.confirm(sh, suspects)
-	v.Suspicious = len(suspects) > 0
 	v.Baseline = cf.baseline()
 	for _, n := range cf.samples {
 		v.Samples += n
@@ -51,7 +51,7 @@
 
 // slowAlarm is higher while the caches of the new version fill and while there is no comparison at the same time.
 func (cf *caseFile) slowAlarm(route ident.RouteID) float64 {
-	if cf.permille <= warmUpPermille && cf.at.Sub(cf.stepAt) < warmUp {
+	if cf.warming() {
 		return cautiousSlowAlarm
 	}
 	if cf.control.recentRoute[route].of(signalFailure).n < soakingControl {
@@ -60,10 +60,15 @@
 	return slowAlarm
 }
 
+// warming reports whether the caches of the new version fill: probes would only find them cold.
+func (cf *caseFile) warming() bool {
+	return cf.permille <= warmUpPermille && cf.at.Sub(cf.stepAt) < warmUp
+}
+
 // confirm sends probes on routes, or for organisations, that have become suspicious.
 func (cf *caseFile) confirm(sh *share, suspects map[controlKey]bool) {
-	for key := range suspects {
-		if !cf.suspects[key] && sh.permille > 0 && !sh.stop.stopped() {
+	for key, probe := range suspects {
+		if probe && !cf.suspects[key] && sh.permille > 0 && !sh.stop.stopped() {
 			sh.probes.armOne(key, confirmProbes)
 		}
 	}
