Read move settings at each decision and send limits with every fifth digest

Cause: operators change settings while daemons run, and limits made digests larger than what changes. Change: Settings are functions; limits go out with every fifth digest; figures of ended moves are dropped when the configuration changes and not ten times a second.

--- a/internal/coordination/moves/consts.go
+++ b/internal/coordination/moves/consts.go
@@ -32,6 +32,8 @@
 	countedOrganisations = 24
 	// digestRepeats is how often a row is sent again.
 	digestRepeats = 2
+	// limitsEvery is the number of digests of which one carries the limits of latencies.
+	limitsEvery = 5
 	// digestRows bounds the rows of one digest.
 	digestRows = 96
 	// brokenWindow is the time in which breaks of one upstream, seen by several daemons, count as one failure.
--- a/internal/coordination/moves/digest.go
+++ b/internal/coordination/moves/digest.go
@@ -21,6 +21,8 @@
 	sent map[ident.MoveID]map[cellKey]counts
 	// repeat holds how many more digests will carry a row that has not changed again.
 	repeat map[ident.MoveID]map[cellKey]int
+	// sinceLimits counts digests since the last one that carried limits.
+	sinceLimits int
 }
 
 // Digest returns the counts of this daemon that changed since the last digests, for the other daemons. One caller
@@ -32,10 +34,20 @@
 	if all == nil {
 		return nil
 	}
+	w.digest.sinceLimits++
+	withLimits := w.digest.sinceLimits >= limitsEvery
+	if withLimits {
+		w.digest.sinceLimits = 0
+	}
 	var rows []*wire.MoveDigest
 	for id, f := range *all {
-		if sh := w.Splitter.table.Load().shareOf(id); sh != nil {
-			rows = append(rows, w.digestOf(sh, f)...)
+		sh := w.Splitter.table.Load().shareOf(id)
+		if sh == nil {
+			continue
+		}
+		rows = append(rows, w.digestOf(sh, f)...)
+		if withLimits {
+			rows = append(rows, limitDigests(sh, f)...)
 		}
 	}
 	slices.SortFunc(rows, func(a, b *wire.MoveDigest) int {
@@ -70,7 +82,7 @@
 			MoveId: string(sh.move.ID), VersionId: string(sh.move.To), Stopped: true, StopReason: reason,
 		})
 	}
-	return append(rows, limitDigests(sh, f)...)
+	return rows
 }
 
 // due reports whether a row belongs into the next digest and notes that it was sent.
--- a/internal/coordination/moves/judge.go
+++ b/internal/coordination/moves/judge.go
@@ -32,9 +32,10 @@
 
 // Judge turns the counts of a Watch into verdicts. Its methods are for one goroutine.
 type Judge struct {
-	Watch    *Watch
-	Settings Settings
+	Watch *Watch
 
+	// table is the snapshot of the last tick.
+	table *splitTable
 	moves map[ident.MoveID]*caseFile
 }
 
@@ -71,7 +72,7 @@
 }
 
 // Tick takes in what was counted since the last call and returns a verdict on every active move.
-func (j *Judge) Tick(now time.Time) map[ident.MoveID]Verdict {
+func (j *Judge) Tick(now time.Time, settings Settings) map[ident.MoveID]Verdict {
 	t := j.Watch.Splitter.table.Load()
 	if t == nil {
 		return nil
@@ -79,11 +80,15 @@
 	if j.moves == nil {
 		j.moves = map[ident.MoveID]*caseFile{}
 	}
+	settings = settings.withDefaults()
 	verdicts := make(map[ident.MoveID]Verdict, len(t.byMove))
 	for id, sh := range t.byMove {
-		verdicts[id] = j.judge(sh, now)
+		verdicts[id] = j.judge(sh, now, settings)
+	}
+	if t != j.table {
+		j.table = t
+		j.forget(t)
 	}
-	j.forget(t)
 	return verdicts
 }
 
@@ -101,14 +106,14 @@
 	j.Watch.forgetBases(t)
 }
 
-func (j *Judge) judge(sh *share, now time.Time) Verdict {
+func (j *Judge) judge(sh *share, now time.Time, settings Settings) Verdict {
 	cf := j.moves[sh.move.ID]
 	if cf == nil {
 		cf = newCaseFile(now)
 		j.moves[sh.move.ID] = cf
 	}
 	f := j.Watch.figuresOf(sh)
-	j.Watch.refreshLimits(f)
+	f.refreshLimits(100 + settings.SlowPercent)
 	if f.countOverdue(now) {
 		notify(j.Watch.urgent)
 	}
@@ -117,7 +122,7 @@
 	cf.enter(sh)
 	cf.takeFleet(f)
 	cf.takeLocal(f)
-	return cf.verdict(sh, j.Settings.withDefaults())
+	return cf.verdict(sh, settings)
 }
 
 func newCaseFile(now time.Time) *caseFile {
--- a/internal/coordination/moves/owner.go
+++ b/internal/coordination/moves/owner.go
@@ -44,7 +44,8 @@
 
 	Splitter *Splitter
 	Watch    *Watch
-	Settings Settings
+	// Settings returns the limits in use; nil means the defaults.
+	Settings func() Settings
 
 	judge    Judge
 	mu       sync.Mutex
@@ -102,7 +103,7 @@
 	ctx, o.cancel = context.WithCancel(ctx)
 	o.finished = make(chan struct{})
 	o.trails = map[ident.MoveID]*trail{}
-	o.judge = Judge{Watch: o.Watch, Settings: o.Settings}
+	o.judge = Judge{Watch: o.Watch}
 	return ctx
 }
 
@@ -132,7 +133,7 @@
 		o.applied = state
 	}
 	now := time.Now()
-	verdicts := o.judge.Tick(now)
+	verdicts := o.judge.Tick(now, o.settings())
 	o.stopBad(verdicts)
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -149,6 +150,13 @@
 	}
 }
 
+func (o *Owner) settings() Settings {
+	if o.Settings == nil {
+		return Settings{}.withDefaults()
+	}
+	return o.Settings().withDefaults()
+}
+
 // stopBad stops the versions that are judged bad, on this daemon at once.
 func (o *Owner) stopBad(verdicts map[ident.MoveID]Verdict) {
 	for id, v := range verdicts {
@@ -208,7 +216,7 @@
 		return nil
 	}
 	s := o.situation(state, m, live, now)
-	if next := decide(&s, o.Settings.withDefaults()); next != nil {
+	if next := decide(&s, o.settings()); next != nil {
 		if next.Owner == o.Daemon && next.OwnerEpoch == 0 && m.Owner == o.Daemon {
 			next.OwnerEpoch = EpochOf(state, m)
 		}
@@ -235,7 +243,7 @@
 		capacity:     true,
 	}
 	if o.Capacity != nil {
-		settings := o.Settings.withDefaults()
+		settings := o.settings()
 		s.capacity = o.Capacity(m, settings.Steps[settings.nextStep(m)])
 	}
 	if o.Loading != nil {
--- a/internal/coordination/moves/watch.go
+++ b/internal/coordination/moves/watch.go
@@ -13,7 +13,6 @@
 // any number of goroutines and take no lock but when a new organisation appears.
 type Watch struct {
 	Splitter *Splitter
-	Settings Settings
 
 	figures atomic.Pointer[map[ident.MoveID]*moveFigures]
 	bases   atomic.Pointer[map[baseKey]*latencyBase]
@@ -206,9 +205,8 @@
 	return len(seen) < countedOrganisations
 }
 
-// refreshLimits recomputes the limits of all routes of a move from the old version's latencies.
-func (w *Watch) refreshLimits(f *moveFigures) {
-	slack := 100 + w.Settings.withDefaults().SlowPercent
+// refreshLimits recomputes the limits of all routes of a move from the old version's latencies. slack is in percent.
+func (f *moveFigures) refreshLimits(slack int) {
 	for _, r := range *f.routes.Load() {
 		if r.base != nil {
 			r.refreshLimits(slack)
--- a/internal/coordination/orders/orders.go
+++ b/internal/coordination/orders/orders.go
@@ -62,7 +62,8 @@
 	Engine  extern.Engine
 	// Splitter tells which versions serve.
 	Splitter *moves.Splitter
-	Settings Settings
+	// Settings returns the limits in use; nil means the defaults.
+	Settings func() Settings
 	// Needed returns how many engines of a model must go on serving while others load; nil means two thirds.
 	Needed func(ident.ModelID) int
 
@@ -254,8 +255,8 @@
 }
 
 func (o *Orders) together() int {
-	if o.Settings.Together > 0 {
-		return o.Settings.Together
+	if o.Settings != nil && o.Settings().Together > 0 {
+		return o.Settings().Together
 	}
 	return defaultTogether
 }
