--- /dev/null
+++ b/internal/coordination/member/export_test.go
@@ -0,0 +1,44 @@
+package member
+
+import "context"
+
+// Break disables one rule, to show that the checks find its absence.
+func (f *Fleet) Break(rule Rule) {
+	switch rule {
+	case RuleGrace:
+		f.tracker.grace = 1
+	case RuleAcknowledgement:
+		f.tracker.unheld = true
+	case RuleRecovery:
+		f.amnesiac = true
+	case RuleConfirmation:
+		f.tracker.trusting = true
+	case RuleViews:
+		f.tracker.latest = true
+	case RuleNone:
+	}
+}
+
+// Rule names a rule of agreement.
+type Rule string
+
+// Rules.
+const (
+	RuleNone            Rule = ""
+	RuleGrace           Rule = "grace"
+	RuleAcknowledgement Rule = "acknowledgement"
+	RuleRecovery        Rule = "recovery"
+	RuleConfirmation    Rule = "confirmation"
+	RuleViews           Rule = "views"
+)
+
+// Boot does what Run does before the first heartbeat.
+func (f *Fleet) Boot(ctx context.Context) { f.start(ctx) }
+
+// BeatOnce sends a heartbeat to every witness and waits for the answers.
+func (f *Fleet) BeatOnce(ctx context.Context) {
+	for _, id := range f.targets() {
+		f.beatOne(ctx, id, nil)
+	}
+	f.Refresh()
+}
--- /dev/null
+++ b/internal/program/daemon/parts.go
@@ -0,0 +1,312 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gooseberryway/gooseberryway/internal/coordination/claim"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/lease"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/member"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/moves"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/orders"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/quota"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/relay"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/replay"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/route"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/serve"
+	"github.com/gooseberryway/gooseberryway/internal/program/setup"
+	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
+	"github.com/gooseberryway/gooseberryway/internal/state/burn"
+	"github.com/gooseberryway/gooseberryway/internal/state/config"
+	"github.com/gooseberryway/gooseberryway/internal/state/extern"
+	"github.com/gooseberryway/gooseberryway/internal/state/health"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/state/prefix"
+	"github.com/gooseberryway/gooseberryway/internal/transport/admin"
+	"github.com/gooseberryway/gooseberryway/internal/transport/caller"
+	"github.com/gooseberryway/gooseberryway/internal/transport/engine"
+	"github.com/gooseberryway/gooseberryway/internal/transport/logsvc"
+	"github.com/gooseberryway/gooseberryway/internal/transport/peer"
+	"github.com/gooseberryway/gooseberryway/internal/transport/plain"
+	"github.com/gooseberryway/gooseberryway/internal/transport/secure"
+	"github.com/gooseberryway/gooseberryway/internal/transport/vmlist"
+)
+
+// parts are the components of a daemon.
+type parts struct {
+	settings *setup.Settings
+
+	log    extern.Log
+	engine *engine.Client
+	plain  *plain.Client
+	calls  *peer.Client
+
+	follower     *replay.Follower
+	writer       *replay.Writer
+	checkpointer *replay.Checkpointer
+	fleet        *member.Fleet
+	lease        *lease.Holder
+	directory    *directory
+	limiter      *quota.Limiter
+	claimer      *claim.Claimer
+	splitter     *moves.Splitter
+	watch        *moves.Watch
+	owner        *moves.Owner
+	orders       *orders.Orders
+	burn         *burn.Recorder
+	warm         atomic.Pointer[wire.Digest]
+	owners       ownerships
+	router       *route.Router
+	watchers     *watchers
+	service      *serve.Service
+
+	callers *caller.Server
+	peers   *peer.Server
+	admin   *admin.Server
+
+	life       context.Context
+	background *sync.WaitGroup
+	changing   sync.Mutex
+	seen       seen
+}
+
+// seen is the last configuration that the parts have been told of.
+type seen struct {
+	applied, inForce *config.State
+}
+
+// build makes the parts of a daemon; nothing runs yet. The error is a *secure.CertificateError or a *route.PolicyError.
+func build(s *setup.Settings, advertised setup.Addresses) (*parts, error) {
+	p := &parts{settings: s}
+	credentials, err := p.buildTransports()
+	if err != nil {
+		return nil, err
+	}
+	p.buildAgreement(advertised)
+	if err := p.buildRouting(); err != nil {
+		return nil, err
+	}
+	p.buildMoves()
+	p.buildService()
+	p.buildServers(credentials)
+	return p, nil
+}
+
+// credentials are the TLS configurations of the listeners; nil where TLS is off.
+type credentials struct {
+	callers, peers, admin *secure.Reloader
+}
+
+func (p *parts) buildTransports() (*credentials, error) {
+	p.log = &logsvc.Client{BaseURL: p.settings.LogService.URL, Timeout: p.settings.LogService.Timeout()}
+	p.engine = &engine.Client{Credential: func(string) string { return p.settings.UpstreamCredential }}
+	p.plain = &plain.Client{Credential: func(string) string { return p.settings.UpstreamCredential }}
+	p.directory = &directory{
+		vms:    &vmlist.Client{BaseURL: p.settings.VMList.URL, Timeout: p.settings.VMList.Timeout()},
+		self:   p.settings.DaemonID,
+		domain: p.settings.FailureDomain,
+	}
+	c := &credentials{}
+	for _, listener := range []struct {
+		files  setup.Certificate
+		reload **secure.Reloader
+	}{{p.settings.TLS.Callers, &c.callers}, {p.settings.TLS.Peers, &c.peers}, {p.settings.TLS.Admin, &c.admin}} {
+		if !listener.files.Enabled() {
+			continue
+		}
+		r := &secure.Reloader{CertFile: listener.files.CertFile, KeyFile: listener.files.KeyFile, CAFile: listener.files.CAFile}
+		if err := r.Load(); err != nil {
+			return nil, err
+		}
+		*listener.reload = r
+	}
+	p.calls = &peer.Client{Resolve: p.resolve, Token: p.settings.SharedToken}
+	if c.peers != nil {
+		p.calls.TLS = c.peers.Client()
+		p.calls.Token = ""
+	}
+	return c, nil
+}
+
+// resolve returns the peer address of a daemon.
+func (p *parts) resolve(id ident.DaemonID) (string, bool) {
+	if m, ok := p.follower.State().Member(id); ok {
+		return m.PeerAddress, true
+	}
+	return p.directory.address(id)
+}
+
+func (p *parts) buildAgreement(advertised setup.Addresses) {
+	p.follower = &replay.Follower{Log: p.log, Peers: snapshots{p.calls, &p.warm}, Seeds: p.directory.seeds, Changed: func() { p.fleet.Refresh() }}
+	p.writer = &replay.Writer{Log: p.log, Follower: p.follower}
+	p.checkpointer = &replay.Checkpointer{Self: p.settings.DaemonID, Log: p.log, Follower: p.follower, Writer: p.writer}
+	p.fleet = &member.Fleet{
+		Self: config.Member{
+			ID:            p.settings.DaemonID,
+			CallerAddress: advertised.Callers,
+			PeerAddress:   advertised.Peers,
+			AdminAddress:  advertised.Admin,
+			FailureDomain: p.settings.FailureDomain,
+		},
+		Follower: p.follower,
+		Writer:   p.writer,
+		Peers:    p.calls,
+		VMs:      p.directory,
+		Digest:   p.digest,
+		OnDigest: p.learn,
+		Changed:  p.changed,
+	}
+	p.lease = &lease.Holder{Follower: p.follower, Fleet: p.fleet}
+	p.follower.Urgent = p.lease.NeedsLog
+	p.limiter = &quota.Limiter{
+		Self:    p.settings.DaemonID,
+		Peers:   p.calls,
+		Serving: p.lease.Valid,
+		MaxWait: milliseconds(p.settings.Limits.AdmitWaitMs),
+	}
+	p.claimer = &claim.Claimer{
+		Self:    p.settings.DaemonID,
+		Log:     p.log,
+		Peers:   p.calls,
+		Owner:   p.owners.of,
+		Serving: p.lease.Valid,
+	}
+}
+
+func (p *parts) buildRouting() error {
+	policy, err := route.PolicyOf(route.PolicyName(p.settings.Policy))
+	if err != nil {
+		return err
+	}
+	p.router = &route.Router{
+		Policy:  policy,
+		Index:   &prefix.Index{},
+		Health:  &health.Table{},
+		Fair:    &route.Fair{},
+		Retries: &route.RetryBudget{},
+
+		ImportRate:    p.settings.Store.ImportTokensPerSecond,
+		ImportLatency: milliseconds(p.settings.Store.ImportLatencyMs),
+	}
+	p.watchers = &watchers{engine: p.engine, router: p.router}
+	return nil
+}
+
+func (p *parts) buildService() {
+	picks := &picker{router: p.router, state: p.follower.State, splitter: p.splitter, watch: p.watch}
+	p.burn = &burn.Recorder{}
+	p.service = &serve.Service{
+		State:          p.follower.State,
+		Lease:          p.lease,
+		Limits:         limits{p.limiter},
+		Claims:         claims{p.claimer},
+		Versions:       versions{p.splitter},
+		Runner:         runner{relay: &relay.Relay{Engine: p.engine, Picker: picks}},
+		Ready:          p.follower.Warm,
+		Record:         p.burn.Record,
+		AdmitWait:      milliseconds(p.settings.Limits.AdmitWaitMs),
+		RequestTimeout: milliseconds(p.settings.Limits.RequestTimeoutMs),
+		FamilyBytes:    familyBytes,
+	}
+}
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// changed tells the parts of a new view of the fleet: what takes something away holds before the lease can be renewed.
+func (p *parts) changed() {
+	p.changing.Lock()
+	defer p.changing.Unlock()
+	view := p.fleet.View()
+	if view == nil {
+		return
+	}
+	now := seen{applied: view.Applied, inForce: view.InForce}
+	if now != p.seen {
+		p.configure(view)
+		p.seen = now
+	}
+	p.lease.Renew()
+}
+
+func (p *parts) configure(view *member.View) {
+	if p.seen.applied == nil {
+		p.limiter.Incarnation = view.Incarnation
+		p.claimer.Incarnation = view.Incarnation
+		p.owner.Incarnation = view.Incarnation
+		p.background.Go(func() { p.claimer.Run(p.life) })
+		p.background.Go(func() { p.owner.Run(p.life) })
+		p.background.Go(func() { p.orders.Run(p.life) })
+	}
+	p.splitter.Update(view.Applied)
+	p.limiter.Observe(quotaView(p.follower.History()))
+	p.owners.update(view.Applied, view.InForce)
+	p.router.Update(view.Applied.Upstreams())
+	p.setObjectives(view.Applied)
+	if warm := p.warm.Swap(nil); warm != nil {
+		p.router.Merge(warm)
+	}
+	p.watchers.update(p.life, view.Applied.Upstreams())
+}
+
+// start runs all parts in the background until ctx ends.
+func (p *parts) start(ctx context.Context, wg *sync.WaitGroup) {
+	p.life, p.background = ctx, wg
+	wg.Go(func() { _ = p.follower.Run(ctx) })
+	wg.Go(func() { _ = p.fleet.Run(ctx) })
+	wg.Go(func() { _ = p.checkpointer.Run(ctx) })
+	wg.Go(func() { p.limiter.Run(ctx) })
+	wg.Go(func() { p.tellUrgent(ctx) })
+}
+
+// stopListeners ends the listeners; requests that are running have had their time.
+func (p *parts) stopListeners() {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	_ = p.callers.Close(ctx)
+	_ = p.admin.Close(stopTimeout)
+	_ = p.peers.Close(stopTimeout)
+}
+
+// cutListeners ends the listeners and breaks their connections.
+func (p *parts) cutListeners() {
+	p.callers.Cut()
+	p.admin.Cut()
+	p.peers.Cut()
+}
+
+// close waits for the parts, whose context has ended.
+func (p *parts) close() {
+	p.owner.Close()
+	p.orders.Close()
+	p.claimer.Close()
+	p.limiter.Close()
+	p.checkpointer.Close()
+	p.fleet.Close()
+	p.follower.Close()
+	p.watchers.wait()
+	p.calls.Close()
+	_ = p.engine.Close()
+	_ = p.plain.Close()
+}
+
+// settled returns nil once the newest configuration is in force.
+func (p *parts) settled() error {
+	if err := p.ready(); err != nil {
+		return err
+	}
+	view := p.fleet.View()
+	if view.State != config.MemberJoined || view.InForce.Offset() < view.Applied.Offset() {
+		return &UnsettledError{Applied: view.Applied.Offset(), InForce: view.InForce.Offset()}
+	}
+	return nil
+}
+
+// ready returns nil if the daemon may serve callers.
+func (p *parts) ready() error {
+	if !p.follower.Warm() {
+		return &StartingError{}
+	}
+	return p.lease.Check()
+}
--- a/internal/state/extern/engine.go
+++ b/internal/state/extern/engine.go
@@ -11,6 +11,8 @@
 // EngineRequest is one completion to run on an engine.
 type EngineRequest struct {
 	Request ident.RequestID
+	// Route is passed on so that the engine can account for it; empty if there is none.
+	Route ident.RouteID
 	// Organisation salts the engine's prefix cache; blocks of one organisation are never used for another.
 	Organisation ident.OrganisationID
 	Model        ident.ModelID
@@ -25,8 +27,6 @@
 	ResumeFrom ident.Tokens
 	// Sampling is a JSON object of sampling parameters that is passed on unchanged; nil if there are none.
 	Sampling []byte
-	// Route is the route that the request came by.
-	Route ident.RouteID
 	// Priority orders waiting requests; lower runs first.
 	Priority int
 	// ImportBlocks asks the engine to import the first n blocks from the KV cache store before prefill.
@@ -40,6 +40,8 @@
 
 // EngineChunk is one or more output tokens.
 type EngineChunk struct {
+	// Request is the id that the engine answers; a chunk of another request is crossed.
+	Request ident.RequestID
 	// Index is the position of the first token in the whole answer, from 0.
 	Index ident.Tokens
 	// Count is the number of tokens in Text.
@@ -55,6 +57,7 @@
 	PromptTokens ident.Tokens
 	// CachedTokens is the part of the prompt that the engine's prefix cache held.
 	CachedTokens ident.Tokens
+	// OutputTokens is the length of the whole answer, the tokens before ResumeFrom included.
 	OutputTokens ident.Tokens
 }
 
@@ -63,7 +66,8 @@
 
 // EngineStream is a running answer.
 type EngineStream interface {
-	// Next blocks for the next event. The error is an *UpstreamError; after *EngineDone there is no more event.
+	// Next blocks for the next event, which is valid until the call after. The error is an *UpstreamError;
+	// after *EngineDone there is no more event.
 	Next() (EngineEvent, error)
 	// Close cancels the answer at the engine if it is still running and waits until its resources are free.
 	Close() error
