--- a/internal/program/daemon/versions.go
+++ b/internal/program/daemon/versions.go
@@ -29,7 +29,7 @@
 // buildMoves makes the parts that move traffic between versions.
 func (p *parts) buildMoves() {
 	p.splitter = &moves.Splitter{}
-	p.watch = &moves.Watch{Splitter: p.splitter, Settings: p.settings.Moves}
+	p.watch = &moves.Watch{Splitter: p.splitter}
 	p.orders = &orders.Orders{
 		Daemon:   p.settings.DaemonID,
 		State:    p.follower.State,
@@ -37,7 +37,7 @@
 		Reports:  p.engineReport,
 		Engine:   p.engine,
 		Splitter: p.splitter,
-		Settings: p.settings.Loads,
+		Settings: func() orders.Settings { return p.settings.Loads },
 	}
 	p.owner = &moves.Owner{
 		Daemon:   p.settings.DaemonID,
@@ -50,7 +50,7 @@
 		Loading:  p.orders.Loading,
 		Splitter: p.splitter,
 		Watch:    p.watch,
-		Settings: p.settings.Moves,
+		Settings: func() moves.Settings { return p.settings.Moves },
 	}
 }
 
