--- a/internal/coordination/moves/consts.go
+++ b/internal/coordination/moves/consts.go
@@ -32,6 +32,8 @@
 	countedOrganisations = 24
 	// digestRepeats is how often a row is sent again.
 	digestRepeats = 2
+	// limitsEvery is the number of digests of which one carries the limits of latencies.
+	limitsEvery = 5
 	// digestRows bounds the rows of one digest.
 	digestRows = 96
 	// brokenWindow is the time in which breaks of one upstream, seen by several daemons, count as one failure.
@@ -56,7 +58,7 @@
 	// limitQuantile is the quantile of the old version's latencies that a limit starts from, in thousandths.
 	limitQuantile = 950
 	// pacedTokens is the number of tokens of an answer after which its time between tokens is counted.
-	pacedTokens = 8
+	pacedTokens = 5
 )
 
 // Judging.
