--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -132,6 +132,16 @@
 	return call(ctx, c, to, req, wire.PeerServiceClient.Heartbeat)
 }
 
+// Tell passes a digest on.
+func (c *Client) Tell(ctx context.Context, to ident.DaemonID, req *wire.TellRequest) (*wire.TellResponse, error) {
+	return call(ctx, c, to, req, wire.PeerServiceClient.Tell)
+}
+
+// Burn reads the counts of service-level indicators.
+func (c *Client) Burn(ctx context.Context, to ident.DaemonID) (*wire.BurnResponse, error) {
+	return call(ctx, c, to, &wire.BurnRequest{}, wire.PeerServiceClient.Burn)
+}
+
 // Relay reads records that the daemon has applied.
 func (c *Client) Relay(ctx context.Context, to ident.DaemonID, req *wire.RelayRequest) (*wire.RelayResponse, error) {
 	return call(ctx, c, to, req, wire.PeerServiceClient.Relay)
