Follow the platform's settings for moves, loads and objectives

Cause: limits of moves could only be changed by a restart. Change: settings at /platform/settings/{moves,loads,objectives} are taken over at once; the settings file gives the defaults. Conclusion: one place steers all daemons.

--- a/internal/program/daemon/burn.go
+++ b/internal/program/daemon/burn.go
@@ -2,15 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"slices"
 	"sync"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"github.com/gooseberryway/gooseberryway/internal/state/burn"
-	"github.com/gooseberryway/gooseberryway/internal/state/config"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 )
 
@@ -67,24 +63,6 @@
 	return report
 }
 
-// objectivesPath is the setting that holds the service-level objectives.
-const objectivesPath ident.Path = "/platform/settings/objectives"
-
-// setObjectives takes over the service-level objectives of the configuration.
-func (p *parts) setObjectives(st *config.State) {
-	setting, ok := st.Entity(objectivesPath).(*config.Setting)
-	if !ok {
-		p.burn.SetSettings(burn.Settings{})
-		return
-	}
-	var s burn.Settings
-	if err := json.Unmarshal([]byte(setting.Value), &s); err != nil {
-		klog.ErrorS(err, "Objectives are not valid, the former ones stay", "path", objectivesPath)
-		return
-	}
-	p.burn.SetSettings(s)
-}
-
 // refusals counts the refusals for the rate of each organisation in the last window.
 type refusals struct {
 	mu    sync.Mutex
--- a/internal/program/daemon/parts.go
+++ b/internal/program/daemon/parts.go
@@ -56,6 +56,8 @@
 	owner        *moves.Owner
 	orders       *orders.Orders
 	burn         *burn.Recorder
+	moveSettings atomic.Pointer[moves.Settings]
+	loadSettings atomic.Pointer[orders.Settings]
 	reports      burnCache
 	refused      refusals
 	warm         atomic.Pointer[wire.Digest]
@@ -245,7 +247,7 @@
 	p.limiter.Observe(quotaView(p.follower.History()))
 	p.owners.update(view.Applied, view.InForce)
 	p.router.Update(view.Applied.Upstreams())
-	p.setObjectives(view.Applied)
+	p.followSettings(view.Applied)
 	if warm := p.warm.Swap(nil); warm != nil {
 		p.router.Merge(warm)
 	}
--- a/internal/program/daemon/versions.go
+++ b/internal/program/daemon/versions.go
@@ -28,8 +28,10 @@
 
 // buildMoves makes the parts that move traffic between versions.
 func (p *parts) buildMoves() {
+	p.moveSettings.Store(&p.settings.Moves)
+	p.loadSettings.Store(&p.settings.Loads)
 	p.splitter = &moves.Splitter{}
-	p.watch = &moves.Watch{Splitter: p.splitter}
+	p.watch = &moves.Watch{Splitter: p.splitter, Settings: p.currentMoves}
 	p.orders = &orders.Orders{
 		Daemon:   p.settings.DaemonID,
 		State:    p.follower.State,
@@ -37,7 +39,7 @@
 		Reports:  p.engineReport,
 		Engine:   p.engine,
 		Splitter: p.splitter,
-		Settings: func() orders.Settings { return p.settings.Loads },
+		Settings: func() orders.Settings { return *p.loadSettings.Load() },
 	}
 	p.owner = &moves.Owner{
 		Daemon:   p.settings.DaemonID,
@@ -50,10 +52,13 @@
 		Loading:  p.orders.Loading,
 		Splitter: p.splitter,
 		Watch:    p.watch,
-		Settings: func() moves.Settings { return p.settings.Moves },
+		Settings: p.currentMoves,
 	}
 }
 
+// currentMoves returns the limits of moves in use.
+func (p *parts) currentMoves() moves.Settings { return *p.moveSettings.Load() }
+
 // live returns the joined daemons that answer.
 func (p *parts) live() []ident.DaemonID {
 	view := p.fleet.View()
