--- a/internal/program/cmds/load.go
+++ b/internal/program/cmds/load.go
@@ -19,7 +19,7 @@
 
 func newLoad() *cobra.Command {
 	l := &load.Load{}
-	var faults []string
+	var faults, kinds []string
 	cmd := &cobra.Command{
 		Use:   "load [--profile NAME] [--policy LIST] [--seed N] [--duration D] [--faults LIST] [--json FILE]",
 		Short: "Measure routing policies on the same arrivals, with real daemons and stand-in engines on loopback",
@@ -27,7 +27,7 @@
 			"  gooseberryway load --profile spogulis --policy prefix --faults daemonsRestart --json -",
 		Args: usageArgs(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if err := checkLoad(l, faults); err != nil {
+			if err := checkLoad(l, faults, kinds); err != nil {
 				return &UsageError{Err: err}
 			}
 			l.Out = cmd.OutOrStdout()
@@ -40,6 +40,7 @@
 	flags.Uint64Var(&l.Seed, "seed", 1, "seed of the arrivals")
 	flags.DurationVar(&l.Duration, "duration", defaultLoadDuration, "length of each run")
 	flags.StringSliceVar(&faults, "faults", nil, "what goes wrong in the middle of each run: "+strings.Join(faultNames(), ", "))
+	flags.StringSliceVar(&kinds, "move", nil, "make moves in place of comparing policies: "+strings.Join(moveNames(), ", "))
 	flags.StringVar(&l.JSON, "json", "", "file for the report in JSON; - prints only that to standard output")
 	flags.StringVar(&l.Plot, "plot", "", "file for a plot, .svg or .png")
 	return cmd
@@ -53,7 +54,15 @@
 	return names
 }
 
-func checkLoad(l *load.Load, faults []string) error {
+func moveNames() []string {
+	names := make([]string, 0, len(load.MoveKinds()))
+	for _, k := range load.MoveKinds() {
+		names = append(names, string(k))
+	}
+	return names
+}
+
+func checkLoad(l *load.Load, faults, kinds []string) error {
 	if l.Duration < minLoadDuration {
 		return &FlagValueError{Flag: "duration", Allowed: "at least " + minLoadDuration.String()}
 	}
@@ -68,5 +77,11 @@
 		}
 		l.Faults = append(l.Faults, load.Fault(f))
 	}
+	for _, k := range kinds {
+		if !slices.Contains(moveNames(), k) {
+			return &FlagValueError{Flag: "move", Allowed: "a list of " + strings.Join(moveNames(), ", ")}
+		}
+		l.Moves = append(l.Moves, load.MoveKind(k))
+	}
 	return nil
 }
--- a/internal/program/daemon/daemon.go
+++ b/internal/program/daemon/daemon.go
@@ -20,6 +20,8 @@
 	Settings *setup.Settings
 	// Admitted is called with the reserved tokens of each request that is admitted; nil for none.
 	Admitted func(ident.OrganisationID, ident.Tokens)
+	// Dispatched is called for each attempt that is sent to an engine; nil for none.
+	Dispatched func(ident.VersionID, ident.RouteID)
 
 	addresses atomic.Pointer[setup.Addresses]
 	listening chan struct{}
@@ -92,6 +94,7 @@
 		return err
 	}
 	p.service.Admitted = d.Admitted
+	p.picks.dispatched = d.Dispatched
 	d.parts = p
 	d.addresses.Store(&advertised)
 	close(d.listening)
--- a/internal/program/daemon/parts.go
+++ b/internal/program/daemon/parts.go
@@ -64,6 +64,7 @@
 	owners       ownerships
 	router       *route.Router
 	watchers     *watchers
+	picks        *picker
 	service      *serve.Service
 
 	callers *caller.Server
@@ -199,7 +200,7 @@
 }
 
 func (p *parts) buildService() {
-	picks := &picker{router: p.router, state: p.follower.State, splitter: p.splitter, watch: p.watch}
+	p.picks = &picker{router: p.router, state: p.follower.State, splitter: p.splitter, watch: p.watch}
 	p.burn = &burn.Recorder{}
 	p.service = &serve.Service{
 		State:          p.follower.State,
@@ -207,7 +208,7 @@
 		Limits:         limits{p.limiter, &p.refused},
 		Claims:         claims{p.claimer},
 		Versions:       versions{p.splitter},
-		Runner:         runner{relay: &relay.Relay{Engine: p.engine, Picker: picks}},
+		Runner:         runner{relay: &relay.Relay{Engine: p.engine, Picker: p.picks}},
 		Ready:          p.follower.Warm,
 		Record:         p.burn.Record,
 		AdmitWait:      milliseconds(p.settings.Limits.AdmitWaitMs),
--- a/internal/program/daemon/picks.go
+++ b/internal/program/daemon/picks.go
@@ -21,6 +21,8 @@
 	state    func() *config.State
 	splitter *moves.Splitter
 	watch    *moves.Watch
+	// dispatched is called for each attempt; nil for none.
+	dispatched func(ident.VersionID, ident.RouteID)
 }
 
 // Pick implements relay.Picker.
@@ -34,6 +36,9 @@
 	if err != nil {
 		return relay.Attempt{}, err
 	}
+	if p.dispatched != nil {
+		p.dispatched(version, req.Route)
+	}
 	attempt := p.router.Started(r, decision)
 	uncached := max(0, r.PromptTokens-decision.ExpectedCachedTokens)
 	flight := p.watch.Begin(moves.Target{
--- a/internal/program/load/consts.go
+++ b/internal/program/load/consts.go
@@ -6,6 +6,15 @@
 	model   = "girth"
 	version = "girth-1"
 
+	// nextVersion is the version that a move goes to.
+	nextVersion = "girth-2"
+	// team owns all organisations and routes; auditRoute is its second route for the model.
+	team       = "forest"
+	auditRoute = "audit"
+	auditPath  = "/audit"
+	// auditShare is the part of the requests that come by the second route.
+	auditShare = 0.3
+
 	codeRateLimited = "rateLimited"
 
 	// longestMicros and digits are the range and precision of the histograms of times.
--- a/internal/program/load/figures.go
+++ b/internal/program/load/figures.go
@@ -40,6 +40,8 @@
 	// HitRateBefore and HitRateAfter are the hit rates in the ten seconds before and after the fault of a run.
 	HitRateBefore float64 `json:"hitRateBefore"`
 	HitRateAfter  float64 `json:"hitRateAfter"`
+	// Move is what became of the move of the run; nil if there was none.
+	Move *MoveFigures `json:"-"`
 }
 
 // collector adds up outcomes.
--- a/internal/program/load/load.go
+++ b/internal/program/load/load.go
@@ -22,6 +22,8 @@
 	// Duration of each run in wall time.
 	Duration time.Duration
 	Faults   []Fault
+	// Moves are the kinds of moves, each made in a run of its own with the first policy; empty for none.
+	Moves []MoveKind
 	// JSON is the file for the report, "-" for standard output; empty for none.
 	JSON string
 	// Plot is the file for the plot in SVG or PNG; empty for none.
@@ -36,6 +38,8 @@
 	Seconds  float64                   `json:"seconds"`
 	Faults   []Fault                   `json:"faults"`
 	Policies map[string]*PolicyFigures `json:"policies"`
+	// Moves tells what became of each move.
+	Moves []*MoveFigures `json:"moves"`
 	// Best bounds what a router could reach that knows everything.
 	Best *Figures `json:"best"`
 }
@@ -66,9 +70,13 @@
 		Seconds:  l.Duration.Seconds(),
 		Faults:   l.Faults,
 		Policies: map[string]*PolicyFigures{},
+		Moves:    []*MoveFigures{},
 		Best:     best(profile, trace),
 	}
 	for _, policy := range l.Policies {
+		if len(l.Moves) > 0 {
+			break
+		}
 		klog.InfoS("Run", "profile", profile.Name, "policy", policy, "seed", l.Seed, "requests", len(trace))
 		r := &run{profile: profile, policy: policy, trace: trace, length: l.Duration, faults: l.Faults}
 		figures, err := r.play(ctx)
@@ -77,6 +85,15 @@
 		}
 		report.Policies[policy] = figures
 	}
+	for _, kind := range l.Moves {
+		klog.InfoS("Run", "profile", profile.Name, "move", kind, "seed", l.Seed)
+		r := &run{profile: profile, policy: l.Policies[0], trace: trace, length: l.Duration, faults: l.Faults, move: kind}
+		figures, err := r.play(ctx)
+		if err != nil {
+			return err
+		}
+		report.Moves = append(report.Moves, figures.Move)
+	}
 	return l.publish(report)
 }
 
--- a/internal/program/load/run.go
+++ b/internal/program/load/run.go
@@ -23,7 +23,10 @@
 	length  time.Duration
 	faults  []Fault
 
+	move MoveKind
+
 	system     *local.System
+	dispatches dispatches
 	admissions admissions
 	faultAt    time.Time
 
@@ -43,12 +46,22 @@
 	clients := r.clients()
 	var wg sync.WaitGroup
 	wg.Go(func() { r.breakThings(ctx) })
+	var moved *MoveFigures
+	var moveErr error
+	if r.move != "" {
+		wg.Go(func() { moved, moveErr = r.steer(ctx) })
+	}
 	r.send(ctx, clients, &wg)
 	wg.Wait()
 	for _, c := range clients {
 		c.Close()
 	}
-	return r.figures(), nil
+	if moveErr != nil {
+		return nil, moveErr
+	}
+	f := r.figures()
+	f.Move = moved
+	return f, nil
 }
 
 func (r *run) newSystem() *local.System {
@@ -64,15 +77,25 @@
 			LoadVersion: time.Duration(p.LoadVersionMs) * time.Millisecond,
 			TimeScale:   p.TimeScale,
 		},
-		Model:    model,
-		Version:  version,
-		Admitted: r.admissions.add,
-		Settings: func(s *setup.Settings) { s.Policy = r.policy },
+		Model:       model,
+		Version:     version,
+		NewVersions: []ident.VersionID{nextVersion},
+		Routes: []config.Route{{
+			ID: auditRoute, Team: team, Kind: config.RouteModel, Model: model, PathPrefix: auditPath,
+			OnKeyWithdrawal: config.WithdrawalFinish,
+		}},
+		Admitted:   r.admissions.add,
+		Dispatched: r.dispatches.add,
+		Settings: func(s *setup.Settings) {
+			s.Policy = r.policy
+			s.Moves = moveSettings()
+			s.Loads.Together = p.ParallelLoads
+		},
 	}
 	for _, o := range p.Organisations {
 		rate := p.rate(o)
 		system.Organisations = append(system.Organisations, config.Organisation{
-			ID: o.ID, Team: "forest", Rate: rate, Burst: burstSeconds * ident.Tokens(rate),
+			ID: o.ID, Team: team, Rate: rate, Burst: burstSeconds * ident.Tokens(rate),
 		})
 	}
 	return system
--- a/internal/program/load/trace.go
+++ b/internal/program/load/trace.go
@@ -76,6 +76,9 @@
 		MaxTokens: int64(t.OutputTokens),
 		Seed:      int64(m.n),
 	}
+	if m.random.Float64() < auditShare {
+		req.PathPrefix = auditPath
+	}
 	prompt := req.Prompt()
 	scope := prefix.Scope{Organisation: id, Model: model, Version: version}
 	return arrival{
--- a/internal/program/local/configure.go
+++ b/internal/program/local/configure.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 
 	"google.golang.org/protobuf/proto"
 
@@ -21,7 +22,7 @@
 		&config.Version{ID: s.Version, Model: s.Model, Weights: string(s.Version)},
 		&config.Model{ID: s.Model, CurrentVersion: s.Version, BlockTokens: s.blockTokens()},
 	}
-	for _, v := range s.EngineSettings.Versions {
+	for _, v := range slices.Concat(s.EngineSettings.Versions, s.NewVersions) {
 		entities = append(entities, &config.Version{ID: v, Model: s.Model, Weights: string(v)})
 	}
 	for i, e := range s.engines {
--- a/internal/program/local/system.go
+++ b/internal/program/local/system.go
@@ -30,7 +30,9 @@
 	EngineSettings engine.Settings
 	Model          ident.ModelID
 	Version        ident.VersionID
-	Organisations  []config.Organisation
+	// NewVersions are configured but not loaded by any engine.
+	NewVersions   []ident.VersionID
+	Organisations []config.Organisation
 	// Routes are routes beside the one of each team for the model.
 	Routes []config.Route
 	// Settings changes the settings of each daemon; nil for none.
@@ -38,6 +40,8 @@
 
 	// Admitted is called for each request that a daemon admits; nil for none.
 	Admitted func(ident.OrganisationID, ident.Tokens)
+	// Dispatched is called for each attempt that a daemon sends to an engine; nil for none.
+	Dispatched func(ident.VersionID, ident.RouteID)
 
 	// Log is the stand-in of the log service.
 	Log *logsvc.Service
@@ -149,7 +153,7 @@
 		s.Settings(&settings)
 	}
 	ctx, stop := context.WithCancel(s.life)
-	p := &process{settings: &settings, daemon: &daemon.Daemon{Settings: &settings, Admitted: s.Admitted}, stop: stop, done: make(chan struct{})}
+	p := &process{settings: &settings, daemon: &daemon.Daemon{Settings: &settings, Admitted: s.Admitted, Dispatched: s.Dispatched}, stop: stop, done: make(chan struct{})}
 	s.mu.Lock()
 	s.running[i] = p
 	s.mu.Unlock()
