Seal the hash of an index entry with its engine

Cause: a lookup that was paused between the two words of an entry while writers replaced it several times could take the hash of one block with the engine of another; found by TestEntriesAreReadWhole, which a mutation test had called for. Change: the key word is the hash combined with the binding of the meta word, so that words of different times match no hash that is looked for. More tests for what mutations of router and health survived.

--- a/internal/coordination/route/rules_test.go
+++ b/internal/coordination/route/rules_test.go
@@ -207,3 +207,33 @@
 	require.NoError(t, err)
 	require.EqualValues(t, "e200", d.Upstream, "the only one that serves the version is found")
 }
+
+func TestBlocksAreIgnoredWhileOnlyHealthKnowsOfTheRestart(t *testing.T) {
+	r := newRouter(2, Prefix{})
+	hold(r, "e01", 1, 2, 3)
+	r.Health.Upstream("e01").Started(2, time.Now())
+	d, err := r.Pick(request(1, 2, 3))
+	require.NoError(t, err)
+	require.Zero(t, d.ExpectedCachedTokens)
+}
+
+func TestADecisionForARestartedEngineIsMadeAgain(t *testing.T) {
+	r := newRouter(1, Prefix{})
+	u := r.Health.Upstream("e00")
+	_, refused := r.decide(&candidate{upstream: u, incarnation: u.Incarnation() - 1}, ReasonHolder, request(1), time.Now())
+	require.Equal(t, RefusedStale, refused.Reason)
+}
+
+func TestOfTwoHoldersTheShorterQueueIsTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRouter(2, Prefix{})
+		hold(r, "e00", 1, 2, 3)
+		hold(r, "e01", 1, 2, 3)
+		report(r, "e01", 1, 300)
+		for i := range 50 {
+			d, err := r.Pick(request(1, 2, 3, ident.BlockHash(100+i)))
+			require.NoError(t, err)
+			require.EqualValues(t, "e00", d.Upstream)
+		}
+	})
+}
--- a/internal/state/prefix/index.go
+++ b/internal/state/prefix/index.go
@@ -121,12 +121,9 @@
 		bucket := x.table.window(home, w)
 		for j := range bucket {
 			e := &bucket[j]
-			if e.hash.Load() != uint64(hash) {
-				continue
-			}
-			h, m, ok := e.load()
+			m, ok := e.match(hash)
 			slot := m.slot()
-			if !ok || h != uint64(hash) || int(slot) >= len(look.blocks) || look.blocks[slot] != i || !x.valid(m, now) {
+			if !ok || int(slot) >= len(look.blocks) || look.blocks[slot] != i || !x.valid(m, now) {
 				continue
 			}
 			if i == 0 {
--- a/internal/state/prefix/index_test.go
+++ b/internal/state/prefix/index_test.go
@@ -160,3 +160,28 @@
 	close(stop)
 	wg.Wait()
 }
+
+func TestEntriesAreReadWhole(t *testing.T) {
+	var e entry
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for i := uint64(1); ; i = i%3 + 1 {
+			select {
+			case <-stop:
+				return
+			default:
+				e.store(i, newMeta(uint16(i), 0, 0, 0))
+			}
+		}
+	})
+	for i := range 600_000 {
+		hash := ident.BlockHash(i%3 + 1)
+		if m, ok := e.match(hash); ok && uint64(m.slot()) != uint64(hash) {
+			t.Errorf("hash %d was read with the engine of hash %d", hash, m.slot())
+			break
+		}
+	}
+	close(stop)
+	wg.Wait()
+}
--- a/internal/state/prefix/table.go
+++ b/internal/state/prefix/table.go
@@ -7,26 +7,35 @@
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 )
 
-// entry says that an engine holds a block. A writer clears the meta word, sets the hash and then sets the
-// meta word, so that a reader that finds the same binding before and after the hash has read one entry.
+// entry says that an engine holds a block. Its key is the hash of the block sealed with what binds the entry to the
+// engine, so that a reader who meets a writer between the two words finds no hash that it looks for.
 type entry struct {
-	hash atomic.Uint64
+	key  atomic.Uint64
 	meta atomic.Uint64
 }
 
+// seal combines a hash with the binding of a meta word; applied twice it yields the hash again.
+func seal(hash uint64, m meta) uint64 {
+	const odd = 0x9e3779b97f4a7c15
+	return hash ^ uint64(m.binding())*odd
+}
+
+// match returns the meta word if the entry is of the hash.
+func (e *entry) match(hash ident.BlockHash) (meta, bool) {
+	m := meta(e.meta.Load())
+	return m, m != 0 && seal(e.key.Load(), m) == uint64(hash)
+}
+
+// load returns the hash and the meta word of an entry that is not free. Without the writers' lock the two may be of
+// different times.
 func (e *entry) load() (uint64, meta, bool) {
-	before := meta(e.meta.Load())
-	if before == 0 {
-		return 0, 0, false
-	}
-	hash := e.hash.Load()
-	after := meta(e.meta.Load())
-	return hash, after, before.binding() == after.binding()
+	m := meta(e.meta.Load())
+	return seal(e.key.Load(), m), m, m != 0
 }
 
 func (e *entry) store(hash uint64, m meta) {
 	e.meta.Store(0)
-	e.hash.Store(hash)
+	e.key.Store(seal(hash, m))
 	e.meta.Store(uint64(m))
 }
 
@@ -74,7 +83,7 @@
 		home := t.home(uint64(hash))
 		first := &t.entries[home*bucketEntries]
 		middle := &t.entries[home*bucketEntries+bucketEntries/2]
-		sum |= first.hash.Load() | middle.hash.Load() | uint64(t.overflow[home].Load())
+		sum |= first.key.Load() | middle.key.Load() | uint64(t.overflow[home].Load())
 	}
 	_ = sum
 }
@@ -85,10 +94,7 @@
 	for i := range t.reach(home) {
 		bucket := t.window(home, i)
 		for j := range bucket {
-			if bucket[j].hash.Load() != uint64(hash) {
-				continue
-			}
-			if m := meta(bucket[j].meta.Load()); m != 0 && m.slot() == slot {
+			if m, ok := bucket[j].match(hash); ok && m.slot() == slot {
 				return &bucket[j]
 			}
 		}
@@ -125,10 +131,10 @@
 
 // clear frees an entry. Writers only.
 func (t *table) clear(e *entry) {
-	if e.meta.Load() == 0 {
+	hash, _, ok := e.load()
+	if !ok {
 		return
 	}
-	hash := e.hash.Load()
 	e.meta.Store(0)
 	home := t.home(hash)
 	for i := 1; i < windowBuckets; i++ {
