--- a/internal/coordination/lease/holder.go
+++ b/internal/coordination/lease/holder.go
@@ -3,14 +3,12 @@
 package lease
 
 import (
-	"fmt"
 	"sync/atomic"
 	"time"
 
 	"github.com/gooseberryway/gooseberryway/internal/coordination/member"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/replay"
 	"github.com/gooseberryway/gooseberryway/internal/state/config"
-	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 )
 
 // Ground is what a lease rests on.
@@ -35,26 +33,6 @@
 
 func (e *LapsedError) Error() string { return "no serving lease: " + e.Status.String() }
 
-// Status tells operators what the lease rests on.
-type Status struct {
-	Valid  bool   `json:"valid"`
-	Ground Ground `json:"ground"`
-	// Remaining is how long the lease would last without news.
-	Remaining time.Duration `json:"remaining"`
-	// TailReadAge is the age of the last read that reached the log's tail; below 0 if there was none.
-	TailReadAge time.Duration `json:"tailReadAge"`
-	// Witnesses of Needed witnesses have answered in time, this daemon counted.
-	Witnesses  int          `json:"witnesses"`
-	Needed     int          `json:"needed"`
-	Recovering bool         `json:"recovering"`
-	Applied    ident.Offset `json:"applied"`
-}
-
-func (s Status) String() string {
-	return fmt.Sprintf("ground %s, log read %s ago, %d witnesses of %d needed, recovering %t, applied %d",
-		s.Ground, s.TailReadAge.Round(time.Millisecond), s.Witnesses, s.Needed, s.Recovering, s.Applied)
-}
-
 // Holder holds the serving lease of a daemon. Its fields are set before use, and Renew is to be called after
 // every change of the Fleet.
 type Holder struct {
