Tell a refusing engine from a bad version and raise the failure alarm

Change: five quick failures instead of four; refusals and breaks of one engine count once; answers with a status count as failures although their kind is broken; resumed streams may go on after a stop; the rate of failures at the same time needs more samples to move; the other version is tried when no engine has the picked one.

--- a/internal/coordination/moves/broken.go
+++ b/internal/coordination/moves/broken.go
@@ -34,12 +34,25 @@
 	down bool
 }
 
+// covers reports whether a sample that ends now belongs to the break. While an engine is down or has lost the version,
+// it fails requests that it would answer again after.
+func (m *breakMark) covers(o Outcome) bool {
+	switch o {
+	case OutcomeUnreachable:
+		return m.down
+	case OutcomeRefused:
+		return time.Since(m.at) < refusedWindow
+	default:
+		return false
+	}
+}
+
 // saw counts a sample's broken connection unless it belongs to a break that was counted before.
 func (b *brokenUpstreams) saw(s *sample, isNew bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	mark := b.last[s.Upstream]
-	if s.Outcome == OutcomeUnreachable && mark != nil && mark.down {
+	if mark != nil && mark.covers(s.Outcome) {
 		return
 	}
 	event := brokenUpstream{brokenKey{s.Route, isNew}, s.Upstream}
--- a/internal/coordination/moves/consts.go
+++ b/internal/coordination/moves/consts.go
@@ -39,6 +39,8 @@
 	// brokenWindow is the time in which breaks of one upstream, seen by several daemons, count as one failure.
 	brokenWindow = 500 * time.Millisecond
 	// latencyBuckets cover 1 ms to 65 s with four buckets for each doubling.
+	// refusedWindow is the time in which refusals of one upstream belong to one break.
+	refusedWindow       = 2 * time.Second
 	latencyBuckets      = 64
 	bucketsPerDoubling  = 4
 	latencyFloor        = time.Millisecond
@@ -79,10 +81,12 @@
 	// soakingControl is the number of recent requests to the old version below which there is no comparison at the
 	// same time.
 	soakingControl = 1
+	// recentPriorSamples is the weight of the long time in the rate of failures at the same time.
+	recentPriorSamples = 40
 	// recentHalfLife is the half-life of the counts by which the old version is judged at the same time.
 	recentHalfLife = 3 * time.Second
 	// failureAlarm and slowAlarm are natural logarithms of the evidence at which a version is bad.
-	failureAlarm = 18
+	failureAlarm = 20.5
 	slowAlarm    = 14
 	// cautiousSlowAlarm takes the place of slowAlarm where the comparison is weaker.
 	cautiousSlowAlarm = 24
@@ -90,7 +94,7 @@
 	warmUp         = 1500 * time.Millisecond
 	warmUpPermille = 250
 	// suspicion is the part of an alarm from which a daemon sends probes to confirm or clear it.
-	suspicion = 0.25
+	suspicion = 0.2
 )
 
 // Owner.
--- a/internal/coordination/moves/control.go
+++ b/internal/coordination/moves/control.go
@@ -83,9 +83,9 @@
 func (c *control) base(key controlKey, s signal) float64 {
 	floor := floorOf(s)
 	long := c.longRoute[key.route].of(s).rate(floor)
-	rate := max(long, c.recentRoute[key.route].of(s).rate(long))
+	rate := max(long, c.recentRoute[key.route].of(s).rateWith(long, recentPriorOf(s)))
 	own := c.long[key].of(s).rate(rate)
-	own = max(own, c.recent[key].of(s).rate(own))
+	own = max(own, c.recent[key].of(s).rateWith(own, recentPriorOf(s)))
 	return min(max(floor, baseMargin*rate, baseMargin*own), highestBase)
 }
 
@@ -95,3 +95,12 @@
 	}
 	return slowFloor
 }
+
+// recentPriorOf keeps a single failure of the old version from excusing many of the new one. Slow answers are common
+// enough to be trusted sooner.
+func recentPriorOf(s signal) float64 {
+	if s == signalFailure {
+		return recentPriorSamples
+	}
+	return priorSamples
+}
--- a/internal/coordination/moves/evidence.go
+++ b/internal/coordination/moves/evidence.go
@@ -32,7 +32,12 @@
 
 // rate returns the part of bad answers, drawn towards the prior rate when there are few.
 func (t trial) rate(prior float64) float64 {
-	return (t.bad + prior*priorSamples) / (t.n + priorSamples)
+	return t.rateWith(prior, priorSamples)
+}
+
+// rateWith is rate with another weight of the prior rate.
+func (t trial) rateWith(prior, samples float64) float64 {
+	return (t.bad + prior*samples) / (t.n + samples)
 }
 
 // trialOf returns a signal's part of counts.
--- a/internal/coordination/moves/flight.go
+++ b/internal/coordination/moves/flight.go
@@ -136,7 +136,7 @@
 	fl.signalIf(s.Outcome > OutcomeWhole && s.Outcome < OutcomeIgnored)
 	switch s.Outcome {
 	case OutcomeIgnored:
-	case OutcomeBroken, OutcomeUnreachable:
+	case OutcomeBroken, OutcomeUnreachable, OutcomeRefused:
 		fl.figures.broken.saw(s, fl.isNew)
 	default:
 		fl.figures.broken.answered(s.Upstream, s.Started)
@@ -146,7 +146,7 @@
 
 // checkSent checks that nothing goes to a version after its stop.
 func (w *Watch) checkSent(at Target, started time.Time) {
-	if t := w.Splitter.table.Load(); t != nil {
+	if t := w.Splitter.table.Load(); t != nil && !at.Resumed {
 		t.checkSent(routeKey{at.Model, at.Route}, at.Version, started)
 	}
 }
--- a/internal/coordination/moves/sample.go
+++ b/internal/coordination/moves/sample.go
@@ -24,6 +24,8 @@
 	OutcomeBroken
 	// OutcomeUnreachable is an engine that could not be reached.
 	OutcomeUnreachable
+	// OutcomeRefused is an engine that did not take the request, for one because it has lost the version.
+	OutcomeRefused
 	// OutcomeIgnored tells nothing about the version: the caller left or the engine was overloaded.
 	OutcomeIgnored
 )
@@ -35,6 +37,8 @@
 	Version      ident.VersionID
 	Organisation ident.OrganisationID
 	Upstream     ident.UpstreamID
+	// Resumed says that the request goes on with an answer that the version has begun. It may be sent after a stop.
+	Resumed bool
 }
 
 // sample is what became of one request at one engine.
@@ -73,6 +77,11 @@
 		return OutcomeUnreachable
 	case extern.UpstreamBroken:
 		return OutcomeBroken
+	case extern.UpstreamRejected:
+		if up.NotRun {
+			return OutcomeRefused
+		}
+		return OutcomeFailed
 	default:
 		return OutcomeFailed
 	}
--- a/internal/program/daemon/picks.go
+++ b/internal/program/daemon/picks.go
@@ -13,6 +13,7 @@
 	"github.com/gooseberryway/gooseberryway/internal/state/extern"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/state/prefix"
+	"github.com/gooseberryway/gooseberryway/internal/transport/httpc"
 )
 
 // picker shows the router to the relay.
@@ -31,6 +32,11 @@
 	}
 	r := p.request(ctx, req, version, tried)
 	decision, err := p.router.Pick(r)
+	if other := p.splitter.Other(req.Model, req.Route, version); err != nil && other != version && req.ResumeFrom == 0 {
+		version = other
+		r = p.request(ctx, req, version, tried)
+		decision, err = p.router.Pick(r)
+	}
 	if err != nil {
 		return relay.Attempt{}, err
 	}
@@ -42,6 +48,7 @@
 		Version:      version,
 		Organisation: req.Organisation,
 		Upstream:     decision.Upstream,
+		Resumed:      req.ResumeFrom > 0,
 	}, uncached)
 	return relay.Attempt{
 		Upstream:     decision.Upstream,
@@ -91,7 +98,13 @@
 	if report.Cancelled {
 		return moves.OutcomeIgnored
 	}
-	return moves.OutcomeOf(report.Err)
+	var status *httpc.StatusError
+	outcome := moves.OutcomeOf(report.Err)
+	if outcome == moves.OutcomeBroken && errors.As(report.Err, &status) {
+		// The engine runs and has answered with a failure.
+		return moves.OutcomeFailed
+	}
+	return outcome
 }
 
 // end tells the router how an attempt ended.
