--- a/internal/program/daemon/versions.go
+++ b/internal/program/daemon/versions.go
@@ -31,7 +31,7 @@
 	p.moveSettings.Store(&p.settings.Moves)
 	p.loadSettings.Store(&p.settings.Loads)
 	p.splitter = &moves.Splitter{}
-	p.watch = &moves.Watch{Splitter: p.splitter, Settings: p.currentMoves}
+	p.watch = &moves.Watch{Splitter: p.splitter}
 	p.orders = &orders.Orders{
 		Daemon:   p.settings.DaemonID,
 		State:    p.follower.State,
