--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 
 lint: $(TOOLS_BIN)/golangci-lint
 	$(TOOLS_BIN)/golangci-lint fmt --diff
-	$(TOOLS_BIN)/golangci-lint run
+	$(TOOLS_BIN)/golangci-lint run --allow-parallel-runners
 
 format: $(TOOLS_BIN)/golangci-lint
 	$(TOOLS_BIN)/golangci-lint fmt
--- a/internal/program/local/configure.go
+++ b/internal/program/local/configure.go
@@ -36,6 +36,9 @@
 			ChecksIdentity: e.ChecksIdentity,
 		})
 	}
+	for _, up := range s.Upstreams {
+		entities = append(entities, &up)
+	}
 	entities = append(entities, s.organisations()...)
 	for i, e := range entities {
 		if err := s.append(ctx, i, e); err != nil {
--- a/internal/program/local/system.go
+++ b/internal/program/local/system.go
@@ -33,6 +33,8 @@
 	// NewVersions are configured but not loaded by any engine.
 	NewVersions   []ident.VersionID
 	Organisations []config.Organisation
+	// Upstreams are upstreams beside the engines.
+	Upstreams []config.Upstream
 	// Routes are routes beside the one of each team for the model.
 	Routes []config.Route
 	// Settings changes the settings of each daemon; nil for none.
--- a/internal/transport/rest/body.go
+++ b/internal/transport/rest/body.go
@@ -49,11 +49,13 @@
 	if r.ContentLength > limit {
 		return nil, &BodyError{Kind: BodyTooLarge, Limit: limit}
 	}
-	defer BoundRead(ctx, timeout)()
+	lift := BoundRead(ctx, timeout)
 	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 	if err != nil {
+		// The deadline stays, so that the server does not wait for the rest of the body.
 		return nil, &BodyError{Kind: kindOf(err), Err: err}
 	}
+	lift()
 	if int64(len(body)) > limit {
 		return nil, &BodyError{Kind: BodyTooLarge, Limit: limit}
 	}
