--- a/internal/coordination/member/outage_test.go
+++ b/internal/coordination/member/outage_test.go
@@ -181,6 +181,32 @@
 	}
 }
 
+func TestARestartBehindAPartitionCatchesUpWithoutTheLog(t *testing.T) {
+	inBubble(t, 5, member.RuleNone, func(s *sim) {
+		s.logOnly()
+		s.partition(0)
+		s.restart([]int{0})
+		s.run(30 * time.Second)
+		require.Zero(t, s.nodes[0].process.follower.State().Offset())
+		s.partition()
+		s.eventually(15*time.Second, "it serves", func() bool { return s.nodes[0].process.holder.Valid() })
+		s.requireServing(30*time.Second, s.all()...)
+	})
+}
+
+func TestANewcomerBehindAPartitionCatchesUpWithoutTheLog(t *testing.T) {
+	inBubble(t, 5, member.RuleNone, func(s *sim) {
+		guest := s.add()
+		s.logOnly()
+		s.partition(5)
+		guest.start()
+		s.run(30 * time.Second)
+		require.Zero(t, guest.process.follower.State().Offset())
+		s.partition()
+		s.eventually(15*time.Second, "it serves", func() bool { return guest.process.holder.Valid() })
+	})
+}
+
 func TestAMajorityThatRestartsWithoutTheLogWaitsForIt(t *testing.T) {
 	inBubble(t, 5, member.RuleNone, func(s *sim) {
 		s.logOnly()
--- a/internal/coordination/replay/consts.go
+++ b/internal/coordination/replay/consts.go
@@ -22,6 +22,8 @@
 	relayBytes      = 1 << 20
 	relayKeep       = 1024
 	snapshotTimeout = 5 * time.Second
+	// snapshotHead is how long a start waits for a snapshot before it reads the log as well.
+	snapshotHead = time.Second
 	// snapshotHedge is how long a start waits for one daemon before it asks the next as well.
 	snapshotHedge = 150 * time.Millisecond
 
--- a/internal/coordination/replay/follower.go
+++ b/internal/coordination/replay/follower.go
@@ -67,14 +67,29 @@
 	f.init()
 	ctx, leave := f.life.Enter(ctx)
 	defer leave()
-	f.bootstrap(ctx)
-	f.warm.Store(true)
-	f.notify()
-	f.life.Go(func() { f.followRelay(ctx) })
+	done := make(chan struct{})
+	f.life.Go(func() {
+		f.bootstrap(ctx)
+		close(done)
+		f.warmed()
+		f.followRelay(ctx)
+	})
+	select {
+	case <-done:
+	case <-time.After(snapshotHead):
+	case <-ctx.Done():
+	}
 	f.followLog(ctx)
 	return ctx.Err()
 }
 
+// warmed notes that a snapshot was loaded or is not needed.
+func (f *Follower) warmed() {
+	if f.warm.CompareAndSwap(false, true) {
+		f.notify()
+	}
+}
+
 // Close ends Run and waits for all that it started.
 func (f *Follower) Close() { f.life.Close() }
 
@@ -134,7 +149,7 @@
 	return f.store.outcomes.get(id)
 }
 
-// Warm reports whether a start has loaded a snapshot from another daemon or found that there is none.
+// Warm reports whether a start has loaded a snapshot from another daemon, found that there is none or read the log.
 func (f *Follower) Warm() bool { return f.warm.Load() }
 
 // TailReadStarted returns when the last read that reached the tail of the stream was started, with the clock's
--- a/internal/coordination/replay/relay.go
+++ b/internal/coordination/replay/relay.go
@@ -13,7 +13,8 @@
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 )
 
-// followRelay fetches records from other daemons that are ahead, until ctx ends.
+// followRelay fetches records from other daemons that are ahead, until ctx ends. While neither the log nor a snapshot
+// could be had, it asks for a snapshot again.
 func (f *Follower) followRelay(ctx context.Context) {
 	for {
 		select {
@@ -21,6 +22,9 @@
 		case <-ctx.Done():
 			return
 		}
+		if f.State().Offset() == 0 {
+			f.bootstrap(ctx)
+		}
 		if err := f.catchUp(ctx); err != nil && ctx.Err() == nil {
 			klog.V(1).InfoS("Relay failed", "err", err)
 			f.kick.raise()
--- a/internal/coordination/replay/replay_test.go
+++ b/internal/coordination/replay/replay_test.go
@@ -185,6 +185,27 @@
 	})
 }
 
+func TestAStartDoesNotWaitForSilentSeedsWhenTheLogAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &fakes.Log{}
+		defer log.Close()
+		a := startDaemon(log, "a")
+		defer a.close()
+		_, err := a.set(context.Background(), "a", 1)
+		require.NoError(t, err)
+
+		started := time.Now()
+		b := newDaemon(log, "b", mesh{}, "silent", "mute")
+		b.start()
+		defer b.close()
+		for !b.follower.Warm() {
+			time.Sleep(time.Millisecond)
+		}
+		require.LessOrEqual(t, time.Since(started), snapshotHead+10*time.Millisecond)
+		require.Equal(t, dump(t, a.follower.State()), dump(t, b.follower.State()))
+	})
+}
+
 func TestRecordsAreRelayedWhileTheLogIsOutOfReach(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := &fakes.Log{}
--- a/internal/coordination/replay/tail.go
+++ b/internal/coordination/replay/tail.go
@@ -23,6 +23,7 @@
 			failures++
 			countReadFailures.Inc()
 			logReadFailure(failures, err)
+			f.hinted.raise()
 		}
 		if err == nil {
 			failures = 0
@@ -103,6 +104,7 @@
 	}
 	if reached {
 		f.tail.Store(&tailRead{started: started, first: batch.First, tail: batch.Tail})
+		f.warmed()
 	}
 	if reached || applied {
 		f.notify()
