Wait a second for a retry of the budget

When half of the engines crash again and again, a burst of requests without a token spends the budget and the rest was refused at once; they now wait up to a second for one.

--- a/internal/coordination/relay/consts.go
+++ b/internal/coordination/relay/consts.go
@@ -8,6 +8,7 @@
 	defaultFirstTokenTimeout = 30 * time.Second
 	defaultInterTokenTimeout = 10 * time.Second
 	defaultResumePatience    = 15 * time.Second
+	defaultRetryPatience     = time.Second
 
 	// maxParts bounds the attempts that brought tokens of one answer, so that a request which makes engines crash
 	// ends.
--- a/internal/coordination/relay/relay_test.go
+++ b/internal/coordination/relay/relay_test.go
@@ -178,7 +178,8 @@
 				require.True(t, tc.budget.Withdraw())
 			}
 			r := &Relay{Engine: engine, Picker: &rotation{missing: tc.missing}, Budget: tc.budget, MaxAttempts: 3}
-			_, err := r.Run(t.Context(), request(5), nil)
+			var err error
+			synctest.Test(t, func(t *testing.T) { _, err = r.Run(t.Context(), request(5), nil) })
 			var run *RunError
 			require.ErrorAs(t, err, &run)
 			require.Equal(t, tc.reason, run.Reason)
@@ -336,6 +337,27 @@
 	}
 }
 
+func TestARequestWaitsForTheBudget(t *testing.T) {
+	for traffic, whole := range map[time.Duration]bool{10 * time.Millisecond: true, time.Second: false} {
+		synctest.Test(t, func(t *testing.T) {
+			budget := &Budget{Reserve: 1}
+			require.True(t, budget.Withdraw())
+			ctx, cancel := context.WithCancel(t.Context())
+			go func() {
+				for sleep(ctx, traffic) {
+					budget.Deposit()
+				}
+			}()
+			r := &Relay{Engine: &scripted{scripts: []script{{end: endCrash}}}, Picker: &rotation{}, Budget: budget}
+			started := time.Now()
+			_, err := r.Run(t.Context(), request(5), collect(&strings.Builder{}))
+			require.Equal(t, whole, err == nil, "%v", err)
+			require.LessOrEqual(t, time.Since(started), defaultRetryPatience)
+			cancel()
+		})
+	}
+}
+
 func TestBudgetIsAShareOfRequests(t *testing.T) {
 	b := &Budget{Reserve: 2}
 	require.True(t, b.Withdraw())
