--- a/internal/coordination/relay/retry.go
+++ b/internal/coordination/relay/retry.go
@@ -130,4 +130,3 @@
 	}
 	return ""
 }
-
--- a/internal/coordination/relay/run.go
+++ b/internal/coordination/relay/run.go
@@ -106,4 +106,3 @@
 	up, ok := errors.AsType[*extern.UpstreamError](err)
 	return ok && up.Kind == extern.UpstreamRejected
 }
-
