--- a/internal/program/daemon/parts.go
+++ b/internal/program/daemon/parts.go
@@ -56,10 +56,15 @@
 	owner        *moves.Owner
 	orders       *orders.Orders
 	burn         *burn.Recorder
+	moveSettings atomic.Pointer[moves.Settings]
+	loadSettings atomic.Pointer[orders.Settings]
+	reports      burnCache
+	refused      refusals
 	warm         atomic.Pointer[wire.Digest]
 	owners       ownerships
 	router       *route.Router
 	watchers     *watchers
+	picks        *picker
 	service      *serve.Service
 
 	callers *caller.Server
@@ -195,15 +200,15 @@
 }
 
 func (p *parts) buildService() {
-	picks := &picker{router: p.router, state: p.follower.State, splitter: p.splitter, watch: p.watch}
+	p.picks = &picker{router: p.router, state: p.follower.State, splitter: p.splitter, watch: p.watch}
 	p.burn = &burn.Recorder{}
 	p.service = &serve.Service{
 		State:          p.follower.State,
 		Lease:          p.lease,
-		Limits:         limits{p.limiter},
+		Limits:         limits{p.limiter, &p.refused},
 		Claims:         claims{p.claimer},
 		Versions:       versions{p.splitter},
-		Runner:         runner{relay: &relay.Relay{Engine: p.engine, Picker: picks}},
+		Runner:         runner{relay: &relay.Relay{Engine: p.engine, Picker: p.picks}},
 		Ready:          p.follower.Warm,
 		Record:         p.burn.Record,
 		AdmitWait:      milliseconds(p.settings.Limits.AdmitWaitMs),
@@ -243,7 +248,7 @@
 	p.limiter.Observe(quotaView(p.follower.History()))
 	p.owners.update(view.Applied, view.InForce)
 	p.router.Update(view.Applied.Upstreams())
-	p.setObjectives(view.Applied)
+	p.followSettings(view.Applied)
 	if warm := p.warm.Swap(nil); warm != nil {
 		p.router.Merge(warm)
 	}
