--- a/internal/coordination/moves/fleet_test.go
+++ b/internal/coordination/moves/fleet_test.go
@@ -171,8 +171,9 @@
 
 	mu     sync.Mutex
 	frozen *config.State
-	gone   bool
-	cancel context.CancelFunc
+	// gone daemons neither serve nor are seen; crashed ones never come back.
+	gone, crashed bool
+	cancel        context.CancelFunc
 }
 
 func newFleet(seed uint64, n int, rate float64, log *testLog, routes ...ident.RouteID) *fleet {
@@ -225,7 +226,7 @@
 func (d *daemon) thaw() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.frozen, d.gone = nil, false
+	d.frozen, d.gone = nil, d.crashed
 }
 
 func (f *fleet) live() []ident.DaemonID {
@@ -256,7 +257,7 @@
 // crash ends the daemon for good.
 func (d *daemon) crash() {
 	d.mu.Lock()
-	d.gone = true
+	d.gone, d.crashed = true, true
 	d.mu.Unlock()
 	d.cancel()
 }
--- a/internal/coordination/moves/owner.go
+++ b/internal/coordination/moves/owner.go
@@ -1,7 +1,6 @@
 package moves
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -9,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
 	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
@@ -201,7 +199,7 @@
 	}
 	o.sequence++
 	id := ident.RecordID(fmt.Sprintf("%s-%d-move-%d", o.Daemon, o.Incarnation, o.sequence))
-	path := entityPath(next)
+	path := config.PathOf(next)
 	rec := config.NewRecord(id, string(o.Daemon), state.Revision(path), next)
 	tr.writing = true
 	o.writes.Go(func() { o.write(ctx, m.ID, tr, rec) })
@@ -225,8 +223,6 @@
 	return nil
 }
 
-func entityPath(e config.Entity) ident.Path { return config.PathOf(e) }
-
 func (o *Owner) situation(state *config.State, m *config.Move, live []ident.DaemonID, now time.Time) situation {
 	tr := o.trails[m.ID]
 	s := situation{
@@ -294,48 +290,3 @@
 	}
 	notify(o.Watch.wake)
 }
-
-// EpochOf returns the fencing number of the move's owner: the offset of the record that made it the owner.
-func EpochOf(state *config.State, m *config.Move) ident.Offset {
-	if m.OwnerEpoch != 0 {
-		return m.OwnerEpoch
-	}
-	return state.Revision(config.PathOf(m))
-}
-
-// electOwner returns the daemon that should own a move, by rendezvous hashing.
-func electOwner(move ident.MoveID, live []ident.DaemonID) ident.DaemonID {
-	if len(live) == 0 {
-		return ""
-	}
-	return slices.MaxFunc(live, func(a, b ident.DaemonID) int {
-		return cmp.Or(cmp.Compare(ownerWeight(move, a), ownerWeight(move, b)), cmp.Compare(a, b))
-	})
-}
-
-func ownerWeight(move ident.MoveID, daemon ident.DaemonID) uint64 {
-	return mix(xxhash.Sum64String(string(move)) ^ mix(xxhash.Sum64String(string(daemon))))
-}
-
-// overlapBefore returns another active move of one of the routes that has gone further, "" if there is none.
-func overlapBefore(state *config.State, m *config.Move) ident.MoveID {
-	for _, other := range activeMoves(state) {
-		if other.ID == m.ID {
-			return ""
-		}
-		if overlap(other, m) {
-			return other.ID
-		}
-	}
-	return ""
-}
-
-func overlap(a, b *config.Move) bool {
-	if a.Model != b.Model {
-		return false
-	}
-	if len(a.Routes) == 0 || len(b.Routes) == 0 {
-		return true
-	}
-	return slices.ContainsFunc(a.Routes, func(r ident.RouteID) bool { return slices.Contains(b.Routes, r) })
-}
--- a/internal/coordination/moves/split.go
+++ b/internal/coordination/moves/split.go
@@ -1,9 +1,6 @@
 package moves
 
 import (
-	"cmp"
-	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,7 +8,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/gooseberryway/gooseberryway/internal/state/config"
-	"github.com/gooseberryway/gooseberryway/internal/state/guard"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 )
 
@@ -23,47 +19,6 @@
 	mu sync.Mutex
 }
 
-// splitTable is an immutable snapshot but for the counters in its shares.
-type splitTable struct {
-	// current holds the version of each model for routes that no move has shifted.
-	current map[ident.ModelID]ident.VersionID
-	// moved holds the version of routes that moves of single routes have shifted.
-	moved  map[routeKey]ident.VersionID
-	active map[routeKey]*share
-	// everywhere holds active moves that shift all routes of their model.
-	everywhere map[ident.ModelID]*share
-	byMove     map[ident.MoveID]*share
-	// retired holds the last taken-back move of each route and version, to check what is still sent.
-	retired map[retiredKey]*share
-}
-
-type retiredKey struct {
-	route   routeKey
-	version ident.VersionID
-}
-
-type routeKey struct {
-	model ident.ModelID
-	route ident.RouteID
-}
-
-// share is the live split of one move.
-type share struct {
-	move     config.Move
-	salt     uint64
-	permille ident.Permille
-	stop     *stopMark
-	probes   *probeSet
-	families *familySketch
-}
-
-// stopMark records a stop on this daemon's evidence or by the log; it outlives snapshots.
-type stopMark struct {
-	// at is the time of the stop in nanoseconds of the runtime clock, 0 while the version may be used.
-	at     atomic.Int64
-	reason atomic.Pointer[string]
-}
-
 // Update takes over the moves and models of a configuration.
 func (s *Splitter) Update(state *config.State) {
 	s.mu.Lock()
@@ -88,122 +43,6 @@
 	s.table.Store(t)
 }
 
-// applyDone shifts models and routes along the moves that are done, oldest first.
-func (t *splitTable) applyDone(state *config.State) {
-	for _, m := range movesByRevision(state) {
-		if m.State != config.MoveDone {
-			continue
-		}
-		if len(m.Routes) == 0 {
-			t.applyDoneModel(state, m)
-			continue
-		}
-		for _, r := range m.Routes {
-			key := routeKey{m.Model, r}
-			if t.base(key) == m.From {
-				t.moved[key] = m.To
-			}
-		}
-	}
-}
-
-// applyDoneModel shifts a whole model unless its entity was changed after the move.
-func (t *splitTable) applyDoneModel(state *config.State, m *config.Move) {
-	model, ok := state.Model(m.Model)
-	if !ok || t.current[m.Model] != m.From {
-		return
-	}
-	if state.Revision(config.PathOf(m)) > state.Revision(config.PathOf(model)) {
-		t.current[m.Model] = m.To
-	}
-}
-
-func (t *splitTable) applyActive(state *config.State, old *splitTable) {
-	for _, m := range activeMoves(state) {
-		sh := newShare(m, old.shareOf(m.ID))
-		t.byMove[m.ID] = sh
-		if len(m.Routes) == 0 {
-			if t.everywhere[m.Model] == nil {
-				t.everywhere[m.Model] = sh
-			}
-			continue
-		}
-		for _, r := range m.Routes {
-			key := routeKey{m.Model, r}
-			if t.active[key] == nil {
-				t.active[key] = sh
-			}
-		}
-	}
-}
-
-func newShare(m *config.Move, old *share) *share {
-	sh := &share{move: *m, permille: m.Share, salt: xxhash.Sum64String(string(m.ID))}
-	if old == nil {
-		sh.stop, sh.probes, sh.families = &stopMark{}, &probeSet{}, &familySketch{}
-	} else {
-		sh.stop, sh.probes, sh.families = old.stop, old.probes, old.families
-	}
-	if m.Share > 0 && m.Step == 0 && (old == nil || old.permille == 0) {
-		sh.probes.arm(firstProbes)
-	}
-	return sh
-}
-
-// retire marks the moves that the log took back as stopped and keeps them in next.
-func (t *splitTable) retire(next *splitTable) {
-	maps.Copy(next.retired, t.retired)
-	for id, sh := range t.byMove {
-		if next.byMove[id] != nil {
-			continue
-		}
-		key := routeKey{sh.move.Model, firstRoute(&sh.move)}
-		if next.base(key) == sh.move.To {
-			continue
-		}
-		sh.stop.set("the move was taken back")
-		next.retired[retiredKey{key, sh.move.To}] = sh
-	}
-}
-
-func firstRoute(m *config.Move) ident.RouteID {
-	if len(m.Routes) == 0 {
-		return ""
-	}
-	return m.Routes[0]
-}
-
-func (t *splitTable) shareOf(id ident.MoveID) *share {
-	if t == nil {
-		return nil
-	}
-	return t.byMove[id]
-}
-
-// base returns the version of a route outside of any active move.
-func (t *splitTable) base(key routeKey) ident.VersionID {
-	if v, ok := t.moved[key]; ok {
-		return v
-	}
-	return t.current[key.model]
-}
-
-// find returns the active move of a route, nil if there is none.
-func (t *splitTable) find(key routeKey) *share {
-	if t == nil {
-		return nil
-	}
-	if sh := t.active[key]; sh != nil {
-		return sh
-	}
-	if sh := t.everywhere[key.model]; sh != nil {
-		if t.base(key) == sh.move.From || t.base(key) == sh.move.To {
-			return sh
-		}
-	}
-	return nil
-}
-
 // Ask is what the choice of a version depends on.
 type Ask struct {
 	Model        ident.ModelID
@@ -344,52 +183,9 @@
 	return *sh.stop.reason.Load()
 }
 
-// checkSent checks that a request was not sent to a version long after its stop.
-func (t *splitTable) checkSent(key routeKey, version ident.VersionID, started time.Time) {
-	sh := t.find(key)
-	if sh == nil || sh.move.To != version {
-		sh = t.retired[retiredKey{key, version}]
-	}
-	if sh == nil {
-		return
-	}
-	at := sh.stop.at.Load()
-	if at == 0 {
-		return
-	}
-	late := started.Sub(time.Unix(0, at))
-	guard.Check(late <= exposureGrace, guard.MoveExposure,
-		"a request went to version %s of move %s %s after its stop", version, sh.move.ID, late)
-}
-
 func (m *stopMark) stopped() bool { return m.at.Load() != 0 }
 
 func (m *stopMark) set(reason string) bool {
 	m.reason.CompareAndSwap(nil, &reason)
 	return m.at.CompareAndSwap(0, time.Now().UnixNano())
 }
-
-// activeMoves returns the moves that have not ended, the one with the larger share first.
-func activeMoves(state *config.State) []*config.Move {
-	var active []*config.Move
-	for _, m := range state.Moves() {
-		if !m.State.Ended() {
-			active = append(active, m)
-		}
-	}
-	slices.SortFunc(active, func(a, b *config.Move) int {
-		return cmp.Or(cmp.Compare(b.Share, a.Share), cmp.Compare(a.ID, b.ID))
-	})
-	return active
-}
-
-func movesByRevision(state *config.State) []*config.Move {
-	all := make([]*config.Move, 0, len(state.Moves()))
-	for _, m := range state.Moves() {
-		all = append(all, m)
-	}
-	slices.SortFunc(all, func(a, b *config.Move) int {
-		return cmp.Compare(state.Revision(config.PathOf(a)), state.Revision(config.PathOf(b)))
-	})
-	return all
-}
