--- a/internal/coordination/serve/run.go
+++ b/internal/coordination/serve/run.go
@@ -10,6 +10,7 @@
 	"github.com/gooseberryway/gooseberryway/internal/state/burn"
 	"github.com/gooseberryway/gooseberryway/internal/state/config"
 	"github.com/gooseberryway/gooseberryway/internal/state/extern"
+	"github.com/gooseberryway/gooseberryway/internal/state/guard"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/state/prefix"
 )
@@ -147,6 +148,7 @@
 		r.settle(prefix.TokensOf(r.call.Prompt) + r.sent)
 		return err
 	}
+	guard.Check(r.sent == 0, guard.NotRunTrue, "request %s: said not to have run after %d tokens", r.call.Request, r.sent)
 	r.started = false
 	return err
 }
--- a/internal/coordination/serve/service.go
+++ b/internal/coordination/serve/service.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -138,13 +139,10 @@
 
 // reserve reserves the most tokens that the request can use.
 func (s *Service) reserve(ctx context.Context, run *Run) error {
+	run.maxTokens = cmp.Or(run.call.MaxTokens, defaultMaxTokens)
 	if run.caller.Organisation == "" {
 		return nil
 	}
-	run.maxTokens = run.call.MaxTokens
-	if run.maxTokens == 0 {
-		run.maxTokens = defaultMaxTokens
-	}
 	cost := prefix.TokensOf(run.call.Prompt) + run.maxTokens
 	ctx, cancel := context.WithTimeout(ctx, s.AdmitWait)
 	defer cancel()
