--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,8 @@
 PACKAGES := ./...
 FUZZTIME ?= 30s
 SEEDS ?= 2000
+SOAKTIME ?= 2h
+SOAKTESTS ?= .
 
 export TOOLS_BIN
 
@@ -31,6 +33,21 @@
 format: $(TOOLS_BIN)/golangci-lint
 	$(TOOLS_BIN)/golangci-lint fmt
 
+# Runs every fuzz target for FUZZTIME. A failing input is kept under testdata/fuzz of its package.
+fuzz:
+	@set -e; for pkg in $$($(GO) list $(PACKAGES)); do \
+		listed=$$($(GO) test -list '^Fuzz' $$pkg); \
+		for target in $$(echo "$$listed" | grep '^Fuzz' || true); do \
+			echo "$$pkg $$target"; \
+			$(GO) test -run '^$$' -fuzz "^$$target$$" -fuzztime $(FUZZTIME) $$pkg; \
+		done; \
+	done
+
+# Runs the random state machines with SEEDS runs each. A failure prints its seed and the command that repeats it.
+soak:
+	$(GO) test -timeout $(SOAKTIME) $$(grep -rl --include=*_test.go pgregory.net/rapid internal | xargs -n1 dirname | sort -u | sed 's,^,./,') \
+		-run '$(SOAKTESTS)' -rapid.checks=$(SEEDS)
+
 demo:
 	$(GO) run . demo
 
