Check that plain services which left get no calls

Cause: only the router of engines checked the invariant upstreamLeft. Conclusion: both ways to an upstream are watched.

--- a/internal/program/daemon/plains.go
+++ b/internal/program/daemon/plains.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/gooseberryway/gooseberryway/internal/state/config"
+	"github.com/gooseberryway/gooseberryway/internal/state/guard"
 	"github.com/gooseberryway/gooseberryway/internal/state/health"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/transport/plain"
@@ -46,6 +47,7 @@
 		return plain.Target{}, &NoServiceError{Route: p.route.ID}
 	}
 	u := usable[rand.IntN(len(usable))]
+	checkStays(u, now)
 	return plain.Target{
 		Upstream: u.ID,
 		BaseURL:  u.Config().BaseURL,
@@ -53,6 +55,12 @@
 	}, nil
 }
 
+// checkStays asserts that an upstream that gets a call has not been leaving for long.
+func checkStays(u *health.Upstream, now time.Time) {
+	left, leaving := u.Leaving(now)
+	guard.Check(!leaving || left < health.LeavingGrace, guard.UpstreamLeft, "a call for upstream %s, leaving for %s", u.ID, left)
+}
+
 func (p *plainPicker) report(u *health.Upstream, o plain.Outcome) {
 	switch {
 	case o.Cancelled:
