Refuse unknown commands with exit code 2

Cause: gooseberryway nothing, and gooseberryway standin nothing, printed help and exited with 0, since cobra checks the arguments only of commands that run something. Conclusion: a mistyped command in a script is noticed.

--- a/internal/program/cmds/operator.go
+++ b/internal/program/cmds/operator.go
@@ -43,7 +43,10 @@
 	flags.BoolVar(&s.json, "json", false, "print JSON")
 	flags.BoolVar(&s.wait, "wait", false, "wait until the change is in force or the move has ended")
 	flags.DurationVar(&s.limit, "wait-limit", defaultWait, "longest wait")
-	cmd.PersistentPreRunE = func(*cobra.Command, []string) error {
+	cmd.PersistentPreRunE = func(cmd *cobra.Command, _ []string) error {
+		if cmd.HasSubCommands() {
+			return nil
+		}
 		if s.admin.Server == "" {
 			return &UsageError{Err: &MissingFlagError{Flag: "server"}}
 		}
--- a/internal/program/cmds/root.go
+++ b/internal/program/cmds/root.go
@@ -66,9 +66,21 @@
 	root.AddCommand(newServe(), newCheck(), newDemo(), newLoad(), newStandin())
 	root.AddCommand(newKey(), newOperator(), newMove(), newSettings(), newStatus(), newReport())
 	root.AddCommand(entityCommands()...)
+	refuseUnknown(root)
 	return root
 }
 
+// refuseUnknown makes commands that only hold others refuse a name that is none of these. Cobra checks the arguments of
+// commands that run something only.
+func refuseUnknown(cmd *cobra.Command) {
+	for _, child := range cmd.Commands() {
+		refuseUnknown(child)
+	}
+	if cmd.HasSubCommands() && !cmd.Runnable() {
+		cmd.RunE = func(cmd *cobra.Command, _ []string) error { return cmd.Help() }
+	}
+}
+
 // addLogFlags offers the verbosity of klog; its other flags keep their defaults.
 func addLogFlags(root *cobra.Command) {
 	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
