Decode settings of the platform into a copy of the file's

Cause: JSON was decoded into a value that shared the list of steps with the settings of the file, so a setting of the platform overwrote the file's steps, which then held even after the setting was deleted or when it could not be read. Change: it is decoded into a copy. Conclusion: the file's settings stay as they are.

--- a/internal/program/daemon/platform.go
+++ b/internal/program/daemon/platform.go
@@ -35,10 +35,21 @@
 	if !ok {
 		return fallback
 	}
-	value := fallback
+	value := copyOf(fallback)
 	if err := json.Unmarshal([]byte(setting.Value), &value); err != nil {
 		klog.ErrorS(err, "Setting is not valid and not used", "path", path)
 		return fallback
 	}
 	return value
 }
+
+// copyOf returns a copy that shares no slice or map with the settings, as decoding JSON writes into those that are there.
+func copyOf[T any](settings T) T {
+	var value T
+	raw, err := json.Marshal(settings)
+	if err != nil {
+		return value
+	}
+	_ = json.Unmarshal(raw, &value)
+	return value
+}
