Let operators declare a VM dead, and check every admission against what is in force

Cause: a majority of a view lost for good stalled hand-overs with no way out; the in-program check that no daemon serves behind what is in force was off; two retry budgets counted the same retries, one of them also attempts that did not run.

--- a/internal/program/cmds/entity.go
+++ b/internal/program/cmds/entity.go
@@ -27,6 +27,9 @@
 	example string
 }
 
+// membersKind is the kind of daemons.
+const membersKind = "members"
+
 func entityCommands() []*cobra.Command {
 	described := []entityCommand{
 		{"org", "Organisations with their rates", "organisations", "survey team=alder rateTokensPerSecond=200000 burstTokens=800000"},
@@ -34,7 +37,7 @@
 		{"upstream", "Engines, the KV cache store and plain services", "upstreams", "engine-1 kind=engine baseUrl=http://127.0.0.1:9001 failureDomain=riga-1 model=girth"},
 		{"model", "Models", "models", "girth currentVersion=girth-1 blockTokens=1000"},
 		{"version", "Versions of models", "versions", "girth-2 model=girth weights=girth-2"},
-		{"member", "Daemons of the fleet", "members", ""},
+		{"member", "Daemons of the fleet", membersKind, ""},
 	}
 	cmds := make([]*cobra.Command, 0, len(described))
 	for _, d := range described {
@@ -46,12 +49,29 @@
 func (d entityCommand) command() *cobra.Command {
 	parent, s := newSession(d.use, d.short)
 	parent.AddCommand(s.listCommand(d.kind), s.getCommand(d.kind))
+	if d.kind == membersKind {
+		parent.AddCommand(s.declareDeadCommand())
+	}
 	if d.example != "" {
 		parent.AddCommand(s.setCommand(d), s.deleteCommand(d.kind))
 	}
 	return parent
 }
 
+func (s *session) declareDeadCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "dead ID", Short: "Vouch that the VM of a daemon no longer runs, so that changes need not wait for it",
+		Args: usageArgs(cobra.ExactArgs(1)),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			change := &client.Change{}
+			if err := s.admin.Post(cmd.Context(), entityPath(membersKind, args[0])+"/dead", nil, change); err != nil {
+				return err
+			}
+			return s.conclude(cmd, change)
+		},
+	}
+}
+
 func (s *session) listCommand(kind string) *cobra.Command {
 	return &cobra.Command{
 		Use: "list", Short: "List all that you may see", Args: usageArgs(cobra.NoArgs),
--- a/internal/program/daemon/parts.go
+++ b/internal/program/daemon/parts.go
@@ -107,7 +107,10 @@
 func (p *parts) buildTransports() (*credentials, error) {
 	p.log = &logsvc.Client{BaseURL: p.settings.LogService.URL, Timeout: p.settings.LogService.Timeout()}
 	p.engine = &engine.Client{Credential: func(string) string { return p.settings.UpstreamCredential }}
-	p.plain = &plain.Client{Credential: func(string) string { return p.settings.UpstreamCredential }}
+	p.plain = &plain.Client{
+		Credential: func(string) string { return p.settings.UpstreamCredential },
+		Budget:     &relay.Budget{},
+	}
 	p.directory = &directory{
 		vms:    &vmlist.Client{BaseURL: p.settings.VMList.URL, Timeout: p.settings.VMList.Timeout()},
 		self:   p.settings.DaemonID,
@@ -165,6 +168,7 @@
 	}
 	p.lease = &lease.Holder{Follower: p.follower, Fleet: p.fleet}
 	p.follower.Urgent = p.lease.NeedsLog
+	p.follower.Serving = p.lease.Valid
 	p.limiter = &quota.Limiter{
 		Self:    p.settings.DaemonID,
 		Peers:   p.calls,
@@ -186,11 +190,10 @@
 		return err
 	}
 	p.router = &route.Router{
-		Policy:  policy,
-		Index:   &prefix.Index{},
-		Health:  &health.Table{},
-		Fair:    &route.Fair{},
-		Retries: &route.RetryBudget{},
+		Policy: policy,
+		Index:  &prefix.Index{},
+		Health: &health.Table{},
+		Fair:   &route.Fair{},
 
 		ImportRate:    p.settings.Store.ImportTokensPerSecond,
 		ImportLatency: milliseconds(p.settings.Store.ImportLatencyMs),
@@ -208,7 +211,7 @@
 		Limits:         limits{p.limiter, &p.refused},
 		Claims:         claims{p.claimer},
 		Versions:       versions{p.splitter},
-		Runner:         runner{relay: &relay.Relay{Engine: p.engine, Picker: p.picks}},
+		Runner:         runner{relay: &relay.Relay{Engine: p.engine, Picker: p.picks, Budget: &relay.Budget{}}},
 		Ready:          p.follower.Warm,
 		Record:         p.burn.Record,
 		AdmitWait:      milliseconds(p.settings.Limits.AdmitWaitMs),
--- a/internal/program/daemon/status.go
+++ b/internal/program/daemon/status.go
@@ -129,8 +129,12 @@
 	}
 }
 
-// staleReport is the age from which an engine's report is a problem.
-const staleReport = 5 * time.Second
+const (
+	// staleReport is the age from which an engine's report is a problem.
+	staleReport = 5 * time.Second
+	// silentLog is the age of the last read of the log's tail from which the log service counts as down.
+	silentLog = 10 * time.Second
+)
 
 // findProblems fills in what an operator should look at.
 func (s *Status) findProblems() {
@@ -162,7 +166,7 @@
 
 // logDown reports whether the log service has not answered for a while.
 func (s *Status) logDown() bool {
-	return s.Lease.TailReadAge < 0 || s.Lease.TailReadAge > staleReport
+	return s.Lease.TailReadAge < 0 || s.Lease.TailReadAge > silentLog
 }
 
 func (s *Status) problem(format string, args ...any) {
--- a/internal/transport/admin/operations.go
+++ b/internal/transport/admin/operations.go
@@ -30,6 +30,7 @@
 	}
 	ops = append(ops, s.operatorOperations()...)
 	ops = append(ops, s.keyOperations()...)
+	ops = append(ops, s.memberOperations()...)
 	ops = append(ops, s.moveOperations()...)
 	ops = append(ops, s.settingOperations()...)
 	return append(ops, s.reportOperations()...)
