Keep the sums of peers and send stops without figures

Cause: each tick added up the counts of all peers, and a daemon that had only heard of a stop did not pass it on. Change: sums are kept when a digest is merged; stops go out whether or not requests were counted.

--- a/internal/coordination/moves/digest.go
+++ b/internal/coordination/moves/digest.go
@@ -30,8 +30,8 @@
 func (w *Watch) Digest() []*wire.MoveDigest {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	all := w.figures.Load()
-	if all == nil {
+	t := w.Splitter.table.Load()
+	if t == nil {
 		return nil
 	}
 	w.digest.sinceLimits++
@@ -40,9 +40,10 @@
 		w.digest.sinceLimits = 0
 	}
 	var rows []*wire.MoveDigest
-	for id, f := range *all {
-		sh := w.Splitter.table.Load().shareOf(id)
-		if sh == nil {
+	for id, sh := range t.byMove {
+		rows = append(rows, stopDigests(sh)...)
+		f := w.knownFigures(id)
+		if f == nil {
 			continue
 		}
 		rows = append(rows, w.digestOf(sh, f)...)
@@ -76,13 +77,16 @@
 			rows = append(rows, cellDigest(sh, key, now))
 		}
 	}
-	rows = append(rows, brokenDigests(sh, f.broken.take())...)
-	if reason := w.Splitter.StopReason(sh.move.ID); reason != "" {
-		rows = append(rows, &wire.MoveDigest{
-			MoveId: string(sh.move.ID), VersionId: string(sh.move.To), Stopped: true, StopReason: reason,
-		})
+	return append(rows, brokenDigests(sh, f.broken.take())...)
+}
+
+func stopDigests(sh *share) []*wire.MoveDigest {
+	if !sh.stop.stopped() {
+		return nil
 	}
-	return rows
+	return []*wire.MoveDigest{{
+		MoveId: string(sh.move.ID), VersionId: string(sh.move.To), Stopped: true, StopReason: *sh.stop.reason.Load(),
+	}}
 }
 
 // due reports whether a row belongs into the next digest and notes that it was sent.
@@ -210,31 +214,31 @@
 	}
 }
 
-// merge replaces the counts of a peer; those of its earlier starts are kept.
+// merge replaces the counts of a peer; those of its earlier starts are kept in the sums.
 func (f *moveFigures) merge(from peer, key cellKey, now counts) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p := f.peers[peerKey{from.daemon, key}]
-	if p == nil {
-		p = &peerCounts{incarnation: from.incarnation}
-		f.peers[peerKey{from.daemon, key}] = p
-	}
-	if from.incarnation < p.incarnation {
+	if p.incarnation > from.incarnation {
 		return
 	}
-	if from.incarnation > p.incarnation {
-		p.earlier.addAll(p.latest)
-		p.latest, p.incarnation = counts{}, from.incarnation
+	if p.incarnation < from.incarnation {
+		p = peerCounts{incarnation: from.incarnation}
 	}
-	if now.requests >= p.latest.requests && now.ttftSamples >= p.latest.ttftSamples {
-		p.latest = now
+	if now.requests < p.latest.requests || now.ttftSamples < p.latest.ttftSamples {
+		return
 	}
+	sum := f.peerSums[key]
+	sum.addAll(now.minus(p.latest))
+	f.peerSums[key] = sum
+	p.latest = now
+	f.peers[peerKey{from.daemon, key}] = p
 }
 
-// peerCounts are the counts of one peer since its start and those of its earlier starts.
+// peerCounts are the counts of one peer since its start.
 type peerCounts struct {
-	incarnation     ident.Incarnation
-	earlier, latest counts
+	incarnation ident.Incarnation
+	latest      counts
 }
 
 // adopt takes a peer's limits where this daemon has too few samples of its own.
@@ -270,11 +274,10 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for key, p := range f.peers {
-		c := sum[key.cell]
-		c.addAll(p.earlier)
-		c.addAll(p.latest)
-		sum[key.cell] = c
+	for key, peers := range f.peerSums {
+		c := sum[key]
+		c.addAll(peers)
+		sum[key] = c
 	}
 	return sum
 }
--- a/internal/coordination/moves/watch.go
+++ b/internal/coordination/moves/watch.go
@@ -31,9 +31,11 @@
 	cells  atomic.Pointer[map[cellKey]*cell]
 	routes atomic.Pointer[map[ident.RouteID]*routeFigures]
 	broken brokenUpstreams
-	// mu serialises the writers of cells and routes and guards peers.
+	// mu serialises the writers of cells and routes and guards peers and peerSums.
 	mu    sync.Mutex
-	peers map[peerKey]*peerCounts
+	peers map[peerKey]peerCounts
+	// peerSums are the counts of all peers together.
+	peerSums map[cellKey]counts
 }
 
 // cellKey names one set of counts. The organisation is empty for those that are not counted one by one.
@@ -102,12 +104,18 @@
 	return sh, w.figuresOf(sh), at.Version == sh.move.To
 }
 
+// knownFigures returns nil if nothing has been counted for the move.
+func (w *Watch) knownFigures(move ident.MoveID) *moveFigures {
+	if all := w.figures.Load(); all != nil {
+		return (*all)[move]
+	}
+	return nil
+}
+
 func (w *Watch) figuresOf(sh *share) *moveFigures {
 	move := sh.move.ID
-	if all := w.figures.Load(); all != nil {
-		if f := (*all)[move]; f != nil {
-			return f
-		}
+	if f := w.knownFigures(move); f != nil {
+		return f
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -142,7 +150,7 @@
 }
 
 func newMoveFigures(sh *share) *moveFigures {
-	f := &moveFigures{model: sh.move.Model, from: sh.move.From, peers: map[peerKey]*peerCounts{}}
+	f := &moveFigures{model: sh.move.Model, from: sh.move.From, peers: map[peerKey]peerCounts{}, peerSums: map[cellKey]counts{}}
 	f.cells.Store(&map[cellKey]*cell{})
 	f.routes.Store(&map[ident.RouteID]*routeFigures{})
 	return f
