Test the oracles, the ownership of slices and the exit codes

Cause: these had no tests. Found: the ledger of admissions ignored earlier admissions of the same instant; an unknown command printed the help and exited with 0. Both are mended. Conclusion: exit codes are 0, 1 and 2 as documented.

--- a/internal/program/cmds/operator.go
+++ b/internal/program/cmds/operator.go
@@ -43,7 +43,10 @@
 	flags.BoolVar(&s.json, "json", false, "print JSON")
 	flags.BoolVar(&s.wait, "wait", false, "wait until the change is in force or the move has ended")
 	flags.DurationVar(&s.limit, "wait-limit", defaultWait, "longest wait")
-	cmd.PersistentPreRunE = func(*cobra.Command, []string) error {
+	cmd.PersistentPreRunE = func(called *cobra.Command, _ []string) error {
+		if called.HasSubCommands() {
+			return nil
+		}
 		if s.admin.Server == "" {
 			return &UsageError{Err: &MissingFlagError{Flag: "server"}}
 		}
@@ -57,7 +60,7 @@
 // newSession returns a parent command with the flags of operators.
 func newSession(use, short string) (*cobra.Command, *session) {
 	s := &session{}
-	cmd := &cobra.Command{Use: use, Short: short, Args: usageArgs(cobra.NoArgs)}
+	cmd := &cobra.Command{Use: use, Short: short, Args: cobra.ArbitraryArgs, RunE: onlyCommands}
 	s.addTo(cmd)
 	return cmd, s
 }
--- a/internal/program/cmds/report.go
+++ b/internal/program/cmds/report.go
@@ -15,6 +15,7 @@
 
 func newStatus() *cobra.Command {
 	cmd, s := newSession("status", "Tell what is wrong, and how daemons, engines and moves are")
+	cmd.Args = usageArgs(cobra.NoArgs)
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
 		var st daemon.Status
 		if err := s.admin.Get(cmd.Context(), "/status", &st); err != nil {
--- a/internal/program/cmds/root.go
+++ b/internal/program/cmds/root.go
@@ -59,7 +59,8 @@
 		Short:         "Routes language-model traffic that carries long shared prompts",
 		SilenceErrors: true,
 		SilenceUsage:  true,
-		Args:          usageArgs(cobra.NoArgs),
+		Args:          cobra.ArbitraryArgs,
+		RunE:          onlyCommands,
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &UsageError{Err: err} })
 	addLogFlags(root)
@@ -69,6 +70,21 @@
 	return root
 }
 
+// UnknownCommandError names a command that does not exist.
+type UnknownCommandError struct {
+	Name string
+}
+
+func (e *UnknownCommandError) Error() string { return "unknown command " + e.Name }
+
+// onlyCommands is what a command runs that has no use without one of its own commands: it shows its help.
+func onlyCommands(cmd *cobra.Command, args []string) error {
+	if len(args) > 0 {
+		return &UsageError{Err: &UnknownCommandError{Name: args[0]}}
+	}
+	return cmd.Help()
+}
+
 // addLogFlags offers the verbosity of klog; its other flags keep their defaults.
 func addLogFlags(root *cobra.Command) {
 	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
--- a/internal/program/cmds/standin.go
+++ b/internal/program/cmds/standin.go
@@ -23,7 +23,7 @@
 func newStandin() *cobra.Command {
 	parent := &cobra.Command{
 		Use: "standin", Short: "Run a stand-in of a system outside: engine, log, vms, weights, store or plain",
-		Args: usageArgs(cobra.NoArgs),
+		Args: cobra.ArbitraryArgs, RunE: onlyCommands,
 	}
 	for _, kind := range []struct {
 		name, short string
--- /dev/null
+++ b/internal/program/daemon/claims_test.go
@@ -0,0 +1,85 @@
+package daemon
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/gooseberryway/gooseberryway/internal/coordination/claim"
+	"github.com/gooseberryway/gooseberryway/internal/state/config"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
+
+// fleetState applies records of members to a state.
+type fleetState struct {
+	t     require.TestingT
+	state *config.State
+}
+
+func (f *fleetState) set(i int, s config.MemberState) {
+	id := ident.DaemonID(fmt.Sprintf("d%d", i))
+	path := config.PathOf(&config.Member{ID: id})
+	m := &config.Member{
+		ID: id, Incarnation: ident.Incarnation(f.state.Offset()) + 1, CallerAddress: "127.0.0.1:1", PeerAddress: "127.0.0.1:2",
+		AdminAddress: "127.0.0.1:3", FailureDomain: "riga-1", State: s,
+	}
+	offset := f.state.Offset() + 1
+	rec := config.NewRecord(ident.RecordID(fmt.Sprint(offset)), "test", f.state.Revision(path), m)
+	next, err := f.state.Apply(offset, rec)
+	require.NoError(f.t, err)
+	f.state = next
+}
+
+func TestTheEpochOfASliceGrowsWithEveryChangeOfItsOwner(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		f := &fleetState{t: rt, state: config.NewState()}
+		const daemons = 4
+		joined := [daemons]bool{}
+		last := map[claim.Slice]claim.Ownership{}
+		for range 12 {
+			i := rapid.IntRange(0, daemons-1).Draw(rt, "daemon")
+			s := config.MemberJoined
+			if joined[i] {
+				s = config.MemberRemoved
+			}
+			joined[i] = !joined[i]
+			f.set(i, s)
+			members := newSliceMembers(f.state)
+			for slice := range claim.Slice(8) {
+				now := members.owner(slice)
+				if now.Owner != last[slice].Owner && now.Owner != "" {
+					require.Greater(rt, now.Epoch, last[slice].Epoch)
+				}
+				if now.Owner != "" {
+					last[slice] = now
+				}
+			}
+		}
+	})
+}
+
+func TestASliceHasNoOwnerUntilTheNewOneIsInForce(t *testing.T) {
+	f := &fleetState{t: t, state: config.NewState()}
+	f.set(0, config.MemberJoined)
+	f.set(1, config.MemberJoined)
+	before := f.state
+	var o ownerships
+	o.update(before, before)
+	owned := map[ident.DaemonID]int{}
+	for s := range claim.Slice(claim.Slices) {
+		owned[o.of(s).Owner]++
+	}
+	require.Positive(t, owned["d0"])
+	require.Positive(t, owned["d1"])
+
+	f.set(1, config.MemberRemoved)
+	o.update(f.state, before)
+	for s := range claim.Slice(claim.Slices) {
+		require.NotEqual(t, ident.DaemonID("d1"), o.of(s).Owner, "a lost slice is lost at once")
+		require.Contains(t, []ident.DaemonID{"", "d0"}, o.of(s).Owner)
+	}
+	o.update(f.state, f.state)
+	require.Equal(t, ident.DaemonID("d0"), o.of(0).Owner)
+}
--- a/internal/program/load/oracle.go
+++ b/internal/program/load/oracle.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sort"
 	"time"
 
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
@@ -39,7 +40,7 @@
 
 // level returns how full the bucket is at a time.
 func (l *ledger) level(at time.Time) float64 {
-	i, _ := slices.BinarySearchFunc(l.times, at, time.Time.Compare)
+	i := sort.Search(len(l.times), func(i int) bool { return l.times[i].After(at) })
 	if i == 0 {
 		return 0
 	}
