--- a/internal/coordination/quota/admit.go
+++ b/internal/coordination/quota/admit.go
@@ -59,6 +59,7 @@
 	if len(e.queue) == 0 {
 		if r, ok := e.take(cost, now); ok {
 			e.prefetch(expected, now)
+			e.rebalance(now)
 			return r, nil, nil
 		}
 	}
--- a/internal/coordination/quota/consts.go
+++ b/internal/coordination/quota/consts.go
@@ -33,7 +33,13 @@
 	maxRetryAfter = time.Hour
 
 	// promptParts divides the burst into the part that may be spent without telling the home at once.
-	promptParts = 32
+	promptParts = 16
+	// smallAskParts divides a home's part of the burst into asks that are small enough for one home.
+	smallAskParts = 8
+	// dryPause is how long a home that could not grant all is not asked again at least.
+	dryPause = 50 * time.Millisecond
+	// movePause is how long a home that had no tokens to transfer is not asked for others.
+	movePause = time.Second
 	// creditWindow is how long a home remembers a grant after it was made, to credit unused tokens of long requests.
 	creditWindow = 10 * time.Minute
 	// historyGrains divides a capacity into the steps in which a bucket remembers how full it was.
--- a/internal/coordination/quota/entry.go
+++ b/internal/coordination/quota/entry.go
@@ -28,6 +28,8 @@
 	queue  []*waiter
 	queued ident.Tokens
 	demand demand
+	// turn moves on which home is asked next.
+	turn int
 	// pumping says that a goroutine serves the queue; wake makes it look again.
 	pumping bool
 	wake    chan struct{}
@@ -55,11 +57,14 @@
 	// daemon and to have the rest at retryAt.
 	answered, retryAt time.Time
 	flow              float64
+	// moving says that a transfer is under way; the next one is not asked for before moveAt.
+	moving bool
+	moveAt time.Time
 	// failedUntil is set when the home did not answer.
 	failedUntil time.Time
 	// settlements are not sent yet.
 	settlements map[uint64]*wire.GrantSettlement
-	// unreported are the spent tokens in the settlements.
+	// unreported are the tokens in the settlements.
 	unreported ident.Tokens
 }
 
@@ -68,7 +73,8 @@
 	if p.flow <= 0 {
 		return p.retryAt
 	}
-	return earlier(p.retryAt, p.answered.Add(time.Duration(part/p.flow*float64(time.Second))))
+	pause := max(dryPause, time.Duration(part/p.flow*float64(time.Second)))
+	return earlier(p.retryAt, p.answered.Add(pause))
 }
 
 // demand estimates the tokens a second that are asked for, by exponential decay.
@@ -139,10 +145,15 @@
 	return s
 }
 
-// spent notes that tokens of a grant are charged to a request. The home can't mint tokens in place of spent ones before
-// it knows of them, so it is told soon when they are a notable part of the burst.
+// spent notes that tokens of a grant are charged to a request.
 func (e *entry) spent(home ident.DaemonID, grant uint64, n ident.Tokens) {
 	e.settlement(home, grant).Spent += int64(n)
+	e.report(home, n)
+}
+
+// report notes tokens in settlements. The home can't mint in place of spent tokens or grant unused ones before it knows
+// of them, so it is told soon when they are a notable part of the burst.
+func (e *entry) report(home ident.DaemonID, n ident.Tokens) {
 	p := e.peer(home)
 	p.unreported += n
 	if p.unreported*promptParts > e.limit.Burst {
--- a/internal/coordination/quota/home.go
+++ b/internal/coordination/quota/home.go
@@ -42,7 +42,7 @@
 	a.response = &wire.GrantResponse{Answers: make([]*wire.GrantAnswer, 0, len(req.GetAsks()))}
 	for _, ask := range req.GetAsks() {
 		answer := l.answer(daemon, ask)
-		if ask.GetTokens() > 0 || answer.GetNotHome() || answer.GetNotRenewed() {
+		if ask.GetTokens() > 0 || answer.GetTransferredTokens() > 0 || answer.GetNotHome() || answer.GetNotRenewed() {
 			a.response.Answers = append(a.response.Answers, answer)
 		}
 	}
@@ -77,6 +77,9 @@
 	if len(e.queue) > 0 {
 		e.signal()
 	}
+	if n := ask.GetTransferTokens(); n > 0 {
+		answer.TransferredTokens = int64(e.bucket.transfer(ident.Tokens(n), daemon, now))
+	}
 	wanted := max(0, ident.Tokens(ask.GetTokens()))
 	if wanted == 0 {
 		return answer
--- a/internal/coordination/quota/pump.go
+++ b/internal/coordination/quota/pump.go
@@ -89,8 +89,8 @@
 	e.bucket.await(e.limiter.Self, toMicro(part+e.own(now)), patience, now)
 }
 
-// ask asks the homes that may have tokens for equal parts of n, less what is under way. first is the part of n
-// that the first waiting request needs.
+// ask asks homes that may have tokens for equal parts of n, less what is under way: all of them when n is a notable part
+// of the burst, else the next one or few in turn. first is the part of n that the first waiting request needs.
 func (e *entry) ask(n, first ident.Tokens, now time.Time) {
 	ready := make([]ident.DaemonID, 0, len(e.homes))
 	for _, home := range e.homes {
@@ -105,15 +105,23 @@
 	if n <= 0 || len(ready) == 0 {
 		return
 	}
-	count := ident.Tokens(len(ready))
-	part := (n + count - 1) / count
-	for _, home := range ready {
+	count := min(len(ready), e.askCount(n))
+	part := (n + ident.Tokens(count) - 1) / ident.Tokens(count)
+	e.turn++
+	for i := range count {
+		home := ready[(e.turn+i)%len(ready)]
 		p := e.peer(home)
 		p.asking, p.asked, p.askedAt = true, part, now
-		e.limiter.link(home).ask(e, part)
+		e.limiter.link(home).ask(e, wanted{grant: part})
 	}
 }
 
+// askCount returns how many homes to ask for n tokens, such that each is asked for a small part of its share.
+func (e *entry) askCount(n ident.Tokens) int {
+	small := max(1, e.limit.Burst/ident.Tokens(smallAskParts*len(e.homes)))
+	return int((n + small - 1) / small)
+}
+
 // underWay tells whether an answer is expected soon.
 func (p *peer) underWay(now time.Time) bool {
 	return p.asking && now.Sub(p.askedAt) < hedgeDelay
--- a/internal/coordination/quota/reservation.go
+++ b/internal/coordination/quota/reservation.go
@@ -58,6 +58,7 @@
 func (e *entry) giveBack(p part, n ident.Tokens, now time.Time) {
 	if p.bucket == nil {
 		e.settlement(p.home, p.grant).Unused += int64(n)
+		e.report(p.home, n)
 		return
 	}
 	if p.bucket == e.bucket {
