--- a/internal/coordination/claim/backup.go
+++ b/internal/coordination/claim/backup.go
@@ -140,23 +140,48 @@
 
 // copyDue sends claims that are not logged in time to the backups of their slices.
 func (c *Claimer) copyDue() {
-	timer := time.NewTicker(copyInterval)
-	defer timer.Stop()
 	for {
 		select {
-		case <-timer.C:
-		case <-c.writer.outage:
+		case <-c.writer.added:
 		case <-c.life.Done():
 			return
 		}
-		since := time.Now().Add(-outageAfter)
-		if c.writer.down.Load() {
-			since = time.Now()
+		for more := true; more; {
+			pause := copyInterval
+			if c.writer.down.Load() {
+				pause = defaultLinger
+			}
+			if !c.sleep(pause) {
+				return
+			}
+			more = c.copyOnce()
 		}
-		for backup, claims := range c.uncopied(c.writer.due(since)) {
-			c.copyTo(backup, claims)
+	}
+}
+
+// copyOnce copies the claims that are due; false when none is left to be copied.
+func (c *Claimer) copyOnce() bool {
+	since := time.Now()
+	if !c.writer.down.Load() {
+		since = since.Add(-outageAfter)
+	}
+	due := c.writer.takeDue(since)
+	for backup, claims := range c.uncopied(due) {
+		c.copyTo(backup, claims)
+	}
+	var left []*claim
+	for _, tried := range due {
+		s := &c.slices[tried.key.slice()]
+		s.mu.Lock()
+		if !tried.safe && !tried.freed {
+			left = append(left, tried)
 		}
+		s.mu.Unlock()
+	}
+	if len(left) > 0 {
+		c.sleep(copyInterval)
 	}
+	return c.writer.putBack(left)
 }
 
 // uncopied groups the claims that are neither logged nor copied by the backup that covers them.
--- a/internal/coordination/claim/claimer.go
+++ b/internal/coordination/claim/claimer.go
@@ -103,7 +103,7 @@
 	c.start.Do(func() {
 		c.life, c.end = context.WithCancel(context.Background())
 		c.writer.wake = make(chan struct{}, 1)
-		c.writer.outage = make(chan struct{}, 1)
+		c.writer.added = make(chan struct{}, 1)
 	})
 }
 
--- a/internal/coordination/claim/claimer_test.go
+++ b/internal/coordination/claim/claimer_test.go
@@ -19,14 +19,14 @@
 
 func TestOneOfManyClaimsIsGranted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(4)
+		f := newFleet(4, time.Minute)
 		defer f.close()
 		time.Sleep(settle)
 		var granted, ran atomic.Int32
 		var wg sync.WaitGroup
 		for i := range 20 {
 			wg.Go(func() {
-				d, err := f.try(t, f.members[i%4], "k", fmt.Sprint("r", i))
+				d, err := f.try(t, f.members[i%4], "shared", fmt.Sprint("r", i))
 				require.NoError(t, err)
 				switch d.(type) {
 				case Granted:
@@ -45,7 +45,7 @@
 
 func TestRepeatGetsTheKeptAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(3)
+		f := newFleet(3, time.Minute)
 		defer f.close()
 		time.Sleep(settle)
 		d, err := f.try(t, "d00", "k", "r1")
@@ -64,7 +64,7 @@
 		require.NoError(t, err)
 		require.Equal(t, Mismatch{}, d)
 
-		time.Sleep(DefaultWindow + time.Minute)
+		time.Sleep(f.window + time.Second)
 		d, err = f.try(t, "d01", "k", "r4")
 		require.NoError(t, err)
 		require.Equal(t, Granted{}, d)
@@ -73,7 +73,7 @@
 
 func TestRequestThatDidNotRunFreesItsKey(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(3)
+		f := newFleet(3, time.Minute)
 		defer f.close()
 		time.Sleep(settle)
 		for i := range 3 {
--- a/internal/coordination/claim/consts.go
+++ b/internal/coordination/claim/consts.go
@@ -35,7 +35,7 @@
 	copyTimeout = 500 * time.Millisecond
 
 	// ownInterval is how often the ownership of slices is looked up.
-	ownInterval = 100 * time.Millisecond
+	ownInterval = 250 * time.Millisecond
 	// sampleInterval is how often the end of the claims stream is noted, to know where a replay starts.
 	sampleInterval = time.Minute
 	// replayWindows is how many windows a replay goes back.
--- a/internal/coordination/claim/fleet_test.go
+++ b/internal/coordination/claim/fleet_test.go
@@ -119,18 +119,20 @@
 	epoch    ident.Offset
 	inForce  time.Time
 	log      *memoryLog
+	window   time.Duration
 	delay    time.Duration
 	cut      map[ident.DaemonID]bool
 	stopping sync.WaitGroup
 }
 
-func newFleet(n int) *fleet {
+func newFleet(n int, window time.Duration) *fleet {
 	f := &fleet{
 		claimers: make(map[ident.DaemonID]*Claimer),
 		log:      &memoryLog{delay: 5 * time.Millisecond},
 		delay:    1500 * time.Microsecond,
 		cut:      make(map[ident.DaemonID]bool),
 		epoch:    1,
+		window:   window,
 		inForce:  time.Now(),
 	}
 	for i := range n {
@@ -143,7 +145,7 @@
 }
 
 func (f *fleet) start(id ident.DaemonID, incarnation ident.Incarnation) {
-	c := &Claimer{Self: id, Incarnation: incarnation, Log: f.log, Peers: port{fleet: f, self: id}, Owner: f.owner}
+	c := &Claimer{Self: id, Incarnation: incarnation, Log: f.log, Peers: port{fleet: f, self: id}, Owner: f.owner, Window: f.window}
 	f.mu.Lock()
 	f.claimers[id] = c
 	f.mu.Unlock()
--- a/internal/coordination/claim/own.go
+++ b/internal/coordination/claim/own.go
@@ -96,8 +96,15 @@
 		return
 	}
 	applyBatch(state, opening)
+	waiting := 0
 	for _, o := range slices {
 		c.open(o, state[o.number], complete[o.number])
+		if !complete[o.number] {
+			waiting++
+		}
+	}
+	if waiting > 0 {
+		klog.InfoS("Claims of former owners may be lost, slices wait", "slices", waiting, "wait", c.window())
 	}
 }
 
@@ -137,7 +144,6 @@
 	s.blockedUntil = time.Time{}
 	if !complete {
 		s.blockedUntil = now.Add(c.window())
-		klog.InfoS("Claims of a former owner may be lost, the slice waits", "slice", o.number, "until", s.blockedUntil)
 	}
 }
 
--- a/internal/coordination/claim/writer.go
+++ b/internal/coordination/claim/writer.go
@@ -19,10 +19,13 @@
 	frees   []*wire.ClaimRecord
 	// unlogged holds the pending claims and those of the append that is under way.
 	unlogged map[*claim]struct{}
+	// uncopied holds the unlogged claims that may have to be copied, oldest first.
+	uncopied []*claim
 	wake     chan struct{}
-	// down says that the log service does not take claims; outage makes the copies start at once.
-	down   atomic.Bool
-	outage chan struct{}
+	// added says that claims may have to be copied; down that the log service does not take claims, so that they are
+	// copied at once.
+	added chan struct{}
+	down  atomic.Bool
 }
 
 func signal(ch chan struct{}) {
@@ -40,11 +43,10 @@
 		w.unlogged = make(map[*claim]struct{})
 	}
 	w.unlogged[c] = struct{}{}
+	w.uncopied = append(w.uncopied, c)
 	w.mu.Unlock()
 	signal(w.wake)
-	if w.down.Load() {
-		signal(w.outage)
-	}
+	signal(w.added)
 }
 
 // free writes that a claim is free again, with the next append.
@@ -85,6 +87,27 @@
 	}
 }
 
+// takeDue removes and returns the claims that came before the time and were not looked at for a copy.
+func (w *writer) takeDue(before time.Time) []*claim {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for n < len(w.uncopied) && !w.uncopied[n].at.After(before) {
+		n++
+	}
+	due := w.uncopied[:n]
+	w.uncopied = w.uncopied[n:]
+	return due
+}
+
+// putBack returns claims that could not be copied; false when none is left at all.
+func (w *writer) putBack(left []*claim) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.uncopied = append(left, w.uncopied...)
+	return len(w.uncopied) > 0
+}
+
 // due returns the claims that have not been logged since the time.
 func (w *writer) due(since time.Time) []*claim {
 	w.mu.Lock()
@@ -126,7 +149,6 @@
 	keep := func() bool {
 		if time.Since(started) > outageAfter {
 			c.writer.down.Store(true)
-			signal(c.writer.outage)
 		}
 		return true
 	}
