--- /dev/null
+++ b/internal/coordination/moves/split.go
@@ -0,0 +1,191 @@
+package moves
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/config"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
+
+// Splitter decides which version a request goes to. Version, Sendable and Stopped may be called from any number of
+// goroutines; they take no lock.
+type Splitter struct {
+	table atomic.Pointer[splitTable]
+	// mu serialises the writers of table.
+	mu sync.Mutex
+}
+
+// Update takes over the moves and models of a configuration.
+func (s *Splitter) Update(state *config.State) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.table.Load()
+	t := &splitTable{
+		current:    make(map[ident.ModelID]ident.VersionID, len(state.Models())),
+		moved:      map[routeKey]ident.VersionID{},
+		active:     map[routeKey]*share{},
+		everywhere: map[ident.ModelID]*share{},
+		byMove:     map[ident.MoveID]*share{},
+		retired:    map[retiredKey]*share{},
+	}
+	for id, m := range state.Models() {
+		t.current[id] = m.CurrentVersion
+	}
+	t.applyDone(state)
+	t.applyActive(state, old)
+	if old != nil {
+		old.retire(t)
+	}
+	s.table.Store(t)
+}
+
+// Ask is what the choice of a version depends on.
+type Ask struct {
+	Model        ident.ModelID
+	Route        ident.RouteID
+	Organisation ident.OrganisationID
+	Request      ident.RequestID
+	// Family is the hash of the first blocks of the prompt, 0 if there is none; it keeps prefixes warm on one
+	// version at the larger shares.
+	Family ident.BlockHash
+}
+
+// Version returns the version that a request goes to, "" for an unknown model.
+func (s *Splitter) Version(ask Ask) ident.VersionID {
+	t := s.table.Load()
+	if t == nil {
+		return ""
+	}
+	key := routeKey{ask.Model, ask.Route}
+	sh := t.find(key)
+	if sh == nil {
+		return t.base(key)
+	}
+	if !sh.takes(&ask) {
+		return sh.move.From
+	}
+	return sh.move.To
+}
+
+// takes reports whether the new version gets the request.
+func (sh *share) takes(ask *Ask) bool {
+	if sh.permille <= 0 || sh.stop.stopped() {
+		return false
+	}
+	if sh.permille >= wholePermille {
+		return sh.requestPosition(ask) < wholePermille-controlPermille
+	}
+	if sh.probes.take(ask.Route, ask.Organisation) {
+		return true
+	}
+	return sh.position(ask) < uint64(sh.permille)
+}
+
+// position places a request between 0 and 999, the same for every daemon and share but for the change to families.
+func (sh *share) position(ask *Ask) uint64 {
+	if ask.Family != 0 && sh.permille >= stickyFromPermille && !sh.families.heavy(uint64(ask.Family)) {
+		return mix(uint64(ask.Family)^sh.salt) % wholePermille
+	}
+	return sh.requestPosition(ask)
+}
+
+func (sh *share) requestPosition(ask *Ask) uint64 {
+	return mix(xxhash.Sum64String(string(ask.Request))^sh.salt) % wholePermille
+}
+
+// mix spreads the bits of a hash (the finaliser of SplitMix64).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// Sendable reports whether a request that was given the version may still be sent to it. Call it right before each
+// send, retries and resumed streams included, and ask Version again if it returns false.
+func (s *Splitter) Sendable(model ident.ModelID, route ident.RouteID, version ident.VersionID) bool {
+	t := s.table.Load()
+	if t == nil {
+		return false
+	}
+	key := routeKey{model, route}
+	sh := t.find(key)
+	if sh == nil {
+		return t.base(key) == version
+	}
+	if version == sh.move.From {
+		return true
+	}
+	return version == sh.move.To && sh.permille > 0 && !sh.stop.stopped()
+}
+
+// Other returns the version to try for a request that no engine of the picked version can take; it is the picked
+// version if there is no other.
+func (s *Splitter) Other(model ident.ModelID, route ident.RouteID, picked ident.VersionID) ident.VersionID {
+	t := s.table.Load()
+	if t == nil {
+		return picked
+	}
+	sh := t.find(routeKey{model, route})
+	switch {
+	case sh == nil:
+		return picked
+	case picked == sh.move.To:
+		return sh.move.From
+	case sh.permille == wholePermille && !sh.stop.stopped():
+		return sh.move.To
+	default:
+		return picked
+	}
+}
+
+// Serving returns the version of a route outside of moves that have not ended.
+func (s *Splitter) Serving(model ident.ModelID, route ident.RouteID) ident.VersionID {
+	t := s.table.Load()
+	if t == nil {
+		return ""
+	}
+	return t.base(routeKey{model, route})
+}
+
+// Stop ends the sending of new requests to the new version of a move on this daemon, at once and for good.
+// It reports whether the move was not stopped before.
+func (s *Splitter) Stop(move ident.MoveID, reason string) bool {
+	sh := s.table.Load().shareOf(move)
+	return sh != nil && sh.stop.set(reason)
+}
+
+// Stopped reports whether this daemon has stopped the version in a move that has not ended.
+func (s *Splitter) Stopped(version ident.VersionID) bool {
+	t := s.table.Load()
+	if t == nil {
+		return false
+	}
+	for _, sh := range t.byMove {
+		if sh.move.To == version && sh.stop.stopped() {
+			return true
+		}
+	}
+	return false
+}
+
+// StopReason returns why this daemon has stopped the new version of the move, "" if it has not.
+func (s *Splitter) StopReason(move ident.MoveID) string {
+	sh := s.table.Load().shareOf(move)
+	if sh == nil || !sh.stop.stopped() {
+		return ""
+	}
+	return *sh.stop.reason.Load()
+}
+
+func (m *stopMark) stopped() bool { return m.at.Load() != 0 }
+
+func (m *stopMark) set(reason string) bool {
+	m.reason.CompareAndSwap(nil, &reason)
+	return m.at.CompareAndSwap(0, time.Now().UnixNano())
+}
--- /dev/null
+++ b/internal/standin/serve/consts.go
@@ -0,0 +1,8 @@
+package serve
+
+import "time"
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	maxBodyBytes      = 16 << 20
+)
