Keep a slice blocked over further changes of its owner

A new owner that waits out the window because claims may be lost told the next owner that it knew all claims, and an owner without a backup counted as complete: the next one decided at once and a request could run twice. Found when daemons of the test learnt of changes at different times. The mark now says that the slice is blocked, and a blocked owner neither covers nor vouches.

--- a/internal/coordination/claim/cover.go
+++ b/internal/coordination/claim/cover.go
@@ -60,7 +60,7 @@
 	for number := range Slice(Slices) {
 		s := &c.slices[number]
 		s.mu.Lock()
-		if s.open && !s.covered && s.backup != "" {
+		if s.open && !s.covered && s.backup != "" && !s.blocked(time.Now()) {
 			o := owned{number: number, Ownership: Ownership{Owner: c.Self, Backup: s.backup, Epoch: s.epoch}}
 			groups[s.backup] = append(groups[s.backup], o)
 		}
--- a/internal/coordination/claim/own.go
+++ b/internal/coordination/claim/own.go
@@ -39,7 +39,8 @@
 
 // changes returns the slices that this daemon is to take over and those whose backup has changed.
 func (c *Claimer) changes() (gained, moved []owned) {
-	limit := time.Now().Add(-c.window())
+	now := time.Now()
+	limit := now.Add(-c.window())
 	for number := range Slice(Slices) {
 		o := owned{number: number, Ownership: c.Owner(number)}
 		s := &c.slices[number]
@@ -49,7 +50,7 @@
 		case o.Owner != c.Self:
 		case s.epoch != o.Epoch || !s.open && !s.ended:
 			gained = append(gained, o)
-		case s.open && s.backup != o.Backup:
+		case s.open && s.backup != o.Backup && !s.blocked(now):
 			moved = append(moved, o)
 		}
 		s.mu.Unlock()
@@ -86,7 +87,8 @@
 	}
 	complete, collected := c.collect(state)
 	opening := c.markBatch(slices, true)
-	for _, o := range slices {
+	for i, o := range slices {
+		opening.Marks[i].Blocked = !complete[o.number]
 		for _, record := range collected[o.number] {
 			record.OwnerEpoch = uint64(o.Epoch)
 			opening.Claims = append(opening.Claims, record)
--- a/internal/coordination/claim/replay.go
+++ b/internal/coordination/claim/replay.go
@@ -15,6 +15,8 @@
 	last   term
 	backup ident.DaemonID
 	marked bool
+	// blocked says that the owner did not know all claims of its predecessors.
+	blocked bool
 	// closed says that the term has ended with all claims logged.
 	closed bool
 	claims map[key]*wire.ClaimRecord
@@ -65,7 +67,7 @@
 
 // logged tells whether all claims that were granted are in the log. An owner without a backup grants no others.
 func (r *replayed) logged() bool {
-	return !r.marked || r.closed || r.backup == ""
+	return !r.marked || !r.blocked && (r.closed || r.backup == "")
 }
 
 func (r *replayed) apply(k key, record *wire.ClaimRecord) {
@@ -98,6 +100,7 @@
 	}
 	r.marked, r.closed = true, false
 	r.backup = ident.DaemonID(mark.GetBackup())
+	r.blocked = mark.GetBlocked()
 	r.last = term{
 		owner:       ident.DaemonID(batch.GetOwner()),
 		incarnation: ident.Incarnation(batch.GetOwnerIncarnation()),
--- a/internal/coordination/claim/slice.go
+++ b/internal/coordination/claim/slice.go
@@ -70,15 +70,21 @@
 	}
 }
 
-// end returns whether this daemon has decided the claims of the epoch, ends that, and returns the claims that it granted
-// and that may not be logged.
-func (s *slice) end(epoch ident.Offset) (unlogged []*wire.ClaimRecord, decided bool) {
+// blocked tells whether claims of a former owner may be lost.
+func (s *slice) blocked(now time.Time) bool { return now.Before(s.blockedUntil) }
+
+// end returns whether this daemon knows all claims of the slice up to the epoch, ends the epoch, and returns the claims
+// that it granted and that may not be logged.
+func (s *slice) end(epoch ident.Offset) (unlogged []*wire.ClaimRecord, complete bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.epoch != epoch || !s.open && !s.ended {
 		return nil, false
 	}
 	s.open, s.ended = false, true
+	if s.blocked(time.Now()) {
+		return nil, false
+	}
 	for _, c := range s.claims {
 		if c.safe && !c.logged && !c.freed {
 			unlogged = append(unlogged, c.record)
