--- a/internal/coordination/route/bench_test.go
+++ b/internal/coordination/route/bench_test.go
@@ -12,7 +12,11 @@
 	"github.com/gooseberryway/gooseberryway/internal/state/prefix"
 )
 
-const benchBlocks = 64
+const (
+	benchBlocks = 64
+	// refreshPicks is the number of decisions between load reports, which come a few times a second.
+	refreshPicks = 5000
+)
 
 // benchRouter returns a router whose index holds a million entries, and requests of 64 blocks. Of nested prefixes up to
 // 18 engines hold the first four blocks, three the first half and one all but one; of flat ones each of the 18 holds
@@ -84,6 +88,13 @@
 	b.ReportAllocs()
 	i := 0
 	for b.Loop() {
+		if i%refreshPicks == 0 {
+			b.StopTimer()
+			for id := range r.Health.Upstreams() {
+				report(r, id, 1, 1000)
+			}
+			b.StartTimer()
+		}
 		start := time.Now()
 		if _, err := r.Pick(requests[i%len(requests)]); err != nil {
 			b.Fatal(err)
--- a/internal/coordination/route/collect.go
+++ b/internal/coordination/route/collect.go
@@ -57,7 +57,7 @@
 	if len(s.candidates) == 0 {
 		return s.refusal
 	}
-	s.attach()
+	r.attach(s)
 	s.waiting = 0
 	for i := range s.candidates {
 		s.waiting += float64(s.candidates[i].load.Waiting) / float64(len(s.candidates))
@@ -87,7 +87,7 @@
 	s.candidates = append(s.candidates, candidate{
 		upstream:    u,
 		incarnation: u.Incarnation(),
-		load:        u.Load(now, r.senders()),
+		load:        u.Load(now),
 	})
 	return true
 }
@@ -102,14 +102,18 @@
 }
 
 // attach gives the candidates the blocks that they hold. What an older incarnation held counts for nothing.
-func (s *scratch) attach() {
+func (r *Router) attach(s *scratch) {
 	for _, m := range s.matches {
+		u := r.Health.Upstream(m.Engine)
 		for i := range s.candidates {
 			c := &s.candidates[i]
-			if c.upstream.ID == m.Engine && c.incarnation == m.Incarnation {
+			if c.upstream != u {
+				continue
+			}
+			if c.incarnation == m.Incarnation {
 				c.blocks = m.Blocks
-				break
 			}
+			break
 		}
 	}
 }
--- a/internal/coordination/route/experiment_test.go
+++ b/internal/coordination/route/experiment_test.go
@@ -21,14 +21,13 @@
 )
 
 var (
-	tableFlag   = flag.Bool("route.table", false, "measure all policies and log a table")
-	seedFlag    = flag.Uint64("route.seed", 1, "seed of the policy experiment")
-	seedsFlag   = flag.Uint64("route.seeds", 3, "number of seeds of the policy experiment")
-	timeFlag    = flag.Duration("route.time", 40*time.Second, "simulated time of the policy experiment")
-	weightFlag  = flag.Float64("route.weight", 0, "recompute weight of the prefix policy")
-	slackFlag   = flag.Float64("route.slack", 0, "slack of the prefix policy")
-	sendersFlag = flag.Float64("route.senders", 3, "senders of the prefix-senders case")
-	loadFlag    = flag.Float64("route.load", 0, "requests a second for each engine")
+	tableFlag  = flag.Bool("route.table", false, "measure all policies and log a table")
+	seedFlag   = flag.Uint64("route.seed", 1, "seed of the policy experiment")
+	seedsFlag  = flag.Uint64("route.seeds", 3, "number of seeds of the policy experiment")
+	timeFlag   = flag.Duration("route.time", 40*time.Second, "simulated time of the policy experiment")
+	weightFlag = flag.Float64("route.weight", 0, "recompute weight of the prefix policy")
+	slackFlag  = flag.Float64("route.slack", 0, "slack of the prefix policy")
+	loadFlag   = flag.Float64("route.load", 0, "requests a second for each engine")
 )
 
 // trial is one run of the experiment.
@@ -55,7 +54,6 @@
 	flood bool
 	// steered is the number of daemons to which the callers of a prefix family are sent; 0 is all.
 	steered int
-	senders float64
 }
 
 const (
@@ -159,7 +157,7 @@
 func (x *run) newRouter(d int) *Router {
 	r := &Router{
 		Policy: x.policy, Index: &prefix.Index{Capacity: 16384}, Health: &health.Table{},
-		Random: x.rng.IntN, Senders: x.senders,
+		Random: x.rng.IntN,
 	}
 	if !x.alike {
 		r.SetPart(d, x.daemons)
@@ -351,7 +349,6 @@
 		{"roundRobin", func(tr *trial) { tr.policy = &RoundRobin{} }},
 		{"leastLoad", func(tr *trial) { tr.policy = LeastLoad{} }},
 		{"prefix", func(tr *trial) { tr.policy = p }},
-		{"prefix-senders", func(tr *trial) { tr.policy, tr.senders = p, *sendersFlag }},
 		{"prefix-steered", func(tr *trial) { tr.policy, tr.steered = p, 2 }},
 		{"prefix-silent", func(tr *trial) { tr.policy, tr.silent = p, true }},
 		{"prefix-alike-silent", func(tr *trial) { tr.policy, tr.alike, tr.silent = p, true, true }},
--- a/internal/coordination/route/notice_test.go
+++ b/internal/coordination/route/notice_test.go
@@ -21,7 +21,7 @@
 		d, err := a.Pick(req)
 		require.NoError(t, err)
 		attempt := a.Started(req, d)
-		load := func(id ident.UpstreamID) ident.Tokens { return b.Health.Upstream(id).Load(time.Now(), 1).Queued }
+		load := func(id ident.UpstreamID) ident.Tokens { return b.Health.Upstream(id).Load(time.Now()).Queued }
 		require.Equal(t, req.PromptTokens, load(d.Upstream))
 		other, err := b.Pick(request(7, 8, 9))
 		require.NoError(t, err)
--- a/internal/coordination/route/router.go
+++ b/internal/coordination/route/router.go
@@ -30,8 +30,6 @@
 	// starts. Without a rate nothing is imported.
 	ImportRate    ident.TokensPerSecond
 	ImportLatency time.Duration
-	// Senders is the number of daemons that send as much to the same engines as this one; 0 counts as 1.
-	Senders float64
 	// Notify is told of each request sent with much to compute, so that other daemons may Hear of it at once. It must
 	// not block; nil tells nobody.
 	Notify func(*wire.SentNotice)
@@ -201,7 +199,4 @@
 	return rand.IntN(n)
 }
 
-// senders returns the factor by which this daemon's own sends stand for those of all.
-func (r *Router) senders() float64 { return max(1, r.Senders) }
-
 func tried(req *Request, id ident.UpstreamID) bool { return slices.Contains(req.Tried, id) }
--- a/internal/coordination/route/rules_test.go
+++ b/internal/coordination/route/rules_test.go
@@ -144,7 +144,7 @@
 			r.Started(req, d)
 			least, most := math.Inf(1), 0.0
 			for _, u := range r.Health.Engines("m") {
-				queued := float64(u.Load(time.Now(), 1).Queued)
+				queued := float64(u.Load(time.Now()).Queued)
 				least, most = min(least, queued), max(most, queued)
 			}
 			// A queue may be longer by what copying the prefix costs, the slack, and the request itself.
--- a/internal/state/health/engine.go
+++ b/internal/state/health/engine.go
@@ -133,8 +133,8 @@
 }
 
 // Load estimates the load as of now: what the last report said, less what the engine has computed since, plus what
-// this daemon has sent since, times the number of daemons that send as much as this one.
-func (u *Upstream) Load(now time.Time, senders float64) Load {
+// this daemon has sent or heard of since.
+func (u *Upstream) Load(now time.Time) Load {
 	t := u.since(now)
 	r := u.report.Load()
 	if r == nil || t-r.asOf > ReportStale {
@@ -142,10 +142,10 @@
 	}
 	pending, begun := u.sent.after(r.asOf, t)
 	drained := u.PrefillRate() * (t - r.asOf).Seconds()
-	queued := ident.Tokens(max(0, float64(r.QueuedTokens)*u.QueueFactor()-drained) + float64(pending)*senders)
+	queued := ident.Tokens(max(0, float64(r.QueuedTokens)*u.QueueFactor()-drained) + float64(pending))
 	return Load{
 		Queued:   queued,
-		Requests: r.WaitingRequests + r.RunningRequests + int(float64(begun)*senders),
+		Requests: r.WaitingRequests + r.RunningRequests + int(begun),
 		Waiting:  r.WaitingRequests,
 		Reported: true,
 	}
