--- a/internal/coordination/moves/fleet_test.go
+++ b/internal/coordination/moves/fleet_test.go
@@ -37,9 +37,12 @@
 
 func newTestLog(deadline time.Duration, routes ...ident.RouteID) *testLog {
 	l := &testLog{state: config.NewState(), tried: map[string]int{}}
+	l.put(&config.Version{ID: oldV, Model: testModel, Weights: "w1"})
+	l.put(&config.Version{ID: newV, Model: testModel, Weights: "w2"})
 	l.put(&config.Model{ID: testModel, CurrentVersion: oldV, BlockTokens: 1024})
-	l.put(&config.Version{ID: oldV, Model: testModel})
-	l.put(&config.Version{ID: newV, Model: testModel})
+	for _, id := range []ident.RouteID{"quote", "note", "rare"} {
+		l.put(&config.Route{ID: id, Team: testTeam, Kind: config.RouteModel, Model: testModel, OnKeyWithdrawal: config.WithdrawalFinish})
+	}
 	if deadline > 0 {
 		l.begin(deadline, routes...)
 	}
@@ -168,8 +171,9 @@
 
 	mu     sync.Mutex
 	frozen *config.State
-	gone   bool
-	cancel context.CancelFunc
+	// gone daemons neither serve nor are seen; crashed ones never come back.
+	gone, crashed bool
+	cancel        context.CancelFunc
 }
 
 func newFleet(seed uint64, n int, rate float64, log *testLog, routes ...ident.RouteID) *fleet {
@@ -222,7 +226,7 @@
 func (d *daemon) thaw() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.frozen, d.gone = nil, false
+	d.frozen, d.gone = nil, d.crashed
 }
 
 func (f *fleet) live() []ident.DaemonID {
@@ -253,7 +257,7 @@
 // crash ends the daemon for good.
 func (d *daemon) crash() {
 	d.mu.Lock()
-	d.gone = true
+	d.gone, d.crashed = true, true
 	d.mu.Unlock()
 	d.cancel()
 }
