Start moves without waiting for records to be in force

Cause: with real daemons a move got no weights or began after 6 s: the new owner waited out an older one that never was, and the owner waited for its record to be in force. Change: the splitter knows when a move had no owner before; the steps no longer wait, as the log decides them; the least time in a step is 1 s.

--- a/internal/coordination/moves/consts.go
+++ b/internal/coordination/moves/consts.go
@@ -103,8 +103,6 @@
 	writeTimeout = 2 * time.Second
 	// leaseTTL is the longest time for which a daemon acts on what it knew.
 	leaseTTL = 3 * time.Second
-	// removalGrace passes before a record that hands over is in force.
-	removalGrace = 5 * time.Second
 	// baselineTime is the longest time in which the old version is watched before the first step.
 	baselineTime = 5 * time.Second
 	// baselinePart is the part of the old version's recent answers whose latency must have had a limit.
--- a/internal/coordination/moves/decide.go
+++ b/internal/coordination/moves/decide.go
@@ -20,9 +20,7 @@
 	winner bool
 	// ownerMissing is how long the owner has not been live.
 	ownerMissing time.Duration
-	// inForce says that no older owner can still act.
-	inForce bool
-	verdict Verdict
+	verdict      Verdict
 	// stopped is why a daemon has stopped the version, "" if none has.
 	stopped string
 	// overlap is another move of the same routes that goes first.
@@ -47,9 +45,6 @@
 	if s.stopped != "" {
 		return takenBack(s, s.stopped)
 	}
-	if !s.inForce {
-		return nil
-	}
 	if next := decideStep(s, settings); next != nil {
 		return next
 	}
--- a/internal/coordination/moves/owner.go
+++ b/internal/coordination/moves/owner.go
@@ -33,8 +33,6 @@
 	Live func() []ident.DaemonID
 	// Leased reports whether this daemon holds its serving lease.
 	Leased func() bool
-	// InForce reports whether every daemon acts on the record at the offset; nil waits for the lease and the grace.
-	InForce func(ident.Offset) bool
 	// Capacity reports whether enough engines have loaded the move's new version for a share; nil means always.
 	Capacity func(*config.Move, ident.Permille) bool
 	// Loading returns how long the engines still need to load the move's new version; nil means not at all.
@@ -60,13 +58,12 @@
 type trail struct {
 	revision ident.Offset
 	stage    stage
-	// since is when this daemon saw the stage first, and epochSeen when it saw the owner's epoch first.
-	since, epochSeen time.Time
-	epoch            ident.Offset
-	ownerLiveAt      time.Time
-	writing          bool
-	retryAt          time.Time
-	backoff          time.Duration
+	// since is when this daemon saw the stage first.
+	since       time.Time
+	ownerLiveAt time.Time
+	writing     bool
+	retryAt     time.Time
+	backoff     time.Duration
 }
 
 // stage is the part of a move whose change starts a new time to hold.
@@ -176,9 +173,6 @@
 	if st := (stage{m.State, m.Step, m.Share}); tr.stage != st || tr.since.IsZero() {
 		tr.stage, tr.since = st, now
 	}
-	if epoch := EpochOf(state, m); tr.epoch != epoch || tr.epochSeen.IsZero() {
-		tr.epoch, tr.epochSeen = epoch, now
-	}
 	if slices.Contains(live, m.Owner) {
 		tr.ownerLiveAt = now
 	}
@@ -230,7 +224,6 @@
 		self:         o.Daemon,
 		winner:       electOwner(m.ID, live) == o.Daemon,
 		ownerMissing: now.Sub(tr.ownerLiveAt),
-		inForce:      o.inForce(tr, now),
 		verdict:      o.verdicts[m.ID],
 		stopped:      o.Splitter.StopReason(m.ID),
 		overlap:      overlapBefore(state, m),
@@ -248,13 +241,6 @@
 	return s
 }
 
-func (o *Owner) inForce(tr *trail, now time.Time) bool {
-	if o.InForce != nil {
-		return o.InForce(tr.epoch)
-	}
-	return now.Sub(tr.epochSeen) >= leaseTTL+removalGrace
-}
-
 // finishedModel returns the model with the version of a move that is done, nil if it needs no change.
 func (o *Owner) finishedModel(state *config.State, m *config.Move, live []ident.DaemonID) *config.Model {
 	model, ok := state.Model(m.Model)
--- a/internal/coordination/moves/settings.go
+++ b/internal/coordination/moves/settings.go
@@ -34,7 +34,7 @@
 		s.MinSamples = 30
 	}
 	if s.MinStep == 0 {
-		s.MinStep = 2000
+		s.MinStep = 1000
 	}
 	if s.MaxSoak == 0 {
 		s.MaxSoak = 600_000
--- a/internal/coordination/moves/split.go
+++ b/internal/coordination/moves/split.go
@@ -160,6 +160,12 @@
 	return sh != nil && sh.stop.set(reason)
 }
 
+// FirstOwner reports whether this daemon knows that a move had no owner before its present one.
+func (s *Splitter) FirstOwner(move ident.MoveID) bool {
+	sh := s.table.Load().shareOf(move)
+	return sh != nil && sh.firstOwner
+}
+
 // Stopped reports whether this daemon has stopped the version in a move that has not ended.
 func (s *Splitter) Stopped(version ident.VersionID) bool {
 	t := s.table.Load()
--- a/internal/coordination/moves/table.go
+++ b/internal/coordination/moves/table.go
@@ -43,6 +43,9 @@
 	move     config.Move
 	salt     uint64
 	permille ident.Permille
+	// firstOwner says that the move had no owner before its present one.
+	firstOwner bool
+
 	stop     *stopMark
 	probes   *probeSet
 	families *familySketch
@@ -110,6 +113,7 @@
 		sh.stop, sh.probes, sh.families = &stopMark{}, &probeSet{}, &familySketch{}
 	} else {
 		sh.stop, sh.probes, sh.families = old.stop, old.probes, old.families
+		sh.firstOwner = old.move.Owner == "" || (old.firstOwner && old.move.Owner == m.Owner)
 	}
 	if m.Share > 0 && m.Step == 0 && (old == nil || old.permille == 0) {
 		sh.probes.arm(firstProbes)
--- a/internal/coordination/orders/orders.go
+++ b/internal/coordination/orders/orders.go
@@ -60,7 +60,7 @@
 	// Reports returns what an engine last reported, false if it is unknown or counts as dead.
 	Reports func(ident.UpstreamID) (Report, bool)
 	Engine  extern.Engine
-	// Splitter tells which versions serve.
+	// Splitter tells which versions serve and which moves had no owner before.
 	Splitter *moves.Splitter
 	// Settings returns the limits in use; nil means the defaults.
 	Settings func() Settings
@@ -93,10 +93,7 @@
 // epochSeen is when this daemon first saw the epoch of a move's owner.
 type epochSeen struct {
 	epoch ident.Offset
-	owner ident.DaemonID
 	at    time.Time
-	// first says that this daemon saw the move without an owner just before.
-	first bool
 }
 
 // Run gives orders until ctx ends or Close is called.
@@ -162,7 +159,7 @@
 	epoch := moves.EpochOf(state, m)
 	seen, known := o.epochs[m.ID]
 	if !known || seen.epoch != epoch {
-		o.epochs[m.ID] = epochSeen{epoch: epoch, owner: m.Owner, at: now, first: known && seen.owner == ""}
+		o.epochs[m.ID] = epochSeen{epoch, now}
 	}
 }
 
@@ -220,7 +217,7 @@
 	if m.Owner != o.Daemon || o.fenced[m.ID] == moves.EpochOf(state, m) {
 		return false
 	}
-	return up.ChecksFencing || seen.first || now.Sub(seen.at) >= leaseTTL+OrderTimeout
+	return up.ChecksFencing || o.Splitter.FirstOwner(m.ID) || now.Sub(seen.at) >= leaseTTL+OrderTimeout
 }
 
 // Capacity reports whether enough engines have loaded the new version of a move for a share.
--- a/internal/coordination/orders/orders_test.go
+++ b/internal/coordination/orders/orders_test.go
@@ -287,7 +287,9 @@
 		w.put(w.move(config.MoveRunning, "", 0))
 		o := w.orders(2)
 		run(t, o, func() {
+			o.Splitter.Update(w.current())
 			w.put(w.move(config.MoveRunning, "d1", 0))
+			o.Splitter.Update(w.current())
 			time.Sleep(10 * time.Second)
 			require.Equal(t, 3, w.engines.loaded(newV))
 			require.NoError(t, w.engines.Order(t.Context(), "http://127.0.0.1:9001", extern.EngineOrder{Kind: extern.OrderUnloadVersion, Version: newV}))
--- a/internal/program/daemon/versions.go
+++ b/internal/program/daemon/versions.go
@@ -47,7 +47,6 @@
 		Writer:   changes{p.writer},
 		Live:     p.live,
 		Leased:   p.lease.Valid,
-		InForce:  p.inForce,
 		Capacity: p.orders.Capacity,
 		Loading:  p.orders.Loading,
 		Splitter: p.splitter,
@@ -72,12 +71,6 @@
 	return ids
 }
 
-// inForce reports whether every daemon that serves acts on the record at the offset.
-func (p *parts) inForce(offset ident.Offset) bool {
-	view := p.fleet.View()
-	return view != nil && view.InForce.Offset() >= offset
-}
-
 // engineReport returns what an engine last reported, false if it is unknown, silent or ejected.
 func (p *parts) engineReport(id ident.UpstreamID) (orders.Report, bool) {
 	now := time.Now()
