--- a/internal/program/cmds/root.go
+++ b/internal/program/cmds/root.go
@@ -59,26 +59,30 @@
 		Short:         "Routes language-model traffic that carries long shared prompts",
 		SilenceErrors: true,
 		SilenceUsage:  true,
-		Args:          usageArgs(cobra.NoArgs),
+		Args:          cobra.ArbitraryArgs,
+		RunE:          onlyCommands,
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &UsageError{Err: err} })
 	addLogFlags(root)
 	root.AddCommand(newServe(), newCheck(), newDemo(), newLoad(), newStandin())
 	root.AddCommand(newKey(), newOperator(), newMove(), newSettings(), newStatus(), newReport())
 	root.AddCommand(entityCommands()...)
-	refuseUnknown(root)
 	return root
 }
 
-// refuseUnknown makes commands that only hold others refuse a name that is none of these. Cobra checks the arguments of
-// commands that run something only.
-func refuseUnknown(cmd *cobra.Command) {
-	for _, child := range cmd.Commands() {
-		refuseUnknown(child)
-	}
-	if cmd.HasSubCommands() && !cmd.Runnable() {
-		cmd.RunE = func(cmd *cobra.Command, _ []string) error { return cmd.Help() }
+// UnknownCommandError names a command that does not exist.
+type UnknownCommandError struct {
+	Name string
+}
+
+func (e *UnknownCommandError) Error() string { return "unknown command " + e.Name }
+
+// onlyCommands is what a command runs that has no use without one of its own commands: it shows its help.
+func onlyCommands(cmd *cobra.Command, args []string) error {
+	if len(args) > 0 {
+		return &UsageError{Err: &UnknownCommandError{Name: args[0]}}
 	}
+	return cmd.Help()
 }
 
 // addLogFlags offers the verbosity of klog; its other flags keep their defaults.
