Tell the other daemons of sent requests, and place cold prompts by part

Cause: daemons decided on load reports that did not know of each other's last sends. Change: notices travel by Tell, each daemon has its part of the engines for cold prompts, and the burst of an organisation sets its priority.

--- a/internal/program/daemon/digest.go
+++ b/internal/program/daemon/digest.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
 
+	"github.com/gooseberryway/gooseberryway/internal/coordination/member"
 	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 )
@@ -42,20 +45,50 @@
 		}
 		d := p.newDigest()
 		d.Moves = p.watch.Digest()
-		for _, id := range p.live() {
-			if id != p.settings.DaemonID {
-				p.background.Go(func() { p.tell(ctx, id, d) })
-			}
-		}
+		p.tellAll(ctx, &wire.TellRequest{Digest: d})
 		pause(ctx, urgentPause)
 	}
 }
 
-func (p *parts) tell(ctx context.Context, to ident.DaemonID, d *wire.Digest) {
-	if _, err := p.calls.Tell(ctx, to, &wire.TellRequest{Digest: d}); err != nil {
+// tellAll passes a message on to all other daemons and returns when each has answered or failed.
+func (p *parts) tellAll(ctx context.Context, req *wire.TellRequest) {
+	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, id := range p.live() {
+		if id != p.settings.DaemonID {
+			wg.Go(func() { p.tell(ctx, id, req) })
+		}
+	}
+	wg.Wait()
+}
+
+// notify passes on which requests this daemon has just sent to engines.
+func (p *parts) notify(ctx context.Context, notices []*wire.SentNotice) {
+	p.tellAll(ctx, &wire.TellRequest{Notices: notices})
+}
+
+// takePart tells the router which place this daemon has among those that answer.
+func (p *parts) takePart(view *member.View) {
+	ids := make([]ident.DaemonID, 0, len(view.Members))
+	for _, node := range view.Live() {
+		ids = append(ids, node.ID)
+	}
+	slices.Sort(ids)
+	if rank := slices.Index(ids, p.settings.DaemonID); rank >= 0 {
+		p.router.SetPart(rank, len(ids))
+	}
+}
+
+func (p *parts) tell(ctx context.Context, to ident.DaemonID, req *wire.TellRequest) {
+	if _, err := p.calls.Tell(ctx, to, req); err != nil {
 		klog.V(1).InfoS("Digest not delivered", "daemon", to, "err", err)
 	}
 }
 
-// urgentPause is the shortest time between two urgent digests.
-const urgentPause = 50 * time.Millisecond
+const (
+	// urgentPause is the shortest time between two urgent digests.
+	urgentPause = 50 * time.Millisecond
+	// tellTimeout bounds a message to the other daemons.
+	tellTimeout = time.Second
+)
--- a/internal/program/daemon/parts.go
+++ b/internal/program/daemon/parts.go
@@ -64,6 +64,7 @@
 	warm         atomic.Pointer[wire.Digest]
 	owners       ownerships
 	router       *route.Router
+	notices      *route.Notices
 	watchers     *watchers
 	picks        *picker
 	service      *serve.Service
@@ -197,6 +198,8 @@
 		ImportRate:    p.settings.Store.ImportTokensPerSecond,
 		ImportLatency: milliseconds(p.settings.Store.ImportLatencyMs),
 	}
+	p.notices = &route.Notices{Send: p.notify}
+	p.router.Notify = p.notices.Add
 	p.watchers = &watchers{engine: p.engine, router: p.router}
 	return nil
 }
@@ -234,6 +237,7 @@
 		p.configure(view)
 		p.seen = now
 	}
+	p.takePart(view)
 	p.lease.Renew()
 }
 
@@ -264,6 +268,7 @@
 	wg.Go(func() { _ = p.fleet.Run(ctx) })
 	wg.Go(func() { _ = p.checkpointer.Run(ctx) })
 	wg.Go(func() { p.limiter.Run(ctx) })
+	wg.Go(func() { p.notices.Run(ctx) })
 	wg.Go(func() { p.tellUrgent(ctx) })
 }
 
@@ -291,6 +296,7 @@
 	p.orders.Close()
 	p.claimer.Close()
 	p.limiter.Close()
+	p.notices.Close()
 	p.checkpointer.Close()
 	p.fleet.Close()
 	p.follower.Close()
--- a/internal/program/daemon/picks.go
+++ b/internal/program/daemon/picks.go
@@ -90,7 +90,7 @@
 		Resume:       req.ResumeFrom > 0,
 	}
 	if org, ok := st.Organisation(req.Organisation); ok {
-		r.Rate = org.Rate
+		r.Rate, r.Burst = org.Rate, org.Burst
 	}
 	if deadline, ok := ctx.Deadline(); ok {
 		r.Deadline = deadline
--- a/internal/program/daemon/servers.go
+++ b/internal/program/daemon/servers.go
@@ -67,7 +67,12 @@
 			return p.fleet.HandleHeartbeat(r)
 		},
 		Tell: func(_ context.Context, r *wire.TellRequest) (*wire.TellResponse, error) {
-			p.learn(r.GetDigest())
+			if r.GetDigest() != nil {
+				p.learn(r.GetDigest())
+			}
+			for _, n := range r.GetNotices() {
+				p.router.Hear(n)
+			}
 			return &wire.TellResponse{}, nil
 		},
 		Burn: func(context.Context, *wire.BurnRequest) (*wire.BurnResponse, error) {
--- a/internal/protocol/wire/peer.connect.go
+++ b/internal/protocol/wire/peer.connect.go
@@ -57,7 +57,7 @@
 type PeerServiceClient interface {
 	// Heartbeat renews the serving lease and carries packed digests.
 	Heartbeat(context.Context, *connect.Request[HeartbeatRequest]) (*connect.Response[HeartbeatResponse], error)
-	// Tell passes a digest on at once, between heartbeats.
+	// Tell passes a digest or notices on at once, between heartbeats.
 	Tell(context.Context, *connect.Request[TellRequest]) (*connect.Response[TellResponse], error)
 	// Burn reads the daemon's counts of service-level indicators.
 	Burn(context.Context, *connect.Request[BurnRequest]) (*connect.Response[BurnResponse], error)
@@ -205,7 +205,7 @@
 type PeerServiceHandler interface {
 	// Heartbeat renews the serving lease and carries packed digests.
 	Heartbeat(context.Context, *connect.Request[HeartbeatRequest]) (*connect.Response[HeartbeatResponse], error)
-	// Tell passes a digest on at once, between heartbeats.
+	// Tell passes a digest or notices on at once, between heartbeats.
 	Tell(context.Context, *connect.Request[TellRequest]) (*connect.Response[TellResponse], error)
 	// Burn reads the daemon's counts of service-level indicators.
 	Burn(context.Context, *connect.Request[BurnRequest]) (*connect.Response[BurnResponse], error)
