Let three daemons probe and ask for more evidence at the last step

Change: three daemons probe, six requests a route; a late probe makes place for the next; slow answers need more evidence at the last step. Conclusion: less exposure for slower detection on routes with little traffic; the false take-back is open until measured.

--- a/internal/coordination/moves/consts.go
+++ b/internal/coordination/moves/consts.go
@@ -20,8 +20,10 @@
 
 // Probes: single requests sent to a version ahead of its share, one at a time on each daemon and route.
 const (
-	firstProbes   = 4
-	confirmProbes = 4
+	// probingDaemons is the number of daemons that send probes of a move.
+	probingDaemons = 3
+	firstProbes    = 6
+	confirmProbes  = 4
 	// probeTimeout frees the place of a probe that has not been answered.
 	probeTimeout = 2 * time.Second
 )
--- a/internal/coordination/moves/elect.go
+++ b/internal/coordination/moves/elect.go
@@ -28,6 +28,14 @@
 	})
 }
 
+// rankOwners returns the first n daemons of the election.
+func rankOwners(move ident.MoveID, live []ident.DaemonID, n int) []ident.DaemonID {
+	ranked := slices.SortedFunc(slices.Values(live), func(a, b ident.DaemonID) int {
+		return cmp.Or(cmp.Compare(ownerWeight(move, b), ownerWeight(move, a)), cmp.Compare(a, b))
+	})
+	return ranked[:min(n, len(ranked))]
+}
+
 func ownerWeight(move ident.MoveID, daemon ident.DaemonID) uint64 {
 	return mix(xxhash.Sum64String(string(move)) ^ mix(xxhash.Sum64String(string(daemon))))
 }
--- a/internal/coordination/moves/flight.go
+++ b/internal/coordination/moves/flight.go
@@ -152,15 +152,18 @@
 }
 
 // countOverdue counts requests that wait for their first token longer than the limit as slow, and reports whether
-// any of the new version do.
-func (f *moveFigures) countOverdue(now time.Time) bool {
-	late := 0
-	for _, r := range *f.routes.Load() {
+// any of the new version do. The place of a probe that is late is free for the next one.
+func (f *moveFigures) countOverdue(now time.Time, probes *probeSet) bool {
+	late := false
+	for id, r := range *f.routes.Load() {
 		limits := r.limits()
 		r.pending[sideOf(false)].countOverdue(now, limits)
-		late += r.pending[sideOf(true)].countOverdue(now, limits)
+		if r.pending[sideOf(true)].countOverdue(now, limits) > 0 {
+			probes.freeRoute(id)
+			late = true
+		}
 	}
-	return late > 0
+	return late
 }
 
 // addTTFT counts a time to first token and reports whether it was slow.
--- a/internal/coordination/moves/judge.go
+++ b/internal/coordination/moves/judge.go
@@ -114,7 +114,7 @@
 	}
 	f := j.Watch.figuresOf(sh)
 	f.refreshLimits(100 + settings.SlowPercent)
-	if f.countOverdue(now) {
+	if f.countOverdue(now, sh.probes) {
 		notify(j.Watch.urgent)
 	}
 	cf.control.age(now.Sub(cf.at))
--- a/internal/coordination/moves/owner.go
+++ b/internal/coordination/moves/owner.go
@@ -127,13 +127,14 @@
 		o.Splitter.Update(state)
 		o.applied = state
 	}
+	live := o.Live()
+	o.Splitter.allowProbes(o.Daemon, live)
 	now := time.Now()
 	verdicts := o.judge.Tick(now, o.settings())
 	o.stopBad(verdicts)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.verdicts = verdicts
-	live := o.Live()
 	for _, m := range state.Moves() {
 		o.follow(state, m, live, now)
 	}
--- a/internal/coordination/moves/probe.go
+++ b/internal/coordination/moves/probe.go
@@ -12,6 +12,8 @@
 // probeSet hands out probes of one move: requests that go to the new version ahead of its share, one at a time on
 // each route, so that a verdict needs neither a long wait nor many requests.
 type probeSet struct {
+	// allowed says that this daemon is one of the few that send probes.
+	allowed atomic.Bool
 	// generation counts arms; a route that has not seen the newest gets a new budget.
 	generation atomic.Int64
 	budget     atomic.Int64
@@ -44,7 +46,7 @@
 // take reports whether the next request of the route is a probe.
 func (p *probeSet) take(route ident.RouteID, org ident.OrganisationID) bool {
 	generation := p.generation.Load()
-	if generation == 0 {
+	if generation == 0 || !p.allowed.Load() {
 		return false
 	}
 	if pr := p.known(controlKey{route, org}); pr != nil && pr.claim() {
@@ -82,6 +84,19 @@
 	}
 }
 
+// freeRoute frees the places of all probes of a route.
+func (p *probeSet) freeRoute(route ident.RouteID) {
+	probes := p.probes.Load()
+	if probes == nil {
+		return
+	}
+	for key, pr := range *probes {
+		if key.route == route {
+			pr.sentAt.Store(0)
+		}
+	}
+}
+
 func (p *probeSet) known(key controlKey) *probe {
 	if probes := p.probes.Load(); probes != nil {
 		return (*probes)[key]
--- a/internal/coordination/moves/split.go
+++ b/internal/coordination/moves/split.go
@@ -1,6 +1,7 @@
 package moves
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -160,6 +161,14 @@
 	return sh != nil && sh.stop.set(reason)
 }
 
+// allowProbes chooses the daemons that send probes of each move: the first few by rendezvous hashing, so that the
+// number of probes does not grow with the fleet.
+func (s *Splitter) allowProbes(self ident.DaemonID, live []ident.DaemonID) {
+	for id, sh := range s.table.Load().byMove {
+		sh.probes.allowed.Store(slices.Contains(rankOwners(id, live, probingDaemons), self))
+	}
+}
+
 // FirstOwner reports whether this daemon knows that a move had no owner before its present one.
 func (s *Splitter) FirstOwner(move ident.MoveID) bool {
 	sh := s.table.Load().shareOf(move)
--- a/internal/coordination/moves/split_test.go
+++ b/internal/coordination/moves/split_test.go
@@ -154,6 +154,7 @@
 		m.Share = 1
 		log.put(&m)
 		s.Update(log.current())
+		s.allowProbes("d1", []ident.DaemonID{"d1"})
 		w := Watch{Splitter: s}
 		probes := 0
 		for range firstProbes + 3 {
--- a/internal/coordination/moves/verdict.go
+++ b/internal/coordination/moves/verdict.go
@@ -51,7 +51,8 @@
 
 // slowAlarm is higher while the caches of the new version fill and while there is no comparison at the same time.
 func (cf *caseFile) slowAlarm(route ident.RouteID) float64 {
-	if cf.warming() {
+	// At the last step the old version's few answers say little about this moment.
+	if cf.warming() || cf.permille == wholePermille {
 		return cautiousSlowAlarm
 	}
 	if cf.control.recentRoute[route].of(signalFailure).n < soakingControl {
