--- a/internal/coordination/moves/consts.go
+++ b/internal/coordination/moves/consts.go
@@ -91,7 +91,7 @@
 	failureAlarm = 20.5
 	slowAlarm    = 14
 	// cautiousSlowAlarm takes the place of slowAlarm where the comparison is weaker.
-	cautiousSlowAlarm = 40
+	cautiousSlowAlarm = 24
 	// warmUp is the time after a step to a share of up to warmUpPermille in which caches fill.
 	warmUp         = 1500 * time.Millisecond
 	warmUpPermille = 250
