--- a/internal/program/cmds/root_test.go
+++ b/internal/program/cmds/root_test.go
@@ -19,6 +19,10 @@
 		says string
 	}{
 		{"help", []string{"--help"}, ExitGood, ""},
+		{"no command", nil, ExitGood, ""},
+		{"no command below another", []string{"key"}, ExitGood, ""},
+		{"no command below a stand-in", []string{"standin"}, ExitGood, ""},
+		{"unknown command below a stand-in", []string{"standin", "dance"}, ExitUsage, "dance"},
 		{"unknown flag", []string{"demo", "--colour"}, ExitUsage, "colour"},
 		{"unknown command", []string{"dance"}, ExitUsage, "dance"},
 		{"unknown command below another", []string{"org", "dance"}, ExitUsage, "dance"},
