Fit lines through benchmarks of several sizes: make capacity

Cause: figures of capacity have to follow from measured slopes that anyone can repeat. The start of the daemon no longer counts in ns/op of the benchmark of requests.

--- a/Makefile
+++ b/Makefile
@@ -51,3 +51,22 @@
 # Fails when the committed generated code differs from what the schema yields.
 check-generated:
 	./proto/check.sh
+
+# Runs the benchmarks that give slopes, keeps their output in CAPACITY_RAW and prints the tables of docs/CAPACITY.md.
+CAPACITY_RAW ?= $(BIN)/capacity.txt
+BENCH := $(GO) test -run '^$$'
+capacity:
+	mkdir -p $(dir $(CAPACITY_RAW))
+	{ set -e; \
+	$(BENCH) -bench 'AddedTime|Requests' -benchtime 3000x ./internal/program/daemon; \
+	$(BENCH) -bench StreamMemory -benchtime 1x ./internal/program/daemon; \
+	$(BENCH) -bench Heartbeats -benchtime 1000x -benchmem ./internal/coordination/member; \
+	$(BENCH) -bench Replay -benchtime 3x ./internal/coordination/replay; \
+	$(BENCH) -bench 'Pick$$|Valid|Version|Flight|Stickiness' -benchtime 10000x -benchmem ./internal/coordination/route ./internal/coordination/lease ./internal/coordination/moves; \
+	$(BENCH) -bench 'Match|Apply' -benchtime 10000x -benchmem ./internal/state/prefix; \
+	$(BENCH) -bench 'Memory|Delta|Chain' -benchtime 3x -benchmem ./internal/state/prefix; \
+	$(BENCH) -bench Size -benchtime 1000x -benchmem ./internal/state/config; \
+	$(BENCH) -bench Series -benchtime 1x ./internal/state/burn; \
+	$(BENCH) -bench Record -benchtime 10000x ./internal/state/burn; \
+	} >$(CAPACITY_RAW) 2>$(CAPACITY_RAW).log
+	$(GO) run ./internal/program/capac <$(CAPACITY_RAW)
--- a/internal/program/daemon/bench_test.go
+++ b/internal/program/daemon/bench_test.go
@@ -227,6 +227,7 @@
 	}{{1, true}, {16, true}, {64, true}, {256, true}, {1, false}, {64, false}} {
 		b.Run(fmt.Sprintf("tokens=%d/stream=%t", bench.tokens, bench.stream), func(b *testing.B) {
 			r := newRig(b)
+			b.ResetTimer()
 			direct := r.cost(b, r.direct, bench.tokens, bench.stream)
 			through := r.cost(b, r.daemon, bench.tokens, bench.stream)
 			n := float64(b.N)
--- /dev/null
+++ b/internal/state/config/size_test.go
@@ -0,0 +1,29 @@
+package config
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+)
+
+// BenchmarkSize measures, for several numbers of records, the memory of a state, the time of one more record and that
+// of a checkpoint's decoding.
+func BenchmarkSize(b *testing.B) {
+	for _, organisations := range []int{benchOrganisations / 4, benchOrganisations / 2, benchOrganisations} {
+		entries := fleetEntries(organisations, organisations*benchKeys/benchOrganisations)
+		b.Run(fmt.Sprintf("records=%d", len(entries)), func(b *testing.B) {
+			before := heapBytes()
+			s, _ := NewState().ApplyAll(entries)
+			b.ReportMetric(float64(heapBytes()-before), "stateBytes")
+			org, _ := s.Organisation("org7")
+			rec := NewRecord("next", "operator", s.Revision(PathOf(org)), org)
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := s.Apply(s.Offset()+1, rec); err != nil {
+					b.Fatal(err)
+				}
+			}
+			runtime.KeepAlive(s)
+		})
+	}
+}
