--- a/internal/program/daemon/bench_test.go
+++ b/internal/program/daemon/bench_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"k8s.io/klog/v2"
 
 	"github.com/gooseberryway/gooseberryway/internal/program/local"
 	"github.com/gooseberryway/gooseberryway/internal/program/setup"
@@ -93,8 +94,15 @@
 	key            string
 }
 
+// quiet drops the log, whose lines would come between the results.
+func quiet() {
+	klog.LogToStderr(false)
+	klog.SetOutput(io.Discard)
+}
+
 func newRig(b *testing.B) *rig {
 	b.Helper()
+	quiet()
 	upstream := httptest.NewServer(instant{})
 	system := &local.System{
 		Daemons:       1,
--- /dev/null
+++ b/internal/transport/engine/cache_test.go
@@ -0,0 +1,39 @@
+package engine
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/extern"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
+
+// discard takes in nothing.
+type discard struct{}
+
+func (discard) CacheEvent(extern.CacheEvent) {}
+func (discard) LoadReport(extern.LoadReport) {}
+
+// BenchmarkCacheEvent decodes a cache event that names blocks.
+func BenchmarkCacheEvent(b *testing.B) {
+	for _, blocks := range []int{1, 8, 64} {
+		b.Run(fmt.Sprintf("blocks=%d", blocks), func(b *testing.B) {
+			hashes := make([]ident.BlockHash, blocks)
+			for i := range hashes {
+				hashes[i] = ident.BlockHash(0x9e3779b97f4a7c15 * uint64(i+1))
+			}
+			data, err := json.Marshal(Event{Cache: &CacheEvent{Incarnation: 1764800000000, Sequence: 123456, Added: hashes}})
+			require.NoError(b, err)
+			b.ReportAllocs()
+			for b.Loop() {
+				if err := deliver(data, discard{}); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(data)), "wireBytes")
+		})
+	}
+}
