Drop the evidence of slow answers from the time in which caches fill

Ruled out: a longer warm-up at all steps (slow versions then ran 2.0 to 2.3 s at the first step, above the target of 2 s). Change: the cautious alarm holds for the warm-up of every step; from 25 % on its evidence of slow answers is dropped at its end.

--- a/internal/coordination/moves/consts.go
+++ b/internal/coordination/moves/consts.go
@@ -92,9 +92,10 @@
 	slowAlarm    = 14
 	// cautiousSlowAlarm takes the place of slowAlarm where the comparison is weaker.
 	cautiousSlowAlarm = 24
-	// warmUp is the time after a step to a share of up to warmUpPermille in which caches fill.
-	warmUp         = 1500 * time.Millisecond
-	warmUpPermille = 250
+	// warmUp is the time after a step in which caches fill.
+	warmUp = 1500 * time.Millisecond
+	// coldPermille is the share from which on a step turns so many caches cold that they slow other answers down.
+	coldPermille = 250
 	// suspicion is the part of an alarm from which a daemon sends probes to confirm or clear it.
 	suspicion = 0.2
 )
--- a/internal/coordination/moves/judge.go
+++ b/internal/coordination/moves/judge.go
@@ -1,6 +1,7 @@
 package moves
 
 import (
+	"maps"
 	"time"
 
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
@@ -67,6 +68,8 @@
 	permille ident.Permille
 	// stepAt is when this daemon saw the step first.
 	stepAt time.Time
+	// warmed is set once the caches of the new version have had their time to fill since the step.
+	warmed bool
 	// samples are the answers of the new version on each route since the step began.
 	samples map[ident.RouteID]int64
 }
@@ -120,6 +123,7 @@
 	cf.control.age(now.Sub(cf.at))
 	cf.at = now
 	cf.enter(sh)
+	cf.endWarmUp()
 	cf.takeFleet(f)
 	cf.takeLocal(f)
 	return cf.verdict(sh, settings)
@@ -144,6 +148,20 @@
 	}
 	cf.step, cf.permille, cf.stepAt = sh.move.Step, sh.permille, cf.at
 	clear(cf.samples)
+	cf.warmed = false
+}
+
+// endWarmUp drops the evidence of slow answers from the time in which caches filled, once that is over, after a step
+// that turned many caches cold. It would else meet the lower alarm that holds from then on.
+func (cf *caseFile) endWarmUp() {
+	if cf.warmed || cf.warming() {
+		return
+	}
+	cf.warmed = true
+	if cf.permille < coldPermille {
+		return
+	}
+	maps.DeleteFunc(cf.scores, func(key scoreKey, _ *score) bool { return key.signal != signalFailure })
 }
 
 // takeFleet takes in the new counts of all daemons.
--- a/internal/coordination/moves/verdict.go
+++ b/internal/coordination/moves/verdict.go
@@ -63,7 +63,7 @@
 
 // warming reports whether the caches of the new version fill: probes would only find them cold.
 func (cf *caseFile) warming() bool {
-	return cf.permille <= warmUpPermille && cf.at.Sub(cf.stepAt) < warmUp
+	return cf.at.Sub(cf.stepAt) < warmUp
 }
 
 // confirm sends probes on routes, or for organisations, that have become suspicious.
