--- a/internal/coordination/moves/consts.go
+++ b/internal/coordination/moves/consts.go
@@ -20,8 +20,10 @@
 
 // Probes: single requests sent to a version ahead of its share, one at a time on each daemon and route.
 const (
-	firstProbes   = 4
-	confirmProbes = 4
+	// probingDaemons is the number of daemons that send probes of a move.
+	probingDaemons = 3
+	firstProbes    = 6
+	confirmProbes  = 4
 	// probeTimeout frees the place of a probe that has not been answered.
 	probeTimeout = 2 * time.Second
 )
@@ -103,8 +105,6 @@
 	writeTimeout = 2 * time.Second
 	// leaseTTL is the longest time for which a daemon acts on what it knew.
 	leaseTTL = 3 * time.Second
-	// removalGrace passes before a record that hands over is in force.
-	removalGrace = 5 * time.Second
 	// baselineTime is the longest time in which the old version is watched before the first step.
 	baselineTime = 5 * time.Second
 	// baselinePart is the part of the old version's recent answers whose latency must have had a limit.
--- a/internal/program/daemon/parts.go
+++ b/internal/program/daemon/parts.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/gooseberryway/gooseberryway/internal/coordination/claim"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/lease"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/member"
@@ -24,12 +26,11 @@
 	"github.com/gooseberryway/gooseberryway/internal/state/health"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/state/prefix"
-	"github.com/gooseberryway/gooseberryway/internal/transport/admin"
-	"github.com/gooseberryway/gooseberryway/internal/transport/caller"
 	"github.com/gooseberryway/gooseberryway/internal/transport/engine"
 	"github.com/gooseberryway/gooseberryway/internal/transport/logsvc"
 	"github.com/gooseberryway/gooseberryway/internal/transport/peer"
 	"github.com/gooseberryway/gooseberryway/internal/transport/plain"
+	"github.com/gooseberryway/gooseberryway/internal/transport/rest"
 	"github.com/gooseberryway/gooseberryway/internal/transport/secure"
 	"github.com/gooseberryway/gooseberryway/internal/transport/vmlist"
 )
@@ -63,13 +64,12 @@
 	warm         atomic.Pointer[wire.Digest]
 	owners       ownerships
 	router       *route.Router
+	notices      *route.Notices
 	watchers     *watchers
 	picks        *picker
 	service      *serve.Service
 
-	callers *caller.Server
-	peers   *peer.Server
-	admin   *admin.Server
+	callers, peers, admin *rest.Listener
 
 	life       context.Context
 	background *sync.WaitGroup
@@ -107,7 +107,10 @@
 func (p *parts) buildTransports() (*credentials, error) {
 	p.log = &logsvc.Client{BaseURL: p.settings.LogService.URL, Timeout: p.settings.LogService.Timeout()}
 	p.engine = &engine.Client{Credential: func(string) string { return p.settings.UpstreamCredential }}
-	p.plain = &plain.Client{Credential: func(string) string { return p.settings.UpstreamCredential }}
+	p.plain = &plain.Client{
+		Credential: func(string) string { return p.settings.UpstreamCredential },
+		Budget:     &relay.Budget{},
+	}
 	p.directory = &directory{
 		vms:    &vmlist.Client{BaseURL: p.settings.VMList.URL, Timeout: p.settings.VMList.Timeout()},
 		self:   p.settings.DaemonID,
@@ -165,6 +168,7 @@
 	}
 	p.lease = &lease.Holder{Follower: p.follower, Fleet: p.fleet}
 	p.follower.Urgent = p.lease.NeedsLog
+	p.follower.Serving = p.lease.Valid
 	p.limiter = &quota.Limiter{
 		Self:    p.settings.DaemonID,
 		Peers:   p.calls,
@@ -186,15 +190,16 @@
 		return err
 	}
 	p.router = &route.Router{
-		Policy:  policy,
-		Index:   &prefix.Index{},
-		Health:  &health.Table{},
-		Fair:    &route.Fair{},
-		Retries: &route.RetryBudget{},
+		Policy: policy,
+		Index:  &prefix.Index{},
+		Health: &health.Table{},
+		Fair:   &route.Fair{},
 
 		ImportRate:    p.settings.Store.ImportTokensPerSecond,
 		ImportLatency: milliseconds(p.settings.Store.ImportLatencyMs),
 	}
+	p.notices = &route.Notices{Send: p.notify}
+	p.router.Notify = p.notices.Add
 	p.watchers = &watchers{engine: p.engine, router: p.router}
 	return nil
 }
@@ -208,7 +213,7 @@
 		Limits:         limits{p.limiter, &p.refused},
 		Claims:         claims{p.claimer},
 		Versions:       versions{p.splitter},
-		Runner:         runner{relay: &relay.Relay{Engine: p.engine, Picker: p.picks}},
+		Runner:         runner{relay: &relay.Relay{Engine: p.engine, Picker: p.picks, Budget: &relay.Budget{}}},
 		Ready:          p.follower.Warm,
 		Record:         p.burn.Record,
 		AdmitWait:      milliseconds(p.settings.Limits.AdmitWaitMs),
@@ -232,6 +237,7 @@
 		p.configure(view)
 		p.seen = now
 	}
+	p.takePart(view)
 	p.lease.Renew()
 }
 
@@ -262,6 +268,7 @@
 	wg.Go(func() { _ = p.fleet.Run(ctx) })
 	wg.Go(func() { _ = p.checkpointer.Run(ctx) })
 	wg.Go(func() { p.limiter.Run(ctx) })
+	wg.Go(func() { p.notices.Run(ctx) })
 	wg.Go(func() { p.tellUrgent(ctx) })
 }
 
@@ -269,9 +276,11 @@
 func (p *parts) stopListeners() {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	_ = p.callers.Close(ctx)
-	_ = p.admin.Close(stopTimeout)
-	_ = p.peers.Close(stopTimeout)
+	for _, l := range []*rest.Listener{p.callers, p.admin, p.peers} {
+		if err := l.Close(ctx); err != nil {
+			klog.ErrorS(err, "Listener cut", "daemon", p.settings.DaemonID)
+		}
+	}
 }
 
 // cutListeners ends the listeners and breaks their connections.
@@ -287,6 +296,7 @@
 	p.orders.Close()
 	p.claimer.Close()
 	p.limiter.Close()
+	p.notices.Close()
 	p.checkpointer.Close()
 	p.fleet.Close()
 	p.follower.Close()
