--- a/internal/coordination/serve/plain.go
+++ b/internal/coordination/serve/plain.go
@@ -83,9 +83,12 @@
 }
 
 func (s *Service) claimPlain(ctx context.Context, run *PlainRun) error {
-	if run.call.IdempotencyKey == "" || run.Organisation == "" {
+	if run.call.IdempotencyKey == "" {
 		return nil
 	}
+	if run.Organisation == "" {
+		return keyNeeded()
+	}
 	claim, err := s.Claims.Claim(ctx, run.Organisation, run.call.IdempotencyKey, run.call.Digest, run.call.Request)
 	if err != nil {
 		return err
--- a/internal/coordination/serve/service.go
+++ b/internal/coordination/serve/service.go
@@ -161,6 +161,9 @@
 	if run.call.IdempotencyKey == "" {
 		return nil
 	}
+	if run.caller.Organisation == "" {
+		return keyNeeded()
+	}
 	claim, err := s.Claims.Claim(ctx, run.caller.Organisation, run.call.IdempotencyKey, run.call.Digest, run.call.Request)
 	if err != nil {
 		return err
@@ -170,6 +173,11 @@
 	return nil
 }
 
+// keyNeeded is the refusal of an idempotency key that no organisation owns.
+func keyNeeded() error {
+	return &Error{Code: CodeKeyMissing, Message: "an idempotency key needs a bearer key, which tells whose it is"}
+}
+
 // dispatch checks again what can have changed while the request waited, and fixes what the engines are asked.
 func (s *Service) dispatch(run *Run) error {
 	st := s.State()
--- a/internal/coordination/serve/service_test.go
+++ b/internal/coordination/serve/service_test.go
@@ -65,6 +65,12 @@
 func TestOpenRouteRunsWithoutAnOrganisation(t *testing.T) {
 	b, c := newBench(t), call("")
 	c.PathPrefix, c.MaxTokens = "/free", 0
+	_, err := b.Start(t.Context(), c)
+	var refusal *Error
+	require.ErrorAs(t, err, &refusal)
+	require.Equal(t, CodeKeyMissing, refusal.Code, "nobody owns the idempotency key")
+
+	c.IdempotencyKey = ""
 	var asked extern.EngineRequest
 	b.run = func(req extern.EngineRequest, emit func(*extern.EngineChunk) error) (*extern.EngineDone, error) {
 		asked = req
--- a/internal/program/cmds/standin.go
+++ b/internal/program/cmds/standin.go
@@ -25,20 +25,27 @@
 		Use: "standin", Short: "Run a stand-in of a system outside: engine, log, vms, weights, store or plain",
 		Args: cobra.ArbitraryArgs, RunE: onlyCommands,
 	}
-	for _, kind := range []struct {
-		name, short string
-		config      func() standinConfig
-	}{
+	for _, kind := range standinKinds() {
+		parent.AddCommand(standinCommand(kind.name, kind.short, kind.config))
+	}
+	return parent
+}
+
+// standinKind is a kind of stand-ins.
+type standinKind struct {
+	name, short string
+	config      func() standinConfig
+}
+
+func standinKinds() []standinKind {
+	return []standinKind{
 		{"engine", "A model engine", func() standinConfig { return &engine.Config{} }},
 		{"log", "The platform's log service", func() standinConfig { return &logsvc.Config{} }},
 		{"vms", "The platform's VM list", func() standinConfig { return &vmlist.Config{} }},
 		{"weights", "The platform's weight store", func() standinConfig { return &wstore.Config{} }},
 		{"store", "The KV cache store", func() standinConfig { return &kvstor.Config{} }},
 		{"plain", "A plain service", func() standinConfig { return &plain.Config{} }},
-	} {
-		parent.AddCommand(standinCommand(kind.name, kind.short, kind.config))
 	}
-	return parent
 }
 
 func standinCommand(name, short string, config func() standinConfig) *cobra.Command {
--- a/internal/program/setup/settings.go
+++ b/internal/program/setup/settings.go
@@ -84,11 +84,12 @@
 
 // Limits bound what one caller can take up.
 type Limits struct {
-	BodyBytes        int64 `json:"bodyBytes" validate:"min=1024,max=268435456"`
-	HeaderTimeoutMs  int64 `json:"headerTimeoutMs" validate:"min=100,max=60000"`
-	BodyTimeoutMs    int64 `json:"bodyTimeoutMs" validate:"min=100,max=600000"`
-	IdleTimeoutMs    int64 `json:"idleTimeoutMs" validate:"min=1000,max=3600000"`
-	RequestTimeoutMs int64 `json:"requestTimeoutMs" validate:"min=1000,max=3600000"`
+	BodyBytes       int64 `json:"bodyBytes" validate:"min=1024,max=268435456"`
+	HeaderTimeoutMs int64 `json:"headerTimeoutMs" validate:"min=100,max=60000"`
+	BodyTimeoutMs   int64 `json:"bodyTimeoutMs" validate:"min=100,max=600000"`
+	IdleTimeoutMs   int64 `json:"idleTimeoutMs" validate:"min=1000,max=3600000"`
+	// RequestTimeoutMs is shorter than the ten minutes for which idempotency keys are remembered.
+	RequestTimeoutMs int64 `json:"requestTimeoutMs" validate:"min=1000,max=540000"`
 	// WriteTimeoutMs bounds how long one write to a slow reader may take.
 	WriteTimeoutMs int64 `json:"writeTimeoutMs" validate:"min=100,max=600000"`
 	// AdmitWaitMs is how long a request may wait for its organisation's rate.
