Let moves and orders live by the shared scope

Cause: two structs repeated how Run and Close wait for each other. Change: both use state/scope; the type of the commands of operators has the name of what it is.

--- a/internal/coordination/moves/judge.go
+++ b/internal/coordination/moves/judge.go
@@ -40,17 +40,17 @@
 	moves map[ident.MoveID]*caseFile
 }
 
-// scope tells whose answers a score covers.
-type scope int
+// evidenceScope tells whose answers a score covers.
+type evidenceScope int
 
 const (
-	scopeFleet scope = iota
+	scopeFleet evidenceScope = iota
 	scopeLocal
 	scopes
 )
 
 type scoreKey struct {
-	scope scope
+	scope evidenceScope
 	controlKey
 	signal signal
 }
@@ -224,7 +224,7 @@
 	}
 }
 
-func (cf *caseFile) delta(sc scope, now map[cellKey]counts) map[cellKey]counts {
+func (cf *caseFile) delta(sc evidenceScope, now map[cellKey]counts) map[cellKey]counts {
 	delta := map[cellKey]counts{}
 	for key, c := range now {
 		if d := c.minus(cf.seen[sc][key]); d != (counts{}) {
@@ -256,7 +256,7 @@
 	return sc
 }
 
-func (cf *caseFile) addGains(sc scope, gains gainSums) {
+func (cf *caseFile) addGains(sc evidenceScope, gains gainSums) {
 	for key, sum := range gains {
 		cf.score(scoreKey{sc, controlKey{route: key.route}, key.signal}).add(sum.gain, sum.trial)
 	}
--- a/internal/coordination/moves/owner.go
+++ b/internal/coordination/moves/owner.go
@@ -13,6 +13,7 @@
 	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
 	"github.com/gooseberryway/gooseberryway/internal/state/config"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/state/scope"
 )
 
 // Writer appends records to the control stream and reads them back. The error is a *config.ConflictError when the
@@ -50,8 +51,7 @@
 	applied  *config.State
 	sequence uint64
 	writes   sync.WaitGroup
-	cancel   context.CancelFunc
-	finished chan struct{}
+	life     scope.Scope
 }
 
 // trail is what this daemon knows of a move beyond its entity. It is guarded by Owner.mu.
@@ -75,9 +75,10 @@
 
 // Run works until ctx ends or Close is called.
 func (o *Owner) Run(ctx context.Context) {
-	ctx = o.start(ctx)
-	defer close(o.finished)
+	ctx, leave := o.life.Enter(ctx)
+	defer leave()
 	defer o.writes.Wait()
+	o.start()
 	o.Watch.init()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -92,27 +93,15 @@
 	}
 }
 
-func (o *Owner) start(ctx context.Context) context.Context {
+func (o *Owner) start() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	ctx, o.cancel = context.WithCancel(ctx)
-	o.finished = make(chan struct{})
 	o.trails = map[ident.MoveID]*trail{}
 	o.judge = Judge{Watch: o.Watch}
-	return ctx
 }
 
 // Close ends Run and waits for it.
-func (o *Owner) Close() {
-	o.mu.Lock()
-	cancel, finished := o.cancel, o.finished
-	o.mu.Unlock()
-	if cancel == nil {
-		return
-	}
-	cancel()
-	<-finished
-}
+func (o *Owner) Close() { o.life.Close() }
 
 // Verdicts returns the latest verdict of every active move.
 func (o *Owner) Verdicts() map[ident.MoveID]Verdict {
--- a/internal/coordination/orders/orders.go
+++ b/internal/coordination/orders/orders.go
@@ -21,6 +21,7 @@
 	"github.com/gooseberryway/gooseberryway/internal/state/config"
 	"github.com/gooseberryway/gooseberryway/internal/state/extern"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/state/scope"
 )
 
 // Settings limit the loads.
@@ -75,8 +76,7 @@
 	loadTime time.Duration
 	fenced   map[ident.MoveID]ident.Offset
 	started  sync.WaitGroup
-	cancel   context.CancelFunc
-	finished chan struct{}
+	life     scope.Scope
 }
 
 // target is a version at an engine.
@@ -98,8 +98,9 @@
 
 // Run gives orders until ctx ends or Close is called.
 func (o *Orders) Run(ctx context.Context) {
-	ctx = o.start(ctx)
-	defer close(o.finished)
+	ctx, leave := o.life.Enter(ctx)
+	defer leave()
+	o.start()
 	defer o.started.Wait()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -113,30 +114,18 @@
 	}
 }
 
-func (o *Orders) start(ctx context.Context) context.Context {
+func (o *Orders) start() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	ctx, o.cancel = context.WithCancel(ctx)
-	o.finished = make(chan struct{})
 	o.running = map[target]bool{}
 	o.retries = map[target]*retry{}
 	o.epochs = map[ident.MoveID]epochSeen{}
 	o.idle = map[target]time.Time{}
 	o.fenced = map[ident.MoveID]ident.Offset{}
-	return ctx
 }
 
 // Close ends Run and waits for it and for the orders that are under way.
-func (o *Orders) Close() {
-	o.mu.Lock()
-	cancel, finished := o.cancel, o.finished
-	o.mu.Unlock()
-	if cancel == nil {
-		return
-	}
-	cancel()
-	<-finished
-}
+func (o *Orders) Close() { o.life.Close() }
 
 // tick starts the orders that are due.
 func (o *Orders) tick(ctx context.Context) {
--- a/internal/program/cmds/entity.go
+++ b/internal/program/cmds/entity.go
@@ -47,7 +47,7 @@
 }
 
 func (d entityCommand) command() *cobra.Command {
-	parent, s := newSession(d.use, d.short)
+	parent, s := newOperatorCommand(d.use, d.short)
 	parent.AddCommand(s.listCommand(d.kind), s.getCommand(d.kind))
 	if d.kind == membersKind {
 		parent.AddCommand(s.declareDeadCommand())
@@ -58,7 +58,7 @@
 	return parent
 }
 
-func (s *session) declareDeadCommand() *cobra.Command {
+func (s *operator) declareDeadCommand() *cobra.Command {
 	return &cobra.Command{
 		Use: "dead ID", Short: "Vouch that the VM of a daemon no longer runs, so that changes need not wait for it",
 		Args: usageArgs(cobra.ExactArgs(1)),
@@ -72,7 +72,7 @@
 	}
 }
 
-func (s *session) listCommand(kind string) *cobra.Command {
+func (s *operator) listCommand(kind string) *cobra.Command {
 	return &cobra.Command{
 		Use: "list", Short: "List all that you may see", Args: usageArgs(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
@@ -90,7 +90,7 @@
 	}
 }
 
-func (s *session) getCommand(kind string) *cobra.Command {
+func (s *operator) getCommand(kind string) *cobra.Command {
 	return &cobra.Command{
 		Use: "get ID", Short: "Show one with its revision", Args: usageArgs(cobra.ExactArgs(1)),
 		RunE: func(cmd *cobra.Command, args []string) error {
@@ -106,7 +106,7 @@
 	}
 }
 
-func (s *session) setCommand(d entityCommand) *cobra.Command {
+func (s *operator) setCommand(d entityCommand) *cobra.Command {
 	return &cobra.Command{
 		Use: "set ID FIELD=VALUE...", Short: "Create one or change fields of it; others stay as they are",
 		Example: "  gooseberryway " + d.use + " set " + d.example,
@@ -126,7 +126,7 @@
 }
 
 // set merges fields into the entity as it is now.
-func (s *session) set(ctx context.Context, path string, fields map[string]json.RawMessage) (*client.Change, error) {
+func (s *operator) set(ctx context.Context, path string, fields map[string]json.RawMessage) (*client.Change, error) {
 	var current client.Resource
 	err := s.admin.Get(ctx, path, &current)
 	var failure *client.AdminError
@@ -144,7 +144,7 @@
 	return change, s.admin.Put(ctx, path, current.Revision, merged, change)
 }
 
-func (s *session) deleteCommand(kind string) *cobra.Command {
+func (s *operator) deleteCommand(kind string) *cobra.Command {
 	return &cobra.Command{
 		Use: "delete ID", Short: "Delete one", Args: usageArgs(cobra.ExactArgs(1)),
 		RunE: func(cmd *cobra.Command, args []string) error {
--- a/internal/program/cmds/key.go
+++ b/internal/program/cmds/key.go
@@ -7,12 +7,12 @@
 )
 
 func newKey() *cobra.Command {
-	parent, s := newSession("key", "Callers' keys")
+	parent, s := newOperatorCommand("key", "Callers' keys")
 	parent.AddCommand(s.listCommand("keys"), s.createKeyCommand(), s.withdrawCommand())
 	return parent
 }
 
-func (s *session) createKeyCommand() *cobra.Command {
+func (s *operator) createKeyCommand() *cobra.Command {
 	var id string
 	cmd := &cobra.Command{
 		Use: "create ORGANISATION", Short: "Create a key and show it once", Args: usageArgs(cobra.ExactArgs(1)),
@@ -29,7 +29,7 @@
 	return cmd
 }
 
-func (s *session) withdrawCommand() *cobra.Command {
+func (s *operator) withdrawCommand() *cobra.Command {
 	return &cobra.Command{
 		Use: "withdraw ID", Short: "Withdraw a key on all daemons", Args: usageArgs(cobra.ExactArgs(1)),
 		RunE: func(cmd *cobra.Command, args []string) error {
@@ -43,7 +43,7 @@
 }
 
 func newOperator() *cobra.Command {
-	parent, s := newSession("operator", "Operators and their keys")
+	parent, s := newOperatorCommand("operator", "Operators and their keys")
 	create := &cobra.Command{
 		Use: "create ID ROLE SUBTREE", Short: "Create an operator with a role (viewer, editor, admin) on a subtree",
 		Example: "  gooseberryway operator create amara admin /teams/alder",
--- a/internal/program/cmds/move.go
+++ b/internal/program/cmds/move.go
@@ -14,7 +14,7 @@
 )
 
 func newMove() *cobra.Command {
-	parent, s := newSession("move", "Moves of traffic to another version")
+	parent, s := newOperatorCommand("move", "Moves of traffic to another version")
 	parent.AddCommand(s.listCommand("moves"), s.getCommand("moves"), s.createMoveCommand())
 	for _, action := range []struct{ use, name, short string }{
 		{"pause", "pause", "Keep the share as it is; the version is still watched"},
@@ -27,7 +27,7 @@
 	return parent
 }
 
-func (s *session) createMoveCommand() *cobra.Command {
+func (s *operator) createMoveCommand() *cobra.Command {
 	var id string
 	var in time.Duration
 	var routes []string
@@ -56,7 +56,7 @@
 	return cmd
 }
 
-func (s *session) moveActionCommand(use, action, short string) *cobra.Command {
+func (s *operator) moveActionCommand(use, action, short string) *cobra.Command {
 	var reason string
 	cmd := &cobra.Command{
 		Use: use + " ID", Short: short, Args: usageArgs(cobra.ExactArgs(1)),
@@ -68,7 +68,7 @@
 	return cmd
 }
 
-func (s *session) moveDeadlineCommand() *cobra.Command {
+func (s *operator) moveDeadlineCommand() *cobra.Command {
 	var in time.Duration
 	cmd := &cobra.Command{
 		Use: "deadline ID --in DURATION", Short: "Set another deadline", Args: usageArgs(cobra.ExactArgs(1)),
@@ -84,7 +84,7 @@
 	return cmd
 }
 
-func (s *session) actOnMove(cmd *cobra.Command, id string, body any) error {
+func (s *operator) actOnMove(cmd *cobra.Command, id string, body any) error {
 	change := &client.Change{}
 	if err := s.admin.Post(cmd.Context(), entityPath("moves", id)+"/actions", body, change); err != nil {
 		return err
@@ -101,7 +101,7 @@
 func (e *MoveFailedError) Error() string { return fmt.Sprintf("the move is %s: %s", e.State, e.Reason) }
 
 // concludeMove prints a change of a move and, if asked to, waits until the move has ended.
-func (s *session) concludeMove(cmd *cobra.Command, change *client.Change) error {
+func (s *operator) concludeMove(cmd *cobra.Command, change *client.Change) error {
 	wait := s.wait
 	s.wait = false
 	if err := s.conclude(cmd, change); err != nil || !wait {
@@ -114,7 +114,7 @@
 	return s.waitMove(cmd.Context(), cmd.ErrOrStderr(), &move)
 }
 
-func (s *session) waitMove(ctx context.Context, out io.Writer, move *config.Move) error {
+func (s *operator) waitMove(ctx context.Context, out io.Writer, move *config.Move) error {
 	deadline := time.Now().Add(s.limit)
 	for !move.State.Ended() {
 		if time.Now().After(deadline) || !pause(ctx, waitPoll) {
--- a/internal/program/cmds/operator.go
+++ b/internal/program/cmds/operator.go
@@ -26,8 +26,8 @@
 	defaultWait = time.Minute
 )
 
-// session is what the commands of operators have in common.
-type session struct {
+// operator is what the commands of operators have in common.
+type operator struct {
 	admin client.Admin
 	json  bool
 	wait  bool
@@ -35,7 +35,7 @@
 }
 
 // addTo gives a command the flags of all commands of operators.
-func (s *session) addTo(cmd *cobra.Command) {
+func (s *operator) addTo(cmd *cobra.Command) {
 	flags := cmd.PersistentFlags()
 	flags.StringVar(&s.admin.Server, "server", os.Getenv(envServer), "address of a daemon's administration interface ($"+envServer+")")
 	flags.StringVar(&s.admin.Key, "key", os.Getenv(envKey), "operator's key ($"+envKey+")")
@@ -57,9 +57,9 @@
 	}
 }
 
-// newSession returns a parent command with the flags of operators.
-func newSession(use, short string) (*cobra.Command, *session) {
-	s := &session{}
+// newOperatorCommand returns a parent command with the flags of operators.
+func newOperatorCommand(use, short string) (*cobra.Command, *operator) {
+	s := &operator{}
 	cmd := &cobra.Command{Use: use, Short: short, Args: cobra.ArbitraryArgs, RunE: onlyCommands}
 	s.addTo(cmd)
 	return cmd, s
@@ -73,7 +73,7 @@
 func (e *NotInForceError) Error() string { return "not in force yet: " + e.Summary }
 
 // conclude prints a change and, if asked to, waits until it is in force.
-func (s *session) conclude(cmd *cobra.Command, change *client.Change) error {
+func (s *operator) conclude(cmd *cobra.Command, change *client.Change) error {
 	out := cmd.OutOrStdout()
 	if s.json {
 		if err := printJSON(out, change); err != nil {
@@ -92,7 +92,7 @@
 	return s.waitInForce(cmd.Context(), cmd.ErrOrStderr(), change.Progress)
 }
 
-func (s *session) waitInForce(ctx context.Context, out io.Writer, p client.Progress) error {
+func (s *operator) waitInForce(ctx context.Context, out io.Writer, p client.Progress) error {
 	deadline := time.Now().Add(s.limit)
 	for !p.InForce() {
 		if time.Now().After(deadline) || !pause(ctx, waitPoll) {
--- a/internal/program/cmds/report.go
+++ b/internal/program/cmds/report.go
@@ -14,7 +14,7 @@
 )
 
 func newStatus() *cobra.Command {
-	cmd, s := newSession("status", "Tell what is wrong, and how daemons, engines and moves are")
+	cmd, s := newOperatorCommand("status", "Tell what is wrong, and how daemons, engines and moves are")
 	cmd.Args = usageArgs(cobra.NoArgs)
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
 		var st daemon.Status
@@ -50,7 +50,7 @@
 }
 
 func newReport() *cobra.Command {
-	parent, s := newSession("report", "Reports")
+	parent, s := newOperatorCommand("report", "Reports")
 	parent.AddCommand(&cobra.Command{
 		Use: "burn", Short: "How fast the error budgets of the service-level objectives are used", Args: usageArgs(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
@@ -68,7 +68,7 @@
 }
 
 func newSettings() *cobra.Command {
-	parent, s := newSession("settings", "Settings of teams and of the platform")
+	parent, s := newOperatorCommand("settings", "Settings of teams and of the platform")
 	parent.AddCommand(
 		&cobra.Command{
 			Use: "get PATH", Short: "Show the settings at and below a path", Args: usageArgs(cobra.ExactArgs(1)),
@@ -98,7 +98,7 @@
 }
 
 // changeSetting sets or deletes a setting, based on its revision now.
-func (s *session) changeSetting(cmd *cobra.Command, method, path string, value json.RawMessage) error {
+func (s *operator) changeSetting(cmd *cobra.Command, method, path string, value json.RawMessage) error {
 	if method == http.MethodPut && !json.Valid(value) {
 		return &UsageError{Err: &FieldError{Argument: string(value)}}
 	}
