Keep the list of witnesses between heartbeats

Cause: each answer to a heartbeat built the view anew and sorted all members for it; half of the time of heartbeats at 64 daemons went there. Change: the sorted list is kept until a member changes; the view's lists get their size at once.

--- a/internal/coordination/member/fleet.go
+++ b/internal/coordination/member/fleet.go
@@ -50,6 +50,9 @@
 	peers    map[ident.DaemonID]*peer
 	tracker  tracker
 	vms      vmHint
+	// witnessIDs are the witnesses of the states whose members last changed at witnessesAt.
+	witnessIDs  []ident.DaemonID
+	witnessesAt ident.Offset
 	// amnesiac lets a restarted daemon vouch at once; tests set it to show that recovery is needed.
 	amnesiac bool
 }
@@ -150,7 +153,7 @@
 		f.recovering = false
 		return
 	}
-	ids := Witnesses(applied)
+	ids := f.witnesses(applied)
 	heard := 0
 	for _, id := range ids {
 		if p := f.peers[id]; p != nil && id != f.Self.ID {
--- a/internal/coordination/member/quorum.go
+++ b/internal/coordination/member/quorum.go
@@ -26,6 +26,15 @@
 	return ids
 }
 
+// witnesses is Witnesses, computed anew only when the members have changed. It is called with mu held; the result must
+// not be changed.
+func (f *Fleet) witnesses(state *config.State) []ident.DaemonID {
+	if f.witnessIDs == nil || f.witnessesAt != state.MembersChanged() {
+		f.witnessIDs, f.witnessesAt = Witnesses(state), state.MembersChanged()
+	}
+	return f.witnessIDs
+}
+
 // views returns the sets of witnesses of all states from the one in force up to the offset. A record at the offset
 // needs a quorum of each, for a daemon that is behind may still go by any of them. Daemons that are dead by the newest
 // state are left out.
--- a/internal/coordination/member/view.go
+++ b/internal/coordination/member/view.go
@@ -82,7 +82,9 @@
 		InForce:     inForce,
 	}
 	v.State = f.ownState(applied)
-	for _, id := range Witnesses(applied) {
+	ids := f.witnesses(applied)
+	v.Members, v.Answers = make([]Peer, 0, len(ids)), make([]Answer, 0, len(ids))
+	for _, id := range ids {
 		m, _ := applied.Member(id)
 		v.Members = append(v.Members, f.peerView(m, applied))
 		if p := f.peers[id]; p != nil {
