--- a/internal/coordination/route/router.go
+++ b/internal/coordination/route/router.go
@@ -145,10 +145,12 @@
 	left, leaving := u.Leaving(now)
 	if leaving && left >= health.LeavingGrace {
 		guard.Check(false, guard.UpstreamLeft, "new work for upstream %s, leaving for %s", u.ID, left)
+		return Decision{}, r.refuse(req, RefusedStale, 0)
 	}
 	cfg := u.Config()
 	if cfg.Model != req.Scope.Model {
 		guard.Check(false, guard.CacheFresh, "upstream %s does not serve model %s", u.ID, req.Scope.Model)
+		return Decision{}, r.refuse(req, RefusedStale, 0)
 	}
 	d := Decision{
 		Upstream:             u.ID,
