Test a fleet with certificates, and send the servers' own messages to the log

Cause: TLS between daemons was tested only below the daemon; net/http wrote to standard error on its own. Change: a stand-in authority signs certificates; two daemons with mutual TLS form a fleet and serve; an admin client needs the authority, plain text is refused.

--- /dev/null
+++ b/internal/program/local/tls_test.go
@@ -0,0 +1,52 @@
+package local
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/gooseberryway/gooseberryway/internal/program/client"
+	"github.com/gooseberryway/gooseberryway/internal/program/setup"
+	"github.com/gooseberryway/gooseberryway/internal/standin/certs"
+	"github.com/gooseberryway/gooseberryway/internal/standin/engine"
+	"github.com/gooseberryway/gooseberryway/internal/state/config"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
+
+func TestDaemonsWithCertificatesFormAFleet(t *testing.T) {
+	authority, err := certs.New()
+	require.NoError(t, err)
+	files, err := authority.Issue(t.TempDir(), 2)
+	require.NoError(t, err)
+	certificate := setup.Certificate{CertFile: files.Cert, KeyFile: files.Key, CAFile: files.CA}
+	system := &System{
+		Daemons: 2, Domains: []ident.FailureDomain{"riga-1", "riga-2"}, Engines: 1,
+		EngineSettings: engine.Settings{TimeScale: 0.1},
+		Model:          "girth", Version: "girth-1",
+		Organisations: []config.Organisation{{ID: "survey", Team: "alder", Rate: 1_000_000, Burst: 4_000_000}},
+		Settings: func(s *setup.Settings) {
+			s.SharedToken = ""
+			s.TLS.Peers, s.TLS.Admin = certificate, certificate
+		},
+	}
+	t.Cleanup(system.Close)
+	require.NoError(t, system.Start(t.Context()), "each daemon needs the other's heartbeats")
+
+	c := &client.Client{Seeds: system.Addresses(), Key: system.Keys["survey"], Retries: 5}
+	t.Cleanup(c.Close)
+	_, err = c.Complete(t.Context(), request("certificates"))
+	require.NoError(t, err)
+
+	address := system.AdminAddresses()[0]
+	admin := &client.Admin{Server: "https://" + address, Key: system.OperatorKey, CAFile: files.CA}
+	require.NoError(t, admin.Get(t.Context(), "/status", nil))
+	stranger := &client.Admin{Server: "https://" + address, Key: system.OperatorKey}
+	require.Error(t, stranger.Get(t.Context(), "/status", nil), "a client that does not know the authority")
+
+	peers := system.Daemon(0).Addresses().Peers
+	resp, err := http.Get("http://" + peers) // #nosec G107 -- a loopback address.
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	require.Equal(t, http.StatusBadRequest, resp.StatusCode, "no plain text between daemons")
+}
--- a/internal/transport/rest/listener.go
+++ b/internal/transport/rest/listener.go
@@ -6,6 +6,8 @@
 	"errors"
 	"net"
 	"net/http"
+
+	"k8s.io/klog/v2"
 )
 
 // Listener runs an HTTP server on a listener until it is closed. Its fields are set before Serve.
@@ -17,6 +19,7 @@
 
 // Serve answers requests until Close or Cut. It returns nil after those.
 func (l *Listener) Serve(socket net.Listener) error {
+	l.Server.ErrorLog = klog.NewStandardLogger("INFO")
 	var err error
 	if l.TLS != nil {
 		l.Server.TLSConfig = l.TLS
--- a/internal/transport/secure/certs_test.go
+++ b/internal/transport/secure/certs_test.go
@@ -1,72 +1,31 @@
 package secure
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
-	"math/big"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
-)
 
-// authority signs certificates for tests.
-type authority struct {
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-}
+	"github.com/gooseberryway/gooseberryway/internal/standin/certs"
+)
 
-func newAuthority(t *testing.T) *authority {
+func newAuthority(t *testing.T) *certs.Authority {
 	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	require.NoError(t, err)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test CA"}, IsCA: true,
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		KeyUsage: x509.KeyUsageCertSign, BasicConstraintsValid: true,
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	require.NoError(t, err)
-	cert, err := x509.ParseCertificate(der)
+	a, err := certs.New()
 	require.NoError(t, err)
-	return &authority{cert: cert, key: key}
+	return a
 }
 
-// write issues a certificate with the serial number and writes it with its key and CA into the directory.
-func (a *authority) write(t *testing.T, dir string, serial int64) *Reloader {
+// issue returns a reloader for a new certificate in the directory.
+func issue(t *testing.T, a *certs.Authority, dir string, serial int64) *Reloader {
 	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	files, err := a.Issue(dir, serial)
 	require.NoError(t, err)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: "daemon"},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
-	require.NoError(t, err)
-	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
-	require.NoError(t, err)
-	r := &Reloader{CertFile: filepath.Join(dir, "cert.pem"), KeyFile: filepath.Join(dir, "key.pem"), CAFile: filepath.Join(dir, "ca.pem")}
-	writePEM(t, r.CertFile, "CERTIFICATE", der)
-	writePEM(t, r.KeyFile, "PRIVATE KEY", keyDER)
-	writePEM(t, r.CAFile, "CERTIFICATE", a.cert.Raw)
-	return r
-}
-
-func writePEM(t *testing.T, file, kind string, der []byte) {
-	t.Helper()
-	require.NoError(t, os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600))
+	return &Reloader{CertFile: files.Cert, KeyFile: files.Key, CAFile: files.CA}
 }
 
 func serveTLS(t *testing.T, cfg *tls.Config) string {
@@ -91,16 +50,16 @@
 
 func TestMutualTLSTakesOnlyTheCA(t *testing.T) {
 	ca := newAuthority(t)
-	server := ca.write(t, t.TempDir(), 2)
+	server := issue(t, ca, t.TempDir(), 2)
 	require.NoError(t, server.Load())
 	url := serveTLS(t, server.Server(true))
 
-	client := ca.write(t, t.TempDir(), 3)
+	client := issue(t, ca, t.TempDir(), 3)
 	require.NoError(t, client.Load())
 	_, err := get(t, url, client.Client())
 	require.NoError(t, err)
 
-	stranger := newAuthority(t).write(t, t.TempDir(), 4)
+	stranger := issue(t, newAuthority(t), t.TempDir(), 4)
 	require.NoError(t, stranger.Load())
 	_, err = get(t, url, stranger.Client())
 	require.Error(t, err, "a certificate of another CA")
@@ -108,11 +67,11 @@
 
 func TestCertificatesAreReloaded(t *testing.T) {
 	ca, dir := newAuthority(t), t.TempDir()
-	r := ca.write(t, dir, 2)
+	r := issue(t, ca, dir, 2)
 	require.NoError(t, r.Load())
 	url := serveTLS(t, r.Server(true))
 
-	ca.write(t, dir, 9)
+	issue(t, ca, dir, 9)
 	later := time.Now().Add(time.Minute)
 	require.NoError(t, os.Chtimes(r.CertFile, later, later))
 	r.mu.Lock()
@@ -125,7 +84,7 @@
 }
 
 func TestABrokenFileLeavesTheOldCertificate(t *testing.T) {
-	r := newAuthority(t).write(t, t.TempDir(), 2)
+	r := issue(t, newAuthority(t), t.TempDir(), 2)
 	require.NoError(t, r.Load())
 	require.NoError(t, os.WriteFile(r.CertFile, []byte("broken"), 0o600))
 	r.checked = time.Time{}
