Log requests and attempts, test that a caller that goes cancels its answer

Cause: only refusals were logged; the cancellation had no test through sockets. Change: with -v=1 one line a request, with -v=2 one an attempt, with ids and figures and no text. Found: in the first seconds of a fleet the test's request still waited for tokens, so the test sends one that is answered first. Conclusion: an answer ends at the engine when its caller goes.

--- a/internal/program/daemon/picks.go
+++ b/internal/program/daemon/picks.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/gooseberryway/gooseberryway/internal/coordination/moves"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/relay"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/route"
@@ -69,6 +71,9 @@
 		Report: func(report relay.Report) {
 			end(attempt, report)
 			flight.End(outcomeOf(report), report.Tokens)
+			klog.V(2).InfoS("Attempt ended", "requestId", req.Request, "organisation", req.Organisation, "route", req.Route,
+				"upstream", decision.Upstream, "version", version, "reason", decision.Reason, "tokens", report.Tokens,
+				"firstToken", report.FirstToken, "err", report.Err)
 		},
 	}, nil
 }
--- a/internal/program/local/once_test.go
+++ b/internal/program/local/once_test.go
@@ -1,6 +1,7 @@
 package local
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -156,3 +157,24 @@
 		require.Zero(t, e.Stats().CallerKeysSeen)
 	}
 }
+
+func TestACallerThatGoesCancelsItsAnswer(t *testing.T) {
+	cancelled := func() int {
+		n := 0
+		for _, e := range shared.EngineList() {
+			n += e.Stats().Cancelled
+		}
+		return n
+	}
+	c := newClient(t, shared.Keys["survey"])
+	_, err := c.Complete(t.Context(), request("the organisation has tokens"))
+	require.NoError(t, err)
+	before := cancelled()
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	req := request("a long answer")
+	req.MaxTokens = 5000
+	_, err = c.Complete(ctx, req)
+	require.Error(t, err)
+	require.Eventually(t, func() bool { return cancelled() > before }, 10*time.Second, 20*time.Millisecond)
+}
--- a/internal/transport/caller/completion.go
+++ b/internal/transport/caller/completion.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/gooseberryway/gooseberryway/internal/coordination/serve"
 	"github.com/gooseberryway/gooseberryway/internal/protocol/openai"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
@@ -51,6 +53,10 @@
 func (s *Server) answer(ctx context.Context, w http.ResponseWriter, st *started) error {
 	defer st.cancel()
 	defer st.run.Close()
+	defer func() {
+		klog.V(1).InfoS("Request ended", "requestId", requestOf(ctx), "organisation", st.run.Organisation(),
+			"route", st.run.Route(), "version", st.run.Version(), "duration", time.Since(st.began))
+	}()
 	w.Header().Set(headerVersion, string(st.run.Version()))
 	if st.request.Stream {
 		s.stream(ctx, w, st)
