Close the slices of idempotency keys on a graceful shutdown

Cause: when an owner and its backup restarted together, keyed requests of their slices were refused for ten minutes, though all claims were in the log: a herd of restarts does that every week. Change: a leaving daemon marks the slices whose claims are all logged as closed.

--- a/internal/coordination/claim/faults_test.go
+++ b/internal/coordination/claim/faults_test.go
@@ -28,6 +28,7 @@
 	actSleep
 	actCrash
 	actRestart
+	actLeave
 	actCut
 	actHeal
 	actLogDown
@@ -38,7 +39,7 @@
 
 var weights = []actionKind{
 	actClaim, actClaim, actClaim, actClaim, actClaim, actClaim, actClaim, actClaim, actClaim, actClaim, actClaim, actClaim,
-	actSleep, actSleep, actSleep, actSleep, actCrash, actRestart, actRestart, actCut, actHeal, actHeal,
+	actSleep, actSleep, actSleep, actSleep, actCrash, actRestart, actRestart, actLeave, actLeave, actCut, actHeal, actHeal,
 	actLogDown, actLogUp, actLogUp, actLateOn, actLateOff,
 }
 
@@ -220,7 +221,10 @@
 	case actCrash:
 		b.crash(id)
 		time.AfterFunc(a.wait, b.alive)
-	case actRestart:
+	case actRestart, actLeave:
+		if a.kind == actLeave {
+			b.leave(id)
+		}
 		b.crash(id)
 		b.incarn[id]++
 		b.fleet.start(id, b.incarn[id])
--- a/internal/program/daemon/leave.go
+++ b/internal/program/daemon/leave.go
@@ -21,6 +21,7 @@
 	}
 	p.service.Drain()
 	p.finish(milliseconds(drain.TimeoutMs))
+	p.release()
 	p.record("left", p.fleet.Retire)
 }
 
@@ -33,6 +34,13 @@
 	}
 }
 
+// release gives up the slices of idempotency keys that this daemon owns.
+func (p *parts) release() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	p.claimer.Release(ctx)
+}
+
 // finish waits for the open requests for up to the timeout.
 func (p *parts) finish(timeout time.Duration) {
 	deadline := time.Now().Add(timeout)
