Call one sleep, one list of joined daemons and the state's own mark of its members

Cause: on reading the change again: the wait for a time or the end of a context stood six times; the homes of an organisation listed the joined members anew for each organisation, beside member.Joined; the limiter's view searched all members for the newest revision, which State.MembersChanged holds; the daemons that answer were listed in two places. Change: scope.Sleep, member.Joined once a state, MembersChanged, liveIn; Service.Draining, which nothing called, is gone. Behaviour and assertions stay.

--- a/internal/coordination/member/fleet.go
+++ b/internal/coordination/member/fleet.go
@@ -77,7 +77,7 @@
 // start waits for the follower's snapshot, so that the incarnation exceeds the recorded one.
 func (f *Fleet) start(ctx context.Context) bool {
 	for !f.Follower.Warm() {
-		if !sleep(ctx, warmPollInterval) {
+		if !scope.Sleep(ctx, warmPollInterval) {
 			return false
 		}
 	}
--- a/internal/coordination/member/heartbeat.go
+++ b/internal/coordination/member/heartbeat.go
@@ -9,12 +9,13 @@
 
 	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/state/scope"
 )
 
 // beat sends heartbeats until ctx ends. Daemons that start together beat at different times.
 func (f *Fleet) beat(ctx context.Context) {
 	f.beatAll(ctx)
-	if !sleep(ctx, rand.N(HeartbeatInterval)) {
+	if !scope.Sleep(ctx, rand.N(HeartbeatInterval)) {
 		return
 	}
 	ticker := time.NewTicker(HeartbeatInterval)
@@ -178,14 +179,3 @@
 	}
 	return known
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/coordination/member/record.go
+++ b/internal/coordination/member/record.go
@@ -11,6 +11,7 @@
 	"github.com/gooseberryway/gooseberryway/internal/coordination/replay"
 	"github.com/gooseberryway/gooseberryway/internal/state/config"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/state/scope"
 )
 
 // maintain keeps this daemon's record as wanted and removes daemons that are gone, until ctx ends.
@@ -23,7 +24,7 @@
 		} else {
 			pause = recordRetryInterval
 		}
-		if !sleep(ctx, pause-rand.N(pause/4)) {
+		if !scope.Sleep(ctx, pause-rand.N(pause/4)) {
 			return
 		}
 	}
@@ -106,7 +107,7 @@
 		if err := f.write(ctx, rec); err != nil {
 			last = err
 		}
-		if !sleep(ctx, recordChangePause) {
+		if !scope.Sleep(ctx, recordChangePause) {
 			return errors.Join(ctx.Err(), last)
 		}
 	}
@@ -133,7 +134,7 @@
 			f.vms = vmHint{listed: listed, read: time.Now()}
 			f.mu.Unlock()
 		}
-		if !sleep(ctx, vmListInterval) {
+		if !scope.Sleep(ctx, vmListInterval) {
 			return
 		}
 	}
--- a/internal/coordination/relay/relay_test.go
+++ b/internal/coordination/relay/relay_test.go
@@ -15,6 +15,7 @@
 	"github.com/gooseberryway/gooseberryway/internal/state/extern"
 	"github.com/gooseberryway/gooseberryway/internal/state/guard"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/state/scope"
 )
 
 // rotation picks engines in turn and collects the reports.
@@ -344,7 +345,7 @@
 			require.True(t, budget.Withdraw())
 			ctx, cancel := context.WithCancel(t.Context())
 			go func() {
-				for sleep(ctx, traffic) {
+				for scope.Sleep(ctx, traffic) {
 					budget.Deposit()
 				}
 			}()
--- a/internal/coordination/relay/retry.go
+++ b/internal/coordination/relay/retry.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/scope"
 )
 
 // stop returns why the request ends after a failure, empty if another attempt may be made.
@@ -53,7 +55,7 @@
 	ctx, cancel := context.WithTimeout(ctx, orDefault(s.relay.RetryPatience, defaultRetryPatience))
 	defer cancel()
 	pauses := newBackoff()
-	for sleep(ctx, pauses.NextBackOff()) {
+	for scope.Sleep(ctx, pauses.NextBackOff()) {
 		if s.withdraw() {
 			return true
 		}
@@ -67,18 +69,6 @@
 	return b
 }
 
-// sleep reports whether the time has passed before ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // withdraw takes a retry from the budget and reports whether there was one.
 func (s *run) withdraw() bool {
 	return s.relay.Budget == nil || s.relay.Budget.Withdraw()
@@ -125,7 +115,7 @@
 		}
 		return ReasonAttempts
 	}
-	if !sleep(ctx, s.backoff.NextBackOff()) {
+	if !scope.Sleep(ctx, s.backoff.NextBackOff()) {
 		return reasonOf(ctx.Err())
 	}
 	return ""
--- a/internal/coordination/replay/checkpoint.go
+++ b/internal/coordination/replay/checkpoint.go
@@ -43,10 +43,10 @@
 	defer leave()
 	c.since = time.Now()
 	for {
-		if !sleep(ctx, jittered(checkpointCheckInterval)) {
+		if !scope.Sleep(ctx, jittered(checkpointCheckInterval)) {
 			return ctx.Err()
 		}
-		if !c.due() || !sleep(ctx, mathrand.N(c.jitter())) || !c.due() {
+		if !c.due() || !scope.Sleep(ctx, mathrand.N(c.jitter())) || !c.due() {
 			continue
 		}
 		if err := c.write(ctx); err != nil {
@@ -143,7 +143,7 @@
 	}
 	var last error
 	for range chunkAttempts {
-		if !sleep(ctx, chunkAppendInterval) {
+		if !scope.Sleep(ctx, chunkAppendInterval) {
 			return 0, ctx.Err()
 		}
 		offset, err := c.appendOnce(ctx, payload)
@@ -151,7 +151,7 @@
 			return offset, nil
 		}
 		last = err
-		if !sleep(ctx, jittered(maxWriteBackoff)) {
+		if !scope.Sleep(ctx, jittered(maxWriteBackoff)) {
 			return 0, ctx.Err()
 		}
 	}
@@ -163,15 +163,3 @@
 	defer cancel()
 	return c.Log.Append(ctx, extern.StreamCheckpoints, payload)
 }
-
-// sleep waits for d and reports whether ctx is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/coordination/serve/locate.go
+++ b/internal/coordination/serve/locate.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"github.com/gooseberryway/gooseberryway/internal/coordination/member"
 	"github.com/gooseberryway/gooseberryway/internal/state/config"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/state/spread"
@@ -9,16 +10,10 @@
 // homesPerOrganisation is how many daemons share the traffic and the limits of an organisation.
 const homesPerOrganisation = 4
 
-// Homes returns the daemons that share the traffic and the limits of an organisation, best first.
-// They are chosen by rendezvous hashing over the joined members, spread over failure domains.
-func Homes(st *config.State, org ident.OrganisationID) []ident.DaemonID {
-	nodes := make([]spread.Node, 0, len(st.Members()))
-	for _, m := range st.Members() {
-		if m.State == config.MemberJoined {
-			nodes = append(nodes, spread.Node{ID: m.ID, Domain: m.FailureDomain})
-		}
-	}
-	return spread.Pick(string(org), nodes, homesPerOrganisation)
+// Homes returns the daemons that share the traffic and the limits of an organisation, best first. They are chosen by
+// rendezvous hashing among the joined daemons, spread over failure domains.
+func Homes(joined []spread.Node, org ident.OrganisationID) []ident.DaemonID {
+	return spread.Pick(string(org), joined, homesPerOrganisation)
 }
 
 // Locate returns the daemons that the caller shall use, best first. The error is an *Error.
@@ -32,7 +27,7 @@
 		}
 		org = caller.Organisation
 	}
-	homes := Homes(st, org)
+	homes := Homes(member.Joined(st), org)
 	if len(homes) == 0 {
 		return nil, &Error{Code: CodeNoUpstream, Message: "no daemon has joined yet", RetryAfter: retryNoUpstream}
 	}
--- a/internal/coordination/serve/service.go
+++ b/internal/coordination/serve/service.go
@@ -48,9 +48,6 @@
 // Drain makes the service refuse new work.
 func (s *Service) Drain() { s.draining.Store(true) }
 
-// Draining reports whether the service refuses new work because the daemon leaves.
-func (s *Service) Draining() bool { return s.draining.Load() }
-
 // Open returns the number of requests that are running.
 func (s *Service) Open() int64 { return s.open.Load() }
 
--- a/internal/program/client/client.go
+++ b/internal/program/client/client.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/gooseberryway/gooseberryway/internal/protocol/openai"
+	"github.com/gooseberryway/gooseberryway/internal/state/scope"
 )
 
 // APIError is a refusal of the system.
@@ -139,7 +140,7 @@
 			return nil, err
 		}
 		c.forget(addr)
-		if !sleep(ctx, pause) {
+		if !scope.Sleep(ctx, pause) {
 			return nil, err
 		}
 	}
@@ -156,17 +157,6 @@
 	return minRetryPause, errors.As(err, &transport) && !transport.Sent
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (c *Client) send(ctx context.Context, addr string, req *Request, began time.Time) (*Answer, error) {
 	r, err := c.newRequest(ctx, addr, req)
 	if err != nil {
--- a/internal/program/cmds/move.go
+++ b/internal/program/cmds/move.go
@@ -11,6 +11,7 @@
 
 	"github.com/gooseberryway/gooseberryway/internal/program/client"
 	"github.com/gooseberryway/gooseberryway/internal/state/config"
+	"github.com/gooseberryway/gooseberryway/internal/state/scope"
 )
 
 func newMove() *cobra.Command {
@@ -117,7 +118,7 @@
 func (s *operator) waitMove(ctx context.Context, out io.Writer, move *config.Move) error {
 	deadline := time.Now().Add(s.limit)
 	for !move.State.Ended() {
-		if time.Now().After(deadline) || !pause(ctx, waitPoll) {
+		if time.Now().After(deadline) || !scope.Sleep(ctx, waitPoll) {
 			return &MoveFailedError{State: move.State, Reason: move.Reason}
 		}
 		var r client.Resource
--- a/internal/program/cmds/operator.go
+++ b/internal/program/cmds/operator.go
@@ -11,6 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/gooseberryway/gooseberryway/internal/program/client"
+	"github.com/gooseberryway/gooseberryway/internal/state/scope"
 )
 
 // Environment variables that stand for flags.
@@ -95,7 +96,7 @@
 func (s *operator) waitInForce(ctx context.Context, out io.Writer, p client.Progress) error {
 	deadline := time.Now().Add(s.limit)
 	for !p.InForce() {
-		if time.Now().After(deadline) || !pause(ctx, waitPoll) {
+		if time.Now().After(deadline) || !scope.Sleep(ctx, waitPoll) {
 			return &NotInForceError{Summary: p.Summary}
 		}
 		last := p.Summary
@@ -109,17 +110,6 @@
 	return nil
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func printJSON(w io.Writer, v any) error {
 	enc := json.NewEncoder(w)
 	enc.SetIndent("", "  ")
--- a/internal/program/daemon/digest.go
+++ b/internal/program/daemon/digest.go
@@ -11,6 +11,7 @@
 	"github.com/gooseberryway/gooseberryway/internal/coordination/member"
 	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/state/scope"
 )
 
 // digest is what this daemon tells the others with its next heartbeats.
@@ -46,7 +47,7 @@
 		d := p.newDigest()
 		d.Moves = p.watch.Digest()
 		p.tellAll(ctx, &wire.TellRequest{Digest: d})
-		pause(ctx, urgentPause)
+		scope.Sleep(ctx, urgentPause)
 	}
 }
 
@@ -70,10 +71,7 @@
 
 // takePart tells the router which place this daemon has among those that answer.
 func (p *parts) takePart(view *member.View) {
-	ids := make([]ident.DaemonID, 0, len(view.Members))
-	for _, node := range view.Live() {
-		ids = append(ids, node.ID)
-	}
+	ids := liveIn(view)
 	slices.Sort(ids)
 	if rank := slices.Index(ids, p.settings.DaemonID); rank >= 0 {
 		p.router.SetPart(rank, len(ids))
--- a/internal/program/daemon/limits.go
+++ b/internal/program/daemon/limits.go
@@ -4,24 +4,23 @@
 	"context"
 	"errors"
 
+	"github.com/gooseberryway/gooseberryway/internal/coordination/member"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/quota"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/serve"
 	"github.com/gooseberryway/gooseberryway/internal/state/config"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/state/spread"
 )
 
 // quotaState shows a configuration to the limiter.
 type quotaState struct {
-	state   *config.State
-	members ident.Offset
+	state *config.State
+	// joined are the daemons among which homes are chosen.
+	joined []spread.Node
 }
 
 func newQuotaState(st *config.State) quotaState {
-	var newest ident.Offset
-	for _, m := range st.Members() {
-		newest = max(newest, st.Revision(config.PathOf(m)))
-	}
-	return quotaState{state: st, members: newest}
+	return quotaState{state: st, joined: member.Joined(st)}
 }
 
 // Limit implements quota.State.
@@ -34,10 +33,10 @@
 }
 
 // Homes implements quota.State.
-func (q quotaState) Homes(id ident.OrganisationID) []ident.DaemonID { return serve.Homes(q.state, id) }
+func (q quotaState) Homes(id ident.OrganisationID) []ident.DaemonID { return serve.Homes(q.joined, id) }
 
 // MembersRevision implements quota.State.
-func (q quotaState) MembersRevision() ident.Offset { return q.members }
+func (q quotaState) MembersRevision() ident.Offset { return q.state.MembersChanged() }
 
 // quotaView shows the states from the one in force to the applied one to the limiter.
 func quotaView(history []*config.State) quota.View {
--- a/internal/program/daemon/versions.go
+++ b/internal/program/daemon/versions.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/gooseberryway/gooseberryway/internal/coordination/member"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/moves"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/orders"
 	"github.com/gooseberryway/gooseberryway/internal/state/config"
@@ -64,7 +65,11 @@
 	if view == nil {
 		return nil
 	}
-	var ids []ident.DaemonID
+	return liveIn(view)
+}
+
+func liveIn(view *member.View) []ident.DaemonID {
+	ids := make([]ident.DaemonID, 0, len(view.Members))
 	for _, node := range view.Live() {
 		ids = append(ids, node.ID)
 	}
--- a/internal/program/daemon/watch.go
+++ b/internal/program/daemon/watch.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"sync"
-	"time"
 
 	"k8s.io/klog/v2"
 
@@ -12,6 +11,7 @@
 	"github.com/gooseberryway/gooseberryway/internal/state/config"
 	"github.com/gooseberryway/gooseberryway/internal/state/extern"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/state/scope"
 )
 
 // watchers read the cache events and load reports of the configured engines, one goroutine an engine.
@@ -68,19 +68,10 @@
 		}
 		if !gap {
 			klog.V(1).InfoS("Engine's events interrupted", "upstream", id, "err", err)
-			pause(ctx, watchPause/2+rand.N(watchPause))
+			scope.Sleep(ctx, watchPause/2+rand.N(watchPause))
 		}
 	}
 }
 
 // wait returns when all watchers have ended. Their context must have ended.
 func (ws *watchers) wait() { ws.wg.Wait() }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- /dev/null
+++ b/internal/state/scope/sleep.go
@@ -0,0 +1,18 @@
+package scope
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep waits for d and reports whether the time has passed before ctx ended.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
