Wait for the stand-in log's switch of faults to take effect in its test

The timer of forMs was also set before the faults, so that one that fired first left the service refusing for ever. Change: the service counts the switches that took effect (switches in its stats); the test waits for the count, then asserts as strictly as before. The timer is set after the faults.

--- a/internal/standin/engine/control_test.go
+++ b/internal/standin/engine/control_test.go
@@ -68,17 +68,24 @@
 	require.InDelta(t, 0.5, s.Faults().LostAnswers, 0)
 	require.Equal(t, http.StatusBadRequest, control(t, s.URL(), `{"lostAnswers":"x"}`))
 	require.Equal(t, http.StatusAccepted, control(t, s.URL(), `{"mode":"refusing"}`))
+	awaitSwitches(t, s, 2)
 	_, err := http.Get(s.URL() + "/standin/stats")
 	require.Error(t, err)
 	require.NoError(t, s.SetFaults(logsvc.Faults{}))
 	require.Equal(t, http.StatusAccepted, control(t, s.URL(), `{"mode":"refusing","forMs":20}`))
-	require.Eventually(t, func() bool {
-		resp, err := http.Get(s.URL() + "/standin/stats")
-		return err == nil && resp.Body.Close() == nil
-	}, 5*time.Second, time.Millisecond, "it listens again")
+	awaitSwitches(t, s, 5)
+	resp, err := http.Get(s.URL() + "/standin/stats")
+	require.NoError(t, err, "it listens again")
+	require.NoError(t, resp.Body.Close())
 	require.Equal(t, http.StatusNoContent, control(t, s.URL(), `{}`))
 }
 
+// awaitSwitches waits until n changes of faults have taken effect; an answer 202 comes before its change does.
+func awaitSwitches(t *testing.T, s *logsvc.Service, n int) {
+	t.Helper()
+	require.Eventually(t, func() bool { return s.Stats().Switches == n }, 30*time.Second, time.Millisecond)
+}
+
 func TestControlOfAPlainService(t *testing.T) {
 	s := &plain.Service{}
 	require.NoError(t, s.Start(t.Context()))
--- a/internal/standin/logsvc/faults.go
+++ b/internal/standin/logsvc/faults.go
@@ -73,6 +73,7 @@
 	}
 	server := s.server
 	s.mu.Unlock()
+	defer s.countSwitch()
 	if server == nil {
 		return nil
 	}
@@ -83,6 +84,12 @@
 	return server.Start(context.Background())
 }
 
+func (s *Service) countSwitch() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.Switches++
+}
+
 // Faults returns the faults in effect.
 func (s *Service) Faults() Faults {
 	s.mu.Lock()
--- a/internal/standin/logsvc/handler.go
+++ b/internal/standin/logsvc/handler.go
@@ -114,18 +114,25 @@
 		serve.JSON(w, http.StatusBadRequest, wirelog.Failure{Message: err.Error()})
 		return
 	}
-	if control.ForMs > 0 {
-		s.after(time.Duration(control.ForMs)*time.Millisecond, func() { _ = s.SetFaults(Faults{}) })
-	}
 	if control.Mode == ModeRefusing {
+		// The connection ends with the switch, so the answer goes first.
 		w.WriteHeader(http.StatusAccepted)
 		_ = http.NewResponseController(w).Flush()
-		_ = s.SetFaults(control.Faults)
+		_ = s.applyControl(control)
 		return
 	}
-	if err := s.SetFaults(control.Faults); err != nil {
+	if err := s.applyControl(control); err != nil {
 		serve.JSON(w, http.StatusInternalServerError, wirelog.Failure{Message: err.Error()})
 		return
 	}
 	w.WriteHeader(http.StatusNoContent)
 }
+
+// applyControl sets the faults, and only then the timer that ends them: a timer that fires first would end nothing.
+func (s *Service) applyControl(control Control) error {
+	err := s.SetFaults(control.Faults)
+	if control.ForMs > 0 {
+		s.after(time.Duration(control.ForMs)*time.Millisecond, func() { _ = s.SetFaults(Faults{}) })
+	}
+	return err
+}
