Refuse a checkpoint that holds a path, an id or a key twice

Cause: FuzzDecodeCheckpoint, ten minutes with one worker, found a chunk with two keys of one digest: it was decoded, and the index by digest held only the later one, so a withdrawal of the other path would not have been seen. Change: restoring an entry refuses a repeated path and an id or key that another path holds, with a *CheckpointError. Checkpoints that the program writes hold neither, since records that repeat an id or a key are rejected. The new test fails without the change and passes with it.

--- a/internal/state/config/checkpoint.go
+++ b/internal/state/config/checkpoint.go
@@ -162,6 +162,9 @@
 func (s *State) restore(entry *wire.CheckpointEntry) error {
 	rec := entry.GetRecord()
 	path := ident.Path(rec.GetPath())
+	if s.Node(path) != nil {
+		return &CheckpointError{Reason: fmt.Sprintf("%s is there twice", path)}
+	}
 	node := &Node{
 		Revision:      ident.Offset(entry.GetRevision()),
 		Author:        rec.GetAuthor(),
@@ -177,6 +180,9 @@
 	if err != nil {
 		return err
 	}
+	if holder, taken := s.holderOf(entity); taken {
+		return &CheckpointError{Reason: fmt.Sprintf("%s and %s have the same id or key", holder, path)}
+	}
 	node.Entity = entity
 	s.put(path, node)
 	return nil
--- a/internal/state/config/replay_test.go
+++ b/internal/state/config/replay_test.go
@@ -186,6 +186,23 @@
 	}
 }
 
+func TestDecodeCheckpointRefusesRepeats(t *testing.T) {
+	s, _ := NewState().ApplyAll(fleetEntries(1, 2))
+	tests := map[string]func(c *wire.CheckpointChunk){
+		"a path twice": func(c *wire.CheckpointChunk) { c.Entries = append(c.Entries, c.Entries[0]) },
+		"a digest twice": func(c *wire.CheckpointChunk) {
+			c.Entries[0].Record.GetKey().KeyDigest = c.Entries[1].Record.GetKey().KeyDigest
+		},
+	}
+	for name, spoil := range tests {
+		chunk := s.EncodeCheckpoint("c")[0]
+		spoil(chunk)
+		_, err := DecodeCheckpoint([]*wire.CheckpointChunk{chunk})
+		var checkpointErr *CheckpointError
+		require.ErrorAs(t, err, &checkpointErr, name)
+	}
+}
+
 // fleetEntries returns the records of organisations with keys.
 func fleetEntries(organisations, keys int) []*wire.LogEntry {
 	var entries []*wire.LogEntry
