--- a/internal/coordination/replay/errors.go
+++ b/internal/coordination/replay/errors.go
@@ -66,3 +66,13 @@
 	_ error = (*config.ConflictError)(nil)
 	_ error = (*config.InvalidError)(nil)
 )
+
+// StaleTailError is a read of the log that ends before what this daemon has applied, so that it proves nothing about
+// newer records.
+type StaleTailError struct {
+	Tail, Applied ident.Offset
+}
+
+func (e *StaleTailError) Error() string {
+	return fmt.Sprintf("the log's tail is at offset %d, but offset %d was applied", e.Tail, e.Applied)
+}
--- a/internal/coordination/replay/tail.go
+++ b/internal/coordination/replay/tail.go
@@ -97,6 +97,9 @@
 	if err != nil {
 		return false, err
 	}
+	if batch.Tail < from-1 {
+		return false, &StaleTailError{Tail: batch.Tail, Applied: from - 1}
+	}
 	applied := f.apply(decodeEntries(batch.Entries))
 	reached = f.State().Offset() >= batch.Tail
 	if !reached && !applied && len(batch.Entries) == 0 {
--- a/internal/transport/engine/watch.go
+++ b/internal/transport/engine/watch.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/gooseberryway/gooseberryway/internal/state/extern"
 	"github.com/gooseberryway/gooseberryway/internal/transport/httpc"
 )
@@ -88,14 +90,26 @@
 		})
 	}
 	if e.Load != nil {
-		sink.LoadReport(extern.LoadReport{
-			Incarnation:     e.Load.Incarnation,
-			Lag:             time.Duration(e.Load.LagMs * float64(time.Millisecond)),
-			WaitingRequests: e.Load.WaitingRequests,
-			RunningRequests: e.Load.RunningRequests,
-			QueuedTokens:    e.Load.QueuedTokens,
-			Versions:        e.Load.Versions,
-		})
+		deliverLoad(e.Load, sink)
 	}
 	return nil
 }
+
+// deliverLoad passes on a report whose figures are possible. Another one is left out, since the cache events of the
+// same stream are still of use.
+func deliverLoad(r *LoadReport, sink extern.EngineSink) {
+	if r.WaitingRequests < 0 || r.RunningRequests < 0 || r.QueuedTokens < 0 {
+		klog.InfoS("Load report has negative figures", "incarnation", r.Incarnation,
+			"waiting", r.WaitingRequests, "running", r.RunningRequests, "queuedTokens", r.QueuedTokens)
+		return
+	}
+	lagMs := min(max(r.LagMs, 0), float64(maxReportLag.Milliseconds()))
+	sink.LoadReport(extern.LoadReport{
+		Incarnation:     r.Incarnation,
+		Lag:             time.Duration(lagMs * float64(time.Millisecond)),
+		WaitingRequests: r.WaitingRequests,
+		RunningRequests: r.RunningRequests,
+		QueuedTokens:    r.QueuedTokens,
+		Versions:        r.Versions,
+	})
+}
--- a/internal/transport/logsvc/client.go
+++ b/internal/transport/logsvc/client.go
@@ -34,8 +34,13 @@
 // Append implements extern.Log.
 func (c *Client) Append(ctx context.Context, stream extern.Stream, payload []byte) (ident.Offset, error) {
 	var answer AppendAnswer
-	err := c.call(ctx, stream, http.MethodPost, "", payload, &answer)
-	return answer.Offset, err
+	if err := c.call(ctx, stream, http.MethodPost, "", payload, &answer); err != nil {
+		return 0, err
+	}
+	if answer.Offset == 0 {
+		return 0, unreadable(stream, "an append without an offset")
+	}
+	return answer.Offset, nil
 }
 
 // Read implements extern.Log.
@@ -45,6 +50,9 @@
 	if err := c.call(ctx, stream, http.MethodGet, query, nil, &answer); err != nil {
 		return extern.LogBatch{}, err
 	}
+	if reason := answer.fault(from); reason != "" {
+		return extern.LogBatch{}, unreadable(stream, reason)
+	}
 	batch := extern.LogBatch{First: answer.First, Tail: answer.Tail}
 	if len(answer.Entries) > 0 {
 		batch.Entries = make([]extern.LogEntry, len(answer.Entries))
--- a/internal/transport/logsvc/failure.go
+++ b/internal/transport/logsvc/failure.go
@@ -10,6 +10,18 @@
 	"github.com/gooseberryway/gooseberryway/internal/transport/httpc"
 )
 
+// AnswerError is an answer of status 200 that the log service does not give.
+type AnswerError struct {
+	Reason string
+}
+
+func (e *AnswerError) Error() string { return "the answer can't be the log service's: " + e.Reason }
+
+// unreadable is the error of an answer that says nothing of the call's effect.
+func unreadable(stream extern.Stream, reason string) error {
+	return &extern.LogError{Kind: extern.LogUnknown, Stream: stream, Err: &AnswerError{Reason: reason}}
+}
+
 // kindOfSendError returns LogRefused only if no byte of the call has left.
 func kindOfSendError(err error) extern.LogErrorKind {
 	var send *httpc.SendError
--- a/internal/transport/logsvc/wire.go
+++ b/internal/transport/logsvc/wire.go
@@ -20,6 +20,21 @@
 	Entries []Entry      `json:"entries"`
 }
 
+// fault returns what a log service can't have meant by the answer to a read from the offset, empty if nothing.
+func (a *ReadAnswer) fault(from ident.Offset) string {
+	if a.First > a.Tail {
+		return "the oldest offset is above the newest"
+	}
+	last := from - 1
+	for _, e := range a.Entries {
+		if e.Offset < a.First || e.Offset <= last || e.Offset > a.Tail {
+			return "its records are not in order"
+		}
+		last = e.Offset
+	}
+	return ""
+}
+
 // Failure is the body of an answer that is not 200. Kind is "refused" only if the call had no effect.
 type Failure struct {
 	Kind    string `json:"kind"`
