Compare latencies of versions at the same work of the engine

Cause: a step sends families of prefixes to engines that do not hold them. The router counts such a prefix as held from its first request on, so the requests behind it were compared with answers from warm caches, while they waited for the prefill of the first. Times between tokens were compared without regard to the prefill beside them. The last step has no control group large enough to show it, and a good move was taken back.

Change: the time to first token is classed by all tokens that the engine computes before it, those queued included, and the time between tokens by those queued when the answer begins. A slow engine's learned queue factor is left out, so that a slow version does not excuse itself. Classes reach 262144 tokens; above the largest one with samples the limit doubles with the class.

--- a/internal/coordination/moves/consts.go
+++ b/internal/coordination/moves/consts.go
@@ -40,14 +40,18 @@
 	digestRows = 96
 	// brokenWindow is the time in which breaks of one upstream, seen by several daemons, count as one failure.
 	brokenWindow = 500 * time.Millisecond
-	// latencyBuckets cover 1 ms to 65 s with four buckets for each doubling.
 	// refusedWindow is the time in which refusals of one upstream belong to one break.
-	refusedWindow       = 2 * time.Second
-	latencyBuckets      = 64
-	bucketsPerDoubling  = 4
-	latencyFloor        = time.Millisecond
-	uncachedClasses     = 6
-	uncachedClassTokens = 1024
+	refusedWindow = 2 * time.Second
+	// latencyBuckets cover 1 ms to 65 s with four buckets for each doubling.
+	latencyBuckets     = 64
+	bucketsPerDoubling = 4
+	latencyFloor       = time.Millisecond
+	// workClasses group requests by the tokens that the engine computes before their first token: the first has fewer
+	// than workClassTokens, each further one twice as many.
+	workClasses     = 10
+	workClassTokens = 1024
+	// longestLimitMicros bounds the limits that are taken over from other daemons.
+	longestLimitMicros = 600_000_000
 	// baselineRoutes bounds the routes whose latencies are kept outside of moves.
 	baselineRoutes = 4096
 	// ratioUnit is the latency that stands for a ratio of one in a histogram.
--- a/internal/coordination/moves/digest.go
+++ b/internal/coordination/moves/digest.go
@@ -163,7 +163,7 @@
 	for route, r := range *f.routes.Load() {
 		row := &wire.MoveDigest{
 			MoveId: string(sh.move.ID), RouteId: string(route),
-			ItlLimitUs: time.Duration(r.itlLimit.Load()).Microseconds(),
+			ItlLimitUs: time.Duration(r.itlLimits[0].Load()).Microseconds(),
 		}
 		known := row.GetItlLimitUs()
 		for class := range r.ttftLimits {
@@ -243,15 +243,19 @@
 
 // adopt takes a peer's limits where this daemon has too few samples of its own.
 func (r *routeFigures) adopt(row *wire.MoveDigest) {
-	ownTTFT := r.base != nil && r.base.ratios.total.Load() >= limitSamples
+	ownTTFT := r.base != nil && r.base.ttft.known()
 	for class, us := range row.GetTtftLimitsUs() {
-		if class < uncachedClasses && !ownTTFT && us > 0 {
+		if class < workClasses && !ownTTFT && us > 0 {
 			r.ttftLimits[class].Store(int64(time.Duration(us) * time.Microsecond))
 		}
 	}
-	ownITL := r.base != nil && r.base.itl.total.Load() >= limitSamples
-	if us := row.GetItlLimitUs(); us > 0 && !ownITL {
-		r.itlLimit.Store(int64(time.Duration(us) * time.Microsecond))
+	ownITL := r.base != nil && r.base.itl.known()
+	us := row.GetItlLimitUs()
+	if us <= 0 || us > longestLimitMicros || ownITL {
+		return
+	}
+	for class := range r.itlLimits {
+		r.itlLimits[class].Store(int64(time.Duration(us<<class) * time.Microsecond))
 	}
 }
 
--- a/internal/coordination/moves/fleet_test.go
+++ b/internal/coordination/moves/fleet_test.go
@@ -19,6 +19,8 @@
 	testTeam  = ident.TeamID("alder")
 	oldV      = ident.VersionID("v1")
 	newV      = ident.VersionID("v2")
+	// families is the number of families of prefixes.
+	families = 40
 )
 
 // unavailableError is the log being down.
@@ -119,6 +121,8 @@
 	share  ident.Permille
 	rng    *rand.Rand
 	uncach ident.Tokens
+	// ahead are the tokens that the engine computes before the request's own.
+	ahead ident.Tokens
 }
 
 type answer struct {
@@ -129,7 +133,7 @@
 
 // healthy is how a good version answers: a few failures, latencies with a long tail.
 func healthy(r request) answer {
-	base := 40*time.Millisecond + time.Duration(r.uncach)*60*time.Microsecond
+	base := 40*time.Millisecond + prefillTime(r.uncach+r.ahead)
 	a := answer{outcome: OutcomeWhole}
 	a.ttft = time.Duration(float64(base) * math.Exp(r.rng.NormFloat64()*0.35))
 	a.itl = time.Duration(float64(25*time.Millisecond) * math.Exp(r.rng.NormFloat64()*0.15))
@@ -139,6 +143,8 @@
 	return a
 }
 
+func prefillTime(n ident.Tokens) time.Duration { return time.Duration(n) * 60 * time.Microsecond }
+
 // fleet is several daemons before one log, with traffic.
 type fleet struct {
 	log     *testLog
@@ -151,6 +157,8 @@
 	// rare is a route that gets few of the requests; average hides routes and organisations from the watch.
 	rare    ident.RouteID
 	average bool
+	// caches gives the engines caches and queues; nil draws the uncached part of each prompt.
+	caches *caches
 
 	mu                sync.Mutex
 	total, toNew, bad int
@@ -305,7 +313,7 @@
 }
 
 func (f *fleet) serve(d *daemon, id ident.RequestID, org ident.OrganisationID, route ident.RouteID, rng *rand.Rand) {
-	family := ident.BlockHash(rng.IntN(40) + 1)
+	family := ident.BlockHash(rng.IntN(families) + 1)
 	v := f.pickerOf(d).Version(Ask{Model: testModel, Route: route, Organisation: org, Request: id, Family: family})
 	at := Target{
 		Model: testModel, Route: route, Version: v, Organisation: org,
@@ -313,17 +321,21 @@
 	}
 	r := request{Target: at, at: time.Now(), share: f.log.move().Share, rng: rng, uncach: ident.Tokens(rng.IntN(4)) * 1024}
 	f.mu.Lock()
+	work := r.uncach
+	if f.caches != nil {
+		work = f.caches.take(&r, family)
+	}
 	a := f.answer[v](r)
 	f.mu.Unlock()
 	f.count(r, a)
 	if f.average {
-		at.Route, at.Organisation = "quote", ""
+		r.Route, r.Organisation = "quote", ""
 	}
-	fl := d.watch.Begin(at, r.uncach)
+	fl := d.watch.Begin(r.Target, work)
 	time.Sleep(a.ttft)
 	n := 0
 	if a.outcome == OutcomeWhole || a.outcome == OutcomeTruncated {
-		fl.First(r.uncach)
+		fl.First(0)
 		n = 20
 		if a.outcome == OutcomeTruncated {
 			n = 1 + rng.IntN(19)
--- a/internal/coordination/moves/flight.go
+++ b/internal/coordination/moves/flight.go
@@ -16,6 +16,8 @@
 	share   *share
 	figures *moveFigures
 	route   *routeFigures
+	// class is that of the work before the first token, pace that of the work for others after it.
+	class, pace int
 	// base is where the latencies of the version that serves are kept.
 	base  *latencyBase
 	isNew bool
@@ -29,10 +31,11 @@
 	paced bool
 }
 
-// Begin counts a request that is sent to an engine now. uncached is the part of the prompt that the engine is
-// expected to compute. End must be called on the result once.
-func (w *Watch) Begin(at Target, uncached ident.Tokens) Flight {
-	fl := Flight{Started: time.Now(), target: at, watch: w}
+// Begin counts a request that is sent to an engine now. work are the tokens that the engine is expected to compute
+// before the first token: those queued before the request and the part of its prompt that is not cached. End must be
+// called on the result once.
+func (w *Watch) Begin(at Target, work ident.Tokens) Flight {
+	fl := Flight{Started: time.Now(), target: at, watch: w, class: workClass(work)}
 	w.checkSent(at, fl.Started)
 	fl.share, fl.figures, fl.isNew = w.find(at)
 	if fl.figures == nil {
@@ -44,22 +47,24 @@
 		fl.base = fl.route.base
 	}
 	fl.cell = fl.figures.cell(at, fl.isNew)
-	fl.waiting = &pendingNode{started: fl.Started, class: uncachedClass(uncached), cell: fl.cell}
+	fl.waiting = &pendingNode{started: fl.Started, class: fl.class, cell: fl.cell}
 	fl.route.pending[sideOf(fl.isNew)].add(fl.waiting)
 	return fl
 }
 
-// First counts the first token, which has come now. uncached is the part of the prompt that the engine computed.
+// First counts the first token, which has come now. queued are the tokens that the engine has yet to compute for other
+// requests, which slow the answer down.
 // The answer counts as good from here on, unless it ends otherwise: a version that fails at once would else seem
 // worse than it is, as its good answers take longer.
-func (fl *Flight) First(uncached ident.Tokens) {
+func (fl *Flight) First(queued ident.Tokens) {
 	if fl.first {
 		return
 	}
 	fl.first, fl.firstAt = true, time.Now()
-	ttft, class := fl.firstAt.Sub(fl.Started), uncachedClass(uncached)
+	fl.pace = workClass(queued)
+	ttft := fl.firstAt.Sub(fl.Started)
 	if fl.base != nil {
-		fl.base.addTTFT(class, ttft)
+		fl.base.ttft.add(fl.class, ttft)
 	}
 	if fl.figures == nil {
 		return
@@ -68,7 +73,7 @@
 	if overdue := fl.endWait(); overdue {
 		return
 	}
-	slow := fl.route.addTTFT(fl.cell, ttft, class)
+	slow := fl.route.addTTFT(fl.cell, ttft, fl.class)
 	fl.signalIf(slow)
 }
 
@@ -84,13 +89,13 @@
 func (fl *Flight) addITL(itl time.Duration) {
 	fl.paced = true
 	if fl.base != nil {
-		fl.base.itl.add(itl)
+		fl.base.itl.add(fl.pace, itl)
 	}
 	if fl.figures == nil {
 		return
 	}
 	fl.freeProbe()
-	slow := fl.route.addITL(fl.cell, itl)
+	slow := fl.route.addITL(fl.cell, itl, fl.pace)
 	fl.signalIf(slow)
 }
 
@@ -182,9 +187,9 @@
 }
 
 // addITL counts a time between tokens and reports whether it was slow.
-func (r *routeFigures) addITL(c *cell, itl time.Duration) bool {
+func (r *routeFigures) addITL(c *cell, itl time.Duration, class int) bool {
 	c.itlMicros.Add(itl.Microseconds())
-	limit := time.Duration(r.itlLimit.Load())
+	limit := time.Duration(r.itlLimits[class].Load())
 	if limit == 0 {
 		return false
 	}
--- a/internal/coordination/moves/pending.go
+++ b/internal/coordination/moves/pending.go
@@ -41,7 +41,7 @@
 
 // countOverdue counts the requests that have begun to wait longer than the limit of their class as slow, and returns
 // their number.
-func (p *pendingSet) countOverdue(now time.Time, limits *[uncachedClasses]time.Duration) int {
+func (p *pendingSet) countOverdue(now time.Time, limits *[workClasses]time.Duration) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.head.next == nil {
--- a/internal/coordination/moves/sample.go
+++ b/internal/coordination/moves/sample.go
@@ -49,10 +49,10 @@
 	Outcome Outcome
 }
 
-// uncachedClass groups prompts by the work of their prefill, so that answers are compared with like ones.
-func uncachedClass(n ident.Tokens) int {
+// workClass groups requests by the engine's work in tokens, so that answers are compared with like ones.
+func workClass(n ident.Tokens) int {
 	class := 0
-	for n /= uncachedClassTokens; n > 0 && class < uncachedClasses-1; n /= 2 {
+	for n /= workClassTokens; n > 0 && class < workClasses-1; n /= 2 {
 		class++
 	}
 	return class
--- a/internal/coordination/moves/watch.go
+++ b/internal/coordination/moves/watch.go
@@ -63,8 +63,8 @@
 type routeFigures struct {
 	// base is nil when there are too many routes.
 	base       *latencyBase
-	ttftLimits [uncachedClasses]atomic.Int64
-	itlLimit   atomic.Int64
+	ttftLimits [workClasses]atomic.Int64
+	itlLimits  [workClasses]atomic.Int64
 	// pending holds the requests without a first token of the old and of the new version.
 	pending [2]pendingSet
 }
@@ -222,8 +222,8 @@
 	}
 }
 
-func (r *routeFigures) limits() *[uncachedClasses]time.Duration {
-	var limits [uncachedClasses]time.Duration
+func (r *routeFigures) limits() *[workClasses]time.Duration {
+	var limits [workClasses]time.Duration
 	for class := range limits {
 		limits[class] = time.Duration(r.ttftLimits[class].Load())
 	}
@@ -231,14 +231,17 @@
 }
 
 func (r *routeFigures) refreshLimits(slack int) {
-	for class, limit := range r.base.ttftLimits(slack) {
+	storeLimits(&r.ttftLimits, r.base.ttft.limits(slack))
+	storeLimits(&r.itlLimits, r.base.itl.limits(slack))
+}
+
+// storeLimits replaces the limits by those that are known.
+func storeLimits(to *[workClasses]atomic.Int64, limits [workClasses]time.Duration) {
+	for class, limit := range limits {
 		if limit > 0 {
-			r.ttftLimits[class].Store(int64(limit))
+			to[class].Store(int64(limit))
 		}
 	}
-	if limit := r.base.itlLimit(slack); limit > 0 {
-		r.itlLimit.Store(int64(limit))
-	}
 }
 
 func (c *cell) add(o Outcome, begun bool) {
--- a/internal/coordination/route/attempt.go
+++ b/internal/coordination/route/attempt.go
@@ -19,7 +19,9 @@
 	req      Request
 	decision Decision
 	// queued are the tokens that the engine's last report called queued when the attempt was sent.
-	queued  ident.Tokens
+	queued ident.Tokens
+	// before are the tokens that the engine computes before the first token of the answer.
+	before  ident.Tokens
 	started time.Time
 	ttft    time.Duration
 	done    bool
@@ -34,6 +36,7 @@
 			d.Scope.Organisation, d.Scope.Version, req.Scope.Organisation, req.Scope.Version)
 	}
 	a := &Attempt{router: r, req: *req, decision: d, started: now, upstream: r.Health.Upstream(d.Upstream)}
+	a.before = max(0, req.PromptTokens-d.ExpectedCachedTokens)
 	if a.upstream == nil {
 		return a
 	}
@@ -44,12 +47,25 @@
 	a.served(req.PromptTokens, now)
 	a.queued = a.upstream.ReportedQueue(now)
 	missed := max(0, req.PromptTokens-held)
+	a.before = a.upstream.QueuedWork(now) + missed
 	a.work = a.upstream.Begin(missed, now)
 	a.expect()
 	r.notify(d, missed)
 	return a
 }
 
+// Work returns the tokens that the engine was expected to compute before the first token when the attempt was sent: those
+// queued before it and its own.
+func (a *Attempt) Work() ident.Tokens { return a.before }
+
+// Queued returns the tokens that the engine is expected to compute for other requests as of now. Call it after FirstToken.
+func (a *Attempt) Queued() ident.Tokens {
+	if a.upstream == nil {
+		return 0
+	}
+	return a.upstream.QueuedWork(time.Now())
+}
+
 // expect notes that the engine is about to hold the prompt, unless it has restarted since the decision.
 func (a *Attempt) expect() {
 	if a.upstream.Incarnation() == a.decision.Incarnation {
--- a/internal/program/daemon/picks.go
+++ b/internal/program/daemon/picks.go
@@ -48,7 +48,6 @@
 		p.dispatched(version, req.Route)
 	}
 	attempt := p.router.Started(r, decision)
-	uncached := max(0, r.PromptTokens-decision.ExpectedCachedTokens)
 	flight := p.watch.Begin(moves.Target{
 		Model:        req.Model,
 		Route:        req.Route,
@@ -56,7 +55,7 @@
 		Organisation: req.Organisation,
 		Upstream:     decision.Upstream,
 		Resumed:      req.ResumeFrom > 0,
-	}, uncached)
+	}, attempt.Work())
 	return relay.Attempt{
 		Upstream:     decision.Upstream,
 		BaseURL:      decision.BaseURL,
@@ -65,7 +64,7 @@
 		Version:      version,
 		FirstToken: func() {
 			attempt.FirstToken()
-			flight.First(uncached)
+			flight.First(attempt.Queued())
 		},
 		Tokens: flight.Tokens,
 		Report: func(report relay.Report) {
--- a/internal/state/health/engine.go
+++ b/internal/state/health/engine.go
@@ -141,16 +141,32 @@
 		return Load{Queued: u.sent.all(), Requests: int(u.inFlight.Load())}
 	}
 	pending, begun := u.sent.after(r.asOf, t)
-	drained := u.PrefillRate() * (t - r.asOf).Seconds()
-	queued := ident.Tokens(max(0, float64(r.QueuedTokens)*u.QueueFactor()-drained) + float64(pending))
 	return Load{
-		Queued:   queued,
+		Queued:   u.left(r, t, u.QueueFactor()) + pending,
 		Requests: r.WaitingRequests + r.RunningRequests + int(begun),
 		Waiting:  r.WaitingRequests,
 		Reported: true,
 	}
 }
 
+// left returns what is left at a time of the part of the reported queue that the engine has to compute.
+func (u *Upstream) left(r *report, at time.Duration, part float64) ident.Tokens {
+	drained := u.PrefillRate() * (at - r.asOf).Seconds()
+	return ident.Tokens(max(0, float64(r.QueuedTokens)*part-drained))
+}
+
+// QueuedWork estimates the prompt tokens that the engine computes before a request that is sent now. Other than in Load,
+// a slow engine does not seem to have more of them.
+func (u *Upstream) QueuedWork(now time.Time) ident.Tokens {
+	t := u.since(now)
+	r := u.report.Load()
+	if r == nil || t-r.asOf > ReportStale {
+		return u.sent.all()
+	}
+	pending, _ := u.sent.after(r.asOf, t)
+	return u.left(r, t, min(1, u.QueueFactor())) + pending
+}
+
 // Serves tells whether the upstream has loaded the version; known is false while no report has told.
 func (u *Upstream) Serves(version ident.VersionID) (serves, known bool) {
 	r := u.report.Load()
--- a/internal/state/health/health_test.go
+++ b/internal/state/health/health_test.go
@@ -60,6 +60,26 @@
 	})
 }
 
+// The work before a request is that of Load, but for the factor of an engine that is slow.
+func TestQueuedWorkDoesNotGrowWithSlowness(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &Table{}
+		table.Update(engines(1))
+		u := table.Upstream("e00")
+		u.LearnPrefill(1000, time.Second)
+		work := u.Begin(300, time.Now())
+		require.EqualValues(t, 300, u.QueuedWork(time.Now()))
+		time.Sleep(time.Second)
+		u.Report(extern.LoadReport{Incarnation: 1, QueuedTokens: 5000}, time.Now())
+		for range 50 {
+			u.LearnQueue(5000, time.Minute)
+		}
+		require.Greater(t, u.Load(time.Now()).Queued, ident.Tokens(15000))
+		require.EqualValues(t, 5000, u.QueuedWork(time.Now()))
+		work.End()
+	})
+}
+
 func TestReportsOfOlderIncarnationsOrTimesAreIgnored(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		table := &Table{}
