Refuse to delete what serves by a done move of single routes

Cause: a route that a done move of single routes has shifted is served by the move's new version, which no entity names but the move. The version could be deleted under its traffic, and so could the move, which sent the route back at once.

Change: the versions that serve are worked out in one place, config.Serving, for the splitter and the check. A version that serves a route and a done move without which a route or model would be served by another version are refused with an *InvalidError that names the route or model. The rule is part of the replay: run one build on all daemons before you delete moves or versions.

--- a/internal/coordination/moves/flight.go
+++ b/internal/coordination/moves/flight.go
@@ -39,7 +39,7 @@
 	w.checkSent(at, fl.Started)
 	fl.share, fl.figures, fl.isNew = w.find(at)
 	if fl.figures == nil {
-		fl.base = w.base(baseKey{routeKey{at.Model, at.Route}, at.Version})
+		fl.base = w.base(baseKey{routeKey{Model: at.Model, Route: at.Route}, at.Version})
 		return fl
 	}
 	fl.route = w.routeOf(fl.figures, at.Route)
@@ -152,7 +152,7 @@
 // checkSent checks that nothing goes to a version after its stop.
 func (w *Watch) checkSent(at Target, started time.Time) {
 	if t := w.Splitter.table.Load(); t != nil && !at.Resumed {
-		t.checkSent(routeKey{at.Model, at.Route}, at.Version, started)
+		t.checkSent(routeKey{Model: at.Model, Route: at.Route}, at.Version, started)
 	}
 }
 
--- a/internal/coordination/moves/split.go
+++ b/internal/coordination/moves/split.go
@@ -26,17 +26,12 @@
 	defer s.mu.Unlock()
 	old := s.table.Load()
 	t := &splitTable{
-		current:    make(map[ident.ModelID]ident.VersionID, len(state.Models())),
-		moved:      map[routeKey]ident.VersionID{},
+		serving:    state.Serving(),
 		active:     map[routeKey]*share{},
 		everywhere: map[ident.ModelID]*share{},
 		byMove:     map[ident.MoveID]*share{},
 		retired:    map[retiredKey]*share{},
 	}
-	for id, m := range state.Models() {
-		t.current[id] = m.CurrentVersion
-	}
-	t.applyDone(state)
 	t.applyActive(state, old)
 	if old != nil {
 		old.retire(t)
@@ -61,7 +56,7 @@
 	if t == nil {
 		return ""
 	}
-	key := routeKey{ask.Model, ask.Route}
+	key := routeKey{Model: ask.Model, Route: ask.Route}
 	sh := t.find(key)
 	if sh == nil {
 		return t.base(key)
@@ -114,7 +109,7 @@
 	if t == nil {
 		return false
 	}
-	key := routeKey{model, route}
+	key := routeKey{Model: model, Route: route}
 	sh := t.find(key)
 	if sh == nil {
 		return t.base(key) == version
@@ -132,7 +127,7 @@
 	if t == nil {
 		return picked
 	}
-	sh := t.find(routeKey{model, route})
+	sh := t.find(routeKey{Model: model, Route: route})
 	switch {
 	case sh == nil:
 		return picked
@@ -151,7 +146,7 @@
 	if t == nil {
 		return ""
 	}
-	return t.base(routeKey{model, route})
+	return t.base(routeKey{Model: model, Route: route})
 }
 
 // Stop ends the sending of new requests to the new version of a move on this daemon, at once and for good.
--- a/internal/coordination/moves/table.go
+++ b/internal/coordination/moves/table.go
@@ -16,11 +16,8 @@
 
 // splitTable is an immutable snapshot but for the counters in its shares.
 type splitTable struct {
-	// current holds the version of each model for routes that no move has shifted.
-	current map[ident.ModelID]ident.VersionID
-	// moved holds the version of routes that moves of single routes have shifted.
-	moved  map[routeKey]ident.VersionID
-	active map[routeKey]*share
+	serving config.Serving
+	active  map[routeKey]*share
 	// everywhere holds active moves that shift all routes of their model.
 	everywhere map[ident.ModelID]*share
 	byMove     map[ident.MoveID]*share
@@ -33,10 +30,8 @@
 	version ident.VersionID
 }
 
-type routeKey struct {
-	model ident.ModelID
-	route ident.RouteID
-}
+// routeKey names a route of a model.
+type routeKey = config.ModelRoute
 
 // share is the live split of one move.
 type share struct {
@@ -58,36 +53,6 @@
 	reason atomic.Pointer[string]
 }
 
-// applyDone shifts models and routes along the moves that are done, oldest first.
-func (t *splitTable) applyDone(state *config.State) {
-	for _, m := range movesByRevision(state) {
-		if m.State != config.MoveDone {
-			continue
-		}
-		if len(m.Routes) == 0 {
-			t.applyDoneModel(state, m)
-			continue
-		}
-		for _, r := range m.Routes {
-			key := routeKey{m.Model, r}
-			if t.base(key) == m.From {
-				t.moved[key] = m.To
-			}
-		}
-	}
-}
-
-// applyDoneModel shifts a whole model unless its entity was changed after the move.
-func (t *splitTable) applyDoneModel(state *config.State, m *config.Move) {
-	model, ok := state.Model(m.Model)
-	if !ok || t.current[m.Model] != m.From {
-		return
-	}
-	if state.Revision(config.PathOf(m)) > state.Revision(config.PathOf(model)) {
-		t.current[m.Model] = m.To
-	}
-}
-
 func (t *splitTable) applyActive(state *config.State, old *splitTable) {
 	for _, m := range activeMoves(state) {
 		sh := newShare(m, old.shareOf(m.ID))
@@ -99,7 +64,7 @@
 			continue
 		}
 		for _, r := range m.Routes {
-			key := routeKey{m.Model, r}
+			key := routeKey{Model: m.Model, Route: r}
 			if t.active[key] == nil {
 				t.active[key] = sh
 			}
@@ -128,7 +93,7 @@
 		if next.byMove[id] != nil {
 			continue
 		}
-		key := routeKey{sh.move.Model, firstRoute(&sh.move)}
+		key := routeKey{Model: sh.move.Model, Route: firstRoute(&sh.move)}
 		if next.base(key) == sh.move.To {
 			continue
 		}
@@ -153,10 +118,7 @@
 
 // base returns the version of a route outside of any active move.
 func (t *splitTable) base(key routeKey) ident.VersionID {
-	if v, ok := t.moved[key]; ok {
-		return v
-	}
-	return t.current[key.model]
+	return t.serving.Version(key)
 }
 
 // find returns the active move of a route, nil if there is none.
@@ -167,7 +129,7 @@
 	if sh := t.active[key]; sh != nil {
 		return sh
 	}
-	if sh := t.everywhere[key.model]; sh != nil {
+	if sh := t.everywhere[key.Model]; sh != nil {
 		if t.base(key) == sh.move.From || t.base(key) == sh.move.To {
 			return sh
 		}
@@ -206,14 +168,3 @@
 	})
 	return active
 }
-
-func movesByRevision(state *config.State) []*config.Move {
-	all := make([]*config.Move, 0, len(state.Moves()))
-	for _, m := range state.Moves() {
-		all = append(all, m)
-	}
-	slices.SortFunc(all, func(a, b *config.Move) int {
-		return cmp.Compare(state.Revision(config.PathOf(a)), state.Revision(config.PathOf(b)))
-	})
-	return all
-}
--- a/internal/coordination/moves/watch.go
+++ b/internal/coordination/moves/watch.go
@@ -97,7 +97,7 @@
 
 // find returns the move and figures that a request counts for; nil figures if none.
 func (w *Watch) find(at Target) (*share, *moveFigures, bool) {
-	sh := w.Splitter.table.Load().find(routeKey{at.Model, at.Route})
+	sh := w.Splitter.table.Load().find(routeKey{Model: at.Model, Route: at.Route})
 	if sh == nil || (at.Version != sh.move.From && at.Version != sh.move.To) {
 		return nil, nil, false
 	}
@@ -161,7 +161,7 @@
 	if r := (*f.routes.Load())[id]; r != nil {
 		return r
 	}
-	base := w.base(baseKey{routeKey{f.model, id}, f.from})
+	base := w.base(baseKey{routeKey{Model: f.model, Route: id}, f.from})
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if r := (*f.routes.Load())[id]; r != nil {
--- a/internal/state/config/check_test.go
+++ b/internal/state/config/check_test.go
@@ -88,6 +88,34 @@
 	}
 }
 
+// What serves by a done move of single routes keeps the move and its version, also when a later move builds on it.
+func TestDeletionIsRefusedWhileServing(t *testing.T) {
+	s := apply(t, seeded(t),
+		&Version{ID: "v3", Model: "m", Weights: "w3"},
+		&Move{ID: "mv", Team: "alder", Model: "m", From: "v1", To: "v2", State: MoveTakenBack},
+		&Move{ID: "one", Team: "alder", Model: "m", From: "v1", To: "v2", Routes: []ident.RouteID{"chat"}, State: MoveDone},
+	)
+	refused := func(s *State, path ident.Path) {
+		t.Helper()
+		_, err := s.Apply(s.Offset()+1, NewDeletion("d", "operator", s.Revision(path), path))
+		var invalid *InvalidError
+		require.ErrorAs(t, err, &invalid, path)
+		require.Contains(t, invalid.Reason, "/teams/alder/routes/chat", path)
+	}
+	refused(s, "/platform/versions/m/v2")
+	refused(s, "/teams/alder/moves/one")
+
+	s = apply(t, s, &Move{ID: "two", Team: "alder", Model: "m", From: "v2", To: "v3", Routes: []ident.RouteID{"chat"}, State: MoveDone})
+	refused(s, "/platform/versions/m/v3")
+	refused(s, "/teams/alder/moves/two")
+	refused(s, "/teams/alder/moves/one")
+	for _, path := range []ident.Path{"/platform/versions/m/v2", "/teams/alder/moves/mv"} {
+		next, err := s.Apply(s.Offset()+1, NewDeletion("d", "operator", s.Revision(path), path))
+		require.NoError(t, err, path)
+		s = next
+	}
+}
+
 func TestConflictShowsTheOtherChange(t *testing.T) {
 	s := seeded(t)
 	mine := &Organisation{ID: "survey", Team: "alder", Rate: 20, Burst: 100}
--- a/internal/state/config/refer.go
+++ b/internal/state/config/refer.go
@@ -182,7 +182,9 @@
 		if e.State.Active() {
 			return PathOf(e)
 		}
-	case *Operator, *Key, *Setting, *Move:
+	case *Move:
+		return s.userOfMove(e)
+	case *Operator, *Key, *Setting:
 	}
 	return ""
 }
@@ -198,6 +200,9 @@
 	if path := firstUser(s.models, func(m *Model) bool { return m.CurrentVersion == id }); path != "" {
 		return path
 	}
+	if path := s.servedBy(id); path != "" {
+		return path
+	}
 	return firstUser(s.moves, func(m *Move) bool { return !m.State.Ended() && (m.From == id || m.To == id) })
 }
 
