Check the settings of moves and loads like the others

Cause: the settings of moves and of weight loads had no bounds and no defaults that the reference could name. Steps that fall or end short of all traffic were replaced by the defaults without a word.

Change: both have validation tags and exported defaults. A settings file with a value that is not allowed is refused with the setting's path and what is allowed; a setting at /platform/settings/moves or loads is not used and logged.

--- a/internal/coordination/moves/settings.go
+++ b/internal/coordination/moves/settings.go
@@ -1,6 +1,7 @@
 package moves
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
@@ -9,15 +10,15 @@
 // Settings are the limits and times of moves. The zero value of a field stands for its default.
 type Settings struct {
 	// Steps are the shares that a move passes through; the last is 1000.
-	Steps []ident.Permille `json:"stepsPermille,omitempty"`
+	Steps []ident.Permille `json:"stepsPermille,omitempty" validate:"omitempty,max=20,risesTo=1000"`
 	// MinSamples is the number of requests to the new version on each route before a step is judged good.
-	MinSamples int64 `json:"minSamples,omitempty"`
+	MinSamples int64 `json:"minSamples,omitempty" validate:"min=0,max=1000000"`
 	// MinStep is the least time in a step, in milliseconds.
-	MinStep Millis `json:"minStepMs,omitempty"`
+	MinStep Millis `json:"minStepMs,omitempty" validate:"min=0,max=86400000"`
 	// MaxSoak is the longest watch after the last step, in milliseconds.
-	MaxSoak Millis `json:"maxSoakMs,omitempty"`
+	MaxSoak Millis `json:"maxSoakMs,omitempty" validate:"min=0,max=86400000"`
 	// SlowPercent is how far above the old version's 95th percentile an answer counts as slow, in percent.
-	SlowPercent int `json:"slowPercent,omitempty"`
+	SlowPercent int `json:"slowPercent,omitempty" validate:"min=0,max=1000"`
 }
 
 // Millis is a time in milliseconds.
@@ -26,21 +27,25 @@
 // Duration returns the time as a time.Duration.
 func (m Millis) Duration() time.Duration { return time.Duration(m) * time.Millisecond }
 
+// DefaultSettings returns the settings with every default.
+func DefaultSettings() Settings {
+	return Settings{
+		Steps:       []ident.Permille{10, 50, 250, 500, wholePermille},
+		MinSamples:  30,
+		MinStep:     1000,
+		MaxSoak:     600_000,
+		SlowPercent: 25,
+	}
+}
+
 func (s Settings) withDefaults() Settings {
+	standard := DefaultSettings()
 	if !validSteps(s.Steps) {
-		s.Steps = []ident.Permille{10, 50, 250, 500, wholePermille}
-	}
-	if s.MinSamples == 0 {
-		s.MinSamples = 30
-	}
-	if s.MinStep == 0 {
-		s.MinStep = 1000
-	}
-	if s.MaxSoak == 0 {
-		s.MaxSoak = 600_000
-	}
-	if s.SlowPercent == 0 {
-		s.SlowPercent = 25
+		s.Steps = standard.Steps
 	}
+	s.MinSamples = cmp.Or(s.MinSamples, standard.MinSamples)
+	s.MinStep = cmp.Or(s.MinStep, standard.MinStep)
+	s.MaxSoak = cmp.Or(s.MaxSoak, standard.MaxSoak)
+	s.SlowPercent = cmp.Or(s.SlowPercent, standard.SlowPercent)
 	return s
 }
--- a/internal/coordination/orders/orders.go
+++ b/internal/coordination/orders/orders.go
@@ -27,9 +27,12 @@
 // Settings limit the loads.
 type Settings struct {
 	// Together is the number of engines that may load weights at the same time; 0 is two.
-	Together int `json:"loadsTogether,omitempty"`
+	Together int `json:"loadsTogether,omitempty" validate:"min=0,max=64"`
 }
 
+// DefaultSettings returns the settings with every default.
+func DefaultSettings() Settings { return Settings{Together: defaultTogether} }
+
 // Report is what an engine last reported.
 type Report struct {
 	Versions []ident.VersionID
--- a/internal/program/daemon/platform.go
+++ b/internal/program/daemon/platform.go
@@ -5,6 +5,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/gooseberryway/gooseberryway/internal/program/setup"
 	"github.com/gooseberryway/gooseberryway/internal/state/burn"
 	"github.com/gooseberryway/gooseberryway/internal/state/config"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
@@ -40,6 +41,10 @@
 		klog.ErrorS(err, "Setting is not valid and not used", "path", path)
 		return fallback
 	}
+	if faults := setup.Validate(&value); len(faults) > 0 {
+		klog.ErrorS(&setup.SettingsError{File: string(path), Faults: faults}, "Setting is not valid and not used", "path", path)
+		return fallback
+	}
 	return value
 }
 
--- a/internal/program/daemon/platform_test.go
+++ b/internal/program/daemon/platform_test.go
@@ -19,6 +19,7 @@
 		"none":         {"", file},
 		"some fields":  {`{"stepsPermille":[1,1000]}`, moves.Settings{Steps: []ident.Permille{1, 1000}, MinSamples: 7}},
 		"not readable": {`{"stepsPermille":[2,"x"]}`, file},
+		"not allowed":  {`{"stepsPermille":[2,1]}`, file},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/program/setup/check.go
+++ b/internal/program/setup/check.go
@@ -9,6 +9,7 @@
 	"reflect"
 	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/go-playground/validator/v10"
@@ -28,16 +29,37 @@
 	register(v, "id", idPattern.MatchString)
 	register(v, "ipport", isIPPort)
 	register(v, "ipurl", isIPURL)
+	registerField(v, "risesTo", risesTo)
 	return v
 }
 
 func register(v *validator.Validate, tag string, ok func(string) bool) {
-	err := v.RegisterValidation(tag, func(fl validator.FieldLevel) bool { return ok(fl.Field().String()) })
-	if err != nil {
+	registerField(v, tag, func(fl validator.FieldLevel) bool { return ok(fl.Field().String()) })
+}
+
+func registerField(v *validator.Validate, tag string, ok validator.Func) {
+	if err := v.RegisterValidation(tag, ok); err != nil {
 		panic(err)
 	}
 }
 
+// risesTo reports whether a list of whole numbers rises from above 0 to the parameter.
+func risesTo(fl validator.FieldLevel) bool {
+	end, err := strconv.ParseInt(fl.Param(), 10, 64)
+	if err != nil {
+		return false
+	}
+	last := int64(0)
+	for i := range fl.Field().Len() {
+		n := fl.Field().Index(i).Int()
+		if n <= last {
+			return false
+		}
+		last = n
+	}
+	return last == end
+}
+
 func isIPPort(s string) bool {
 	_, err := netip.ParseAddrPort(s)
 	return err == nil
@@ -52,8 +74,8 @@
 	return err == nil
 }
 
-// validate checks the tags of a settings struct and returns every fault.
-func validate(s any) []Fault {
+// Validate checks the tags of a settings struct and returns every fault.
+func Validate(s any) []Fault {
 	err := checker.Struct(s)
 	var invalid validator.ValidationErrors
 	if !errors.As(err, &invalid) {
@@ -75,7 +97,12 @@
 		return "is missing, it is needed beside " + fe.Param()
 	case "oneof":
 		return fmt.Sprintf("is %q, allowed are %s", fe.Value(), strings.Join(strings.Fields(fe.Param()), ", "))
+	case "risesTo":
+		return fmt.Sprintf("is %v, numbers above 0 that rise to %s are needed", fe.Value(), fe.Param())
 	case "min", "max":
+		if fe.Kind() == reflect.Slice {
+			return fmt.Sprintf("has the wrong length, the %simum is %s", fe.Tag(), fe.Param())
+		}
 		return fmt.Sprintf("is %v, the %simum is %s", fe.Value(), fe.Tag(), fe.Param())
 	case "id":
 		return fmt.Sprintf("is %q, allowed are letters, digits, dot, underscore and hyphen, beginning with a letter or digit", fe.Value())
--- a/internal/program/setup/load.go
+++ b/internal/program/setup/load.go
@@ -79,7 +79,7 @@
 		return []Fault{decodeFault(err)}
 	}
 	faults := unknownFields("", tree, reflect.TypeOf(into).Elem())
-	return append(faults, validate(into)...)
+	return append(faults, Validate(into)...)
 }
 
 func decodeFault(err error) Fault {
--- a/internal/program/setup/load_test.go
+++ b/internal/program/setup/load_test.go
@@ -52,6 +52,11 @@
 		{"plain admin off loopback", `"admin": "127.0.0.1:8082"`, `"admin": "10.0.0.1:8082"`, "tls.admin"},
 		{"policy", `"sharedToken"`, `"policy": "best", "sharedToken"`, "policy"},
 		{"wait beyond the timeout", `"sharedToken"`, `"limits": {"requestTimeoutMs": 1000, "admitWaitMs": 2000}, "sharedToken"`, "limits.admitWaitMs"},
+		{"falling steps", `"sharedToken"`, `"moves": {"stepsPermille": [100, 50, 1000]}, "sharedToken"`, "moves.stepsPermille"},
+		{"steps short of all", `"sharedToken"`, `"moves": {"stepsPermille": [100, 500]}, "sharedToken"`, "moves.stepsPermille"},
+		{"time below 0", `"sharedToken"`, `"moves": {"minStepMs": -1}, "sharedToken"`, "moves.minStepMs"},
+		{"slow percent", `"sharedToken"`, `"moves": {"slowPercent": 5000}, "sharedToken"`, "moves.slowPercent"},
+		{"too many loads", `"sharedToken"`, `"loads": {"loadsTogether": 65}, "sharedToken"`, "loads.loadsTogether"},
 		{"trailing data", `"sharedToken": "0123456789abcdef"
 }`, `"sharedToken": "0123456789abcdef"} {}`, ""},
 	}
--- a/internal/program/setup/settings.go
+++ b/internal/program/setup/settings.go
@@ -132,5 +132,7 @@
 			MaxStreams:       4000,
 		},
 		Drain: Drain{LocateTTLMs: 5000, TimeoutMs: 300000},
+		Moves: moves.DefaultSettings(),
+		Loads: orders.DefaultSettings(),
 	}
 }
