Name the shares of requests that a bad version got

Cause: badShare was divided by the requests until the take-back, of which there are few as moves of a bad version end within seconds. The target is a share of the move's traffic.

--- a/internal/program/load/move.go
+++ b/internal/program/load/move.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -13,7 +12,6 @@
 	"github.com/gooseberryway/gooseberryway/internal/program/client"
 	"github.com/gooseberryway/gooseberryway/internal/standin/engine"
 	"github.com/gooseberryway/gooseberryway/internal/state/config"
-	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 )
 
 // MoveKind tells how the version that a move goes to behaves.
@@ -61,29 +59,7 @@
 	Reason  string           `json:"reason"`
 	// OnTime is set for a move that was done by its deadline.
 	OnTime bool `json:"onTime"`
-	// BadShare is the share of the requests during the move that went to a version after it had turned bad.
-	BadShare float64 `json:"badShare"`
-	// FaultToLastRequestMs is the wall time from the first request that met the fault to the last one that was sent to
-	// the version; 0 for a good version.
-	FaultToLastRequestMs float64 `json:"faultToLastRequestMs"`
-}
-
-// dispatches collects which version each attempt of a request was sent to.
-type dispatches struct {
-	mu   sync.Mutex
-	list []dispatch
-}
-
-type dispatch struct {
-	at      time.Time
-	version ident.VersionID
-	route   ident.RouteID
-}
-
-func (d *dispatches) add(version ident.VersionID, route ident.RouteID) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.list = append(d.list, dispatch{at: time.Now(), version: version, route: route})
+	exposure
 }
 
 // behaviour returns how the new version behaves, and the time until it does.
@@ -122,7 +98,11 @@
 	move := r.follow(ctx, admin, deadline)
 	f := &MoveFigures{Kind: r.move, Outcome: move.State, Reason: move.Reason}
 	f.OnTime = move.State == config.MoveDone && move.StateSince.Before(deadline)
-	r.expose(f, started, turned)
+	ended := time.Now()
+	if !sleepUntil(ctx, deadline) {
+		return nil, ctx.Err()
+	}
+	f.exposure = r.dispatches.exposure(started, ended, deadline, r.meetsFault(turned))
 	return f, nil
 }
 
@@ -146,31 +126,12 @@
 	return move
 }
 
-// expose fills in how much a bad version was used.
-func (r *run) expose(f *MoveFigures, started, turned time.Time) {
-	if r.move == MoveGood {
-		return
-	}
-	r.dispatches.mu.Lock()
-	defer r.dispatches.mu.Unlock()
-	all, bad := 0, 0
-	var first, last time.Time
-	for _, d := range r.dispatches.list {
-		if d.at.Before(started) {
-			continue
+// meetsFault returns whether a request went to the version after it had turned bad.
+func (r *run) meetsFault(turned time.Time) func(dispatch) bool {
+	return func(d dispatch) bool {
+		if r.move == MoveGood || d.version != nextVersion || d.at.Before(turned) {
+			return false
 		}
-		all++
-		if d.version != nextVersion || d.at.Before(turned) || (r.move == MoveBadRoute && d.route != auditRoute) {
-			continue
-		}
-		bad++
-		if first.IsZero() {
-			first = d.at
-		}
-		last = d.at
-	}
-	if all > 0 {
-		f.BadShare = float64(bad) / float64(all)
+		return r.move != MoveBadRoute || d.route == auditRoute
 	}
-	f.FaultToLastRequestMs = float64(last.Sub(first)) / float64(time.Millisecond)
 }
--- a/internal/program/load/print.go
+++ b/internal/program/load/print.go
@@ -23,8 +23,9 @@
 	printRow(t, "best", r.Best, "")
 	_ = t.Flush()
 	for _, m := range r.Moves {
-		fmt.Fprintf(w, "\nmove %s: %s, on time %t, %.2f %% of the requests went to the bad version, %.0f ms from the fault to the last; %s\n",
-			m.Kind, m.Outcome, m.OnTime, 100*m.BadShare, m.FaultToLastRequestMs, m.Reason)
+		fmt.Fprintf(w, "\nmove %s: %s, on time %t, %d requests went to the bad version: %.2f %% of the move's traffic until its deadline, "+
+			"%.2f %% of that until it ended; %.0f ms from the fault to the last; %s\n",
+			m.Kind, m.Outcome, m.OnTime, m.BadRequests, 100*m.BadShare, 100*m.BadShareUntilEnd, m.FaultToLastRequestMs, m.Reason)
 	}
 	for _, name := range slices.Sorted(maps.Keys(r.Policies)) {
 		printOrganisations(w, name, r.Policies[name])
