Let the limiter and the claimer live by the shared scope

Both repeated the life cycle of state/scope: a context, a wait group, a flag for closed and a mutex. Scope now has a context for work that outlives the request which began it, and Go tells whether it started anything.

--- a/internal/coordination/claim/append.go
+++ b/internal/coordination/claim/append.go
@@ -69,7 +69,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(c.life, appendTimeout)
+	ctx, cancel := context.WithTimeout(c.life.Context(), appendTimeout)
 	defer cancel()
 	offset, err := c.Log.Append(ctx, extern.StreamClaims, payload)
 	if err == nil {
@@ -121,7 +121,7 @@
 }
 
 func (c *Claimer) readOnce(from ident.Offset, limit int) (extern.LogBatch, error) {
-	ctx, cancel := context.WithTimeout(c.life, appendTimeout)
+	ctx, cancel := context.WithTimeout(c.life.Context(), appendTimeout)
 	defer cancel()
 	return c.Log.Read(ctx, extern.StreamClaims, from, limit)
 }
--- a/internal/coordination/claim/ask.go
+++ b/internal/coordination/claim/ask.go
@@ -29,7 +29,7 @@
 	}
 	resp, err := c.ask(ctx, owner, req)
 	if err != nil {
-		c.spawn(func() { c.giveUp(owner, req) })
+		c.life.Go(func() { c.giveUp(owner, req) })
 		return nil, &UnavailableError{Slice: s, Owner: owner, RetryAfter: retryAfter, Err: err}
 	}
 	switch resp.GetOutcome() {
@@ -75,7 +75,7 @@
 
 // giveUp frees a claim whose answer did not come, so that the caller can try again.
 func (c *Claimer) giveUp(owner ident.DaemonID, req *wire.ClaimRequest) {
-	c.finish(c.life, owner, &wire.FinishRequest{
+	c.finish(c.life.Context(), owner, &wire.FinishRequest{
 		OrganisationId: req.GetOrganisationId(),
 		KeyDigest:      req.GetKeyDigest(),
 		RequestId:      req.GetRequestId(),
--- a/internal/coordination/claim/backup.go
+++ b/internal/coordination/claim/backup.go
@@ -143,7 +143,7 @@
 	for {
 		select {
 		case <-c.writer.added:
-		case <-c.life.Done():
+		case <-c.life.Context().Done():
 			return
 		}
 		for more := true; more; {
@@ -227,9 +227,9 @@
 
 func (c *Claimer) sendBackup(to ident.DaemonID, req *wire.BackupRequest) (*wire.BackupResponse, error) {
 	if to == c.Self {
-		return c.HandleBackup(c.life, req), nil
+		return c.HandleBackup(c.life.Context(), req), nil
 	}
-	ctx, cancel := context.WithTimeout(c.life, copyTimeout)
+	ctx, cancel := context.WithTimeout(c.life.Context(), copyTimeout)
 	defer cancel()
 	return c.Peers.Backup(ctx, to, req)
 }
--- a/internal/coordination/claim/claimer.go
+++ b/internal/coordination/claim/claimer.go
@@ -14,6 +14,7 @@
 	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
 	"github.com/gooseberryway/gooseberryway/internal/state/extern"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/state/scope"
 )
 
 // Slice numbers a part of the idempotency keys.
@@ -62,12 +63,8 @@
 	// MaxAnswerBytes bounds one kept answer, MaxKeptBytes all of them; 64 KB and 16 MB when 0.
 	MaxAnswerBytes, MaxKeptBytes int
 
-	start   sync.Once
-	life    context.Context
-	end     context.CancelFunc
-	closing sync.Mutex
-	closed  bool
-	wg      sync.WaitGroup
+	start sync.Once
+	life  scope.Scope
 
 	slices  [Slices]slice
 	writer  writer
@@ -79,55 +76,27 @@
 // Run owns slices and writes claims until the context ends or Close is called.
 func (c *Claimer) Run(ctx context.Context) {
 	c.init()
-	c.spawn(c.write)
-	c.spawn(c.copyDue)
-	c.spawn(c.own)
-	c.spawn(c.sample)
+	for _, f := range []func(){c.write, c.copyDue, c.own, c.sample} {
+		c.life.Go(f)
+	}
 	select {
 	case <-ctx.Done():
-	case <-c.life.Done():
+	case <-c.life.Context().Done():
 	}
 }
 
 // Close returns when everything that the claimer started has ended.
-func (c *Claimer) Close() {
-	c.init()
-	c.closing.Lock()
-	c.closed = true
-	c.closing.Unlock()
-	c.end()
-	c.wg.Wait()
-}
+func (c *Claimer) Close() { c.life.Close() }
 
 func (c *Claimer) init() {
 	c.start.Do(func() {
-		c.life, c.end = context.WithCancel(context.Background())
 		c.writer.wake = make(chan struct{}, 1)
 		c.writer.added = make(chan struct{}, 1)
 	})
 }
 
-// spawn runs f on a goroutine that Close waits for, unless the claimer is closed.
-func (c *Claimer) spawn(f func()) {
-	c.init()
-	c.closing.Lock()
-	defer c.closing.Unlock()
-	if !c.closed {
-		c.wg.Go(f)
-	}
-}
-
 // sleep waits; false when the claimer is closed meanwhile.
-func (c *Claimer) sleep(d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-c.life.Done():
-		return false
-	}
-}
+func (c *Claimer) sleep(d time.Duration) bool { return scope.Sleep(c.life.Context(), d) }
 
 func (c *Claimer) serving() bool {
 	return c.Serving == nil || c.Serving()
--- a/internal/coordination/claim/owner.go
+++ b/internal/coordination/claim/owner.go
@@ -24,7 +24,7 @@
 	case <-found.durable:
 	case <-ctx.Done():
 		return unavailable(retryAfter)
-	case <-c.life.Done():
+	case <-c.life.Context().Done():
 		return unavailable(retryAfter)
 	}
 	return c.conclude(s, found, req)
--- a/internal/coordination/claim/writer.go
+++ b/internal/coordination/claim/writer.go
@@ -126,7 +126,7 @@
 	for {
 		select {
 		case <-c.writer.wake:
-		case <-c.life.Done():
+		case <-c.life.Context().Done():
 			return
 		}
 		if !c.sleep(orDefault(c.Linger, defaultLinger)) {
--- a/internal/coordination/quota/admit.go
+++ b/internal/coordination/quota/admit.go
@@ -102,7 +102,7 @@
 		e.signal()
 		return true
 	}
-	e.pumping = e.limiter.spawn(e.pump)
+	e.pumping = e.limiter.life.Go(e.pump)
 	if !e.pumping {
 		e.remove(w)
 	}
--- a/internal/coordination/quota/limiter.go
+++ b/internal/coordination/quota/limiter.go
@@ -15,6 +15,7 @@
 
 	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/state/scope"
 )
 
 // Peers sends messages to other daemons.
@@ -36,12 +37,7 @@
 	// With 0 a request waits for the homes' answers only.
 	MaxWait time.Duration
 
-	start     sync.Once
-	life      context.Context
-	end       context.CancelFunc
-	closing   sync.Mutex
-	closed    bool
-	wg        sync.WaitGroup
+	life      scope.Scope
 	entries   table[ident.OrganisationID, entry]
 	links     table[ident.DaemonID, link]
 	askers    table[ident.DaemonID, asker]
@@ -75,38 +71,14 @@
 
 // Run serves until the context ends or Close is called.
 func (l *Limiter) Run(ctx context.Context) {
-	l.init()
 	select {
 	case <-ctx.Done():
-	case <-l.life.Done():
+	case <-l.life.Context().Done():
 	}
 }
 
 // Close refuses the waiting requests and returns when everything that the limiter started has ended.
-func (l *Limiter) Close() {
-	l.init()
-	l.closing.Lock()
-	l.closed = true
-	l.closing.Unlock()
-	l.end()
-	l.wg.Wait()
-}
-
-func (l *Limiter) init() {
-	l.start.Do(func() { l.life, l.end = context.WithCancel(context.Background()) })
-}
-
-// spawn runs f on a goroutine that Close waits for; false when the limiter is closed.
-func (l *Limiter) spawn(f func()) bool {
-	l.init()
-	l.closing.Lock()
-	defer l.closing.Unlock()
-	if l.closed {
-		return false
-	}
-	l.wg.Go(f)
-	return true
-}
+func (l *Limiter) Close() { l.life.Close() }
 
 func (l *Limiter) serving() bool {
 	return l.Serving == nil || l.Serving()
--- a/internal/coordination/quota/link.go
+++ b/internal/coordination/quota/link.go
@@ -79,7 +79,7 @@
 
 func (k *link) begin() {
 	if !k.running {
-		k.running = k.limiter.spawn(k.run)
+		k.running = k.limiter.life.Go(k.run)
 	}
 }
 
@@ -108,7 +108,7 @@
 	select {
 	case <-timer.C:
 	case <-k.kick:
-	case <-k.limiter.life.Done():
+	case <-k.limiter.life.Context().Done():
 		return false
 	}
 	return true
@@ -208,7 +208,7 @@
 		k.fail(asks)
 		select {
 		case <-time.After(askBackoff):
-		case <-k.limiter.life.Done():
+		case <-k.limiter.life.Context().Done():
 			return
 		}
 		if time.Since(sent) > returnAfter {
@@ -218,7 +218,7 @@
 }
 
 func (k *link) send(req *wire.GrantRequest) (*wire.GrantResponse, error) {
-	ctx, cancel := context.WithTimeout(k.limiter.life, askTimeout)
+	ctx, cancel := context.WithTimeout(k.limiter.life.Context(), askTimeout)
 	defer cancel()
 	return k.limiter.Peers.Grant(ctx, k.home, req)
 }
--- a/internal/coordination/quota/pump.go
+++ b/internal/coordination/quota/pump.go
@@ -17,7 +17,7 @@
 		select {
 		case <-e.wake:
 		case <-timer.C:
-		case <-e.limiter.life.Done():
+		case <-e.limiter.life.Context().Done():
 		}
 		timer.Stop()
 	}
@@ -28,7 +28,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
-	if e.limiter.life.Err() != nil {
+	if e.limiter.life.Context().Err() != nil {
 		e.refuseAll(ReasonNotServing)
 	}
 	if !e.known {
--- a/internal/state/scope/scope.go
+++ b/internal/state/scope/scope.go
@@ -12,9 +12,27 @@
 	mu     sync.Mutex
 	closed bool
 	cancel []context.CancelFunc
+	life   context.Context
 	wg     sync.WaitGroup
 }
 
+// Context returns a context that Close cancels, for work that outlives the request which began it.
+func (s *Scope) Context() context.Context {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.life != nil {
+		return s.life
+	}
+	life, cancel := context.WithCancel(context.Background())
+	s.life = life
+	if s.closed {
+		cancel()
+	} else {
+		s.cancel = append(s.cancel, cancel)
+	}
+	return life
+}
+
 // Enter returns a context that Close cancels, and a function that the caller must call when it returns.
 // After Close the context is cancelled already.
 func (s *Scope) Enter(ctx context.Context) (context.Context, func()) {
@@ -33,14 +51,15 @@
 	}
 }
 
-// Go runs f in a goroutine that Close waits for. It does nothing after Close.
-func (s *Scope) Go(f func()) {
+// Go runs f in a goroutine that Close waits for. It does nothing and returns false after Close.
+func (s *Scope) Go(f func()) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
-		return
+		return false
 	}
 	s.wg.Go(f)
+	return true
 }
 
 // Close cancels the contexts and waits.
--- a/internal/state/scope/scope_test.go
+++ b/internal/state/scope/scope_test.go
@@ -34,3 +34,17 @@
 	s.Go(func() { t.Error("started after Close") })
 	s.Close()
 }
+
+func TestTheContextOfAScopeEndsWithClose(t *testing.T) {
+	var s Scope
+	ctx := s.Context()
+	require.NoError(t, ctx.Err())
+	require.True(t, s.Go(func() { <-ctx.Done() }))
+	s.Close()
+	require.ErrorIs(t, ctx.Err(), context.Canceled)
+	require.False(t, s.Go(func() { t.Error("started after Close") }))
+
+	var closed Scope
+	closed.Close()
+	require.ErrorIs(t, closed.Context().Err(), context.Canceled)
+}
