--- a/internal/coordination/quota/entry.go
+++ b/internal/coordination/quota/entry.go
@@ -15,7 +15,9 @@
 	limiter *Limiter
 	org     ident.OrganisationID
 
-	mu    sync.Mutex
+	mu sync.Mutex
+	// basis is what the share and the limit follow from; nil before the first view.
+	basis []basis
 	known bool
 	limit Limit
 	// homes are the other daemons that mint the organisation's tokens.
@@ -96,16 +98,23 @@
 }
 
 // observe takes over a view. A gained share mints from its time on, plus the time that old grants of it may be spent.
+// A view that changes nothing for the organisation costs no choice of homes.
 func (e *entry) observe(v *observed, gained time.Time) {
+	next := v.basisOf(e.org)
+	if slices.Equal(e.basis, next) {
+		return
+	}
+	e.basis = next
 	self := e.limiter.Self
 	e.limit, e.known = v.limitOf(e.org)
 	e.homes = e.homes[:0:0]
-	for _, home := range v.applied().Homes(e.org) {
+	homes := v.homesOf(e.org)
+	for _, home := range homes[len(homes)-1] {
 		if home != self {
 			e.homes = append(e.homes, home)
 		}
 	}
-	own := v.shareOf(e.org, self)
+	own := v.shareOf(e.org, homes, self)
 	switch {
 	case own == share{}:
 		e.bucket = nil
--- a/internal/coordination/quota/view.go
+++ b/internal/coordination/quota/view.go
@@ -30,19 +30,50 @@
 
 func (v View) applied() State { return v.States[len(v.States)-1] }
 
+// basis is what a state decides the share and the limit of an organisation by.
+type basis struct {
+	limit   Limit
+	known   bool
+	members ident.Offset
+}
+
+// basisOf returns what the share and the limit of an organisation follow from, without repetitions.
+func (v View) basisOf(org ident.OrganisationID) []basis {
+	all := make([]basis, 0, len(v.States))
+	for _, s := range v.States {
+		b := basis{members: s.MembersRevision()}
+		b.limit, b.known = s.Limit(org)
+		all = append(all, b)
+	}
+	return slices.Compact(all)
+}
+
 // share is the part of a limit that one home mints.
 type share struct {
 	rate micro
 	cap  micro
 }
 
-// shareOf returns the share of a daemon: the least that any state of the view gives it. So a lost share
-// and a lower limit hold at once, a gained share and a higher limit once they are in force.
-func (v View) shareOf(org ident.OrganisationID, self ident.DaemonID) share {
+// homesOf returns the homes of an organisation in each state.
+func (v View) homesOf(org ident.OrganisationID) [][]ident.DaemonID {
+	homes := make([][]ident.DaemonID, len(v.States))
+	for i, s := range v.States {
+		if i > 0 && s.MembersRevision() == v.States[i-1].MembersRevision() {
+			homes[i] = homes[i-1]
+			continue
+		}
+		homes[i] = s.Homes(org)
+	}
+	return homes
+}
+
+// shareOf returns the share of a daemon with the homes in each state: the least that any state of the view gives it. So
+// a lost share and a lower limit hold at once, a gained share and a higher limit once they are in force.
+func (v View) shareOf(org ident.OrganisationID, homesOf [][]ident.DaemonID, self ident.DaemonID) share {
 	var least share
 	found := false
-	for _, s := range v.States {
-		homes := s.Homes(org)
+	for i, s := range v.States {
+		homes := homesOf[i]
 		index := slices.Index(homes, self)
 		if index < 0 {
 			return share{}
