Count the bytes of control on the wire

The cost of control was known from message sizes only. transport/meter counts what goes over the connections between daemons, to the log service and to the VM list, with headers, frames and TLS, as gooseberrywayControlBytes{link,direction}, and the messages between daemons by kind as gooseberrywayMessageBytes{kind,direction} and gooseberrywayMessagesSent{kind}; the digests that travel in heartbeats are a kind of their own. Profiles show the goroutines of control with the label part=control.

--- a/internal/program/daemon/daemon.go
+++ b/internal/program/daemon/daemon.go
@@ -13,6 +13,7 @@
 
 	"github.com/gooseberryway/gooseberryway/internal/program/setup"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/transport/meter"
 )
 
 // Daemon is one process of the system. Its fields are set before Run.
@@ -110,7 +111,12 @@
 	d.parts.start(life, &background)
 
 	group, failed := errgroup.WithContext(context.WithoutCancel(ctx))
-	group.Go(func() error { return d.parts.peers.Serve(sockets.peers) })
+	group.Go(func() (err error) {
+		meter.Profiled(ctx, func(context.Context) {
+			err = d.parts.peers.Serve(&meter.Listener{Listener: sockets.peers, Link: meter.Peers})
+		})
+		return err
+	})
 	group.Go(func() error { return d.parts.admin.Serve(sockets.admin) })
 	group.Go(func() error { return d.parts.callers.Serve(sockets.callers) })
 	select {
--- a/internal/program/daemon/parts.go
+++ b/internal/program/daemon/parts.go
@@ -27,7 +27,9 @@
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/state/prefix"
 	"github.com/gooseberryway/gooseberryway/internal/transport/engine"
+	"github.com/gooseberryway/gooseberryway/internal/transport/httpc"
 	"github.com/gooseberryway/gooseberryway/internal/transport/logsvc"
+	"github.com/gooseberryway/gooseberryway/internal/transport/meter"
 	"github.com/gooseberryway/gooseberryway/internal/transport/peer"
 	"github.com/gooseberryway/gooseberryway/internal/transport/plain"
 	"github.com/gooseberryway/gooseberryway/internal/transport/rest"
@@ -100,14 +102,22 @@
 }
 
 func (p *parts) buildTransports() (*credentials, error) {
-	p.log = &logsvc.Client{BaseURL: p.settings.LogService.URL, Timeout: p.settings.LogService.Timeout()}
+	p.log = &logsvc.Client{
+		BaseURL: p.settings.LogService.URL,
+		Timeout: p.settings.LogService.Timeout(),
+		Pool:    httpc.Pool{Link: meter.Log},
+	}
 	p.engine = &engine.Client{Credential: func(string) string { return p.settings.UpstreamCredential }}
 	p.plain = &plain.Client{
 		Credential: func(string) string { return p.settings.UpstreamCredential },
 		Budget:     &relay.Budget{},
 	}
 	p.directory = &directory{
-		vms:    &vmlist.Client{BaseURL: p.settings.VMList.URL, Timeout: p.settings.VMList.Timeout()},
+		vms: &vmlist.Client{
+			BaseURL: p.settings.VMList.URL,
+			Timeout: p.settings.VMList.Timeout(),
+			Pool:    httpc.Pool{Link: meter.VMs},
+		},
 		self:   p.settings.DaemonID,
 		domain: p.settings.FailureDomain,
 	}
@@ -222,12 +232,16 @@
 // start runs all parts in the background until ctx ends.
 func (p *parts) start(ctx context.Context, wg *sync.WaitGroup) {
 	p.life, p.background = ctx, wg
-	wg.Go(func() { _ = p.follower.Run(ctx) })
-	wg.Go(func() { _ = p.fleet.Run(ctx) })
-	wg.Go(func() { _ = p.checkpointer.Run(ctx) })
-	wg.Go(func() { p.limiter.Run(ctx) })
-	wg.Go(func() { p.notices.Run(ctx) })
-	wg.Go(func() { p.tellUrgent(ctx) })
+	for _, run := range []func(context.Context){
+		func(ctx context.Context) { _ = p.follower.Run(ctx) },
+		func(ctx context.Context) { _ = p.fleet.Run(ctx) },
+		func(ctx context.Context) { _ = p.checkpointer.Run(ctx) },
+		p.limiter.Run,
+		p.notices.Run,
+		p.tellUrgent,
+	} {
+		wg.Go(func() { meter.Profiled(ctx, run) })
+	}
 }
 
 // stopListeners ends the listeners; requests that are running have had their time.
--- a/internal/program/load/figures.go
+++ b/internal/program/load/figures.go
@@ -40,6 +40,9 @@
 	// HitRateBefore and HitRateAfter are the hit rates in the ten seconds before and after the fault of a run.
 	HitRateBefore float64 `json:"hitRateBefore"`
 	HitRateAfter  float64 `json:"hitRateAfter"`
+	// Control is what control cost a daemon during the run, ControlIdle before it.
+	Control     *ControlFigures `json:"control"`
+	ControlIdle *ControlFigures `json:"controlIdle"`
 	// Move is what became of the move of the run; nil if there was none.
 	Move *MoveFigures `json:"-"`
 }
--- a/internal/program/load/print.go
+++ b/internal/program/load/print.go
@@ -6,6 +6,8 @@
 	"maps"
 	"slices"
 	"text/tabwriter"
+
+	"github.com/gooseberryway/gooseberryway/internal/transport/meter"
 )
 
 // reportMode is the mode of a report file.
@@ -28,6 +30,23 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(r.Policies)) {
 		printOrganisations(w, name, r.Policies[name])
+		printControl(w, r.Policies[name])
+	}
+}
+
+// printControl writes the cost of control for a daemon.
+func printControl(w io.Writer, f *PolicyFigures) {
+	if f.Control == nil || f.ControlIdle == nil {
+		return
+	}
+	fmt.Fprintf(w, "control for each daemon, sent and received: %.0f B/s idle, %.0f B/s in the run\n", f.ControlIdle.Total, f.Control.Total)
+	for _, l := range meter.Links() {
+		fmt.Fprintf(w, "  %s: %.0f and %.0f B/s on the wire\n", l, f.Control.Links[l].Sent, f.Control.Links[l].Received)
+	}
+	for _, k := range meter.Kinds() {
+		if kind := f.Control.Kinds[k]; kind.Sent > 0 {
+			fmt.Fprintf(w, "  %s: %.1f messages/s of together %.0f B/s sent\n", k, kind.Messages, kind.Sent)
+		}
 	}
 }
 
--- a/internal/program/load/run.go
+++ b/internal/program/load/run.go
@@ -41,7 +41,10 @@
 		return nil, err
 	}
 	// The shares of a new fleet start empty; its organisations have their burst only once it was minted.
+	idle, loaded := &Control{}, &Control{}
+	idle.Start()
 	sleepUntil(ctx, time.Now().Add(fillTime))
+	idleFigures := idle.Figures(r.profile.Daemons)
 	clients := r.clients()
 	var wg sync.WaitGroup
 	wg.Go(func() { r.breakThings(ctx) })
@@ -50,8 +53,10 @@
 	if r.move != "" {
 		wg.Go(func() { moved, moveErr = r.steer(ctx) })
 	}
+	loaded.Start()
 	r.send(ctx, clients, &wg)
 	wg.Wait()
+	loadedFigures := loaded.Figures(r.profile.Daemons)
 	for _, c := range clients {
 		c.Close()
 	}
@@ -60,6 +65,7 @@
 	}
 	f := r.figures()
 	f.Move = moved
+	f.ControlIdle, f.Control = idleFigures, loadedFigures
 	return f, nil
 }
 
--- a/internal/transport/httpc/pool.go
+++ b/internal/transport/httpc/pool.go
@@ -9,6 +9,8 @@
 	"net/http/httptrace"
 	"sync"
 	"time"
+
+	"github.com/gooseberryway/gooseberryway/internal/transport/meter"
 )
 
 // Pool is a pool of connections to the outside systems of one kind. It speaks HTTP/1.1, follows no redirects and
@@ -22,6 +24,8 @@
 	TLS *tls.Config
 	// IdlePerHost is the number of idle connections kept to one host; 0 is 256.
 	IdlePerHost int
+	// Link is what the bytes of the connections are counted for; empty for none.
+	Link meter.Link
 
 	once      sync.Once
 	transport *http.Transport
@@ -65,9 +69,13 @@
 
 func (p *Pool) init() {
 	dialer := &net.Dialer{Timeout: orDefault(p.DialTimeout, defaultDialTimeout)}
+	dial := meter.DialFunc(dialer.DialContext)
+	if p.Link != "" {
+		dial = p.Link.Dial(dial)
+	}
 	p.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			c, err := dialer.DialContext(ctx, network, address)
+			c, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/transport/meter"
 	"github.com/gooseberryway/gooseberryway/internal/transport/secure"
 )
 
@@ -23,6 +24,8 @@
 	dialTimeout = time.Second
 	// idleTimeout closes connections that carry nothing.
 	idleTimeout = 90 * time.Second
+	// compressBytes is the size from which an answer is compressed; gzip makes smaller ones larger.
+	compressBytes = 1 << 10
 	// maxMessageBytes bounds one message between daemons.
 	maxMessageBytes = 4 << 20
 )
@@ -73,7 +76,7 @@
 	c.http = &http.Client{Transport: &http.Transport{
 		TLSClientConfig:     c.TLS,
 		Protocols:           protocols,
-		DialContext:         dialer().DialContext,
+		DialContext:         meter.Peers.Dial(dialer().DialContext),
 		IdleConnTimeout:     idleTimeout,
 		TLSHandshakeTimeout: dialTimeout,
 		HTTP2: &http.HTTP2Config{
@@ -94,7 +97,7 @@
 	defer c.mu.Unlock()
 	client, ok := c.clients[addr]
 	if !ok {
-		client = wire.NewPeerServiceClient(c.http, c.baseURL(addr), connect.WithReadMaxBytes(maxMessageBytes))
+		client = wire.NewPeerServiceClient(c.http, c.baseURL(addr), connect.WithReadMaxBytes(maxMessageBytes), counted())
 		c.clients[addr] = client
 	}
 	return client, nil
@@ -120,7 +123,8 @@
 	defer cancel()
 	r := connect.NewRequest(req)
 	secure.AddToken(r.Header(), c.Token)
-	resp, err := method(client, ctx, r)
+	var resp *connect.Response[Resp]
+	meter.Profiled(ctx, func(ctx context.Context) { resp, err = method(client, ctx, r) })
 	if err != nil {
 		return nil, &CallError{Daemon: daemon, Err: err}
 	}
@@ -181,6 +185,7 @@
 	}
 	defer stream.Close()
 	for stream.Receive() {
+		meter.Received(stream.Msg())
 		if err := each(stream.Msg()); err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/transport/peer/count_test.go
@@ -0,0 +1,39 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
+	"github.com/gooseberryway/gooseberryway/internal/transport/meter"
+)
+
+func TestCallsAreCountedAtBothEnds(t *testing.T) {
+	answer := &wire.HeartbeatResponse{DaemonId: "d2", AppliedOffset: 5}
+	c := startServer(t, Handlers{
+		Heartbeat: func(context.Context, *wire.HeartbeatRequest) (*wire.HeartbeatResponse, error) { return answer, nil },
+	}, "")
+	req := &wire.HeartbeatRequest{DaemonId: "d1", AppliedOffset: 4}
+	bytes, messages := meter.Heartbeat.Bytes(), meter.Heartbeat.Messages()
+	_, err := c.Heartbeat(t.Context(), "d2", req)
+	require.NoError(t, err)
+	both := uint64(proto.Size(req) + proto.Size(answer))
+	require.Equal(t, meter.Count{Sent: both, Received: both}, meter.Heartbeat.Bytes().Less(bytes))
+	require.Equal(t, uint64(2), meter.Heartbeat.Messages()-messages)
+}
+
+func TestAnswersCarryNoDate(t *testing.T) {
+	server := httptest.NewServer(Handler(Handlers{}, "a shared token"))
+	defer server.Close()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL+wire.PeerServiceTellProcedure, http.NoBody)
+	require.NoError(t, err)
+	resp, err := server.Client().Do(req)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	require.Empty(t, resp.Header.Values("Date"))
+}
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -8,6 +8,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
+	"github.com/gooseberryway/gooseberryway/internal/transport/meter"
 	"github.com/gooseberryway/gooseberryway/internal/transport/secure"
 )
 
@@ -29,8 +30,17 @@
 // Handler returns the HTTP handler of the service. Calls need the token unless it is empty.
 func Handler(h Handlers, token string) http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(wire.NewPeerServiceHandler(&service{h: h}, connect.WithReadMaxBytes(maxMessageBytes)))
-	return secure.RequireToken(token, mux)
+	mux.Handle(wire.NewPeerServiceHandler(&service{h: h}, connect.WithReadMaxBytes(maxMessageBytes),
+		connect.WithCompressMinBytes(compressBytes), counted()))
+	return withoutDate(secure.RequireToken(token, mux))
+}
+
+// withoutDate leaves out the header that changes with every second, as daemons never compare wall clocks.
+func withoutDate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header()["Date"] = nil
+		next.ServeHTTP(w, r)
+	})
 }
 
 type service struct {
@@ -81,7 +91,11 @@
 }
 
 func (s *service) Snapshot(ctx context.Context, r *connect.Request[wire.SnapshotRequest], stream *connect.ServerStream[wire.SnapshotChunk]) error {
-	if err := s.h.Snapshot(ctx, r.Msg, stream.Send); err != nil {
+	send := func(chunk *wire.SnapshotChunk) error {
+		meter.Sent(chunk)
+		return stream.Send(chunk)
+	}
+	if err := s.h.Snapshot(ctx, r.Msg, send); err != nil {
 		return connect.NewError(connect.CodeUnavailable, err)
 	}
 	return nil
