Put the backup of a slice into another failure domain than its owner

A slice whose owner and backup crash together refuses its keys for the window. Both were the first two joined members in the slice's order whatever their failure domains, so a lost domain took both of some slices. The backup is now the next joined member of another domain, if there is one; the order of owners and the epochs are as before. The table of owners is computed only when members have changed. Not mended: an owner and a backup of different domains that crash together.

--- a/internal/program/daemon/claims.go
+++ b/internal/program/daemon/claims.go
@@ -69,6 +69,8 @@
 // ownerships holds who owns each slice of the idempotency keys. It is replaced when the configuration changes.
 type ownerships struct {
 	table atomic.Pointer[[claim.Slices]claim.Ownership]
+	// members are the offsets of the last records of members that the table follows from.
+	members [2]ident.Offset
 }
 
 func (o *ownerships) of(s claim.Slice) claim.Ownership {
@@ -78,10 +80,15 @@
 	return claim.Ownership{}
 }
 
-// update computes the ownerships anew. A slice whose owner differs between the state in force and the applied one has
+// update computes the ownerships anew if the members have changed; one call at a time. A slice whose owner differs between the state in force and the applied one has
 // no owner until the newer one is in force.
 func (o *ownerships) update(applied, inForce *config.State) {
 	old := o.table.Load()
+	members := [2]ident.Offset{inForce.MembersChanged(), applied.MembersChanged()}
+	if old != nil && o.members == members {
+		return
+	}
+	o.members = members
 	next := &[claim.Slices]claim.Ownership{}
 	now := time.Now()
 	from, to := newSliceMembers(inForce), newSliceMembers(applied)
@@ -114,22 +121,26 @@
 }
 
 // owner returns the first joined member in the order of the slice. Its epoch is the newest record of the members up
-// to it in that order, so it grows with every change of the owner.
+// to it in that order, so it grows with every change of the owner. The backup is the next joined member of another
+// failure domain, or of the same one if there is no other.
 func (m sliceMembers) owner(s claim.Slice) claim.Ownership {
 	var own claim.Ownership
+	var domain ident.FailureDomain
 	for _, id := range spread.Pick(strconv.Itoa(int(s)), m.nodes, len(m.nodes)) {
 		member, _ := m.state.Member(id)
 		joined := member.State == config.MemberJoined
-		if own.Owner != "" {
+		switch {
+		case own.Owner == "":
+			own.Epoch = max(own.Epoch, m.state.Revision(config.PathOf(member)))
 			if joined {
-				own.Backup = id
-				return own
+				own.Owner, domain = id, member.FailureDomain
 			}
-			continue
-		}
-		own.Epoch = max(own.Epoch, m.state.Revision(config.PathOf(member)))
-		if joined {
-			own.Owner = id
+		case !joined:
+		case member.FailureDomain != domain:
+			own.Backup = id
+			return own
+		case own.Backup == "":
+			own.Backup = id
 		}
 	}
 	return own
--- a/internal/program/daemon/claims_test.go
+++ b/internal/program/daemon/claims_test.go
@@ -18,12 +18,14 @@
 	state *config.State
 }
 
-func (f *fleetState) set(i int, s config.MemberState) {
+func (f *fleetState) set(i int, s config.MemberState) { f.setIn("riga-1", i, s) }
+
+func (f *fleetState) setIn(domain ident.FailureDomain, i int, s config.MemberState) {
 	id := ident.DaemonID(fmt.Sprintf("d%d", i))
 	path := config.PathOf(&config.Member{ID: id})
 	m := &config.Member{
 		ID: id, Incarnation: ident.Incarnation(f.state.Offset()) + 1, CallerAddress: "127.0.0.1:1", PeerAddress: "127.0.0.1:2",
-		AdminAddress: "127.0.0.1:3", FailureDomain: "riga-1", State: s,
+		AdminAddress: "127.0.0.1:3", FailureDomain: domain, State: s,
 	}
 	offset := f.state.Offset() + 1
 	rec := config.NewRecord(ident.RecordID(fmt.Sprint(offset)), "test", f.state.Revision(path), m)
@@ -60,6 +62,30 @@
 	})
 }
 
+func TestTheBackupOfASliceIsInAnotherFailureDomain(t *testing.T) {
+	f := &fleetState{t: t, state: config.NewState()}
+	domains := map[ident.DaemonID]ident.FailureDomain{}
+	check := func(apart bool) {
+		members := newSliceMembers(f.state)
+		for s := range claim.Slice(claim.Slices) {
+			own := members.owner(s)
+			require.NotEmpty(t, own.Backup)
+			require.NotEqual(t, own.Owner, own.Backup)
+			require.Equal(t, apart, domains[own.Owner] != domains[own.Backup], "slice %d", s)
+		}
+	}
+	for i := range 6 {
+		domain := ident.FailureDomain(fmt.Sprint("riga-", i%3))
+		domains[ident.DaemonID(fmt.Sprint("d", i))] = domain
+		f.setIn(domain, i, config.MemberJoined)
+	}
+	check(true)
+	for _, i := range []int{1, 2, 4, 5} {
+		f.setIn(domains[ident.DaemonID(fmt.Sprint("d", i))], i, config.MemberRemoved)
+	}
+	check(false)
+}
+
 func TestASliceHasNoOwnerUntilTheNewOneIsInForce(t *testing.T) {
 	f := &fleetState{t: t, state: config.NewState()}
 	f.set(0, config.MemberJoined)
