--- a/internal/program/daemon/digest.go
+++ b/internal/program/daemon/digest.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -17,11 +18,30 @@
 // digest is what this daemon tells the others with its next heartbeats.
 func (p *parts) digest() *wire.Digest {
 	d := p.newDigest()
-	p.router.Delta(d, digestBytes)
+	p.router.Delta(d, p.digests.next(len(p.others())))
 	d.Moves = p.watch.Digest()
 	return d
 }
 
+// digestBudget keeps the blocks in digests within digestRate, however many daemons they go to. It is used by one
+// goroutine.
+type digestBudget struct {
+	saved int
+}
+
+// next returns how many bytes of blocks the heartbeats of this second to so many daemons may carry: 0 until there is
+// enough for a digest that is worth its overhead.
+func (b *digestBudget) next(others int) int {
+	others = max(1, others)
+	b.saved = min(b.saved+digestRate, max(digestRate, others*digestBytes))
+	limit := min(digestBytes, b.saved/others)
+	if limit < leastDigestBytes {
+		return 0
+	}
+	b.saved -= limit * others
+	return limit
+}
+
 func (p *parts) newDigest() *wire.Digest {
 	d := &wire.Digest{DaemonId: string(p.settings.DaemonID)}
 	if view := p.fleet.View(); view != nil {
@@ -46,27 +66,38 @@
 		}
 		d := p.newDigest()
 		d.Moves = p.watch.Digest()
-		p.tellAll(ctx, &wire.TellRequest{Digest: d})
+		p.tellAll(ctx, p.others(), &wire.TellRequest{Digest: d})
 		scope.Sleep(ctx, urgentPause)
 	}
 }
 
-// tellAll passes a message on to all other daemons and returns when each has answered or failed.
-func (p *parts) tellAll(ctx context.Context, req *wire.TellRequest) {
+// others returns the other daemons that answer.
+func (p *parts) others() []ident.DaemonID {
+	return slices.DeleteFunc(p.live(), func(id ident.DaemonID) bool { return id == p.settings.DaemonID })
+}
+
+// tellAll passes a message on to daemons and returns when each has answered or failed.
+func (p *parts) tellAll(ctx context.Context, to []ident.DaemonID, req *wire.TellRequest) {
 	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
-	for _, id := range p.live() {
-		if id != p.settings.DaemonID {
-			wg.Go(func() { p.tell(ctx, id, req) })
-		}
+	for _, id := range to {
+		wg.Go(func() { p.tell(ctx, id, req) })
 	}
 	wg.Wait()
 }
 
-// notify passes on which requests this daemon has just sent to engines.
+// notify passes on which requests this daemon has just sent to engines, to all others or to some in a large fleet.
 func (p *parts) notify(ctx context.Context, notices []*wire.SentNotice) {
-	p.tellAll(ctx, &wire.TellRequest{Notices: notices})
+	p.tellAll(ctx, sample(p.others(), noticePeers), &wire.TellRequest{Notices: notices})
+}
+
+// sample returns at most n of the daemons, chosen at random.
+func sample(ids []ident.DaemonID, n int) []ident.DaemonID {
+	if len(ids) > n {
+		rand.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	}
+	return ids[:min(n, len(ids))]
 }
 
 // takePart tells the router which place this daemon has among those that answer.
--- a/internal/program/daemon/parts.go
+++ b/internal/program/daemon/parts.go
@@ -65,6 +65,7 @@
 	refused      refusals
 	warm         atomic.Pointer[wire.Digest]
 	owners       ownerships
+	digests      digestBudget
 	router       *route.Router
 	notices      *route.Notices
 	watchers     *watchers
