Choose daemons by one sort of small keys

Pick sorted all nodes twice, with whole nodes moved and ids compared at each step. A change of the members at 410 daemons chose the homes of 17,000 organisations in 10.2 to 10.8 s. Now one sort orders weights with indices, and a counting sort orders the turns.

--- a/internal/state/spread/spread.go
+++ b/internal/state/spread/spread.go
@@ -25,44 +25,58 @@
 		return nil
 	}
 	ranked := rank(key, nodes)
-	slices.SortFunc(ranked, byTurn)
 	picked := make([]ident.DaemonID, n)
-	for i := range picked {
-		picked[i] = ranked[i].node.ID
+	for i, c := range byTurn(ranked)[:n] {
+		picked[i] = nodes[c.index].ID
 	}
 	return picked
 }
 
+// candidate is a node by its index.
 type candidate struct {
-	node   Node
 	weight uint64
+	index  int32
 	// turn is the rank of the node within its domain.
-	turn int
+	turn int32
 }
 
 // rank orders the nodes by weight and numbers them within their domains.
 func rank(key string, nodes []Node) []candidate {
 	seed := xxhash.Sum64String(key)
 	ranked := make([]candidate, len(nodes))
-	for i, node := range nodes {
-		ranked[i] = candidate{node: node, weight: mix(seed, xxhash.Sum64String(string(node.ID)))}
+	for i := range nodes {
+		ranked[i] = candidate{weight: mix(seed, xxhash.Sum64String(string(nodes[i].ID))), index: int32(i)}
 	}
-	slices.SortFunc(ranked, byWeight)
-	turns := make(map[ident.FailureDomain]int, maxDomainsHint)
+	slices.SortFunc(ranked, func(a, b candidate) int {
+		if a.weight != b.weight {
+			return cmp.Compare(b.weight, a.weight)
+		}
+		return cmp.Compare(nodes[a.index].ID, nodes[b.index].ID)
+	})
+	turns := make(map[ident.FailureDomain]int32, maxDomainsHint)
 	for i := range ranked {
-		domain := ranked[i].node.Domain
+		domain := nodes[ranked[i].index].Domain
 		ranked[i].turn = turns[domain]
 		turns[domain]++
 	}
 	return ranked
 }
 
-func byWeight(a, b candidate) int {
-	return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.node.ID, b.node.ID))
-}
-
-func byTurn(a, b candidate) int {
-	return cmp.Or(cmp.Compare(a.turn, b.turn), byWeight(a, b))
+// byTurn returns the candidates in the order of their turns, and of their weight within a turn.
+func byTurn(ranked []candidate) []candidate {
+	next := make([]int32, len(ranked)+1)
+	for _, c := range ranked {
+		next[c.turn+1]++
+	}
+	for t := range ranked {
+		next[t+1] += next[t]
+	}
+	ordered := make([]candidate, len(ranked))
+	for _, c := range ranked {
+		ordered[next[c.turn]] = c
+		next[c.turn]++
+	}
+	return ordered
 }
 
 // mix combines two hashes into one whose bits all depend on both, by the finaliser of MurmurHash3.
--- a/internal/state/spread/spread_test.go
+++ b/internal/state/spread/spread_test.go
@@ -1,10 +1,12 @@
 package spread
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"testing"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
@@ -67,6 +69,34 @@
 	}
 }
 
+// plainly picks by sorting all nodes by turn and weight, the rule that daemons of all versions must agree on.
+func plainly(key string, nodes []Node, n int) []ident.DaemonID {
+	weight := func(node Node) uint64 { return mix(xxhash.Sum64String(key), xxhash.Sum64String(string(node.ID))) }
+	ordered := slices.SortedFunc(slices.Values(nodes), func(a, b Node) int {
+		return cmp.Or(cmp.Compare(weight(b), weight(a)), cmp.Compare(a.ID, b.ID))
+	})
+	turns, seen := map[ident.DaemonID]int{}, map[ident.FailureDomain]int{}
+	for _, node := range ordered {
+		turns[node.ID] = seen[node.Domain]
+		seen[node.Domain]++
+	}
+	slices.SortStableFunc(ordered, func(a, b Node) int { return cmp.Compare(turns[a.ID], turns[b.ID]) })
+	var ids []ident.DaemonID
+	for _, node := range ordered[:min(n, len(ordered))] {
+		ids = append(ids, node.ID)
+	}
+	return ids
+}
+
+func TestPickFollowsTheRule(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		nodes := fleet(rapid.IntRange(0, 60).Draw(rt, "nodes"), rapid.IntRange(1, 12).Draw(rt, "domains"))
+		n := rapid.IntRange(0, 70).Draw(rt, "n")
+		key := rapid.String().Draw(rt, "key")
+		require.Equal(rt, plainly(key, nodes, n), Pick(key, nodes, n))
+	})
+}
+
 func BenchmarkPick(b *testing.B) {
 	for _, size := range []int{8, 410} {
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
