--- a/Makefile
+++ b/Makefile
@@ -77,6 +77,9 @@
 	{ set -e; \
 	$(BENCH) -bench 'AddedTime|Requests' -benchtime 3000x ./internal/program/daemon; \
 	$(BENCH) -bench 'StreamMemory|Control' -benchtime 1x ./internal/program/daemon; \
+	$(BENCH) -bench Control -benchtime 1x ./internal/program/load; \
+	$(BENCH) -bench 'Size|Observe|Messages' -benchtime 1x ./internal/coordination/quota ./internal/coordination/claim ./internal/coordination/moves; \
+	$(BENCH) -bench 'Admit|HandleGrant|Claim$$' -benchtime 50000x -benchmem ./internal/coordination/quota ./internal/coordination/claim; \
 	$(BENCH) -bench CacheEvent -benchtime 10000x -benchmem ./internal/transport/engine; \
 	$(BENCH) -bench Heartbeats -benchtime 100x -benchmem ./internal/coordination/member; \
 	$(BENCH) -bench Replay -benchtime 3x ./internal/coordination/replay; \
