Refuse requests that wait for their rate once the lease has lapsed

Only the arrival of a request checked the serving lease. The goroutine that admits waiting requests did not: a daemon that was paused past its lease while requests waited minted for the time of its pause and admitted them from a share that may have moved to another home. It now looks at the lease each time it admits. The new test fails without the check.

--- a/internal/coordination/quota/limiter_test.go
+++ b/internal/coordination/quota/limiter_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -46,6 +47,25 @@
 	})
 }
 
+func TestARequestThatWaitsWhileTheLeaseLapsesIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet, _ := newFleet(1, 2*time.Second, map[ident.OrganisationID]Limit{survey: {Rate: 100, Burst: 1000}})
+		defer fleet.close()
+		l := fleet.limiters["d00"]
+		var lapsed atomic.Bool
+		l.Serving = func() bool { return !lapsed.Load() }
+		time.Sleep(holdTTL + 10*time.Second)
+		_, err := l.Admit(t.Context(), survey, 1000)
+		require.NoError(t, err)
+
+		time.AfterFunc(500*time.Millisecond, func() { lapsed.Store(true) })
+		_, err = l.Admit(t.Context(), survey, 100)
+		refused := &RefusedError{}
+		require.ErrorAs(t, err, &refused, "tokens were minted after a second, when the lease had lapsed")
+		require.Equal(t, ReasonNotServing, refused.Reason)
+	})
+}
+
 func TestAdmitGathersFromAllHomes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fleet, _ := newFleet(8, 0, map[ident.OrganisationID]Limit{survey: {Rate: 100, Burst: 1003}})
--- a/internal/coordination/quota/pump.go
+++ b/internal/coordination/quota/pump.go
@@ -25,10 +25,12 @@
 
 // step admits and refuses waiters and asks homes for what is missing. It returns when to look again.
 func (e *entry) step() (next time.Time, more bool) {
+	// A daemon that was paused while requests waited may have lost its share to another home.
+	serving := e.limiter.serving() && e.limiter.life.Context().Err() == nil
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
-	if e.limiter.life.Context().Err() != nil {
+	if !serving {
 		e.refuseAll(ReasonNotServing)
 	}
 	if !e.known {
