--- a/internal/program/daemon/consts.go
+++ b/internal/program/daemon/consts.go
@@ -19,9 +19,9 @@
 	digestBytes = 512
 	// leastDigestBytes is the least that is worth a digest: some blocks of an engine.
 	leastDigestBytes = 128
-	// digestRate bounds the bytes of blocks that a daemon sends a second to all others together: a third of what it may
+	// digestRate bounds the bytes of blocks that a daemon sends a second to all others together: a sixth of what it may
 	// send for control.
-	digestRate = 1 << 10
+	digestRate = 512
 	// noticePeers bounds the daemons that are told of a request at once.
 	noticePeers = 16
 	// seedTimeout bounds the reading of the VM list at the start.
