--- a/internal/coordination/moves/watch.go
+++ b/internal/coordination/moves/watch.go
@@ -63,8 +63,8 @@
 type routeFigures struct {
 	// base is nil when there are too many routes.
 	base       *latencyBase
-	ttftLimits [uncachedClasses]atomic.Int64
-	itlLimit   atomic.Int64
+	ttftLimits [workClasses]atomic.Int64
+	itlLimits  [workClasses]atomic.Int64
 	// pending holds the requests without a first token of the old and of the new version.
 	pending [2]pendingSet
 }
@@ -97,7 +97,7 @@
 
 // find returns the move and figures that a request counts for; nil figures if none.
 func (w *Watch) find(at Target) (*share, *moveFigures, bool) {
-	sh := w.Splitter.table.Load().find(routeKey{at.Model, at.Route})
+	sh := w.Splitter.table.Load().find(routeKey{Model: at.Model, Route: at.Route})
 	if sh == nil || (at.Version != sh.move.From && at.Version != sh.move.To) {
 		return nil, nil, false
 	}
@@ -161,7 +161,7 @@
 	if r := (*f.routes.Load())[id]; r != nil {
 		return r
 	}
-	base := w.base(baseKey{routeKey{f.model, id}, f.from})
+	base := w.base(baseKey{routeKey{Model: f.model, Route: id}, f.from})
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if r := (*f.routes.Load())[id]; r != nil {
@@ -222,8 +222,8 @@
 	}
 }
 
-func (r *routeFigures) limits() *[uncachedClasses]time.Duration {
-	var limits [uncachedClasses]time.Duration
+func (r *routeFigures) limits() *[workClasses]time.Duration {
+	var limits [workClasses]time.Duration
 	for class := range limits {
 		limits[class] = time.Duration(r.ttftLimits[class].Load())
 	}
@@ -231,14 +231,17 @@
 }
 
 func (r *routeFigures) refreshLimits(slack int) {
-	for class, limit := range r.base.ttftLimits(slack) {
+	storeLimits(&r.ttftLimits, r.base.ttft.limits(slack))
+	storeLimits(&r.itlLimits, r.base.itl.limits(slack))
+}
+
+// storeLimits replaces the limits by those that are known.
+func storeLimits(to *[workClasses]atomic.Int64, limits [workClasses]time.Duration) {
+	for class, limit := range limits {
 		if limit > 0 {
-			r.ttftLimits[class].Store(int64(limit))
+			to[class].Store(int64(limit))
 		}
 	}
-	if limit := r.base.itlLimit(slack); limit > 0 {
-		r.itlLimit.Store(int64(limit))
-	}
 }
 
 func (c *cell) add(o Outcome, begun bool) {
