Report each policy's share of the possible gain in hit rate

Twice the hit rate of leastLoad can't be met where the omniscient bound is below twice it. The JSON gets policies.NAME.gainShare and the table a column: (hit rate - leastLoad) / (best - leastLoad), only where leastLoad ran too.

--- a/internal/program/load/figures.go
+++ b/internal/program/load/figures.go
@@ -37,6 +37,9 @@
 	Organisations map[ident.OrganisationID]*Figures `json:"organisations"`
 	// WorstToFleet is the worst organisation's p99 of the time to first token over the fleet's.
 	WorstToFleet float64 `json:"worstToFleet"`
+	// GainShare is the part of the possible gain in hit rate: that over leastLoad, of what the omniscient bound has over
+	// it. Nil without a run of leastLoad or without anything to gain.
+	GainShare *float64 `json:"gainShare,omitempty"`
 	// HitRateBefore and HitRateAfter are the hit rates in the ten seconds before and after the fault of a run.
 	HitRateBefore float64 `json:"hitRateBefore"`
 	HitRateAfter  float64 `json:"hitRateAfter"`
--- a/internal/program/load/load.go
+++ b/internal/program/load/load.go
@@ -94,6 +94,7 @@
 		}
 		report.Moves = append(report.Moves, figures.Move)
 	}
+	report.compare()
 	return l.publish(report)
 }
 
--- a/internal/program/load/print.go
+++ b/internal/program/load/print.go
@@ -15,12 +15,12 @@
 func printReport(w io.Writer, r *Report) {
 	fmt.Fprintf(w, "profile %s, seed %d, %.0f s a run, faults %v; times in ms of engine time\n\n", r.Profile, r.Seed, r.Seconds, r.Faults)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "policy\tsent\tanswered\tlost\tdup\trefused\tbeyond\twithin rate\tover tokens\thit rate\twasted\tp50\tp99\tworst/fleet\t")
+	fmt.Fprintln(t, "policy\tsent\tanswered\tlost\tdup\trefused\tbeyond\twithin rate\tover tokens\thit rate\twasted\tp50\tp99\tworst/fleet\tof gain\t")
 	for _, name := range slices.Sorted(maps.Keys(r.Policies)) {
 		f := r.Policies[name]
-		printRow(t, name, &f.Figures, fmt.Sprintf("%.2f", f.WorstToFleet))
+		printRow(t, name, &f.Figures, fmt.Sprintf("%.2f\t%s", f.WorstToFleet, percent(f.GainShare)))
 	}
-	printRow(t, "best", r.Best, "")
+	printRow(t, "best", r.Best, "\t")
 	_ = t.Flush()
 	for _, m := range r.Moves {
 		fmt.Fprintf(w, "\nmove %s: %s, on time %t, %.2f %% of the requests went to the bad version, %.0f ms from the fault to the last; %s\n",
@@ -31,6 +31,14 @@
 	}
 }
 
+// percent prints a share, nothing if there is none.
+func percent(share *float64) string {
+	if share == nil {
+		return ""
+	}
+	return fmt.Sprintf("%.1f %%", 100**share)
+}
+
 func printRow(w io.Writer, name string, f *Figures, last string) {
 	fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f %%\t%.1f %%\t%.1f\t%.1f\t%s\t\n", name, f.Sent, f.Answered, f.Lost,
 		f.Duplicated, f.Refused, f.Beyond, f.RefusedWithinRate, f.OverAdmittedTokens, 100*f.PrefixHitRate, 100*f.WastedRecompute,
