Count the queue for a full batch, take the slack from the learned speed

By a trace its requests within the rate wait at one engine, not for tokens: others that were 0.5 s quicker counted as equal, as the slack took 10,000 tokens/s for engines that compute 50,000, and the wait for room in a full batch was not estimated. Change: the slack is a tenth of the prompt's computation at the learned speed of the best engine; requests that a report calls waiting make a wait of their number times the learned time of an answer over the running requests. Ruled out: priorities only from the whole burst on, hedging (longer tail without a fault, 2 to 4 % computed in vain), faster doubt of the learned speed, unsealed bits in the index.

--- a/internal/coordination/route/attempt.go
+++ b/internal/coordination/route/attempt.go
@@ -77,6 +77,9 @@
 	}
 	now := time.Now()
 	a.router.Health.Succeeded(a.upstream, now)
+	if a.ttft > 0 {
+		a.upstream.LearnBatch(now.Sub(a.started) - a.ttft)
+	}
 	if a.decision.ImportBlocks == 0 {
 		computed := max(0, done.PromptTokens-done.CachedTokens)
 		a.upstream.LearnPrefill(computed, a.ttft)
--- a/internal/coordination/route/consts.go
+++ b/internal/coordination/route/consts.go
@@ -7,7 +7,7 @@
 	// requests wait.
 	DefaultRecomputeWeight = 2
 	// DefaultSlack is the part of a prompt's computation by which estimates may differ and count as equal.
-	DefaultSlack = 0.2
+	DefaultSlack = 0.1
 	// OutputWeight is the cost of an output token against that of a prompt token.
 	OutputWeight = 2
 	// MaxPriority is the priority of the organisations that are furthest beyond their rate.
--- a/internal/coordination/route/cost.go
+++ b/internal/coordination/route/cost.go
@@ -30,7 +30,7 @@
 func (r *Router) estimate(p Prefix, s *scratch, c *candidate, req *Request, stored int, weight float64) {
 	rate := c.upstream.PrefillRate()
 	held := float64(c.blocks) * float64(req.BlockTokens) * c.upstream.Trust()
-	c.wait = float64(c.load.Queued) / rate
+	c.wait = max(float64(c.load.Queued)/rate, c.load.BatchWait.Seconds())
 	c.compute = math.Max(0, float64(req.PromptTokens)-held) / rate
 	if seconds, ok := r.importTime(c, req, stored, rate); ok && seconds < c.compute {
 		c.imports, c.compute = stored, seconds
@@ -67,12 +67,15 @@
 // among several of these, this daemon's own part goes first if much is missing, as what it sends there it knows before
 // any report. The hash of the first missing block decides, or, when hardly a block is missing, the shorter queue of two.
 func (r *Router) bestPrefix(p Prefix, s *scratch, req *Request) (int, Reason) {
-	least, most := math.Inf(1), 0
+	least, most := &s.candidates[0], 0
 	for i := range s.candidates {
-		least = math.Min(least, s.candidates[i].cost)
-		most = max(most, s.candidates[i].blocks)
+		c := &s.candidates[i]
+		if c.cost < least.cost {
+			least = c
+		}
+		most = max(most, c.blocks)
 	}
-	bound := least + p.slack()*float64(req.PromptTokens)/health.DefaultPrefillRate
+	bound := least.cost + p.slack()*float64(req.PromptTokens)/least.upstream.PrefillRate()
 	held := 0
 	for i := range s.candidates {
 		if c := &s.candidates[i]; c.cost <= bound {
--- a/internal/state/health/consts.go
+++ b/internal/state/health/consts.go
@@ -37,6 +37,8 @@
 	// queueWeight weighs a sample of the queue factor, queueFactorMin and queueFactorMax bound it.
 	queueWeight                    = 0.1
 	queueFactorMin, queueFactorMax = 0.02, 4
+	// batchWeight weighs a sample of the time of an answer in the batch.
+	batchWeight = 0.1
 	// queueSampleTokens is the shortest queue from which the factor is learned.
 	queueSampleTokens = 1000
 	// trustWeight weighs a sample of the part of expected blocks that an engine really held.
--- a/internal/state/health/engine.go
+++ b/internal/state/health/engine.go
@@ -36,6 +36,8 @@
 	prefillRate  atomicFloat
 	queueFactor  atomicFloat
 	trust        atomicFloat
+	// batchTime is the learned time in seconds that an answer takes from its first token to its last.
+	batchTime atomicFloat
 }
 
 // report is a load report with the time that its figures are of.
@@ -128,6 +130,8 @@
 	Requests int
 	// Waiting are the requests that the last report called waiting.
 	Waiting int
+	// BatchWait is the time until the engine's batch has room, when requests wait for it.
+	BatchWait time.Duration
 	// Reported tells that a load report underlies the estimate.
 	Reported bool
 }
@@ -144,10 +148,11 @@
 	drained := u.PrefillRate() * (t - r.asOf).Seconds()
 	queued := ident.Tokens(max(0, float64(r.QueuedTokens)*u.QueueFactor()-drained) + float64(pending))
 	return Load{
-		Queued:   queued,
-		Requests: r.WaitingRequests + r.RunningRequests + int(begun),
-		Waiting:  r.WaitingRequests,
-		Reported: true,
+		Queued:    queued,
+		Requests:  r.WaitingRequests + r.RunningRequests + int(begun),
+		Waiting:   r.WaitingRequests,
+		BatchWait: u.batchWait(r, t-r.asOf, begun),
+		Reported:  true,
 	}
 }
 
