--- a/internal/state/health/batch.go
+++ b/internal/state/health/batch.go
@@ -11,7 +11,8 @@
 	}
 	each := answer / float64(r.RunningRequests)
 	ahead := float64(r.WaitingRequests) + float64(begun)
-	return time.Duration(max(0, ahead*each-age.Seconds()) * float64(time.Second))
+	wait := min(max(0, ahead*each-age.Seconds()), batchWaitMax.Seconds())
+	return time.Duration(wait * float64(time.Second))
 }
 
 // LearnBatch takes in the time that an answer took from its first token to its last.
--- a/internal/state/health/batch_test.go
+++ b/internal/state/health/batch_test.go
@@ -1,6 +1,7 @@
 package health
 
 import (
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,6 +24,7 @@
 		"own sends wait too":          {running: 4, waiting: 2, answer: time.Second, begun: 1, want: 750 * time.Millisecond},
 		"less what has left since":    {running: 4, waiting: 2, answer: time.Second, age: 200 * time.Millisecond, want: 300 * time.Millisecond},
 		"all that waited have room":   {running: 4, waiting: 1, answer: time.Second, age: time.Second},
+		"bounded":                     {running: 1, waiting: math.MaxInt, answer: time.Second, want: batchWaitMax},
 		"waiting without a batch yet": {waiting: 3, answer: time.Second},
 	}
 	for name, tc := range cases {
--- a/internal/state/health/consts.go
+++ b/internal/state/health/consts.go
@@ -39,6 +39,8 @@
 	queueFactorMin, queueFactorMax = 0.02, 4
 	// batchWeight weighs a sample of the time of an answer in the batch.
 	batchWeight = 0.1
+	// batchWaitMax bounds the estimated wait for room in a batch.
+	batchWaitMax = time.Minute
 	// queueSampleTokens is the shortest queue from which the factor is learned.
 	queueSampleTokens = 1000
 	// trustWeight weighs a sample of the part of expected blocks that an engine really held.
