--- a/internal/program/daemon/bench_test.go
+++ b/internal/program/daemon/bench_test.go
@@ -248,6 +248,20 @@
 	}
 }
 
+// BenchmarkTokenBatch measures the allocations of the daemon for one batch of tokens, from the engine's event to the
+// flush to the caller: the cost of longer answers less that of short ones.
+func BenchmarkTokenBatch(b *testing.B) {
+	const batches = 256
+	r := newRig(b)
+	b.ResetTimer()
+	added := func(tokens int) float64 {
+		direct := r.cost(b, r.direct, tokens, true)
+		return float64(r.cost(b, r.daemon, tokens, true).allocs) - float64(direct.allocs)
+	}
+	short := added(1)
+	b.ReportMetric((added(batches+1)-short)/float64(b.N)/batches, "daemonAllocs/batch")
+}
+
 // cost returns what b.N requests to the target cost the process.
 func (r *rig) cost(b *testing.B, target string, tokens int, stream bool) spent {
 	b.Helper()
