--- a/internal/protocol/openai/answer.go
+++ b/internal/protocol/openai/answer.go
@@ -94,6 +94,12 @@
 	return answer
 }
 
+// Bytes that a chunk takes beside the request's id and model: before its choices, and for these with a short text.
+const (
+	headBytes = 96
+	tailBytes = 160
+)
+
 // ChunkWriter encodes the chunks of one streamed answer as server-sent events into a buffer that it reuses.
 type ChunkWriter struct {
 	kind Kind
@@ -107,13 +113,14 @@
 	if kind == Text {
 		object = objectText
 	}
-	head := []byte(`data: {"id":`)
+	head := make([]byte, 0, len(id)+len(model)+headBytes)
+	head = append(head, `data: {"id":`...)
 	head = strconv.AppendQuote(head, string(id))
 	head = append(head, `,"object":"`+object+`","created":`...)
 	head = strconv.AppendInt(head, time.Now().Unix(), 10)
 	head = append(head, `,"model":`...)
 	head = appendString(head, string(model))
-	return &ChunkWriter{kind: kind, head: head}
+	return &ChunkWriter{kind: kind, head: head, buf: make([]byte, 0, len(head)+tailBytes)}
 }
 
 // Delta returns the event of a piece of text. The result is valid until the next call.
--- a/internal/protocol/openai/request.go
+++ b/internal/protocol/openai/request.go
@@ -4,13 +4,8 @@
 import (
 	"bytes"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
-	"maps"
 	"math"
-	"slices"
-	"strings"
 
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 )
@@ -86,11 +81,6 @@
 	Text string `json:"text"`
 }
 
-// own names the parameters in fields; they are left out of Request.Sampling.
-var own = []string{
-	"model", "messages", "prompt", "max_tokens", "max_completion_tokens", "stream", "stream_options", "seed", "n",
-}
-
 // DecodeChat reads the body of a chat completion. The error is a *RequestError.
 func DecodeChat(body []byte) (*Request, error) {
 	f, err := decodeFields(body)
@@ -122,13 +112,9 @@
 
 func decodeFields(body []byte) (*fields, error) {
 	var f fields
-	dec := json.NewDecoder(bytes.NewReader(body))
-	if err := dec.Decode(&f); err != nil {
+	if err := json.Unmarshal(body, &f); err != nil {
 		return nil, &RequestError{Reason: "the body is not valid JSON", Err: err}
 	}
-	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
-		return nil, &RequestError{Reason: "there is data after the JSON object"}
-	}
 	if f.Model == "" {
 		return nil, &RequestError{Param: "model", Reason: "a model is needed"}
 	}
@@ -178,28 +164,6 @@
 	return ident.Tokens(*limit), nil
 }
 
-func isOwn(name string) bool {
-	return slices.ContainsFunc(own, func(o string) bool { return strings.EqualFold(o, name) })
-}
-
-// otherParameters returns the parameters of the body that are not in fields as a JSON object with sorted keys.
-func otherParameters(body []byte) ([]byte, error) {
-	var all map[string]json.RawMessage
-	if err := json.Unmarshal(body, &all); err != nil {
-		return nil, &RequestError{Reason: "the body is not a JSON object", Err: err}
-	}
-	// The decoder matches names without regard to case, so nothing that it read may be passed on.
-	maps.DeleteFunc(all, func(name string, _ json.RawMessage) bool { return isOwn(name) })
-	if len(all) == 0 {
-		return nil, nil
-	}
-	rest, err := json.Marshal(all)
-	if err != nil {
-		return nil, &RequestError{Reason: "the parameters can't be passed on", Err: err}
-	}
-	return rest, nil
-}
-
 func chatPrompt(messages []message) ([]byte, error) {
 	var prompt bytes.Buffer
 	for i, m := range messages {
--- a/internal/transport/caller/completion.go
+++ b/internal/transport/caller/completion.go
@@ -53,10 +53,7 @@
 func (s *Server) answer(ctx context.Context, w http.ResponseWriter, st *started) error {
 	defer st.cancel()
 	defer st.run.Close()
-	defer func() {
-		klog.V(1).InfoS("Request ended", "requestId", requestOf(ctx), "organisation", st.run.Organisation(),
-			"route", st.run.Route(), "version", st.run.Version(), "duration", time.Since(st.began))
-	}()
+	defer logEnd(ctx, st)
 	w.Header().Set(headerVersion, string(st.run.Version()))
 	if st.request.Stream {
 		s.stream(ctx, w, st)
@@ -65,6 +62,14 @@
 	return s.whole(ctx, w, st)
 }
 
+// logEnd boxes its values only if the line is written.
+func logEnd(ctx context.Context, st *started) {
+	if v := klog.V(1); v.Enabled() {
+		v.InfoS("Request ended", "requestId", requestOf(ctx), "organisation", st.run.Organisation(),
+			"route", st.run.Route(), "version", st.run.Version(), "duration", time.Since(st.began))
+	}
+}
+
 func (s *Server) whole(ctx context.Context, w http.ResponseWriter, st *started) error {
 	var text strings.Builder
 	result, err := st.run.Stream(st.ctx, func(piece string) error {
--- a/internal/transport/caller/server.go
+++ b/internal/transport/caller/server.go
@@ -49,23 +49,23 @@
 
 // Handler returns the handler of the interface.
 func (s *Server) Handler() http.Handler {
-	chat := s.chatServer()
-	text := s.textServer()
-	models := s.modelsServer()
-	locate := s.locateServer()
+	chat := only(http.MethodPost, s.chatServer())
+	text := only(http.MethodPost, s.textServer())
+	models := only(http.MethodGet, s.modelsServer())
+	locate := only(http.MethodGet, s.locateServer())
 	plain := s.plainServer()
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		r = r.WithContext(withRequest(r.Context(), s.newRequestID()))
 		w.Header().Set(headerRequestID, string(requestOf(r.Context())))
 		switch path := r.URL.Path; {
 		case path == pathModels:
-			only(http.MethodGet, models).ServeHTTP(w, r)
+			models.ServeHTTP(w, r)
 		case path == pathLocate:
-			only(http.MethodGet, locate).ServeHTTP(w, r)
+			locate.ServeHTTP(w, r)
 		case strings.HasSuffix(path, pathChat):
-			only(http.MethodPost, chat).ServeHTTP(w, r)
+			chat.ServeHTTP(w, r)
 		case strings.HasSuffix(path, pathCompletion):
-			only(http.MethodPost, text).ServeHTTP(w, r)
+			text.ServeHTTP(w, r)
 		default:
 			plain.ServeHTTP(w, r)
 		}
--- a/internal/transport/engine/bench_test.go
+++ b/internal/transport/engine/bench_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -44,8 +43,7 @@
 func (e *endless) Close() error { return nil }
 
 func BenchmarkStreamChunk(b *testing.B) {
-	_, cancel := context.WithCancel(b.Context())
-	s := newStream(&endless{data: recorded(64)}, cancel, "e1", "0123456789abcdef0123456789abcdef")
+	s := newStream(&endless{data: recorded(64)}, "e1", "0123456789abcdef0123456789abcdef")
 	defer s.Close()
 	b.ReportAllocs()
 	for b.Loop() {
--- a/internal/transport/engine/client.go
+++ b/internal/transport/engine/client.go
@@ -35,13 +35,11 @@
 	if err != nil {
 		return nil, &extern.UpstreamError{Kind: extern.UpstreamRejected, Upstream: upstream, NotRun: true, Err: err}
 	}
-	ctx, cancel := context.WithCancel(ctx)
 	resp, err := c.post(ctx, upstream, baseURL, "/v1/completions", body, req.Route) //nolint:bodyclose // the stream closes it
 	if err != nil {
-		cancel()
 		return nil, err
 	}
-	return newStream(resp.Body, cancel, upstream, req.Request), nil
+	return newStream(resp.Body, upstream, req.Request), nil
 }
 
 // Order implements extern.Engine.
--- a/internal/transport/engine/stream.go
+++ b/internal/transport/engine/stream.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"errors"
 	"io"
 	"sync"
@@ -16,7 +15,6 @@
 type stream struct {
 	body     io.ReadCloser
 	reader   *bufio.Reader
-	cancel   context.CancelFunc
 	upstream ident.UpstreamID
 	request  ident.RequestID
 
@@ -36,13 +34,13 @@
 
 var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, streamBufferBytes) }}
 
-func newStream(body io.ReadCloser, cancel context.CancelFunc, upstream ident.UpstreamID, request ident.RequestID) *stream {
+func newStream(body io.ReadCloser, upstream ident.UpstreamID, request ident.RequestID) *stream {
 	reader, ok := readers.Get().(*bufio.Reader)
 	if !ok {
 		reader = bufio.NewReaderSize(nil, streamBufferBytes)
 	}
 	reader.Reset(body)
-	return &stream{body: body, reader: reader, cancel: cancel, upstream: upstream, request: request}
+	return &stream{body: body, reader: reader, upstream: upstream, request: request}
 }
 
 // Next implements extern.EngineStream.
@@ -103,7 +101,8 @@
 	return &extern.UpstreamError{Kind: extern.UpstreamBroken, Upstream: s.upstream, Err: &FormatError{Reason: reason}}
 }
 
-// Close implements extern.EngineStream. A complete answer is read to its end so that its connection can be used again.
+// Close implements extern.EngineStream. A complete answer is read to its end so that its connection can be used again;
+// the connection of any other is closed, which cancels the request at the engine.
 func (s *stream) Close() error {
 	if s.reader == nil {
 		return nil
@@ -111,7 +110,6 @@
 	if s.done {
 		_, _ = io.CopyN(io.Discard, s.reader, streamBufferBytes)
 	}
-	s.cancel()
 	err := s.body.Close()
 	s.reader.Reset(nil)
 	readers.Put(s.reader)
--- a/internal/transport/httpc/pool.go
+++ b/internal/transport/httpc/pool.go
@@ -25,7 +25,6 @@
 
 	once      sync.Once
 	transport *http.Transport
-	client    *http.Client
 }
 
 // SendError is a request that got no answer.
@@ -47,9 +46,13 @@
 // Do sends the request and returns the answer, whose body the caller must close. The error is a *SendError.
 func (p *Pool) Do(req *http.Request) (*http.Response, error) {
 	p.once.Do(p.init)
+	if user := req.URL.User; user != nil && req.Header.Get("Authorization") == "" {
+		password, _ := user.Password()
+		req.SetBasicAuth(user.Username(), password)
+	}
 	var a attempt
 	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: a.gotConn})
-	resp, err := p.client.Do(req.WithContext(ctx)) //nolint:bodyclose,gosec // the caller closes the body and chose the address
+	resp, err := p.transport.RoundTrip(req.WithContext(ctx)) //nolint:bodyclose // the caller closes the body
 	if err != nil {
 		return nil, &SendError{NotSent: a.seal(), Err: err}
 	}
@@ -83,10 +86,6 @@
 		ReadBufferSize:         defaultResponseHeader,
 		DisableCompression:     true,
 	}
-	p.client = &http.Client{
-		Transport:     p.transport,
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
 }
 
 func orDefault[T comparable](value, fallback T) T {
