--- a/internal/transport/httpc/pool_test.go
+++ b/internal/transport/httpc/pool_test.go
@@ -144,3 +144,22 @@
 	require.ErrorAs(t, post(p), &send)
 	require.True(t, send.NotSent)
 }
+
+func TestCredentialsInAnAddressAreSent(t *testing.T) {
+	type credentials struct{ user, password string }
+	got := make(chan credentials, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		user, password, _ := r.BasicAuth()
+		got <- credentials{user, password}
+	}))
+	defer server.Close()
+	p := &Pool{}
+	defer p.Close()
+	target := strings.Replace(server.URL, "http://", "http://router:secret@", 1)
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, target, http.NoBody)
+	require.NoError(t, err)
+	resp, err := p.Do(req)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	require.Equal(t, credentials{"router", "secret"}, <-got)
+}
