--- a/internal/transport/caller/decode.go
+++ b/internal/transport/caller/decode.go
@@ -30,11 +30,7 @@
 // decoder returns the decoder of a kind of completion.
 func (s *Server) decoder(kind openai.Kind, decode func([]byte) (*openai.Request, error)) func(context.Context, *http.Request) (*completion, error) {
 	return func(ctx context.Context, r *http.Request) (*completion, error) {
-		common, err := decodeCommon(r)
-		if err != nil {
-			return nil, err
-		}
-		body, err := s.readBody(ctx, r)
+		common, body, err := s.read(ctx, r)
 		if err != nil {
 			return nil, err
 		}
@@ -121,6 +117,16 @@
 	return time.Duration(ms) * time.Millisecond, nil
 }
 
+// read returns what every request may carry, and its body.
+func (s *Server) read(ctx context.Context, r *http.Request) (common, []byte, error) {
+	c, err := decodeCommon(r)
+	if err != nil {
+		return c, nil, err
+	}
+	body, err := s.readBody(ctx, r)
+	return c, body, err
+}
+
 // readBody reads the body within its limits of size and time.
 func (s *Server) readBody(ctx context.Context, r *http.Request) ([]byte, error) {
 	body, err := rest.ReadBody(ctx, r, s.BodyBytes, s.BodyTimeout)
--- a/internal/transport/caller/plain.go
+++ b/internal/transport/caller/plain.go
@@ -45,11 +45,7 @@
 }
 
 func (s *Server) decodePlain(ctx context.Context, r *http.Request) (*plainCall, error) {
-	common, err := decodeCommon(r)
-	if err != nil {
-		return nil, err
-	}
-	body, err := s.readBody(ctx, r)
+	common, body, err := s.read(ctx, r)
 	if err != nil {
 		return nil, err
 	}
