Time admissions in the load tool by their charge

Cause: load stamped an admission when the request's goroutine went on after its charge. Change: a reservation keeps the time of its charge, and the load tool's ledger uses it. The bound is the same, burst plus rate times the length of any interval, over all daemons.

--- a/internal/coordination/quota/entry.go
+++ b/internal/coordination/quota/entry.go
@@ -206,7 +206,7 @@
 	if own+e.pooled() < cost {
 		return nil, false
 	}
-	r := &Reservation{entry: e, cost: cost}
+	r := &Reservation{entry: e, cost: cost, charged: now}
 	rest := cost
 	for rest > 0 && len(e.pool) > 0 {
 		h := &e.pool[0]
--- a/internal/coordination/quota/reservation.go
+++ b/internal/coordination/quota/reservation.go
@@ -12,6 +12,7 @@
 type Reservation struct {
 	entry   *entry
 	cost    ident.Tokens
+	charged time.Time
 	parts   []part
 	settled atomic.Bool
 }
@@ -28,6 +29,9 @@
 // Cost returns the tokens that were charged at admission.
 func (r *Reservation) Cost() ident.Tokens { return r.cost }
 
+// Charged returns when the tokens were charged. The request itself may go on later, on a machine that is busy.
+func (r *Reservation) Charged() time.Time { return r.charged }
+
 // Settle tells how many of the charged tokens the request used, and gives the rest back. Calls after the first do
 // nothing. A request that did not run used 0.
 func (r *Reservation) Settle(used ident.Tokens) {
--- a/internal/coordination/serve/call.go
+++ b/internal/coordination/serve/call.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/gooseberryway/gooseberryway/internal/state/extern"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
@@ -45,6 +46,10 @@
 type Reservation interface {
 	// Settle charges the tokens used and gives the rest back. Only the first call counts.
 	Settle(used ident.Tokens)
+	// Cost returns the tokens that were charged.
+	Cost() ident.Tokens
+	// Charged returns when they were charged.
+	Charged() time.Time
 }
 
 // Limiter admits requests within the rate and burst of their organisation over all daemons together.
--- a/internal/coordination/serve/fakes_test.go
+++ b/internal/coordination/serve/fakes_test.go
@@ -85,6 +85,10 @@
 
 func (b *bench) Settle(used ident.Tokens) { b.settled = append(b.settled, used) }
 
+func (b *bench) Cost() ident.Tokens { return 0 }
+
+func (b *bench) Charged() time.Time { return time.Time{} }
+
 func (b *bench) Claim(context.Context, ident.OrganisationID, string, ident.Digest, ident.RequestID) (Claim, error) {
 	b.noted = append(b.noted, "claim")
 	return Claim{Kept: b.kept}, nil
--- a/internal/coordination/serve/service.go
+++ b/internal/coordination/serve/service.go
@@ -36,8 +36,8 @@
 	FamilyBytes int
 	// Record is called with the outcome of each completion that was admitted; nil for none.
 	Record func(burn.Event)
-	// Admitted is called with the reserved tokens of each request that is admitted; nil for none.
-	Admitted func(ident.OrganisationID, ident.Tokens)
+	// Admitted is called with the charge of each request that is admitted; nil for none.
+	Admitted func(ident.OrganisationID, Reservation)
 
 	routes   routeCache
 	draining atomic.Bool
@@ -149,7 +149,7 @@
 	}
 	run.reservation = reservation
 	if s.Admitted != nil {
-		s.Admitted(run.caller.Organisation, cost)
+		s.Admitted(run.caller.Organisation, reservation)
 	}
 	return nil
 }
--- a/internal/program/daemon/daemon.go
+++ b/internal/program/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
+	"github.com/gooseberryway/gooseberryway/internal/coordination/serve"
 	"github.com/gooseberryway/gooseberryway/internal/program/setup"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/transport/meter"
@@ -19,8 +20,8 @@
 // Daemon is one process of the system. Its fields are set before Run.
 type Daemon struct {
 	Settings *setup.Settings
-	// Admitted is called with the reserved tokens of each request that is admitted; nil for none.
-	Admitted func(ident.OrganisationID, ident.Tokens)
+	// Admitted is called with the charge of each request that is admitted; nil for none.
+	Admitted func(ident.OrganisationID, serve.Reservation)
 	// Dispatched is called for each attempt that is sent to an engine; nil for none.
 	Dispatched func(ident.VersionID, ident.RouteID)
 
--- a/internal/program/load/outcome.go
+++ b/internal/program/load/outcome.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/gooseberryway/gooseberryway/internal/coordination/serve"
 	"github.com/gooseberryway/gooseberryway/internal/program/client"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 )
@@ -55,8 +56,9 @@
 	list []admission
 }
 
-func (a *admissions) add(org ident.OrganisationID, cost ident.Tokens) {
+// add notes an admission with the time of its charge: what happens to the request afterwards is no matter of the rate.
+func (a *admissions) add(org ident.OrganisationID, r serve.Reservation) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.list = append(a.list, admission{organisation: org, at: time.Now(), cost: cost})
+	a.list = append(a.list, admission{organisation: org, at: r.Charged(), cost: r.Cost()})
 }
--- a/internal/program/local/system.go
+++ b/internal/program/local/system.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/gooseberryway/gooseberryway/internal/coordination/serve"
 	"github.com/gooseberryway/gooseberryway/internal/program/daemon"
 	"github.com/gooseberryway/gooseberryway/internal/program/setup"
 	"github.com/gooseberryway/gooseberryway/internal/standin/engine"
@@ -41,7 +42,7 @@
 	Settings func(*setup.Settings)
 
 	// Admitted is called for each request that a daemon admits; nil for none.
-	Admitted func(ident.OrganisationID, ident.Tokens)
+	Admitted func(ident.OrganisationID, serve.Reservation)
 	// Dispatched is called for each attempt that a daemon sends to an engine; nil for none.
 	Dispatched func(ident.VersionID, ident.RouteID)
 
