Look for an offset to confirm only while there is one, keep the witnesses of each view

Cause: the heartbeat benchmark grew with its length because nothing ever came into force in it. Its daemons sent heartbeats with a newer incarnation than they answered with, which voided every answer. So the history held a view for each of the 64 joins, and once the round was older than roundInterval each answer sorted all members of all views to look for an offset that was already in a round. A daemon does the same while many members join at once or nothing comes into force. The state itself grew too: each restart of a daemon kept one state more, without a bound.

Change: no look while the newest offset is in a round; a look waits 20 times as long as the last one took; the sorted witnesses are kept for each change of the members and pruned with the history; a view that equals the one before it is left out; a history of more than 256 states drops restarts, which change no view. What still grows while nothing comes into force is one state for each daemon that joins, leaves or is removed.

The benchmark now uses one incarnation throughout, and BenchmarkHeartbeatsWithoutForce measures the other case. TestViewsLeaveOutWhoIsDeadByTheNewestState expects equal neighbours once, and bounds the kept sets.

--- a/internal/coordination/member/consts.go
+++ b/internal/coordination/member/consts.go
@@ -15,6 +15,8 @@
 	// roundInterval spaces the rounds of confirmation.
 	roundInterval = 500 * time.Millisecond
 	maxRounds     = 32
+	// lookPause is how many times as long as it took the next look for an offset to confirm waits.
+	lookPause = 20
 
 	// keptAnswers is the number of answers of one daemon that are remembered.
 	keptAnswers = 4
--- a/internal/coordination/member/fleet.go
+++ b/internal/coordination/member/fleet.go
@@ -50,9 +50,7 @@
 	peers    map[ident.DaemonID]*peer
 	tracker  tracker
 	vms      vmHint
-	// witnessIDs are the witnesses of the states whose members last changed at witnessesAt.
-	witnessIDs  []ident.DaemonID
-	witnessesAt ident.Offset
+	sets     sets
 	// amnesiac lets a restarted daemon vouch at once; tests set it to show that recovery is needed.
 	amnesiac bool
 }
@@ -115,6 +113,7 @@
 	}
 	history := f.Follower.History()
 	applied := history[len(history)-1]
+	f.sets.prune(history)
 	f.recover(applied)
 	f.checkSuperseded(applied)
 	inForce := history[0]
@@ -153,7 +152,7 @@
 		f.recovering = false
 		return
 	}
-	ids := f.witnesses(applied)
+	ids := f.sets.of(applied)
 	heard := 0
 	for _, id := range ids {
 		if p := f.peers[id]; p != nil && id != f.Self.ID {
--- a/internal/coordination/member/force.go
+++ b/internal/coordination/member/force.go
@@ -21,6 +21,8 @@
 // removalGrace has passed since, so that every lease that was granted without it has run out.
 type tracker struct {
 	rounds []round
+	// lookAfter spaces the looks for an offset to confirm: while many views are not in force each takes long.
+	lookAfter time.Time
 	// grace overrides removalGrace; tests set it to show that the grace is needed.
 	grace time.Duration
 	// trusting counts holders without a second answer, unheld does without holders; tests set them to show that
@@ -64,7 +66,15 @@
 		}
 		floor = max(floor, last.offset)
 	}
+	if state.Offset() <= floor {
+		f.restartRound(now, state, history)
+		return
+	}
+	if now.Before(t.lookAfter) {
+		return
+	}
 	offset := f.heldOffset(state, history)
+	t.lookAfter = now.Add(lookPause * time.Since(now))
 	if offset <= floor {
 		f.restartRound(now, state, history)
 		return
@@ -132,7 +142,7 @@
 	if f.tracker.latest {
 		history = history[len(history)-1:]
 	}
-	return views(history, newest, offset)
+	return f.sets.views(history, newest, offset)
 }
 
 // heldBy returns the newest offset that a quorum of the witnesses has applied.
--- a/internal/coordination/member/heartbeat.go
+++ b/internal/coordination/member/heartbeat.go
@@ -53,7 +53,7 @@
 	history := f.Follower.History()
 	newest := history[len(history)-1]
 	due := map[ident.DaemonID]bool{}
-	for _, ids := range views(history, newest, newest.Offset()) {
+	for _, ids := range f.sets.views(history, newest, newest.Offset()) {
 		for _, id := range ids {
 			due[id] = id != f.Self.ID
 		}
--- a/internal/coordination/member/measure_test.go
+++ b/internal/coordination/member/measure_test.go
@@ -62,6 +62,9 @@
 	return d[min(len(d)-1, len(d)*percent/100)]
 }
 
+// echoIncarnation is that of every daemon but the measured one, in its record, its answers and its heartbeats.
+const echoIncarnation = 1764800000000
+
 // echo answers heartbeats at once from memory.
 type echo struct {
 	offset uint64
@@ -69,50 +72,59 @@
 
 // Heartbeat implements member.Peers.
 func (e *echo) Heartbeat(_ context.Context, id ident.DaemonID, _ *wire.HeartbeatRequest) (*wire.HeartbeatResponse, error) {
-	return &wire.HeartbeatResponse{DaemonId: string(id), Incarnation: 1, AppliedOffset: e.offset}, nil
+	return &wire.HeartbeatResponse{DaemonId: string(id), Incarnation: echoIncarnation, AppliedOffset: e.offset}, nil
 }
 
 // BenchmarkHeartbeats measures one second of heartbeats of one daemon: to all its witnesses, and the answers to theirs.
 // With each heartbeat go the sizes of both messages, without the framing of HTTP/2.
 func BenchmarkHeartbeats(b *testing.B) {
 	for _, daemons := range []int{5, 8, 16, 32, 64} {
-		b.Run(fmt.Sprint(daemons), func(b *testing.B) {
-			log := &fakes.Log{}
-			client := &fakes.LogClient{Log: log}
-			follower := &replay.Follower{Log: client}
-			ctx, cancel := context.WithCancel(context.Background())
-			defer cancel()
-			go func() { _ = follower.Run(ctx) }()
-			defer follower.Close()
-			writer := &replay.Writer{Log: client, Follower: follower}
-			for i := range daemons {
-				m := &config.Member{ID: ident.DaemonID(fmt.Sprint("daemon-", i)), Incarnation: 1, State: config.MemberJoined}
-				if _, err := writer.Write(ctx, config.NewRecord(replay.NewRecordID(), "o", 0, m)); err != nil {
-					b.Fatal(err)
-				}
-			}
-			fleet := &member.Fleet{
-				Self:     config.Member{ID: "daemon-0"},
-				Follower: follower,
-				Writer:   writer,
-				Peers:    &echo{offset: uint64(daemons)},
-			}
-			fleet.Boot(ctx)
-			req := &wire.HeartbeatRequest{Incarnation: 1764800000000, AppliedOffset: uint64(daemons)}
-			b.ReportAllocs()
-			for b.Loop() {
-				fleet.BeatOnce(ctx)
-				for i := 1; i < daemons; i++ {
-					req.DaemonId = fmt.Sprint("daemon-", i)
-					if _, err := fleet.HandleHeartbeat(req); err != nil {
-						b.Fatal(err)
-					}
-				}
+		b.Run(fmt.Sprint(daemons), func(b *testing.B) { benchmarkHeartbeats(b, daemons, uint64(daemons)) })
+	}
+}
+
+// BenchmarkHeartbeatsWithoutForce is BenchmarkHeartbeats while all have joined and no record comes into force.
+func BenchmarkHeartbeatsWithoutForce(b *testing.B) {
+	for _, daemons := range []int{16, 64} {
+		b.Run(fmt.Sprint(daemons), func(b *testing.B) { benchmarkHeartbeats(b, daemons, 0) })
+	}
+}
+
+func benchmarkHeartbeats(b *testing.B, daemons int, answered uint64) {
+	log := &fakes.Log{}
+	client := &fakes.LogClient{Log: log}
+	follower := &replay.Follower{Log: client}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = follower.Run(ctx) }()
+	defer follower.Close()
+	writer := &replay.Writer{Log: client, Follower: follower}
+	for i := range daemons {
+		m := &config.Member{ID: ident.DaemonID(fmt.Sprint("daemon-", i)), Incarnation: echoIncarnation, State: config.MemberJoined}
+		if _, err := writer.Write(ctx, config.NewRecord(replay.NewRecordID(), "o", 0, m)); err != nil {
+			b.Fatal(err)
+		}
+	}
+	fleet := &member.Fleet{
+		Self:     config.Member{ID: "daemon-0"},
+		Follower: follower,
+		Writer:   writer,
+		Peers:    &echo{offset: answered},
+	}
+	fleet.Boot(ctx)
+	req := &wire.HeartbeatRequest{Incarnation: echoIncarnation, AppliedOffset: answered}
+	b.ReportAllocs()
+	for b.Loop() {
+		fleet.BeatOnce(ctx)
+		for i := 1; i < daemons; i++ {
+			req.DaemonId = fmt.Sprint("daemon-", i)
+			if _, err := fleet.HandleHeartbeat(req); err != nil {
+				b.Fatal(err)
 			}
-			resp, _ := fleet.HandleHeartbeat(req)
-			b.ReportMetric(float64((daemons-1)*2*(proto.Size(req)+proto.Size(resp))), "messageBytes/s")
-		})
+		}
 	}
+	resp, _ := fleet.HandleHeartbeat(req)
+	b.ReportMetric(float64((daemons-1)*2*(proto.Size(req)+proto.Size(resp))), "messageBytes/s")
 }
 
 // restartTarget is the stated bound for a restarted daemon to be warm.
--- a/internal/coordination/member/quorum.go
+++ b/internal/coordination/member/quorum.go
@@ -26,35 +26,6 @@
 	return ids
 }
 
-// witnesses is Witnesses, computed anew only when the members have changed. It is called with mu held; the result must
-// not be changed.
-func (f *Fleet) witnesses(state *config.State) []ident.DaemonID {
-	if f.witnessIDs == nil || f.witnessesAt != state.MembersChanged() {
-		f.witnessIDs, f.witnessesAt = Witnesses(state), state.MembersChanged()
-	}
-	return f.witnessIDs
-}
-
-// views returns the sets of witnesses of all states from the one in force up to the offset. A record at the offset
-// needs a quorum of each, for a daemon that is behind may still go by any of them. Daemons that are dead by the newest
-// state are left out.
-func views(history []*config.State, newest *config.State, offset ident.Offset) [][]ident.DaemonID {
-	var sets [][]ident.DaemonID
-	for i, state := range history {
-		if i > 0 && state.Offset() > offset {
-			break
-		}
-		if i > 0 && state.MembersChanged() == history[i-1].MembersChanged() {
-			continue
-		}
-		ids := slices.DeleteFunc(Witnesses(state), func(id ident.DaemonID) bool { return isDead(newest, id) })
-		if len(ids) > 0 {
-			sets = append(sets, ids)
-		}
-	}
-	return sets
-}
-
 func isDead(state *config.State, id ident.DaemonID) bool {
 	m, ok := state.Member(id)
 	return ok && m.State == config.MemberDead
--- a/internal/coordination/member/quorum_test.go
+++ b/internal/coordination/member/quorum_test.go
@@ -73,8 +73,12 @@
 		state = next
 		history = append(history, state)
 	}
-	require.Equal(t, "[[a] [a] [a c] [a c] [c]]", sprint(views(history, state, state.Offset())))
-	require.Equal(t, "[[a] [a] [a c]]", sprint(views(history, state, 3)))
+	var known sets
+	require.Equal(t, "[[a] [a c] [c]]", sprint(known.views(history, state, state.Offset())))
+	require.Equal(t, "[[a] [a c]]", sprint(known.views(history, state, 3)))
+	require.Len(t, known.byChange, len(history))
+	known.prune(history[3:])
+	require.Len(t, known.byChange, 2)
 }
 
 func sprint(v any) string { return fmt.Sprint(v) }
--- a/internal/coordination/member/remove.go
+++ b/internal/coordination/member/remove.go
@@ -15,7 +15,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	state := f.Follower.State()
-	ids := f.witnesses(state)
+	ids := f.sets.of(state)
 	live := f.liveNodes(ids, state)
 	if len(live) < forceQuorum(len(ids)) || !slices.Contains(ids, f.Self.ID) {
 		return config.Member{}, false
--- a/internal/coordination/member/view.go
+++ b/internal/coordination/member/view.go
@@ -82,7 +82,7 @@
 		InForce:     inForce,
 	}
 	v.State = f.ownState(applied)
-	ids := f.witnesses(applied)
+	ids := f.sets.of(applied)
 	v.Members, v.Answers = make([]Peer, 0, len(ids)), make([]Answer, 0, len(ids))
 	for _, id := range ids {
 		m, _ := applied.Member(id)
--- a/internal/coordination/replay/replay_test.go
+++ b/internal/coordination/replay/replay_test.go
@@ -338,6 +338,20 @@
 	require.Empty(t, members)
 }
 
+func TestRestartsDoNotFillTheHistory(t *testing.T) {
+	var s store
+	s.init()
+	for i := range uint64(3 * maxHistory) {
+		m := &config.Member{ID: ident.DaemonID(fmt.Sprint("d", i%8)), Incarnation: ident.Incarnation(i + 1), State: config.MemberJoined}
+		state := s.applied.Load()
+		rec := config.NewRecord(ident.RecordID(fmt.Sprint("r", i)), "o", state.Revision(config.PathOf(m)), m)
+		s.append([]*wire.LogEntry{{Offset: i + 1, Record: rec}})
+		require.Equal(t, ident.Offset(i+1), s.applied.Load().MembersChanged())
+	}
+	require.LessOrEqual(t, len(s.history), maxHistory+1)
+	require.Len(t, thinned(s.history), 10, "the empty state, eight that each add a daemon, and the last")
+}
+
 func TestErrorsOfTheLogAreTyped(t *testing.T) {
 	require.True(t, isExpired(fmt.Errorf("read: %w", &extern.LogError{Kind: extern.LogExpired})))
 	require.False(t, isExpired(errors.ErrUnsupported))
--- a/internal/coordination/replay/store.go
+++ b/internal/coordination/replay/store.go
@@ -1,6 +1,7 @@
 package replay
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -92,18 +93,29 @@
 	return next
 }
 
-// thinned drops states that have the members of the state before them, but for the last.
+// thinned drops states whose members take the same part as those of the state before them, but for the last. So while
+// nothing comes into force, restarts don't fill the history, only daemons that join, leave or are removed do.
 func thinned(history []*config.State) []*config.State {
 	kept := history[:1:1]
 	for i := 1; i < len(history); i++ {
 		last := i == len(history)-1
-		if last || history[i].MembersChanged() != history[i-1].MembersChanged() {
+		if last || !sameParts(kept[len(kept)-1], history[i]) {
 			kept = append(kept, history[i])
 		}
 	}
 	return kept
 }
 
+// sameParts reports whether the states have the same members in the same states and failure domains.
+func sameParts(a, b *config.State) bool {
+	if a.MembersChanged() == b.MembersChanged() {
+		return true
+	}
+	return maps.EqualFunc(a.Members(), b.Members(), func(m, n *config.Member) bool {
+		return m.State == n.State && m.FailureDomain == n.FailureDomain
+	})
+}
+
 // trimWindow drops records that are in force, but for the last ones.
 func (s *store) trimWindow() {
 	floor := s.history[0].Offset()
