Relay heartbeats within groups above 16 daemons

Cause: heartbeats from all to all broke 6 KB/s at 77 daemons.

Change: above Fleet.DirectLimit (16) a daemon sends heartbeats to its group and to one daemon of each other group, which tells what its group has lately answered it: offset, an upper bound of the age and a bit for each daemon. Groups only decide whom to ask, so daemons need not agree on them. Digests go the same way. A daemon that recovers asks all itself.

Witness sets of 5 were ruled out by an argument, not by a run: see docs/design/02-agreement.md.

Tests: inBubble has no rule any more (all callers gave none), the random test takes the size of the fleet, and each rule that also matters in groups is left out there too. The new rules age and hearsay have a scenario each.

--- a/internal/coordination/member/answer.go
+++ b/internal/coordination/member/answer.go
@@ -11,7 +11,8 @@
 type Answer struct {
 	Daemon      ident.DaemonID
 	Incarnation ident.Incarnation
-	// Sent is when the heartbeat was sent, by this daemon's clock with its monotonic reading.
+	// Sent is when the heartbeat was sent, by this daemon's clock with its monotonic reading. For an answer that another
+	// daemon got and passed on it is a time before that.
 	Sent time.Time
 	// Applied is the offset that the daemon had applied.
 	Applied    ident.Offset
@@ -30,10 +31,29 @@
 	// heard is when a message of the daemon last came.
 	heard    time.Time
 	inFlight bool
+	// silent is true while no heartbeat is sent to the daemon.
+	silent bool
+	// direct is the newest answer to a heartbeat of this daemon, created is when the daemon was first met.
+	direct  Answer
+	created time.Time
+	// missedAt is when a heartbeat of this daemon was last missed, the zero time if none was.
+	missedAt time.Time
+	digest   *wire.Digest
+	digestAt time.Time
 }
 
 // meet notes a message of an incarnation and reports whether it is the newest known.
 func (p *peer) meet(incarnation ident.Incarnation, applied ident.Offset) bool {
+	if !p.renew(incarnation, applied) {
+		return false
+	}
+	p.misses = 0
+	p.heard = time.Now()
+	return true
+}
+
+// renew forgets an older incarnation and reports whether this is the newest known.
+func (p *peer) renew(incarnation ident.Incarnation, applied ident.Offset) bool {
 	if incarnation < p.incarnation {
 		return false
 	}
@@ -41,13 +61,23 @@
 		p.incarnation = incarnation
 		p.answers = nil
 		p.applied = 0
+		p.direct = Answer{}
 	}
 	p.applied = max(p.applied, applied)
-	p.misses = 0
-	p.heard = time.Now()
 	return true
 }
 
+// hear keeps an answer that another daemon got.
+func (p *peer) hear(a Answer) {
+	if !p.renew(a.Incarnation, a.Applied) {
+		return
+	}
+	p.keep(a)
+	if a.Sent.After(p.heard) {
+		p.heard = a.Sent
+	}
+}
+
 // keep remembers an answer. Answers that come in another order than their heartbeats were sent are put in order.
 func (p *peer) keep(a Answer) {
 	i := 0
--- a/internal/coordination/member/consts.go
+++ b/internal/coordination/member/consts.go
@@ -18,6 +18,20 @@
 	// lookPause is how many times as long as it took the next look for an offset to confirm waits.
 	lookPause = 20
 
+	// defaultDirectLimit is the number of daemons up to which all send heartbeats to all.
+	defaultDirectLimit = 16
+	// relayMaxAge is the age up to which an answer is passed on, relayAgeStep bounds by how much an answer that is packed
+	// with older ones loses.
+	relayMaxAge  = 2 * time.Second
+	relayAgeStep = 250 * time.Millisecond
+	// digestMaxAge is how long a digest is passed on: a little more than an interval, so that few are lost.
+	digestMaxAge = HeartbeatInterval + HeartbeatInterval/4
+	// avoidAfterMiss is how long another daemon is asked in place of one that missed a heartbeat.
+	avoidAfterMiss = 30 * time.Second
+	// relayedSlack is the number of intervals that news of a daemon of another group takes.
+	relayedSlack = 3
+	bitsPerByte  = 8
+
 	// keptAnswers is the number of answers of one daemon that are remembered.
 	keptAnswers = 4
 
--- a/internal/coordination/member/export_test.go
+++ b/internal/coordination/member/export_test.go
@@ -15,6 +15,10 @@
 		f.tracker.trusting = true
 	case RuleViews:
 		f.tracker.latest = true
+	case RuleAge:
+		f.ageless = true
+	case RuleHearsay:
+		f.credulous = true
 	case RuleNone:
 	}
 }
@@ -30,6 +34,8 @@
 	RuleRecovery        Rule = "recovery"
 	RuleConfirmation    Rule = "confirmation"
 	RuleViews           Rule = "views"
+	RuleAge             Rule = "age"
+	RuleHearsay         Rule = "hearsay"
 )
 
 // Boot does what Run does before the first heartbeat.
@@ -37,8 +43,11 @@
 
 // BeatOnce sends a heartbeat to every witness and waits for the answers.
 func (f *Fleet) BeatOnce(ctx context.Context) {
-	for _, id := range f.targets() {
-		f.beatOne(ctx, id, nil)
+	for _, t := range f.targets() {
+		f.beatOne(ctx, t, nil)
 	}
 	f.Refresh()
 }
+
+// GroupCount returns into how many groups n daemons are divided.
+func GroupCount(n int) int { return groupCount(n) }
--- a/internal/coordination/member/fleet.go
+++ b/internal/coordination/member/fleet.go
@@ -37,6 +37,10 @@
 	// Changed is called after every new view, without locks held; nil for none.
 	Changed func()
 
+	// DirectLimit is the number of daemons up to which each sends heartbeats to all others; in a larger fleet it sends
+	// them to the daemons of its group and to one of each other group, which tells of its own. 0 is 16.
+	DirectLimit int
+
 	life scope.Scope
 	view atomic.Pointer[View]
 
@@ -51,6 +55,13 @@
 	tracker  tracker
 	vms      vmHint
 	sets     sets
+	// groups is into how many groups this daemon divides the fleet.
+	groups int
+	// digest is what was sent with the last heartbeats.
+	digest *wire.Digest
+	// ageless passes answers on as if they were new, credulous passes on old ones and recovers by what others have heard;
+	// tests set them to show that the ages are needed and a recovery by answers of its own.
+	ageless, credulous bool
 	// amnesiac lets a restarted daemon vouch at once; tests set it to show that recovery is needed.
 	amnesiac bool
 }
@@ -81,6 +92,7 @@
 	}
 	f.mu.Lock()
 	f.peers = map[ident.DaemonID]*peer{}
+	f.groups = 1
 	f.recovering = !f.amnesiac
 	if f.wanted == "" {
 		f.wanted = config.MemberJoined
--- a/internal/coordination/member/fleet_test.go
+++ b/internal/coordination/member/fleet_test.go
@@ -13,13 +13,19 @@
 )
 
 // inBubble runs a scenario on a fleet that has booted.
-func inBubble(t *testing.T, daemons int, rule member.Rule, scenario func(s *sim)) {
+func inBubble(t *testing.T, daemons int, scenario func(s *sim)) {
+	t.Helper()
+	size{daemons: daemons}.inBubble(t, member.RuleNone, scenario)
+}
+
+func (z size) inBubble(t *testing.T, rule member.Rule, scenario func(s *sim)) {
 	t.Helper()
 	if rule != member.RuleNone {
 		defer guard.Capture(func(*guard.ViolationError) {})()
 	}
 	synctest.Test(t, func(t *testing.T) {
-		s := newSim(t, daemons, 1, rule)
+		s := newSim(t, z.daemons, 1, rule)
+		s.direct, s.prepare = z.direct, z.prepare
 		defer s.close()
 		s.boot()
 		scenario(s)
@@ -27,7 +33,7 @@
 }
 
 func TestFleetBootsAndPutsAChangeInForce(t *testing.T) {
-	inBubble(t, 5, member.RuleNone, func(s *sim) {
+	inBubble(t, 5, func(s *sim) {
 		result, err := s.nodes[0].process.set(context.Background(), "a", 1)
 		require.NoError(t, err)
 		s.eventually(11*time.Second, "the change is in force on all", func() bool {
--- a/internal/coordination/member/heartbeat.go
+++ b/internal/coordination/member/heartbeat.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -31,7 +33,7 @@
 	}
 }
 
-// beatAll sends one heartbeat to every witness of the states that are not surely out of use.
+// beatAll sends one heartbeat to everyone who is due.
 func (f *Fleet) beatAll(ctx context.Context) {
 	targets := f.targets()
 	if len(targets) == 0 {
@@ -40,34 +42,54 @@
 	var digest *wire.Digest
 	if f.Digest != nil {
 		digest = f.Digest()
+		f.mu.Lock()
+		f.digest = digest
+		f.mu.Unlock()
 	}
-	for _, id := range targets {
-		f.life.Go(func() { f.beatOne(ctx, id, digest) })
+	for _, t := range targets {
+		f.life.Go(func() { f.beatOne(ctx, t, digest) })
 	}
 }
 
 // targets returns the daemons that are due for a heartbeat and marks them.
-func (f *Fleet) targets() []ident.DaemonID {
+func (f *Fleet) targets() []target {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	due := f.due()
+	f.forget(due)
+	for _, p := range f.peers {
+		p.silent = true
+	}
+	var targets []target
+	for _, t := range f.choose(slices.Sorted(maps.Keys(due))) {
+		p := f.peer(t.id)
+		p.silent = false
+		if !p.inFlight {
+			p.inFlight = true
+			targets = append(targets, t)
+		}
+	}
+	now := time.Now()
+	for _, p := range f.peers {
+		if p.silent {
+			p.countSilence(now)
+		}
+	}
+	return targets
+}
+
+// due returns the other witnesses of the states that are not surely out of use.
+func (f *Fleet) due() map[ident.DaemonID]bool {
 	history := f.Follower.History()
 	newest := history[len(history)-1]
 	due := map[ident.DaemonID]bool{}
 	for _, ids := range f.sets.views(history, newest, newest.Offset()) {
 		for _, id := range ids {
-			due[id] = id != f.Self.ID
+			due[id] = true
 		}
 	}
-	f.forget(due)
-	var targets []ident.DaemonID
-	for id, wanted := range due {
-		p := f.peer(id)
-		if wanted && !p.inFlight {
-			p.inFlight = true
-			targets = append(targets, id)
-		}
-	}
-	return targets
+	delete(due, f.Self.ID)
+	return due
 }
 
 // forget drops daemons that are in no view and silent.
@@ -83,39 +105,63 @@
 func (f *Fleet) peer(id ident.DaemonID) *peer {
 	p := f.peers[id]
 	if p == nil {
-		p = &peer{}
+		p = &peer{created: time.Now()}
 		f.peers[id] = p
 	}
 	return p
 }
 
-func (f *Fleet) beatOne(ctx context.Context, id ident.DaemonID, digest *wire.Digest) {
+func (f *Fleet) beatOne(ctx context.Context, t target, digest *wire.Digest) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	req := f.request(digest)
+	req.Relay = t.relay
 	sent := time.Now()
-	resp, err := f.Peers.Heartbeat(ctx, id, req)
-	if err == nil && ident.DaemonID(resp.GetDaemonId()) != id {
-		klog.InfoS("Heartbeat was answered by another daemon", "asked", id, "answered", resp.GetDaemonId())
-		err = &SupersededError{Daemon: id}
+	resp, err := f.Peers.Heartbeat(ctx, t.id, req)
+	if err == nil && ident.DaemonID(resp.GetDaemonId()) != t.id {
+		klog.InfoS("Heartbeat was answered by another daemon", "asked", t.id, "answered", resp.GetDaemonId())
+		err = &SupersededError{Daemon: t.id}
 	}
 	countHeartbeats.Inc()
-	f.mu.Lock()
-	p := f.peer(id)
-	p.inFlight = false
 	if err != nil {
 		countHeartbeatsMissed.Inc()
-		p.misses++
-		f.mu.Unlock()
+		f.missed(t.id)
 		return
 	}
+	f.take(resp, sent)
+	for _, d := range resp.GetDigests() {
+		if f.OnDigest != nil && ident.DaemonID(d.GetDaemonId()) != f.Self.ID {
+			f.OnDigest(d)
+		}
+	}
+	f.Refresh()
+}
+
+func (f *Fleet) missed(id ident.DaemonID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.peer(id)
+	p.inFlight = false
+	p.misses++
+	p.missedAt = time.Now()
+}
+
+// take keeps the answer to a heartbeat and what it tells of others.
+func (f *Fleet) take(resp *wire.HeartbeatResponse, sent time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	a := answerOf(resp, sent)
+	p := f.peer(a.Daemon)
+	p.inFlight = false
 	if p.meet(a.Incarnation, a.Applied) {
 		p.keep(a)
+		p.direct = a
+	}
+	f.Follower.Learn(a.Daemon, a.Applied)
+	history := f.Follower.History()
+	for _, h := range resp.GetHeard() {
+		f.hear(a.Daemon, h, sent, history)
 	}
-	f.mu.Unlock()
-	f.Follower.Learn(id, a.Applied)
-	f.Refresh()
 }
 
 func (f *Fleet) request(digest *wire.Digest) *wire.HeartbeatRequest {
@@ -158,14 +204,21 @@
 		return nil, &SupersededError{Daemon: id, Incarnation: incarnation, Known: known}
 	}
 	if id != f.Self.ID {
-		f.peer(id).meet(incarnation, ident.Offset(req.GetAppliedOffset()))
+		p := f.peer(id)
+		p.meet(incarnation, ident.Offset(req.GetAppliedOffset()))
+		f.keepDigest(p, req.GetDigest())
 	}
-	return &wire.HeartbeatResponse{
+	resp := &wire.HeartbeatResponse{
 		DaemonId:      string(f.Self.ID),
 		Incarnation:   uint64(f.incarnation),
 		AppliedOffset: uint64(state.Offset()),
 		Recovering:    f.recovering,
-	}, nil
+	}
+	if req.GetRelay() {
+		now := time.Now()
+		resp.Heard, resp.Digests = f.tell(now, state), f.digests(now)
+	}
+	return resp, nil
 }
 
 // knownIncarnation returns the newest incarnation of a daemon that was recorded or heard.
--- a/internal/coordination/member/outage_test.go
+++ b/internal/coordination/member/outage_test.go
@@ -37,7 +37,7 @@
 }
 
 func TestAllServeThroughAnOutageOfTheLog(t *testing.T) {
-	inBubble(t, 5, member.RuleNone, func(s *sim) {
+	inBubble(t, 5, func(s *sim) {
 		s.logOnly()
 		s.requireServing(time.Second, s.all()...)
 		_, err := s.nodes[0].process.set(context.Background(), "a", 1)
@@ -59,7 +59,7 @@
 func TestAnAppendWhoseAnswerIsLostIsSettledByReadingBack(t *testing.T) {
 	for name, late := range map[string]time.Duration{"at once": 0, "after 30 s": 30 * time.Second} {
 		t.Run(name, func(t *testing.T) {
-			inBubble(t, 3, member.RuleNone, func(s *sim) {
+			inBubble(t, 3, func(s *sim) {
 				s.setAppends(late, true)
 				ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 				defer cancel()
@@ -77,7 +77,7 @@
 }
 
 func TestAWriteThatIsGivenUpCanBeAskedForAgain(t *testing.T) {
-	inBubble(t, 3, member.RuleNone, func(s *sim) {
+	inBubble(t, 3, func(s *sim) {
 		p := s.nodes[0].process
 		setting := &config.Setting{Path: "/platform/settings/a", Value: "1"}
 		rec := config.NewRecord(replay.NewRecordID(), "operator", 0, setting)
@@ -98,7 +98,7 @@
 }
 
 func TestOfTwoRacingOperatorsOneGetsTheOthersChange(t *testing.T) {
-	inBubble(t, 3, member.RuleNone, func(s *sim) {
+	inBubble(t, 3, func(s *sim) {
 		type answer struct {
 			result replay.Result
 			err    error
@@ -123,7 +123,7 @@
 }
 
 func TestAPausedHolderFindsItsLeaseLapsed(t *testing.T) {
-	inBubble(t, 5, member.RuleNone, func(s *sim) {
+	inBubble(t, 5, func(s *sim) {
 		n := s.nodes[0]
 		require.NoError(t, n.process.holder.Check())
 		n.pause()
@@ -138,7 +138,7 @@
 }
 
 func TestAMinorityWithoutTheLogStopsWithinTheLease(t *testing.T) {
-	inBubble(t, 5, member.RuleNone, func(s *sim) {
+	inBubble(t, 5, func(s *sim) {
 		s.logOnly(0, 1, 2)
 		s.partition(3, 4)
 		s.run(member.LeaseTTL)
@@ -147,7 +147,7 @@
 }
 
 func TestBothSidesServeWhenTheMinorityHasTheLog(t *testing.T) {
-	inBubble(t, 5, member.RuleNone, func(s *sim) {
+	inBubble(t, 5, func(s *sim) {
 		s.logOnly(0, 1)
 		s.partition(0, 1)
 		s.run(time.Second)
@@ -164,7 +164,7 @@
 func TestHalfOfTheFleetRestartsTogether(t *testing.T) {
 	for name, logUp := range map[string]bool{"log up": true, "log down": false} {
 		t.Run(name, func(t *testing.T) {
-			inBubble(t, 8, member.RuleNone, func(s *sim) {
+			inBubble(t, 8, func(s *sim) {
 				if !logUp {
 					s.logOnly()
 				}
@@ -182,7 +182,7 @@
 }
 
 func TestARestartBehindAPartitionCatchesUpWithoutTheLog(t *testing.T) {
-	inBubble(t, 5, member.RuleNone, func(s *sim) {
+	inBubble(t, 5, func(s *sim) {
 		s.logOnly()
 		s.partition(0)
 		s.restart([]int{0})
@@ -195,7 +195,7 @@
 }
 
 func TestANewcomerBehindAPartitionCatchesUpWithoutTheLog(t *testing.T) {
-	inBubble(t, 5, member.RuleNone, func(s *sim) {
+	inBubble(t, 5, func(s *sim) {
 		guest := s.add()
 		s.logOnly()
 		s.partition(5)
@@ -208,7 +208,7 @@
 }
 
 func TestAMajorityThatRestartsWithoutTheLogWaitsForIt(t *testing.T) {
-	inBubble(t, 5, member.RuleNone, func(s *sim) {
+	inBubble(t, 5, func(s *sim) {
 		s.logOnly()
 		s.run(5 * time.Second)
 		s.restart([]int{0, 1, 2})
@@ -221,7 +221,7 @@
 
 // TestARestartFromTheLogAloneComesIntoForce has views in the log whose daemons are long gone.
 func TestARestartFromTheLogAloneComesIntoForce(t *testing.T) {
-	inBubble(t, 3, member.RuleNone, func(s *sim) {
+	inBubble(t, 3, func(s *sim) {
 		for i := range 3 {
 			s.replace([]int{i})
 			s.eventually(5*time.Minute, "the old daemon is removed", func() bool {
@@ -240,7 +240,7 @@
 }
 
 func TestAnOldIncarnationIsRefused(t *testing.T) {
-	inBubble(t, 3, member.RuleNone, func(s *sim) {
+	inBubble(t, 3, func(s *sim) {
 		old := s.nodes[0].process
 		s.nodes[0].start()
 		fresh := s.nodes[0].process
@@ -264,7 +264,7 @@
 
 // TestAnIncarnationFollowsTheRecordedOne has a recorded incarnation from a clock that was far ahead.
 func TestAnIncarnationFollowsTheRecordedOne(t *testing.T) {
-	inBubble(t, 3, member.RuleNone, func(s *sim) {
+	inBubble(t, 3, func(s *sim) {
 		n := s.nodes[0]
 		n.crash()
 		p := s.nodes[1].process
@@ -283,7 +283,7 @@
 }
 
 func TestADeadDaemonIsRemovedAndALeavingOneRetires(t *testing.T) {
-	inBubble(t, 4, member.RuleNone, func(s *sim) {
+	inBubble(t, 4, func(s *sim) {
 		s.nodes[0].crash()
 		s.nodes[0].gone = true
 		leaving := s.nodes[1].process
@@ -299,7 +299,7 @@
 }
 
 func TestANewcomerWithoutTheLogServesAsAGuest(t *testing.T) {
-	inBubble(t, 5, member.RuleNone, func(s *sim) {
+	inBubble(t, 5, func(s *sim) {
 		s.logOnly()
 		s.run(5 * time.Second)
 		guest := s.add()
--- a/internal/coordination/member/random_test.go
+++ b/internal/coordination/member/random_test.go
@@ -16,13 +16,28 @@
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 )
 
-// maxNodes bounds the daemons of a run, the replaced ones included.
-const maxNodes = 9
+// maxReplaced bounds the daemons that are replaced in a run.
+const maxReplaced = 4
+
+// size is that of the fleet of a run.
+type size struct {
+	daemons int
+	// direct is the size up to which heartbeats go from all to all; 0 is the program's.
+	direct int
+	// prepare is called for each fleet before it runs; nil for nothing.
+	prepare func(*member.Fleet)
+}
+
+var (
+	small = size{daemons: 5}
+	// grouped has four groups.
+	grouped = size{daemons: 9, direct: 1}
+)
 
 // step is one random fault or change; mask selects daemons by bits.
 type step struct {
 	Kind string
-	Mask uint8
+	Mask uint16
 	For  time.Duration
 }
 
@@ -31,18 +46,18 @@
 	"late", "lose", "prompt", "write", "write", "write", "write", "replace",
 }
 
-func drawScript(rt *rapid.T) []step {
+func (z size) drawScript(rt *rapid.T) []step {
 	one := rapid.Custom(func(rt *rapid.T) step {
 		return step{
 			Kind: rapid.SampledFrom(stepKinds).Draw(rt, "kind"),
-			Mask: rapid.Uint8Range(0, 31).Draw(rt, "mask"),
+			Mask: rapid.Uint16Range(0, 1<<z.daemons-1).Draw(rt, "mask"),
 			For:  time.Duration(rapid.IntRange(50, 7000).Draw(rt, "ms")) * time.Millisecond,
 		}
 	})
 	return rapid.SliceOfN(one, 5, 40).Draw(rt, "script")
 }
 
-func (s *sim) picked(mask uint8) []int {
+func (s *sim) picked(mask uint16) []int {
 	var picked []int
 	for i := range s.nodes {
 		if mask&(1<<i) != 0 {
@@ -110,7 +125,7 @@
 
 // replace puts a new daemon in the place of one that never comes back.
 func (s *sim) replace(picked []int) {
-	if len(picked) == 0 || len(s.nodes) == maxNodes {
+	if len(picked) == 0 || len(s.nodes) == s.booted+maxReplaced {
 		return
 	}
 	old := s.nodes[picked[0]]
@@ -172,13 +187,14 @@
 	return ""
 }
 
-func playScript(t *testing.T, rule member.Rule, seed uint64, script []step) (violation string) {
+func (z size) play(t *testing.T, rule member.Rule, seed uint64, script []step) (violation string) {
 	t.Helper()
 	if rule != member.RuleNone {
 		defer guard.Capture(func(*guard.ViolationError) {})()
 	}
 	synctest.Test(t, func(t *testing.T) {
-		s := newSim(t, 5, seed, rule)
+		s := newSim(t, z.daemons, seed, rule)
+		s.direct = z.direct
 		defer s.close()
 		s.boot()
 		if violation = s.play(script); violation != "" {
@@ -214,12 +230,17 @@
 	return len(member.Witnesses(newest)) == len(present)
 }
 
-func TestNoLeaseHolderIsBehindWhatIsInForce(t *testing.T) {
+func (z size) check(t *testing.T) {
+	t.Helper()
 	rapid.Check(t, func(rt *rapid.T) {
-		script := drawScript(rt)
+		script := z.drawScript(rt)
 		seed := rapid.Uint64().Draw(rt, "seed")
-		if v := playScript(t, member.RuleNone, seed, script); v != "" {
+		if v := z.play(t, member.RuleNone, seed, script); v != "" {
 			rt.Fatal(v)
 		}
 	})
 }
+
+func TestNoLeaseHolderIsBehindWhatIsInForce(t *testing.T) { small.check(t) }
+
+func TestNoLeaseHolderIsBehindInAFleetOfGroups(t *testing.T) { grouped.check(t) }
--- a/internal/coordination/member/rules_test.go
+++ b/internal/coordination/member/rules_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"testing"
 	"time"
 
@@ -15,21 +16,28 @@
 
 // TestCountViolationsWithoutARule counts the random runs in which a lease holder was behind a record in force.
 func TestCountViolationsWithoutARule(t *testing.T) {
-	scripts := rapid.Custom(drawScript)
+	for _, z := range []size{small, grouped} {
+		z.countViolations(t)
+	}
+}
+
+func (z size) countViolations(t *testing.T) {
+	t.Helper()
+	scripts := rapid.Custom(z.drawScript)
 	for _, rule := range []member.Rule{
 		member.RuleNone, member.RuleGrace, member.RuleAcknowledgement, member.RuleRecovery, member.RuleConfirmation,
-		member.RuleViews,
+		member.RuleViews, member.RuleAge, member.RuleHearsay,
 	} {
 		violations := 0
 		for i := range *runsPerRule {
-			if v := playScript(t, rule, uint64(i), scripts.Example(i)); v != "" {
+			if v := z.play(t, rule, uint64(i), scripts.Example(i)); v != "" {
 				violations++
 				if violations < 3 {
 					t.Logf("without %q, run %d: %s", rule, i, v)
 				}
 			}
 		}
-		t.Logf("without %q: %d violations in %d runs", rule, violations, *runsPerRule)
+		t.Logf("%d daemons without %q: %d violations in %d runs", z.daemons, rule, violations, *runsPerRule)
 	}
 }
 
@@ -106,34 +114,66 @@
 	return s.run(25 * time.Second)
 }
 
+// ageScenario cuts two daemons of different groups off: what one has heard of its group grows old, and the other asks it.
+func ageScenario(s *sim) string {
+	s.logOnly(2, 3, 4, 5, 6, 7, 8)
+	s.partition(0, 1)
+	s.run(time.Second)
+	s.set(8, "a", 1)
+	return s.run(20 * time.Second)
+}
+
+// hearsayScenario restarts a daemon that holds a record among four that don't. One of them was told before by three others,
+// which hold the record by now, that they lack it.
+func hearsayScenario(s *sim) string {
+	s.partition(1, 4, 6, 8)
+	s.logOnly(0, 2, 3, 5, 7)
+	s.run(time.Second)
+	s.set(2, "a", 1)
+	if v := s.run(10 * time.Second); v != "" {
+		return v
+	}
+	s.logOnly()
+	s.nodes[0].crash()
+	s.partition(0, 1, 4, 6, 8)
+	s.nodes[0].start()
+	return s.run(20 * time.Second)
+}
+
 func TestEachRuleIsNeeded(t *testing.T) {
+	twoGroups := size{daemons: small.daemons, direct: 1}
 	for rule, c := range map[member.Rule]struct {
 		scenario func(s *sim) string
+		sizes    []size
 		// attempts is more than 1 where the order of events within a heartbeat interval decides.
 		attempts int
 	}{
-		member.RuleGrace:           {graceScenario, 40},
-		member.RuleAcknowledgement: {acknowledgementScenario, 1},
-		member.RuleRecovery:        {recoveryScenario, 1},
-		member.RuleConfirmation:    {confirmationScenario, 1},
-		member.RuleViews:           {viewsScenario, 1},
+		member.RuleGrace:           {graceScenario, []size{small}, 40},
+		member.RuleAcknowledgement: {acknowledgementScenario, []size{small, twoGroups}, 1},
+		member.RuleRecovery:        {recoveryScenario, []size{small, twoGroups}, 1},
+		member.RuleConfirmation:    {confirmationScenario, []size{small, twoGroups}, 1},
+		member.RuleViews:           {viewsScenario, []size{small, twoGroups}, 1},
+		member.RuleAge:             {ageScenario, []size{grouped}, 1},
+		member.RuleHearsay:         {hearsayScenario, []size{grouped}, 1},
 	} {
-		t.Run(string(rule), func(t *testing.T) {
-			found := ""
-			for range c.attempts {
-				require.Empty(t, attempt(t, member.RuleNone, c.scenario), "all rules on")
-				if found == "" {
-					found = attempt(t, rule, c.scenario)
+		for _, z := range c.sizes {
+			t.Run(fmt.Sprint(rule, " ", z.daemons, " ", z.direct), func(t *testing.T) {
+				found := ""
+				for range c.attempts {
+					require.Empty(t, z.attempt(t, member.RuleNone, c.scenario), "all rules on")
+					if found == "" {
+						found = z.attempt(t, rule, c.scenario)
+					}
 				}
-			}
-			require.NotEmpty(t, found, "the rule was left out and nothing was found")
-			t.Log(found)
-		})
+				require.NotEmpty(t, found, "the rule was left out and nothing was found")
+				t.Log(found)
+			})
+		}
 	}
 }
 
-func attempt(t *testing.T, rule member.Rule, scenario func(s *sim) string) (violation string) {
+func (z size) attempt(t *testing.T, rule member.Rule, scenario func(s *sim) string) (violation string) {
 	t.Helper()
-	inBubble(t, 5, rule, func(s *sim) { violation = scenario(s) })
+	z.inBubble(t, rule, func(s *sim) { violation = scenario(s) })
 	return violation
 }
--- a/internal/coordination/member/sim_test.go
+++ b/internal/coordination/member/sim_test.go
@@ -20,11 +20,17 @@
 
 // sim is a fleet of daemons over a network and a log in memory, to be used inside a synctest bubble.
 type sim struct {
-	t     *testing.T
-	rule  member.Rule
-	log   *fakes.Log
-	nodes []*node
-	wg    sync.WaitGroup
+	t    *testing.T
+	rule member.Rule
+	// direct is the size up to which heartbeats go from all to all; 0 is the program's.
+	direct int
+	log    *fakes.Log
+	nodes  []*node
+	// prepare is called for each fleet before it runs; nil for nothing.
+	prepare func(*member.Fleet)
+	// booted is the number of daemons at the start.
+	booted int
+	wg     sync.WaitGroup
 
 	mu  sync.Mutex
 	rng *rand.Rand
@@ -65,6 +71,7 @@
 	s := &sim{
 		t:      t,
 		rule:   rule,
+		booted: daemons,
 		log:    &fakes.Log{AppendsPerSecond: 300},
 		rng:    rand.New(rand.NewPCG(seed, 1)),
 		cut:    map[[2]ident.DaemonID]bool{},
@@ -164,8 +171,13 @@
 		Follower: p.follower,
 		Writer:   p.writer,
 		Peers:    p,
+
+		DirectLimit: s.direct,
 	}
 	p.fleet.Break(s.rule)
+	if s.prepare != nil {
+		s.prepare(p.fleet)
+	}
 	p.holder = &lease.Holder{Follower: p.follower, Fleet: p.fleet}
 	p.checkpoint = &replay.Checkpointer{Self: n.id, Log: client, Follower: p.follower, Writer: p.writer}
 	p.follower.Changed = p.fleet.Refresh
--- /dev/null
+++ b/internal/state/spread/group_test.go
@@ -0,0 +1,19 @@
+package spread
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestGroupsAreOfSimilarSize(t *testing.T) {
+	const groups, mean = 16, 64
+	var sizes [groups]int
+	for _, node := range fleet(groups*mean, 10) {
+		sizes[Group(node.ID, groups)]++
+	}
+	for _, size := range sizes {
+		require.InDelta(t, mean, size, mean/2)
+	}
+	require.Zero(t, Group("a", 1))
+}
