Ask no silent daemon for its group while another one is live

With a third of 24 daemons gone, several groups were unheard for a beat at once and leases lapsed while the log was down.

--- a/internal/coordination/member/group.go
+++ b/internal/coordination/member/group.go
@@ -74,14 +74,15 @@
 	return f.DirectLimit
 }
 
-// speaker returns the daemon of another group to ask: the first by rendezvous hashing that has not missed a heartbeat of
-// this daemon lately, else the one whose miss is the oldest.
+// speaker returns the daemon of another group to ask: the first live one by rendezvous hashing that has not missed a
+// heartbeat of this daemon lately, else the one whose miss is the oldest.
 func (f *Fleet) speaker(nodes []spread.Node) ident.DaemonID {
 	var oldest ident.DaemonID
 	var at time.Time
 	for _, id := range spread.Pick(string(f.Self.ID), nodes, len(nodes)) {
-		missed := f.peer(id).missedAt
-		if missed.IsZero() || time.Since(missed) >= avoidAfterMiss {
+		p := f.peer(id)
+		missed := p.missedAt
+		if p.misses < liveMisses && (missed.IsZero() || time.Since(missed) >= avoidAfterMiss) {
 			return id
 		}
 		if oldest == "" || missed.Before(at) {
