Restart a round by the real grace also where a test leaves the grace out

Cause: with the grace left out a round of relayed answers was begun again at every look, so nothing came into force and CountViolations with nine daemons failed at its boot. With the grace on nothing changes: both times are the same.

--- a/internal/coordination/member/force.go
+++ b/internal/coordination/member/force.go
@@ -87,7 +87,7 @@
 func (f *Fleet) restartRound(now time.Time, state *config.State, history []*config.State) {
 	t := &f.tracker
 	n := len(t.rounds)
-	if n == 0 || now.Sub(t.rounds[n-1].started) < 2*t.graceTime() {
+	if n == 0 || now.Sub(t.rounds[n-1].started) < 2*removalGrace {
 		return
 	}
 	offset := t.rounds[n-1].offset
