--- a/internal/coordination/member/fleet.go
+++ b/internal/coordination/member/fleet.go
@@ -37,6 +37,10 @@
 	// Changed is called after every new view, without locks held; nil for none.
 	Changed func()
 
+	// DirectLimit is the number of daemons up to which each sends heartbeats to all others; in a larger fleet it sends
+	// them to the daemons of its group and to one of each other group, which tells of its own. 0 is 16.
+	DirectLimit int
+
 	life scope.Scope
 	view atomic.Pointer[View]
 
@@ -50,9 +54,14 @@
 	peers    map[ident.DaemonID]*peer
 	tracker  tracker
 	vms      vmHint
-	// witnessIDs are the witnesses of the states whose members last changed at witnessesAt.
-	witnessIDs  []ident.DaemonID
-	witnessesAt ident.Offset
+	sets     sets
+	// groups is into how many groups this daemon divides the fleet.
+	groups int
+	// digest is what was sent with the last heartbeats.
+	digest *wire.Digest
+	// ageless passes answers on as if they were new, credulous passes on old ones and recovers by what others have heard;
+	// tests set them to show that the ages are needed and a recovery by answers of its own.
+	ageless, credulous bool
 	// amnesiac lets a restarted daemon vouch at once; tests set it to show that recovery is needed.
 	amnesiac bool
 }
@@ -83,6 +92,7 @@
 	}
 	f.mu.Lock()
 	f.peers = map[ident.DaemonID]*peer{}
+	f.groups = 1
 	f.recovering = !f.amnesiac
 	if f.wanted == "" {
 		f.wanted = config.MemberJoined
@@ -115,6 +125,7 @@
 	}
 	history := f.Follower.History()
 	applied := history[len(history)-1]
+	f.sets.prune(history)
 	f.recover(applied)
 	f.checkSuperseded(applied)
 	inForce := history[0]
@@ -153,7 +164,7 @@
 		f.recovering = false
 		return
 	}
-	ids := f.witnesses(applied)
+	ids := f.sets.of(applied)
 	heard := 0
 	for _, id := range ids {
 		if p := f.peers[id]; p != nil && id != f.Self.ID {
