Call one list of the other daemons and one check for a stale load report

Cause: the report on burn chose the daemons other than itself with the line that digests now have as others; Load and QueuedWork had the same check of a report's age. Change: both call one function. No behaviour changes. Checked: tests of daemon, health, route and moves with -race, linter.

--- a/internal/program/daemon/burn.go
+++ b/internal/program/daemon/burn.go
@@ -45,7 +45,7 @@
 	all := [][]burn.SeriesCounts{p.burn.Counts()}
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	peers := slices.DeleteFunc(p.live(), func(id ident.DaemonID) bool { return id == p.settings.DaemonID })
+	peers := p.others()
 	for _, id := range peers {
 		wg.Go(func() {
 			resp, err := p.calls.Burn(ctx, id)
--- a/internal/state/health/engine.go
+++ b/internal/state/health/engine.go
@@ -140,8 +140,8 @@
 // this daemon has sent or heard of since.
 func (u *Upstream) Load(now time.Time) Load {
 	t := u.since(now)
-	r := u.report.Load()
-	if r == nil || t-r.asOf > ReportStale {
+	r := u.fresh(t)
+	if r == nil {
 		return Load{Queued: u.sent.all(), Requests: int(u.inFlight.Load())}
 	}
 	pending, begun := u.sent.after(r.asOf, t)
@@ -154,6 +154,15 @@
 	}
 }
 
+// fresh returns the last report, nil if there is none or it is stale at the time.
+func (u *Upstream) fresh(at time.Duration) *report {
+	r := u.report.Load()
+	if r == nil || at-r.asOf > ReportStale {
+		return nil
+	}
+	return r
+}
+
 // left returns what is left at a time of the part of the reported queue that the engine has to compute.
 func (u *Upstream) left(r *report, at time.Duration, part float64) ident.Tokens {
 	drained := u.PrefillRate() * (at - r.asOf).Seconds()
@@ -164,8 +173,8 @@
 // a slow engine does not seem to have more of them.
 func (u *Upstream) QueuedWork(now time.Time) ident.Tokens {
 	t := u.since(now)
-	r := u.report.Load()
-	if r == nil || t-r.asOf > ReportStale {
+	r := u.fresh(t)
+	if r == nil {
 		return u.sent.all()
 	}
 	pending, _ := u.sent.after(r.asOf, t)
