--- a/internal/coordination/place/track.go
+++ b/internal/coordination/place/track.go
@@ -93,6 +93,10 @@
 	default:
 		n.unreachable = 0
 		n.observe(now, weightOf(o))
+		if o == OutcomeMisdirected {
+			// What the engine was taken to have is wrong: only its registration counts until it is seen again.
+			n.weights = map[ident.ModelID]int64{}
+		}
 	}
 }
 
@@ -118,8 +122,8 @@
 func (p *Placer) SetLoading(id ident.UpstreamID, d time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if n := p.nodes[id]; n != nil {
-		n.loading = time.Now().Add(d)
+	if u := p.Board.Upstreams().ByID[id]; u != nil {
+		p.node(u).loading = time.Now().Add(d)
 	}
 }
 
--- /dev/null
+++ b/internal/coordination/reload/runner.go
@@ -0,0 +1,330 @@
+package reload
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"k8s.io/klog/v2"
+
+	"github.com/gooseberryway/gooseberryway/internal/coordination/place"
+	"github.com/gooseberryway/gooseberryway/internal/state/extern"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/state/view"
+)
+
+const (
+	tick = 20 * time.Millisecond
+	// tellFor is how long the others are told of a finished load: many beats, in case some are lost.
+	tellFor = 2 * time.Second
+	// learnWeight is the weight of the newest load in the expected time.
+	learnWeight = 0.3
+)
+
+// Notice tells other daemons of an engine: that it takes no work for a while, or which version it has.
+type Notice struct {
+	Engine ident.UpstreamID
+	For    time.Duration
+	Model  ident.ModelID
+	// Version is what the engine has; 0 while it loads.
+	Version int64
+}
+
+// Runner loads weights while this daemon holds the duty. Its fields are set before Run.
+type Runner struct {
+	Self    ident.DaemonID
+	Board   *view.Board
+	Placer  *place.Placer
+	Control extern.EngineControl
+	// Term returns the term of the duty; 0 if another daemon holds it.
+	Term func() ident.Offset
+	// Fenced is called when an engine has seen a higher term.
+	Fenced func()
+	// Changed is called when there is something to tell the others.
+	Changed func()
+
+	mu       sync.Mutex
+	jobs     map[ident.UpstreamID]*job
+	accepted map[ident.UpstreamID]acceptedOrders
+	done     map[ident.UpstreamID]finished
+	expected time.Duration
+	calls    sync.WaitGroup
+}
+
+// acceptedOrders is the number of orders that an incarnation of an engine has accepted.
+type acceptedOrders struct {
+	started ident.Incarnation
+	n       int64
+}
+
+type finished struct {
+	model   ident.ModelID
+	version int64
+	at      time.Time
+}
+
+// Run loads weights until ctx ends.
+func (r *Runner) Run(ctx context.Context) {
+	r.jobs = map[ident.UpstreamID]*job{}
+	r.accepted = map[ident.UpstreamID]acceptedOrders{}
+	r.done = map[ident.UpstreamID]finished{}
+	r.expected = loadGuess
+	for ctx.Err() == nil {
+		r.step(ctx)
+		select {
+		case <-ctx.Done():
+		case <-time.After(tick):
+		}
+	}
+	r.calls.Wait()
+}
+
+// step starts and advances loads.
+func (r *Runner) step(ctx context.Context) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.Term() == 0 {
+		r.drop()
+		return
+	}
+	for _, service := range r.services() {
+		r.advance(ctx, service)
+	}
+}
+
+// drop forgets all loads: another daemon sees to them.
+func (r *Runner) drop() {
+	for id, j := range r.jobs {
+		if j.phase == phaseQuiet {
+			r.Placer.SetLoading(id, 0)
+		}
+		delete(r.jobs, id)
+	}
+}
+
+// services returns the services that run models, with their models.
+func (r *Runner) services() []*view.Service {
+	c := r.Board.Config()
+	if c == nil {
+		return nil
+	}
+	var out []*view.Service
+	for _, s := range c.Services {
+		if s.Engine != nil {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+func (r *Runner) advance(ctx context.Context, s *view.Service) {
+	engines := r.Board.Upstreams().ByService[s.ID]
+	now := time.Now()
+	loading := r.clean(s, now)
+	var candidates []candidate
+	for _, model := range s.Engine.Models {
+		named, ok := r.Board.Weights(model)
+		if !ok {
+			continue
+		}
+		candidates = append(candidates, r.behind(engines, model, named.Version)...)
+	}
+	jobs := r.of(s)
+	for _, c := range next(len(engines), jobs, candidates) {
+		r.begin(c, s, now)
+	}
+	for _, j := range r.of(s) {
+		requests := r.Placer.Busy(j.engine.ID).Requests
+		r.Placer.SetLoading(j.engine.ID, r.barFor(j))
+		switch {
+		case j.calling:
+		case j.phase == phaseQuiet && mayLoad(j, requests, loading, len(engines), now):
+			loading++
+			r.order(ctx, j, requests)
+		case j.phase == phaseLoading && now.After(j.checkAt):
+			r.check(ctx, j)
+		}
+	}
+}
+
+// clean ends the loads of engines that have gone or have a newer target, and counts those that load.
+func (r *Runner) clean(s *view.Service, now time.Time) int {
+	loading := 0
+	listed := r.Board.Upstreams().ByID
+	for id, j := range r.of(s) {
+		u := listed[id]
+		named, _ := r.Board.Weights(j.model)
+		switch {
+		case u == nil || u.Started != j.engine.Started || u.State != view.UpstreamReady:
+			delete(r.jobs, id)
+			r.Placer.SetLoading(id, 0)
+		case j.phase == phaseQuiet && named.Version > j.version:
+			j.version = named.Version
+		case j.phase == phaseLoading && !j.calling && now.Sub(j.since) > overdue:
+			klog.InfoS("Load overdue", "engine", id, "version", j.version, "tries", j.tries)
+			j.phase, j.since = phaseQuiet, now
+		}
+		if j.phase == phaseLoading {
+			loading++
+		}
+	}
+	return loading
+}
+
+// of returns the loads of a service's engines.
+func (r *Runner) of(s *view.Service) map[ident.UpstreamID]*job {
+	out := map[ident.UpstreamID]*job{}
+	for id, j := range r.jobs {
+		if j.engine.Service == s.ID {
+			out[id] = j
+		}
+	}
+	return out
+}
+
+// behind returns the engines that have an older version and no load yet.
+func (r *Runner) behind(engines []*view.Upstream, model ident.ModelID, version int64) []candidate {
+	var out []candidate
+	for _, u := range engines {
+		if u.State != view.UpstreamReady || r.jobs[u.ID] != nil || r.Placer.KnownWeights(u, model) >= version {
+			continue
+		}
+		out = append(out, candidate{engine: u, version: version, requests: r.Placer.Busy(u.ID).Requests})
+	}
+	return out
+}
+
+func (r *Runner) begin(c candidate, s *view.Service, now time.Time) {
+	j := &job{engine: c.engine, model: s.Engine.Models[0], version: c.version, since: now}
+	for _, m := range s.Engine.Models {
+		if named, ok := r.Board.Weights(m); ok && named.Version == c.version && r.Placer.KnownWeights(c.engine, m) < c.version {
+			j.model = m
+		}
+	}
+	r.jobs[c.engine.ID] = j
+	r.Placer.SetLoading(c.engine.ID, r.barFor(j))
+	klog.InfoS("Engine gets no work before its load", "engine", c.engine.ID, "version", c.version, "requests", c.requests)
+	r.Changed()
+}
+
+// barFor returns how long an engine is expected to take no work.
+func (r *Runner) barFor(j *job) time.Duration {
+	if j.phase == phaseQuiet {
+		return quietMost + 2*r.expected + barMargin
+	}
+	return r.expected + barMargin
+}
+
+// order gives the order to load in the background.
+func (r *Runner) order(ctx context.Context, j *job, requests int) {
+	term := r.Term()
+	if term == 0 {
+		return
+	}
+	j.calling, j.phase, j.since, j.checkAt = true, phaseLoading, time.Now(), time.Now().Add(r.expected)
+	j.tries++
+	order := extern.WeightsOrder{
+		Model: j.model, Version: j.version, Holder: r.Self, Fence: term, Accepted: r.acceptedBy(j.engine),
+	}
+	klog.InfoS("Engine ordered to load", "engine", j.engine.ID, "version", j.version, "term", term, "requests", requests,
+		"accepted", order.Accepted, "try", j.tries)
+	metrics.GetOrCreateCounter("gooseberrywayLoadOrders").Inc()
+	r.calls.Go(func() {
+		result, err := r.Control.Load(ctx, j.engine, order)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		j.calling = false
+		r.ordered(j, result, err)
+	})
+}
+
+func (r *Runner) acceptedBy(u *view.Upstream) int64 {
+	if a := r.accepted[u.ID]; a.started == u.Started {
+		return a.n
+	}
+	return 0
+}
+
+// ordered takes the answer to an order.
+func (r *Runner) ordered(j *job, result extern.OrderResult, err error) {
+	if err != nil {
+		// The order may have been accepted, or may be so later.
+		klog.InfoS("Order without answer", "engine", j.engine.ID, "version", j.version, "reason", err.Error())
+		j.checkAt = time.Now().Add(checkAgain)
+		return
+	}
+	if result != extern.OrderAccepted {
+		klog.InfoS("Order answered", "engine", j.engine.ID, "version", j.version, "result", result)
+	}
+	switch result {
+	case extern.OrderAccepted:
+		r.accepted[j.engine.ID] = acceptedOrders{j.engine.Started, r.acceptedBy(j.engine) + 1}
+		j.checkAt = j.since.Add(r.expected)
+	case extern.OrderHolds:
+		r.finish(j, j.version)
+	case extern.OrderFenced:
+		r.Fenced()
+	case extern.OrderBusy:
+		j.checkAt = time.Now().Add(checkAgain)
+	case extern.OrderMisdirected, extern.OrderRejected:
+		delete(r.jobs, j.engine.ID)
+	}
+}
+
+// check looks in the background whether an engine has its version.
+func (r *Runner) check(ctx context.Context, j *job) {
+	j.calling = true
+	r.calls.Go(func() {
+		report, err := r.Control.Report(ctx, j.engine)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		j.calling = false
+		j.checkAt = time.Now().Add(checkAgain)
+		if err != nil {
+			klog.InfoS("Engine gave no report", "engine", j.engine.ID, "reason", err.Error())
+			return
+		}
+		r.accepted[j.engine.ID] = acceptedOrders{j.engine.Started, report.Accepted}
+		switch {
+		case report.Weights[j.model] >= j.version:
+			r.learn(time.Since(j.since))
+			r.finish(j, report.Weights[j.model])
+		case !report.Busy && time.Since(j.since) > r.expected+checkAgain:
+			// The order was lost or came to nothing: give it again.
+			j.phase = phaseQuiet
+		}
+	})
+}
+
+// learn takes the time of a load into the expected one.
+func (r *Runner) learn(took time.Duration) {
+	r.expected = time.Duration((1-learnWeight)*float64(r.expected) + learnWeight*float64(min(took, 2*r.expected)))
+}
+
+func (r *Runner) finish(j *job, version int64) {
+	klog.InfoS("Engine has the version", "engine", j.engine.ID, "version", version, "tookMs", time.Since(j.since).Milliseconds())
+	delete(r.jobs, j.engine.ID)
+	r.Placer.SawWeights(j.engine, j.model, version)
+	r.Placer.SetLoading(j.engine.ID, 0)
+	r.done[j.engine.ID] = finished{model: j.model, version: version, at: time.Now()}
+	r.Changed()
+}
+
+// Notices returns what the other daemons shall know.
+func (r *Runner) Notices() []Notice {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]Notice, 0, len(r.jobs)+len(r.done))
+	for id, j := range r.jobs {
+		out = append(out, Notice{Engine: id, For: r.barFor(j), Model: j.model})
+	}
+	for id, f := range r.done {
+		if time.Since(f.at) > tellFor {
+			delete(r.done, id)
+		} else if r.jobs[id] == nil {
+			out = append(out, Notice{Engine: id, Model: f.model, Version: f.version})
+		}
+	}
+	return out
+}
--- a/internal/program/entry/beats.go
+++ b/internal/program/entry/beats.go
@@ -49,6 +49,7 @@
 	for id, used := range d.meter.Admitted() {
 		b.Use = append(b.Use, &wire.OrganisationUse{Organisation: string(id), Admitted: used})
 	}
+	d.tellDuty(b)
 	if d.beats.Add(1)%peersEvery == 1 {
 		for _, p := range d.table.All() {
 			b.Peers = append(b.Peers, &wire.KnownPeer{
@@ -117,6 +118,7 @@
 		use[ident.OrganisationID(u.GetOrganisation())] = u.GetAdmitted()
 	}
 	d.meter.Learn(id, b.GetIncarnation(), use)
+	d.learnDuty(b)
 }
 
 // member is the record of a daemon in the list of members.
--- a/internal/program/entry/daemon.go
+++ b/internal/program/entry/daemon.go
@@ -14,9 +14,11 @@
 	"k8s.io/klog/v2"
 
 	"github.com/gooseberryway/gooseberryway/internal/coordination/admit"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/duty"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/feed"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/fleet"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/place"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/reload"
 	"github.com/gooseberryway/gooseberryway/internal/program/setup"
 	"github.com/gooseberryway/gooseberryway/internal/state/cached"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
@@ -41,6 +43,8 @@
 	peers       *gossip.Node
 	handler     *opaque.Handler
 	store       *platform.Store
+	keeper      *duty.Keeper
+	loads       *reload.Runner
 
 	leaving atomic.Bool
 	// active counts requests in progress.
@@ -90,6 +94,26 @@
 		Heard:   d.heard,
 		Changes: d.changes,
 	}
+	d.keeper = &duty.Keeper{
+		Name:        dutyWeights,
+		Self:        s.DaemonID,
+		Incarnation: d.incarnation,
+		Store:       d.store,
+		Bar:         time.Duration(s.Limits.LeaseMs) * time.Millisecond,
+		Elapsed:     bootTime,
+		Rank:        d.rank,
+		Held:        d.held,
+		Eligible:    func() bool { return d.ready() && d.follower.StoreAge() < eligibleAge },
+	}
+	d.loads = &reload.Runner{
+		Self:    s.DaemonID,
+		Board:   &d.board,
+		Placer:  d.placer,
+		Control: &platform.Control{Pool: upstreams},
+		Term:    d.keeper.Term,
+		Fenced:  d.keeper.Fenced,
+		Changed: d.peers.Urgent,
+	}
 	d.handler = &opaque.Handler{
 		Board:   &d.board,
 		Dialect: platform.Dialect{},
@@ -144,6 +168,8 @@
 		func(ctx context.Context) { d.peers.Run(ctx, peers) },
 		d.follower.Run,
 		d.parts.Run,
+		d.keeper.Run,
+		d.loads.Run,
 		d.join,
 		d.sweep,
 	} {
--- /dev/null
+++ b/internal/program/entry/duties.go
@@ -0,0 +1,70 @@
+package entry
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
+
+const (
+	// dutyWeights is the duty to bring engines to the named weights.
+	dutyWeights = "weights"
+	// eligibleAge is how long ago the store must have answered a daemon that takes a duty.
+	eligibleAge = 4 * time.Second
+)
+
+// started is the reference of a clock that has no other.
+var started = time.Now()
+
+// bootTime is a clock that also counts the time for which the VM was suspended.
+func bootTime() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		return time.Since(started)
+	}
+	return time.Duration(ts.Nano())
+}
+
+// rank is the daemon's place among the live ones, by id.
+func (d *Daemon) rank() int {
+	n, now := 0, time.Now()
+	for _, p := range d.table.All() {
+		if p.Alive(now) && p.Ready && p.ID < d.Settings.DaemonID {
+			n++
+		}
+	}
+	return n
+}
+
+// held reports whether another daemon says that it holds the duty.
+func (d *Daemon) held() bool {
+	_, ok := d.table.Holder()
+	return ok
+}
+
+// tellDuty adds to a beat what the holder of the duty tells.
+func (d *Daemon) tellDuty(b *wire.Beat) {
+	b.Term = uint64(d.keeper.Term())
+	if b.GetTerm() == 0 {
+		return
+	}
+	for _, n := range d.loads.Notices() {
+		b.Loading = append(b.Loading, &wire.LoadingEngine{
+			Upstream: string(n.Engine), ForMs: uint32(n.For.Milliseconds()), Model: string(n.Model), Version: n.Version,
+		})
+	}
+}
+
+// learnDuty takes what the holder of the duty tells.
+func (d *Daemon) learnDuty(b *wire.Beat) {
+	for _, l := range b.GetLoading() {
+		id := ident.UpstreamID(l.GetUpstream())
+		d.placer.SetLoading(id, time.Duration(l.GetForMs())*time.Millisecond)
+		if u := d.board.Upstreams().ByID[id]; u != nil && l.GetVersion() > 0 {
+			d.placer.SawWeights(u, ident.ModelID(l.GetModel()), l.GetVersion())
+		}
+	}
+}
--- a/internal/state/extern/store.go
+++ b/internal/state/extern/store.go
@@ -96,6 +96,9 @@
 	Fence  ident.Offset
 	// Finish lets running requests finish first; otherwise they go on under the new weights.
 	Finish bool
+	// Accepted is the number of orders that the engine has accepted since its start: an order that is carried out late,
+	// after others, then does nothing.
+	Accepted int64
 }
 
 // OrderResult is what an engine says of an order.
@@ -107,7 +110,7 @@
 	OrderAccepted OrderResult = "accepted"
 	// OrderHolds: the engine has that version already.
 	OrderHolds OrderResult = "holds"
-	// OrderBusy: another order is in progress.
+	// OrderBusy: another order is in progress, or the number of accepted orders differs.
 	OrderBusy OrderResult = "busy"
 	// OrderFenced: the engine has seen a higher fencing number.
 	OrderFenced OrderResult = "fenced"
@@ -119,8 +122,11 @@
 
 // EngineReport is what an engine says of itself when asked.
 type EngineReport struct {
-	Busy    bool
-	Weights map[ident.ModelID]int64
+	// Busy says that the engine carries out an order.
+	Busy bool
+	// Accepted is the number of orders accepted since the engine's start.
+	Accepted int64
+	Weights  map[ident.ModelID]int64
 	Waiting int
 	Running int
 }
