Roll weights oldest first and without waiting for lagging reports

Cause: reports lag, so each load held its place 150 to 200 ms too long; the busiest engine was always left for last (VERSION).

--- a/internal/coordination/place/placer.go
+++ b/internal/coordination/place/placer.go
@@ -166,13 +166,22 @@
 		return BlockedLoading, n.loading.Sub(now)
 	case now.Before(n.unreachableUntil):
 		return BlockedUnreachable, n.unreachableUntil.Sub(now)
-	case model != "" && p.OlderLimit > 0 && n.weights[model] < named.Version && now.Sub(named.NamedAt) > p.OlderLimit:
+	case model != "" && p.OlderLimit > 0 && replacedFor(&named, n.weights[model], now) > p.OlderLimit:
 		return BlockedLoading, blockedRetry
 	default:
 		return "", 0
 	}
 }
 
+// replacedFor returns how long ago a version was replaced; 0 for the newest.
+func replacedFor(named *view.Weights, version int64, now time.Time) time.Duration {
+	at, ok := named.ReplacedAt(version)
+	if !ok {
+		return 0
+	}
+	return now.Sub(at)
+}
+
 // cost estimates the tokens that an engine works on before the first token of the request.
 func (p *Placer) cost(
 	n *node, u *view.Upstream, w *Work, named view.Weights, chain string, rank int, now time.Time,
@@ -188,7 +197,7 @@
 		return p.plainCost(c, n, u, load, now)
 	}
 	c.Weights = n.weights[w.Model]
-	if c.Weights < named.Version && now.Sub(named.NamedAt) > olderGrace {
+	if replacedFor(&named, c.Weights, now) > olderGrace {
 		c.Cost += olderCost
 	}
 	p.cacheCost(c, n, w, chain, now)
--- a/internal/coordination/reload/plan.go
+++ b/internal/coordination/reload/plan.go
@@ -24,6 +24,8 @@
 	checkAgain = 100 * time.Millisecond
 	// barMargin is how much longer than expected an engine is kept off.
 	barMargin = 400 * time.Millisecond
+	// reportLag is how old an engine's report is: the pages say some hundred milliseconds.
+	reportLag = 150 * time.Millisecond
 	// overdue is when an order without effect is given again.
 	overdue = 2500 * time.Millisecond
 )
@@ -52,11 +54,17 @@
 	tries   int
 }
 
+// nearlyDone reports whether the engine is expected to have finished, though no report can show that yet.
+func (j *job) nearlyDone(expected time.Duration, now time.Time) bool {
+	return j.phase == phaseLoading && now.Sub(j.since) >= expected-reportLag
+}
+
 // candidate is an engine that has an older version.
 type candidate struct {
-	engine   *view.Upstream
-	version  int64
-	requests int
+	engine *view.Upstream
+	// has is the version that the engine is known to have, version the one that it shall have.
+	has, version int64
+	requests     int
 }
 
 // atOnce returns how many of n engines may load at the same time.
@@ -64,16 +72,20 @@
 
 // next picks the engines that shall stop taking work now: as many as may load, beside those that become quiet while
 // others load.
-func next(all int, jobs map[ident.UpstreamID]*job, candidates []candidate) []candidate {
+func next(all, pending int, candidates []candidate) []candidate {
 	limit := 2 * atOnce(all)
 	if all <= 2 {
 		limit = 1
 	}
-	room := limit - len(jobs)
+	room := limit - pending
 	if room <= 0 {
 		return nil
 	}
+	// The oldest version first: its use ends soonest, and an engine that is always busy must not be left for last.
 	slices.SortFunc(candidates, func(a, b candidate) int {
+		if a.has != b.has {
+			return int(a.has - b.has)
+		}
 		if a.requests != b.requests {
 			return a.requests - b.requests
 		}
--- a/internal/coordination/reload/runner.go
+++ b/internal/coordination/reload/runner.go
@@ -130,8 +130,13 @@
 		}
 		candidates = append(candidates, r.behind(engines, model, named.Version)...)
 	}
-	jobs := r.of(s)
-	for _, c := range next(len(engines), jobs, candidates) {
+	pending := 0
+	for _, j := range r.of(s) {
+		if !j.nearlyDone(r.expected, now) {
+			pending++
+		}
+	}
+	for _, c := range next(len(engines), pending, candidates) {
 		r.begin(c, s, now)
 	}
 	for _, j := range r.of(s) {
@@ -165,7 +170,7 @@
 			klog.InfoS("Load overdue", "engine", id, "version", j.version, "tries", j.tries)
 			j.phase, j.since = phaseQuiet, now
 		}
-		if j.phase == phaseLoading {
+		if j.phase == phaseLoading && !j.nearlyDone(r.expected, now) {
 			loading++
 		}
 	}
@@ -187,10 +192,11 @@
 func (r *Runner) behind(engines []*view.Upstream, model ident.ModelID, version int64) []candidate {
 	var out []candidate
 	for _, u := range engines {
-		if u.State != view.UpstreamReady || r.jobs[u.ID] != nil || r.Placer.KnownWeights(u, model) >= version {
+		has := r.Placer.KnownWeights(u, model)
+		if u.State != view.UpstreamReady || r.jobs[u.ID] != nil || has >= version {
 			continue
 		}
-		out = append(out, candidate{engine: u, version: version, requests: r.Placer.Busy(u.ID).Requests})
+		out = append(out, candidate{engine: u, has: has, version: version, requests: r.Placer.Busy(u.ID).Requests})
 	}
 	return out
 }
--- a/internal/state/view/board.go
+++ b/internal/state/view/board.go
@@ -9,6 +9,9 @@
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 )
 
+// maxEarlier bounds the replaced versions that are remembered: engines are never so many versions behind.
+const maxEarlier = 16
+
 // Board publishes the newest view. Readers take whole snapshots without a lock; the zero value is empty.
 type Board struct {
 	config    atomic.Pointer[Config]
@@ -78,9 +81,14 @@
 	if all == nil {
 		all = map[ident.ModelID]Weights{}
 	}
-	if old, ok := all[w.Model]; ok && old.Version >= w.Version {
+	old, ok := all[w.Model]
+	if ok && old.Version >= w.Version {
 		return false
 	}
+	if ok {
+		w.Earlier = append([]NamedVersion{{old.Version, old.NamedAt}}, old.Earlier...)
+		w.Earlier = w.Earlier[:min(len(w.Earlier), maxEarlier)]
+	}
 	all[w.Model] = w
 	b.weights.Store(&all)
 	return true
--- a/internal/state/view/upstream.go
+++ b/internal/state/view/upstream.go
@@ -59,6 +59,29 @@
 	// NamedAt is when this daemon learned of the version.
 	NamedAt time.Time
 	Offset  ident.Offset
+	// Earlier are the versions named before, the newest first.
+	Earlier []NamedVersion
+}
+
+// NamedVersion is a version and when this daemon learned of it.
+type NamedVersion struct {
+	Version int64
+	NamedAt time.Time
+}
+
+// ReplacedAt returns when a version was replaced by the next newer one; false if it is the newest.
+func (w *Weights) ReplacedAt(version int64) (time.Time, bool) {
+	if version >= w.Version {
+		return time.Time{}, false
+	}
+	at := w.NamedAt
+	for _, e := range w.Earlier {
+		if e.Version <= version {
+			break
+		}
+		at = e.NamedAt
+	}
+	return at, true
 }
 
 // Rollout asks for the move of a service's traffic to upstreams of another release.
