--- a/internal/coordination/place/consts.go
+++ b/internal/coordination/place/consts.go
@@ -14,8 +14,6 @@
 	olderCost = 6000.0
 	// failureCost is added for an engine all of whose requests fail.
 	failureCost = 40000.0
-	// recentCost is what a chain costs that was sent to an engine lately: nothing is read again.
-	recentCost = 0.0
 	// crowdedCost is added for each request beyond the slots of an engine.
 	crowdedCost = 800.0
 )
@@ -31,9 +29,11 @@
 	outcomeHalfLife = 2500 * time.Millisecond
 	// outcomeWeight is the weight of one outcome in the running mean.
 	outcomeWeight = 0.25
-	// unreachableFor and unreachableMost bound the pause after failed connections.
-	unreachableFor  = 400 * time.Millisecond
-	unreachableMost = 3 * time.Second
+	// silentAfter is how long an upstream with work may send nothing, beyond the time for reading prompts: several
+	// steps of an engine, or the slowest hundredth of plain calls.
+	silentAfter = 450 * time.Millisecond
+	// readTime is twice what an engine takes to read a prompt token at the published 44 tokens a millisecond.
+	readTime = 45 * time.Microsecond
 	// maxRecent bounds the chains remembered for an engine.
 	maxRecent = 4096
 )
--- a/internal/coordination/place/node.go
+++ b/internal/coordination/place/node.go
@@ -22,8 +22,11 @@
 	failures  float64
 	failureAt time.Time
 
-	unreachable      int
-	unreachableUntil time.Time
+	// down is true from a failed connection or a silence until a connection succeeds.
+	down      bool
+	downSince time.Time
+	// heardAt is when the upstream last sent anything, or when work was sent to it while it had none.
+	heardAt time.Time
 
 	// recent holds when a chain was last sent here, by scope and part.
 	recent map[string]time.Time
@@ -68,13 +71,28 @@
 	n.failureAt = now
 }
 
+// silent reports whether the upstream has own work and has sent nothing for longer than reading its prompts takes.
+func (n *node) silent(now time.Time) bool {
+	if n.own.Requests == 0 || now.Before(n.loading) {
+		return false
+	}
+	allowed := silentAfter + time.Duration(n.load(now).Unread)*readTime
+	return now.Sub(n.heardAt) > allowed
+}
+
+// setDown keeps work off until a connection succeeds.
+func (n *node) setDown(now time.Time) {
+	if !n.down {
+		n.down, n.downSince = true, now
+	}
+}
+
 // learn takes what a registration says.
 func (n *node) learn(u *view.Upstream) {
 	if n.started != u.Started {
 		n.started = u.Started
 		n.recent = map[string]time.Time{}
-		n.failures, n.unreachable = 0, 0
-		n.unreachableUntil = time.Time{}
+		n.failures, n.down = 0, false
 	}
 	for model, version := range u.Weights {
 		n.weights[model] = max(n.weights[model], version)
--- a/internal/coordination/place/placer.go
+++ b/internal/coordination/place/placer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"k8s.io/klog/v2"
 
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/state/view"
@@ -133,6 +134,13 @@
 			blocked.note(reason, wait)
 			continue
 		}
+		if n.silent(now) {
+			n.setDown(now)
+			klog.InfoS("Upstream silent", "upstream", u.ID, "requests", n.own.Requests, "unread", n.own.Unread,
+				"silentMs", now.Sub(n.heardAt).Milliseconds())
+			blocked.note(BlockedUnreachable, blockedRetry)
+			continue
+		}
 		c := p.cost(n, u, w, named, chain, rank, now)
 		if best == nil || c.Cost < best.Cost {
 			best = c
@@ -164,8 +172,8 @@
 		return BlockedNone, blockedRetry
 	case now.Before(n.loading):
 		return BlockedLoading, n.loading.Sub(now)
-	case now.Before(n.unreachableUntil):
-		return BlockedUnreachable, n.unreachableUntil.Sub(now)
+	case n.down:
+		return BlockedUnreachable, blockedRetry
 	case model != "" && p.OlderLimit > 0 && replacedFor(&named, n.weights[model], now) > p.OlderLimit:
 		return BlockedLoading, blockedRetry
 	default:
@@ -213,7 +221,8 @@
 	salt := Salt(c.Weights, w.Scope)
 	available := p.Stored != nil && p.Stored.Available()
 	stored := available && p.Stored.Holds(salt, lastShared(w), w.Parts[len(w.Parts)-2].Tokens)
-	cached := n.sentRecently(salt+chain, now)
+	// The first home holds what it was sent by any daemon, also before this one started.
+	cached := c.Rank == 0 || n.sentRecently(salt+chain, now)
 	c.Save = available && !stored
 	c.Fetch = available
 	switch {
--- a/internal/coordination/place/track.go
+++ b/internal/coordination/place/track.go
@@ -4,6 +4,8 @@
 	"strconv"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/state/view"
 )
@@ -59,6 +61,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := p.node(c.Upstream)
+	if n.own.Requests == 0 {
+		n.heardAt = time.Now()
+	}
 	n.own.Requests++
 	n.own.Unread += c.Unread
 	if chain := sharedPart(w); chain != "" {
@@ -69,6 +74,51 @@
 	return &Ticket{placer: p, node: n, unread: c.Unread}
 }
 
+// Heard notes that the upstream has sent something.
+func (t *Ticket) Heard() {
+	t.placer.mu.Lock()
+	defer t.placer.mu.Unlock()
+	t.node.heardAt = time.Now()
+}
+
+// Down reports whether the upstream is taken to be down, by silence or a failed connection.
+func (t *Ticket) Down() bool {
+	t.placer.mu.Lock()
+	defer t.placer.mu.Unlock()
+	now := time.Now()
+	if t.node.silent(now) {
+		t.node.setDown(now)
+	}
+	return t.node.down
+}
+
+// Downs returns the addresses of the upstreams that are taken to be down.
+func (p *Placer) Downs() map[ident.UpstreamID]string {
+	listed := p.Board.Upstreams().ByID
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := map[ident.UpstreamID]string{}
+	for id, n := range p.nodes {
+		if u := listed[id]; u != nil && n.down {
+			out[id] = u.Address
+		}
+	}
+	return out
+}
+
+// Reached notes that a connection to an upstream succeeded.
+func (p *Placer) Reached(id ident.UpstreamID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := p.nodes[id]
+	if n == nil || !n.down {
+		return
+	}
+	now := time.Now()
+	n.down, n.heardAt = false, now
+	klog.InfoS("Upstream reached again", "upstream", id, "downMs", now.Sub(n.downSince).Milliseconds())
+}
+
 // Started notes the first event: the prompt has been read.
 func (t *Ticket) Started() {
 	t.placer.mu.Lock()
@@ -87,11 +137,8 @@
 	switch o {
 	case OutcomeCancelled:
 	case OutcomeUnreachable:
-		n.unreachable++
-		pause := min(unreachableMost, unreachableFor<<min(4, n.unreachable-1))
-		n.unreachableUntil = now.Add(pause)
+		n.setDown(now)
 	default:
-		n.unreachable = 0
 		n.observe(now, weightOf(o))
 		if o == OutcomeMisdirected {
 			// What the engine was taken to have is wrong: only its registration counts until it is seen again.
--- a/internal/program/entry/daemon.go
+++ b/internal/program/entry/daemon.go
@@ -181,6 +181,7 @@
 		d.loads.Run,
 		d.join,
 		d.watchSettings,
+		d.probe,
 		d.sweep,
 	} {
 		wg.Go(func() { run(life) })
--- a/internal/state/cached/parts.go
+++ b/internal/state/cached/parts.go
@@ -48,6 +48,8 @@
 	address     string
 	incarnation ident.Incarnation
 	next        ident.Sequence
+	// listed is true once the whole list was read, until events are missing.
+	listed bool
 }
 
 // Run follows the store until ctx ends.
@@ -70,11 +72,19 @@
 func (p *Parts) step(ctx context.Context, address string) error {
 	p.mu.Lock()
 	if p.address != address {
-		p.address, p.next, p.incarnation = address, 0, 0
+		p.address, p.next, p.incarnation, p.listed = address, 0, 0, false
 		p.held = map[key]ident.Tokens{}
 	}
-	since := p.next
+	since, listed := p.next, p.listed
 	p.mu.Unlock()
+	if !listed {
+		all, err := p.Feed.All(ctx, address)
+		if err != nil {
+			return err
+		}
+		p.replace(all)
+		return nil
+	}
 	changes, err := p.Feed.Changes(ctx, address, since, feedWait)
 	if err != nil {
 		return err
@@ -83,6 +93,16 @@
 	return nil
 }
 
+// replace takes the whole list.
+func (p *Parts) replace(all extern.CacheChanges) {
+	p.mu.Lock()
+	p.incarnation, p.listed = all.Incarnation, true
+	p.held = map[key]ident.Tokens{}
+	p.requested = map[key]time.Time{}
+	p.mu.Unlock()
+	p.apply(all)
+}
+
 func (p *Parts) apply(c extern.CacheChanges) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -90,10 +110,12 @@
 		klog.InfoS("KV cache store regained", "address", p.address, "incarnation", c.Incarnation)
 	}
 	p.failed, p.answeredAt = false, time.Now()
-	if c.Incarnation != p.incarnation || c.Lost || p.held == nil {
+	if c.Incarnation != p.incarnation || c.Lost {
+		// What is kept is known only after the next list.
+		klog.InfoS("KV cache store's events have a gap", "lost", c.Lost, "incarnation", c.Incarnation, "before", p.incarnation)
 		p.held = map[key]ident.Tokens{}
 		p.requested = map[key]time.Time{}
-		p.incarnation = c.Incarnation
+		p.incarnation, p.listed = c.Incarnation, false
 	}
 	p.next = c.Next
 	for _, part := range c.Parts {
--- a/internal/state/extern/store.go
+++ b/internal/state/extern/store.go
@@ -160,4 +160,6 @@
 type CacheFeed interface {
 	// Changes returns the events since a position and waits so long for the first.
 	Changes(ctx context.Context, address string, since ident.Sequence, wait time.Duration) (CacheChanges, error)
+	// All returns what is kept now. The call holds up the work of an engine.
+	All(ctx context.Context, address string) (CacheChanges, error)
 }
--- a/internal/transport/opaque/answer.go
+++ b/internal/transport/opaque/answer.go
@@ -104,7 +104,7 @@
 	switch {
 	case c.gone():
 		return place.OutcomeCancelled
-	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded), errors.Is(context.Cause(ctx), errSilent):
 		return place.OutcomeSilent
 	case err != nil:
 		return place.OutcomeBroken
@@ -154,7 +154,7 @@
 	}
 	klog.InfoS("Stream broke", "request", c.req.ID, "upstream", choice.Upstream.ID, "lastEvent", c.delivered,
 		"error", err.Error(), "gone", c.gone(), "weights", choice.Weights)
-	if outcome == place.OutcomeSilent {
+	if outcome == place.OutcomeSilent && !errors.Is(context.Cause(ctx), errSilent) {
 		return verdictFailed, ReasonTimeout
 	}
 	if outcome == place.OutcomeCancelled {
@@ -189,7 +189,7 @@
 	if c.headed {
 		return verdictFailed, ReasonBroken
 	}
-	if outcome == place.OutcomeSilent {
+	if outcome == place.OutcomeSilent && !errors.Is(context.Cause(ctx), errSilent) {
 		return verdictFailed, ReasonTimeout
 	}
 	return c.after(ReasonBroken)
@@ -209,6 +209,7 @@
 			if c.firstAt.IsZero() {
 				c.firstAt = time.Now()
 			}
+			ticket.Heard()
 			ticket.Started()
 			out := buf[:n]
 			if c.route.Resumable {
--- a/internal/transport/opaque/run.go
+++ b/internal/transport/opaque/run.go
@@ -26,10 +26,8 @@
 	holdMost = 150 * time.Millisecond
 	// endGrace is how much later than an upstream this daemon gives up, so that the upstream's own answer arrives.
 	endGrace = 40 * time.Millisecond
-	// silentFactor times the route's target is how long a repeatable request waits for an answer to begin.
-	silentFactor = 3
-	// silentLeast bounds that from below.
-	silentLeast = 300 * time.Millisecond
+	// silentTick is how often a waiting request looks whether its upstream is down.
+	silentTick = 100 * time.Millisecond
 	// shedRetry is when callers come back whose request an upstream refused.
 	shedRetry = 60 * time.Millisecond
 	// keepMost is the size up to which a whole answer is read before its head is passed on.
@@ -213,14 +211,12 @@
 		"weights", choice.Weights, "cost", int64(choice.Cost), "rank", choice.Rank, "missed", choice.Missed,
 		"candidates", choice.Candidates, "upstreamAgeMs", time.Since(choice.Upstream.SeenAt).Milliseconds(),
 		"leftMs", c.left().Milliseconds(), "save", choice.Save)
-	silent := c.watchSilence(cancel)
+	c.watchSilence(ctx, cancel, ticket)
 	resp, err := c.Pool.Do(req) //nolint:bodyclose // receive closes it
-	if silent != nil {
-		silent.Stop()
-	}
 	if err != nil {
 		return c.failed(err, context.Cause(ctx), choice, ticket)
 	}
+	ticket.Heard()
 	c.attempts++
 	return c.receive(ctx, resp, choice, work, ticket)
 }
@@ -228,13 +224,26 @@
 // errSilent ends an attempt whose answer did not begin in time.
 var errSilent = errors.New("the answer did not begin in time") //nolint:revive // compared by identity only
 
-// watchSilence ends the wait for an answer that may be had elsewhere.
-func (c *call) watchSilence(cancel context.CancelCauseFunc) *time.Timer {
+// watchSilence ends an attempt at an upstream that is taken to be down, where another one may take over.
+func (c *call) watchSilence(ctx context.Context, cancel context.CancelCauseFunc, ticket *place.Ticket) {
 	if !c.route.Repeatable() || c.attempts+1 >= c.route.Attempts {
-		return nil
+		return
 	}
-	wait := min(max(silentLeast, silentFactor*c.route.Target), c.left()*2/3)
-	return time.AfterFunc(wait, func() { cancel(errSilent) })
+	go func() {
+		t := time.NewTicker(silentTick)
+		defer t.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-t.C:
+			}
+			if ticket.Down() {
+				cancel(errSilent)
+				return
+			}
+		}
+	}()
 }
 
 func (c *call) request(ctx context.Context, choice *place.Choice, work *place.Work) (*http.Request, error) {
