Fetch prompts from their home engine first, count what the store is asked to send, keep first reads at home

Cause: engines stayed overloaded after a restart of all daemons: every spill fetched 2 GB over the KV store's one link (about 30 fetches a second), waits for it looked like work at the engines and caused more spills. Ruled out: reading capacity (62 % even if every prompt were read whole).

--- a/internal/coordination/place/consts.go
+++ b/internal/coordination/place/consts.go
@@ -8,8 +8,11 @@
 	runningCost = 40.0
 	// rankCost breaks ties in favour of the homes that all daemons agree on.
 	rankCost = 64.0
-	// fetchCost is the part of a token's reading time that a fetch from the KV cache store takes.
-	fetchCost = 0.25
+	// fetchCost is the part of a token's reading time that a fetch takes: the store's published link moves 190 tokens a
+	// millisecond, half as many between failure domains, and an engine reads 50.
+	fetchCost = 0.4
+	// strayCost is the cost of reading a token of a chain away from its home: the home reads it as well.
+	strayCost = 3.0
 	// olderCost is added for an engine with replaced weights once olderGrace has passed.
 	olderCost = 6000.0
 	// failureCost is added for an engine all of whose requests fail.
--- a/internal/coordination/place/node.go
+++ b/internal/coordination/place/node.go
@@ -16,6 +16,8 @@
 	peers   map[ident.DaemonID]peerLoad
 
 	weights map[ident.ModelID]int64
+	// weightsSince is when the engine was seen to change its weights; zero if that was not seen.
+	weightsSince time.Time
 	// loading is the time until which the upstream takes no work because it loads weights.
 	loading time.Time
 
@@ -95,10 +97,31 @@
 		n.failures, n.down = 0, false
 	}
 	for model, version := range u.Weights {
-		n.weights[model] = max(n.weights[model], version)
+		n.saw(model, version)
 	}
 }
 
+// saw takes a version that the engine has.
+func (n *node) saw(model ident.ModelID, version int64) {
+	old, known := n.weights[model]
+	if known && version <= old {
+		return
+	}
+	n.weights[model] = version
+	if known {
+		n.weightsSince = time.Now()
+	}
+}
+
+// warm reports whether the engine is taken to hold a chain: it was sent there lately, or the engine is the chain's home
+// and has had its weights for long enough that some daemon will have sent it.
+func (n *node) warm(model ident.ModelID, chain string, home bool, now time.Time) bool {
+	if n.sentRecently(chain, now) {
+		return true
+	}
+	return home && n.weights[model] > 0 && (n.weightsSince.IsZero() || now.Sub(n.weightsSince) > recentFor)
+}
+
 // sentRecently reports whether the chain that ends with the part was sent here lately.
 func (n *node) sentRecently(chain string, now time.Time) bool {
 	at, ok := n.recent[chain]
--- a/internal/coordination/place/placer.go
+++ b/internal/coordination/place/placer.go
@@ -33,13 +33,24 @@
 	Tried []ident.UpstreamID
 }
 
+// FetchFrom tells where an engine gets cached parts that it lacks.
+type FetchFrom uint8
+
+// Sources of cached parts.
+const (
+	FetchNone FetchFrom = iota
+	FetchStore
+	FetchEngine
+)
+
 // Choice is where a request shall run.
 type Choice struct {
 	Upstream *view.Upstream
 	// Weights is the version that the engine is known to have; 0 for plain services.
 	Weights int64
-	// Fetch says that cached parts shall be fetched from the KV cache store.
-	Fetch bool
+	// Fetch tells where cached parts shall be fetched from; Source is the address of an engine.
+	Fetch  FetchFrom
+	Source string
 	// Save says that the parts shall be saved to the KV cache store.
 	Save bool
 	// Unread are the prompt tokens that the engine is expected to read.
@@ -94,6 +105,9 @@
 
 	mu    sync.Mutex
 	nodes map[ident.UpstreamID]*node
+	// ownFetching are tokens that are fetched from the KV cache store for this daemon's requests.
+	ownFetching  ident.Tokens
+	peerFetching map[ident.DaemonID]peerLoad
 }
 
 func (p *Placer) node(u *view.Upstream) *node {
@@ -118,30 +132,15 @@
 // Choose picks the upstream with the lowest cost. The error is a *BlockedError.
 func (p *Placer) Choose(w *Work) (*Choice, error) {
 	now := time.Now()
-	named, _ := p.Board.Weights(w.Model)
-	chain := sharedPart(w)
+	q := &query{work: w, chain: sharedPart(w), shared: sharedTokens(w), now: now}
+	q.named, _ = p.Board.Weights(w.Model)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var best *Choice
 	blocked := &BlockedError{Reason: BlockedNone, RetryAfter: blockedRetry}
-	candidates := p.ranked(w.Service, chain)
-	for rank, u := range candidates {
-		n := p.node(u)
-		if slices.Contains(w.Tried, u.ID) {
-			continue
-		}
-		if reason, wait := p.excluded(n, u, w.Model, named, now); reason != "" {
-			blocked.note(reason, wait)
-			continue
-		}
-		if n.silent(now) {
-			n.setDown(now)
-			klog.InfoS("Upstream silent", "upstream", u.ID, "requests", n.own.Requests, "unread", n.own.Unread,
-				"silentMs", now.Sub(n.heardAt).Milliseconds())
-			blocked.note(BlockedUnreachable, blockedRetry)
-			continue
-		}
-		c := p.cost(n, u, w, named, chain, rank, now)
+	candidates := p.candidates(q, blocked)
+	var best *Choice
+	for i := range candidates {
+		c := p.cost(q, &candidates[i])
 		if best == nil || c.Cost < best.Cost {
 			best = c
 		}
@@ -153,6 +152,54 @@
 	return best, nil
 }
 
+// query is a request to be placed, with what is the same for all candidates.
+type query struct {
+	work   *Work
+	chain  string
+	shared ident.Tokens
+	named  view.Weights
+	now    time.Time
+	// homes are the first candidates with each version of the weights.
+	homes map[int64]*candidate
+}
+
+// candidate is an upstream that takes work.
+type candidate struct {
+	*node
+	upstream *view.Upstream
+	rank     int
+	version  int64
+}
+
+// candidates returns the upstreams that take the request, in the order of the chain's homes.
+func (p *Placer) candidates(q *query, blocked *BlockedError) []candidate {
+	q.homes = map[int64]*candidate{}
+	upstreams := p.ranked(q.work.Service, q.chain)
+	out := make([]candidate, 0, len(upstreams))
+	for rank, u := range upstreams {
+		n := p.node(u)
+		if slices.Contains(q.work.Tried, u.ID) {
+			continue
+		}
+		if n.silent(q.now) {
+			n.setDown(q.now)
+			klog.InfoS("Upstream silent", "upstream", u.ID, "requests", n.own.Requests, "unread", n.own.Unread,
+				"silentMs", q.now.Sub(n.heardAt).Milliseconds())
+		}
+		if reason, wait := p.excluded(n, u, q.work.Model, q.named, q.now); reason != "" {
+			blocked.note(reason, wait)
+			continue
+		}
+		out = append(out, candidate{node: n, upstream: u, rank: rank, version: n.weights[q.work.Model]})
+	}
+	for i := range out {
+		if c := &out[i]; q.homes[c.version] == nil {
+			q.homes[c.version] = c
+		}
+	}
+	return out
+}
+
 // blockedRetry is when callers may come back if nothing better is known.
 const blockedRetry = 100 * time.Millisecond
 
@@ -191,52 +238,72 @@
 }
 
 // cost estimates the tokens that an engine works on before the first token of the request.
-func (p *Placer) cost(
-	n *node, u *view.Upstream, w *Work, named view.Weights, chain string, rank int, now time.Time,
-) *Choice {
-	load := n.load(now)
-	c := &Choice{Upstream: u, Rank: rank, Unread: w.Input}
-	c.Cost = float64(load.Unread) + float64(load.Requests)*runningCost + float64(rank)*rankCost
-	c.Cost += n.failing(now) * failureCost
+func (p *Placer) cost(q *query, n *candidate) *Choice {
+	load := n.load(q.now)
+	u := n.upstream
+	c := &Choice{Upstream: u, Rank: n.rank, Unread: q.work.Input}
+	if q.work.Model == "" {
+		return p.plainCost(c, n.node, u, load, q.now)
+	}
+	c.Cost = float64(load.Unread) + float64(load.Requests)*runningCost + float64(n.rank)*rankCost
+	c.Cost += n.failing(q.now) * failureCost
 	if u.Slots > 0 && load.Requests >= u.Slots {
 		c.Cost += float64(load.Requests-u.Slots+1) * crowdedCost
 	}
-	if w.Model == "" {
-		return p.plainCost(c, n, u, load, now)
-	}
-	c.Weights = n.weights[w.Model]
-	if replacedFor(&named, c.Weights, now) > olderGrace {
+	c.Weights = n.version
+	if replacedFor(&q.named, c.Weights, q.now) > olderGrace {
 		c.Cost += olderCost
 	}
-	p.cacheCost(c, n, w, chain, now)
+	p.cacheCost(q, c, n)
 	return c
 }
 
 // cacheCost adds what it takes to get the shared parts into the engine's cache.
-func (p *Placer) cacheCost(c *Choice, n *node, w *Work, chain string, now time.Time) {
-	shared := sharedTokens(w)
-	if chain == "" || shared == 0 {
+func (p *Placer) cacheCost(q *query, c *Choice, n *candidate) {
+	if q.chain == "" || q.shared == 0 {
+		c.Cost += float64(c.Unread)
 		return
 	}
-	salt := Salt(c.Weights, w.Scope)
+	salt := Salt(c.Weights, q.work.Scope)
 	available := p.Stored != nil && p.Stored.Available()
-	stored := available && p.Stored.Holds(salt, lastShared(w), w.Parts[len(w.Parts)-2].Tokens)
-	// The first home holds what it was sent by any daemon, also before this one started.
-	cached := c.Rank == 0 || n.sentRecently(salt+chain, now)
+	stored := available && p.Stored.Holds(salt, lastShared(q.work), q.work.Parts[len(q.work.Parts)-2].Tokens)
+	home := q.homes[n.version]
 	c.Save = available && !stored
-	c.Fetch = available
+	if available {
+		c.Fetch = FetchStore
+	}
+	if n.warm(q.work.Model, salt+q.chain, home == n, q.now) {
+		c.Unread = max(0, q.work.Input-q.shared)
+		c.Cost += float64(c.Unread)
+		return
+	}
+	c.Missed = q.shared
 	switch {
-	case cached:
-		c.Unread = max(0, w.Input-shared)
+	case home != n && home.sentRecently(salt+q.chain, q.now):
+		// The home's own link is less shared than that of the store.
+		c.Fetch, c.Source = FetchEngine, home.upstream.Address
+		c.Unread = max(0, q.work.Input-q.shared)
+		c.Cost += float64(q.shared) * fetchCost
 	case stored:
-		c.Unread = max(0, w.Input-shared)
-		c.Cost += float64(shared) * fetchCost
-		c.Missed = shared
+		c.Unread = max(0, q.work.Input-q.shared)
+		c.Cost += float64(q.shared+p.fetching(q.now)) * fetchCost
+	case home == n:
+		c.Cost += float64(q.shared)
 	default:
-		c.Cost += float64(shared)
-		c.Missed = shared
+		c.Cost += float64(q.shared) * strayCost
 	}
-	c.Cost += float64(c.Unread)
+	c.Cost += float64(min(c.Unread, q.work.Input-q.shared))
+}
+
+// fetching returns the tokens that all daemons have asked engines to fetch from the KV cache store.
+func (p *Placer) fetching(now time.Time) ident.Tokens {
+	sum := p.ownFetching
+	for _, f := range p.peerFetching {
+		if now.Sub(f.at) < digestFor {
+			sum += f.Unread
+		}
+	}
+	return sum
 }
 
 // plainCost weighs services without a cache by their queue and place.
--- a/internal/coordination/place/track.go
+++ b/internal/coordination/place/track.go
@@ -54,6 +54,8 @@
 	placer *Placer
 	node   *node
 	unread ident.Tokens
+	// fetch are the tokens that come from the KV cache store.
+	fetch ident.Tokens
 }
 
 // Begin counts an attempt that is about to be sent.
@@ -71,7 +73,12 @@
 		n.remember(salt+chain, time.Now())
 		c.Save = c.Save && p.Stored.Requested(salt, lastShared(w))
 	}
-	return &Ticket{placer: p, node: n, unread: c.Unread}
+	t := &Ticket{placer: p, node: n, unread: c.Unread}
+	if c.Fetch == FetchStore {
+		t.fetch = c.Missed
+		p.ownFetching += t.fetch
+	}
+	return t
 }
 
 // Heard notes that the upstream has sent something.
@@ -124,7 +131,8 @@
 	t.placer.mu.Lock()
 	defer t.placer.mu.Unlock()
 	t.node.own.Unread -= t.unread
-	t.unread = 0
+	t.placer.ownFetching -= t.fetch
+	t.unread, t.fetch = 0, 0
 }
 
 // End notes the outcome of the attempt.
@@ -154,8 +162,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := p.node(u)
-	n.weights[model] = max(n.weights[model], version)
+	p.node(u).saw(model, version)
 }
 
 // KnownWeights returns the version that an engine is known to have.
@@ -184,8 +191,9 @@
 	return Load{}
 }
 
-// Loads returns the daemon's own work at all upstreams that have some.
-func (p *Placer) Loads() map[ident.UpstreamID]Load {
+// Loads returns the daemon's own work at all upstreams that have some, and the tokens that are fetched from the KV cache
+// store for it.
+func (p *Placer) Loads() (loads map[ident.UpstreamID]Load, fetching ident.Tokens) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	out := map[ident.UpstreamID]Load{}
@@ -194,14 +202,18 @@
 			out[id] = n.own
 		}
 	}
-	return out
+	return out, p.ownFetching
 }
 
-// LearnPeer takes a peer's work at all upstreams.
-func (p *Placer) LearnPeer(peer ident.DaemonID, loads map[ident.UpstreamID]Load) {
+// LearnPeer takes a peer's work at all upstreams and what is fetched from the KV cache store for it.
+func (p *Placer) LearnPeer(peer ident.DaemonID, loads map[ident.UpstreamID]Load, fetching ident.Tokens) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
+	if p.peerFetching == nil {
+		p.peerFetching = map[ident.DaemonID]peerLoad{}
+	}
+	p.peerFetching[peer] = peerLoad{Load: Load{Unread: fetching}, at: now}
 	for id, n := range p.nodes {
 		if l, ok := loads[id]; ok {
 			n.peers[peer] = peerLoad{Load: l, at: now}
--- a/internal/program/entry/beats.go
+++ b/internal/program/entry/beats.go
@@ -41,7 +41,9 @@
 		OperatorsNext: uint64(d.follower.Next(extern.TopicOperators)),
 		UpstreamsNext: uint64(d.follower.Next(extern.TopicUpstreams)),
 	}
-	for id, load := range d.placer.Loads() {
+	loads, fetching := d.placer.Loads()
+	b.Fetching = uint32(max(0, fetching))
+	for id, load := range loads {
 		b.Loads = append(b.Loads, &wire.UpstreamLoad{
 			Upstream: string(id), Requests: uint32(max(0, load.Requests)), Unread: uint32(max(0, load.Unread)),
 		})
@@ -112,7 +114,7 @@
 			Requests: int(l.GetRequests()), Unread: ident.Tokens(l.GetUnread()),
 		}
 	}
-	d.placer.LearnPeer(id, loads)
+	d.placer.LearnPeer(id, loads, ident.Tokens(b.GetFetching()))
 	use := make(map[ident.OrganisationID]float64, len(b.GetUse()))
 	for _, u := range b.GetUse() {
 		use[ident.OrganisationID(u.GetOrganisation())] = u.GetAdmitted()
--- a/internal/transport/opaque/run.go
+++ b/internal/transport/opaque/run.go
@@ -259,14 +259,7 @@
 		a.Weights = choice.Weights
 		a.Priority = c.priority()
 		a.Salt = place.Salt(choice.Weights, work.Scope)
-		if store := c.config.CacheStore(); store != nil {
-			if choice.Fetch {
-				a.FetchFrom = store.Address
-			}
-			if choice.Save {
-				a.SaveTo = store.Address
-			}
-		}
+		a.FetchFrom, a.SaveTo = c.cacheSources(choice)
 	}
 	req := &http.Request{
 		Method:        c.r.Method,
@@ -286,6 +279,24 @@
 	return req.WithContext(ctx), nil
 }
 
+// cacheSources returns where cached parts come from and where they are kept.
+func (c *call) cacheSources(choice *place.Choice) (from, to string) {
+	store := c.config.CacheStore()
+	if choice.Fetch == place.FetchEngine {
+		from = choice.Source
+	}
+	if store == nil {
+		return from, ""
+	}
+	if choice.Fetch == place.FetchStore {
+		from = store.Address
+	}
+	if choice.Save {
+		to = store.Address
+	}
+	return from, to
+}
+
 func (c *call) priority() int {
 	if c.org != nil && c.org.HasPriority {
 		return c.org.Priority
