--- a/internal/program/entry/daemon.go
+++ b/internal/program/entry/daemon.go
@@ -35,6 +35,9 @@
 	// Reload reads the settings again; nil if they can't change.
 	Reload func() (*setup.Entry, error)
 
+	listening chan struct{}
+	once      sync.Once
+
 	incarnation uint64
 	board       view.Board
 	table       fleet.Table
@@ -154,6 +157,12 @@
 	}
 }
 
+// Listening returns a channel that is closed once the daemon listens.
+func (d *Daemon) Listening() <-chan struct{} {
+	d.once.Do(func() { d.listening = make(chan struct{}) })
+	return d.listening
+}
+
 // ready reports whether callers may be sent to the daemon.
 func (d *Daemon) ready() bool { return !d.leaving.Load() && d.follower.Loaded() }
 
@@ -169,6 +178,8 @@
 		servers.close()
 		return err
 	}
+	d.Listening()
+	close(d.listening)
 	klog.InfoS("Daemon starts", "daemon", d.Settings.DaemonID, "incarnation", d.incarnation,
 		"failureDomain", d.Settings.FailureDomain, "callers", d.Settings.Listen.Callers, "store", d.Settings.Store)
 	life, end := context.WithCancel(context.Background())
