--- a/internal/program/entry/daemon_test.go
+++ b/internal/program/entry/daemon_test.go
@@ -188,11 +188,11 @@
 }
 
 // loaded waits until all workers have the version and returns the holder and the fence of its orders.
-func (f *rig) loaded(workers []*standin.Worker, version float64) (holder string, fence float64) {
+func (f *rig) loaded(workers []*standin.Worker, version int64) (holder string, fence uint64) {
 	f.t.Helper()
 	f.eventually(func() bool {
 		for _, w := range workers {
-			if e := w.Entry("", "", "")["models"].([]any)[0].(map[string]any); e["version"] != int64(version) {
+			if e := w.Entry("", "", "")["models"].([]any)[0].(map[string]any); e["version"] != version {
 				return false
 			}
 		}
@@ -200,13 +200,13 @@
 	}, "not all engines have the version")
 	for _, w := range workers {
 		for _, o := range w.Orders() {
-			if o["version"] != version {
+			if o.Version != version {
 				continue
 			}
 			if holder == "" {
-				holder, fence = o["holder"].(string), o["fencing-token"].(float64)
+				holder, fence = o.Holder, o.Fence
 			}
-			require.Equal(f.t, holder, o["holder"], "two daemons gave orders for one version")
+			require.Equal(f.t, holder, o.Holder, "two daemons gave orders for one version")
 		}
 	}
 	return holder, fence
--- a/internal/transport/opaque/run.go
+++ b/internal/transport/opaque/run.go
@@ -48,56 +48,73 @@
 	verdictRejected
 )
 
+// progress is what a request has been through on its way to an upstream.
+type progress struct {
+	work *place.Work
+	// held is true once the request has waited for an upstream to take work.
+	held bool
+	// connects counts upstreams that could not be connected to.
+	connects int
+}
+
 // run sends the request until there is a final answer.
 func (c *call) run() error {
 	service := c.pickService()
 	budget := c.Budgets.Of(service)
 	budget.Deposit()
-	work := c.work(service)
-	held := false
-	for connects := 0; ; {
-		if c.gone() {
-			return errCallerLeft
-		}
-		if c.left() <= 0 {
-			return c.late()
+	p := &progress{work: c.work(service)}
+	for {
+		if err := c.mayGoOn(); err != nil {
+			return err
 		}
-		if !c.authorised() {
-			return c.withdrawn()
-		}
-		choice, err := c.Placer.Choose(work)
+		choice, err := c.Placer.Choose(p.work)
 		if err != nil {
-			wait, again := c.hold(err, held)
-			if !again {
+			if !c.hold(err, p) {
 				return c.blocked(err)
 			}
-			held = true
-			c.sleep(wait)
 			continue
 		}
 		if c.attempts > 0 && !budget.Withdraw() {
 			return c.exhausted(ReasonShed)
 		}
-		v, reason := c.attempt(choice, work)
-		switch v {
-		case verdictDone:
+		v, reason := c.attempt(choice, p.work)
+		if v == verdictDone {
 			return nil
-		case verdictFailed:
-			return c.exhausted(reason)
-		case verdictAgain:
-			connects++
-			if connects >= maxConnects {
-				return c.exhausted(reason)
-			}
-		case verdictRejected:
-			work.Tried = append(work.Tried, choice.Upstream.ID)
 		}
-		if c.attempts >= c.route.Attempts {
+		if c.isLast(v, p, choice) {
 			return c.exhausted(reason)
 		}
 	}
 }
 
+// mayGoOn ends a request that needs no further attempt.
+func (c *call) mayGoOn() error {
+	switch {
+	case c.gone():
+		return errCallerLeft
+	case c.left() <= 0:
+		return c.late()
+	case !c.authorised():
+		return c.withdrawn()
+	default:
+		return nil
+	}
+}
+
+// isLast reports whether no attempt may follow one that ended so.
+func (c *call) isLast(v verdict, p *progress, choice *place.Choice) bool {
+	switch v {
+	case verdictAgain:
+		p.connects++
+		return p.connects >= maxConnects
+	case verdictRejected:
+		p.work.Tried = append(p.work.Tried, choice.Upstream.ID)
+		return c.attempts >= c.route.Attempts
+	default:
+		return true
+	}
+}
+
 // pickService picks one of the route's services by their weights.
 func (c *call) pickService() view.ServiceID {
 	total := 0.0
@@ -128,13 +145,18 @@
 	return w
 }
 
-// hold tells whether to wait for an upstream that is about to take work, and how long.
-func (c *call) hold(err error, held bool) (time.Duration, bool) {
+// hold waits once for an upstream that is about to take work; it reports false if waiting doesn't help.
+func (c *call) hold(err error, p *progress) bool {
 	var blocked *place.BlockedError
-	if held || !errors.As(err, &blocked) || blocked.Reason == place.BlockedNone {
-		return 0, false
+	if p.held || !errors.As(err, &blocked) || blocked.Reason == place.BlockedNone {
+		return false
+	}
+	p.held = true
+	if blocked.RetryAfter > min(holdMost, c.left()/4) {
+		return false
 	}
-	return blocked.RetryAfter, blocked.RetryAfter <= min(holdMost, c.left()/4)
+	c.sleep(blocked.RetryAfter)
+	return true
 }
 
 func (c *call) sleep(d time.Duration) {
