--- a/internal/coordination/place/consts.go
+++ b/internal/coordination/place/consts.go
@@ -37,6 +37,10 @@
 	silentAfter = 450 * time.Millisecond
 	// readTime is twice what an engine takes to read a prompt token at the published 44 tokens a millisecond.
 	readTime = 45 * time.Microsecond
+	// sentFor is how long a sent chain is told to the others: two beats, in case one is lost.
+	sentFor = 120 * time.Millisecond
+	// maxSent bounds the sent chains in one beat.
+	maxSent = 128
 	// maxRecent bounds the chains remembered for an engine.
 	maxRecent = 4096
 )
--- a/internal/coordination/place/node.go
+++ b/internal/coordination/place/node.go
@@ -4,10 +4,25 @@
 	"math"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/state/view"
 )
 
+// ChainKey names a chain of parts under a salt.
+type ChainKey uint64
+
+func chainKey(salt, chain string) ChainKey { return ChainKey(xxhash.Sum64String(salt + chain)) }
+
+// Sent says that a chain was sent to an engine.
+type Sent struct {
+	Chain  ChainKey
+	Engine ident.UpstreamID
+
+	at time.Time
+}
+
 // node is what a daemon knows of one upstream beyond its registration.
 type node struct {
 	id      ident.UpstreamID
@@ -30,8 +45,8 @@
 	// heardAt is when the upstream last sent anything, or when work was sent to it while it had none.
 	heardAt time.Time
 
-	// recent holds when a chain was last sent here, by scope and part.
-	recent map[string]time.Time
+	// recent holds when any daemon last sent a chain here.
+	recent map[ChainKey]time.Time
 }
 
 // Load is work in progress at an upstream.
@@ -93,7 +108,7 @@
 func (n *node) learn(u *view.Upstream) {
 	if n.started != u.Started {
 		n.started = u.Started
-		n.recent = map[string]time.Time{}
+		n.recent = map[ChainKey]time.Time{}
 		n.failures, n.down = 0, false
 	}
 	for model, version := range u.Weights {
@@ -115,7 +130,7 @@
 
 // warm reports whether the engine is taken to hold a chain: it was sent there lately, or the engine is the chain's home
 // and has had its weights for long enough that some daemon will have sent it.
-func (n *node) warm(model ident.ModelID, chain string, home bool, now time.Time) bool {
+func (n *node) warm(model ident.ModelID, chain ChainKey, home bool, now time.Time) bool {
 	if n.sentRecently(chain, now) {
 		return true
 	}
@@ -123,13 +138,13 @@
 }
 
 // sentRecently reports whether the chain that ends with the part was sent here lately.
-func (n *node) sentRecently(chain string, now time.Time) bool {
+func (n *node) sentRecently(chain ChainKey, now time.Time) bool {
 	at, ok := n.recent[chain]
 	return ok && now.Sub(at) < recentFor
 }
 
 // remember notes that a chain was sent here.
-func (n *node) remember(chain string, now time.Time) {
+func (n *node) remember(chain ChainKey, now time.Time) {
 	if len(n.recent) >= maxRecent {
 		for k, at := range n.recent {
 			if now.Sub(at) >= recentFor {
--- a/internal/coordination/place/placer.go
+++ b/internal/coordination/place/placer.go
@@ -60,8 +60,29 @@
 	Rank       int
 	Missed     ident.Tokens
 	Candidates int
+	// Cached tells what is known of the shared parts.
+	Cached Cached
 }
 
+// Cached tells where the shared parts of a prompt are taken to be.
+type Cached string
+
+// What is known of shared parts.
+const (
+	// CachedNone: the request has none.
+	CachedNone Cached = "none"
+	// CachedHere: the engine holds them.
+	CachedHere Cached = "here"
+	// CachedHome: another engine holds them, which is the chain's home.
+	CachedHome Cached = "home"
+	// CachedStore: the KV cache store holds them.
+	CachedStore Cached = "store"
+	// CachedNowhere: nobody is known to hold them, and the engine is their home.
+	CachedNowhere Cached = "nowhere"
+	// CachedStray: nobody is known to hold them, and another engine is their home.
+	CachedStray Cached = "stray"
+)
+
 // Blocked says why no upstream can be chosen.
 type Blocked string
 
@@ -108,6 +129,8 @@
 	// ownFetching are tokens that are fetched from the KV cache store for this daemon's requests.
 	ownFetching  ident.Tokens
 	peerFetching map[ident.DaemonID]peerLoad
+	// sent are the chains that this daemon was the first to send somewhere lately.
+	sent []Sent
 }
 
 func (p *Placer) node(u *view.Upstream) *node {
@@ -121,7 +144,7 @@
 			started: u.Started,
 			peers:   map[ident.DaemonID]peerLoad{},
 			weights: map[ident.ModelID]int64{},
-			recent:  map[string]time.Time{},
+			recent:  map[ChainKey]time.Time{},
 		}
 		p.nodes[u.ID] = n
 	}
@@ -241,7 +264,7 @@
 func (p *Placer) cost(q *query, n *candidate) *Choice {
 	load := n.load(q.now)
 	u := n.upstream
-	c := &Choice{Upstream: u, Rank: n.rank, Unread: q.work.Input}
+	c := &Choice{Upstream: u, Rank: n.rank, Unread: q.work.Input, Cached: CachedNone}
 	if q.work.Model == "" {
 		return p.plainCost(c, n.node, u, load, q.now)
 	}
@@ -272,24 +295,29 @@
 	if available {
 		c.Fetch = FetchStore
 	}
-	if n.warm(q.work.Model, salt+q.chain, home == n, q.now) {
+	key := chainKey(salt, q.chain)
+	if n.warm(q.work.Model, key, home == n, q.now) {
+		c.Cached = CachedHere
 		c.Unread = max(0, q.work.Input-q.shared)
 		c.Cost += float64(c.Unread)
 		return
 	}
 	c.Missed = q.shared
 	switch {
-	case home != n && home.sentRecently(salt+q.chain, q.now):
+	case home != n && home.sentRecently(key, q.now):
 		// The home's own link is less shared than that of the store.
-		c.Fetch, c.Source = FetchEngine, home.upstream.Address
+		c.Fetch, c.Source, c.Cached = FetchEngine, home.upstream.Address, CachedHome
 		c.Unread = max(0, q.work.Input-q.shared)
 		c.Cost += float64(q.shared) * fetchCost
 	case stored:
+		c.Cached = CachedStore
 		c.Unread = max(0, q.work.Input-q.shared)
 		c.Cost += float64(q.shared+p.fetching(q.now)) * fetchCost
 	case home == n:
+		c.Cached = CachedNowhere
 		c.Cost += float64(q.shared)
 	default:
+		c.Cached = CachedStray
 		c.Cost += float64(q.shared) * strayCost
 	}
 	c.Cost += float64(min(c.Unread, q.work.Input-q.shared))
--- a/internal/coordination/place/track.go
+++ b/internal/coordination/place/track.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -70,7 +71,7 @@
 	n.own.Unread += c.Unread
 	if chain := sharedPart(w); chain != "" {
 		salt := Salt(c.Weights, w.Scope)
-		n.remember(salt+chain, time.Now())
+		p.remember(n, chainKey(salt, chain))
 		c.Save = c.Save && p.Stored.Requested(salt, lastShared(w))
 	}
 	t := &Ticket{placer: p, node: n, unread: c.Unread}
@@ -81,6 +82,37 @@
 	return t
 }
 
+// remember notes that this daemon sends a chain to an engine, and keeps the news for the others.
+func (p *Placer) remember(n *node, chain ChainKey) {
+	now := time.Now()
+	if !n.sentRecently(chain, now.Add(recentFor/2)) && len(p.sent) < maxSent {
+		p.sent = append(p.sent, Sent{Chain: chain, Engine: n.id, at: now})
+	}
+	n.remember(chain, now)
+}
+
+// TakeSent returns the chains that this daemon was the first to send somewhere lately, each in a few calls in a row.
+func (p *Placer) TakeSent() []Sent {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := slices.Clone(p.sent)
+	now := time.Now()
+	p.sent = slices.DeleteFunc(p.sent, func(s Sent) bool { return now.Sub(s.at) > sentFor })
+	return out
+}
+
+// LearnSent takes what a peer has sent.
+func (p *Placer) LearnSent(sent []Sent) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	for _, s := range sent {
+		if n := p.nodes[s.Engine]; n != nil {
+			n.remember(s.Chain, now)
+		}
+	}
+}
+
 // Heard notes that the upstream has sent something.
 func (t *Ticket) Heard() {
 	t.placer.mu.Lock()
--- a/internal/program/entry/beats.go
+++ b/internal/program/entry/beats.go
@@ -48,6 +48,9 @@
 			Upstream: string(id), Requests: uint32(max(0, load.Requests)), Unread: uint32(max(0, load.Unread)),
 		})
 	}
+	for _, sent := range d.placer.TakeSent() {
+		b.Sent = append(b.Sent, &wire.SentChain{Chain: uint64(sent.Chain), Upstream: string(sent.Engine)})
+	}
 	for id, used := range d.meter.Admitted() {
 		b.Use = append(b.Use, &wire.OrganisationUse{Organisation: string(id), Admitted: used})
 	}
@@ -115,6 +118,11 @@
 		}
 	}
 	d.placer.LearnPeer(id, loads, ident.Tokens(b.GetFetching()))
+	sent := make([]place.Sent, 0, len(b.GetSent()))
+	for _, s := range b.GetSent() {
+		sent = append(sent, place.Sent{Chain: place.ChainKey(s.GetChain()), Engine: ident.UpstreamID(s.GetUpstream())})
+	}
+	d.placer.LearnSent(sent)
 	use := make(map[ident.OrganisationID]float64, len(b.GetUse()))
 	for _, u := range b.GetUse() {
 		use[ident.OrganisationID(u.GetOrganisation())] = u.GetAdmitted()
