--- a/internal/coordination/place/node.go
+++ b/internal/coordination/place/node.go
@@ -128,13 +128,9 @@
 	}
 }
 
-// warm reports whether the engine is taken to hold a chain: it was sent there lately, or the engine is the chain's home
-// and has had its weights for long enough that some daemon will have sent it.
-func (n *node) warm(model ident.ModelID, chain ChainKey, home bool, now time.Time) bool {
-	if n.sentRecently(chain, now) {
-		return true
-	}
-	return home && n.weights[model] > 0 && (n.weightsSince.IsZero() || now.Sub(n.weightsSince) > recentFor)
+// settled reports whether the engine has had its weights for so long that it will have read what is in use.
+func (n *node) settled(now time.Time) bool {
+	return n.weightsSince.IsZero() || now.Sub(n.weightsSince) > recentFor
 }
 
 // sentRecently reports whether the chain that ends with the part was sent here lately.
--- a/internal/coordination/place/placer.go
+++ b/internal/coordination/place/placer.go
@@ -43,6 +43,9 @@
 	FetchEngine
 )
 
+// Chain returns the id of the deepest part that other requests may share; empty for none.
+func (w *Work) Chain() string { return lastShared(w) }
+
 // Choice is where a request shall run.
 type Choice struct {
 	Upstream *view.Upstream
@@ -129,6 +132,8 @@
 	// ownFetching are tokens that are fetched from the KV cache store for this daemon's requests.
 	ownFetching  ident.Tokens
 	peerFetching map[ident.DaemonID]peerLoad
+	// read holds when any engine was last sent a chain.
+	read map[ChainKey]time.Time
 	// sent are the chains that this daemon was the first to send somewhere lately.
 	sent []Sent
 }
@@ -289,38 +294,59 @@
 	}
 	salt := Salt(c.Weights, q.work.Scope)
 	available := p.Stored != nil && p.Stored.Available()
-	stored := available && p.Stored.Holds(salt, lastShared(q.work), q.work.Parts[len(q.work.Parts)-2].Tokens)
-	home := q.homes[n.version]
-	c.Save = available && !stored
 	if available {
 		c.Fetch = FetchStore
 	}
-	key := chainKey(salt, q.chain)
-	if n.warm(q.work.Model, key, home == n, q.now) {
-		c.Cached = CachedHere
-		c.Unread = max(0, q.work.Input-q.shared)
-		c.Cost += float64(c.Unread)
+	home := q.homes[n.version]
+	c.Unread = max(0, q.work.Input-q.shared)
+	c.Cached = CachedHere
+	last := len(q.work.Parts) - 2
+	for i, part := range q.work.Parts[:last+1] {
+		l := level{key: chainKey(salt, q.work.Scope+part.ID), tokens: part.Tokens, deepest: i == last}
+		l.stored = available && p.Stored.Holds(salt, part.ID, part.Tokens)
+		p.levelCost(q, c, n, home, l)
+		c.Save = l.deepest && available && !l.stored
+	}
+	c.Cost += float64(max(0, q.work.Input-q.shared))
+}
+
+// level is one shared part of a prompt.
+type level struct {
+	key     ChainKey
+	tokens  ident.Tokens
+	deepest bool
+	stored  bool
+}
+
+// levelCost adds what it takes to get one shared part into the engine's cache.
+func (p *Placer) levelCost(q *query, c *Choice, n, home *candidate, l level) {
+	if n.sentRecently(l.key, q.now) || n.settled(q.now) && (home == n || !l.deepest) {
 		return
 	}
-	c.Missed = q.shared
+	c.Missed += l.tokens
 	switch {
-	case home != n && home.sentRecently(key, q.now):
+	case l.deepest && home != n && home.sentRecently(l.key, q.now):
 		// The home's own link is less shared than that of the store.
 		c.Fetch, c.Source, c.Cached = FetchEngine, home.upstream.Address, CachedHome
-		c.Unread = max(0, q.work.Input-q.shared)
-		c.Cost += float64(q.shared) * fetchCost
-	case stored:
+		c.Cost += float64(l.tokens) * fetchCost
+	case l.stored:
 		c.Cached = CachedStore
-		c.Unread = max(0, q.work.Input-q.shared)
-		c.Cost += float64(q.shared+p.fetching(q.now)) * fetchCost
-	case home == n:
-		c.Cached = CachedNowhere
-		c.Cost += float64(q.shared)
-	default:
+		c.Cost += float64(l.tokens+p.fetching(q.now)) * fetchCost
+	case p.readLately(l.key, q.now) || l.deepest && home != n:
 		c.Cached = CachedStray
-		c.Cost += float64(q.shared) * strayCost
+		c.Unread += l.tokens
+		c.Cost += float64(l.tokens) * strayCost
+	default:
+		c.Cached = CachedNowhere
+		c.Unread += l.tokens
+		c.Cost += float64(l.tokens)
 	}
-	c.Cost += float64(min(c.Unread, q.work.Input-q.shared))
+}
+
+// readLately reports whether some engine was sent the chain lately.
+func (p *Placer) readLately(chain ChainKey, now time.Time) bool {
+	at, ok := p.read[chain]
+	return ok && now.Sub(at) < recentFor
 }
 
 // fetching returns the tokens that all daemons have asked engines to fetch from the KV cache store.
--- a/internal/coordination/place/track.go
+++ b/internal/coordination/place/track.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -71,7 +72,9 @@
 	n.own.Unread += c.Unread
 	if chain := sharedPart(w); chain != "" {
 		salt := Salt(c.Weights, w.Scope)
-		p.remember(n, chainKey(salt, chain))
+		for _, part := range w.Parts[:len(w.Parts)-1] {
+			p.remember(n, chainKey(salt, w.Scope+part.ID))
+		}
 		c.Save = c.Save && p.Stored.Requested(salt, lastShared(w))
 	}
 	t := &Ticket{placer: p, node: n, unread: c.Unread}
@@ -88,7 +91,19 @@
 	if !n.sentRecently(chain, now.Add(recentFor/2)) && len(p.sent) < maxSent {
 		p.sent = append(p.sent, Sent{Chain: chain, Engine: n.id, at: now})
 	}
+	p.note(n, chain, now)
+}
+
+// note takes that a chain was sent to an engine.
+func (p *Placer) note(n *node, chain ChainKey, now time.Time) {
 	n.remember(chain, now)
+	if p.read == nil {
+		p.read = map[ChainKey]time.Time{}
+	}
+	if len(p.read) > maxRecent {
+		maps.DeleteFunc(p.read, func(_ ChainKey, at time.Time) bool { return now.Sub(at) >= recentFor })
+	}
+	p.read[chain] = now
 }
 
 // TakeSent returns the chains that this daemon was the first to send somewhere lately, each in a few calls in a row.
@@ -108,7 +123,7 @@
 	now := time.Now()
 	for _, s := range sent {
 		if n := p.nodes[s.Engine]; n != nil {
-			n.remember(s.Chain, now)
+			p.note(n, s.Chain, now)
 		}
 	}
 }
--- a/internal/transport/opaque/run.go
+++ b/internal/transport/opaque/run.go
@@ -232,7 +232,7 @@
 	klog.InfoS("Request sent", "request", c.req.ID, "upstream", choice.Upstream.ID, "attempt", c.attempts+1,
 		"weights", choice.Weights, "cost", int64(choice.Cost), "rank", choice.Rank, "missed", choice.Missed,
 		"candidates", choice.Candidates, "upstreamAgeMs", time.Since(choice.Upstream.SeenAt).Milliseconds(),
-		"leftMs", c.left().Milliseconds(), "cached", choice.Cached, "save", choice.Save)
+		"leftMs", c.left().Milliseconds(), "cached", choice.Cached, "chain", work.Chain(), "save", choice.Save)
 	c.watchSilence(ctx, cancel, ticket)
 	resp, err := c.Pool.Do(req) //nolint:bodyclose // receive closes it
 	if err != nil {
