--- a/internal/coordination/place/consts.go
+++ b/internal/coordination/place/consts.go
@@ -37,6 +37,9 @@
 	silentAfter = 450 * time.Millisecond
 	// readTime is twice what an engine takes to read a prompt token at the published 44 tokens a millisecond.
 	readTime = 45 * time.Microsecond
+	// readIn is how long an engine takes to read a chain before others can fetch it from there: twice the time of the
+	// mean shared part on an idle engine.
+	readIn = 250 * time.Millisecond
 	// sentFor is how long a sent chain is told to the others: two beats, in case one is lost.
 	sentFor = 120 * time.Millisecond
 	// maxSent bounds the sent chains in one beat.
--- a/internal/coordination/place/placer.go
+++ b/internal/coordination/place/placer.go
@@ -76,8 +76,8 @@
 	CachedNone Cached = "none"
 	// CachedHere: the engine holds them.
 	CachedHere Cached = "here"
-	// CachedHome: another engine holds them, which is the chain's home.
-	CachedHome Cached = "home"
+	// CachedEngine: another engine holds them.
+	CachedEngine Cached = "engine"
 	// CachedStore: the KV cache store holds them.
 	CachedStore Cached = "store"
 	// CachedNowhere: nobody is known to hold them, and the engine is their home.
@@ -132,8 +132,8 @@
 	// ownFetching are tokens that are fetched from the KV cache store for this daemon's requests.
 	ownFetching  ident.Tokens
 	peerFetching map[ident.DaemonID]peerLoad
-	// read holds when any engine was last sent a chain.
-	read map[ChainKey]time.Time
+	// read holds which engine was last sent a chain that it may not have had.
+	read map[ChainKey]reading
 	// sent are the chains that this daemon was the first to send somewhere lately.
 	sent []Sent
 }
@@ -324,15 +324,18 @@
 		return
 	}
 	c.Missed += l.tokens
+	last, known := p.read[l.key]
+	known = known && q.now.Sub(last.at) < recentFor
+	source := p.source(q, n, last)
 	switch {
-	case l.deepest && home != n && home.sentRecently(l.key, q.now):
-		// The home's own link is less shared than that of the store.
-		c.Fetch, c.Source, c.Cached = FetchEngine, home.upstream.Address, CachedHome
-		c.Cost += float64(l.tokens) * fetchCost
-	case l.stored:
-		c.Cached = CachedStore
+	case l.stored && (l.deepest || source == nil):
+		c.Fetch, c.Source, c.Cached = FetchStore, "", CachedStore
 		c.Cost += float64(l.tokens+p.fetching(q.now)) * fetchCost
-	case p.readLately(l.key, q.now) || l.deepest && home != n:
+	case known && source != nil:
+		// The link of one engine is less shared than that of the store.
+		c.Fetch, c.Source, c.Cached = FetchEngine, source.Address, CachedEngine
+		c.Cost += float64(l.tokens) * fetchCost
+	case known || l.deepest && home != n:
 		c.Cached = CachedStray
 		c.Unread += l.tokens
 		c.Cost += float64(l.tokens) * strayCost
@@ -343,10 +346,24 @@
 	}
 }
 
-// readLately reports whether some engine was sent the chain lately.
-func (p *Placer) readLately(chain ChainKey, now time.Time) bool {
-	at, ok := p.read[chain]
-	return ok && now.Sub(at) < recentFor
+// source returns the engine that a chain was last sent to, if it can be fetched from there.
+func (p *Placer) source(q *query, n *candidate, last reading) *view.Upstream {
+	age := q.now.Sub(last.at)
+	if last.engine == n.id || age < readIn || age >= recentFor {
+		return nil
+	}
+	u, source := p.Board.Upstreams().ByID[last.engine], p.nodes[last.engine]
+	if u == nil || source == nil || source.down || source.started != last.started {
+		return nil
+	}
+	return u
+}
+
+// reading is the last time that a chain was sent to an engine that may not have had it.
+type reading struct {
+	engine  ident.UpstreamID
+	started ident.Incarnation
+	at      time.Time
 }
 
 // fetching returns the tokens that all daemons have asked engines to fetch from the KV cache store.
--- a/internal/coordination/place/track.go
+++ b/internal/coordination/place/track.go
@@ -96,14 +96,18 @@
 
 // note takes that a chain was sent to an engine.
 func (p *Placer) note(n *node, chain ChainKey, now time.Time) {
+	had := n.sentRecently(chain, now)
 	n.remember(chain, now)
 	if p.read == nil {
-		p.read = map[ChainKey]time.Time{}
+		p.read = map[ChainKey]reading{}
 	}
 	if len(p.read) > maxRecent {
-		maps.DeleteFunc(p.read, func(_ ChainKey, at time.Time) bool { return now.Sub(at) >= recentFor })
+		maps.DeleteFunc(p.read, func(_ ChainKey, r reading) bool { return now.Sub(r.at) >= recentFor })
 	}
-	p.read[chain] = now
+	if old, ok := p.read[chain]; had && ok && old.engine == n.id && now.Sub(old.at) < recentFor/2 {
+		return
+	}
+	p.read[chain] = reading{engine: n.id, started: n.started, at: now}
 }
 
 // TakeSent returns the chains that this daemon was the first to send somewhere lately, each in a few calls in a row.
