--- a/internal/coordination/admit/meter.go
+++ b/internal/coordination/admit/meter.go
@@ -17,20 +17,24 @@
 	overdraft = 27500.0
 	// overdraftRequests is the same for limits that count requests.
 	overdraftRequests = 2.0
-	// startShare is the part of the burst that a daemon takes as left when it starts.
-	startShare = 0.5
 	// silentAfter is how old a peer's count may be before its use is estimated.
-	silentAfter = 600 * time.Millisecond
+	silentAfter = 400 * time.Millisecond
 	// minRetry and maxRetry bound when a refused caller is told to come back.
 	minRetry = 150 * time.Millisecond
 	maxRetry = 4 * time.Second
 )
 
-// Meter holds the balances. The zero value is ready.
+// Meter holds the balances. Its fields are set before the first call.
 type Meter struct {
-	mu       sync.Mutex
-	accounts map[ident.OrganisationID]*account
-	peers    map[ident.DaemonID]*peer
+	// Lookup returns the organisation with its present limit, or nil.
+	Lookup func(ident.OrganisationID) *view.Organisation
+
+	mu sync.Mutex
+	// startedAt is when the daemon first heard of anything: what was admitted before is not known, so that balances
+	// start empty.
+	startedAt time.Time
+	accounts  map[ident.OrganisationID]*account
+	peers     map[ident.DaemonID]*peer
 }
 
 type account struct {
@@ -84,10 +88,7 @@
 	a.refill(o, now)
 	silent := m.estimate(o, now)
 	d := Decision{Balance: a.balance, Silent: silent}
-	floor := -overdraft
-	if o.PerRequest {
-		floor = -overdraftRequests
-	}
+	floor := floorOf(o, silent)
 	need := min(cost, o.Burst)
 	if a.balance-need < floor {
 		wait := time.Duration((need + floor - a.balance) / o.Rate * float64(time.Second))
@@ -100,6 +101,18 @@
 	return d
 }
 
+// floorOf returns how far below zero a balance may go: daemons that don't hear each other would each use the overdraft.
+func floorOf(o *view.Organisation, silent int) float64 {
+	switch {
+	case silent > 0:
+		return 0
+	case o.PerRequest:
+		return -overdraftRequests
+	default:
+		return -overdraft
+	}
+}
+
 // Return gives back the cost of a request that did not run.
 func (m *Meter) Return(o *view.Organisation, cost float64) {
 	if o.Rate <= 0 {
@@ -119,13 +132,21 @@
 	}
 	a := m.accounts[o.ID]
 	if a == nil {
-		a = &account{balance: o.Burst * startShare, at: now}
+		a = &account{at: m.start(now)}
 		m.accounts[o.ID] = a
 	}
 	a.rate, a.burst = o.Rate, o.Burst
 	return a
 }
 
+// start returns when the daemon first heard of anything.
+func (m *Meter) start(now time.Time) time.Time {
+	if m.startedAt.IsZero() {
+		m.startedAt = now
+	}
+	return m.startedAt
+}
+
 func (a *account) refill(o *view.Organisation, now time.Time) {
 	a.balance = min(a.balance+now.Sub(a.at).Seconds()*o.Rate*rateShare, o.Burst)
 	a.at = now
@@ -169,6 +190,7 @@
 	if m.peers == nil {
 		m.peers = map[ident.DaemonID]*peer{}
 	}
+	m.start(time.Now())
 	p := m.peers[id]
 	if p == nil {
 		// What the peer admitted before this daemon heard of it is in the balance that the daemon starts with.
@@ -187,11 +209,16 @@
 	p.at = time.Now()
 }
 
-// charge takes a peer's admissions off the balance.
+// charge takes a peer's admissions off the balance, also of an organisation that this daemon has not served yet.
 func (m *Meter) charge(org ident.OrganisationID, used float64) {
-	if a := m.accounts[org]; a != nil {
-		a.balance = min(a.balance-used, a.burst)
+	o := m.Lookup(org)
+	if o == nil || o.Rate <= 0 {
+		return
 	}
+	now := time.Now()
+	a := m.account(o, now)
+	a.refill(o, now)
+	a.balance = min(a.balance-used, a.burst)
 }
 
 // Remove forgets a peer that has left the fleet.
--- a/internal/program/cmds/entry.go
+++ b/internal/program/cmds/entry.go
@@ -2,9 +2,11 @@
 
 import (
 	"github.com/spf13/cobra"
+	"k8s.io/klog/v2"
 
 	"github.com/gooseberryway/gooseberryway/internal/program/entry"
 	"github.com/gooseberryway/gooseberryway/internal/program/setup"
+	"github.com/gooseberryway/gooseberryway/internal/state/trace"
 )
 
 func newEntry() *cobra.Command {
@@ -23,6 +25,11 @@
 			if err != nil {
 				return printFaults(cmd, err)
 			}
+			logs := &trace.Writer{Out: cmd.OutOrStdout()}
+			logs.Start()
+			defer logs.Close()
+			klog.LogToStderr(false)
+			klog.SetOutput(logs)
 			return (&entry.Daemon{Settings: settings, Reload: load}).Run(cmd.Context())
 		},
 	}
--- a/internal/program/entry/daemon.go
+++ b/internal/program/entry/daemon.go
@@ -79,6 +79,12 @@
 	d.incarnation = uint64(time.Now().UnixNano())
 	d.table.Self = s.DaemonID
 	d.seeds.Store(&s.Seeds)
+	d.meter.Lookup = func(id ident.OrganisationID) *view.Organisation {
+		if c := d.board.Config(); c != nil {
+			return c.Organisations[id]
+		}
+		return nil
+	}
 	d.store = &platform.Store{Address: s.Store, Pool: httpc.Pool{DialTimeout: storeDial}}
 	upstreams := &httpc.Pool{DialTimeout: upstreamDial, IdleTimeout: upstreamIdle}
 	d.parts = &cached.Parts{Feed: &platform.CacheFeed{Pool: &httpc.Pool{DialTimeout: storeDial}}, Board: &d.board}
