--- a/internal/coordination/admit/meter.go
+++ b/internal/coordination/admit/meter.go
@@ -19,6 +19,8 @@
 	overdraftRequests = 2.0
 	// silentAfter is how old a peer's count may be before its use is estimated.
 	silentAfter = 400 * time.Millisecond
+	// rateWeight is the weight of the time since the last beat in a peer's rate.
+	rateWeight = 0.4
 	// minRetry and maxRetry bound when a refused caller is told to come back.
 	minRetry = 150 * time.Millisecond
 	maxRetry = 4 * time.Second
@@ -49,6 +51,8 @@
 	incarnation uint64
 	at          time.Time
 	admitted    map[ident.OrganisationID]float64
+	// rate is what the peer admitted a second, of late.
+	rate map[ident.OrganisationID]float64
 	// assumed is what was taken off for the peer since its last beat.
 	assumed map[ident.OrganisationID]float64
 }
@@ -88,7 +92,7 @@
 	a.refill(o, now)
 	silent := m.estimate(o, now)
 	d := Decision{Balance: a.balance, Silent: silent}
-	floor := floorOf(o, silent)
+	floor := m.floor(o, silent)
 	need := min(cost, o.Burst)
 	if a.balance-need < floor {
 		wait := time.Duration((need + floor - a.balance) / o.Rate * float64(time.Second))
@@ -101,15 +105,16 @@
 	return d
 }
 
-// floorOf returns how far below zero a balance may go: daemons that don't hear each other would each use the overdraft.
-func floorOf(o *view.Organisation, silent int) float64 {
+// floor returns how far below zero a balance may go. The daemons share the overdraft: within a beat they don't see each
+// other's admissions.
+func (m *Meter) floor(o *view.Organisation, silent int) float64 {
 	switch {
 	case silent > 0:
 		return 0
 	case o.PerRequest:
 		return -overdraftRequests
 	default:
-		return -overdraft
+		return -overdraft / float64(len(m.peers)+1)
 	}
 }
 
@@ -152,18 +157,19 @@
 	a.at = now
 }
 
-// estimate takes off what silent peers may have admitted: an even share of the rate each.
+// estimate takes off what peers will have admitted since their last beats: as much a second as of late, and an even
+// share of the rate at least once they are silent. It returns the number of silent peers.
 func (m *Meter) estimate(o *view.Organisation, now time.Time) int {
 	a := m.accounts[o.ID]
 	silent := 0
 	share := o.Rate / float64(len(m.peers)+1)
 	for _, p := range m.peers {
-		age := now.Sub(p.at) - silentAfter
-		if age <= 0 {
-			continue
+		age := now.Sub(p.at)
+		due := age.Seconds() * p.rate[o.ID]
+		if age > silentAfter {
+			silent++
+			due = max(due, (age-silentAfter).Seconds()*share)
 		}
-		silent++
-		due := age.Seconds() * share
 		if more := due - p.assumed[o.ID]; more > 0 {
 			a.balance -= more
 			p.assumed[o.ID] = due
@@ -201,12 +207,19 @@
 		p.incarnation = incarnation
 		p.admitted = map[ident.OrganisationID]float64{}
 	}
+	now := time.Now()
+	rates := make(map[ident.OrganisationID]float64, len(admitted))
 	for org, total := range admitted {
-		m.charge(org, total-p.admitted[org]-p.assumed[org])
+		used := total - p.admitted[org]
+		m.charge(org, used-p.assumed[org])
+		rates[org] = p.rate[org]
+		if since := now.Sub(p.at).Seconds(); since > 0 && !p.at.IsZero() {
+			rates[org] += rateWeight * (max(0, used)/since - p.rate[org])
+		}
 	}
-	p.admitted = admitted
+	p.admitted, p.rate = admitted, rates
 	p.assumed = map[ident.OrganisationID]float64{}
-	p.at = time.Now()
+	p.at = now
 }
 
 // charge takes a peer's admissions off the balance, also of an organisation that this daemon has not served yet.
