--- a/internal/coordination/feed/follower.go
+++ b/internal/coordination/feed/follower.go
@@ -47,12 +47,10 @@
 	// leaving holds upstreams whose registration ended while the store was in trouble, and until when they are kept.
 	leaving map[ident.UpstreamID]time.Time
 
-	answeredAt atomic.Int64 // nanoseconds since base
-	failedAt   atomic.Int64
+	// answeredAt and failedAt are when calls of the store last succeeded and failed; nil for never.
+	answeredAt, failedAt atomic.Pointer[time.Time]
 }
 
-var base = time.Now()
-
 // topicState is how far a topic has been read.
 type topicState struct {
 	next   ident.Offset
@@ -106,7 +104,7 @@
 			klog.InfoS("Store lost", "topic", topic, "next", f.Next(topic), "reason", err.Error())
 		}
 		failing = true
-		f.failedAt.Store(int64(time.Since(base)))
+		note(&f.failedAt)
 		sleep(ctx, pause/2+rand.N(pause))
 		pause = min(2*pause, pauseMost)
 	}
@@ -145,11 +143,22 @@
 	return nil
 }
 
-func (f *Follower) answered() { f.answeredAt.Store(int64(time.Since(base))) }
+func (f *Follower) answered() { note(&f.answeredAt) }
+
+func note(at *atomic.Pointer[time.Time]) {
+	now := time.Now()
+	at.Store(&now)
+}
 
-// StoreAge returns the time since the store last answered.
+// neverAge is the age of an answer that never came.
+const neverAge = time.Hour
+
+// StoreAge returns the time since the store last answered; an hour if it never did.
 func (f *Follower) StoreAge() time.Duration {
-	return time.Since(base) - time.Duration(f.answeredAt.Load())
+	if at := f.answeredAt.Load(); at != nil {
+		return time.Since(*at)
+	}
+	return neverAge
 }
 
 // Next returns the offset up to which a topic has been read.
@@ -277,8 +286,8 @@
 }
 
 func (f *Follower) troubled() bool {
-	failed := f.failedAt.Load()
-	return failed > 0 && time.Since(base)-time.Duration(failed) < troubleFor
+	at := f.failedAt.Load()
+	return at != nil && time.Since(*at) < troubleFor
 }
 
 // Sweep takes upstreams off the list whose time to come back has passed.
--- /dev/null
+++ b/internal/coordination/feed/follower_test.go
@@ -0,0 +1,223 @@
+package feed
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/extern"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/state/view"
+)
+
+// log is a store with one list of records a topic.
+type log struct {
+	mu      sync.Mutex
+	records map[extern.Topic][]extern.KeyedRecord
+	first   map[extern.Topic]int
+	down    bool
+}
+
+func newLog() *log {
+	return &log{records: map[extern.Topic][]extern.KeyedRecord{}, first: map[extern.Topic]int{}}
+}
+
+func (l *log) put(topic extern.Topic, key, value string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := extern.KeyedRecord{Offset: ident.Offset(len(l.records[topic])), Key: key, Value: []byte(value)}
+	l.records[topic] = append(l.records[topic], r)
+}
+
+func (l *log) setDown(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+}
+
+func (l *log) Newest(_ context.Context, topic extern.Topic) (extern.StoreBatch, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return extern.StoreBatch{}, &extern.StoreError{Kind: extern.StoreRefused}
+	}
+	newest := map[string]extern.KeyedRecord{}
+	for _, r := range l.records[topic] {
+		newest[r.Key] = r
+		if len(r.Value) == 0 {
+			delete(newest, r.Key)
+		}
+	}
+	b := extern.StoreBatch{Next: ident.Offset(len(l.records[topic]))}
+	for _, r := range newest {
+		b.Records = append(b.Records, r)
+	}
+	return b, nil
+}
+
+func (l *log) Read(
+	ctx context.Context, topic extern.Topic, from ident.Offset, wait time.Duration,
+) (extern.StoreBatch, error) {
+	for end := time.Now().Add(wait); ; {
+		l.mu.Lock()
+		down, all, first := l.down, l.records[topic], l.first[topic]
+		l.mu.Unlock()
+		switch {
+		case down:
+			return extern.StoreBatch{}, &extern.StoreError{Kind: extern.StoreRefused}
+		case int(from) < first:
+			return extern.StoreBatch{}, &extern.StoreError{Kind: extern.StoreExpired}
+		case int(from) < len(all) || !time.Now().Before(end):
+			return extern.StoreBatch{Records: all[from:], Next: ident.Offset(len(all))}, nil
+		}
+		select {
+		case <-ctx.Done():
+			return extern.StoreBatch{}, ctx.Err()
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
+
+func (l *log) Put(context.Context, extern.Topic, string, []byte, *ident.Offset) (ident.Offset, error) {
+	panic("not used")
+}
+
+// words decodes records such as "ready" for upstreams and a version for the configuration.
+type words struct{}
+
+func (words) Decode(topic extern.Topic, r extern.KeyedRecord) view.Change {
+	switch {
+	case topic == extern.TopicUpstreams && len(r.Value) == 0:
+		return &view.UpstreamRemoved{ID: ident.UpstreamID(r.Key)}
+	case topic == extern.TopicUpstreams && string(r.Value) == "ready":
+		return &view.Upstream{ID: ident.UpstreamID(r.Key), Service: "s", State: view.UpstreamReady, Offset: r.Offset}
+	case topic == extern.TopicOperators && r.Key == "config":
+		version, err := strconv.ParseInt(string(r.Value), 10, 64)
+		if err != nil {
+			return &view.Ignored{Reason: err.Error()}
+		}
+		return &view.Config{Version: version}
+	case strings.HasPrefix(r.Key, "version"):
+		return &view.Weights{Model: "m", Version: int64(len(r.Value))}
+	default:
+		return &view.Ignored{Reason: "unreadable"}
+	}
+}
+
+func start(t *testing.T, l *log) *Follower {
+	t.Helper()
+	f := &Follower{Store: l, Decoder: words{}, Board: &view.Board{}, NamedBefore: 5 * time.Second}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); f.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	time.Sleep(time.Second)
+	return f
+}
+
+func TestAnEntryThatCanNotBeReadNamesNoUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLog()
+		l.put(extern.TopicOperators, "config", "1")
+		l.put(extern.TopicUpstreams, "a", "ready")
+		l.put(extern.TopicUpstreams, "b", "\x00\xff")
+		f := start(t, l)
+		require.True(t, f.Loaded())
+		require.Len(t, f.Board.Upstreams().ByID, 1)
+		l.put(extern.TopicUpstreams, "a", "nonsense")
+		time.Sleep(time.Second)
+		require.Empty(t, f.Board.Upstreams().ByID)
+	})
+}
+
+func TestAnUpstreamThatLapsedWithTheStoreIsKeptForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLog()
+		l.put(extern.TopicUpstreams, "a", "ready")
+		l.put(extern.TopicUpstreams, "b", "ready")
+		f := start(t, l)
+		l.setDown(true)
+		time.Sleep(3 * time.Second)
+		l.put(extern.TopicUpstreams, "a", "")
+		l.put(extern.TopicUpstreams, "b", "")
+		l.setDown(false)
+		time.Sleep(time.Second)
+		f.Sweep()
+		require.Len(t, f.Board.Upstreams().ByID, 2)
+		l.put(extern.TopicUpstreams, "a", "ready")
+		time.Sleep(lapsedFor)
+		f.Sweep()
+		require.Len(t, f.Board.Upstreams().ByID, 1, "b did not come back")
+	})
+}
+
+func TestARemovedUpstreamGoesAtOnceWhileTheStoreIsWell(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLog()
+		l.put(extern.TopicUpstreams, "a", "ready")
+		f := start(t, l)
+		l.put(extern.TopicUpstreams, "a", "")
+		time.Sleep(gatherFor + 50*time.Millisecond)
+		require.Empty(t, f.Board.Upstreams().ByID)
+	})
+}
+
+func TestWhenHistoryIsGoneTheNewestRecordsCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLog()
+		l.put(extern.TopicUpstreams, "a", "ready")
+		l.put(extern.TopicOperators, "config", "1")
+		f := start(t, l)
+		l.setDown(true)
+		time.Sleep(time.Second)
+		l.put(extern.TopicOperators, "config", "2")
+		l.put(extern.TopicOperators, "config", "3")
+		l.first[extern.TopicOperators] = 3
+		l.setDown(false)
+		time.Sleep(2 * time.Second)
+		require.EqualValues(t, 3, f.Board.Config().Version)
+	})
+}
+
+func TestAPeersRecordsReachADaemonThatTheStoreRefuses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		well, refused := newLog(), newLog()
+		for _, l := range []*log{well, refused} {
+			l.put(extern.TopicOperators, "config", "1")
+		}
+		a, b := start(t, well), start(t, refused)
+		refused.setDown(true)
+		well.put(extern.TopicOperators, "config", "2")
+		time.Sleep(time.Second)
+		records, next := a.Newer(extern.TopicOperators, b.Next(extern.TopicOperators))
+		b.Relayed(extern.TopicOperators, records, next)
+		require.EqualValues(t, 2, b.Board.Config().Version)
+		b.Relayed(extern.TopicOperators, []extern.KeyedRecord{{Offset: 0, Key: "config", Value: []byte("1")}}, 1)
+		require.EqualValues(t, 2, b.Board.Config().Version, "the configuration never goes back")
+	})
+}
+
+func TestAVersionThatStoodAtTheStartIsTakenForOld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLog()
+		l.put(extern.TopicOperators, "version/m", "xx")
+		f := start(t, l)
+		w, ok := f.Board.Weights("m")
+		require.True(t, ok)
+		require.False(t, w.Seen)
+		require.GreaterOrEqual(t, time.Since(w.NamedAt), f.NamedBefore)
+		l.put(extern.TopicOperators, "version/m", "xxx")
+		time.Sleep(time.Second)
+		w, _ = f.Board.Weights("m")
+		require.True(t, w.Seen)
+		at, replaced := w.ReplacedAt(2)
+		require.True(t, replaced)
+		require.LessOrEqual(t, time.Since(at), time.Second)
+	})
+}
