Bound what a large fleet asks of the store, the KV cache store and itself

Change: ten daemons read all the time, the others hear from them; beats come less often the more daemons there are, and what ages with them is stretched.

--- a/internal/coordination/admit/meter.go
+++ b/internal/coordination/admit/meter.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/gooseberryway/gooseberryway/internal/coordination/fleet"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/state/view"
 )
@@ -17,8 +18,10 @@
 	overdraft = 27500.0
 	// overdraftRequests is the same for limits that count requests.
 	overdraftRequests = 2.0
-	// silentAfter is how old a peer's count may be before its use is estimated.
+	// silentAfter is how old a peer's count may be in a small fleet before the peer counts as silent, silentBeats the
+	// same in beats.
 	silentAfter = 400 * time.Millisecond
+	silentBeats = 2.5
 	// rateWeight is the weight of the time since the last beat in a peer's rate.
 	rateWeight = 0.4
 	// minRetry and maxRetry bound when a refused caller is told to come back.
@@ -30,6 +33,8 @@
 type Meter struct {
 	// Lookup returns the organisation with its present limit, or nil.
 	Lookup func(ident.OrganisationID) *view.Organisation
+	// Fleet returns the number of daemons, by which counts become older; nil for a small fleet.
+	Fleet func() int
 
 	mu sync.Mutex
 	// startedAt is when the daemon first heard of anything: what was admitted before is not known, so that balances
@@ -161,14 +166,17 @@
 // share of the rate at least once they are silent. It returns the number of silent peers.
 func (m *Meter) estimate(o *view.Organisation, now time.Time) int {
 	a := m.accounts[o.ID]
-	silent := 0
+	silent, patience := 0, silentAfter
+	if m.Fleet != nil {
+		patience = fleet.Stretched(silentAfter, silentBeats, m.Fleet())
+	}
 	share := o.Rate / float64(len(m.peers)+1)
 	for _, p := range m.peers {
 		age := now.Sub(p.at)
 		due := age.Seconds() * p.rate[o.ID]
-		if age > silentAfter {
+		if age > patience {
 			silent++
-			due = max(due, (age-silentAfter).Seconds()*share)
+			due = max(due, (age-patience).Seconds()*share)
 		}
 		if more := due - p.assumed[o.ID]; more > 0 {
 			a.balance -= more
--- a/internal/coordination/feed/follower.go
+++ b/internal/coordination/feed/follower.go
@@ -22,6 +22,8 @@
 	readWait = 2500 * time.Millisecond
 	// gatherFor is how long registrations are gathered before the next read: many come at once.
 	gatherFor = 120 * time.Millisecond
+	// idleLeast, and up to twice as much, is the time between reads of a daemon that hears from readers.
+	idleLeast = 5 * time.Second
 	// pauseLeast and pauseMost bound the pause after a failed call.
 	pauseLeast = 100 * time.Millisecond
 	pauseMost  = 800 * time.Millisecond
@@ -38,6 +40,9 @@
 	Board   *view.Board
 	// NamedBefore is how long ago versions are taken to have been named that stood in the store at the start.
 	NamedBefore time.Duration
+	// Reads reports whether this daemon reads the store all the time; the others of a large fleet hear from it, and read
+	// now and then. Nil for always.
+	Reads func() bool
 	// Changed is called after the board has changed; nil for none.
 	Changed func()
 
@@ -95,6 +100,10 @@
 				klog.InfoS("Store regained", "topic", topic, "next", f.Next(topic))
 			}
 			failing, pause = false, pauseLeast
+			if f.Reads != nil && !f.Reads() {
+				sleep(ctx, idleLeast+rand.N(idleLeast))
+				continue
+			}
 			if topic == extern.TopicUpstreams {
 				sleep(ctx, gatherFor)
 			}
--- a/internal/coordination/fleet/table.go
+++ b/internal/coordination/fleet/table.go
@@ -12,14 +12,27 @@
 )
 
 const (
-	// aliveFor is how long after its last beat a daemon counts as alive: several beats lost in a row.
-	aliveFor = 700 * time.Millisecond
+	// beatPeriod is the time between beats of a small fleet: limits and loads lag by it.
+	beatPeriod = 100 * time.Millisecond
+	// beatPerDaemon stretches the period of a large fleet, so that a daemon sends a bounded number of beats a second.
+	beatPerDaemon = 8 * time.Millisecond
+	// aliveFor is how long after its last beat a daemon of a small fleet counts as alive, aliveBeats the same in beats.
+	aliveFor   = 700 * time.Millisecond
+	aliveBeats = 3.5
 	// knownFor is how long a silent daemon is kept: longer than any cut of the network that is expected.
 	knownFor = 20 * time.Second
 	// maxListed is the number of addresses that callers read of one answer.
 	maxListed = 64
 )
 
+// BeatPeriod returns the time between beats in a fleet of n daemons.
+func BeatPeriod(n int) time.Duration { return max(beatPeriod, time.Duration(n)*beatPerDaemon) }
+
+// Stretched returns a time that is meant for a small fleet, or so many beats if that is longer.
+func Stretched(small time.Duration, beats float64, n int) time.Duration {
+	return max(small, time.Duration(beats*float64(BeatPeriod(n))))
+}
+
 // Peer is another daemon as its last beat described it.
 type Peer struct {
 	ID            ident.DaemonID
@@ -38,6 +51,8 @@
 
 	sequence uint64
 	addedAt  time.Time
+	// aliveFor is how long after its last beat the peer counts as alive.
+	aliveFor time.Duration
 }
 
 // Table holds the peers. Its fields are set before the first call.
@@ -94,7 +109,7 @@
 	now := time.Now()
 	for id, p := range t.peers {
 		silentFor := now.Sub(p.addedAt)
-		if silentFor > knownFor || p.Leaving && silentFor > aliveFor {
+		if silentFor > knownFor || p.Leaving && silentFor > Stretched(aliveFor, aliveBeats, len(t.peers)) {
 			delete(t.peers, id)
 			gone = append(gone, id)
 		}
@@ -107,15 +122,20 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	out := make([]Peer, 0, len(t.peers))
+	alive := Stretched(aliveFor, aliveBeats, len(t.peers))
 	for _, p := range t.peers {
-		out = append(out, *p)
+		one := *p
+		one.aliveFor = alive
+		out = append(out, one)
 	}
 	slices.SortFunc(out, func(a, b Peer) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	return out
 }
 
 // Alive reports whether the peer was heard of lately.
-func (p *Peer) Alive(now time.Time) bool { return !p.HeardAt.IsZero() && now.Sub(p.HeardAt) < aliveFor }
+func (p *Peer) Alive(now time.Time) bool {
+	return !p.HeardAt.IsZero() && now.Sub(p.HeardAt) < p.aliveFor
+}
 
 // Holder returns the alive peer that performs the duty with the highest term.
 func (t *Table) Holder() (Peer, bool) {
@@ -140,6 +160,24 @@
 	return n
 }
 
+// Count returns the number of daemons that are known, this one included.
+func (t *Table) Count() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return 1 + len(t.peers)
+}
+
+// Rank returns the daemon's place among the live and ready ones by id, 0 for the first.
+func (t *Table) Rank() int {
+	n, now := 0, time.Now()
+	for _, p := range t.All() {
+		if p.Alive(now) && p.Ready && p.ID < t.Self {
+			n++
+		}
+	}
+	return n
+}
+
 // Addresses returns where callers of the failure domain shall connect. A daemon that hears of few others may be cut off
 // itself, and then names all that it knows.
 func (t *Table) Addresses(self string, selfReady bool) []string {
--- a/internal/coordination/place/consts.go
+++ b/internal/coordination/place/consts.go
@@ -26,8 +26,9 @@
 	olderGrace = 1200 * time.Millisecond
 	// recentFor is how long a chain that was sent to an engine is taken as cached there.
 	recentFor = 8 * time.Second
-	// digestFor is how long a peer's digest counts.
-	digestFor = 700 * time.Millisecond
+	// digestFor is how long a peer's digest counts in a small fleet, digestBeats the same in beats.
+	digestFor   = 700 * time.Millisecond
+	digestBeats = 2.5
 	// outcomeHalfLife is the time in which a failure counts half as much.
 	outcomeHalfLife = 2500 * time.Millisecond
 	// outcomeWeight is the weight of one outcome in the running mean.
--- a/internal/coordination/place/node.go
+++ b/internal/coordination/place/node.go
@@ -63,10 +63,10 @@
 }
 
 // load adds up own work and that of peers.
-func (n *node) load(now time.Time) Load {
+func (n *node) load(now time.Time, digest time.Duration) Load {
 	sum := n.own
 	for _, p := range n.peers {
-		if now.Sub(p.at) < digestFor {
+		if now.Sub(p.at) < digest {
 			sum.Requests += p.Requests
 			sum.Unread += p.Unread
 		}
@@ -89,11 +89,11 @@
 }
 
 // silent reports whether the upstream has own work and has sent nothing for longer than reading its prompts takes.
-func (n *node) silent(now time.Time) bool {
+func (n *node) silent(now time.Time, digest time.Duration) bool {
 	if n.own.Requests == 0 || now.Before(n.loading) {
 		return false
 	}
-	allowed := silentAfter + time.Duration(n.load(now).Unread)*readTime
+	allowed := silentAfter + time.Duration(n.load(now, digest).Unread)*readTime
 	return now.Sub(n.heardAt) > allowed
 }
 
--- a/internal/coordination/place/placer.go
+++ b/internal/coordination/place/placer.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
+	"github.com/gooseberryway/gooseberryway/internal/coordination/fleet"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/state/view"
 )
@@ -124,6 +125,8 @@
 	Domain ident.FailureDomain
 	// Stored is nil without a KV cache store.
 	Stored StoredParts
+	// Fleet returns the number of daemons, by which digests become older; nil for a small fleet.
+	Fleet func() int
 	// OlderLimit is the age of a named version from which no request may start on an older one; 0 for none.
 	OlderLimit time.Duration
 
@@ -132,6 +135,8 @@
 	// ownFetching are tokens that are fetched from the KV cache store for this daemon's requests.
 	ownFetching  ident.Tokens
 	peerFetching map[ident.DaemonID]peerLoad
+	// told is what each peer's last digest told of.
+	told map[ident.DaemonID]map[ident.UpstreamID]Load
 	// read holds which engine was last sent a chain that it may not have had.
 	read map[ChainKey]reading
 	// sent are the chains that this daemon was the first to send somewhere lately.
@@ -162,6 +167,7 @@
 	now := time.Now()
 	q := &query{work: w, chain: sharedPart(w), shared: sharedTokens(w), now: now}
 	q.named, _ = p.Board.Weights(w.Model)
+	q.digest = p.digestFor()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	blocked := &BlockedError{Reason: BlockedNone, RetryAfter: blockedRetry}
@@ -187,6 +193,8 @@
 	shared ident.Tokens
 	named  view.Weights
 	now    time.Time
+	// digest is how long a peer's digest counts.
+	digest time.Duration
 	// homes are the first candidates with each version of the weights.
 	homes map[int64]*candidate
 }
@@ -209,7 +217,7 @@
 		if slices.Contains(q.work.Tried, u.ID) {
 			continue
 		}
-		if n.silent(q.now) {
+		if n.silent(q.now, q.digest) {
 			n.setDown(q.now)
 			klog.InfoS("Upstream silent", "upstream", u.ID, "requests", n.own.Requests, "unread", n.own.Unread,
 				"silentMs", q.now.Sub(n.heardAt).Milliseconds())
@@ -267,7 +275,7 @@
 
 // cost estimates the tokens that an engine works on before the first token of the request.
 func (p *Placer) cost(q *query, n *candidate) *Choice {
-	load := n.load(q.now)
+	load := n.load(q.now, q.digest)
 	u := n.upstream
 	c := &Choice{Upstream: u, Rank: n.rank, Unread: q.work.Input, Cached: CachedNone}
 	if q.work.Model == "" {
@@ -366,11 +374,19 @@
 	at      time.Time
 }
 
+// digestFor returns how long a peer's digest counts.
+func (p *Placer) digestFor() time.Duration {
+	if p.Fleet == nil {
+		return digestFor
+	}
+	return fleet.Stretched(digestFor, digestBeats, p.Fleet())
+}
+
 // fetching returns the tokens that all daemons have asked engines to fetch from the KV cache store.
 func (p *Placer) fetching(now time.Time) ident.Tokens {
 	sum := p.ownFetching
 	for _, f := range p.peerFetching {
-		if now.Sub(f.at) < digestFor {
+		if now.Sub(f.at) < p.digestFor() {
 			sum += f.Unread
 		}
 	}
--- a/internal/coordination/place/track.go
+++ b/internal/coordination/place/track.go
@@ -144,7 +144,7 @@
 	t.placer.mu.Lock()
 	defer t.placer.mu.Unlock()
 	now := time.Now()
-	if t.node.silent(now) {
+	if t.node.silent(now, t.placer.digestFor()) {
 		t.node.setDown(now)
 	}
 	return t.node.down
@@ -237,7 +237,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if n := p.nodes[id]; n != nil {
-		return n.load(time.Now())
+		return n.load(time.Now(), p.digestFor())
 	}
 	return Load{}
 }
@@ -265,13 +265,23 @@
 		p.peerFetching = map[ident.DaemonID]peerLoad{}
 	}
 	p.peerFetching[peer] = peerLoad{Load: Load{Unread: fetching}, at: now}
-	for id, n := range p.nodes {
-		if l, ok := loads[id]; ok {
+	for id, l := range loads {
+		if n := p.nodes[id]; n != nil {
 			n.peers[peer] = peerLoad{Load: l, at: now}
-		} else {
-			delete(n.peers, peer)
 		}
 	}
+	// What the peer no longer tells of has ended.
+	for id := range p.told[peer] {
+		if n := p.nodes[id]; n != nil {
+			if _, ok := loads[id]; !ok {
+				delete(n.peers, peer)
+			}
+		}
+	}
+	if p.told == nil {
+		p.told = map[ident.DaemonID]map[ident.UpstreamID]Load{}
+	}
+	p.told[peer] = loads
 }
 
 // Forget drops what is known of upstreams that are no longer registered and have no work.
--- a/internal/program/entry/beats.go
+++ b/internal/program/entry/beats.go
@@ -41,6 +41,7 @@
 		OperatorsNext: uint64(d.follower.Next(extern.TopicOperators)),
 		UpstreamsNext: uint64(d.follower.Next(extern.TopicUpstreams)),
 	}
+	b.CacheStore = d.parts.Reached()
 	loads, fetching := d.placer.Loads()
 	b.Fetching = uint32(max(0, fetching))
 	for id, load := range loads {
@@ -48,7 +49,12 @@
 			Upstream: string(id), Requests: uint32(max(0, load.Requests)), Unread: uint32(max(0, load.Unread)),
 		})
 	}
+	small := d.table.Count() <= maxReaders+2
 	for _, sent := range d.placer.TakeSent() {
+		if !small {
+			// In a large fleet a chain is rarely sent by two daemons before the KV cache store holds it.
+			break
+		}
 		b.Sent = append(b.Sent, &wire.SentChain{Chain: uint64(sent.Chain), Upstream: string(sent.Engine)})
 	}
 	for id, used := range d.meter.Admitted() {
@@ -108,6 +114,9 @@
 	if !d.table.Heard(p, b.GetSequence()) {
 		return
 	}
+	if b.GetCacheStore() {
+		d.parts.PeerReached()
+	}
 	for _, k := range b.GetPeers() {
 		d.table.Known(ident.DaemonID(k.GetDaemon()), k.GetIncarnation(), k.GetPeerAddress())
 	}
@@ -131,6 +140,15 @@
 	d.learnDuty(b)
 }
 
+// maxReaders is the number of daemons that read the store all the time: some in each failure domain, as its calls are
+// limited and paid for.
+const maxReaders = 10
+
+// reads reports whether this daemon is among those that read the store all the time.
+func (d *Daemon) reads() bool {
+	return d.table.Count() <= maxReaders+2 || d.table.Rank() < maxReaders
+}
+
 // member is the record of a daemon in the list of members.
 type member struct {
 	Peers       string `json:"peers"`
--- a/internal/program/entry/daemon.go
+++ b/internal/program/entry/daemon.go
@@ -79,6 +79,7 @@
 	d.incarnation = uint64(time.Now().UnixNano())
 	d.table.Self = s.DaemonID
 	d.seeds.Store(&s.Seeds)
+	d.meter.Fleet = d.table.Count
 	d.meter.Lookup = func(id ident.OrganisationID) *view.Organisation {
 		if c := d.board.Config(); c != nil {
 			return c.Organisations[id]
@@ -87,11 +88,12 @@
 	}
 	d.store = &platform.Store{Address: s.Store, Pool: httpc.Pool{DialTimeout: storeDial}}
 	upstreams := &httpc.Pool{DialTimeout: upstreamDial, IdleTimeout: upstreamIdle}
-	d.parts = &cached.Parts{Feed: &platform.CacheFeed{Pool: &httpc.Pool{DialTimeout: storeDial}}, Board: &d.board}
+	d.parts = &cached.Parts{Feed: &platform.CacheFeed{Pool: &httpc.Pool{DialTimeout: storeDial}}, Board: &d.board, Follows: d.reads}
 	d.placer = &place.Placer{
 		Board:      &d.board,
 		Domain:     s.FailureDomain,
 		Stored:     d.parts,
+		Fleet:      d.table.Count,
 		OlderLimit: time.Duration(s.Limits.WeightsMs)*time.Millisecond - olderMargin,
 	}
 	d.follower = &feed.Follower{
@@ -99,6 +101,7 @@
 		Decoder:     platform.Decoder{},
 		Board:       &d.board,
 		Changed:     func() { d.placer.Forget(); d.peers.Urgent() },
+		Reads:       d.reads,
 		NamedBefore: max(0, time.Duration(s.Limits.WeightsMs)*time.Millisecond-startAllowance),
 	}
 	d.peers = &gossip.Node{
@@ -115,7 +118,7 @@
 		Store:       d.store,
 		Bar:         d.bar(),
 		Elapsed:     bootTime,
-		Rank:        d.rank,
+		Rank:        d.table.Rank,
 		Held:        d.held,
 		Eligible:    func() bool { return d.ready() && d.follower.StoreAge() < eligibleAge },
 	}
--- a/internal/program/entry/duties.go
+++ b/internal/program/entry/duties.go
@@ -38,17 +38,6 @@
 	return time.Duration(d.Settings.Limits.LeaseMs) * time.Millisecond
 }
 
-// rank is the daemon's place among the live ones, by id.
-func (d *Daemon) rank() int {
-	n, now := 0, time.Now()
-	for _, p := range d.table.All() {
-		if p.Alive(now) && p.Ready && p.ID < d.Settings.DaemonID {
-			n++
-		}
-	}
-	return n
-}
-
 // held reports whether another daemon says that it holds the duty.
 func (d *Daemon) held() bool {
 	_, ok := d.table.Holder()
--- a/internal/state/cached/parts.go
+++ b/internal/state/cached/parts.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -21,12 +22,17 @@
 	gatherFor = 150 * time.Millisecond
 	// availableFor is how long after its last answer the store counts as available: two reads without news.
 	availableFor = 2500 * time.Millisecond
+	// maxRequested bounds the parts that are remembered as saved.
+	maxRequested = 8192
 	// retryPause is the pause after a failed read, to which up to as much is added.
 	retryPause = 500 * time.Millisecond
 	// heldShare, in thousandths, of a part makes it worth a fetch; blockTokens allows for a last block that isn't full.
 	heldShare   = 900
 	permille    = 1000
 	blockTokens = 16
+	// savedIn is how long a save takes, savedFor how long a part that is used stays in the store.
+	savedIn  = time.Second
+	savedFor = 15 * time.Second
 	// requestedFor is how long a part that was sent for keeping counts as kept until its event comes.
 	requestedFor = 1500 * time.Millisecond
 )
@@ -39,6 +45,9 @@
 type Parts struct {
 	Feed  extern.CacheFeed
 	Board *view.Board
+	// Follows reports whether this daemon reads the store's events: the store holds only so many reads at once. The
+	// others hear from those who do whether the store answers, and know only what they had saved themselves.
+	Follows func() bool
 
 	mu          sync.RWMutex
 	held        map[key]ident.Tokens
@@ -50,14 +59,17 @@
 	next        ident.Sequence
 	// listed is true once the whole list was read, until events are missing.
 	listed bool
+	// peerAt is when another daemon last said that the store answers it.
+	peerAt time.Time
 }
 
 // Run follows the store until ctx ends.
 func (p *Parts) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause := gatherFor
-		if c := p.Board.Config(); c == nil || c.CacheStore() == nil {
+		if c := p.Board.Config(); c == nil || c.CacheStore() == nil || !p.Follows() {
 			pause = retryPause
+			p.stopFollowing()
 		} else if err := p.step(ctx, c.CacheStore().Address); err != nil {
 			pause = retryPause + rand.N(retryPause)
 			p.lost(err)
@@ -138,10 +150,35 @@
 	p.failed = true
 }
 
+// stopFollowing forgets the list, which is read again when the daemon follows the store once more.
+func (p *Parts) stopFollowing() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listed = false
+}
+
+// PeerReached notes that the store answers another daemon.
+func (p *Parts) PeerReached() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.peerAt = time.Now()
+}
+
+// Reached reports whether the store answers this daemon itself.
+func (p *Parts) Reached() bool {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return p.reached()
+}
+
 // Available reports whether the store answers.
 func (p *Parts) Available() bool {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
+	return p.reached() || !p.listed && !p.peerAt.IsZero() && time.Since(p.peerAt) < availableFor
+}
+
+func (p *Parts) reached() bool {
 	return !p.failed && !p.answeredAt.IsZero() && time.Since(p.answeredAt) < availableFor
 }
 
@@ -149,6 +186,10 @@
 func (p *Parts) Holds(salt, part string, tokens ident.Tokens) bool {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
+	if !p.listed {
+		at, ok := p.requested[key{salt, part}]
+		return ok && time.Since(at) > savedIn && time.Since(at) < savedFor
+	}
 	held, ok := p.held[key{salt, part}]
 	return ok && held > 0 && held >= tokens*heldShare/permille-blockTokens
 }
@@ -161,6 +202,9 @@
 	if at, ok := p.requested[k]; ok && now.Sub(at) < requestedFor {
 		return false
 	}
+	if len(p.requested) > maxRequested {
+		maps.DeleteFunc(p.requested, func(_ key, at time.Time) bool { return now.Sub(at) > savedFor })
+	}
 	if p.requested == nil {
 		p.requested = map[key]time.Time{}
 	}
--- a/internal/state/view/config.go
+++ b/internal/state/view/config.go
@@ -163,12 +163,16 @@
 // Guarded reports whether requests need a key.
 func (c *Config) Guarded() bool { return len(c.Organisations) > 0 }
 
-// CacheStore returns the service that keeps KV cache, or nil.
+// CacheStore returns the KV cache store that all daemons use, the first by name, or nil.
 func (c *Config) CacheStore() *Store {
+	var first *Service
 	for _, s := range c.Services {
-		if s.Store != nil {
-			return s.Store
+		if s.Store != nil && (first == nil || s.ID < first.ID) {
+			first = s
 		}
 	}
-	return nil
+	if first == nil {
+		return nil
+	}
+	return first.Store
 }
--- a/internal/transport/gossip/gossip.go
+++ b/internal/transport/gossip/gossip.go
@@ -16,18 +16,17 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
+	"github.com/gooseberryway/gooseberryway/internal/coordination/fleet"
 	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
 )
 
 const (
-	// beatPeriod is the time between beats of a small fleet; quotas and loads lag by it.
-	beatPeriod = 100 * time.Millisecond
-	// beatPerPeer stretches the period of a large fleet, so that beats stay below a fixed rate for each daemon.
-	beatPerPeer = 4 * time.Millisecond
 	// maxDatagram is what fits into one datagram on all links.
 	maxDatagram = 60 << 10
-	callTimeout = 600 * time.Millisecond
-	headerLimit = 4 << 10
+	// urgentGather is how long an urgent beat waits for more news.
+	urgentGather = 60 * time.Millisecond
+	callTimeout  = 600 * time.Millisecond
+	headerLimit  = 4 << 10
 )
 
 // Node sends and receives beats. Its fields are set before Run.
@@ -114,10 +113,12 @@
 	for ctx.Err() == nil {
 		targets := n.Targets()
 		n.beat(targets)
-		period := max(beatPeriod, time.Duration(len(targets))*beatPerPeer)
+		period := fleet.BeatPeriod(len(targets))
 		select {
 		case <-ctx.Done():
 		case <-n.urgent:
+			// Many changes in a row go out in one beat.
+			time.Sleep(min(period/10, urgentGather))
 		case <-time.After(period):
 		}
 	}
