--- a/internal/coordination/admit/meter.go
+++ b/internal/coordination/admit/meter.go
@@ -22,6 +22,8 @@
 	// same in beats.
 	silentAfter = 400 * time.Millisecond
 	silentBeats = 2.5
+	// settledAfter is how long after its start a daemon knows enough of what others admit.
+	settledAfter = 2 * time.Second
 	// rateWeight is the weight of the time since the last beat in a peer's rate.
 	rateWeight = 0.4
 	// minRetry and maxRetry bound when a refused caller is told to come back.
@@ -48,6 +50,8 @@
 	balance  float64
 	at       time.Time
 	admitted float64
+	// adopted is true once the balance was taken from a peer that knew more.
+	adopted bool
 	// rate and burst are those of the last admission.
 	rate, burst float64
 }
@@ -186,19 +190,33 @@
 	return silent
 }
 
-// Admitted returns what this daemon has admitted since its start.
-func (m *Meter) Admitted() map[ident.OrganisationID]float64 {
+// Use is what a daemon has admitted of an organisation's requests since its start.
+type Use struct {
+	Admitted float64
+	// Balance is what is left in the daemon's view; it counts only if Settled.
+	Balance float64
+	// Settled is false for a daemon that has just started and knows little of what was admitted before.
+	Settled bool
+}
+
+// Uses returns what this daemon has admitted since its start.
+func (m *Meter) Uses() map[ident.OrganisationID]Use {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	out := make(map[ident.OrganisationID]float64, len(m.accounts))
+	now := time.Now()
+	settled := !m.startedAt.IsZero() && now.Sub(m.startedAt) > settledAfter
+	out := make(map[ident.OrganisationID]Use, len(m.accounts))
 	for id, a := range m.accounts {
-		out[id] = a.admitted
+		if o := m.Lookup(id); o != nil && o.Rate > 0 {
+			a.refill(o, now)
+		}
+		out[id] = Use{Admitted: a.admitted, Balance: a.balance, Settled: settled || a.adopted}
 	}
 	return out
 }
 
 // Learn takes what a peer has admitted since its start.
-func (m *Meter) Learn(id ident.DaemonID, incarnation uint64, admitted map[ident.OrganisationID]float64) {
+func (m *Meter) Learn(id ident.DaemonID, incarnation uint64, uses map[ident.OrganisationID]Use) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.peers == nil {
@@ -208,7 +226,10 @@
 	p := m.peers[id]
 	if p == nil {
 		// What the peer admitted before this daemon heard of it is in the balance that the daemon starts with.
-		p = &peer{incarnation: incarnation, admitted: admitted}
+		p = &peer{incarnation: incarnation, admitted: map[ident.OrganisationID]float64{}}
+		for org, use := range uses {
+			p.admitted[org] = use.Admitted
+		}
 		m.peers[id] = p
 	}
 	if p.incarnation != incarnation {
@@ -216,11 +237,13 @@
 		p.admitted = map[ident.OrganisationID]float64{}
 	}
 	now := time.Now()
-	rates := make(map[ident.OrganisationID]float64, len(admitted))
-	for org, total := range admitted {
-		used := total - p.admitted[org]
+	rates := make(map[ident.OrganisationID]float64, len(uses))
+	admitted := make(map[ident.OrganisationID]float64, len(uses))
+	for org, use := range uses {
+		used := use.Admitted - p.admitted[org]
 		m.charge(org, used-p.assumed[org])
-		rates[org] = p.rate[org]
+		m.adopt(org, use, now)
+		admitted[org], rates[org] = use.Admitted, p.rate[org]
 		if since := now.Sub(p.at).Seconds(); since > 0 && !p.at.IsZero() {
 			rates[org] += rateWeight * (max(0, used)/since - p.rate[org])
 		}
@@ -230,6 +253,15 @@
 	p.at = now
 }
 
+// adopt takes the balance of a peer that knows more, once after the start.
+func (m *Meter) adopt(org ident.OrganisationID, use Use, now time.Time) {
+	a := m.accounts[org]
+	if a == nil || a.adopted || !use.Settled || now.Sub(m.startedAt) > settledAfter {
+		return
+	}
+	a.balance, a.adopted = min(use.Balance, a.burst), true
+}
+
 // charge takes a peer's admissions off the balance, also of an organisation that this daemon has not served yet.
 func (m *Meter) charge(org ident.OrganisationID, used float64) {
 	o := m.Lookup(org)
--- a/internal/coordination/admit/meter_test.go
+++ b/internal/coordination/admit/meter_test.go
@@ -47,10 +47,10 @@
 
 func (f *fleetOf) beat() {
 	for from, m := range f.meters {
-		admitted := m.Admitted()
+		uses := m.Uses()
 		for to, other := range f.meters {
 			if from != to && !f.cut(from, to) {
-				other.Learn(ident.DaemonID(fmt.Sprint(from)), f.born[from], admitted)
+				other.Learn(ident.DaemonID(fmt.Sprint(from)), f.born[from], uses)
 			}
 		}
 	}
@@ -174,6 +174,23 @@
 	})
 }
 
+func TestARestartedDaemonTakesTheBalanceOfThoseWhoKnow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		f.beat()
+		time.Sleep(time.Second)
+		restarted := -1
+		_, refused := f.play(0.6, 20*time.Second, func(at time.Duration) {
+			if next := int(at / (3 * time.Second)); next > restarted && next < daemons && at > 3*time.Second {
+				restarted = next
+				f.meters[next] = newMeter()
+				f.born[next]++
+			}
+		})
+		require.Zero(t, refused)
+	})
+}
+
 func TestALowerLimitHoldsAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := newMeter()
@@ -204,5 +221,5 @@
 	before := m.Admit(organisation, 5000).Balance
 	m.Return(organisation, 5000)
 	require.InDelta(t, before, m.Admit(organisation, 1).Balance, rate/100)
-	require.InDelta(t, 1, m.Admitted()["acme"], 0.01)
+	require.InDelta(t, 1, m.Uses()["acme"].Admitted, 0.01)
 }
--- a/internal/program/cmds/root.go
+++ b/internal/program/cmds/root.go
@@ -90,6 +90,8 @@
 	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
 	klog.InitFlags(flags)
 	_ = flags.Set("logtostderr", "true")
+	// An error is written once, not once for each severity below it.
+	_ = flags.Set("one_output", "true")
 	root.PersistentFlags().AddGoFlag(flags.Lookup("v"))
 }
 
--- a/internal/program/entry/beats.go
+++ b/internal/program/entry/beats.go
@@ -8,6 +8,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/gooseberryway/gooseberryway/internal/coordination/admit"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/fleet"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/place"
 	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
@@ -57,8 +58,12 @@
 		}
 		b.Sent = append(b.Sent, &wire.SentChain{Chain: uint64(sent.Chain), Upstream: string(sent.Engine)})
 	}
-	for id, used := range d.meter.Admitted() {
-		b.Use = append(b.Use, &wire.OrganisationUse{Organisation: string(id), Admitted: used})
+	for id, use := range d.meter.Uses() {
+		told := &wire.OrganisationUse{Organisation: string(id), Admitted: use.Admitted}
+		if use.Settled {
+			told.Balance = &use.Balance
+		}
+		b.Use = append(b.Use, told)
 	}
 	d.tellDuty(b)
 	if d.beats.Add(1)%peersEvery == 1 {
@@ -132,11 +137,13 @@
 		sent = append(sent, place.Sent{Chain: place.ChainKey(s.GetChain()), Engine: ident.UpstreamID(s.GetUpstream())})
 	}
 	d.placer.LearnSent(sent)
-	use := make(map[ident.OrganisationID]float64, len(b.GetUse()))
+	uses := make(map[ident.OrganisationID]admit.Use, len(b.GetUse()))
 	for _, u := range b.GetUse() {
-		use[ident.OrganisationID(u.GetOrganisation())] = u.GetAdmitted()
+		uses[ident.OrganisationID(u.GetOrganisation())] = admit.Use{
+			Admitted: u.GetAdmitted(), Balance: u.GetBalance(), Settled: u.Balance != nil,
+		}
 	}
-	d.meter.Learn(id, b.GetIncarnation(), use)
+	d.meter.Learn(id, b.GetIncarnation(), uses)
 	d.learnDuty(b)
 }
 
