--- a/internal/coordination/admit/meter.go
+++ b/internal/coordination/admit/meter.go
@@ -22,6 +22,9 @@
 	// same in beats.
 	silentAfter = 400 * time.Millisecond
 	silentBeats = 2.5
+	// startShare is the part of the burst that is taken as left at the start: callers return together after an outage, and
+	// what was left before it is not known.
+	startShare = 0.2
 	// settledAfter is how long after its start a daemon knows enough of what others admit.
 	settledAfter = 2 * time.Second
 	// rateWeight is the weight of the time since the last beat in a peer's rate.
@@ -39,8 +42,7 @@
 	Fleet func() int
 
 	mu sync.Mutex
-	// startedAt is when the daemon first heard of anything: what was admitted before is not known, so that balances
-	// start empty.
+	// startedAt is when the daemon first heard of anything: what was admitted before is not known.
 	startedAt time.Time
 	accounts  map[ident.OrganisationID]*account
 	peers     map[ident.DaemonID]*peer
@@ -146,7 +148,7 @@
 	}
 	a := m.accounts[o.ID]
 	if a == nil {
-		a = &account{at: m.start(now)}
+		a = &account{balance: o.Burst * startShare, at: m.start(now)}
 		m.accounts[o.ID] = a
 	}
 	a.rate, a.burst = o.Rate, o.Burst
