--- /dev/null
+++ b/internal/program/cmds/explain.go
@@ -0,0 +1,155 @@
+package cmds
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+
+	"github.com/spf13/cobra"
+)
+
+// maxLogLine bounds a line of a log, in bytes.
+const maxLogLine = 1 << 20
+
+func newExplain() *cobra.Command {
+	return &cobra.Command{
+		Use:     "explain REQUEST-ID [LOG...]",
+		Short:   "Tell a request's way from the logs of one or more daemons (standard input without files)",
+		Example: "  gooseberryway explain 0591dd12d8af5edc daemon-*.log",
+		Args:    usageArgs(cobra.MinimumNArgs(1)),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			lines, err := readLogs(cmd.InOrStdin(), args[1:], args[0])
+			if err != nil {
+				return err
+			}
+			return explain(cmd.OutOrStdout(), args[0], lines)
+		},
+	}
+}
+
+// UnknownRequestError says that no log has a line on the request.
+type UnknownRequestError struct {
+	ID string
+}
+
+func (e *UnknownRequestError) Error() string { return "no line on request " + e.ID }
+
+// logLine is one structured line of a daemon's log.
+type logLine struct {
+	at, message string
+	fields      map[string]string
+}
+
+var (
+	logHead  = regexp.MustCompile(`[IWEF]\d{4} (\d\d:\d\d:\d\d\.\d+)\s+\d+ \S+\] "((?:[^"\\]|\\.)*)"(.*)`)
+	logField = regexp.MustCompile(`(\w+)=("(?:[^"\\]|\\.)*"|\S+)`)
+)
+
+// parseLogLine reads a line; false if it is none of a daemon's.
+func parseLogLine(text string) (logLine, bool) {
+	m := logHead.FindStringSubmatch(text)
+	if m == nil {
+		return logLine{}, false
+	}
+	l := logLine{at: m[1], message: m[2], fields: map[string]string{}}
+	for _, f := range logField.FindAllStringSubmatch(m[3], -1) {
+		l.fields[f[1]] = strings.Trim(f[2], `"`)
+	}
+	return l, true
+}
+
+// readLogs returns the lines on a request in the order of their times.
+func readLogs(in io.Reader, files []string, id string) ([]logLine, error) {
+	if len(files) == 0 {
+		return scanLog(in, id)
+	}
+	var all []logLine
+	for _, name := range files {
+		f, err := os.Open(name) // #nosec G304 -- the operator names the file.
+		if err != nil {
+			return nil, &UsageError{Err: err}
+		}
+		lines, err := scanLog(f, id)
+		_ = f.Close()
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", name, err)
+		}
+		all = append(all, lines...)
+	}
+	slices.SortStableFunc(all, func(a, b logLine) int { return strings.Compare(a.at, b.at) })
+	return all, nil
+}
+
+func scanLog(in io.Reader, id string) ([]logLine, error) {
+	var lines []logLine
+	scanner := bufio.NewScanner(in)
+	scanner.Buffer(nil, maxLogLine)
+	for scanner.Scan() {
+		if !strings.Contains(scanner.Text(), id) {
+			continue
+		}
+		if l, ok := parseLogLine(scanner.Text()); ok && l.fields["request"] == id {
+			lines = append(lines, l)
+		}
+	}
+	return lines, scanner.Err()
+}
+
+func explain(out io.Writer, id string, lines []logLine) error {
+	if len(lines) == 0 {
+		return &UnknownRequestError{ID: id}
+	}
+	for _, l := range lines {
+		if _, err := fmt.Fprintf(out, "%s  %s\n", l.at, sentence(l)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// sources are the values of the field cached in words.
+var sources = map[string]string{
+	"none":    "it shares no prompt",
+	"here":    "which holds its prompt",
+	"engine":  "which fetches its prompt from another engine",
+	"store":   "which fetches its prompt from the KV cache store",
+	"nowhere": "which reads its prompt for the first time",
+	"stray":   "which reads its prompt although another engine did",
+}
+
+// sentence tells a line in words; a message without one is shown as it is.
+func sentence(l logLine) string {
+	f := l.fields
+	switch l.message {
+	case "Request sent":
+		return fmt.Sprintf("Attempt %s went to %s, %s; some %s tokens of work were ahead, %s ms were left.",
+			f["attempt"], f["upstream"], sources[f["cached"]], f["cost"], f["leftMs"])
+	case "Request over its organisation's limit":
+		return fmt.Sprintf("Organisation %s was over its limit: the request costs %s, %s were left over all daemons.",
+			f["organisation"], f["cost"], f["balance"])
+	case "No upstream takes the request":
+		return fmt.Sprintf("No upstream took it (%s); the caller may come back after %s ms.", f["reason"], f["retryAfterMs"])
+	case "Upstream refused":
+		return fmt.Sprintf("%s did not run it (status %s).", f["upstream"], f["status"])
+	case "Upstream failed":
+		return fmt.Sprintf("%s ran it and failed (status %s).", f["upstream"], f["status"])
+	case "Attempt failed":
+		return fmt.Sprintf("No answer came from %s: %s (sent: %s).", f["upstream"], f["error"], f["sent"])
+	case "Stream broke", "Answer broke":
+		if f["gone"] == "true" {
+			return fmt.Sprintf("The caller's connection ended while %s answered; it has events up to %q.", f["upstream"], f["lastEvent"])
+		}
+		return fmt.Sprintf("The answer of %s broke off: %s.", f["upstream"], f["error"])
+	case "Answer to another request":
+		return fmt.Sprintf("%s answered request %s instead; the answer was thrown away.", f["upstream"], f["got"])
+	case "Request ended":
+		return fmt.Sprintf("It ended after %s ms with status %s: %s (first byte after %s ms, attempts %s, configuration %s, patience %s ms).",
+			f["totalMs"], f["status"], f["outcome"], f["firstMs"], f["attempts"], f["config"], f["patienceMs"])
+	default:
+		return fmt.Sprintf("%s %v", l.message, f)
+	}
+}
--- a/internal/program/cmds/root.go
+++ b/internal/program/cmds/root.go
@@ -64,7 +64,7 @@
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &UsageError{Err: err} })
 	addLogFlags(root)
-	root.AddCommand(newServe(), newEntry(), newCheck(), newDemo(), newLoad(), newStandin())
+	root.AddCommand(newServe(), newEntry(), newExplain(), newCheck(), newDemo(), newLoad(), newStandin())
 	root.AddCommand(newKey(), newOperator(), newMove(), newSettings(), newStatus(), newReport())
 	root.AddCommand(entityCommands()...)
 	return root
