--- a/internal/transport/opaque/handler.go
+++ b/internal/transport/opaque/handler.go
@@ -165,7 +165,7 @@
 		return nil
 	}
 	klog.InfoS("Request over its organisation's limit", "request", c.req.ID, "organisation", c.org.ID, "cost", c.cost,
-		"balance", int64(d.Balance), "silentPeers", d.Silent, "retryAfterMs", d.RetryAfter.Milliseconds())
+		"balance", int64(d.Balance), "rate", c.org.Rate, "burst", c.org.Burst, "silentPeers", d.Silent, "retryAfterMs", d.RetryAfter.Milliseconds())
 	return &RefusedError{Status: http.StatusTooManyRequests, Reason: ReasonOverLimit, RetryAfter: spread(d.RetryAfter)}
 }
 
