--- a/internal/coordination/place/consts.go
+++ b/internal/coordination/place/consts.go
@@ -41,8 +41,10 @@
 	// readIn is how long an engine takes to read a chain before others can fetch it from there: twice the time of the
 	// mean shared part on an idle engine.
 	readIn = 250 * time.Millisecond
-	// sentFor is how long a sent chain is told to the others: two beats, in case one is lost.
-	sentFor = 120 * time.Millisecond
+	// sentFor is how long a sent chain is told to the others in a small fleet, two beats in case one is lost; sentBeats
+	// the same in beats of a large fleet.
+	sentFor   = 120 * time.Millisecond
+	sentBeats = 1.1
 	// maxSent bounds the sent chains in one beat.
 	maxSent = 128
 	// maxRecent bounds the chains remembered for an engine.
--- a/internal/coordination/place/node.go
+++ b/internal/coordination/place/node.go
@@ -93,8 +93,13 @@
 	if n.own.Requests == 0 || now.Before(n.loading) {
 		return false
 	}
+	// Runs that were begun before a load go on after it.
+	since := n.heardAt
+	if n.loading.After(since) {
+		since = n.loading
+	}
 	allowed := silentAfter + time.Duration(n.load(now, digest).Unread)*readTime
-	return now.Sub(n.heardAt) > allowed
+	return now.Sub(since) > allowed
 }
 
 // setDown keeps work off until a connection succeeds.
--- a/internal/coordination/place/placer_test.go
+++ b/internal/coordination/place/placer_test.go
@@ -46,6 +46,20 @@
 	})
 }
 
+func TestAnEngineIsNotSilentBecauseItHasJustLoaded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlacer()
+		c, err := p.Choose(workFor(1))
+		require.NoError(t, err)
+		ticket := p.Begin(c, workFor(1))
+		p.SetLoading(c.Upstream.ID, time.Second)
+		time.Sleep(2 * silentAfter)
+		p.SetLoading(c.Upstream.ID, 0)
+		time.Sleep(silentAfter / 2)
+		require.False(t, ticket.Down(), "runs go on only after the load")
+	})
+}
+
 func TestOlderWeightsAreUsedUpToTheirLimitOnly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newPlacer()
--- a/internal/coordination/place/track.go
+++ b/internal/coordination/place/track.go
@@ -8,6 +8,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/gooseberryway/gooseberryway/internal/coordination/fleet"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/state/view"
 )
@@ -116,7 +117,11 @@
 	defer p.mu.Unlock()
 	out := slices.Clone(p.sent)
 	now := time.Now()
-	p.sent = slices.DeleteFunc(p.sent, func(s Sent) bool { return now.Sub(s.at) > sentFor })
+	keep := sentFor
+	if p.Fleet != nil {
+		keep = fleet.Stretched(sentFor, sentBeats, p.Fleet())
+	}
+	p.sent = slices.DeleteFunc(p.sent, func(s Sent) bool { return now.Sub(s.at) > keep })
 	return out
 }
 
--- a/internal/program/entry/beats.go
+++ b/internal/program/entry/beats.go
@@ -12,6 +12,7 @@
 	"github.com/gooseberryway/gooseberryway/internal/coordination/fleet"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/place"
 	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
+	"github.com/gooseberryway/gooseberryway/internal/state/cached"
 	"github.com/gooseberryway/gooseberryway/internal/state/extern"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 )
@@ -19,6 +20,8 @@
 const (
 	// peersEvery is the number of beats between two that list the known peers.
 	peersEvery = 10
+	// storedBeats is how many beats tell of a part that the KV cache store has got.
+	storedBeats = 1.6
 	// sweepPeriod is how often old knowledge is dropped.
 	sweepPeriod = 100 * time.Millisecond
 	// membersPeriod is how often the list of members is read while few peers are known.
@@ -50,14 +53,15 @@
 			Upstream: string(id), Requests: uint32(max(0, load.Requests)), Unread: uint32(max(0, load.Unread)),
 		})
 	}
-	small := d.table.Count() <= maxReaders+2
 	for _, sent := range d.placer.TakeSent() {
-		if !small {
-			// In a large fleet a chain is rarely sent by two daemons before the KV cache store holds it.
-			break
-		}
 		b.Sent = append(b.Sent, &wire.SentChain{Chain: uint64(sent.Chain), Upstream: string(sent.Engine)})
 	}
+	if n := d.table.Count(); !small(n) && d.table.Rank() == 0 {
+		// One daemon is enough to tell those who don't follow the KV cache store.
+		for _, h := range d.parts.Fresh(fleet.Stretched(0, storedBeats, n)) {
+			b.Stored = append(b.Stored, uint64(h))
+		}
+	}
 	for id, use := range d.meter.Uses() {
 		told := &wire.OrganisationUse{Organisation: string(id), Admitted: use.Admitted}
 		if use.Settled {
@@ -122,6 +126,11 @@
 	if b.GetCacheStore() {
 		d.parts.PeerReached()
 	}
+	held := make([]cached.Hash, 0, len(b.GetStored()))
+	for _, h := range b.GetStored() {
+		held = append(held, cached.Hash(h))
+	}
+	d.parts.PeerHolds(held)
 	for _, k := range b.GetPeers() {
 		d.table.Known(ident.DaemonID(k.GetDaemon()), k.GetIncarnation(), k.GetPeerAddress())
 	}
@@ -153,9 +162,12 @@
 
 // reads reports whether this daemon is among those that read the store all the time.
 func (d *Daemon) reads() bool {
-	return d.table.Count() <= maxReaders+2 || d.table.Rank() < maxReaders
+	return small(d.table.Count()) || d.table.Rank() < maxReaders
 }
 
+// small reports whether all n daemons may read the store and the KV cache store's events, which hold 12 reads at once.
+func small(n int) bool { return n <= maxReaders+2 }
+
 // member is the record of a daemon in the list of members.
 type member struct {
 	Peers       string `json:"peers"`
--- a/internal/state/cached/parts.go
+++ b/internal/state/cached/parts.go
@@ -5,9 +5,11 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
 	"github.com/gooseberryway/gooseberryway/internal/state/extern"
@@ -24,6 +26,8 @@
 	availableFor = 2500 * time.Millisecond
 	// maxRequested bounds the parts that are remembered as saved.
 	maxRequested = 8192
+	// maxFresh bounds the parts that are told in one beat.
+	maxFresh = 512
 	// retryPause is the pause after a failed read, to which up to as much is added.
 	retryPause = 500 * time.Millisecond
 	// heldShare, in thousandths, of a part makes it worth a fetch; blockTokens allows for a last block that isn't full.
@@ -59,6 +63,9 @@
 	next        ident.Sequence
 	// listed is true once the whole list was read, until events are missing.
 	listed bool
+	// fresh are parts that the store got lately, heard those that others told of.
+	fresh []news
+	heard map[Hash]time.Time
 	// peerAt is when another daemon last said that the store answers it.
 	peerAt time.Time
 }
@@ -133,6 +140,7 @@
 	for _, part := range c.Parts {
 		k := key{part.Salt, part.ID}
 		if part.Tokens > 0 {
+			p.tell(k)
 			p.held[k] = part.Tokens
 		} else {
 			delete(p.held, k)
@@ -157,6 +165,56 @@
 	p.listed = false
 }
 
+// Hash names a part under a salt between daemons.
+type Hash uint64
+
+func (k key) hash() Hash { return Hash(xxhash.Sum64String(k.salt + "\x00" + k.id)) }
+
+// news is a part that the store has got.
+type news struct {
+	hash Hash
+	at   time.Time
+}
+
+// tell keeps a part that the store has got for those who don't follow it.
+func (p *Parts) tell(k key) {
+	if _, ok := p.held[k]; !ok && len(p.fresh) < maxFresh {
+		p.fresh = append(p.fresh, news{k.hash(), time.Now()})
+	}
+}
+
+// Fresh returns the parts that the store got within the time.
+func (p *Parts) Fresh(within time.Duration) []Hash {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	p.fresh = slices.DeleteFunc(p.fresh, func(n news) bool { return now.Sub(n.at) > within })
+	out := make([]Hash, 0, len(p.fresh))
+	for _, n := range p.fresh {
+		out = append(out, n.hash)
+	}
+	return out
+}
+
+// PeerHolds takes parts that the store has got, from a daemon that follows it.
+func (p *Parts) PeerHolds(hashes []Hash) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listed || len(hashes) == 0 {
+		return
+	}
+	now := time.Now()
+	if p.heard == nil {
+		p.heard = map[Hash]time.Time{}
+	}
+	if len(p.heard) > maxRequested {
+		maps.DeleteFunc(p.heard, func(_ Hash, at time.Time) bool { return now.Sub(at) > savedFor })
+	}
+	for _, h := range hashes {
+		p.heard[h] = now
+	}
+}
+
 // PeerReached notes that the store answers another daemon.
 func (p *Parts) PeerReached() {
 	p.mu.Lock()
@@ -187,7 +245,11 @@
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	if !p.listed {
-		at, ok := p.requested[key{salt, part}]
+		k := key{salt, part}
+		if at, ok := p.heard[k.hash()]; ok && time.Since(at) < savedFor {
+			return true
+		}
+		at, ok := p.requested[k]
 		return ok && time.Since(at) > savedIn && time.Since(at) < savedFor
 	}
 	held, ok := p.held[key{salt, part}]
