--- a/internal/program/cmds/check.go
+++ b/internal/program/cmds/check.go
@@ -19,17 +19,22 @@
 
 func newCheck() *cobra.Command {
 	var file string
+	var forEntry bool
 	cmd := &cobra.Command{
 		Use:     "check --settings FILE",
 		Short:   "Check a settings file and print each fault",
-		Example: "  gooseberryway check --settings daemon.json",
+		Example: "  gooseberryway check --settings daemon.json\n  gooseberryway check --entry --settings entry.json",
 		Args:    usageArgs(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if forEntry {
+				return printFaults(cmd, setup.LoadInto(file, &setup.Entry{}))
+			}
 			_, err := setup.Load(file)
 			return printFaults(cmd, err)
 		},
 	}
 	settingsFlag(cmd, &file)
+	cmd.Flags().BoolVar(&forEntry, "entry", false, "the settings are those of the command entry")
 	return cmd
 }
 
--- a/internal/program/entry/daemon_test.go
+++ b/internal/program/entry/daemon_test.go
@@ -231,3 +231,36 @@
 	}, "a leaving daemon still says that it is ready")
 	<-d.done
 }
+
+func TestACallerThatDoesNotReadIsCutAtItsDeadline(t *testing.T) {
+	f := newRig(t)
+	f.configure(1, "secret")
+	piece := make([]byte, 1<<20)
+	f.worker("llm", &standin.Worker{ID: "e1", Model: "m", Version: 1, Behave: func(w http.ResponseWriter, _ *http.Request) bool {
+		for range 64 {
+			if _, err := w.Write(piece); err != nil {
+				return true
+			}
+		}
+		return true
+	}})
+	d := f.start("d1", nil)
+	f.ready(1)
+	resp := f.call(d, "/draft/x", "r1", "secret", "p", model, "m", "X-Gooseberryway-Deadline-Milliseconds", "500")
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	f.eventually(func() bool { return d.active.Load() == 0 }, "the request is held up by its caller")
+}
+
+func TestStatusTellsOfPeersAndConfiguration(t *testing.T) {
+	f := newRig(t)
+	f.configure(3, "secret")
+	d := f.start("d1", nil)
+	f.start("d2", nil)
+	f.ready(0)
+	resp, err := http.Get("http://" + d.Settings.Listen.Admin + "/v1/status")
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	body := text(t, resp)
+	require.Contains(t, body, `"configVersion":3`)
+	require.Contains(t, body, `"daemon":"d2","alive":true,"ready":true`)
+}
--- a/internal/program/entry/fleet_test.go
+++ b/internal/program/entry/fleet_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -51,22 +50,13 @@
 	return f
 }
 
-// freePort returns a loopback address that nobody listens on.
-func freePort(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func (f *rig) start(id string, faults func(*http.Request) standin.Fault) *running {
 	f.t.Helper()
 	s := &setup.Entry{
 		DaemonID:      ident.DaemonID(id),
 		FailureDomain: "z",
 		Listen: setup.EntryListen{
-			Callers: freePort(f.t), Ready: freePort(f.t), Directory: freePort(f.t), Peers: freePort(f.t), Admin: freePort(f.t),
+			Callers: standin.FreeAddress(), Ready: standin.FreeAddress(), Directory: standin.FreeAddress(), Peers: standin.FreeAddress(), Admin: standin.FreeAddress(),
 		},
 		Store: f.store.Serve(faults),
 		Limits: setup.EntryLimits{
--- a/internal/program/entry/serve.go
+++ b/internal/program/entry/serve.go
@@ -1,12 +1,13 @@
 package entry
 
 import (
-	"encoding/json"
+	"context"
 	"net/http"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/gooseberryway/gooseberryway/internal/transport/rest"
 	"github.com/gooseberryway/gooseberryway/platform"
 )
 
@@ -68,13 +69,20 @@
 	Term    uint64 `json:"term"`
 }
 
+// adminWrite bounds an answer to an operator.
+const adminWrite = 2 * time.Second
+
 func (d *Daemon) admin() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		// The operator may have gone, which needs no answer.
-		_ = json.NewEncoder(w).Encode(d.status())
-	})
+	mux.Handle("GET /v1/status", rest.Handler(
+		func(context.Context, *http.Request) (struct{}, error) { return struct{}{}, nil },
+		func(context.Context, struct{}) (status, error) { return d.status(), nil },
+		func(_ context.Context, w http.ResponseWriter, s status) error {
+			rest.WriteJSON(w, http.StatusOK, s, adminWrite)
+			return nil
+		},
+		func(_ context.Context, w http.ResponseWriter, _ error) { w.WriteHeader(http.StatusInternalServerError) },
+	))
 	return mux
 }
 
--- a/internal/program/soak/fleet_test.go
+++ b/internal/program/soak/fleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -102,24 +101,16 @@
 	})
 }
 
-func freePort(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func (w *world) add(id string) {
 	dir := w.t.TempDir()
 	p := &process{
 		id: id, settings: filepath.Join(dir, "settings.json"), log: filepath.Join(dir, "log"),
-		callers: freePort(w.t), store: startProxy(w.t, w.address),
+		callers: standin.FreeAddress(), store: startProxy(w.t, w.address),
 	}
 	raw, err := json.Marshal(map[string]any{
 		"daemonId": id, "failureDomain": "z", "seeds": []string{}, "store": p.store.address(),
 		"listen": map[string]string{
-			"callers": p.callers, "ready": freePort(w.t), "directory": freePort(w.t), "peers": freePort(w.t),
+			"callers": p.callers, "ready": standin.FreeAddress(), "directory": standin.FreeAddress(), "peers": standin.FreeAddress(),
 		},
 		"limits": map[string]any{
 			"graceS": 4, "leaseMs": 3000, "fenced": true, "weightsMs": 8000, "retryShare": 0.2, "retrySlack": 50, "retryWindowS": 10,
--- a/internal/program/soak/proxy_test.go
+++ b/internal/program/soak/proxy_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -123,7 +122,7 @@
 				return
 			}
 		}
-		if err != nil && err != io.EOF || err == io.EOF {
+		if err != nil {
 			return
 		}
 	}
--- a/internal/program/soak/soak_test.go
+++ b/internal/program/soak/soak_test.go
@@ -20,7 +20,9 @@
 )
 
 // failedSeeds are seeds that failed once, each with its cause; they run every time.
-var failedSeeds = []uint64{}
+var failedSeeds = []uint64{
+	113, // a daemon's port was taken by an outgoing connection before it listened; ports now lie below those
+}
 
 const (
 	daemons        = 4
@@ -81,7 +83,9 @@
 }
 
 func play(t *testing.T, binary string, seed uint64) {
+	t.Helper()
 	w := newWorld(t, binary, daemons)
+	t.Cleanup(func() { w.keepLogs(seed) })
 	w.ready()
 	c := &checker{t: t, seed: seed}
 	ctx, cancel := context.WithTimeout(t.Context(), seconds())
@@ -93,14 +97,24 @@
 	wg.Go(func() { c.faults(ctx, w, rand.New(rand.NewPCG(seed, 1000))) })
 	wg.Wait()
 	c.settle(w)
-	if t.Failed() {
-		for _, p := range w.processes {
-			raw, _ := os.ReadFile(p.log)
-			_ = os.WriteFile(fmt.Sprintf("%s/soak-%d-%s.log", os.TempDir(), seed, p.id), raw, 0o600)
+	t.Logf("seed %d: %d requests were served", seed, c.good.Load())
+}
+
+// keepLogs copies the daemons' logs of a failed run to a place that outlasts it.
+func (w *world) keepLogs(seed uint64) {
+	if !w.t.Failed() {
+		return
+	}
+	for _, p := range w.processes {
+		raw, err := os.ReadFile(p.log)
+		if err == nil {
+			err = os.WriteFile(fmt.Sprintf("%s/soak-%d-%s.log", os.TempDir(), seed, p.id), raw, 0o600)
+		}
+		if err != nil {
+			w.t.Logf("log of %s not kept: %v", p.id, err)
 		}
-		t.Logf("logs of the daemons are kept as %s/soak-%d-*.log", os.TempDir(), seed)
 	}
-	t.Logf("seed %d: %d requests were served", seed, c.good.Load())
+	w.t.Logf("logs of the daemons are kept as %s/soak-%d-*.log", os.TempDir(), seed)
 }
 
 // faults injects faults one after the other, some while others last.
--- a/internal/transport/opaque/handler.go
+++ b/internal/transport/opaque/handler.go
@@ -23,6 +23,8 @@
 	startingRetry = 300 * time.Millisecond
 	// defaultBodyBytes bounds a body where the configuration says nothing.
 	defaultBodyBytes = 4 << 20
+	// writeGrace is how long after its time a request's last bytes may be written.
+	writeGrace = time.Second
 	// defaultPatience bounds a request that has neither a deadline nor a route's timeout.
 	defaultPatience = 60 * time.Second
 )
@@ -90,6 +92,11 @@
 	if err := c.accept(); err != nil {
 		return err
 	}
+	// A caller that doesn't read its answer must not hold the request beyond its time. The refusal of a late request
+	// still has to be written.
+	rc := http.NewResponseController(c.w)
+	_ = rc.SetWriteDeadline(c.until.Add(writeGrace))
+	defer func() { _ = rc.SetWriteDeadline(time.Time{}) }()
 	if err := c.read(); err != nil {
 		return err
 	}
