--- a/internal/coordination/place/replay_test.go
+++ b/internal/coordination/place/replay_test.go
@@ -81,9 +81,10 @@
 		}
 		arrived := time.Now()
 		e, fetch, started, ended := choose(chain)
+		sim := sims[e]
+		dark := sim.dark
 		wg.Go(func() {
-			sim := sims[e]
-			if sim.dark {
+			if dark {
 				time.Sleep(3 * time.Second)
 				ended(true)
 				mu.Lock()
