--- a/internal/state/cached/parts_test.go
+++ b/internal/state/cached/parts_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,18 +17,30 @@
 
 // feed is a store whose next answers are set by the test.
 type feed struct {
+	mu            sync.Mutex
 	list, changes extern.CacheChanges
 	err           error
 	lists         int
 }
 
 func (f *feed) All(context.Context, string) (extern.CacheChanges, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.lists++
 	return f.list, f.err
 }
 
+// set changes the next answers.
+func (f *feed) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
 func (f *feed) Changes(_ context.Context, _ string, _ ident.Sequence, wait time.Duration) (extern.CacheChanges, error) {
 	time.Sleep(wait)
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	return f.changes, f.err
 }
 
@@ -55,10 +68,10 @@
 		require.True(t, p.Holds("s", "a", 800))
 		require.False(t, p.Holds("s", "a", 1600), "half of a part is not worth a fetch")
 		require.False(t, p.Holds("t", "a", 800), "another salt")
-		f.list.Parts, f.changes.Lost = nil, true
+		f.set(func() { f.list.Parts, f.changes.Lost = nil, true })
 		time.Sleep(2 * time.Second)
 		require.False(t, p.Holds("s", "a", 800))
-		require.Greater(t, f.lists, 1)
+		f.set(func() { require.Greater(t, f.lists, 1) })
 	})
 }
 
@@ -66,7 +79,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := &feed{}
 		p := follow(t, f, true)
-		f.err = errors.New("refused")
+		f.set(func() { f.err = errors.New("refused") })
 		time.Sleep(3 * time.Second)
 		require.False(t, p.Available())
 	})
