Call scope.Sleep where the daemon waits for a time or its end

Behaviour is the same. Linter clean; race tests of duty, reload, feed, cached and four of entry pass.

--- a/internal/coordination/duty/keeper.go
+++ b/internal/coordination/duty/keeper.go
@@ -13,6 +13,7 @@
 
 	"github.com/gooseberryway/gooseberryway/internal/state/extern"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/state/scope"
 )
 
 const (
@@ -95,10 +96,7 @@
 			klog.InfoS("Duty not settled", "duty", k.Name, "reason", err.Error())
 			pause = retryPause
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
+		scope.Sleep(ctx, pause)
 	}
 }
 
--- a/internal/coordination/feed/follower.go
+++ b/internal/coordination/feed/follower.go
@@ -14,6 +14,7 @@
 
 	"github.com/gooseberryway/gooseberryway/internal/state/extern"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/state/scope"
 	"github.com/gooseberryway/gooseberryway/internal/state/view"
 )
 
@@ -102,11 +103,11 @@
 			}
 			failing, pause = false, pauseLeast
 			if f.Reads != nil && !f.Reads() {
-				sleep(ctx, idleLeast+rand.N(idleLeast))
+				scope.Sleep(ctx, idleLeast+rand.N(idleLeast))
 				continue
 			}
 			if topic == extern.TopicUpstreams {
-				sleep(ctx, gatherFor)
+				scope.Sleep(ctx, gatherFor)
 			}
 			continue
 		}
@@ -115,7 +116,7 @@
 		}
 		failing = true
 		note(&f.failedAt)
-		sleep(ctx, pause/2+rand.N(pause))
+		scope.Sleep(ctx, pause/2+rand.N(pause))
 		pause = min(2*pause, pauseMost)
 	}
 }
@@ -356,10 +357,3 @@
 	defer f.mu.Unlock()
 	return f.state(extern.TopicOperators).loaded && f.state(extern.TopicUpstreams).loaded && f.Board.Config() != nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/coordination/reload/runner.go
+++ b/internal/coordination/reload/runner.go
@@ -11,6 +11,7 @@
 	"github.com/gooseberryway/gooseberryway/internal/coordination/place"
 	"github.com/gooseberryway/gooseberryway/internal/state/extern"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/state/scope"
 	"github.com/gooseberryway/gooseberryway/internal/state/view"
 )
 
@@ -72,10 +73,7 @@
 	r.expected = loadGuess
 	for ctx.Err() == nil {
 		r.step(ctx)
-		select {
-		case <-ctx.Done():
-		case <-time.After(tick):
-		}
+		scope.Sleep(ctx, tick)
 	}
 	r.calls.Wait()
 }
--- a/internal/program/entry/beats.go
+++ b/internal/program/entry/beats.go
@@ -15,6 +15,7 @@
 	"github.com/gooseberryway/gooseberryway/internal/state/cached"
 	"github.com/gooseberryway/gooseberryway/internal/state/extern"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/state/scope"
 )
 
 const (
@@ -197,10 +198,7 @@
 		if !written || !read {
 			pause = membersPeriod / 6
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
+		scope.Sleep(ctx, pause)
 	}
 }
 
@@ -231,10 +229,7 @@
 		}
 		d.follower.Sweep()
 		d.catchUp(ctx)
-		select {
-		case <-ctx.Done():
-		case <-time.After(sweepPeriod):
-		}
+		scope.Sleep(ctx, sweepPeriod)
 	}
 }
 
--- a/internal/program/entry/probe.go
+++ b/internal/program/entry/probe.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/scope"
 )
 
 const (
@@ -27,10 +29,7 @@
 			})
 		}
 		wg.Wait()
-		select {
-		case <-ctx.Done():
-		case <-time.After(probePeriod + rand.N(probePeriod/2)):
-		}
+		scope.Sleep(ctx, probePeriod+rand.N(probePeriod/2))
 	}
 }
 
--- a/internal/state/cached/parts.go
+++ b/internal/state/cached/parts.go
@@ -14,6 +14,7 @@
 
 	"github.com/gooseberryway/gooseberryway/internal/state/extern"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/state/scope"
 	"github.com/gooseberryway/gooseberryway/internal/state/view"
 )
 
@@ -81,10 +82,7 @@
 			pause = retryPause + rand.N(retryPause)
 			p.lost(err)
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
+		scope.Sleep(ctx, pause)
 	}
 }
 
