Send callers to the strongest daemons, let three read the list of upstreams

Cause: on the grown sites 87 and 61 daemons shared the traffic, heard each other every 0.5 to 0.7 s and sent the same prompts to different engines; their beats were most of the bytes between failure domains. Ruled out: engines (they had free slots). Change: the directory names the daemons with the most processor and link, at least eight and twice the present demand; these exchange all they know every 100 ms, the others hear briefly.

--- a/internal/coordination/admit/meter.go
+++ b/internal/coordination/admit/meter.go
@@ -66,6 +66,8 @@
 	rate map[ident.OrganisationID]float64
 	// assumed is what was taken off for the peer since its last beat.
 	assumed map[ident.OrganisationID]float64
+	// rests is true for a peer that no requests reach: nothing is taken off for it while it is silent.
+	rests bool
 }
 
 // Decision is the outcome of an admission with its inputs.
@@ -125,7 +127,7 @@
 	case o.PerRequest:
 		return -overdraftRequests
 	default:
-		return -overdraft / float64(len(m.peers)+1)
+		return -overdraft / float64(m.sharers())
 	}
 }
 
@@ -176,8 +178,11 @@
 	if m.Fleet != nil {
 		patience = fleet.Stretched(silentAfter, silentBeats, m.Fleet())
 	}
-	share := o.Rate / float64(len(m.peers)+1)
+	share := o.Rate / float64(m.sharers())
 	for _, p := range m.peers {
+		if p.rests {
+			continue
+		}
 		age := now.Sub(p.at)
 		due := age.Seconds() * p.rate[o.ID]
 		if age > patience {
@@ -192,6 +197,17 @@
 	return silent
 }
 
+// sharers returns the number of daemons that requests reach, this one included.
+func (m *Meter) sharers() int {
+	n := 1
+	for _, p := range m.peers {
+		if !p.rests {
+			n++
+		}
+	}
+	return n
+}
+
 // Use is what a daemon has admitted of an organisation's requests since its start.
 type Use struct {
 	Admitted float64
@@ -238,6 +254,7 @@
 		p.incarnation = incarnation
 		p.admitted = map[ident.OrganisationID]float64{}
 	}
+	p.rests = false
 	now := time.Now()
 	rates := make(map[ident.OrganisationID]float64, len(uses))
 	admitted := make(map[ident.OrganisationID]float64, len(uses))
@@ -276,6 +293,30 @@
 	a.balance = min(a.balance-used, a.burst)
 }
 
+// Rests takes the beat of a peer that exchanges no counts with this daemon, since requests reach only one of the two. A
+// daemon that serves nobody takes the balance of one that does.
+func (m *Meter) Rests(id ident.DaemonID, incarnation uint64, uses map[ident.OrganisationID]Use, idle bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p := m.peers[id]; p != nil && idle && p.incarnation == incarnation {
+		p.rests = true
+	}
+	if idle {
+		return
+	}
+	now := time.Now()
+	m.start(now)
+	for org, use := range uses {
+		o := m.Lookup(org)
+		if o == nil || o.Rate <= 0 || !use.Settled {
+			continue
+		}
+		a := m.account(o, now)
+		a.refill(o, now)
+		a.balance = min(use.Balance, a.burst)
+	}
+}
+
 // Remove forgets a peer that has left the fleet.
 func (m *Meter) Remove(id ident.DaemonID) {
 	m.mu.Lock()
--- a/internal/coordination/feed/follower.go
+++ b/internal/coordination/feed/follower.go
@@ -21,10 +21,16 @@
 const (
 	// readWait is how long the store holds a read without news. It bounds how long a silent connection goes unnoticed.
 	readWait = 2500 * time.Millisecond
-	// gatherFor is how long registrations are gathered before the next read: many come at once.
-	gatherFor = 120 * time.Millisecond
+	// gatherLeast, and up to twice as much, is how long registrations are gathered before the next read: many come at once.
+	// Several readers at random moments see a change within a third of it.
+	gatherLeast = 200 * time.Millisecond
 	// idleLeast, and up to twice as much, is the time between reads of a daemon that hears from readers.
 	idleLeast = 5 * time.Second
+	// staleAfter is how long the list of upstreams may stand still before a daemon that hears from readers reads itself: all
+	// upstreams renew their registrations about once a second.
+	staleAfter = 1500 * time.Millisecond
+	// readerTick is how often such a daemon looks whether it has to read.
+	readerTick = 100 * time.Millisecond
 	// pauseLeast and pauseMost bound the pause after a failed call.
 	pauseLeast = 100 * time.Millisecond
 	pauseMost  = 800 * time.Millisecond
@@ -42,11 +48,13 @@
 	Board   *view.Board
 	// NamedBefore is how long ago versions are taken to have been named that stood in the store at the start.
 	NamedBefore time.Duration
-	// Reads reports whether this daemon reads the store all the time; the others of a large fleet hear from it, and read
-	// now and then. Nil for always.
-	Reads func() bool
-	// Changed is called after the board has changed; nil for none.
-	Changed func()
+	// Reads reports whether this daemon reads a topic all the time; the others hear from it, and read now and then. Nil for
+	// always.
+	Reads func(extern.Topic) bool
+	// Hears is the longest time between two beats from a daemon that reads; nil for a small fleet.
+	Hears func() time.Duration
+	// OnChange is called after the board has changed; nil for none.
+	OnChange func()
 
 	mu        sync.Mutex
 	topics    map[extern.Topic]*topicState
@@ -62,7 +70,10 @@
 type topicState struct {
 	next   ident.Offset
 	loaded bool
-	// newest keeps the records for peers.
+	// changed follows the last record that told of more than the age of what was known, advancedAt is when next last grew.
+	changed    ident.Offset
+	advancedAt time.Time
+	// newest keeps the records for peers, without those that changed nothing. A record without a value removes its key.
 	newest map[string]extern.KeyedRecord
 }
 
@@ -102,13 +113,7 @@
 				klog.InfoS("Store regained", "topic", topic, "next", f.Next(topic))
 			}
 			failing, pause = false, pauseLeast
-			if f.Reads != nil && !f.Reads() {
-				scope.Sleep(ctx, idleLeast+rand.N(idleLeast))
-				continue
-			}
-			if topic == extern.TopicUpstreams {
-				scope.Sleep(ctx, gatherFor)
-			}
+			f.rest(ctx, topic)
 			continue
 		}
 		if !failing {
@@ -121,6 +126,34 @@
 	}
 }
 
+// rest waits until the next read is due.
+func (f *Follower) rest(ctx context.Context, topic extern.Topic) {
+	if topic == extern.TopicUpstreams {
+		scope.Sleep(ctx, gatherLeast+rand.N(gatherLeast))
+	}
+	idle := time.Now().Add(idleLeast + rand.N(idleLeast))
+	for ctx.Err() == nil && time.Now().Before(idle) {
+		if f.Reads == nil || f.Reads(topic) || f.stale(topic) {
+			return
+		}
+		scope.Sleep(ctx, readerTick)
+	}
+}
+
+// stale reports whether nobody seems to read the list of upstreams.
+func (f *Follower) stale(topic extern.Topic) bool {
+	if topic != extern.TopicUpstreams {
+		return false
+	}
+	patience := staleAfter
+	if f.Hears != nil {
+		patience += f.Hears()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Since(f.state(topic).advancedAt) > patience
+}
+
 // step makes one read and applies it.
 func (f *Follower) step(ctx context.Context, topic extern.Topic) error {
 	f.mu.Lock()
@@ -172,6 +205,19 @@
 	return neverAge
 }
 
+// Answered reports whether the store answered the last call.
+func (f *Follower) Answered() bool {
+	answered, failed := f.answeredAt.Load(), f.failedAt.Load()
+	return answered != nil && (failed == nil || failed.Before(*answered))
+}
+
+// Changed returns the offset that follows the last record of a topic that told of more than the age of what was known.
+func (f *Follower) Changed(topic extern.Topic) ident.Offset {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state(topic).changed
+}
+
 // Next returns the offset up to which a topic has been read.
 func (f *Follower) Next(topic extern.Topic) ident.Offset {
 	f.mu.Lock()
@@ -189,27 +235,44 @@
 	}
 	changed := false
 	if whole {
-		changed = f.dropMissing(topic, s, records)
+		changed = f.dropMissing(topic, s, records, next)
 	}
 	for _, r := range records {
 		if old, ok := s.newest[r.Key]; ok && old.Offset >= r.Offset {
 			continue
 		}
+		if topic == extern.TopicUpstreams && f.renewed(s, r) {
+			continue
+		}
 		s.newest[r.Key] = r
+		s.changed = max(s.changed, r.Offset+1)
 		changed = f.applyRecord(topic, r) || changed
 	}
+	if next > s.next || !s.loaded {
+		s.advancedAt = time.Now()
+	}
 	s.next, s.loaded = next, true
 	if changed && topic == extern.TopicUpstreams {
 		f.publishUpstreams(next)
 	}
 	f.mu.Unlock()
-	if changed && f.Changed != nil {
-		f.Changed()
+	if changed && f.OnChange != nil {
+		f.OnChange()
 	}
 }
 
+// renewed reports whether a record says nothing but that its upstream is still there.
+func (f *Follower) renewed(s *topicState, r extern.KeyedRecord) bool {
+	known := f.upstreams[ident.UpstreamID(r.Key)]
+	if old, ok := s.newest[r.Key]; !ok || known == nil || len(old.Value) == 0 {
+		return false
+	}
+	u, ok := f.Decoder.Decode(extern.TopicUpstreams, r).(*view.Upstream)
+	return ok && u.Same(known)
+}
+
 // dropMissing removes upstreams that a whole list lacks.
-func (f *Follower) dropMissing(topic extern.Topic, s *topicState, records []extern.KeyedRecord) bool {
+func (f *Follower) dropMissing(topic extern.Topic, s *topicState, records []extern.KeyedRecord, next ident.Offset) bool {
 	if topic != extern.TopicUpstreams {
 		return false
 	}
@@ -218,9 +281,10 @@
 		listed[r.Key] = true
 	}
 	changed := false
-	for key := range s.newest {
-		if !listed[key] {
-			delete(s.newest, key)
+	for key, r := range s.newest {
+		if !listed[key] && len(r.Value) > 0 {
+			s.newest[key] = extern.KeyedRecord{Offset: max(next-1, r.Offset), Key: key}
+			s.changed = max(s.changed, next)
 			changed = f.removeUpstream(ident.UpstreamID(key)) || changed
 		}
 	}
@@ -351,6 +415,15 @@
 	f.apply(topic, records, next, false)
 }
 
+// Skip takes that a peer has read up to next and found no change beyond what this daemon has.
+func (f *Follower) Skip(topic extern.Topic, next ident.Offset) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s := f.state(topic); s.loaded && next > s.next {
+		s.next, s.advancedAt = next, time.Now()
+	}
+}
+
 // Loaded reports whether configuration and upstreams are known.
 func (f *Follower) Loaded() bool {
 	f.mu.Lock()
--- a/internal/coordination/feed/follower_test.go
+++ b/internal/coordination/feed/follower_test.go
@@ -185,7 +185,7 @@
 		l.put(extern.TopicUpstreams, "a", "ready")
 		f := start(t, l)
 		l.put(extern.TopicUpstreams, "a", "")
-		time.Sleep(gatherFor + 50*time.Millisecond)
+		time.Sleep(2*gatherLeast + 50*time.Millisecond)
 		require.Empty(t, f.Board.Upstreams().ByID)
 	})
 }
--- a/internal/coordination/fleet/table.go
+++ b/internal/coordination/fleet/table.go
@@ -21,6 +21,11 @@
 	aliveBeats = 3.5
 	// knownFor is how long a silent daemon is kept: longer than any cut of the network that is expected.
 	knownFor = 20 * time.Second
+	// addressFor is how long the address of a daemon is kept that isn't heard of.
+	addressFor = 5 * time.Minute
+	// restPeriod is the least time between beats to and from daemons that carry no traffic: half of the time in which they
+	// must know of a change.
+	restPeriod = 400 * time.Millisecond
 	// maxListed is the number of addresses that callers read of one answer.
 	maxListed = 64
 )
@@ -28,6 +33,9 @@
 // BeatPeriod returns the time between beats in a fleet of n daemons.
 func BeatPeriod(n int) time.Duration { return max(beatPeriod, time.Duration(n)*beatPerDaemon) }
 
+// RestPeriod returns the time between beats to and from daemons without traffic in a fleet of n daemons.
+func RestPeriod(n int) time.Duration { return max(restPeriod, time.Duration(n)*beatPerDaemon) }
+
 // Stretched returns a time that is meant for a small fleet, or so many beats if that is longer.
 func Stretched(small time.Duration, beats float64, n int) time.Duration {
 	return max(small, time.Duration(beats*float64(BeatPeriod(n))))
@@ -46,13 +54,23 @@
 	HeardAt time.Time
 	// Operators and Upstreams are the offsets up to which the peer has read the store.
 	Operators, Upstreams ident.Offset
+	// Changed is the offset that follows the last record of an upstream that the peer knows to have changed anything.
+	Changed ident.Offset
+	// StoreAge is how long before the last beat the store had answered the peer.
+	StoreAge time.Duration
 	// Term is the term of the duty that the peer performs; 0 for none.
 	Term ident.Offset
+	// Capacity is what the peer can pass on, Demand what reaches it at the peak of the last seconds.
+	Capacity, Demand Rate
+	// Serving says that requests reach the peer.
+	Serving bool
+	// Period is the time between the peer's beats.
+	Period time.Duration
+	// Relayed says that another daemon vouches for the peer, which has sent no beat itself of late.
+	Relayed bool
 
 	sequence uint64
 	addedAt  time.Time
-	// aliveFor is how long after its last beat the peer counts as alive.
-	aliveFor time.Duration
 }
 
 // Table holds the peers. Its fields are set before the first call.
@@ -94,6 +112,25 @@
 	t.put(&Peer{ID: id, Incarnation: incarnation, PeerAddress: peerAddress, addedAt: time.Now()})
 }
 
+// Vouched takes an active daemon that another one hears.
+func (t *Table) Vouched(p Peer) {
+	if p.ID == t.Self || p.ID == "" {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	old := t.peers[p.ID]
+	if old != nil && (old.Incarnation > p.Incarnation || old.Incarnation == p.Incarnation && !old.Relayed && old.Alive(now)) {
+		return
+	}
+	if old != nil && old.Incarnation == p.Incarnation {
+		p.sequence = old.sequence
+	}
+	p.HeardAt, p.addedAt, p.Ready, p.Relayed = now, now, true, true
+	t.put(&p)
+}
+
 func (t *Table) put(p *Peer) {
 	if t.peers == nil {
 		t.peers = map[ident.DaemonID]*Peer{}
@@ -101,7 +138,7 @@
 	t.peers[p.ID] = p
 }
 
-// Expire drops peers that have been silent for long and returns them.
+// Expire drops peers that have been silent for long and returns them. Their addresses are kept for longer.
 func (t *Table) Expire() []ident.DaemonID {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -109,9 +146,13 @@
 	now := time.Now()
 	for id, p := range t.peers {
 		silentFor := now.Sub(p.addedAt)
-		if silentFor > knownFor || p.Leaving && silentFor > Stretched(aliveFor, aliveBeats, len(t.peers)) {
+		switch {
+		case p.HeardAt.IsZero() && silentFor > addressFor, p.Leaving && silentFor > p.aliveFor():
 			delete(t.peers, id)
 			gone = append(gone, id)
+		case !p.HeardAt.IsZero() && silentFor > knownFor:
+			t.put(&Peer{ID: id, Incarnation: p.Incarnation, PeerAddress: p.PeerAddress, sequence: p.sequence, addedAt: now})
+			gone = append(gone, id)
 		}
 	}
 	return gone
@@ -122,11 +163,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	out := make([]Peer, 0, len(t.peers))
-	alive := Stretched(aliveFor, aliveBeats, len(t.peers))
 	for _, p := range t.peers {
-		one := *p
-		one.aliveFor = alive
-		out = append(out, one)
+		out = append(out, *p)
 	}
 	slices.SortFunc(out, func(a, b Peer) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	return out
@@ -134,7 +172,20 @@
 
 // Alive reports whether the peer was heard of lately.
 func (p *Peer) Alive(now time.Time) bool {
-	return !p.HeardAt.IsZero() && now.Sub(p.HeardAt) < p.aliveFor
+	return !p.HeardAt.IsZero() && now.Sub(p.HeardAt) < p.aliveFor()
+}
+
+// Skippable returns the offset up to which a daemon that has read the list of upstreams up to next lacks nothing that
+// the peer has; 0 if it lacks something.
+func (p *Peer) Skippable(next ident.Offset) ident.Offset {
+	if p.Changed > next {
+		return 0
+	}
+	return p.Upstreams
+}
+
+func (p *Peer) aliveFor() time.Duration {
+	return max(aliveFor, time.Duration(aliveBeats*float64(p.Period)))
 }
 
 // Holder returns the alive peer that performs the duty with the highest term.
@@ -160,45 +211,35 @@
 	return n
 }
 
-// Count returns the number of daemons that are known, this one included.
+// Count returns the number of daemons that were heard of lately, this one included.
 func (t *Table) Count() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return 1 + len(t.peers)
-}
-
-// Rank returns the daemon's place among the live and ready ones by id, 0 for the first.
-func (t *Table) Rank() int {
-	n, now := 0, time.Now()
+	n := 1
 	for _, p := range t.All() {
-		if p.Alive(now) && p.Ready && p.ID < t.Self {
+		if !p.HeardAt.IsZero() {
 			n++
 		}
 	}
 	return n
 }
 
-// Addresses returns where callers of the failure domain shall connect. A daemon that hears of few others may be cut off
+// Addresses returns where callers shall connect: the active daemons. A daemon that hears of no other may be cut off
 // itself, and then names all that it knows.
-func (t *Table) Addresses(self string, selfReady bool) []string {
-	var alive, known []string
-	if selfReady {
-		alive = append(alive, self)
+func (t *Table) Addresses(own Peer) []string {
+	var out []string
+	for _, p := range t.Active(own) {
+		if p.CallerAddress != "" {
+			out = append(out, p.CallerAddress)
+		}
+	}
+	if len(out) > 1 {
+		return out[:min(len(out), maxListed)]
 	}
-	now := time.Now()
 	for _, p := range t.All() {
-		if p.CallerAddress == "" || p.Leaving || !p.Ready {
-			continue
+		if p.CallerAddress != "" && !p.Leaving && p.Ready {
+			out = append(out, p.CallerAddress)
 		}
-		known = append(known, p.CallerAddress)
-		if p.Alive(now) {
-			alive = append(alive, p.CallerAddress)
-		}
-	}
-	if len(alive) < 2 && len(known) > len(alive) {
-		alive = append(alive, known...)
-		slices.Sort(alive)
-		alive = slices.Compact(alive)
 	}
-	return alive[:min(len(alive), maxListed)]
+	slices.Sort(out)
+	out = slices.Compact(out)
+	return out[:min(len(out), maxListed)]
 }
--- a/internal/program/entry/beats.go
+++ b/internal/program/entry/beats.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -19,10 +18,6 @@
 )
 
 const (
-	// peersEvery is the number of beats between two that list the known peers.
-	peersEvery = 10
-	// storedBeats is how many beats tell of a part that the KV cache store has got.
-	storedBeats = 1.6
 	// sweepPeriod is how often old knowledge is dropped.
 	sweepPeriod = 100 * time.Millisecond
 	// membersPeriod is how often the list of members is read while few peers are known.
@@ -31,81 +26,6 @@
 	lagFor = 80 * time.Millisecond
 )
 
-// beat returns what the daemon tells the others.
-func (d *Daemon) beat() *wire.Beat {
-	l := d.Settings.Listen
-	b := &wire.Beat{
-		Daemon:        string(d.Settings.DaemonID),
-		Incarnation:   d.incarnation,
-		CallerAddress: l.Callers,
-		PeerAddress:   l.Peers,
-		FailureDomain: string(d.Settings.FailureDomain),
-		Ready:         d.ready(),
-		Leaving:       d.leaving.Load(),
-		StoreAgeMs:    uint32(min(d.follower.StoreAge().Milliseconds(), 1<<30)),
-		OperatorsNext: uint64(d.follower.Next(extern.TopicOperators)),
-		UpstreamsNext: uint64(d.follower.Next(extern.TopicUpstreams)),
-	}
-	b.CacheStore = d.parts.Reached()
-	loads, fetching := d.placer.Loads()
-	b.Fetching = uint32(max(0, fetching))
-	for id, load := range loads {
-		b.Loads = append(b.Loads, &wire.UpstreamLoad{
-			Upstream: string(id), Requests: uint32(max(0, load.Requests)), Unread: uint32(max(0, load.Unread)),
-		})
-	}
-	for _, sent := range d.placer.TakeSent() {
-		b.Sent = append(b.Sent, &wire.SentChain{Chain: uint64(sent.Chain), Upstream: string(sent.Engine)})
-	}
-	if n := d.table.Count(); !small(n) && d.table.Rank() == 0 {
-		// One daemon is enough to tell those who don't follow the KV cache store.
-		for _, h := range d.parts.Fresh(fleet.Stretched(0, storedBeats, n)) {
-			b.Stored = append(b.Stored, uint64(h))
-		}
-	}
-	for id, use := range d.meter.Uses() {
-		told := &wire.OrganisationUse{Organisation: string(id), Admitted: use.Admitted}
-		if use.Settled {
-			told.Balance = &use.Balance
-		}
-		b.Use = append(b.Use, told)
-	}
-	d.tellDuty(b)
-	if d.beats.Add(1)%peersEvery == 1 {
-		for _, p := range d.table.All() {
-			b.Peers = append(b.Peers, &wire.KnownPeer{
-				Daemon: string(p.ID), PeerAddress: p.PeerAddress, Incarnation: p.Incarnation,
-			})
-		}
-	}
-	return b
-}
-
-// targets returns where beats go: to all known peers, and to the seeds while none is known.
-func (d *Daemon) targets() []string {
-	var out []string
-	for _, p := range d.table.All() {
-		out = append(out, p.PeerAddress)
-	}
-	if len(out) > 0 {
-		return out
-	}
-	_, port, err := net.SplitHostPort(d.Settings.Listen.Peers)
-	if err != nil {
-		return nil
-	}
-	for _, seed := range *d.seeds.Load() {
-		host, _, err := net.SplitHostPort(seed)
-		if err != nil {
-			host = seed
-		}
-		if address := net.JoinHostPort(host, port); address != d.Settings.Listen.Peers {
-			out = append(out, address)
-		}
-	}
-	return out
-}
-
 // heard takes a beat of a peer.
 func (d *Daemon) heard(b *wire.Beat) {
 	id := ident.DaemonID(b.GetDaemon())
@@ -119,11 +39,22 @@
 		Leaving:       b.GetLeaving(),
 		Operators:     ident.Offset(b.GetOperatorsNext()),
 		Upstreams:     ident.Offset(b.GetUpstreamsNext()),
+		Changed:       ident.Offset(b.GetUpstreamsChanged()),
+		StoreAge:      time.Duration(b.GetStoreAgeMs()) * time.Millisecond,
 		Term:          ident.Offset(b.GetTerm()),
+		Capacity:      fleet.Rate(b.GetCapacity()),
+		Demand:        fleet.Rate(b.GetDemand()),
+		Serving:       b.GetServing(),
+		Period:        time.Duration(b.GetPeriodMs()) * time.Millisecond,
 	}
 	if !d.table.Heard(p, b.GetSequence()) {
 		return
 	}
+	d.learnDuty(b)
+	if b.GetBrief() {
+		d.heardBrief(b)
+		return
+	}
 	if b.GetCacheStore() {
 		d.parts.PeerReached()
 	}
@@ -147,27 +78,91 @@
 		sent = append(sent, place.Sent{Chain: place.ChainKey(s.GetChain()), Engine: ident.UpstreamID(s.GetUpstream())})
 	}
 	d.placer.LearnSent(sent)
-	uses := make(map[ident.OrganisationID]admit.Use, len(b.GetUse()))
+	d.meter.Learn(id, b.GetIncarnation(), uses(b))
+}
+
+// heardBrief takes the beat of a daemon that sees no need to exchange all: one of the two has no traffic.
+func (d *Daemon) heardBrief(b *wire.Beat) {
+	if b.GetCacheStore() {
+		d.parts.PeerReached()
+	}
+	for _, a := range b.GetActive() {
+		d.table.Vouched(fleet.Peer{
+			ID:            ident.DaemonID(a.GetDaemon()),
+			Incarnation:   a.GetIncarnation(),
+			CallerAddress: a.GetCallerAddress(),
+			PeerAddress:   a.GetPeerAddress(),
+			Domain:        ident.FailureDomain(a.GetFailureDomain()),
+			Capacity:      fleet.Rate(a.GetCapacity()),
+			Demand:        fleet.Rate(a.GetDemand()),
+			Period:        time.Duration(b.GetPeriodMs()) * time.Millisecond,
+		})
+	}
+	idle := !b.GetServing()
+	if v := d.fleet.Load(); v == nil || !v.meshed() || idle {
+		d.meter.Rests(ident.DaemonID(b.GetDaemon()), b.GetIncarnation(), uses(b), idle)
+	}
+}
+
+func uses(b *wire.Beat) map[ident.OrganisationID]admit.Use {
+	out := make(map[ident.OrganisationID]admit.Use, len(b.GetUse()))
 	for _, u := range b.GetUse() {
-		uses[ident.OrganisationID(u.GetOrganisation())] = admit.Use{
+		out[ident.OrganisationID(u.GetOrganisation())] = admit.Use{
 			Admitted: u.GetAdmitted(), Balance: u.GetBalance(), Settled: u.Balance != nil,
 		}
 	}
-	d.meter.Learn(id, b.GetIncarnation(), uses)
-	d.learnDuty(b)
+	return out
 }
 
-// maxReaders is the number of daemons that read the store all the time: some in each failure domain, as its calls are
-// limited and paid for.
-const maxReaders = 10
+const (
+	// operatorReaders is the number of active daemons that read what operators publish; it changes seldom.
+	operatorReaders = 8
+	// upstreamReaders is the number of them that read the list of upstreams, which changes all the time: calls of the store
+	// are limited and paid for. One may be cut off and one stopped.
+	upstreamReaders = 3
+	// maxCacheReaders is the number of daemons that follow the KV cache store, which holds 12 reads at once.
+	maxCacheReaders = 10
+	// readerAge is how long ago the store must have answered a daemon that others rely on: a read without news takes 2.5 s.
+	readerAge = 3500 * time.Millisecond
+)
+
+// reads reports whether this daemon is among those that read a topic of the store all the time.
+func (d *Daemon) reads(topic extern.Topic) bool {
+	v := d.fleet.Load()
+	if v == nil {
+		return true
+	}
+	readers := upstreamReaders
+	if topic == extern.TopicOperators {
+		readers = operatorReaders
+	}
+	for _, p := range v.active[:v.rank] {
+		if p.StoreAge < readerAge {
+			readers--
+		}
+	}
+	return readers > 0
+}
+
+// followsCache reports whether this daemon reads the events of the KV cache store.
+func (d *Daemon) followsCache() bool {
+	v := d.fleet.Load()
+	return v == nil || v.rank < min(len(v.active), maxCacheReaders)
+}
 
-// reads reports whether this daemon is among those that read the store all the time.
-func (d *Daemon) reads() bool {
-	return small(d.table.Count()) || d.table.Rank() < maxReaders
+// rank returns this daemon's place among the active ones, 0 for the first.
+func (d *Daemon) rank() int {
+	if v := d.fleet.Load(); v != nil {
+		return v.rank
+	}
+	return 0
 }
 
-// small reports whether all n daemons may read the store and the KV cache store's events, which hold 12 reads at once.
-func small(n int) bool { return n <= maxReaders+2 }
+// isActive reports whether callers are sent to this daemon.
+func (d *Daemon) isActive() bool {
+	v := d.fleet.Load()
+	return v == nil || v.rank < len(v.active)
+}
 
 // member is the record of a daemon in the list of members.
 type member struct {
@@ -243,7 +238,8 @@
 		if !p.Alive(now) {
 			continue
 		}
-		by := max(p.Operators, operators) - operators + max(p.Upstreams, upstreams) - upstreams
+		d.follower.Skip(extern.TopicUpstreams, p.Skippable(upstreams))
+		by := max(p.Operators, operators) - operators + max(p.Changed, upstreams) - upstreams
 		if by > ahead {
 			ahead, best = by, p
 		}
@@ -255,7 +251,7 @@
 	if d.behindSince.IsZero() {
 		d.behindSince = now
 	}
-	if now.Sub(d.behindSince) < lagFor+feedGather {
+	if now.Sub(d.behindSince) < lagFor {
 		return
 	}
 	reply, err := d.peers.Fetch(ctx, best.PeerAddress, &wire.ChangesRequest{
@@ -269,9 +265,6 @@
 	d.follower.Relayed(extern.TopicUpstreams, records(reply.GetUpstreams()), ident.Offset(reply.GetUpstreamsNext()))
 }
 
-// feedGather is the time for which reads of registrations rest: a daemon that lags so long lacks nothing.
-const feedGather = 300 * time.Millisecond
-
 func records(stored []*wire.StoredRecord) []extern.KeyedRecord {
 	out := make([]extern.KeyedRecord, 0, len(stored))
 	for _, r := range stored {
--- a/internal/program/entry/daemon.go
+++ b/internal/program/entry/daemon.go
@@ -56,6 +56,13 @@
 	// active counts requests in progress.
 	active atomic.Int64
 	beats  atomic.Uint64
+	// demand counts the requests that reach this daemon.
+	demand fleet.Demand
+	// fleet is what the last round made of the fleet.
+	fleet atomic.Pointer[fleetView]
+	// restAt is when daemons without traffic were last told, told what they heard; only round uses them.
+	restAt time.Time
+	told   restState
 	// behindSince is when a peer was first seen ahead; only sweep uses it.
 	behindSince time.Time
 }
@@ -79,7 +86,7 @@
 	d.incarnation = uint64(time.Now().UnixNano())
 	d.table.Self = s.DaemonID
 	d.seeds.Store(&s.Seeds)
-	d.meter.Fleet = d.table.Count
+	d.meter.Fleet = d.meshSize
 	d.meter.Lookup = func(id ident.OrganisationID) *view.Organisation {
 		if c := d.board.Config(); c != nil {
 			return c.Organisations[id]
@@ -88,26 +95,26 @@
 	}
 	d.store = &platform.Store{Address: s.Store, Pool: httpc.Pool{DialTimeout: storeDial}}
 	upstreams := &httpc.Pool{DialTimeout: upstreamDial, IdleTimeout: upstreamIdle}
-	d.parts = &cached.Parts{Feed: &platform.CacheFeed{Pool: &httpc.Pool{DialTimeout: storeDial}}, Board: &d.board, Follows: d.reads}
+	d.parts = &cached.Parts{Feed: &platform.CacheFeed{Pool: &httpc.Pool{DialTimeout: storeDial}}, Board: &d.board, Follows: d.followsCache}
 	d.placer = &place.Placer{
 		Board:      &d.board,
 		Domain:     s.FailureDomain,
 		Stored:     d.parts,
-		Fleet:      d.table.Count,
+		Fleet:      d.meshSize,
 		OlderLimit: time.Duration(s.Limits.WeightsMs)*time.Millisecond - olderMargin,
 	}
 	d.follower = &feed.Follower{
 		Store:       d.store,
 		Decoder:     platform.Decoder{},
 		Board:       &d.board,
-		Changed:     func() { d.placer.Forget(); d.peers.Urgent() },
+		OnChange:    func() { d.placer.Forget(); d.peers.Urgent() },
 		Reads:       d.reads,
+		Hears:       func() time.Duration { return 2 * fleet.RestPeriod(d.table.Count()) },
 		NamedBefore: max(0, time.Duration(s.Limits.WeightsMs)*time.Millisecond-startAllowance),
 	}
 	d.peers = &gossip.Node{
 		Address: s.Listen.Peers,
-		Beat:    d.beat,
-		Targets: d.targets,
+		Round:   d.round,
 		Heard:   d.heard,
 		Changes: d.changes,
 	}
@@ -118,9 +125,9 @@
 		Store:       d.store,
 		Bar:         d.bar(),
 		Elapsed:     bootTime,
-		Rank:        d.table.Rank,
+		Rank:        d.rank,
 		Held:        d.held,
-		Eligible:    func() bool { return d.ready() && d.follower.StoreAge() < eligibleAge },
+		Eligible:    func() bool { return d.ready() && d.isActive() && d.follower.StoreAge() < eligibleAge },
 	}
 	d.loads = &reload.Runner{
 		Self:    s.DaemonID,
@@ -164,7 +171,7 @@
 	return &opaque.Budgets{
 		Share: ident.Permille(max(1, l.RetryShare*budgetShare*permille)),
 		Reserve: func() int64 {
-			return int64(max(1, l.RetrySlack*budgetShare/float64(max(fleetLeast, d.table.Count()))))
+			return int64(max(1, l.RetrySlack*budgetShare/float64(max(fleetLeast, d.meshSize()))))
 		},
 	}
 }
--- /dev/null
+++ b/internal/program/entry/round.go
@@ -0,0 +1,230 @@
+package entry
+
+import (
+	"net"
+	"time"
+
+	"github.com/gooseberryway/gooseberryway/internal/coordination/fleet"
+	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
+	"github.com/gooseberryway/gooseberryway/internal/state/extern"
+	"github.com/gooseberryway/gooseberryway/internal/transport/gossip"
+)
+
+const (
+	// peersEvery is the number of full beats between two that list the known peers.
+	peersEvery = 10
+	// storedBeats is how many beats tell of a part that the KV cache store has got.
+	storedBeats = 1.6
+)
+
+// fleetView is what a daemon makes of the fleet at one moment.
+type fleetView struct {
+	own fleet.Peer
+	// active are the daemons that callers are sent to, the strongest first.
+	active []fleet.Peer
+	// rank is this daemon's place among them, len(active) if it is not active.
+	rank int
+	// mesh are the addresses of the other daemons with traffic, rest those of all others.
+	mesh, rest []string
+	// size is the number of daemons that were heard of lately.
+	size int
+}
+
+// self describes this daemon as its peers see it.
+func (d *Daemon) self() fleet.Peer {
+	l := d.Settings.Listen
+	return fleet.Peer{
+		ID:            d.Settings.DaemonID,
+		Incarnation:   d.incarnation,
+		CallerAddress: l.Callers,
+		PeerAddress:   l.Peers,
+		Domain:        d.Settings.FailureDomain,
+		Ready:         d.ready(),
+		Leaving:       d.leaving.Load(),
+		Capacity:      fleet.Capacity(d.Settings.Resources.CPUShare*float64(d.Settings.Resources.Cores), d.Settings.Resources.LinkMbps),
+		Demand:        d.demand.Peak(),
+		Serving:       d.active.Load() > 0 || d.demand.Recent(),
+	}
+}
+
+// look takes the present view of the fleet and keeps it for requests.
+func (d *Daemon) look() *fleetView {
+	v := &fleetView{own: d.self(), size: d.table.Count()}
+	v.active = d.table.Active(v.own)
+	v.rank = len(v.active)
+	member := map[string]bool{}
+	for i, p := range v.active {
+		member[p.PeerAddress] = true
+		if p.ID == v.own.ID {
+			v.rank = i
+		}
+	}
+	now := time.Now()
+	for _, p := range d.table.All() {
+		switch {
+		case member[p.PeerAddress] || p.Serving && p.Alive(now):
+			v.mesh = append(v.mesh, p.PeerAddress)
+		default:
+			v.rest = append(v.rest, p.PeerAddress)
+		}
+	}
+	d.fleet.Store(v)
+	return v
+}
+
+// meshed reports whether the daemon exchanges all it knows with the others that have traffic.
+func (v *fleetView) meshed() bool { return v.rank < len(v.active) || v.own.Serving }
+
+// meshSize returns the number of daemons with traffic, this one included.
+func (d *Daemon) meshSize() int {
+	if v := d.fleet.Load(); v != nil {
+		return 1 + len(v.mesh)
+	}
+	return 1
+}
+
+// round returns what the daemon tells the others now: all it knows to those with traffic, and from time to time what
+// the rest must know to take over.
+func (d *Daemon) round() gossip.Round {
+	v := d.look()
+	rest := fleet.RestPeriod(v.size)
+	now := time.Now()
+	restDue := now.Sub(d.restAt) >= rest || d.told != v.state()
+	if !v.meshed() {
+		targets := v.mesh
+		if len(targets) == 0 {
+			targets = append(v.rest, d.seedAddresses()...)
+		}
+		d.told, d.restAt = v.state(), now
+		return gossip.Round{Messages: []gossip.Message{{Beat: d.brief(v, rest), Targets: targets}}, Next: rest}
+	}
+	period := fleet.BeatPeriod(1 + len(v.mesh))
+	out := gossip.Round{Next: period}
+	if len(v.mesh) > 0 {
+		out.Messages = append(out.Messages, gossip.Message{Beat: d.beat(v, period), Targets: v.mesh})
+	}
+	if restDue {
+		targets := v.rest
+		if len(v.mesh) == 0 {
+			targets = append(targets, d.seedAddresses()...)
+		}
+		d.told, d.restAt = v.state(), now
+		out.Messages = append(out.Messages, gossip.Message{Beat: d.brief(v, rest), Targets: targets})
+	}
+	return out
+}
+
+// restState is what the rest of the fleet must hear at once when it changes.
+type restState struct {
+	ready, leaving, meshed bool
+}
+
+func (v *fleetView) state() restState { return restState{v.own.Ready, v.own.Leaving, v.meshed()} }
+
+// brief returns what daemons without traffic hear and tell.
+func (d *Daemon) brief(v *fleetView, period time.Duration) *wire.Beat {
+	b := &wire.Beat{
+		Daemon:           string(v.own.ID),
+		Incarnation:      v.own.Incarnation,
+		CallerAddress:    v.own.CallerAddress,
+		PeerAddress:      v.own.PeerAddress,
+		FailureDomain:    string(v.own.Domain),
+		Ready:            v.own.Ready,
+		Leaving:          v.own.Leaving,
+		Capacity:         float64(v.own.Capacity),
+		Demand:           float64(v.own.Demand),
+		Serving:          v.own.Serving,
+		PeriodMs:         uint32(period.Milliseconds()),
+		Brief:            true,
+		StoreAgeMs:       d.storeAgeMs(),
+		OperatorsNext:    uint64(d.follower.Next(extern.TopicOperators)),
+		UpstreamsNext:    uint64(d.follower.Next(extern.TopicUpstreams)),
+		UpstreamsChanged: uint64(d.follower.Changed(extern.TopicUpstreams)),
+		CacheStore:       d.parts.Reached(),
+	}
+	d.tellDuty(b)
+	if !v.meshed() {
+		return b
+	}
+	d.tellUse(b)
+	for _, p := range v.active {
+		if p.ID == v.own.ID || p.Relayed {
+			continue
+		}
+		b.Active = append(b.Active, &wire.ActiveDaemon{
+			Daemon: string(p.ID), Incarnation: p.Incarnation, PeerAddress: p.PeerAddress, CallerAddress: p.CallerAddress,
+			FailureDomain: string(p.Domain), Capacity: float64(p.Capacity), Demand: float64(p.Demand),
+		})
+	}
+	return b
+}
+
+// beat returns all that the daemon tells those with traffic.
+func (d *Daemon) beat(v *fleetView, period time.Duration) *wire.Beat {
+	b := d.brief(v, period)
+	b.Brief, b.Active = false, nil
+	loads, fetching := d.placer.Loads()
+	b.Fetching = uint32(max(0, fetching))
+	for id, load := range loads {
+		b.Loads = append(b.Loads, &wire.UpstreamLoad{
+			Upstream: string(id), Requests: uint32(max(0, load.Requests)), Unread: uint32(max(0, load.Unread)),
+		})
+	}
+	for _, sent := range d.placer.TakeSent() {
+		b.Sent = append(b.Sent, &wire.SentChain{Chain: uint64(sent.Chain), Upstream: string(sent.Engine)})
+	}
+	if n := 1 + len(v.mesh); n > maxCacheReaders && v.rank == 0 {
+		// One daemon is enough to tell those who don't follow the KV cache store.
+		for _, h := range d.parts.Fresh(fleet.Stretched(0, storedBeats, n)) {
+			b.Stored = append(b.Stored, uint64(h))
+		}
+	}
+	if d.beats.Add(1)%peersEvery == 1 {
+		for _, p := range d.table.All() {
+			b.Peers = append(b.Peers, &wire.KnownPeer{
+				Daemon: string(p.ID), PeerAddress: p.PeerAddress, Incarnation: p.Incarnation,
+			})
+		}
+	}
+	return b
+}
+
+// tellUse adds what this daemon has admitted of each organisation.
+func (d *Daemon) tellUse(b *wire.Beat) {
+	for id, use := range d.meter.Uses() {
+		told := &wire.OrganisationUse{Organisation: string(id), Admitted: use.Admitted}
+		if use.Settled {
+			told.Balance = &use.Balance
+		}
+		b.Use = append(b.Use, told)
+	}
+}
+
+// storeFailsMs is told in place of the store's age by a daemon whose last call failed.
+const storeFailsMs = 1 << 30
+
+func (d *Daemon) storeAgeMs() uint32 {
+	if !d.follower.Answered() {
+		return storeFailsMs
+	}
+	return uint32(min(d.follower.StoreAge().Milliseconds(), storeFailsMs))
+}
+
+// seedAddresses returns the peer addresses of the settings' seeds, which may be stale.
+func (d *Daemon) seedAddresses() []string {
+	_, port, err := net.SplitHostPort(d.Settings.Listen.Peers)
+	if err != nil {
+		return nil
+	}
+	var out []string
+	for _, seed := range *d.seeds.Load() {
+		host, _, err := net.SplitHostPort(seed)
+		if err != nil {
+			host = seed
+		}
+		if address := net.JoinHostPort(host, port); address != d.Settings.Listen.Peers {
+			out = append(out, address)
+		}
+	}
+	return out
+}
--- a/internal/program/entry/serve.go
+++ b/internal/program/entry/serve.go
@@ -17,6 +17,7 @@
 
 func (d *Daemon) serveCaller(w http.ResponseWriter, r *http.Request) {
 	d.active.Add(1)
+	d.demand.Note()
 	defer d.active.Add(-1)
 	d.handler.ServeHTTP(w, r)
 }
@@ -31,7 +32,7 @@
 
 // serveDirectory tells callers where to connect.
 func (d *Daemon) serveDirectory(w http.ResponseWriter, _ *http.Request) {
-	addresses := d.table.Addresses(d.Settings.Listen.Callers, d.ready())
+	addresses := d.table.Addresses(d.self())
 	if len(addresses) == 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/internal/program/setup/entry.go
+++ b/internal/program/setup/entry.go
@@ -12,6 +12,17 @@
 	// Store is the IP:PORT of the platform's store.
 	Store  string      `json:"store" validate:"required,ipport"`
 	Limits EntryLimits `json:"limits"`
+	// Resources are what the VM has; the daemons with most of it carry the traffic.
+	Resources EntryResources `json:"resources"`
+}
+
+// EntryResources are what a VM has; 0 for what is not known.
+type EntryResources struct {
+	// CPUShare is the part of each core that the daemon may use.
+	CPUShare float64 `json:"cpuShare" validate:"min=0,max=1"`
+	Cores    int     `json:"cores" validate:"min=0,max=1024"`
+	// LinkMbps is the bandwidth of the VM's link in megabits a second.
+	LinkMbps float64 `json:"linkMbps" validate:"min=0"`
 }
 
 // EntryListen holds the addresses to listen on, as IP:PORT.
--- a/internal/state/view/upstream.go
+++ b/internal/state/view/upstream.go
@@ -1,6 +1,7 @@
 package view
 
 import (
+	"maps"
 	"time"
 
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
@@ -36,6 +37,13 @@
 	SeenAt time.Time
 }
 
+// Same reports whether two registrations say the same, whenever they were made.
+func (u *Upstream) Same(o *Upstream) bool {
+	return u.ID == o.ID && u.Started == o.Started && u.Service == o.Service && u.Address == o.Address &&
+		u.FailureDomain == o.FailureDomain && u.Release == o.Release && u.Slots == o.Slots && u.State == o.State &&
+		maps.Equal(u.Weights, o.Weights)
+}
+
 // Upstreams is the list of registered upstreams. It is not changed once it is published.
 type Upstreams struct {
 	Offset    ident.Offset
--- a/internal/transport/gossip/gossip.go
+++ b/internal/transport/gossip/gossip.go
@@ -16,7 +16,6 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
-	"github.com/gooseberryway/gooseberryway/internal/coordination/fleet"
 	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
 )
 
@@ -29,14 +28,25 @@
 	headerLimit  = 4 << 10
 )
 
+// Round is what a daemon sends at one moment.
+type Round struct {
+	Messages []Message
+	// Next is the time until the next round, unless an urgent one comes first.
+	Next time.Duration
+}
+
+// Message is a beat and the peer addresses that it goes to.
+type Message struct {
+	Beat    *wire.Beat
+	Targets []string
+}
+
 // Node sends and receives beats. Its fields are set before Run.
 type Node struct {
 	// Address is the IP:PORT for datagrams and calls.
 	Address string
-	// Beat returns the daemon's beat.
-	Beat func() *wire.Beat
-	// Targets returns the peer addresses that beats go to.
-	Targets func() []string
+	// Round returns what is to be sent now, and when the next round is due.
+	Round func() Round
 	// Heard is called for each beat that arrives.
 	Heard func(*wire.Beat)
 	// Changes answers a daemon that misses records.
@@ -111,31 +121,31 @@
 
 func (n *Node) send(ctx context.Context) {
 	for ctx.Err() == nil {
-		targets := n.Targets()
-		n.beat(targets)
-		period := fleet.BeatPeriod(len(targets))
+		round := n.Round()
+		for _, m := range round.Messages {
+			n.beat(m)
+		}
 		select {
 		case <-ctx.Done():
 		case <-n.urgent:
 			// Many changes in a row go out in one beat.
-			time.Sleep(min(period/10, urgentGather))
-		case <-time.After(period):
+			time.Sleep(min(round.Next/10, urgentGather))
+		case <-time.After(round.Next):
 		}
 	}
 }
 
-func (n *Node) beat(targets []string) {
-	if len(targets) == 0 {
+func (n *Node) beat(m Message) {
+	if len(m.Targets) == 0 {
 		return
 	}
-	b := n.Beat()
-	b.Sequence = n.sequence.Add(1)
-	raw, err := proto.Marshal(b)
+	m.Beat.Sequence = n.sequence.Add(1)
+	raw, err := proto.Marshal(m.Beat)
 	if err != nil || len(raw) > maxDatagram {
 		klog.ErrorS(err, "Beat not sent", "bytes", len(raw))
 		return
 	}
-	for _, target := range targets {
+	for _, target := range m.Targets {
 		to, err := netip.ParseAddrPort(target)
 		if err != nil {
 			continue
