--- a/internal/coordination/feed/follower.go
+++ b/internal/coordination/feed/follower.go
@@ -24,8 +24,10 @@
 	// gatherLeast, and up to twice as much, is how long registrations are gathered before the next read: many come at once.
 	// Several readers at random moments see a change within a third of it.
 	gatherLeast = 200 * time.Millisecond
-	// idleLeast, and up to twice as much, is the time between reads of a daemon that hears from readers.
-	idleLeast = 5 * time.Second
+	// idleLeast, and up to twice as much, is the time between reads of a daemon that hears from readers. It grows by
+	// idlePerDaemon, so that all together make four such reads of a topic a second.
+	idleLeast     = 5 * time.Second
+	idlePerDaemon = 250 * time.Millisecond
 	// staleAfter is how long the list of upstreams may stand still before a daemon that hears from readers reads itself: all
 	// upstreams renew their registrations about once a second.
 	staleAfter = 1500 * time.Millisecond
@@ -51,7 +53,9 @@
 	// Reads reports whether this daemon reads a topic all the time; the others hear from it, and read now and then. Nil for
 	// always.
 	Reads func(extern.Topic) bool
-	// Hears is the longest time between two beats from a daemon that reads; nil for a small fleet.
+	// Fleet returns the number of daemons; nil for a small fleet.
+	Fleet func() int
+	// Hears returns the longest time between two beats from a daemon that reads; nil for a small fleet.
 	Hears func() time.Duration
 	// OnChange is called after the board has changed; nil for none.
 	OnChange func()
@@ -123,15 +127,29 @@
 		note(&f.failedAt)
 		scope.Sleep(ctx, pause/2+rand.N(pause))
 		pause = min(2*pause, pauseMost)
+		if f.known(topic) {
+			f.rest(ctx, topic)
+		}
 	}
 }
 
+// known reports whether a topic was read at least once.
+func (f *Follower) known(topic extern.Topic) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state(topic).loaded
+}
+
 // rest waits until the next read is due.
 func (f *Follower) rest(ctx context.Context, topic extern.Topic) {
 	if topic == extern.TopicUpstreams {
 		scope.Sleep(ctx, gatherLeast+rand.N(gatherLeast))
 	}
-	idle := time.Now().Add(idleLeast + rand.N(idleLeast))
+	least := idleLeast
+	if f.Fleet != nil {
+		least = max(least, time.Duration(f.Fleet())*idlePerDaemon)
+	}
+	idle := time.Now().Add(least + rand.N(least))
 	for ctx.Err() == nil && time.Now().Before(idle) {
 		if f.Reads == nil || f.Reads(topic) || f.stale(topic) {
 			return
--- a/internal/coordination/place/placer.go
+++ b/internal/coordination/place/placer.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/gooseberryway/gooseberryway/internal/coordination/fleet"
+	"github.com/gooseberryway/gooseberryway/internal/state/cached"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/state/view"
 )
@@ -55,8 +56,9 @@
 	// Fetch tells where cached parts shall be fetched from; Source is the address of an engine.
 	Fetch  FetchFrom
 	Source string
-	// Save says that the parts shall be saved to the KV cache store.
-	Save bool
+	// Store is the KV cache store of the request's chain, nil for none; Save says that the parts shall be saved to it.
+	Store *cached.Parts
+	Save  bool
 	// Unread are the prompt tokens that the engine is expected to read.
 	Unread ident.Tokens
 	// Cost, Rank, Missed and Candidates are the inputs of the decision, for logs.
@@ -109,22 +111,20 @@
 
 func (e *BlockedError) Error() string { return "no upstream takes the request: " + string(e.Reason) }
 
-// StoredParts tells what the KV cache store holds.
-type StoredParts interface {
-	// Available reports whether the store answers.
-	Available() bool
-	// Holds reports whether the store holds the part under the salt.
-	Holds(salt, part string, tokens ident.Tokens) bool
-	// Requested notes that the part is about to be saved, and reports false if that was noted just before.
-	Requested(salt, part string) bool
+// CacheStores tells what the KV cache stores hold.
+type CacheStores interface {
+	// For returns the store that keeps a chain, or nil if none answers.
+	For(chain string) *cached.Parts
+	// Count returns the number of stores.
+	Count() int
 }
 
 // Placer places requests. Its fields are set before the first call.
 type Placer struct {
 	Board  *view.Board
 	Domain ident.FailureDomain
-	// Stored is nil without a KV cache store.
-	Stored StoredParts
+	// Stores is nil without KV cache stores.
+	Stores CacheStores
 	// Fleet returns the number of daemons, by which digests become older; nil for a small fleet.
 	Fleet func() int
 	// OlderLimit is the age of a named version from which no request may start on an older one; 0 for none.
@@ -168,6 +168,9 @@
 	q := &query{work: w, chain: sharedPart(w), shared: sharedTokens(w), now: now}
 	q.named, _ = p.Board.Weights(w.Model)
 	q.digest = p.digestFor()
+	if p.Stores != nil && q.chain != "" {
+		q.store = p.Stores.For(q.chain)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	blocked := &BlockedError{Reason: BlockedNone, RetryAfter: blockedRetry}
@@ -195,6 +198,8 @@
 	now    time.Time
 	// digest is how long a peer's digest counts.
 	digest time.Duration
+	// store keeps the chain; nil for none.
+	store *cached.Parts
 	// homes are the first candidates with each version of the weights.
 	homes map[int64]*candidate
 }
@@ -301,8 +306,7 @@
 		return
 	}
 	salt := Salt(c.Weights, q.work.Scope)
-	available := p.Stored != nil && p.Stored.Available()
-	if available {
+	if c.Store = q.store; c.Store != nil {
 		c.Fetch = FetchStore
 	}
 	home := q.homes[n.version]
@@ -311,9 +315,9 @@
 	last := len(q.work.Parts) - 2
 	for i, part := range q.work.Parts[:last+1] {
 		l := level{key: chainKey(salt, q.work.Scope+part.ID), tokens: part.Tokens, deepest: i == last}
-		l.stored = available && p.Stored.Holds(salt, part.ID, part.Tokens)
+		l.stored = c.Store != nil && c.Store.Holds(salt, part.ID, part.Tokens)
 		p.levelCost(q, c, n, home, l)
-		c.Save = l.deepest && available && !l.stored
+		c.Save = l.deepest && c.Store != nil && !l.stored
 	}
 	c.Cost += float64(max(0, q.work.Input-q.shared))
 }
@@ -382,7 +386,7 @@
 	return fleet.Stretched(digestFor, digestBeats, p.Fleet())
 }
 
-// fetching returns the tokens that all daemons have asked engines to fetch from the KV cache store.
+// fetching returns the tokens that all daemons have asked engines to fetch from each KV cache store, on average.
 func (p *Placer) fetching(now time.Time) ident.Tokens {
 	sum := p.ownFetching
 	for _, f := range p.peerFetching {
@@ -390,7 +394,7 @@
 			sum += f.Unread
 		}
 	}
-	return sum
+	return sum / ident.Tokens(max(1, p.Stores.Count()))
 }
 
 // plainCost weighs services without a cache by their queue and place.
--- a/internal/coordination/place/track.go
+++ b/internal/coordination/place/track.go
@@ -76,7 +76,7 @@
 		for _, part := range w.Parts[:len(w.Parts)-1] {
 			p.remember(n, chainKey(salt, w.Scope+part.ID))
 		}
-		c.Save = c.Save && p.Stored.Requested(salt, lastShared(w))
+		c.Save = c.Save && c.Store.Requested(salt, lastShared(w))
 	}
 	t := &Ticket{placer: p, node: n, unread: c.Unread}
 	if c.Fetch == FetchStore {
--- a/internal/program/entry/daemon.go
+++ b/internal/program/entry/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/gooseberryway/gooseberryway/internal/coordination/reload"
 	"github.com/gooseberryway/gooseberryway/internal/program/setup"
 	"github.com/gooseberryway/gooseberryway/internal/state/cached"
+	"github.com/gooseberryway/gooseberryway/internal/state/extern"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/state/view"
 	"github.com/gooseberryway/gooseberryway/internal/transport/gossip"
@@ -39,15 +40,16 @@
 	once      sync.Once
 
 	incarnation uint64
+	startedAt   time.Time
 	board       view.Board
 	table       fleet.Table
 	meter       admit.Meter
 	follower    *feed.Follower
 	placer      *place.Placer
-	parts       *cached.Parts
+	stores      *cached.Stores
 	peers       *gossip.Node
 	handler     *opaque.Handler
-	store       *platform.Store
+	store       extern.Store
 	keeper      *duty.Keeper
 	loads       *reload.Runner
 
@@ -83,7 +85,8 @@
 
 func (d *Daemon) build() {
 	s := d.Settings
-	d.incarnation = uint64(time.Now().UnixNano())
+	d.startedAt = time.Now()
+	d.incarnation = uint64(d.startedAt.UnixNano())
 	d.table.Self = s.DaemonID
 	d.seeds.Store(&s.Seeds)
 	d.meter.Fleet = d.meshSize
@@ -93,13 +96,13 @@
 		}
 		return nil
 	}
-	d.store = &platform.Store{Address: s.Store, Pool: httpc.Pool{DialTimeout: storeDial}}
+	d.store = countedStore{&platform.Store{Address: s.Store, Pool: httpc.Pool{DialTimeout: storeDial}}}
 	upstreams := &httpc.Pool{DialTimeout: upstreamDial, IdleTimeout: upstreamIdle}
-	d.parts = &cached.Parts{Feed: &platform.CacheFeed{Pool: &httpc.Pool{DialTimeout: storeDial}}, Board: &d.board, Follows: d.followsCache}
+	d.stores = &cached.Stores{Feed: &platform.CacheFeed{Pool: &httpc.Pool{DialTimeout: storeDial}}, Board: &d.board, Follows: d.followsCache}
 	d.placer = &place.Placer{
 		Board:      &d.board,
 		Domain:     s.FailureDomain,
-		Stored:     d.parts,
+		Stores:     d.stores,
 		Fleet:      d.meshSize,
 		OlderLimit: time.Duration(s.Limits.WeightsMs)*time.Millisecond - olderMargin,
 	}
@@ -109,7 +112,8 @@
 		Board:       &d.board,
 		OnChange:    func() { d.placer.Forget(); d.peers.Urgent() },
 		Reads:       d.reads,
-		Hears:       func() time.Duration { return 2 * fleet.RestPeriod(d.table.Count()) },
+		Fleet:       d.table.Count,
+		Hears:       d.hears,
 		NamedBefore: max(0, time.Duration(s.Limits.WeightsMs)*time.Millisecond-startAllowance),
 	}
 	d.peers = &gossip.Node{
@@ -127,7 +131,7 @@
 		Elapsed:     bootTime,
 		Rank:        d.rank,
 		Held:        d.held,
-		Eligible:    func() bool { return d.ready() && d.isActive() && d.follower.StoreAge() < eligibleAge },
+		Eligible:    func() bool { return d.ready() && d.settled() && d.isActive() && d.follower.StoreAge() < eligibleAge },
 	}
 	d.loads = &reload.Runner{
 		Self:    s.DaemonID,
@@ -206,7 +210,7 @@
 	for _, run := range []func(context.Context){
 		func(ctx context.Context) { d.peers.Run(ctx, peers) },
 		d.follower.Run,
-		d.parts.Run,
+		d.stores.Run,
 		d.keeper.Run,
 		d.loads.Run,
 		d.join,
--- a/internal/program/entry/round.go
+++ b/internal/program/entry/round.go
@@ -72,8 +72,11 @@
 	return v
 }
 
+// isActive reports whether callers are sent to this daemon.
+func (v *fleetView) isActive() bool { return v.rank < len(v.active) }
+
 // meshed reports whether the daemon exchanges all it knows with the others that have traffic.
-func (v *fleetView) meshed() bool { return v.rank < len(v.active) || v.own.Serving }
+func (v *fleetView) meshed() bool { return v.isActive() || v.own.Serving }
 
 // meshSize returns the number of daemons with traffic, this one included.
 func (d *Daemon) meshSize() int {
@@ -140,7 +143,7 @@
 		OperatorsNext:    uint64(d.follower.Next(extern.TopicOperators)),
 		UpstreamsNext:    uint64(d.follower.Next(extern.TopicUpstreams)),
 		UpstreamsChanged: uint64(d.follower.Changed(extern.TopicUpstreams)),
-		CacheStore:       d.parts.Reached(),
+		CacheStores:      d.stores.Reached(),
 	}
 	d.tellDuty(b)
 	if !v.meshed() {
@@ -175,7 +178,7 @@
 	}
 	if n := 1 + len(v.mesh); n > maxCacheReaders && v.rank == 0 {
 		// One daemon is enough to tell those who don't follow the KV cache store.
-		for _, h := range d.parts.Fresh(fleet.Stretched(0, storedBeats, n)) {
+		for _, h := range d.stores.Fresh(fleet.Stretched(0, storedBeats, n)) {
 			b.Stored = append(b.Stored, uint64(h))
 		}
 	}
--- a/internal/state/cached/parts.go
+++ b/internal/state/cached/parts.go
@@ -1,4 +1,4 @@
-// Package cached follows what the KV cache store keeps.
+// Package cached follows what the KV cache stores keep.
 package cached
 
 import (
@@ -15,7 +15,6 @@
 	"github.com/gooseberryway/gooseberryway/internal/state/extern"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/state/scope"
-	"github.com/gooseberryway/gooseberryway/internal/state/view"
 )
 
 const (
@@ -46,10 +45,11 @@
 	salt, id string
 }
 
-// Parts is what the store keeps. Its fields are set before Run.
+// Parts is what one store keeps. Its fields are set before Run.
 type Parts struct {
-	Feed  extern.CacheFeed
-	Board *view.Board
+	Feed extern.CacheFeed
+	// Address is the IP:PORT of the store.
+	Address string
 	// Follows reports whether this daemon reads the store's events: the store holds only so many reads at once. The
 	// others hear from those who do whether the store answers, and know only what they had saved themselves.
 	Follows func() bool
@@ -59,7 +59,6 @@
 	requested   map[key]time.Time
 	answeredAt  time.Time
 	failed      bool
-	address     string
 	incarnation ident.Incarnation
 	next        ident.Sequence
 	// listed is true once the whole list was read, until events are missing.
@@ -75,10 +74,10 @@
 func (p *Parts) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause := gatherFor
-		if c := p.Board.Config(); c == nil || c.CacheStore() == nil || !p.Follows() {
+		if !p.Follows() {
 			pause = retryPause
 			p.stopFollowing()
-		} else if err := p.step(ctx, c.CacheStore().Address); err != nil {
+		} else if err := p.step(ctx); err != nil {
 			pause = retryPause + rand.N(retryPause)
 			p.lost(err)
 		}
@@ -86,23 +85,19 @@
 	}
 }
 
-func (p *Parts) step(ctx context.Context, address string) error {
+func (p *Parts) step(ctx context.Context) error {
 	p.mu.Lock()
-	if p.address != address {
-		p.address, p.next, p.incarnation, p.listed = address, 0, 0, false
-		p.held = map[key]ident.Tokens{}
-	}
 	since, listed := p.next, p.listed
 	p.mu.Unlock()
 	if !listed {
-		all, err := p.Feed.All(ctx, address)
+		all, err := p.Feed.All(ctx, p.Address)
 		if err != nil {
 			return err
 		}
 		p.replace(all)
 		return nil
 	}
-	changes, err := p.Feed.Changes(ctx, address, since, feedWait)
+	changes, err := p.Feed.Changes(ctx, p.Address, since, feedWait)
 	if err != nil {
 		return err
 	}
@@ -124,7 +119,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.failed || p.answeredAt.IsZero() {
-		klog.InfoS("KV cache store regained", "address", p.address, "incarnation", c.Incarnation)
+		klog.InfoS("KV cache store regained", "address", p.Address, "incarnation", c.Incarnation)
 	}
 	p.failed, p.answeredAt = false, time.Now()
 	if c.Incarnation != p.incarnation || c.Lost {
@@ -151,7 +146,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.failed {
-		klog.InfoS("KV cache store lost", "address", p.address, "reason", err.Error())
+		klog.InfoS("KV cache store lost", "address", p.Address, "reason", err.Error())
 	}
 	p.failed = true
 }
--- a/internal/state/cached/parts_test.go
+++ b/internal/state/cached/parts_test.go
@@ -12,7 +12,6 @@
 
 	"github.com/gooseberryway/gooseberryway/internal/state/extern"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
-	"github.com/gooseberryway/gooseberryway/internal/state/view"
 )
 
 // feed is a store whose next answers are set by the test.
@@ -46,9 +45,7 @@
 
 func follow(t *testing.T, f *feed, follows bool) *Parts {
 	t.Helper()
-	b := &view.Board{}
-	b.SetConfig(&view.Config{Version: 1, Services: map[view.ServiceID]*view.Service{"k": {ID: "k", Store: &view.Store{Address: "a"}}}})
-	p := &Parts{Feed: f, Board: b, Follows: func() bool { return follows }}
+	p := &Parts{Feed: f, Address: "a", Follows: func() bool { return follows }}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() { defer close(done); p.Run(ctx) }()
--- a/internal/state/view/config.go
+++ b/internal/state/view/config.go
@@ -3,6 +3,7 @@
 package view
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -163,16 +164,18 @@
 // Guarded reports whether requests need a key.
 func (c *Config) Guarded() bool { return len(c.Organisations) > 0 }
 
-// CacheStore returns the KV cache store that all daemons use, the first by name, or nil.
-func (c *Config) CacheStore() *Store {
-	var first *Service
+// CacheStores returns the KV cache stores, ordered by the names of their services.
+func (c *Config) CacheStores() []*Store {
+	var services []*Service
 	for _, s := range c.Services {
-		if s.Store != nil && (first == nil || s.ID < first.ID) {
-			first = s
+		if s.Store != nil {
+			services = append(services, s)
 		}
 	}
-	if first == nil {
-		return nil
+	slices.SortFunc(services, func(a, b *Service) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	stores := make([]*Store, 0, len(services))
+	for _, s := range services {
+		stores = append(stores, s.Store)
 	}
-	return first.Store
+	return stores
 }
--- a/internal/transport/opaque/run.go
+++ b/internal/transport/opaque/run.go
@@ -303,18 +303,14 @@
 
 // cacheSources returns where cached parts come from and where they are kept.
 func (c *call) cacheSources(choice *place.Choice) (from, to string) {
-	store := c.config.CacheStore()
 	if choice.Fetch == place.FetchEngine {
 		from = choice.Source
 	}
-	if store == nil {
-		return from, ""
-	}
 	if choice.Fetch == place.FetchStore {
-		from = store.Address
+		from = choice.Store.Address
 	}
 	if choice.Save {
-		to = store.Address
+		to = choice.Store.Address
 	}
 	return from, to
 }
