Ask the engines that read a prompt for it, and its home

Change: an engine that was sent a part is asked for up to 30 s, unless it has other weights; then the home of the chain; what is being read is not read a second time until the queue there is expected to be through. Parts are hashed once for each version.

--- a/internal/coordination/place/consts.go
+++ b/internal/coordination/place/consts.go
@@ -11,8 +11,12 @@
 	// fetchCost is the part of a token's reading time that a fetch takes: the store's published link moves 190 tokens a
 	// millisecond, half as many between failure domains, and an engine reads 50.
 	fetchCost = 0.4
-	// strayCost is the cost of reading a token of a chain away from its home: the home reads it as well.
+	// strayCost is the cost of reading a token that another engine reads at the moment, so that it is read twice.
 	strayCost = 3.0
+	// presumedCost is the cost of fetching a token from the home of its chain, which may have dropped it.
+	presumedCost = 1.0
+	// awayCost is the cost of reading a token away from the home of its chain, where other daemons look for it.
+	awayCost = 3.0
 	// olderCost is added for an engine with replaced weights once olderGrace has passed.
 	olderCost = 6000.0
 	// failureCost is added for an engine all of whose requests fail.
@@ -26,6 +30,8 @@
 	olderGrace = 1200 * time.Millisecond
 	// recentFor is how long a chain that was sent to an engine is taken as cached there.
 	recentFor = 8 * time.Second
+	// sourceFor is how long an engine that was sent a chain is asked for it: a miss takes a millisecond only.
+	sourceFor = 30 * time.Second
 	// digestFor is how long a peer's digest counts in a small fleet, digestBeats the same in beats.
 	digestFor   = 700 * time.Millisecond
 	digestBeats = 2.5
@@ -49,4 +55,6 @@
 	maxSent = 128
 	// maxRecent bounds the chains remembered for an engine.
 	maxRecent = 4096
+	// maxRead is the number of parts from which those that were read long ago are dropped.
+	maxRead = 16384
 )
--- a/internal/coordination/place/placer.go
+++ b/internal/coordination/place/placer.go
@@ -83,9 +83,11 @@
 	CachedEngine Cached = "engine"
 	// CachedStore: the KV cache store holds them.
 	CachedStore Cached = "store"
-	// CachedNowhere: nobody is known to hold them, and the engine is their home.
+	// CachedNowhere: nobody is known to hold them, and the engine reads them.
 	CachedNowhere Cached = "nowhere"
-	// CachedStray: nobody is known to hold them, and another engine is their home.
+	// CachedHome: nobody is known to hold them, but their home has had time to read them.
+	CachedHome Cached = "home"
+	// CachedStray: another engine reads them at the moment, and this one would do so as well.
 	CachedStray Cached = "stray"
 )
 
@@ -200,8 +202,15 @@
 	digest time.Duration
 	// store keeps the chain; nil for none.
 	store *cached.Parts
-	// homes are the first candidates with each version of the weights.
-	homes map[int64]*candidate
+	// versions holds what is the same for all candidates with a version of the weights.
+	versions map[int64]*versioned
+}
+
+// versioned is what is known of a prompt's shared parts under one version of the weights.
+type versioned struct {
+	// home is the first candidate with the version.
+	home   *candidate
+	levels []level
 }
 
 // candidate is an upstream that takes work.
@@ -214,7 +223,7 @@
 
 // candidates returns the upstreams that take the request, in the order of the chain's homes.
 func (p *Placer) candidates(q *query, blocked *BlockedError) []candidate {
-	q.homes = map[int64]*candidate{}
+	q.versions = map[int64]*versioned{}
 	upstreams := p.ranked(q.work.Service, q.chain)
 	out := make([]candidate, 0, len(upstreams))
 	for rank, u := range upstreams {
@@ -222,7 +231,7 @@
 		if slices.Contains(q.work.Tried, u.ID) {
 			continue
 		}
-		if n.silent(q.now, q.digest) {
+		if !n.down && n.silent(q.now, q.digest) {
 			n.setDown(q.now)
 			klog.InfoS("Upstream silent", "upstream", u.ID, "requests", n.own.Requests, "unread", n.own.Unread,
 				"silentMs", q.now.Sub(n.heardAt).Milliseconds())
@@ -234,8 +243,8 @@
 		out = append(out, candidate{node: n, upstream: u, rank: rank, version: n.weights[q.work.Model]})
 	}
 	for i := range out {
-		if c := &out[i]; q.homes[c.version] == nil {
-			q.homes[c.version] = c
+		if c := &out[i]; q.versions[c.version] == nil {
+			q.versions[c.version] = &versioned{home: c, levels: p.levels(q, c.version)}
 		}
 	}
 	return out
@@ -305,67 +314,100 @@
 		c.Cost += float64(c.Unread)
 		return
 	}
-	salt := Salt(c.Weights, q.work.Scope)
 	if c.Store = q.store; c.Store != nil {
 		c.Fetch = FetchStore
 	}
-	home := q.homes[n.version]
 	c.Unread = max(0, q.work.Input-q.shared)
+	c.Cost += float64(c.Unread)
 	c.Cached = CachedHere
-	last := len(q.work.Parts) - 2
-	for i, part := range q.work.Parts[:last+1] {
-		l := level{key: chainKey(salt, q.work.Scope+part.ID), tokens: part.Tokens, deepest: i == last}
-		l.stored = c.Store != nil && c.Store.Holds(salt, part.ID, part.Tokens)
-		p.levelCost(q, c, n, home, l)
+	v := q.versions[n.version]
+	for i := range v.levels {
+		l := &v.levels[i]
+		p.levelCost(q, c, n, v.home, l)
 		c.Save = l.deepest && c.Store != nil && !l.stored
 	}
-	c.Cost += float64(max(0, q.work.Input-q.shared))
 }
 
-// level is one shared part of a prompt.
+// level is one shared part of a prompt under a version of the weights.
 type level struct {
 	key     ChainKey
 	tokens  ident.Tokens
 	deepest bool
-	stored  bool
+	// stored says that the KV cache store holds the part.
+	stored bool
+	// last is where the part was last sent to an engine that may not have had it; source is that engine if the part can be
+	// fetched from there, and reading says that it is being read there.
+	last    reading
+	source  *view.Upstream
+	reading bool
+}
+
+// levels returns what is known of the shared parts under a version of the weights.
+func (p *Placer) levels(q *query, version int64) []level {
+	if q.chain == "" {
+		return nil
+	}
+	salt := Salt(version, q.work.Scope)
+	last := len(q.work.Parts) - 2
+	out := make([]level, 0, last+1)
+	for i, part := range q.work.Parts[:last+1] {
+		l := level{key: chainKey(salt, q.work.Scope+part.ID), tokens: part.Tokens, deepest: i == last}
+		l.stored = q.store != nil && q.store.Holds(salt, part.ID, part.Tokens)
+		if r, ok := p.read[l.key]; ok {
+			l.last = r
+			l.source = p.source(q, version, r)
+			l.reading = l.source != nil && q.now.Before(r.ready)
+		}
+		out = append(out, l)
+	}
+	return out
 }
 
 // levelCost adds what it takes to get one shared part into the engine's cache.
-func (p *Placer) levelCost(q *query, c *Choice, n, home *candidate, l level) {
+func (p *Placer) levelCost(q *query, c *Choice, n, home *candidate, l *level) {
 	if n.sentRecently(l.key, q.now) || n.settled(q.now) && (home == n || !l.deepest) {
 		return
 	}
 	c.Missed += l.tokens
-	last, known := p.read[l.key]
-	known = known && q.now.Sub(last.at) < recentFor
-	source := p.source(q, n, last)
+	tokens := float64(l.tokens)
+	source := l.source
+	if l.last.engine == n.id {
+		source = nil
+	}
 	switch {
 	case l.stored && (l.deepest || source == nil):
 		c.Fetch, c.Source, c.Cached = FetchStore, "", CachedStore
 		c.Cost += float64(l.tokens+p.fetching(q.now)) * fetchCost
-	case known && source != nil:
+	case source != nil && l.reading:
+		c.Cached = CachedStray
+		c.Unread += l.tokens
+		c.Cost += tokens * strayCost
+	case source != nil:
 		// The link of one engine is less shared than that of the store.
 		c.Fetch, c.Source, c.Cached = FetchEngine, source.Address, CachedEngine
-		c.Cost += float64(l.tokens) * fetchCost
-	case known || l.deepest && home != n:
-		c.Cached = CachedStray
+		c.Cost += tokens * fetchCost
+	case l.deepest && home != n && home.settled(q.now):
+		c.Fetch, c.Source, c.Cached = FetchEngine, home.upstream.Address, CachedHome
+		c.Unread += l.tokens / 2
+		c.Cost += tokens * presumedCost
+	case l.deepest && home != n:
+		c.Cached = CachedNowhere
 		c.Unread += l.tokens
-		c.Cost += float64(l.tokens) * strayCost
+		c.Cost += tokens * awayCost
 	default:
 		c.Cached = CachedNowhere
 		c.Unread += l.tokens
-		c.Cost += float64(l.tokens)
+		c.Cost += tokens
 	}
 }
 
-// source returns the engine that a chain was last sent to, if it can be fetched from there.
-func (p *Placer) source(q *query, n *candidate, last reading) *view.Upstream {
-	age := q.now.Sub(last.at)
-	if last.engine == n.id || age < readIn || age >= recentFor {
+// source returns the engine that a part was last sent to, if it may still have it under a version of the weights.
+func (p *Placer) source(q *query, version int64, last reading) *view.Upstream {
+	if q.now.Sub(last.at) >= sourceFor {
 		return nil
 	}
-	u, source := p.Board.Upstreams().ByID[last.engine], p.nodes[last.engine]
-	if u == nil || source == nil || source.down || source.started != last.started {
+	u, n := p.Board.Upstreams().ByID[last.engine], p.nodes[last.engine]
+	if u == nil || n == nil || n.down || n.started != last.started || n.weights[q.work.Model] != version {
 		return nil
 	}
 	return u
@@ -376,6 +418,8 @@
 	engine  ident.UpstreamID
 	started ident.Incarnation
 	at      time.Time
+	// ready is when the engine is expected to have read it, after all that waits there.
+	ready time.Time
 }
 
 // digestFor returns how long a peer's digest counts.
--- a/internal/coordination/place/placer_test.go
+++ b/internal/coordination/place/placer_test.go
@@ -153,3 +153,68 @@
 		}
 	}
 }
+
+func TestSharedPartsAreFetchedFromWhereTheyWereRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlacer()
+		c, err := p.Choose(workFor(1))
+		require.NoError(t, err)
+		home := c.Upstream
+		require.Equal(t, CachedHere, c.Cached, "the home is taken to have read what is in use")
+		busy := map[ident.UpstreamID]Load{home.ID: {Unread: 60000}}
+		p.LearnPeer("peer", busy, 0)
+		c, err = p.Choose(workFor(1))
+		require.NoError(t, err)
+		require.NotEqual(t, home.ID, c.Upstream.ID)
+		require.Equal(t, CachedHome, c.Cached)
+		require.Equal(t, FetchEngine, c.Fetch)
+		require.Equal(t, home.Address, c.Source)
+
+		// What was read elsewhere long ago is still asked for there.
+		second := c.Upstream
+		p.Begin(c, workFor(1)).End(OutcomeGood)
+		time.Sleep(recentFor + time.Second)
+		busy[second.ID] = Load{Unread: 60000}
+		p.LearnPeer("peer", busy, 0)
+		c, err = p.Choose(workFor(1))
+		require.NoError(t, err)
+		require.NotContains(t, []ident.UpstreamID{home.ID, second.ID}, c.Upstream.ID)
+		require.Equal(t, second.Address, c.Source)
+		require.Equal(t, CachedEngine, c.Cached)
+	})
+}
+
+func TestNothingIsFetchedFromAnEngineThatHasLoadedNewerWeights(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlacer()
+		c, err := p.Choose(workFor(1))
+		require.NoError(t, err)
+		home := c.Upstream
+		p.Begin(c, workFor(1)).End(OutcomeGood)
+		time.Sleep(time.Second)
+		p.Board.SetWeights(view.Weights{Model: "m", Version: 2, NamedAt: time.Now()})
+		p.SawWeights(home, "m", 2)
+		c, err = p.Choose(workFor(1))
+		require.NoError(t, err)
+		require.NotEqual(t, home.Address, c.Source)
+	})
+}
+
+func TestNoTwoEnginesReadAPromptAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlacer()
+		// All engines have just changed their weights: nobody has read anything.
+		p.Board.SetWeights(view.Weights{Model: "m", Version: 2, NamedAt: time.Now()})
+		for i := range engines {
+			p.SawWeights(engineAt(i), "m", 2)
+		}
+		first, err := p.Choose(workFor(1))
+		require.NoError(t, err)
+		require.Equal(t, CachedNowhere, first.Cached)
+		p.Begin(first, workFor(1))
+		second, err := p.Choose(workFor(1))
+		require.NoError(t, err)
+		require.Equal(t, first.Upstream.ID, second.Upstream.ID)
+		require.Equal(t, CachedHere, second.Cached)
+	})
+}
--- a/internal/coordination/place/replay_test.go
+++ b/internal/coordination/place/replay_test.go
@@ -28,9 +28,11 @@
 
 type simEngine struct {
 	// turn is a lock that synctest knows to wait for.
-	turn   chan struct{}
-	cached map[string]bool
-	dark   bool
+	turn chan struct{}
+	// cached are the chains that were read since the engine has its version of the weights.
+	cached  map[string]bool
+	version int64
+	dark    bool
 }
 
 type pattern struct {
@@ -38,6 +40,8 @@
 	hot float64
 	// dark engines answer nothing from the second second on.
 	dark int
+	// newWeights are named after one second and then loaded by two engines after the other.
+	newWeights bool
 	// perSecond requests arrive for so long.
 	perSecond int
 	length    time.Duration
@@ -54,20 +58,64 @@
 	return r.first[len(r.first)*95/100]
 }
 
-// chooser picks an engine for a chain; done is called when the prompt is read and when the answer ends.
-type chooser func(chain int) (engine int, fetch bool, started func(), ended func(lost bool))
+// chooser picks an engine for a chain and the engine from which it is fetched, -1 for none; started and ended are called
+// when the prompt is read and when the answer ends.
+type chooser func(chain int) (engine, from int, started func(), ended func(lost bool))
 
-func replay(t *testing.T, p pattern, seed uint64, choose chooser) *result {
+// noFetch says that a prompt is read.
+const noFetch = -1
+
+// loads tells a chooser of engines that load weights; nil where it doesn't heed them.
+type loads struct {
+	named, begun, done func(engine int)
+}
+
+// loadTime is how long an engine loads weights.
+const loadTime = 600 * time.Millisecond
+
+// loadWeights lets all engines load new weights, two at a time.
+func loadWeights(sims []*simEngine, mu *sync.Mutex, tell *loads) {
+	time.Sleep(time.Second)
+	if tell != nil {
+		tell.named(0)
+	}
+	var wg sync.WaitGroup
+	for first := range 2 {
+		wg.Go(func() {
+			for i := first; i < len(sims); i += 2 {
+				if tell != nil {
+					tell.begun(i)
+				}
+				sims[i].turn <- struct{}{}
+				time.Sleep(loadTime)
+				mu.Lock()
+				sims[i].cached = map[string]bool{}
+				sims[i].version = 2
+				mu.Unlock()
+				<-sims[i].turn
+				if tell != nil {
+					tell.done(i)
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func replay(t *testing.T, p pattern, seed uint64, choose chooser, tell *loads) *result {
 	t.Helper()
 	rng := rand.New(rand.NewPCG(seed, 1))
 	sims := make([]*simEngine, engines)
 	for i := range sims {
-		sims[i] = &simEngine{turn: make(chan struct{}, 1), cached: map[string]bool{}}
+		sims[i] = &simEngine{turn: make(chan struct{}, 1), cached: map[string]bool{}, version: 1}
 	}
 	var mu sync.Mutex
 	res, seen := &result{}, map[string]bool{}
 	var wg sync.WaitGroup
 	begun := time.Now()
+	if p.newWeights {
+		wg.Go(func() { loadWeights(sims, &mu, tell) })
+	}
 	for time.Since(begun) < p.length {
 		time.Sleep(time.Second / time.Duration(p.perSecond))
 		if time.Since(begun) > time.Second {
@@ -80,7 +128,7 @@
 			chain = 0
 		}
 		arrived := time.Now()
-		e, fetch, started, ended := choose(chain)
+		e, from, started, ended := choose(chain)
 		sim := sims[e]
 		dark := sim.dark
 		wg.Go(func() {
@@ -95,24 +143,24 @@
 				return
 			}
 			sim.turn <- struct{}{}
-			key := fmt.Sprint(chain)
-			work := time.Duration(ownTokens) * time.Millisecond / readPerMs
 			mu.Lock()
-			switch known := seen[key]; {
+			key := fmt.Sprint(sim.version, " ", chain)
+			work := time.Duration(ownTokens) * time.Millisecond / readPerMs
+			switch {
 			case sim.cached[key]:
-			case fetch && known:
+			case from >= 0 && sims[from].cached[key]:
 				work += chainTokens * time.Millisecond / fetchPerMs
 			default:
 				work += chainTokens * time.Millisecond / readPerMs
-				if known {
+				if seen[key] {
 					res.reread++
 				}
 			}
 			mu.Unlock()
 			time.Sleep(work)
+			mu.Lock()
 			sim.cached[key] = true
 			<-sim.turn
-			mu.Lock()
 			seen[key] = true
 			res.first = append(res.first, time.Since(arrived))
 			mu.Unlock()
@@ -153,7 +201,7 @@
 
 func placed(t *testing.T, p *Placer) chooser {
 	t.Helper()
-	return func(chain int) (int, bool, func(), func(bool)) {
+	return func(chain int) (int, int, func(), func(bool)) {
 		w := workFor(chain)
 		c, err := p.Choose(w)
 		require.NoError(t, err)
@@ -161,7 +209,12 @@
 		var e int
 		_, err = fmt.Sscanf(string(c.Upstream.ID), "e%d", &e)
 		require.NoError(t, err)
-		return e, c.Fetch != FetchNone, func() { ticket.Heard(); ticket.Started() }, func(lost bool) {
+		from := noFetch
+		if c.Fetch == FetchEngine {
+			_, err = fmt.Sscanf(c.Source, "10.0.0.%d:", &from)
+			require.NoError(t, err)
+		}
+		return e, from, func() { ticket.Heard(); ticket.Started() }, func(lost bool) {
 			if lost {
 				ticket.End(OutcomeSilent)
 				return
@@ -171,18 +224,30 @@
 	}
 }
 
+// heeded tells a placer of engines that load weights, as the holder of the duty does.
+func heeded(p *Placer) *loads {
+	return &loads{
+		named: func(int) { p.Board.SetWeights(view.Weights{Model: "m", Version: 2, NamedAt: time.Now()}) },
+		begun: func(i int) { p.SetLoading(engineAt(i).ID, time.Minute) },
+		done: func(i int) {
+			p.SawWeights(engineAt(i), "m", 2)
+			p.SetLoading(engineAt(i).ID, 0)
+		},
+	}
+}
+
 // baselines are what the placer is compared with, on the same arrivals.
 func baselines() map[string]func() chooser {
 	free := func() {}
 	return map[string]func() chooser{
 		"random": func() chooser {
 			rng := rand.New(rand.NewPCG(9, 9))
-			return func(int) (int, bool, func(), func(bool)) { return rng.IntN(engines), false, free, func(bool) {} }
+			return func(int) (int, int, func(), func(bool)) { return rng.IntN(engines), noFetch, free, func(bool) {} }
 		},
 		"leastLoad": func() chooser {
 			var mu sync.Mutex
 			load := make([]int, engines)
-			return func(int) (int, bool, func(), func(bool)) {
+			return func(int) (int, int, func(), func(bool)) {
 				mu.Lock()
 				defer mu.Unlock()
 				e := 0
@@ -192,12 +257,12 @@
 					}
 				}
 				load[e]++
-				return e, false, free, func(bool) { mu.Lock(); load[e]--; mu.Unlock() }
+				return e, noFetch, free, func(bool) { mu.Lock(); load[e]--; mu.Unlock() }
 			}
 		},
 		"hash": func() chooser {
-			return func(chain int) (int, bool, func(), func(bool)) {
-				return int(chainKey("", fmt.Sprint(chain)) % engines), false, free, func(bool) {}
+			return func(chain int) (int, int, func(), func(bool)) {
+				return int(chainKey("", fmt.Sprint(chain)) % engines), noFetch, free, func(bool) {}
 			}
 		},
 	}
@@ -209,15 +274,19 @@
 		"burst":               {perSecond: 100, length: 8 * time.Second},
 		"one hot chain":       {perSecond: 40, length: 20 * time.Second, hot: 0.3},
 		"a quarter goes dark": {perSecond: 40, length: 20 * time.Second, dark: 3},
+		"new weights":         {perSecond: 40, length: 20 * time.Second, newWeights: true},
 	}
 	for name, p := range patterns {
 		t.Run(name, func(t *testing.T) {
 			var got *result
-			synctest.Test(t, func(t *testing.T) { got = replay(t, p, 7, placed(t, newPlacer())) })
+			synctest.Test(t, func(t *testing.T) {
+				placer := newPlacer()
+				got = replay(t, p, 7, placed(t, placer), heeded(placer))
+			})
 			t.Logf("placer: p95 %v, read again %d, lost %d", got.p95(), got.reread, got.lost)
 			for base, start := range baselines() {
 				var other *result
-				synctest.Test(t, func(t *testing.T) { other = replay(t, p, 7, start()) })
+				synctest.Test(t, func(t *testing.T) { other = replay(t, p, 7, start(), nil) })
 				t.Logf("%s: p95 %v, read again %d, lost %d", base, other.p95(), other.reread, other.lost)
 				require.LessOrEqual(t, got.p95(), other.p95(), base)
 				require.LessOrEqual(t, got.lost, other.lost, base)
--- a/internal/coordination/place/track.go
+++ b/internal/coordination/place/track.go
@@ -102,13 +102,14 @@
 	if p.read == nil {
 		p.read = map[ChainKey]reading{}
 	}
-	if len(p.read) > maxRecent {
-		maps.DeleteFunc(p.read, func(_ ChainKey, r reading) bool { return now.Sub(r.at) >= recentFor })
+	if len(p.read) > maxRead {
+		maps.DeleteFunc(p.read, func(_ ChainKey, r reading) bool { return now.Sub(r.at) >= sourceFor })
 	}
 	if old, ok := p.read[chain]; had && ok && old.engine == n.id && now.Sub(old.at) < recentFor/2 {
 		return
 	}
-	p.read[chain] = reading{engine: n.id, started: n.started, at: now}
+	waits := time.Duration(n.load(now, p.digestFor()).Unread) * readTime / 2
+	p.read[chain] = reading{engine: n.id, started: n.started, at: now, ready: now.Add(max(readIn, waits))}
 }
 
 // TakeSent returns the chains that this daemon was the first to send somewhere lately, each in a few calls in a row.
--- a/internal/program/entry/fleet_test.go
+++ b/internal/program/entry/fleet_test.go
@@ -51,8 +51,15 @@
 }
 
 func (f *rig) start(id string, faults func(*http.Request) standin.Fault) *running {
+	f.t.Helper()
+	return f.startOn(id, setup.EntryResources{}, faults)
+}
+
+// startOn starts a daemon on a VM with these resources.
+func (f *rig) startOn(id string, vm setup.EntryResources, faults func(*http.Request) standin.Fault) *running {
 	f.t.Helper()
 	s := &setup.Entry{
+		Resources:     vm,
 		DaemonID:      ident.DaemonID(id),
 		FailureDomain: "z",
 		Listen: setup.EntryListen{
--- a/internal/program/entry/round.go
+++ b/internal/program/entry/round.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"time"
 
 	"github.com/gooseberryway/gooseberryway/internal/coordination/fleet"
@@ -96,7 +97,7 @@
 	if !v.meshed() {
 		targets := v.mesh
 		if len(targets) == 0 {
-			targets = append(v.rest, d.seedAddresses()...)
+			targets = slices.Concat(v.rest, d.seedAddresses())
 		}
 		d.told, d.restAt = v.state(), now
 		return gossip.Round{Messages: []gossip.Message{{Beat: d.brief(v, rest), Targets: targets}}, Next: rest}
--- a/internal/state/cached/stores.go
+++ b/internal/state/cached/stores.go
@@ -113,7 +113,7 @@
 	defer s.mu.RUnlock()
 	var out []string
 	for _, f := range s.list {
-		if f.Parts.Reached() {
+		if f.Reached() {
 			out = append(out, f.Address)
 		}
 	}
@@ -126,7 +126,7 @@
 	defer s.mu.RUnlock()
 	for _, f := range s.list {
 		if slices.Contains(addresses, f.Address) {
-			f.Parts.PeerReached()
+			f.PeerReached()
 		}
 	}
 }
@@ -137,7 +137,7 @@
 	defer s.mu.RUnlock()
 	var out []Hash
 	for _, f := range s.list {
-		out = append(out, f.Parts.Fresh(within)...)
+		out = append(out, f.Fresh(within)...)
 	}
 	return out
 }
@@ -147,6 +147,6 @@
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	for _, f := range s.list {
-		f.Parts.PeerHolds(hashes)
+		f.PeerHolds(hashes)
 	}
 }
