Let only daemons with traffic exchange all they know

A trial that wrote each beat's size showed 201 of 245 MB in full beats to 48 daemons: single requests that test the configuration made 40 idle daemons take part. Change: a daemon takes part from twelve requests in two seconds; what the others admit is told in brief beats and counts. A test of the directory failed three times of eight in its own harness (it decoded the empty body of a 503); mended.

--- a/internal/coordination/admit/meter.go
+++ b/internal/coordination/admit/meter.go
@@ -293,17 +293,19 @@
 	a.balance = min(a.balance-used, a.burst)
 }
 
-// Rests takes the beat of a peer that exchanges no counts with this daemon, since requests reach only one of the two. A
-// daemon that serves nobody takes the balance of one that does.
-func (m *Meter) Rests(id ident.DaemonID, incarnation uint64, uses map[ident.OrganisationID]Use, idle bool) {
+// Rests notes that hardly any requests reach a peer, so that nothing is taken off for it until it is heard again.
+func (m *Meter) Rests(id ident.DaemonID) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if p := m.peers[id]; p != nil && idle && p.incarnation == incarnation {
+	if p := m.peers[id]; p != nil {
 		p.rests = true
 	}
-	if idle {
-		return
-	}
+}
+
+// Adopt takes the balances of a daemon that requests reach, for one that they don't reach.
+func (m *Meter) Adopt(uses map[ident.OrganisationID]Use) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	now := time.Now()
 	m.start(now)
 	for org, use := range uses {
--- a/internal/coordination/admit/meter_test.go
+++ b/internal/coordination/admit/meter_test.go
@@ -223,3 +223,36 @@
 	require.InDelta(t, before, m.Admit(organisation, 1).Balance, rate/100)
 	require.InDelta(t, 1, m.Uses()["acme"].Admitted, 0.01)
 }
+
+func TestDaemonsWithoutTrafficTakeNothingFromThoseWithIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMeter()
+		for i := range 80 {
+			id := ident.DaemonID(fmt.Sprint("idle", i))
+			m.Learn(id, 1, nil)
+			m.Rests(id)
+		}
+		time.Sleep(3 * time.Second)
+		d := m.Admit(organisation, 1000)
+		require.True(t, d.Admitted)
+		require.Zero(t, d.Silent)
+		require.InDelta(t, rate, d.Balance, rate/100, "nothing is taken off for silent daemons that rest")
+		before := m.Admit(organisation, 0).Balance
+		m.Learn("idle7", 1, map[ident.OrganisationID]Use{"acme": {Admitted: 4000}})
+		m.Rests("idle7")
+		require.InDelta(t, before-4000, m.Admit(organisation, 0).Balance, 1, "what one of them admits counts")
+	})
+}
+
+func TestADaemonThatTakesOverKnowsTheBalance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		busy, idle := newMeter(), newMeter()
+		for busy.Admit(organisation, 1000).Admitted {
+		}
+		time.Sleep(settledAfter + time.Millisecond)
+		for busy.Admit(organisation, 1000).Admitted {
+		}
+		idle.Adopt(busy.Uses())
+		require.False(t, idle.Admit(organisation, 30000).Admitted)
+	})
+}
--- a/internal/coordination/fleet/active_test.go
+++ b/internal/coordination/fleet/active_test.go
@@ -177,17 +177,17 @@
 func TestDemandIsThePeakOfTheLastSeconds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var d Demand
-		require.False(t, d.Recent())
+		require.Zero(t, d.Recent())
 		for range 40 {
 			d.Note()
 		}
-		require.True(t, d.Recent())
+		require.Equal(t, 40, d.Recent())
 		require.Zero(t, d.Peak(), "the step is not over")
 		time.Sleep(demandStep)
 		require.InDelta(t, 40, float64(d.Peak()), 0)
 		d.Note()
 		time.Sleep(3 * demandStep)
-		require.False(t, d.Recent())
+		require.Zero(t, d.Recent())
 		require.InDelta(t, 40, float64(d.Peak()), 0)
 		time.Sleep(demandSteps * demandStep)
 		require.Zero(t, d.Peak())
--- a/internal/coordination/fleet/demand.go
+++ b/internal/coordination/fleet/demand.go
@@ -43,13 +43,17 @@
 	return Rate(float64(most) / demandStep.Seconds())
 }
 
-// Recent reports whether a request came in this step or the one before.
-func (d *Demand) Recent() bool {
+// Recent returns the requests of this step and the one before.
+func (d *Demand) Recent() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.advance(time.Now())
 	size := int64(len(d.counts))
-	return d.counts[d.step%size] > 0 || d.step > 0 && d.counts[(d.step-1)%size] > 0
+	n := d.counts[d.step%size]
+	if d.step > 0 {
+		n += d.counts[(d.step-1)%size]
+	}
+	return n
 }
 
 func (d *Demand) advance(now time.Time) {
--- a/internal/program/entry/active_test.go
+++ b/internal/program/entry/active_test.go
@@ -15,7 +15,7 @@
 	"github.com/gooseberryway/gooseberryway/platform/standin"
 )
 
-// directory asks a daemon where callers shall connect.
+// directory asks a daemon where callers shall connect; a daemon that isn't ready names nobody.
 func (f *rig) directory(d *running) []string {
 	f.t.Helper()
 	req, err := http.NewRequestWithContext(f.t.Context(), http.MethodGet, "http://"+d.Settings.Listen.Directory+"/api/resolve", http.NoBody)
@@ -23,6 +23,9 @@
 	resp, err := http.DefaultClient.Do(req)
 	require.NoError(f.t, err)
 	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil
+	}
 	var answer struct {
 		Addresses []string `json:"addresses"`
 	}
--- a/internal/program/entry/beats.go
+++ b/internal/program/entry/beats.go
@@ -94,9 +94,13 @@
 			Period:        time.Duration(b.GetPeriodMs()) * time.Millisecond,
 		})
 	}
-	idle := !b.GetServing()
-	if v := d.fleet.Load(); v == nil || !v.meshed() || idle {
-		d.meter.Rests(ident.DaemonID(b.GetDaemon()), b.GetIncarnation(), uses(b), idle)
+	id, v := ident.DaemonID(b.GetDaemon()), d.fleet.Load()
+	switch {
+	case v != nil && v.meshed():
+		d.meter.Learn(id, b.GetIncarnation(), uses(b))
+		d.meter.Rests(id)
+	case b.GetServing():
+		d.meter.Adopt(uses(b))
 	}
 }
 
--- a/internal/program/entry/round.go
+++ b/internal/program/entry/round.go
@@ -16,6 +16,10 @@
 	peersEvery = 10
 	// storedBeats is how many beats tell of a part that the KV cache store has got.
 	storedBeats = 1.6
+	// servingActive requests in progress, or servingRecent within two seconds, make a daemon take part in all that those
+	// with traffic exchange. Single requests reach every daemon now and then.
+	servingActive = 6
+	servingRecent = 12
 )
 
 // fleetView is what a daemon makes of the fleet at one moment.
@@ -44,7 +48,7 @@
 		Leaving:       d.leaving.Load(),
 		Capacity:      fleet.Capacity(d.Settings.Resources.CPUShare*float64(d.Settings.Resources.Cores), d.Settings.Resources.LinkMbps),
 		Demand:        d.demand.Peak(),
-		Serving:       d.active.Load() > 0 || d.demand.Recent(),
+		Serving:       d.active.Load() >= servingActive || d.demand.Recent() >= servingRecent,
 	}
 }
 
@@ -147,10 +151,10 @@
 		CacheStores:      d.stores.Reached(),
 	}
 	d.tellDuty(b)
+	d.tellUse(b, v.meshed())
 	if !v.meshed() {
 		return b
 	}
-	d.tellUse(b)
 	for _, p := range v.active {
 		if p.ID == v.own.ID || p.Relayed {
 			continue
@@ -193,9 +197,12 @@
 	return b
 }
 
-// tellUse adds what this daemon has admitted of each organisation.
-func (d *Daemon) tellUse(b *wire.Beat) {
+// tellUse adds what this daemon has admitted of each organisation, or of those alone of which it has admitted something.
+func (d *Daemon) tellUse(b *wire.Beat, all bool) {
 	for id, use := range d.meter.Uses() {
+		if !all && use.Admitted == 0 {
+			continue
+		}
 		told := &wire.OrganisationUse{Organisation: string(id), Admitted: use.Admitted}
 		if use.Settled {
 			told.Balance = &use.Balance
