--- a/internal/coordination/feed/follower.go
+++ b/internal/coordination/feed/follower.go
@@ -33,9 +33,10 @@
 	staleAfter = 1500 * time.Millisecond
 	// readerTick is how often such a daemon looks whether it has to read.
 	readerTick = 100 * time.Millisecond
-	// pauseLeast and pauseMost bound the pause after a failed call.
+	// pauseLeast and pauseMost bound the pause after a failed call; the store's return must be seen well within the two
+	// seconds in which lapsed registrations come back.
 	pauseLeast = 100 * time.Millisecond
-	pauseMost  = 800 * time.Millisecond
+	pauseMost  = 500 * time.Millisecond
 	// lapsedFor is how long an upstream is kept whose registration ended during trouble of the store: it may come back, but
 	// may also have left, and then takes no work two seconds later. A sweep and a request on its way fit in between.
 	lapsedFor = 1500 * time.Millisecond
@@ -117,6 +118,9 @@
 				klog.InfoS("Store regained", "topic", topic, "next", f.Next(topic))
 			}
 			failing, pause = false, pauseLeast
+			if topic == extern.TopicUpstreams {
+				scope.Sleep(ctx, gatherLeast+rand.N(gatherLeast))
+			}
 			f.rest(ctx, topic)
 			continue
 		}
@@ -140,11 +144,8 @@
 	return f.state(topic).loaded
 }
 
-// rest waits until the next read is due.
+// rest waits until the next read is due for a daemon that hears from others.
 func (f *Follower) rest(ctx context.Context, topic extern.Topic) {
-	if topic == extern.TopicUpstreams {
-		scope.Sleep(ctx, gatherLeast+rand.N(gatherLeast))
-	}
 	least := idleLeast
 	if f.Fleet != nil {
 		least = max(least, time.Duration(f.Fleet())*idlePerDaemon)
--- a/internal/coordination/feed/follower_test.go
+++ b/internal/coordination/feed/follower_test.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -243,3 +244,96 @@
 		require.LessOrEqual(t, time.Since(at), time.Second)
 	})
 }
+
+// startListening starts a follower that reads only at the start and while it is told to.
+func startListening(t *testing.T, l *log, reads *atomic.Bool) *Follower {
+	t.Helper()
+	f := &Follower{Store: l, Decoder: words{}, Board: &view.Board{}, Reads: func(extern.Topic) bool { return reads.Load() }}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); f.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	time.Sleep(time.Second)
+	return f
+}
+
+func TestRegistrationsThatSayNothingNewAreNotPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLog()
+		l.put(extern.TopicUpstreams, "a", "ready")
+		f := start(t, l)
+		begun, changed := f.Next(extern.TopicUpstreams), f.Changed(extern.TopicUpstreams)
+		for range 5 {
+			l.put(extern.TopicUpstreams, "a", "ready")
+			time.Sleep(time.Second)
+		}
+		require.Equal(t, begun+5, f.Next(extern.TopicUpstreams))
+		require.Equal(t, changed, f.Changed(extern.TopicUpstreams))
+		records, _ := f.Newer(extern.TopicUpstreams, begun)
+		require.Empty(t, records)
+		l.put(extern.TopicUpstreams, "a", "")
+		time.Sleep(time.Second)
+		l.put(extern.TopicUpstreams, "a", "ready")
+		time.Sleep(time.Second)
+		require.Equal(t, f.Next(extern.TopicUpstreams), f.Changed(extern.TopicUpstreams), "it had gone meanwhile")
+		require.Len(t, f.Board.Upstreams().ByID, 1)
+	})
+}
+
+func TestADaemonThatHearsFromReadersTakesTheirWordForTheRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLog()
+		l.put(extern.TopicUpstreams, "a", "ready")
+		var reads atomic.Bool
+		listener := startListening(t, l, &reads)
+		reader := start(t, l)
+		for i := range 12 {
+			l.put(extern.TopicUpstreams, "a", "ready")
+			if i == 6 {
+				l.put(extern.TopicUpstreams, "b", "ready")
+			}
+			time.Sleep(500 * time.Millisecond)
+			next := listener.Next(extern.TopicUpstreams)
+			if reader.Changed(extern.TopicUpstreams) > next {
+				records, upTo := reader.Newer(extern.TopicUpstreams, next)
+				require.Len(t, records, 1)
+				listener.Relayed(extern.TopicUpstreams, records, upTo)
+			}
+			listener.Skip(extern.TopicUpstreams, reader.Next(extern.TopicUpstreams))
+		}
+		require.Len(t, listener.Board.Upstreams().ByID, 2)
+		require.Equal(t, reader.Next(extern.TopicUpstreams), listener.Next(extern.TopicUpstreams))
+	})
+}
+
+func TestADaemonThatHearsNothingReadsItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLog()
+		l.put(extern.TopicUpstreams, "a", "ready")
+		var reads atomic.Bool
+		f := startListening(t, l, &reads)
+		time.Sleep(staleAfter)
+		l.put(extern.TopicUpstreams, "a", "")
+		time.Sleep(staleAfter + 2*gatherLeast + readerTick + readWait)
+		require.Empty(t, f.Board.Upstreams().ByID)
+	})
+}
+
+func TestARemovalThatOnlyAWholeListShowsIsPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLog()
+		for _, id := range []string{"a", "b"} {
+			l.put(extern.TopicUpstreams, id, "ready")
+		}
+		f, other := start(t, l), start(t, l)
+		next := other.Next(extern.TopicUpstreams)
+		require.NoError(t, f.load(t.Context(), extern.TopicUpstreams))
+		// The record that removed b has gone with the history: only the whole list lacks b.
+		f.apply(extern.TopicUpstreams, []extern.KeyedRecord{{Offset: 0, Key: "a", Value: []byte("ready")}}, next+3, true)
+		require.Len(t, f.Board.Upstreams().ByID, 1)
+		records, upTo := f.Newer(extern.TopicUpstreams, next)
+		require.Equal(t, next+3, f.Changed(extern.TopicUpstreams))
+		other.Relayed(extern.TopicUpstreams, records, upTo)
+		require.Len(t, other.Board.Upstreams().ByID, 1)
+	})
+}
--- a/internal/program/entry/beats.go
+++ b/internal/program/entry/beats.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -253,7 +254,10 @@
 	var best fleet.Peer
 	ahead := ident.Offset(0)
 	now := time.Now()
-	for _, p := range d.table.All() {
+	peers := d.table.All()
+	// Many daemons miss the same records at once and must not all ask the same peer.
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, p := range peers {
 		if !p.Alive(now) {
 			continue
 		}
--- a/internal/program/entry/serve.go
+++ b/internal/program/entry/serve.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/transport/rest"
 	"github.com/gooseberryway/gooseberryway/platform"
 )
@@ -52,10 +53,12 @@
 
 // status is what operators see of one daemon.
 type status struct {
-	Daemon        string       `json:"daemon"`
-	Ready         bool         `json:"ready"`
-	Leaving       bool         `json:"leaving"`
-	Active        int64        `json:"activeRequests"`
+	Daemon  string `json:"daemon"`
+	Ready   bool   `json:"ready"`
+	Leaving bool   `json:"leaving"`
+	// Active says that callers are sent to the daemon.
+	Active        bool         `json:"active"`
+	Requests      int64        `json:"activeRequests"`
 	ConfigVersion int64        `json:"configVersion"`
 	StoreAgeMs    int64        `json:"storeAgeMs"`
 	Upstreams     int          `json:"upstreams"`
@@ -67,6 +70,7 @@
 	Alive   bool   `json:"alive"`
 	Ready   bool   `json:"ready"`
 	Leaving bool   `json:"leaving"`
+	Active  bool   `json:"active"`
 	Term    uint64 `json:"term"`
 }
 
@@ -92,13 +96,20 @@
 		Daemon:     string(d.Settings.DaemonID),
 		Ready:      d.ready(),
 		Leaving:    d.leaving.Load(),
-		Active:     d.active.Load(),
+		Active:     d.isActive(),
+		Requests:   d.active.Load(),
 		StoreAgeMs: d.follower.StoreAge().Milliseconds(),
 		Upstreams:  len(d.board.Upstreams().ByID),
 	}
 	if c := d.board.Config(); c != nil {
 		s.ConfigVersion = c.Version
 	}
+	active := map[ident.DaemonID]bool{}
+	if v := d.fleet.Load(); v != nil {
+		for _, p := range v.active {
+			active[p.ID] = true
+		}
+	}
 	now := time.Now()
 	for _, p := range d.table.All() {
 		s.Peers = append(s.Peers, peerStatus{
@@ -106,6 +117,7 @@
 			Alive:   p.Alive(now),
 			Ready:   p.Ready,
 			Leaving: p.Leaving,
+			Active:  active[p.ID],
 			Term:    uint64(p.Term),
 		})
 	}
