Take the earliest time at which any daemon saw a version named

A daemon that was frozen while the version was named took the moment at which it woke and saw it for the naming; what peers said counted only for versions that it had not seen itself. Ruled out: late orders (the other daemons had stopped using the engine).

--- a/internal/state/view/board.go
+++ b/internal/state/view/board.go
@@ -95,15 +95,16 @@
 	return true
 }
 
-// WeightsNamedAt takes the time at which the newest known version was named from a peer that saw it happen.
+// WeightsNamedAt takes the time at which the newest known version was named from a peer that saw it happen. The earliest
+// counts: a daemon that stood still or was cut off sees it late.
 func (b *Board) WeightsNamedAt(model ident.ModelID, version int64, at time.Time) {
-	if w, ok := b.Weights(model); !ok || w.Seen || w.Version != version {
+	if w, ok := b.Weights(model); !ok || !w.namedEarlier(version, at) {
 		return
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w, ok := b.Weights(model)
-	if !ok || w.Version != version {
+	if !ok || !w.namedEarlier(version, at) {
 		return
 	}
 	w.NamedAt, w.Seen = at, true
--- a/internal/state/view/upstream.go
+++ b/internal/state/view/upstream.go
@@ -94,6 +94,11 @@
 	return at, true
 }
 
+// namedEarlier reports whether the version was named at a time that is better known than the present one.
+func (w *Weights) namedEarlier(version int64, at time.Time) bool {
+	return w.Version == version && (!w.Seen || at.Before(w.NamedAt))
+}
+
 // Rollout asks for the move of a service's traffic to upstreams of another release.
 type Rollout struct {
 	Service ServiceID
