--- a/internal/program/entry/daemon.go
+++ b/internal/program/entry/daemon.go
@@ -55,9 +55,9 @@
 
 	seeds   atomic.Pointer[[]string]
 	leaving atomic.Bool
-	// active counts requests in progress.
-	active atomic.Int64
-	beats  atomic.Uint64
+	// inFlight counts requests in progress.
+	inFlight atomic.Int64
+	beats    atomic.Uint64
 	// demand counts the requests that reach this daemon.
 	demand fleet.Demand
 	// fleet is what the last round made of the fleet.
--- a/internal/program/entry/daemon_test.go
+++ b/internal/program/entry/daemon_test.go
@@ -248,7 +248,7 @@
 	f.ready(1)
 	resp := f.call(d, "/draft/x", "r1", "secret", "p", model, "m", "X-Gooseberryway-Deadline-Milliseconds", "500")
 	require.Equal(t, http.StatusOK, resp.StatusCode)
-	f.eventually(func() bool { return d.active.Load() == 0 }, "the request is held up by its caller")
+	f.eventually(func() bool { return d.inFlight.Load() == 0 }, "the request is held up by its caller")
 }
 
 func TestStatusTellsOfPeersAndConfiguration(t *testing.T) {
--- a/internal/program/entry/leave.go
+++ b/internal/program/entry/leave.go
@@ -22,7 +22,7 @@
 	d.leaving.Store(true)
 	d.peers.Urgent()
 	begun := time.Now()
-	klog.InfoS("Daemon leaves", "daemon", d.Settings.DaemonID, "active", d.active.Load())
+	klog.InfoS("Daemon leaves", "daemon", d.Settings.DaemonID, "active", d.inFlight.Load())
 	last := begun.Add(time.Duration(d.Settings.Limits.GraceS*float64(time.Second)) - leaveMargin)
 	release, stop := context.WithTimeout(context.Background(), handedOutFor)
 	d.keeper.Release(release)
@@ -32,7 +32,7 @@
 	defer cancel()
 	for _, server := range s.list {
 		if err := server.Shutdown(ctx); err != nil {
-			guard.Check(d.active.Load() == 0, guard.ShutdownClean, "%d requests are cut", d.active.Load())
+			guard.Check(d.inFlight.Load() == 0, guard.ShutdownClean, "%d requests are cut", d.inFlight.Load())
 			_ = server.Close()
 		}
 	}
--- a/internal/program/entry/serve.go
+++ b/internal/program/entry/serve.go
@@ -17,9 +17,9 @@
 const directoryTTL = 2 * time.Second
 
 func (d *Daemon) serveCaller(w http.ResponseWriter, r *http.Request) {
-	d.active.Add(1)
+	d.inFlight.Add(1)
 	d.demand.Note()
-	defer d.active.Add(-1)
+	defer d.inFlight.Add(-1)
 	d.handler.ServeHTTP(w, r)
 }
 
@@ -97,7 +97,7 @@
 		Ready:      d.ready(),
 		Leaving:    d.leaving.Load(),
 		Active:     d.isActive(),
-		Requests:   d.active.Load(),
+		Requests:   d.inFlight.Load(),
 		StoreAgeMs: d.follower.StoreAge().Milliseconds(),
 		Upstreams:  len(d.board.Upstreams().ByID),
 	}
