Soak fleets in which some daemons stand by; lose all active daemons in a test

Seeds take turns between four daemons and twelve, of which four stand by; most callers ask the directory, some come to any daemon. A test stops all active daemons: those that stood by serve, take the duty and refuse a withdrawn key.

--- a/internal/program/entry/active_test.go
+++ b/internal/program/entry/active_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -117,3 +118,34 @@
 		require.False(t, d.reads(extern.TopicUpstreams))
 	}
 }
+
+func TestTheOthersTakeOverWhenAllActiveDaemonsAreLost(t *testing.T) {
+	f := newRig(t)
+	f.configure(1, "secret")
+	f.worker("app", &standin.Worker{ID: "a1"})
+	strong, weak := f.mixedFleet(nil)
+	var lost sync.WaitGroup
+	for _, d := range strong {
+		lost.Go(d.stop)
+	}
+	lost.Wait()
+	f.eventually(func() bool { return f.names(weak, weak) }, "the daemons that are left are not active")
+	f.eventually(func() bool {
+		holders := 0
+		for _, d := range weak {
+			if d.keeper.Term() > 0 {
+				holders++
+			}
+		}
+		return holders == 1
+	}, "nobody has taken the duty")
+	f.configure(2, "other")
+	f.eventually(func() bool {
+		for i, d := range weak {
+			if f.call(d, "/order/x", fmt.Sprint("r", i), "secret", "").StatusCode != http.StatusUnauthorized {
+				return false
+			}
+		}
+		return true
+	}, "a withdrawn key still works")
+}
--- a/internal/program/soak/fleet_test.go
+++ b/internal/program/soak/fleet_test.go
@@ -22,8 +22,10 @@
 	id       string
 	settings string
 	callers  string
-	store    *proxy
-	log      string
+	// directory is where callers ask which daemons to use.
+	directory string
+	store     *proxy
+	log       string
 
 	mu   sync.Mutex
 	cmd  *exec.Cmd
@@ -68,7 +70,8 @@
 		w.register("app", a)
 	}
 	for i := range daemons {
-		w.add(fmt.Sprint("d", i))
+		// In a large fleet every third daemon is on a weak VM and stands by.
+		w.add(fmt.Sprint("d", i), daemons > fewDaemons && i%3 == 2)
 	}
 	return w
 }
@@ -101,16 +104,20 @@
 	})
 }
 
-func (w *world) add(id string) {
+func (w *world) add(id string, weak bool) {
 	dir := w.t.TempDir()
 	p := &process{
 		id: id, settings: filepath.Join(dir, "settings.json"), log: filepath.Join(dir, "log"),
-		callers: standin.FreeAddress(), store: startProxy(w.t, w.address),
+		callers: standin.FreeAddress(), directory: standin.FreeAddress(), store: startProxy(w.t, w.address),
+	}
+	resources := map[string]any{"cpuShare": 0.8, "cores": 1, "linkMbps": 200}
+	if weak {
+		resources = map[string]any{"cpuShare": 0.2, "cores": 1, "linkMbps": 10}
 	}
 	raw, err := json.Marshal(map[string]any{
-		"daemonId": id, "failureDomain": "z", "seeds": []string{}, "store": p.store.address(),
+		"daemonId": id, "failureDomain": "z", "seeds": []string{}, "store": p.store.address(), "resources": resources,
 		"listen": map[string]string{
-			"callers": p.callers, "ready": standin.FreeAddress(), "directory": standin.FreeAddress(), "peers": standin.FreeAddress(),
+			"callers": p.callers, "ready": standin.FreeAddress(), "directory": p.directory, "peers": standin.FreeAddress(),
 		},
 		"limits": map[string]any{
 			"graceS": 4, "leaseMs": 3000, "fenced": true, "weightsMs": 8000, "retryShare": 0.2, "retrySlack": 50, "retryWindowS": 10,
--- a/internal/program/soak/soak_test.go
+++ b/internal/program/soak/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -25,7 +26,9 @@
 }
 
 const (
-	daemons        = 4
+	// fewDaemons are all active; of manyDaemons some stand by. Seeds take turns.
+	fewDaemons     = 4
+	manyDaemons    = 12
 	clients        = 12
 	defaultSeconds = 6
 	// revokedWithin is the published bound for withdrawn keys.
@@ -60,7 +63,7 @@
 }
 
 func seeds() []uint64 {
-	first, n := uint64(1), 1
+	first, n := uint64(1), 2
 	if v, err := strconv.ParseUint(os.Getenv("SOAK_SEED"), 10, 64); err == nil {
 		first = v
 	}
@@ -84,7 +87,11 @@
 
 func play(t *testing.T, binary string, seed uint64) {
 	t.Helper()
-	w := newWorld(t, binary, daemons)
+	n := fewDaemons
+	if seed%2 == 0 {
+		n = manyDaemons
+	}
+	w := newWorld(t, binary, n)
 	t.Cleanup(func() { w.keepLogs(seed) })
 	w.ready()
 	c := &checker{t: t, seed: seed}
@@ -175,9 +182,14 @@
 func (c *checker) client(ctx context.Context, w *world, rng *rand.Rand) {
 	h := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}, Timeout: 7 * time.Second}
 	defer h.CloseIdleConnections()
+	// Most callers go where the directory sends them, some to any daemon.
+	asks := rng.IntN(4) > 0
 	for n := 0; ctx.Err() == nil; n++ {
 		id := fmt.Sprintf("%d-%d-%d", c.seed, rng.Uint32(), n)
 		p := w.processes[rng.IntN(len(w.processes))]
+		if asks {
+			p = c.ask(h, w, p, rng)
+		}
 		kind := [...]string{"note", "order", "lookup"}[rng.IntN(3)]
 		key := "key-a"
 		if rng.IntN(8) == 0 {
@@ -188,6 +200,29 @@
 	}
 }
 
+// ask picks one of the daemons that a daemon names, or that one itself if it names none.
+func (c *checker) ask(h *http.Client, w *world, of *process, rng *rand.Rand) *process {
+	resp, err := h.Get("http://" + of.directory + "/api/resolve?name=h.example")
+	if err != nil {
+		return of
+	}
+	defer resp.Body.Close()
+	var answer struct {
+		Addresses []string `json:"addresses"`
+	}
+	if resp.StatusCode != http.StatusOK || json.NewDecoder(resp.Body).Decode(&answer) != nil || len(answer.Addresses) == 0 {
+		return of
+	}
+	address := answer.Addresses[rng.IntN(len(answer.Addresses))]
+	for _, p := range w.processes {
+		if p.callers == address {
+			return p
+		}
+	}
+	c.violation("the directory of %s names %s, which is no daemon", of.id, address)
+	return of
+}
+
 func (c *checker) request(h *http.Client, p *process, kind, id, key string) {
 	req, err := http.NewRequest(http.MethodPost, "http://"+p.callers+"/"+kind+"/x", strings.NewReader("body of "+id))
 	if err != nil {
