Compare directory answers exactly; start followers of the tests in one place

Read-through: names compared addresses by substring, so that one port that begins another would have passed; it is exact and stricter now.

--- a/internal/coordination/feed/follower_test.go
+++ b/internal/coordination/feed/follower_test.go
@@ -116,7 +116,12 @@
 
 func start(t *testing.T, l *log) *Follower {
 	t.Helper()
-	f := &Follower{Store: l, Decoder: words{}, Board: &view.Board{}, NamedBefore: 5 * time.Second}
+	return run(t, &Follower{Store: l, Decoder: words{}, Board: &view.Board{}, NamedBefore: 5 * time.Second})
+}
+
+// run starts a follower and gives it time for its first reads.
+func run(t *testing.T, f *Follower) *Follower {
+	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() { defer close(done); f.Run(ctx) }()
@@ -248,13 +253,9 @@
 // startListening starts a follower that reads only at the start and while it is told to.
 func startListening(t *testing.T, l *log, reads *atomic.Bool) *Follower {
 	t.Helper()
-	f := &Follower{Store: l, Decoder: words{}, Board: &view.Board{}, Reads: func(extern.Topic) bool { return reads.Load() }}
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan struct{})
-	go func() { defer close(done); f.Run(ctx) }()
-	t.Cleanup(func() { cancel(); <-done })
-	time.Sleep(time.Second)
-	return f
+	return run(t, &Follower{
+		Store: l, Decoder: words{}, Board: &view.Board{}, Reads: func(extern.Topic) bool { return reads.Load() },
+	})
 }
 
 func TestRegistrationsThatSayNothingNewAreNotPassedOn(t *testing.T) {
--- a/internal/program/entry/active_test.go
+++ b/internal/program/entry/active_test.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"strings"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -40,18 +40,11 @@
 	for _, d := range want {
 		addresses = append(addresses, d.Settings.Listen.Callers)
 	}
+	slices.Sort(addresses)
 	for _, d := range asked {
-		if got := f.directory(d); len(got) != len(want) || !sameSet(got, addresses) {
-			return false
-		}
-	}
-	return true
-}
-
-func sameSet(a, b []string) bool {
-	all := strings.Join(b, " ")
-	for _, one := range a {
-		if !strings.Contains(all, one) {
+		got := f.directory(d)
+		slices.Sort(got)
+		if !slices.Equal(got, addresses) {
 			return false
 		}
 	}
