Pace loads of weights by how long they are seen to take

Cause: a load was taken for done 0.45 s after its order (600 ms guessed), and for lost after 2.5 s. Ruled out: too few engines for the load (five of nine carry it), callers' limits, the KV cache store.

Change: pace learns the time of a load and from how many at once loads slow each other down; nothing is expected to end before a load was timed or beyond its time; a load that reports show under way is not ordered again; an engine becomes quiet only shortly before a load ends; a third of the engines at most take no work.

--- /dev/null
+++ b/internal/coordination/reload/pace.go
@@ -0,0 +1,101 @@
+package reload
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// shareAtOnce of a service's engines load at once before it is known from how many on loads slow each other down; the
+	// published numbers are a sixth of the engines or more.
+	shareAtOnce = 1.0 / 6
+	// shareMost bounds the engines that take no work for loads, however fast these are: the others serve.
+	shareMost = 1.0 / 3
+	// slowedBy is how much longer loads take where too many run at once; the lag of reports scatters by less.
+	slowedBy = 1.2
+	// widerBy is the part by which the number that load at once grows while loads take no longer.
+	widerBy = 8
+	// paceSamples is how many loads are remembered, of all and of each width: one that hangs doesn't move their median.
+	paceSamples = 5
+	// firstCheck is when the first load of all is looked at; nothing is known of its time.
+	firstCheck = 300 * time.Millisecond
+	// checkEarly is the part of the expected time after which a load is looked at: a shorter time is seen only so.
+	checkEarly = 0.85
+)
+
+// pace learns how long loads take and how many engines may load at once. The zero value knows nothing.
+type pace struct {
+	// took holds the last times of loads by the number of engines that loaded beside each other.
+	took map[int][]time.Duration
+	// recent are the last times of all loads, expected their median; 0 before the first.
+	recent   []time.Duration
+	expected time.Duration
+	// width is how many may load at once; 0 for the prior. slowAt is the smallest number that was too many; 0 for none.
+	width, slowAt int
+}
+
+// atOnce returns how many of n engines may load at the same time.
+func (p *pace) atOnce(n int) int {
+	if p.width > 0 {
+		return min(p.width, widest(n))
+	}
+	return max(1, int(float64(n)*shareAtOnce+0.5))
+}
+
+func widest(n int) int { return max(1, int(float64(n)*shareMost)) }
+
+// known reports whether a load was seen to its end.
+func (p *pace) known() bool { return p.expected > 0 }
+
+// checkAfter returns when a load is looked at for the first time.
+func (p *pace) checkAfter() time.Duration {
+	if !p.known() {
+		return firstCheck
+	}
+	return time.Duration(checkEarly * float64(p.expected))
+}
+
+// observe takes the time of a load of one of n engines, while at most beside of them loaded.
+func (p *pace) observe(took time.Duration, beside, n int) {
+	if p.took == nil {
+		p.took = map[int][]time.Duration{}
+	}
+	p.took[beside] = remember(p.took[beside], took)
+	p.recent = remember(p.recent, took)
+	p.expected = median(p.recent)
+	current := p.atOnce(n)
+	if beside != current || len(p.took[beside]) < min(paceSamples, current) {
+		return
+	}
+	fastest, usual := p.fastest(), median(p.took[current])
+	switch {
+	case usual > time.Duration(slowedBy*float64(fastest)):
+		p.slowAt = current
+		p.width = max(1, min(current-1, int(float64(current)*float64(fastest)/float64(usual)+0.5)))
+	case p.slowAt == 0 || current+step(current) < p.slowAt:
+		p.width = min(current+step(current), widest(n))
+	}
+}
+
+func remember(all []time.Duration, took time.Duration) []time.Duration {
+	all = append(all, took)
+	return all[max(0, len(all)-paceSamples):]
+}
+
+func step(width int) int { return max(1, width/widerBy) }
+
+// fastest returns the shortest usual time of a load over all widths.
+func (p *pace) fastest() time.Duration {
+	var out time.Duration
+	for _, took := range p.took {
+		if m := median(took); out == 0 || m < out {
+			out = m
+		}
+	}
+	return out
+}
+
+func median(all []time.Duration) time.Duration {
+	sorted := slices.Sorted(slices.Values(all))
+	return sorted[len(sorted)/2]
+}
--- a/internal/coordination/reload/plan.go
+++ b/internal/coordination/reload/plan.go
@@ -11,23 +11,22 @@
 )
 
 const (
-	// shareAtOnce of a service's engines load at once: the published number from which loads slow each other down is a
-	// sixth of the engines or more.
-	shareAtOnce = 1.0 / 6
-	// quietMost is how long an engine gets no work before it is ordered to load, unless it is idle sooner.
+	// quietMost is how long an engine gets no work before it is ordered to load, unless it is idle sooner: runs that
+	// go on under changed weights are lost to their callers, but so is the engine while it waits.
 	quietMost = 650 * time.Millisecond
 	// quietLeast lets the other daemons hear of it first.
 	quietLeast = 50 * time.Millisecond
-	// loadGuess is taken for the time of a load until one was seen.
-	loadGuess = 600 * time.Millisecond
+	// quietLead is how long before the end of a load the next engine stops taking work; most answers end within it.
+	quietLead = 400 * time.Millisecond
 	// checkAgain is the time between two looks at an engine that loads.
 	checkAgain = 100 * time.Millisecond
 	// barMargin is how much longer than expected an engine is kept off.
 	barMargin = 400 * time.Millisecond
 	// reportLag is how old an engine's report is: the pages say some hundred milliseconds.
 	reportLag = 150 * time.Millisecond
-	// overdue is when an order without effect is given again.
-	overdue = 2500 * time.Millisecond
+	// overdueLeast is when an order without effect is given again at the earliest, overdueLoads the same in loads.
+	overdueLeast = 2500 * time.Millisecond
+	overdueLoads = 3
 )
 
 // phase is how far an engine's load has come.
@@ -49,14 +48,28 @@
 	since   time.Time
 	// checkAt is when to look at the engine next.
 	checkAt time.Time
+	// busyAt is when a report last showed that the engine loads.
+	busyAt time.Time
+	// beside is the largest number of engines that loaded at the same time, this one included.
+	beside int
 	// calling is true while an order or a look is under way.
 	calling bool
 	tries   int
 }
 
-// nearlyDone reports whether the engine is expected to have finished, though no report can show that yet.
-func (j *job) nearlyDone(expected time.Duration, now time.Time) bool {
-	return j.phase == phaseLoading && now.Sub(j.since) >= expected-reportLag
+// endsWithin reports whether the engine is expected to have its weights after so long. Before a load was timed nothing is
+// expected, and a load that outlasts the time expected may take any time.
+func (j *job) endsWithin(d time.Duration, p *pace, now time.Time) bool {
+	if j.phase != phaseLoading || !p.known() || now.Sub(j.since) > p.expected+reportLag {
+		return false
+	}
+	return now.Add(d).Sub(j.since) >= p.expected-reportLag
+}
+
+// overdue reports whether an order seems to have come to nothing.
+func (j *job) overdue(p *pace, now time.Time) bool {
+	limit := max(overdueLeast, overdueLoads*p.expected)
+	return j.phase == phaseLoading && !j.calling && now.Sub(j.since) > limit && now.Sub(j.busyAt) > overdueLeast/2
 }
 
 // candidate is an engine that has an older version.
@@ -67,17 +80,39 @@
 	requests     int
 }
 
-// atOnce returns how many of n engines may load at the same time.
-func atOnce(n int) int { return max(1, int(float64(n)*shareAtOnce+0.5)) }
+// out counts the engines of a service that take no work.
+type out struct {
+	// quiet get no work and are not ordered yet, loading were ordered and are not expected to have finished; all are these
+	// and those that are expected to have finished.
+	quiet, loading, all int
+	// ending are those of loading that end so soon that the next may become quiet.
+	ending int
+}
+
+func countOut(jobs map[ident.UpstreamID]*job, p *pace, now time.Time) out {
+	var o out
+	for _, j := range jobs {
+		o.all++
+		switch {
+		case j.phase == phaseQuiet:
+			o.quiet++
+		case !j.endsWithin(0, p, now):
+			o.loading++
+			if j.endsWithin(quietLead, p, now) {
+				o.ending++
+			}
+		}
+	}
+	return o
+}
 
-// next picks the engines that shall stop taking work now: as many as may load, beside those that become quiet while
-// others load.
-func next(all, pending int, candidates []candidate) []candidate {
-	limit := 2 * atOnce(all)
+// next picks the engines that shall stop taking work now: as many as may load, and those that follow them in time for
+// no load to wait.
+func next(all, atOnce int, o out, candidates []candidate) []candidate {
+	room := min(atOnce-o.quiet-o.loading+o.ending, max(atOnce, widest(all))-o.all)
 	if all <= 2 {
-		limit = 1
+		room = 1 - o.all
 	}
-	room := limit - pending
 	if room <= 0 {
 		return nil
 	}
@@ -106,9 +141,9 @@
 }
 
 // mayLoad reports whether a quiet engine may be ordered to load.
-func mayLoad(j *job, requests, loading, all int, now time.Time) bool {
+func mayLoad(j *job, requests, loading, atOnce int, now time.Time) bool {
 	quiet := now.Sub(j.since)
-	if loading >= atOnce(all) || quiet < quietLeast {
+	if loading >= atOnce || quiet < quietLeast {
 		return false
 	}
 	return requests == 0 || quiet >= quietMost
--- /dev/null
+++ b/internal/coordination/reload/replay_test.go
@@ -0,0 +1,210 @@
+package reload
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/gooseberryway/gooseberryway/internal/coordination/place"
+	"github.com/gooseberryway/gooseberryway/internal/state/extern"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/state/view"
+)
+
+// weightStore is a source of weights that serves so many engines at full speed; beyond that all loads slow down alike.
+type weightStore struct {
+	atOnce int
+	load   time.Duration
+
+	mu      sync.Mutex
+	loading int
+}
+
+// simFleet stands in for engines that load from one weight store and report with a lag.
+type simFleet struct {
+	store   weightStore
+	lag     time.Duration
+	engines map[ident.UpstreamID]*simEngine
+	// refused counts orders that came while the engine was busy.
+	refused int
+}
+
+type simEngine struct {
+	version  int64
+	accepted int64
+	busy     bool
+	// seen is what reports show, older by the lag.
+	seen extern.EngineReport
+}
+
+// loadStep is how finely the progress of loads is computed.
+const loadStep = 5 * time.Millisecond
+
+func (f *simFleet) Load(_ context.Context, to *view.Upstream, o extern.WeightsOrder) (extern.OrderResult, error) {
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	e := f.engines[to.ID]
+	switch {
+	case e.busy || o.Accepted != e.accepted:
+		f.refused++
+		return extern.OrderBusy, nil
+	case e.version >= o.Version:
+		return extern.OrderHolds, nil
+	}
+	e.accepted++
+	e.busy = true
+	f.store.loading++
+	f.show(e)
+	go f.carryOut(e, o.Version)
+	return extern.OrderAccepted, nil
+}
+
+func (f *simFleet) carryOut(e *simEngine, version int64) {
+	for left := f.store.load; left > 0; {
+		time.Sleep(loadStep)
+		f.store.mu.Lock()
+		left -= loadStep * time.Duration(min(f.store.atOnce, f.store.loading)) / time.Duration(f.store.loading)
+		f.store.mu.Unlock()
+	}
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	f.store.loading--
+	e.busy, e.version = false, version
+	f.show(e)
+}
+
+// show lets reports tell of a change after the lag.
+func (f *simFleet) show(e *simEngine) {
+	now := extern.EngineReport{Weights: map[ident.ModelID]int64{"m": e.version}, Busy: e.busy, Accepted: e.accepted}
+	time.AfterFunc(f.lag, func() {
+		f.store.mu.Lock()
+		defer f.store.mu.Unlock()
+		e.seen = now
+	})
+}
+
+func (f *simFleet) Report(_ context.Context, of *view.Upstream) (extern.EngineReport, error) {
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	return f.engines[of.ID].seen, nil
+}
+
+// series is a row of versions that are named in one installation.
+type series struct {
+	engines, atOnce int
+	load            time.Duration
+	// named are the times of the versions from 2 on.
+	named []time.Duration
+	// most is how many engines may take no work at the same time.
+	most int
+	// within is when all engines must have the newest version, counted from its naming.
+	within time.Duration
+}
+
+// played is what was seen of a series.
+type played struct {
+	mostOut int
+	meanOut float64
+	took    time.Duration
+	refused int
+}
+
+func playSeries(s *series) played {
+	f := &simFleet{
+		store:   weightStore{atOnce: s.atOnce, load: s.load},
+		lag:     200 * time.Millisecond,
+		engines: map[ident.UpstreamID]*simEngine{},
+	}
+	board := &view.Board{}
+	board.SetConfig(&view.Config{Version: 1, Services: map[view.ServiceID]*view.Service{
+		"llm": {ID: "llm", Engine: &view.Engine{Slots: 64, Models: []ident.ModelID{"m"}}},
+	}})
+	byID := map[ident.UpstreamID]*view.Upstream{}
+	for i := range s.engines {
+		id := ident.UpstreamID(fmt.Sprintf("e%03d", i))
+		byID[id] = &view.Upstream{ID: id, Service: "llm", State: view.UpstreamReady, Started: 1, Weights: map[ident.ModelID]int64{"m": 1}}
+		f.engines[id] = &simEngine{version: 1, seen: extern.EngineReport{Weights: map[ident.ModelID]int64{"m": 1}}}
+	}
+	board.SetUpstreams(view.NewUpstreams(byID, 1))
+	board.SetWeights(view.Weights{Model: "m", Version: 1, NamedAt: time.Now()})
+	placer := &place.Placer{Board: board}
+	r := &Runner{
+		Self: "d", Board: board, Placer: placer, Control: f, Term: func() ident.Offset { return 1 },
+		Fenced: func() {}, Changed: func() {},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { r.Run(ctx); close(done) }()
+	newest := int64(1 + len(s.named))
+	out := played{}
+	begun, samples := time.Now(), 0
+	for next := 0; ; time.Sleep(10 * time.Millisecond) {
+		since := time.Since(begun)
+		if next < len(s.named) && since >= s.named[next] {
+			next++
+			board.SetWeights(view.Weights{Model: "m", Version: int64(1 + next), NamedAt: time.Now()})
+		}
+		off, current := 0, 0
+		for id, u := range byID {
+			if placer.TakesNoWork(id) {
+				off++
+			} else if placer.KnownWeights(u, "m") == newest {
+				current++
+			}
+		}
+		samples++
+		out.mostOut = max(out.mostOut, off)
+		out.meanOut += float64(off)
+		out.took = since - s.named[len(s.named)-1]
+		if current == s.engines || out.took > time.Minute {
+			break
+		}
+	}
+	out.meanOut /= float64(samples)
+	cancel()
+	<-done
+	f.store.mu.Lock()
+	out.refused = f.refused
+	f.store.mu.Unlock()
+	// Loads that were still under way end before the bubble does.
+	time.Sleep(time.Minute)
+	return out
+}
+
+// Versions that follow each other faster than all engines can load them must not take the engines from the callers. The
+// published bounds are those of four installations: as many engines load as the weight store serves at full speed, as
+// many more become quiet, and all have the newest version within the limit.
+func TestVersionsInSeriesLeaveEnginesForTheCallers(t *testing.T) {
+	seconds := func(at ...float64) []time.Duration {
+		var out []time.Duration
+		for _, s := range at {
+			out = append(out, time.Duration(s*float64(time.Second)))
+		}
+		return out
+	}
+	for name, s := range map[string]series{
+		"9 engines, 1.3 s":   {engines: 9, atOnce: 2, load: 1300 * time.Millisecond, most: 4, within: 12 * time.Second, named: seconds(0, 3, 7, 11)},
+		"12 engines, 0.57 s": {engines: 12, atOnce: 2, load: 570 * time.Millisecond, most: 4, within: 8 * time.Second, named: seconds(0, 3, 6)},
+		"18 engines, 0.32 s": {engines: 18, atOnce: 3, load: 320 * time.Millisecond, most: 6, within: 6 * time.Second, named: seconds(0, 2, 4)},
+		"140 engines, 1.3 s": {engines: 140, atOnce: 28, load: 1300 * time.Millisecond, most: 56, within: 15 * time.Second, named: seconds(0, 4, 8)},
+		"12 engines, 3 s":    {engines: 12, atOnce: 2, load: 3 * time.Second, most: 4, within: 30 * time.Second, named: seconds(0, 5)},
+		"9 engines, slow store": {
+			engines: 9, atOnce: 1, load: 600 * time.Millisecond, most: 4, within: 12 * time.Second, named: seconds(0, 4, 8, 12),
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := playSeries(&s)
+				t.Logf("most engines without work %d, mean %.1f, all current after %v, orders refused %d", p.mostOut, p.meanOut, p.took, p.refused)
+				require.LessOrEqual(t, p.mostOut, s.most)
+				require.LessOrEqual(t, p.took, s.within)
+				require.Zero(t, p.refused, "an engine that loads is not ordered again")
+			})
+		})
+	}
+}
--- a/internal/coordination/reload/runner.go
+++ b/internal/coordination/reload/runner.go
@@ -17,10 +17,11 @@
 
 const (
 	tick = 20 * time.Millisecond
+	// idleLeast is how long after an order an engine that reports no load may still be about to begin it: twice the lag
+	// of reports and the time of the call.
+	idleLeast = 600 * time.Millisecond
 	// tellFor is how long the others are told of a finished load: many beats, in case some are lost.
 	tellFor = 2 * time.Second
-	// learnWeight is the weight of the newest load in the expected time.
-	learnWeight = 0.3
 )
 
 // Notice tells other daemons of an engine: that it takes no work for a while, or which version it has.
@@ -49,7 +50,7 @@
 	jobs     map[ident.UpstreamID]*job
 	accepted map[ident.UpstreamID]acceptedOrders
 	done     map[ident.UpstreamID]finished
-	expected time.Duration
+	pace     pace
 	calls    sync.WaitGroup
 }
 
@@ -70,7 +71,6 @@
 	r.jobs = map[ident.UpstreamID]*job{}
 	r.accepted = map[ident.UpstreamID]acceptedOrders{}
 	r.done = map[ident.UpstreamID]finished{}
-	r.expected = loadGuess
 	for ctx.Err() == nil {
 		r.step(ctx)
 		scope.Sleep(ctx, tick)
@@ -119,7 +119,7 @@
 func (r *Runner) advance(ctx context.Context, s *view.Service) {
 	engines := r.Board.Upstreams().ByService[s.ID]
 	now := time.Now()
-	loading := r.clean(s, now)
+	r.clean(s, now)
 	var candidates []candidate
 	for _, model := range s.Engine.Models {
 		named, ok := r.Board.Weights(model)
@@ -128,32 +128,33 @@
 		}
 		candidates = append(candidates, r.behind(engines, model, named.Version)...)
 	}
-	pending := 0
-	for _, j := range r.of(s) {
-		if !j.nearlyDone(r.expected, now) {
-			pending++
-		}
-	}
-	for _, c := range next(len(engines), pending, candidates) {
+	atOnce := r.pace.atOnce(len(engines))
+	for _, c := range next(len(engines), atOnce, countOut(r.of(s), &r.pace, now), candidates) {
 		r.begin(c, s, now)
 	}
-	for _, j := range r.of(s) {
+	jobs := r.of(s)
+	loading := countOut(jobs, &r.pace, now).loading
+	for _, j := range jobs {
 		requests := r.Placer.Busy(j.engine.ID).Requests
 		r.Placer.SetLoading(j.engine.ID, r.barFor(j))
 		switch {
 		case j.calling:
-		case j.phase == phaseQuiet && mayLoad(j, requests, loading, len(engines), now):
+		case j.phase == phaseQuiet && mayLoad(j, requests, loading, atOnce, now):
 			loading++
 			r.order(ctx, j, requests)
 		case j.phase == phaseLoading && now.After(j.checkAt):
 			r.check(ctx, j)
 		}
 	}
+	for _, j := range jobs {
+		if j.phase == phaseLoading {
+			j.beside = max(j.beside, loading)
+		}
+	}
 }
 
-// clean ends the loads of engines that have gone or have a newer target, and counts those that load.
-func (r *Runner) clean(s *view.Service, now time.Time) int {
-	loading := 0
+// clean ends the loads of engines that have gone or have a newer target.
+func (r *Runner) clean(s *view.Service, now time.Time) {
 	listed := r.Board.Upstreams().ByID
 	for id, j := range r.of(s) {
 		u := listed[id]
@@ -164,15 +165,11 @@
 			r.Placer.SetLoading(id, 0)
 		case j.phase == phaseQuiet && named.Version > j.version:
 			j.version = named.Version
-		case j.phase == phaseLoading && !j.calling && now.Sub(j.since) > overdue:
+		case j.overdue(&r.pace, now):
 			klog.InfoS("Load overdue", "engine", id, "version", j.version, "tries", j.tries)
 			j.phase, j.since = phaseQuiet, now
 		}
-		if j.phase == phaseLoading && !j.nearlyDone(r.expected, now) {
-			loading++
-		}
 	}
-	return loading
 }
 
 // of returns the loads of a service's engines.
@@ -215,9 +212,9 @@
 // barFor returns how long an engine is expected to take no work.
 func (r *Runner) barFor(j *job) time.Duration {
 	if j.phase == phaseQuiet {
-		return quietMost + 2*r.expected + barMargin
+		return quietMost + 2*r.pace.expected + barMargin
 	}
-	return r.expected + barMargin
+	return r.pace.expected + barMargin
 }
 
 // order gives the order to load in the background.
@@ -226,7 +223,8 @@
 	if term == 0 {
 		return
 	}
-	j.calling, j.phase, j.since, j.checkAt = true, phaseLoading, time.Now(), time.Now().Add(r.expected)
+	j.calling, j.phase, j.since, j.checkAt = true, phaseLoading, time.Now(), time.Now().Add(r.pace.checkAfter())
+	j.beside = 0
 	j.tries++
 	order := extern.WeightsOrder{
 		Model: j.model, Version: j.version, Holder: r.Self, Fence: term, Accepted: r.acceptedBy(j.engine),
@@ -264,7 +262,7 @@
 	switch result {
 	case extern.OrderAccepted:
 		r.accepted[j.engine.ID] = acceptedOrders{j.engine.Started, r.acceptedBy(j.engine) + 1}
-		j.checkAt = j.since.Add(r.expected)
+		j.checkAt = j.since.Add(r.pace.checkAfter())
 	case extern.OrderHolds:
 		r.finish(j, j.version)
 	case extern.OrderFenced:
@@ -290,20 +288,32 @@
 			return
 		}
 		r.accepted[j.engine.ID] = acceptedOrders{j.engine.Started, report.Accepted}
+		if report.Busy {
+			j.busyAt = time.Now()
+		}
 		switch {
 		case report.Weights[j.model] >= j.version:
-			r.learn(time.Since(j.since))
+			if j.tries == 1 {
+				r.timed(j)
+			}
 			r.finish(j, report.Weights[j.model])
-		case !report.Busy && time.Since(j.since) > r.expected+checkAgain:
+		case !report.Busy && time.Since(j.since) > max(r.pace.expected, idleLeast)+checkAgain:
 			// The order was lost or came to nothing: give it again.
 			j.phase = phaseQuiet
 		}
 	})
 }
 
-// learn takes the time of a load into the expected one.
-func (r *Runner) learn(took time.Duration) {
-	r.expected = time.Duration((1-learnWeight)*float64(r.expected) + learnWeight*float64(min(took, 2*r.expected)))
+// timed learns from the time of a load.
+func (r *Runner) timed(j *job) {
+	took := time.Since(j.since)
+	n := len(r.Board.Upstreams().ByService[j.engine.Service])
+	was := r.pace.atOnce(n)
+	r.pace.observe(took, j.beside, n)
+	if now := r.pace.atOnce(n); now != was {
+		klog.InfoS("Number of loads at once changed", "service", j.engine.Service, "from", was, "to", now,
+			"tookMs", took.Milliseconds(), "beside", j.beside, "expectedMs", r.pace.expected.Milliseconds())
+	}
 }
 
 func (r *Runner) finish(j *job, version int64) {
