Ask an engine how it is before the first order of a new holder; load two of eight at once

Cause: a daemon that takes the duty names 0 accepted orders, which engines with a history refuse (409); the count came with the next look, and the order again 0.75 s later, for each engine. With eight engines one load at a time was allowed. Change: the count is asked for while the engine becomes quiet; one engine in six is rounded up, as published for 9, 12, 18.

--- a/internal/coordination/reload/pace.go
+++ b/internal/coordination/reload/pace.go
@@ -6,9 +6,9 @@
 )
 
 const (
-	// shareAtOnce of a service's engines load at once before it is known from how many on loads slow each other down; the
-	// published numbers are a sixth of the engines or more.
-	shareAtOnce = 1.0 / 6
+	// enginesPerLoad is the number of a service's engines for each that loads, before it is known from how many on loads
+	// slow each other down; the published numbers are one for each six engines or more.
+	enginesPerLoad = 6
 	// shareMost bounds the engines that take no work for loads, however fast these are: the others serve.
 	shareMost = 1.0 / 3
 	// slowedBy is how much longer loads take where too many run at once; the lag of reports scatters by less.
@@ -39,7 +39,7 @@
 	if p.width > 0 {
 		return min(p.width, widest(n))
 	}
-	return max(1, int(float64(n)*shareAtOnce+0.5))
+	return max(1, (n+enginesPerLoad-1)/enginesPerLoad)
 }
 
 func widest(n int) int { return max(1, int(float64(n)*shareMost)) }
--- a/internal/coordination/reload/plan.go
+++ b/internal/coordination/reload/plan.go
@@ -52,9 +52,9 @@
 	busyAt time.Time
 	// beside is the largest number of engines that loaded at the same time, this one included.
 	beside int
-	// calling is true while an order or a look is under way.
-	calling bool
-	tries   int
+	// calling is true while an order or a look is under way, asked once the engine was asked how it is before its order.
+	calling, asked bool
+	tries          int
 }
 
 // endsWithin reports whether the engine is expected to have its weights after so long. Before a load was timed nothing is
--- a/internal/coordination/reload/runner.go
+++ b/internal/coordination/reload/runner.go
@@ -139,6 +139,8 @@
 		r.Placer.SetLoading(j.engine.ID, r.barFor(j))
 		switch {
 		case j.calling:
+		case j.phase == phaseQuiet && !j.asked && r.accepted[j.engine.ID].started != j.engine.Started:
+			r.ask(ctx, j)
 		case j.phase == phaseQuiet && mayLoad(j, requests, loading, atOnce, now):
 			loading++
 			r.order(ctx, j, requests)
@@ -248,6 +250,32 @@
 	return 0
 }
 
+// ask looks in the background how an engine is of which this daemon knows nothing: how many orders it has accepted, and
+// whether one of an earlier holder is under way.
+func (r *Runner) ask(ctx context.Context, j *job) {
+	j.calling, j.asked = true, true
+	r.calls.Go(func() {
+		report, err := r.Control.Report(ctx, j.engine)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		j.calling = false
+		if err != nil {
+			klog.InfoS("Engine gave no report", "engine", j.engine.ID, "reason", err.Error())
+			return
+		}
+		r.accepted[j.engine.ID] = acceptedOrders{j.engine.Started, report.Accepted}
+		switch {
+		case report.Weights[j.model] >= j.version:
+			r.finish(j, report.Weights[j.model])
+		case report.Busy:
+			klog.InfoS("Engine carries out an order of another daemon", "engine", j.engine.ID, "accepted", report.Accepted)
+			now := time.Now()
+			j.phase, j.since, j.busyAt, j.checkAt = phaseLoading, now, now, now.Add(checkAgain)
+			j.tries++
+		}
+	})
+}
+
 // ordered takes the answer to an order.
 func (r *Runner) ordered(j *job, result extern.OrderResult, err error) {
 	if err != nil {
