Tell peers of loads and sent chains in columns; estimate how fast engines read; decide on late work

The constants readTime and readIn go; fetchCost stays where no link is published. triage: a request that can't be in time goes behind those that can (priority, and peers hear of it); one that would not be answered before its caller leaves is refused at once, with a time to return that grows with the refusals. The pace of loads is told in beats of the holder, so that the next one knows it.

--- a/internal/coordination/place/consts.go
+++ b/internal/coordination/place/consts.go
@@ -1,6 +1,10 @@
 package place
 
-import "time"
+import (
+	"time"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
 
 // Costs are in prompt tokens: the work that delays the first token as much.
 const (
@@ -8,9 +12,14 @@
 	runningCost = 40.0
 	// rankCost breaks ties in favour of the homes that all daemons agree on.
 	rankCost = 64.0
-	// fetchCost is the part of a token's reading time that a fetch takes: the store's published link moves 190 tokens a
-	// millisecond, half as many between failure domains, and an engine reads 50.
+	// fetchCost is the part of a token's reading time that a fetch takes where no link's speed is published.
 	fetchCost = 0.4
+	// fetchLeast is the least part: links are shared, and a miss takes a millisecond.
+	fetchLeast = 0.1
+	// fetchMost is the largest part: an engine that finds its link busy reads.
+	fetchMost = 1.0
+	// acrossDomains is how much longer a fetch between failure domains takes, as published.
+	acrossDomains = 2.0
 	// strayCost is the cost of reading a token that another engine reads at the moment, so that it is read twice.
 	strayCost = 3.0
 	// presumedCost is the cost of fetching a token from the home of its chain, which may have dropped it.
@@ -42,11 +51,10 @@
 	// silentAfter is how long an upstream with work may send nothing, beyond the time for reading prompts: several
 	// steps of an engine, or the slowest hundredth of plain calls.
 	silentAfter = 450 * time.Millisecond
-	// readTime is twice what an engine takes to read a prompt token at the published 44 tokens a millisecond.
-	readTime = 45 * time.Microsecond
-	// readIn is how long an engine takes to read a chain before others can fetch it from there: twice the time of the
-	// mean shared part on an idle engine.
-	readIn = 250 * time.Millisecond
+	// slowRead is how many times the usual time an engine may take to read a prompt.
+	slowRead = 2
+	// usualChain is the mean published size of a chain of shared parts.
+	usualChain ident.Tokens = 6300
 	// sentFor is how long a sent chain is told to the others in a small fleet, two beats in case one is lost; sentBeats
 	// the same in beats of a large fleet.
 	sentFor   = 120 * time.Millisecond
--- a/internal/coordination/place/node.go
+++ b/internal/coordination/place/node.go
@@ -6,12 +6,14 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/gooseberryway/gooseberryway/internal/coordination/gauge"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/state/view"
 )
 
-// ChainKey names a chain of parts under a salt.
-type ChainKey uint64
+// ChainKey names a chain of parts under a salt. It is short, as daemons tell each other of many; two chains with one key
+// are taken for one, which costs the reading of a prompt.
+type ChainKey uint32
 
 func chainKey(salt, chain string) ChainKey { return ChainKey(xxhash.Sum64String(salt + chain)) }
 
@@ -27,6 +29,10 @@
 type node struct {
 	id      ident.UpstreamID
 	started ident.Incarnation
+	// reading tells how fast the engines of the service read prompts.
+	reading *gauge.Reading
+	// holding tells how long a request holds its place at an upstream of the service.
+	holding *gauge.Holding
 	own     Load
 	peers   map[ident.DaemonID]peerLoad
 
@@ -53,8 +59,8 @@
 type Load struct {
 	// Requests are sent and not answered in full.
 	Requests int
-	// Unread are prompt tokens of requests without a first event.
-	Unread ident.Tokens
+	// Unread are prompt tokens of requests without a first event, Late those of them that run behind the others.
+	Unread, Late ident.Tokens
 }
 
 type peerLoad struct {
@@ -69,6 +75,7 @@
 		if now.Sub(p.at) < digest {
 			sum.Requests += p.Requests
 			sum.Unread += p.Unread
+			sum.Late += p.Late
 		}
 	}
 	return sum
@@ -98,10 +105,15 @@
 	if n.loading.After(since) {
 		since = n.loading
 	}
-	allowed := silentAfter + time.Duration(n.load(now, digest).Unread)*readTime
+	allowed := silentAfter + slowRead*n.readIn(n.load(now, digest).Unread)
 	return now.Sub(since) > allowed
 }
 
+// readIn returns how long the upstream usually takes to read so many prompt tokens.
+func (n *node) readIn(tokens ident.Tokens) time.Duration {
+	return time.Duration(tokens) * n.reading.PerToken()
+}
+
 // setDown keeps work off until a connection succeeds.
 func (n *node) setDown(now time.Time) {
 	if !n.down {
--- a/internal/coordination/place/placer.go
+++ b/internal/coordination/place/placer.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/gooseberryway/gooseberryway/internal/coordination/fleet"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/gauge"
 	"github.com/gooseberryway/gooseberryway/internal/state/cached"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/state/view"
@@ -61,6 +62,10 @@
 	Save  bool
 	// Unread are the prompt tokens that the engine is expected to read.
 	Unread ident.Tokens
+	// Wait is what the request is expected to wait for; zero while nothing is known of the upstreams' speed.
+	Wait Wait
+	// Late is set before Begin for a request that runs behind those that can be in time.
+	Late bool
 	// Cost, Rank, Missed and Candidates are the inputs of the decision, for logs.
 	Cost       float64
 	Rank       int
@@ -143,6 +148,43 @@
 	read map[ChainKey]reading
 	// sent are the chains that this daemon was the first to send somewhere lately.
 	sent []Sent
+	// readings tells how fast the engines of a service read prompts, holdings how long requests take.
+	readings map[view.ServiceID]*gauge.Reading
+	holdings map[view.ServiceID]*gauge.Holding
+}
+
+// holdingOf returns how long requests hold their places at a service's upstreams.
+func (p *Placer) holdingOf(id view.ServiceID) *gauge.Holding {
+	if p.holdings == nil {
+		p.holdings = map[view.ServiceID]*gauge.Holding{}
+	}
+	h := p.holdings[id]
+	if h == nil {
+		h = &gauge.Holding{}
+		p.holdings[id] = h
+	}
+	return h
+}
+
+// readingOf returns the speed of reading of a service's engines.
+func (p *Placer) readingOf(id view.ServiceID) *gauge.Reading {
+	if p.readings == nil {
+		p.readings = map[view.ServiceID]*gauge.Reading{}
+	}
+	r := p.readings[id]
+	if r == nil {
+		r = &gauge.Reading{}
+		p.readings[id] = r
+	}
+	return r
+}
+
+// engineOf returns what the configuration says of a service's engines; nil if it runs no models.
+func (p *Placer) engineOf(id view.ServiceID) *view.Engine {
+	if c := p.Board.Config(); c != nil && c.Services[id] != nil {
+		return c.Services[id].Engine
+	}
+	return nil
 }
 
 func (p *Placer) node(u *view.Upstream) *node {
@@ -157,6 +199,8 @@
 			peers:   map[ident.DaemonID]peerLoad{},
 			weights: map[ident.ModelID]int64{},
 			recent:  map[ChainKey]time.Time{},
+			reading: p.readingOf(u.Service),
+			holding: p.holdingOf(u.Service),
 		}
 		p.nodes[u.ID] = n
 	}
@@ -170,12 +214,14 @@
 	q := &query{work: w, chain: sharedPart(w), shared: sharedTokens(w), now: now}
 	q.named, _ = p.Board.Weights(w.Model)
 	q.digest = p.digestFor()
+	q.engine = p.engineOf(w.Service)
 	if p.Stores != nil && q.chain != "" {
 		q.store = p.Stores.For(q.chain)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	blocked := &BlockedError{Reason: BlockedNone, RetryAfter: blockedRetry}
+	q.perToken = p.readingOf(w.Service).PerToken()
 	candidates := p.candidates(q, blocked)
 	var best *Choice
 	for i := range candidates {
@@ -188,6 +234,7 @@
 		return nil, blocked
 	}
 	best.Candidates = len(candidates)
+	best.Wait = p.wait(q, best)
 	return best, nil
 }
 
@@ -202,6 +249,10 @@
 	digest time.Duration
 	// store keeps the chain; nil for none.
 	store *cached.Parts
+	// engine is what is published of the service's engines; nil if nothing is. perToken is how long they take to read one
+	// token.
+	engine   *view.Engine
+	perToken time.Duration
 	// versions holds what is the same for all candidates with a version of the weights.
 	versions map[int64]*versioned
 }
@@ -377,7 +428,7 @@
 	switch {
 	case l.stored && (l.deepest || source == nil):
 		c.Fetch, c.Source, c.Cached = FetchStore, "", CachedStore
-		c.Cost += float64(l.tokens+p.fetching(q.now)) * fetchCost
+		c.Cost += float64(l.tokens+p.fetching(q.now)) * q.fetchCost(q.store.LinkMbps, q.store.Domain, n)
 	case source != nil && l.reading:
 		c.Cached = CachedStray
 		c.Unread += l.tokens
@@ -385,7 +436,7 @@
 	case source != nil:
 		// The link of one engine is less shared than that of the store.
 		c.Fetch, c.Source, c.Cached = FetchEngine, source.Address, CachedEngine
-		c.Cost += tokens * fetchCost
+		c.Cost += tokens * q.fetchCost(q.linkMbps(), source.FailureDomain, n)
 	case l.deepest && home != n && home.settled(q.now):
 		c.Fetch, c.Source, c.Cached = FetchEngine, home.upstream.Address, CachedHome
 		c.Unread += l.tokens / 2
@@ -401,6 +452,30 @@
 	}
 }
 
+// linkMbps returns the speed of an engine's link; 0 if it isn't known.
+func (q *query) linkMbps() float64 {
+	if q.engine == nil {
+		return 0
+	}
+	return q.engine.LinkMbps
+}
+
+// fetchCost returns the part of a token's reading time that its fetch over a link takes.
+func (q *query) fetchCost(linkMbps float64, from ident.FailureDomain, to *candidate) float64 {
+	if q.engine == nil {
+		return fetchCost
+	}
+	fetch := q.engine.FetchPerToken(min(linkMbps, q.engine.LinkMbps))
+	if fetch <= 0 {
+		return fetchCost
+	}
+	cost := float64(fetch) / float64(q.perToken)
+	if from != to.upstream.FailureDomain {
+		cost *= acrossDomains
+	}
+	return min(max(cost, fetchLeast), fetchMost)
+}
+
 // source returns the engine that a part was last sent to, if it may still have it under a version of the weights.
 func (p *Placer) source(q *query, version int64, last reading) *view.Upstream {
 	if q.now.Sub(last.at) >= sourceFor {
--- a/internal/coordination/place/placer_test.go
+++ b/internal/coordination/place/placer_test.go
@@ -19,7 +19,7 @@
 		require.NoError(t, err)
 		home := c.Upstream.ID
 		ticket := p.Begin(c, workFor(1))
-		time.Sleep(silentAfter + time.Duration(c.Unread)*readTime + time.Millisecond)
+		time.Sleep(silentAfter + slowRead*p.nodes[home].readIn(c.Unread) + time.Millisecond)
 		require.True(t, ticket.Down())
 		for range 20 {
 			c, err := p.Choose(workFor(1))
--- a/internal/coordination/place/track.go
+++ b/internal/coordination/place/track.go
@@ -56,21 +56,31 @@
 type Ticket struct {
 	placer *Placer
 	node   *node
-	unread ident.Tokens
+	unread, late ident.Tokens
 	// fetch are the tokens that come from the KV cache store.
 	fetch ident.Tokens
+	// begun is when the attempt began; timed says that its first event tells how fast the engine reads: nothing had to be
+	// read before it, and nothing is fetched.
+	begun time.Time
+	timed bool
 }
 
 // Begin counts an attempt that is about to be sent.
 func (p *Placer) Begin(c *Choice, w *Work) *Ticket {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := p.node(c.Upstream)
+	n, now := p.node(c.Upstream), time.Now()
 	if n.own.Requests == 0 {
-		n.heardAt = time.Now()
+		n.heardAt = now
 	}
+	quiet := n.load(now, p.digestFor()).Unread == 0
 	n.own.Requests++
 	n.own.Unread += c.Unread
+	var late ident.Tokens
+	if c.Late {
+		late = c.Unread
+		n.own.Late += late
+	}
 	if chain := sharedPart(w); chain != "" {
 		salt := Salt(c.Weights, w.Scope)
 		for _, part := range w.Parts[:len(w.Parts)-1] {
@@ -78,7 +88,10 @@
 		}
 		c.Save = c.Save && c.Store.Requested(salt, lastShared(w))
 	}
-	t := &Ticket{placer: p, node: n, unread: c.Unread}
+	t := &Ticket{
+		placer: p, node: n, unread: c.Unread, late: late, begun: now,
+		timed: quiet && w.Model != "" && (c.Missed == 0 || c.Cached == CachedNowhere),
+	}
 	if c.Fetch == FetchStore {
 		t.fetch = c.Missed
 		p.ownFetching += t.fetch
@@ -108,8 +121,8 @@
 	if old, ok := p.read[chain]; had && ok && old.engine == n.id && now.Sub(old.at) < recentFor/2 {
 		return
 	}
-	waits := time.Duration(n.load(now, p.digestFor()).Unread) * readTime / 2
-	p.read[chain] = reading{engine: n.id, started: n.started, at: now, ready: now.Add(max(readIn, waits))}
+	ready := max(slowRead*n.readIn(usualChain), n.readIn(n.load(now, p.digestFor()).Unread))
+	p.read[chain] = reading{engine: n.id, started: n.started, at: now, ready: now.Add(ready)}
 }
 
 // TakeSent returns the chains that this daemon was the first to send somewhere lately, each in a few calls in a row.
@@ -187,18 +200,31 @@
 func (t *Ticket) Started() {
 	t.placer.mu.Lock()
 	defer t.placer.mu.Unlock()
+	t.started()
+}
+
+func (t *Ticket) started() {
+	if t.timed {
+		t.node.reading.Observe(t.unread, time.Since(t.begun))
+		t.timed = false
+	}
 	t.node.own.Unread -= t.unread
+	t.node.own.Late -= t.late
 	t.placer.ownFetching -= t.fetch
-	t.unread, t.fetch = 0, 0
+	t.unread, t.late, t.fetch = 0, 0, 0
 }
 
 // End notes the outcome of the attempt.
 func (t *Ticket) End(o Outcome) {
-	t.Started()
 	t.placer.mu.Lock()
 	defer t.placer.mu.Unlock()
+	t.timed = false
+	t.started()
 	n, now := t.node, time.Now()
 	n.own.Requests--
+	if o == OutcomeGood {
+		n.holding.Observe(now.Sub(t.begun))
+	}
 	switch o {
 	case OutcomeCancelled:
 	case OutcomeUnreachable:
--- a/internal/coordination/reload/pace.go
+++ b/internal/coordination/reload/pace.go
@@ -23,6 +23,14 @@
 	checkEarly = 0.85
 )
 
+// Pace is what a holder of the duty tells the others of loads, so that the next holder need not learn it anew.
+type Pace struct {
+	// Load is the usual time of a load; 0 if none was seen.
+	Load time.Duration
+	// AtOnce is how many engines load at once; 0 while that is not learned.
+	AtOnce int
+}
+
 // pace learns how long loads take and how many engines may load at once. The zero value knows nothing.
 type pace struct {
 	// took holds the last times of loads by the number of engines that loaded beside each other.
@@ -42,6 +50,17 @@
 	return max(1, (n+enginesPerLoad-1)/enginesPerLoad)
 }
 
+// told returns what the others shall know.
+func (p *pace) told() Pace { return Pace{Load: p.expected, AtOnce: p.width} }
+
+// learn takes what another daemon has learned, unless this one has seen loads itself.
+func (p *pace) learn(told Pace) {
+	if len(p.recent) > 0 || told.Load <= 0 {
+		return
+	}
+	p.expected, p.width = told.Load, max(0, told.AtOnce)
+}
+
 func widest(n int) int { return max(1, int(float64(n)*shareMost)) }
 
 // known reports whether a load was seen to its end.
--- a/internal/coordination/reload/plan_test.go
+++ b/internal/coordination/reload/plan_test.go
@@ -114,3 +114,23 @@
 	require.Equal(t, took(2), p.expected)
 	require.Equal(t, width, p.atOnce(12))
 }
+
+func TestTheNextHolderKnowsThePaceOfLoads(t *testing.T) {
+	p, took := &pace{}, times(1300*time.Millisecond, 2)
+	for range 20 {
+		p.observe(took(p.atOnce(12)), p.atOnce(12), 12)
+		p.observe(took(1), 1, 12)
+	}
+	next := &pace{}
+	next.learn(Pace{})
+	require.False(t, next.known(), "the holder has seen no load")
+	next.learn(p.told())
+	require.Equal(t, p.expected, next.expected)
+	require.Equal(t, p.atOnce(12), next.atOnce(12))
+	next.observe(2*time.Second, 1, 12)
+	next.learn(Pace{Load: time.Minute, AtOnce: 9})
+	require.Equal(t, 2*time.Second, next.expected, "what it has seen itself counts")
+	wild := &pace{}
+	wild.learn(Pace{Load: time.Second, AtOnce: 1 << 30})
+	require.LessOrEqual(t, wild.atOnce(12), 4)
+}
--- a/internal/coordination/reload/runner.go
+++ b/internal/coordination/reload/runner.go
@@ -353,6 +353,20 @@
 	r.Changed()
 }
 
+// Pace returns what this daemon has learned of loads.
+func (r *Runner) Pace() Pace {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.pace.told()
+}
+
+// Learn takes what the holder of the duty has learned of loads.
+func (r *Runner) Learn(told Pace) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pace.learn(told)
+}
+
 // Notices returns what the other daemons shall know.
 func (r *Runner) Notices() []Notice {
 	r.mu.Lock()
--- a/internal/program/entry/beats.go
+++ b/internal/program/entry/beats.go
@@ -16,6 +16,7 @@
 	"github.com/gooseberryway/gooseberryway/internal/state/extern"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/state/scope"
+	"github.com/gooseberryway/gooseberryway/internal/state/view"
 )
 
 const (
@@ -65,19 +66,41 @@
 	for _, k := range b.GetPeers() {
 		d.table.Known(ident.DaemonID(k.GetDaemon()), k.GetIncarnation(), k.GetPeerAddress())
 	}
-	loads := make(map[ident.UpstreamID]place.Load, len(b.GetLoads()))
-	for _, l := range b.GetLoads() {
-		loads[ident.UpstreamID(l.GetUpstream())] = place.Load{
-			Requests: int(l.GetRequests()), Unread: ident.Tokens(l.GetUnread()),
+	listed := d.board.Upstreams().ByTag
+	d.placer.LearnPeer(id, loadsOf(b.GetLoads(), listed), ident.Tokens(b.GetFetching()))
+	d.placer.LearnSent(sentOf(b.GetSent(), listed))
+	d.meter.Learn(id, b.GetIncarnation(), uses(b))
+}
+
+// loadsOf reads the columns of loads as far as all have a value and the upstream is listed.
+func loadsOf(told *wire.UpstreamLoads, listed map[ident.UpstreamTag]*view.Upstream) map[ident.UpstreamID]place.Load {
+	requests, unread, late := told.GetRequests(), told.GetUnread(), told.GetLate()
+	out := make(map[ident.UpstreamID]place.Load, len(told.GetUpstream()))
+	for i, tag := range told.GetUpstream() {
+		u := listed[ident.UpstreamTag(tag)]
+		if u == nil || i >= len(requests) || i >= len(unread) || i >= len(late) {
+			continue
+		}
+		out[u.ID] = place.Load{
+			Requests: int(requests[i]), Unread: ident.Tokens(unread[i]), Late: ident.Tokens(late[i]),
 		}
 	}
-	d.placer.LearnPeer(id, loads, ident.Tokens(b.GetFetching()))
-	sent := make([]place.Sent, 0, len(b.GetSent()))
-	for _, s := range b.GetSent() {
-		sent = append(sent, place.Sent{Chain: place.ChainKey(s.GetChain()), Engine: ident.UpstreamID(s.GetUpstream())})
+	return out
+}
+
+// sentOf reads the columns of sent chains as far as both have a value and the engine is listed.
+func sentOf(told *wire.SentChains, listed map[ident.UpstreamTag]*view.Upstream) []place.Sent {
+	engines := told.GetUpstream()
+	out := make([]place.Sent, 0, len(engines))
+	for i, chain := range told.GetChain() {
+		if i >= len(engines) {
+			break
+		}
+		if u := listed[ident.UpstreamTag(engines[i])]; u != nil {
+			out = append(out, place.Sent{Chain: place.ChainKey(chain), Engine: u.ID})
+		}
 	}
-	d.placer.LearnSent(sent)
-	d.meter.Learn(id, b.GetIncarnation(), uses(b))
+	return out
 }
 
 // heardBrief takes the beat of a daemon that sees no need to exchange all: one of the two has no traffic.
--- a/internal/program/entry/daemon.go
+++ b/internal/program/entry/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/gooseberryway/gooseberryway/internal/coordination/fleet"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/place"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/reload"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/triage"
 	"github.com/gooseberryway/gooseberryway/internal/program/setup"
 	"github.com/gooseberryway/gooseberryway/internal/state/cached"
 	"github.com/gooseberryway/gooseberryway/internal/state/extern"
@@ -148,6 +149,7 @@
 		Placer:  d.placer,
 		Meter:   &d.meter,
 		Budgets: d.budgets(),
+		Desks:   &triage.Desks{},
 		Pool:    upstreams,
 		Leaving: d.leaving.Load,
 	}
--- a/internal/program/entry/duties.go
+++ b/internal/program/entry/duties.go
@@ -5,6 +5,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/gooseberryway/gooseberryway/internal/coordination/reload"
 	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 )
@@ -58,6 +59,8 @@
 	if b.GetTerm() == 0 {
 		return
 	}
+	pace := d.loads.Pace()
+	b.LoadMs, b.LoadsAtOnce = uint32(pace.Load.Milliseconds()), uint32(pace.AtOnce)
 	for _, n := range d.loads.Notices() {
 		b.Loading = append(b.Loading, &wire.LoadingEngine{
 			Upstream: string(n.Engine), ForMs: uint32(n.For.Milliseconds()), Model: string(n.Model), Version: n.Version,
@@ -71,6 +74,11 @@
 		at := time.Now().Add(-time.Duration(w.GetAgeMs()) * time.Millisecond)
 		d.board.WeightsNamedAt(ident.ModelID(w.GetModel()), w.GetVersion(), at)
 	}
+	if b.GetTerm() > 0 {
+		d.loads.Learn(reload.Pace{
+			Load: time.Duration(b.GetLoadMs()) * time.Millisecond, AtOnce: int(b.GetLoadsAtOnce()),
+		})
+	}
 	for _, l := range b.GetLoading() {
 		id := ident.UpstreamID(l.GetUpstream())
 		d.placer.SetLoading(id, time.Duration(l.GetForMs())*time.Millisecond)
--- a/internal/program/entry/round.go
+++ b/internal/program/entry/round.go
@@ -100,13 +100,17 @@
 	b.Brief, b.Active = false, nil
 	loads, fetching := d.placer.Loads()
 	b.Fetching = uint32(max(0, fetching))
+	b.Loads = &wire.UpstreamLoads{}
 	for id, load := range loads {
-		b.Loads = append(b.Loads, &wire.UpstreamLoad{
-			Upstream: string(id), Requests: uint32(max(0, load.Requests)), Unread: uint32(max(0, load.Unread)),
-		})
+		b.Loads.Upstream = append(b.Loads.Upstream, uint32(id.Tag()))
+		b.Loads.Requests = append(b.Loads.Requests, uint32(max(0, load.Requests)))
+		b.Loads.Unread = append(b.Loads.Unread, uint32(max(0, load.Unread)))
+		b.Loads.Late = append(b.Loads.Late, uint32(max(0, load.Late)))
 	}
+	b.Sent = &wire.SentChains{}
 	for _, sent := range d.placer.TakeSent() {
-		b.Sent = append(b.Sent, &wire.SentChain{Chain: uint64(sent.Chain), Upstream: string(sent.Engine)})
+		b.Sent.Chain = append(b.Sent.Chain, uint32(sent.Chain))
+		b.Sent.Upstream = append(b.Sent.Upstream, uint32(sent.Engine.Tag()))
 	}
 	if n := 1 + len(v.mesh); n > maxCacheReaders && v.rank == 0 {
 		// One daemon is enough to tell those who don't follow the KV cache store.
--- a/internal/state/cached/parts.go
+++ b/internal/state/cached/parts.go
@@ -48,8 +48,10 @@
 // Parts is what one store keeps. Its fields are set before Run.
 type Parts struct {
 	Feed extern.CacheFeed
-	// Address is the IP:PORT of the store.
-	Address string
+	// Address is the IP:PORT of the store, LinkMbps the speed of its link in Mbit/s and Domain where it stands.
+	Address  string
+	LinkMbps float64
+	Domain   ident.FailureDomain
 	// Follows reports whether this daemon reads the store's events: the store holds only so many reads at once. The
 	// others hear from those who do whether the store answers, and know only what they had saved themselves.
 	Follows func() bool
--- a/internal/state/cached/stores.go
+++ b/internal/state/cached/stores.go
@@ -56,7 +56,7 @@
 			list = append(list, s.list[at])
 			continue
 		}
-		list = append(list, s.start(ctx, store.Address))
+		list = append(list, s.start(ctx, store))
 	}
 	for _, f := range s.list {
 		if !slices.Contains(list, f) {
@@ -71,12 +71,14 @@
 	}
 }
 
-func (s *Stores) start(ctx context.Context, address string) *followed {
+func (s *Stores) start(ctx context.Context, store *view.Store) *followed {
 	ctx, end := context.WithCancel(ctx)
 	f := &followed{
-		Parts: &Parts{Feed: s.Feed, Address: address, Follows: s.Follows},
-		end:   end,
-		done:  make(chan struct{}),
+		Parts: &Parts{
+			Feed: s.Feed, Address: store.Address, LinkMbps: store.LinkMbps, Domain: store.FailureDomain, Follows: s.Follows,
+		},
+		end:  end,
+		done: make(chan struct{}),
 	}
 	go func() {
 		defer close(f.done)
--- a/internal/state/ident/ident.go
+++ b/internal/state/ident/ident.go
@@ -5,6 +5,8 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // DaemonID names one daemon, that is one process of the system on one entry VM.
@@ -28,6 +30,12 @@
 // UpstreamID names an engine, a KV cache store or a plain service.
 type UpstreamID string
 
+// UpstreamTag is a hash of an upstream's id, for messages that name many upstreams.
+type UpstreamTag uint32
+
+// Tag returns the hash of the id.
+func (id UpstreamID) Tag() UpstreamTag { return UpstreamTag(xxhash.Sum64String(string(id))) }
+
 // ModelID names a model, independent of its version.
 type ModelID string
 
--- a/internal/state/view/config.go
+++ b/internal/state/view/config.go
@@ -77,7 +77,20 @@
 	Slots int
 	// CacheTokens is the memory of one engine.
 	CacheTokens ident.Tokens
-	Models      []ident.ModelID
+	// TokenBytes is the size of a cached token, LinkMbps the speed of the engine's link for cached parts in Mbit/s; 0 if
+	// they aren't published.
+	TokenBytes float64
+	LinkMbps   float64
+	Models     []ident.ModelID
+}
+
+// FetchPerToken returns the time in which a link moves a cached token; 0 if it isn't known.
+func (e *Engine) FetchPerToken(linkMbps float64) time.Duration {
+	if linkMbps <= 0 || e.TokenBytes <= 0 {
+		return 0
+	}
+	const bitsPerByte, bitsPerMbit = 8, 1e6
+	return time.Duration(e.TokenBytes * bitsPerByte / (linkMbps * bitsPerMbit) * float64(time.Second))
 }
 
 // Store describes a KV cache store.
@@ -85,6 +98,8 @@
 	Address       string
 	FailureDomain ident.FailureDomain
 	CacheTokens   ident.Tokens
+	// LinkMbps is the speed of the store's link in Mbit/s; 0 if it isn't published.
+	LinkMbps float64
 }
 
 // Organisation is a customer with a limit over all daemons together.
--- a/internal/state/view/upstream.go
+++ b/internal/state/view/upstream.go
@@ -49,12 +49,19 @@
 	Offset    ident.Offset
 	ByID      map[ident.UpstreamID]*Upstream
 	ByService map[ServiceID][]*Upstream
+	// ByTag names upstreams by a hash of their ids, for messages between daemons. Of two with one tag it holds one, whose
+	// load is then told too high or too low.
+	ByTag map[ident.UpstreamTag]*Upstream
 }
 
 // NewUpstreams groups the upstreams by service.
 func NewUpstreams(byID map[ident.UpstreamID]*Upstream, offset ident.Offset) *Upstreams {
-	u := &Upstreams{Offset: offset, ByID: byID, ByService: map[ServiceID][]*Upstream{}}
+	u := &Upstreams{
+		Offset: offset, ByID: byID, ByService: map[ServiceID][]*Upstream{},
+		ByTag: make(map[ident.UpstreamTag]*Upstream, len(byID)),
+	}
 	for _, up := range byID {
+		u.ByTag[up.ID.Tag()] = up
 		u.ByService[up.Service] = append(u.ByService[up.Service], up)
 	}
 	return u
--- a/internal/transport/opaque/handler.go
+++ b/internal/transport/opaque/handler.go
@@ -12,6 +12,7 @@
 
 	"github.com/gooseberryway/gooseberryway/internal/coordination/admit"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/place"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/triage"
 	"github.com/gooseberryway/gooseberryway/internal/state/guard"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/state/view"
@@ -36,6 +37,7 @@
 	Placer  *place.Placer
 	Meter   *admit.Meter
 	Budgets *Budgets
+	Desks   *triage.Desks
 	Pool    *httpc.Pool
 	// Leaving reports whether the daemon is about to stop; answers then end their connections.
 	Leaving func() bool
--- a/internal/transport/opaque/metrics.go
+++ b/internal/transport/opaque/metrics.go
@@ -29,6 +29,11 @@
 	}
 }
 
+// countLate counts a request that is sent behind those that can be in time.
+func countLate(c *call) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`gooseberrywayLateRequests{kind=%q}`, kindName(c))).Inc()
+}
+
 func kindName(c *call) string {
 	if c.route == nil {
 		return "none"
--- a/internal/transport/opaque/run.go
+++ b/internal/transport/opaque/run.go
@@ -14,6 +14,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/gooseberryway/gooseberryway/internal/coordination/place"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/triage"
 	"github.com/gooseberryway/gooseberryway/internal/state/guard"
 	"github.com/gooseberryway/gooseberryway/internal/state/view"
 	"github.com/gooseberryway/gooseberryway/internal/transport/httpc"
@@ -55,6 +56,8 @@
 	held bool
 	// connects counts upstreams that could not be connected to.
 	connects int
+	// priority orders the request at the engine.
+	priority int
 }
 
 // run sends the request until there is a final answer.
@@ -74,10 +77,13 @@
 			}
 			continue
 		}
+		if err := c.triage(service, choice, p); err != nil {
+			return err
+		}
 		if c.attempts > 0 && !budget.Withdraw() {
 			return c.exhausted(ReasonShed)
 		}
-		v, reason := c.attempt(choice, p.work)
+		v, reason := c.attempt(choice, p)
 		if v == verdictDone {
 			return nil
 		}
@@ -87,6 +93,32 @@
 	}
 }
 
+// triage refuses a request that can't be answered before its caller leaves, and puts one that would be late behind those
+// that can be in time.
+func (c *call) triage(service view.ServiceID, choice *place.Choice, p *progress) error {
+	p.priority = c.priority()
+	r := &triage.Request{
+		First: choice.Wait.All, Ahead: choice.Wait.Ahead, Own: choice.Wait.Own,
+		Target: c.route.Target, Left: c.left(), Waited: time.Since(c.arrived), Priority: p.priority,
+	}
+	switch v := c.Desks.Of(service).Decide(r).(type) {
+	case *triage.Send:
+		p.priority, choice.Late = v.Priority, v.Late
+		if v.Late {
+			countLate(c)
+		}
+	case *triage.Refuse:
+		if c.mayHaveRun() {
+			return nil
+		}
+		klog.InfoS("Request can't be served in time", "request", c.req.ID, "upstream", choice.Upstream.ID,
+			"firstMs", r.First.Milliseconds(), "ownMs", r.Own.Milliseconds(), "leftMs", r.Left.Milliseconds(),
+			"retryAfterMs", v.RetryAfter.Milliseconds())
+		return c.notRun(ReasonTooLate, v.RetryAfter)
+	}
+	return nil
+}
+
 // mayGoOn ends a request that needs no further attempt.
 func (c *call) mayGoOn() error {
 	switch {
@@ -218,13 +250,14 @@
 }
 
 // attempt sends the request to the chosen upstream and passes its answer on.
-func (c *call) attempt(choice *place.Choice, work *place.Work) (verdict, Reason) {
+func (c *call) attempt(choice *place.Choice, p *progress) (verdict, Reason) {
+	work := p.work
 	ctx, cancel := context.WithCancelCause(c.r.Context())
 	defer cancel(nil)
 	end := time.AfterFunc(c.left()+endGrace, func() { cancel(context.DeadlineExceeded) })
 	defer end.Stop()
 	ticket := c.Placer.Begin(choice, work)
-	req, err := c.request(ctx, choice, work)
+	req, err := c.request(ctx, choice, p)
 	if err != nil {
 		ticket.End(place.OutcomeCancelled)
 		return verdictFailed, ReasonBroken
@@ -232,7 +265,8 @@
 	klog.InfoS("Request sent", "request", c.req.ID, "upstream", choice.Upstream.ID, "attempt", c.attempts+1,
 		"weights", choice.Weights, "cost", int64(choice.Cost), "rank", choice.Rank, "missed", choice.Missed,
 		"candidates", choice.Candidates, "upstreamAgeMs", time.Since(choice.Upstream.SeenAt).Milliseconds(),
-		"leftMs", c.left().Milliseconds(), "cached", choice.Cached, "chain", work.Chain(), "save", choice.Save)
+		"leftMs", c.left().Milliseconds(), "cached", choice.Cached, "chain", work.Chain(), "save", choice.Save,
+		"waitMs", choice.Wait.All.Milliseconds(), "late", choice.Late, "priority", p.priority)
 	c.watchSilence(ctx, cancel, ticket)
 	resp, err := c.Pool.Do(req) //nolint:bodyclose // receive closes it
 	if err != nil {
@@ -268,7 +302,8 @@
 	}()
 }
 
-func (c *call) request(ctx context.Context, choice *place.Choice, work *place.Work) (*http.Request, error) {
+func (c *call) request(ctx context.Context, choice *place.Choice, p *progress) (*http.Request, error) {
+	work := p.work
 	u := *c.r.URL
 	u.Scheme, u.Host, u.User = "http", choice.Upstream.Address, nil
 	a := Attempt{
@@ -279,7 +314,7 @@
 	}
 	if work.Model != "" {
 		a.Weights = choice.Weights
-		a.Priority = c.priority()
+		a.Priority = p.priority
 		a.Salt = place.Salt(choice.Weights, work.Scope)
 		a.FetchFrom, a.SaveTo = c.cacheSources(choice)
 	}
