--- a/internal/coordination/place/placer.go
+++ b/internal/coordination/place/placer.go
@@ -416,17 +416,26 @@
 
 // levelCost adds what it takes to get one shared part into the engine's cache.
 func (p *Placer) levelCost(q *query, c *Choice, n, home *candidate, l *level) {
-	if n.sentRecently(l.key, q.now) || n.settled(q.now) && (home == n || !l.deepest) {
-		return
-	}
-	c.Missed += l.tokens
-	tokens := float64(l.tokens)
 	source := l.source
 	if l.last.engine == n.id {
 		source = nil
 	}
+	if n.sentRecently(l.key, q.now) {
+		return
+	}
+	if n.settled(q.now) && (home == n || !l.deepest) {
+		// The engine will have it; if it doesn't, another one that was sent the part lately has.
+		if source != nil && l.deepest && !l.reading {
+			c.Fetch, c.Source = FetchEngine, source.Address
+		}
+		return
+	}
+	c.Missed += l.tokens
+	tokens := float64(l.tokens)
+	// An engine that was sent the part lately holds it, and its link is less shared than that of the store.
+	held := source != nil && !l.reading && q.now.Sub(l.last.at) < recentFor
 	switch {
-	case l.stored && (l.deepest || source == nil):
+	case l.stored && !held && (l.deepest || source == nil):
 		c.Fetch, c.Source, c.Cached = FetchStore, "", CachedStore
 		c.Cost += float64(l.tokens+p.fetching(q.now)) * q.fetchCost(q.store.LinkMbps, q.store.Domain, n)
 	case source != nil && l.reading:
@@ -434,7 +443,6 @@
 		c.Unread += l.tokens
 		c.Cost += tokens * strayCost
 	case source != nil:
-		// The link of one engine is less shared than that of the store.
 		c.Fetch, c.Source, c.Cached = FetchEngine, source.Address, CachedEngine
 		c.Cost += tokens * q.fetchCost(q.linkMbps(), source.FailureDomain, n)
 	case l.deepest && home != n && home.settled(q.now):
