Leave engines that are gone alone; learn how long caches keep; a rejection is not a run

Change: an engine that is another one, can't be asked or gives three reports in a row no answer is left alone for 2 s. Cause 2: a stream that an upstream refused (421, 503 with the statement that it did not run) was refused to the caller, as the route allows one attempt. Change: runs count against the attempts; at most two rejections, within the retry budget. Change 3: how long an engine keeps a chain is worked out from its published memory and the tokens that come new (churn), 8 s before that is known. Trial, not kept: engines before the KV cache store as sources of parts they were sent lately. Ruled out for 1: triage (puts 36 of 4,000 requests behind there, refuses none).

--- a/internal/coordination/place/consts.go
+++ b/internal/coordination/place/consts.go
@@ -37,8 +37,15 @@
 const (
 	// olderGrace is how long replaced weights cost nothing, below the 1.5 s from which callers get less.
 	olderGrace = 1200 * time.Millisecond
-	// recentFor is how long a chain that was sent to an engine is taken as cached there.
+	// recentFor is how long a chain that was sent to an engine is taken as cached there before that is learned, and how
+	// long after a change of weights an engine has read what is in use.
 	recentFor = 8 * time.Second
+	// keepLeast and keepMost bound that time once it is learned; keepPeriod is the time between two estimates.
+	keepLeast  = time.Second
+	keepMost   = sourceFor
+	keepPeriod = 250 * time.Millisecond
+	// keptShare is the part of an engine's memory that keeps what is not in use; running requests hold the rest.
+	keptShare = 0.8
 	// sourceFor is how long an engine that was sent a chain is asked for it: a miss takes a millisecond only.
 	sourceFor = 30 * time.Second
 	// digestFor is how long a peer's digest counts in a small fleet, digestBeats the same in beats.
--- a/internal/coordination/place/node.go
+++ b/internal/coordination/place/node.go
@@ -6,7 +6,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/gooseberryway/gooseberryway/internal/coordination/gauge"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/state/view"
 )
@@ -29,10 +28,8 @@
 type node struct {
 	id      ident.UpstreamID
 	started ident.Incarnation
-	// reading tells how fast the engines of the service read prompts.
-	reading *gauge.Reading
-	// holding tells how long a request holds its place at an upstream of the service.
-	holding *gauge.Holding
+	// service is what was learned of the upstream's service.
+	service *service
 	own     Load
 	peers   map[ident.DaemonID]peerLoad
 
@@ -111,7 +108,7 @@
 
 // readIn returns how long the upstream usually takes to read so many prompt tokens.
 func (n *node) readIn(tokens ident.Tokens) time.Duration {
-	return time.Duration(tokens) * n.reading.PerToken()
+	return time.Duration(tokens) * n.service.reading.PerToken()
 }
 
 // setDown keeps work off until a connection succeeds.
@@ -153,14 +150,14 @@
 // sentRecently reports whether the chain that ends with the part was sent here lately.
 func (n *node) sentRecently(chain ChainKey, now time.Time) bool {
 	at, ok := n.recent[chain]
-	return ok && now.Sub(at) < recentFor
+	return ok && now.Sub(at) < n.service.keep
 }
 
 // remember notes that a chain was sent here.
 func (n *node) remember(chain ChainKey, now time.Time) {
 	if len(n.recent) >= maxRecent {
 		for k, at := range n.recent {
-			if now.Sub(at) >= recentFor {
+			if now.Sub(at) >= n.service.keep {
 				delete(n.recent, k)
 			}
 		}
--- a/internal/coordination/place/placer.go
+++ b/internal/coordination/place/placer.go
@@ -11,7 +11,6 @@
 	"k8s.io/klog/v2"
 
 	"github.com/gooseberryway/gooseberryway/internal/coordination/fleet"
-	"github.com/gooseberryway/gooseberryway/internal/coordination/gauge"
 	"github.com/gooseberryway/gooseberryway/internal/state/cached"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/state/view"
@@ -148,35 +147,8 @@
 	read map[ChainKey]reading
 	// sent are the chains that this daemon was the first to send somewhere lately.
 	sent []Sent
-	// readings tells how fast the engines of a service read prompts, holdings how long requests take.
-	readings map[view.ServiceID]*gauge.Reading
-	holdings map[view.ServiceID]*gauge.Holding
-}
-
-// holdingOf returns how long requests hold their places at a service's upstreams.
-func (p *Placer) holdingOf(id view.ServiceID) *gauge.Holding {
-	if p.holdings == nil {
-		p.holdings = map[view.ServiceID]*gauge.Holding{}
-	}
-	h := p.holdings[id]
-	if h == nil {
-		h = &gauge.Holding{}
-		p.holdings[id] = h
-	}
-	return h
-}
-
-// readingOf returns the speed of reading of a service's engines.
-func (p *Placer) readingOf(id view.ServiceID) *gauge.Reading {
-	if p.readings == nil {
-		p.readings = map[view.ServiceID]*gauge.Reading{}
-	}
-	r := p.readings[id]
-	if r == nil {
-		r = &gauge.Reading{}
-		p.readings[id] = r
-	}
-	return r
+	// services are what was learned of the upstreams of each service.
+	services map[view.ServiceID]*service
 }
 
 // engineOf returns what the configuration says of a service's engines; nil if it runs no models.
@@ -199,8 +171,7 @@
 			peers:   map[ident.DaemonID]peerLoad{},
 			weights: map[ident.ModelID]int64{},
 			recent:  map[ChainKey]time.Time{},
-			reading: p.readingOf(u.Service),
-			holding: p.holdingOf(u.Service),
+			service: p.service(u.Service),
 		}
 		p.nodes[u.ID] = n
 	}
@@ -221,7 +192,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	blocked := &BlockedError{Reason: BlockedNone, RetryAfter: blockedRetry}
-	q.perToken = p.readingOf(w.Service).PerToken()
+	learned := p.service(w.Service)
+	q.perToken = learned.reading.PerToken()
+	p.refreshKeep(learned, w.Service, now)
 	candidates := p.candidates(q, blocked)
 	var best *Choice
 	for i := range candidates {
@@ -416,26 +389,17 @@
 
 // levelCost adds what it takes to get one shared part into the engine's cache.
 func (p *Placer) levelCost(q *query, c *Choice, n, home *candidate, l *level) {
-	source := l.source
-	if l.last.engine == n.id {
-		source = nil
-	}
-	if n.sentRecently(l.key, q.now) {
-		return
-	}
-	if n.settled(q.now) && (home == n || !l.deepest) {
-		// The engine will have it; if it doesn't, another one that was sent the part lately has.
-		if source != nil && l.deepest && !l.reading {
-			c.Fetch, c.Source = FetchEngine, source.Address
-		}
+	if n.sentRecently(l.key, q.now) || n.settled(q.now) && (home == n || !l.deepest) {
 		return
 	}
 	c.Missed += l.tokens
 	tokens := float64(l.tokens)
-	// An engine that was sent the part lately holds it, and its link is less shared than that of the store.
-	held := source != nil && !l.reading && q.now.Sub(l.last.at) < recentFor
+	source := l.source
+	if l.last.engine == n.id {
+		source = nil
+	}
 	switch {
-	case l.stored && !held && (l.deepest || source == nil):
+	case l.stored && (l.deepest || source == nil):
 		c.Fetch, c.Source, c.Cached = FetchStore, "", CachedStore
 		c.Cost += float64(l.tokens+p.fetching(q.now)) * q.fetchCost(q.store.LinkMbps, q.store.Domain, n)
 	case source != nil && l.reading:
--- a/internal/coordination/place/track.go
+++ b/internal/coordination/place/track.go
@@ -54,8 +54,8 @@
 
 // Ticket accounts for one attempt from Begin to End.
 type Ticket struct {
-	placer *Placer
-	node   *node
+	placer       *Placer
+	node         *node
 	unread, late ident.Tokens
 	// fetch are the tokens that come from the KV cache store.
 	fetch ident.Tokens
@@ -88,6 +88,9 @@
 		}
 		c.Save = c.Save && c.Store.Requested(salt, lastShared(w))
 	}
+	if w.Model != "" {
+		n.service.churn.Add(newTokens(c, w))
+	}
 	t := &Ticket{
 		placer: p, node: n, unread: c.Unread, late: late, begun: now,
 		timed: quiet && w.Model != "" && (c.Missed == 0 || c.Cached == CachedNowhere),
@@ -99,10 +102,15 @@
 	return t
 }
 
+// newTokens returns the tokens of a request that its engine is taken not to hold yet.
+func newTokens(c *Choice, w *Work) ident.Tokens {
+	return max(0, w.Input-sharedTokens(w)) + c.Missed
+}
+
 // remember notes that this daemon sends a chain to an engine, and keeps the news for the others.
 func (p *Placer) remember(n *node, chain ChainKey) {
 	now := time.Now()
-	if !n.sentRecently(chain, now.Add(recentFor/2)) && len(p.sent) < maxSent {
+	if !n.sentRecently(chain, now.Add(n.service.keep/2)) && len(p.sent) < maxSent {
 		p.sent = append(p.sent, Sent{Chain: chain, Engine: n.id, at: now})
 	}
 	p.note(n, chain, now)
@@ -118,7 +126,7 @@
 	if len(p.read) > maxRead {
 		maps.DeleteFunc(p.read, func(_ ChainKey, r reading) bool { return now.Sub(r.at) >= sourceFor })
 	}
-	if old, ok := p.read[chain]; had && ok && old.engine == n.id && now.Sub(old.at) < recentFor/2 {
+	if old, ok := p.read[chain]; had && ok && old.engine == n.id && now.Sub(old.at) < n.service.keep/2 {
 		return
 	}
 	ready := max(slowRead*n.readIn(usualChain), n.readIn(n.load(now, p.digestFor()).Unread))
@@ -205,7 +213,7 @@
 
 func (t *Ticket) started() {
 	if t.timed {
-		t.node.reading.Observe(t.unread, time.Since(t.begun))
+		t.node.service.reading.Observe(t.unread, time.Since(t.begun))
 		t.timed = false
 	}
 	t.node.own.Unread -= t.unread
@@ -223,7 +231,7 @@
 	n, now := t.node, time.Now()
 	n.own.Requests--
 	if o == OutcomeGood {
-		n.holding.Observe(now.Sub(t.begun))
+		n.service.holding.Observe(now.Sub(t.begun))
 	}
 	switch o {
 	case OutcomeCancelled:
--- a/internal/coordination/place/wait.go
+++ b/internal/coordination/place/wait.go
@@ -14,15 +14,15 @@
 func (p *Placer) wait(q *query, c *Choice) Wait {
 	n := p.nodes[c.Upstream.ID]
 	load := n.load(q.now, q.digest)
-	queue := slotWait(load.Requests, c.Upstream.Slots, n.holding.Usual())
+	queue := slotWait(load.Requests, c.Upstream.Slots, n.service.holding.Usual())
 	if q.work.Model == "" {
-		own := n.holding.Usual()
+		own := n.service.holding.Usual()
 		return Wait{All: queue + own, Ahead: queue + own, Own: own}
 	}
-	if !n.reading.Known() {
+	if !n.service.reading.Known() {
 		return Wait{}
 	}
-	own := n.reading.Base() + n.readIn(c.Unread)
+	own := n.service.reading.Base() + n.readIn(c.Unread)
 	return Wait{
 		All:   queue + own + n.readIn(load.Unread),
 		Ahead: queue + own + n.readIn(max(0, load.Unread-load.Late)),
--- a/internal/coordination/reload/plan.go
+++ b/internal/coordination/reload/plan.go
@@ -24,6 +24,11 @@
 	barMargin = 400 * time.Millisecond
 	// reportLag is how old an engine's report is: the pages say some hundred milliseconds.
 	reportLag = 150 * time.Millisecond
+	// avoidFor is how long an engine is left alone that is not the one listed or gives no reports: the list forgets one
+	// that has ended after some seconds.
+	avoidFor = 2 * time.Second
+	// reportsLost in a row end a load whose engine gives none.
+	reportsLost = 3
 	// overdueLeast is when an order without effect is given again at the earliest, overdueLoads the same in loads.
 	overdueLeast = 2500 * time.Millisecond
 	overdueLoads = 3
@@ -54,7 +59,8 @@
 	beside int
 	// calling is true while an order or a look is under way, asked once the engine was asked how it is before its order.
 	calling, asked bool
-	tries          int
+	// tries counts orders, lost the reports in a row that did not come.
+	tries, lost int
 }
 
 // endsWithin reports whether the engine is expected to have its weights after so long. Before a load was timed nothing is
--- a/internal/coordination/reload/runner.go
+++ b/internal/coordination/reload/runner.go
@@ -50,8 +50,10 @@
 	jobs     map[ident.UpstreamID]*job
 	accepted map[ident.UpstreamID]acceptedOrders
 	done     map[ident.UpstreamID]finished
-	pace     pace
-	calls    sync.WaitGroup
+	// avoid holds engines that are left alone, and until when.
+	avoid map[ident.UpstreamID]time.Time
+	pace  pace
+	calls sync.WaitGroup
 }
 
 // acceptedOrders is the number of orders that an incarnation of an engine has accepted.
@@ -71,6 +73,7 @@
 	r.jobs = map[ident.UpstreamID]*job{}
 	r.accepted = map[ident.UpstreamID]acceptedOrders{}
 	r.done = map[ident.UpstreamID]finished{}
+	r.avoid = map[ident.UpstreamID]time.Time{}
 	for ctx.Err() == nil {
 		r.step(ctx)
 		scope.Sleep(ctx, tick)
@@ -190,7 +193,7 @@
 	var out []candidate
 	for _, u := range engines {
 		has := r.Placer.KnownWeights(u, model)
-		if u.State != view.UpstreamReady || r.jobs[u.ID] != nil || has >= version {
+		if u.State != view.UpstreamReady || r.jobs[u.ID] != nil || has >= version || r.avoids(u.ID) {
 			continue
 		}
 		out = append(out, candidate{engine: u, has: has, version: version, requests: r.Placer.Busy(u.ID).Requests})
@@ -198,6 +201,24 @@
 	return out
 }
 
+// avoids reports whether an engine is left alone for now.
+func (r *Runner) avoids(id ident.UpstreamID) bool {
+	until, ok := r.avoid[id]
+	if ok && time.Now().After(until) {
+		delete(r.avoid, id)
+		return false
+	}
+	return ok
+}
+
+// giveUp ends the load of an engine that can't be reached or is another one.
+func (r *Runner) giveUp(j *job, why string) {
+	klog.InfoS("Engine left alone", "engine", j.engine.ID, "reason", why, "tries", j.tries, "forMs", avoidFor.Milliseconds())
+	delete(r.jobs, j.engine.ID)
+	r.Placer.SetLoading(j.engine.ID, 0)
+	r.avoid[j.engine.ID] = time.Now().Add(avoidFor)
+}
+
 func (r *Runner) begin(c candidate, s *view.Service, now time.Time) {
 	j := &job{engine: c.engine, model: s.Engine.Models[0], version: c.version, since: now}
 	for _, m := range s.Engine.Models {
@@ -260,7 +281,7 @@
 		defer r.mu.Unlock()
 		j.calling = false
 		if err != nil {
-			klog.InfoS("Engine gave no report", "engine", j.engine.ID, "reason", err.Error())
+			r.giveUp(j, err.Error())
 			return
 		}
 		r.accepted[j.engine.ID] = acceptedOrders{j.engine.Started, report.Accepted}
@@ -298,7 +319,7 @@
 	case extern.OrderBusy:
 		j.checkAt = time.Now().Add(checkAgain)
 	case extern.OrderMisdirected, extern.OrderRejected:
-		delete(r.jobs, j.engine.ID)
+		r.giveUp(j, string(result))
 	}
 }
 
@@ -313,8 +334,12 @@
 		j.checkAt = time.Now().Add(checkAgain)
 		if err != nil {
 			klog.InfoS("Engine gave no report", "engine", j.engine.ID, "reason", err.Error())
+			if j.lost++; j.lost >= reportsLost {
+				r.giveUp(j, "no reports")
+			}
 			return
 		}
+		j.lost = 0
 		r.accepted[j.engine.ID] = acceptedOrders{j.engine.Started, report.Accepted}
 		if report.Busy {
 			j.busyAt = time.Now()
--- a/internal/transport/opaque/answer.go
+++ b/internal/transport/opaque/answer.go
@@ -70,7 +70,7 @@
 
 // mayRepeat reports whether another attempt may follow one that ran.
 func (c *call) mayRepeat() bool {
-	return c.route.Repeatable() && c.attempts < c.route.Attempts
+	return c.route.Repeatable() && c.runs() < c.route.Attempts
 }
 
 // rejected handles an upstream that did not run the request.
@@ -80,6 +80,7 @@
 		outcome = place.OutcomeMisdirected
 	}
 	ticket.End(outcome)
+	c.rejections++
 	klog.InfoS("Upstream refused", "request", c.req.ID, "upstream", choice.Upstream.ID, "status", resp.StatusCode,
 		"weights", choice.Weights)
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, copyBuffer))
--- a/internal/transport/opaque/handler.go
+++ b/internal/transport/opaque/handler.go
@@ -58,7 +58,8 @@
 	cost   float64
 	body   []byte
 
-	attempts int
+	// attempts counts upstreams that the request reached, rejections those of them that said that they did not run it.
+	attempts, rejections int
 	// headed is true once the head of an answer was sent.
 	headed bool
 	// sentAt is when the request was first sent to an upstream.
--- a/internal/transport/opaque/run.go
+++ b/internal/transport/opaque/run.go
@@ -23,6 +23,9 @@
 const (
 	// maxConnects bounds the upstreams that are tried for a request while none of them can be connected to.
 	maxConnects = 4
+	// maxRejections is how many upstreams may say that they did not run a request before it is refused, within the retry
+	// budget. The route's attempts count those that may have run it.
+	maxRejections = 2
 	// holdMost is how long a request waits for an upstream that is about to take work.
 	holdMost = 150 * time.Millisecond
 	// endGrace is how much later than an upstream this daemon gives up, so that the upstream's own answer arrives.
@@ -141,7 +144,7 @@
 		return p.connects >= maxConnects
 	case verdictElsewhere:
 		p.work.Tried = append(p.work.Tried, choice.Upstream.ID)
-		return c.attempts >= c.route.Attempts
+		return c.runs() >= c.route.Attempts || c.rejections > maxRejections
 	default:
 		return true
 	}
@@ -213,6 +216,9 @@
 	return c.notRun(ReasonBlocked, after)
 }
 
+// runs returns how many upstreams may have run the request.
+func (c *call) runs() int { return c.attempts - c.rejections }
+
 // mayHaveRun reports whether an upstream may have begun to work on the request.
 func (c *call) mayHaveRun() bool { return !c.sentAt.IsZero() }
 
@@ -282,7 +288,7 @@
 
 // watchSilence ends an attempt at an upstream that is taken to be down, where another one may take over.
 func (c *call) watchSilence(ctx context.Context, cancel context.CancelCauseFunc, ticket *place.Ticket) {
-	if !c.route.Repeatable() || c.attempts+1 >= c.route.Attempts {
+	if !c.route.Repeatable() || c.runs()+1 >= c.route.Attempts {
 		return
 	}
 	go func() {
