Read shared parts where too much waits for the KV cache store's link

Fetches waited for the one link of the store for up to its bound of 2 s; the engines lost meanwhile what they kept, so that as many fetches came after the burst as the link carries. Ruled out: processor of the daemons, preempted runs (0), the engines' reading (a sixth of their time), triage (the same without it). Change: where the tokens that wait for the link take more than twice the time of reading, another engine that was sent the part is asked, or it is read.

--- a/internal/coordination/place/consts.go
+++ b/internal/coordination/place/consts.go
@@ -18,6 +18,8 @@
 	fetchLeast = 0.1
 	// fetchMost is the largest part: an engine that finds its link busy reads.
 	fetchMost = 1.0
+	// busyLink is how many times the time of reading a fetch from the KV cache store may wait.
+	busyLink = 2.0
 	// acrossDomains is how much longer a fetch between failure domains takes, as published.
 	acrossDomains = 2.0
 	// strayCost is the cost of reading a token that another engine reads at the moment, so that it is read twice.
--- a/internal/coordination/place/placer.go
+++ b/internal/coordination/place/placer.go
@@ -87,6 +87,8 @@
 	CachedEngine Cached = "engine"
 	// CachedStore: the KV cache store holds them.
 	CachedStore Cached = "store"
+	// CachedBusy: the KV cache store holds them, and too much waits for its link.
+	CachedBusy Cached = "busy"
 	// CachedNowhere: nobody is known to hold them, and the engine reads them.
 	CachedNowhere Cached = "nowhere"
 	// CachedHome: nobody is known to hold them, but their home has had time to read them.
@@ -400,8 +402,7 @@
 	}
 	switch {
 	case l.stored && (l.deepest || source == nil):
-		c.Fetch, c.Source, c.Cached = FetchStore, "", CachedStore
-		c.Cost += float64(l.tokens+p.fetching(q.now)) * q.fetchCost(q.store.LinkMbps, q.store.Domain, n)
+		p.storeCost(q, c, n, l, source)
 	case source != nil && l.reading:
 		c.Cached = CachedStray
 		c.Unread += l.tokens
@@ -424,6 +425,26 @@
 	}
 }
 
+// storeCost adds what it takes to get a part that the KV cache store holds. Once more waits for the store's link than twice
+// the time of reading, another engine that was sent the part is asked for it, or it is read: a queue at the one link would
+// otherwise outlast the burst that caused it, as engines lose what they keep meanwhile.
+func (p *Placer) storeCost(q *query, c *Choice, n *candidate, l *level, source *view.Upstream) {
+	tokens := float64(l.tokens)
+	fetch := float64(l.tokens+p.fetching(q.now)) * q.fetchCost(q.store.LinkMbps, q.store.Domain, n)
+	if fetch <= busyLink*tokens {
+		c.Fetch, c.Source, c.Cached = FetchStore, "", CachedStore
+		c.Cost += fetch
+		return
+	}
+	c.Cached = CachedBusy
+	c.Unread += l.tokens
+	c.Cost += tokens
+	c.Fetch, c.Source = FetchNone, ""
+	if source != nil && !l.reading {
+		c.Fetch, c.Source = FetchEngine, source.Address
+	}
+}
+
 // linkMbps returns the speed of an engine's link; 0 if it isn't known.
 func (q *query) linkMbps() float64 {
 	if q.engine == nil {
