Count engines that answer late as slow, and test the queue at the store's link

Change: the ratio of the time to a first event to the estimate, from 1.5 on, multiplies an engine's costs and lengthens the silence that it is allowed; it fades in 3 s and is bounded by 4. Tests: a flood of fetches waits for the store's link at most twice the time of reading and one fetch (0.16 s; without bound 2 s and more); a slow engine is left to those without work until it is forgotten, and is not silent while it is known to be slow.

--- a/internal/coordination/place/consts.go
+++ b/internal/coordination/place/consts.go
@@ -60,6 +60,14 @@
 	// silentAfter is how long an upstream with work may send nothing, beyond the time for reading prompts: several
 	// steps of an engine, or the slowest hundredth of plain calls.
 	silentAfter = 450 * time.Millisecond
+	// slowWeight is the weight of one first event in what is known of an upstream's slowness, slowHalfLife the time in which
+	// that fades, and slowMost its bound.
+	slowWeight   = 0.2
+	slowHalfLife = 3 * time.Second
+	slowMost     = 4.0
+	// slowUsual is how many times the estimate first events take at upstreams that aren't slow: answers that run beside
+	// reading delay it.
+	slowUsual = 1.5
 	// slowRead is how many times the usual time an engine may take to read a prompt.
 	slowRead = 2
 	// usualChain is the mean published size of a chain of shared parts.
--- /dev/null
+++ b/internal/coordination/place/link_test.go
@@ -0,0 +1,143 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/cached"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/state/view"
+)
+
+// oneStore is a KV cache store that keeps all chains.
+type oneStore struct{ parts *cached.Parts }
+
+func (s *oneStore) For(string) *cached.Parts { return s.parts }
+
+func (s *oneStore) Count() int { return 1 }
+
+// newStoredPlacer returns a placer whose chains are all kept by one store with a link that moves perMs tokens a
+// millisecond.
+func newStoredPlacer(perMs float64) *Placer {
+	const tokenBytes = 35_000
+	mbps := perMs * tokenBytes * 8 / 1000
+	p := newPlacer()
+	p.Board.SetConfig(&view.Config{Version: 1, Services: map[view.ServiceID]*view.Service{"llm": {
+		ID: "llm", Engine: &view.Engine{Slots: 64, TokenBytes: tokenBytes, LinkMbps: 10 * mbps, Models: []ident.ModelID{"m"}},
+	}}})
+	store := &cached.Parts{Address: "10.9.0.1:1", LinkMbps: mbps}
+	for chain := range chains {
+		for _, part := range workFor(chain).Parts[:2] {
+			store.Requested(Salt(1, ""), part.ID)
+		}
+	}
+	// The store takes a second to keep what was sent to it.
+	time.Sleep(1100 * time.Millisecond)
+	store.PeerReached()
+	p.Stores = &oneStore{store}
+	// No engine is presumed to hold anything: all have just changed their weights.
+	for i := range engines {
+		p.node(engineAt(i)).weightsSince = time.Now()
+	}
+	return p
+}
+
+// A burst asks for more chains than the store's link moves. The pattern comes from an installation where fetches waited for
+// up to two seconds, and for as long after the burst, as the engines had lost meanwhile what they kept.
+func TestTheQueueAtTheStoresLinkDoesNotOutlastReading(t *testing.T) {
+	const perMs = 120.0
+	for name, perSecond := range map[string]int{"calm": 10, "burst": 120, "flood": 400} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newStoredPlacer(perMs)
+				free := time.Now()
+				var longest time.Duration
+				fetches, reads := 0, 0
+				for i := range 3 * perSecond {
+					time.Sleep(time.Second / time.Duration(perSecond))
+					w := workFor(i % chains)
+					w.Parts[1].ID = fmt.Sprint("chain", i%chains)
+					c, err := p.Choose(w)
+					require.NoError(t, err)
+					ticket := p.Begin(c, w)
+					now := time.Now()
+					if c.Fetch != FetchStore || c.Missed == 0 {
+						if c.Cached == CachedBusy {
+							reads++
+						}
+						time.AfterFunc(100*time.Millisecond, func() { ticket.Started(); ticket.End(OutcomeGood) })
+						continue
+					}
+					fetches++
+					if free.Before(now) {
+						free = now
+					}
+					free = free.Add(time.Duration(float64(c.Missed) / perMs * float64(time.Millisecond)))
+					longest = max(longest, free.Sub(now))
+					time.AfterFunc(free.Sub(now), func() { ticket.Started(); ticket.End(OutcomeGood) })
+				}
+				time.Sleep(5 * time.Second)
+				t.Logf("fetched %d, read %d, longest wait for the link %v", fetches, reads, longest)
+				reading := time.Duration(chainTokens) * p.service("llm").reading.PerToken()
+				require.Positive(t, fetches)
+				require.LessOrEqual(t, longest, time.Duration(busyLink*float64(reading))+time.Duration(chainTokens/perMs*float64(time.Millisecond)))
+				if name == "calm" {
+					require.Zero(t, reads, "the link has time for all")
+				} else {
+					require.Positive(t, reads)
+				}
+			})
+		})
+	}
+}
+
+func TestAnEngineThatAnswersLateCostsMoreUntilItIsForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlacer()
+		c, err := p.Choose(workFor(1))
+		require.NoError(t, err)
+		home := c.Upstream.ID
+		n := p.nodes[home]
+		for range 10 {
+			ticket := p.Begin(&Choice{Upstream: c.Upstream, Wait: Wait{All: 100 * time.Millisecond}}, workFor(1))
+			time.Sleep(900 * time.Millisecond)
+			ticket.Heard()
+			ticket.Started()
+			ticket.End(OutcomeGood)
+		}
+		require.Greater(t, n.slowness(time.Now()), 2.0)
+		require.LessOrEqual(t, n.slowness(time.Now()), slowMost)
+		p.LearnPeer("peer", map[ident.UpstreamID]Load{home: {Unread: 6000}}, 0)
+		c, err = p.Choose(workFor(1))
+		require.NoError(t, err)
+		require.NotEqual(t, home, c.Upstream.ID, "a slow engine with work is left to those that have none")
+		time.Sleep(10 * slowHalfLife)
+		require.InDelta(t, 1, n.slowness(time.Now()), 0.01)
+		c, err = p.Choose(workFor(1))
+		require.NoError(t, err)
+		require.Equal(t, home, c.Upstream.ID)
+	})
+}
+
+// A stream whose engine is slow but sends is not taken to be silent.
+func TestASlowEngineIsNotSilentWhereItIsKnownToBeSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlacer()
+		c, err := p.Choose(workFor(1))
+		require.NoError(t, err)
+		n := p.nodes[c.Upstream.ID]
+		ticket := p.Begin(c, workFor(1))
+		usual := silentAfter + slowRead*n.readIn(c.Unread)
+		for range 20 {
+			n.observeSpeed(time.Now(), 5*time.Second, time.Second)
+		}
+		time.Sleep(usual + 50*time.Millisecond)
+		require.False(t, ticket.Down())
+		time.Sleep(2 * time.Second)
+		require.True(t, ticket.Down(), "but not for ever")
+	})
+}
--- a/internal/coordination/place/node.go
+++ b/internal/coordination/place/node.go
@@ -39,6 +39,10 @@
 	// loading is the time until which the upstream takes no work because it loads weights.
 	loading time.Time
 
+	// slow is how many times the estimated time first events took lately, as seen at slowAt.
+	slow   float64
+	slowAt time.Time
+
 	failures  float64
 	failureAt time.Time
 
@@ -86,6 +90,21 @@
 	return n.failures * math.Exp2(-float64(now.Sub(n.failureAt))/float64(outcomeHalfLife))
 }
 
+// slowness returns how many times as long as estimated the upstream takes, 1 or more; it fades with time.
+func (n *node) slowness(now time.Time) float64 {
+	if n.slow <= 1 {
+		return 1
+	}
+	return 1 + (n.slow-1)*math.Exp2(-float64(now.Sub(n.slowAt))/float64(slowHalfLife))
+}
+
+// observeSpeed takes the time to a first event and what was estimated for it.
+func (n *node) observeSpeed(now time.Time, took, estimated time.Duration) {
+	ratio := min(max(float64(took)/float64(estimated)/slowUsual, 1), slowMost)
+	n.slow = n.slowness(now)*(1-slowWeight) + ratio*slowWeight
+	n.slowAt = now
+}
+
 // observe adds an outcome between 0 for good and 1 for failed.
 func (n *node) observe(now time.Time, failed float64) {
 	n.failures = n.failing(now)*(1-outcomeWeight) + failed*outcomeWeight
@@ -102,7 +121,7 @@
 	if n.loading.After(since) {
 		since = n.loading
 	}
-	allowed := silentAfter + slowRead*n.readIn(n.load(now, digest).Unread)
+	allowed := silentAfter + time.Duration(slowRead*n.slowness(now)*float64(n.readIn(n.load(now, digest).Unread)))
 	return now.Sub(since) > allowed
 }
 
--- a/internal/coordination/place/placer.go
+++ b/internal/coordination/place/placer.go
@@ -331,6 +331,7 @@
 		c.Cost += olderCost
 	}
 	p.cacheCost(q, c, n)
+	c.Cost *= n.slowness(q.now)
 	return c
 }
 
--- a/internal/coordination/place/track.go
+++ b/internal/coordination/place/track.go
@@ -63,6 +63,8 @@
 	// read before it, and nothing is fetched.
 	begun time.Time
 	timed bool
+	// estimated is the estimated time to the first event; 0 if there is none.
+	estimated time.Duration
 }
 
 // Begin counts an attempt that is about to be sent.
@@ -93,7 +95,8 @@
 	}
 	t := &Ticket{
 		placer: p, node: n, unread: c.Unread, late: late, begun: now,
-		timed: quiet && w.Model != "" && (c.Missed == 0 || c.Cached == CachedNowhere),
+		estimated: c.Wait.All,
+		timed:     quiet && w.Model != "" && (c.Missed == 0 || c.Cached == CachedNowhere),
 	}
 	if c.Fetch == FetchStore {
 		t.fetch = c.Missed
@@ -212,10 +215,15 @@
 }
 
 func (t *Ticket) started() {
+	took := time.Since(t.begun)
 	if t.timed {
-		t.node.service.reading.Observe(t.unread, time.Since(t.begun))
+		t.node.service.reading.Observe(t.unread, took)
 		t.timed = false
 	}
+	if t.estimated > 0 && t.fetch == 0 {
+		t.node.observeSpeed(time.Now(), took, t.estimated)
+	}
+	t.estimated = 0
 	t.node.own.Unread -= t.unread
 	t.node.own.Late -= t.late
 	t.placer.ownFetching -= t.fetch
@@ -226,7 +234,7 @@
 func (t *Ticket) End(o Outcome) {
 	t.placer.mu.Lock()
 	defer t.placer.mu.Unlock()
-	t.timed = false
+	t.timed, t.estimated = false, 0
 	t.started()
 	n, now := t.node, time.Now()
 	n.own.Requests--
