Keep the pace of loads from collapsing after a load that seems instant

What the code allowed and a test now shows: one load that seems instant made the number that load at once shrink again and again, to one of 117 engines. Change: three loads at least tell how fast loads can be, those that seem three times shorter than expected don't count, and the number stays above one for each twelve engines. Open: whether this was the cause.

--- a/internal/coordination/reload/pace.go
+++ b/internal/coordination/reload/pace.go
@@ -17,6 +17,11 @@
 	widerBy = 8
 	// paceSamples is how many loads are remembered, of all and of each width: one that hangs doesn't move their median.
 	paceSamples = 5
+	// paceLeast is how many loads of a width tell how fast loads can be.
+	paceLeast = 3
+	// instantMost is how many times shorter than expected a load may seem: one that another daemon ordered may end just after
+	// this one's order.
+	instantMost = 3
 	// firstCheck is when the first load of all is looked at; nothing is known of its time.
 	firstCheck = 300 * time.Millisecond
 	// checkEarly is the part of the expected time after which a load is looked at: a shorter time is seen only so.
@@ -79,6 +84,9 @@
 	if p.took == nil {
 		p.took = map[int][]time.Duration{}
 	}
+	if p.known() && took < p.expected/instantMost {
+		return
+	}
 	p.took[beside] = remember(p.took[beside], took)
 	p.recent = remember(p.recent, took)
 	p.expected = median(p.recent)
@@ -88,9 +96,9 @@
 	}
 	fastest, usual := p.fastest(), median(p.took[current])
 	switch {
-	case usual > time.Duration(slowedBy*float64(fastest)):
+	case fastest > 0 && usual > time.Duration(slowedBy*float64(fastest)):
 		p.slowAt = current
-		p.width = max(1, min(current-1, int(float64(current)*float64(fastest)/float64(usual)+0.5)))
+		p.width = max(narrowest(n), min(current-1, int(float64(current)*float64(fastest)/float64(usual)+0.5)))
 	case p.slowAt == 0 || current+step(current) < p.slowAt:
 		p.width = min(current+step(current), widest(n))
 	}
@@ -101,12 +109,18 @@
 	return all[max(0, len(all)-paceSamples):]
 }
 
+// narrowest returns the least number that load at once: a weight store that serves fewer makes loads longer, but not fewer.
+func narrowest(n int) int { return max(1, n/(2*enginesPerLoad)) }
+
 func step(width int) int { return max(1, width/widerBy) }
 
-// fastest returns the shortest usual time of a load over all widths.
+// fastest returns the shortest usual time of a load over all widths of which enough is known; 0 if there is none.
 func (p *pace) fastest() time.Duration {
 	var out time.Duration
 	for _, took := range p.took {
+		if len(took) < paceLeast {
+			continue
+		}
 		if m := median(took); out == 0 || m < out {
 			out = m
 		}
--- a/internal/coordination/reload/plan_test.go
+++ b/internal/coordination/reload/plan_test.go
@@ -134,3 +134,19 @@
 	wild.learn(Pace{Load: time.Second, AtOnce: 1 << 30})
 	require.LessOrEqual(t, wild.atOnce(12), 4)
 }
+
+// A load that another daemon ordered may end just after this one's order, and seems to have taken no time.
+func TestLoadsThatSeemInstantDoNotChangeThePace(t *testing.T) {
+	for _, engines := range []int{9, 12, 117} {
+		p, took := &pace{}, times(time.Second, (engines+4)/5)
+		for i := range 60 {
+			width := p.atOnce(engines)
+			if i%9 == 4 {
+				p.observe(50*time.Millisecond, 1+i%width, engines)
+			}
+			p.observe(took(width), width, engines)
+		}
+		require.GreaterOrEqual(t, p.atOnce(engines), new(pace).atOnce(engines)/2)
+		require.InEpsilon(t, took(p.atOnce(engines)), p.expected, 0.3)
+	}
+}
--- a/internal/coordination/triage/replay_test.go
+++ b/internal/coordination/triage/replay_test.go
@@ -52,7 +52,7 @@
 
 // outcome is what callers got.
 type outcome struct {
-	offered, inTime, late, refused, gone int
+	offered, inTime, late, refused int
 	// heldInVain counts those that waited until they left.
 	heldInVain int
 }
