--- /dev/null
+++ b/internal/coordination/place/work.go
@@ -0,0 +1,151 @@
+package place
+
+import (
+	"time"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/cached"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/state/view"
+)
+
+// Part is one part of a prompt.
+type Part struct {
+	ID     string
+	Tokens ident.Tokens
+}
+
+// Work is a request to be placed.
+type Work struct {
+	Service view.ServiceID
+	// Model is empty for plain services.
+	Model ident.ModelID
+	Parts []Part
+	Input ident.Tokens
+	// Scope separates cached prompts of isolated organisations; empty for those who share.
+	Scope string
+	// Tried are upstreams that the request was sent to.
+	Tried []ident.UpstreamID
+}
+
+// FetchFrom tells where an engine gets cached parts that it lacks.
+type FetchFrom uint8
+
+// Sources of cached parts.
+const (
+	FetchNone FetchFrom = iota
+	FetchStore
+	FetchEngine
+)
+
+// Chain returns the id of the deepest part that other requests may share; empty for none.
+func (w *Work) Chain() string { return lastShared(w) }
+
+// Choice is where a request shall run.
+type Choice struct {
+	Upstream *view.Upstream
+	// Weights is the version that the engine is known to have; 0 for plain services.
+	Weights int64
+	// Fetch tells where cached parts shall be fetched from; Source is the address of an engine.
+	Fetch  FetchFrom
+	Source string
+	// Store is the KV cache store of the request's chain, nil for none; Save says that the parts shall be saved to it.
+	Store *cached.Parts
+	Save  bool
+	// Unread are the prompt tokens that the engine is expected to read.
+	Unread ident.Tokens
+	// Wait is what the request is expected to wait for; zero while nothing is known of the upstreams' speed.
+	Wait Wait
+	// Late is set before Begin for a request that runs behind those that can be in time.
+	Late bool
+	// Cost, Rank, Missed and Candidates are the inputs of the decision, for logs.
+	Cost       float64
+	Rank       int
+	Missed     ident.Tokens
+	Candidates int
+	// Cached tells what is known of the shared parts.
+	Cached Cached
+}
+
+// Cached tells where the shared parts of a prompt are taken to be.
+type Cached string
+
+// What is known of shared parts.
+const (
+	// CachedNone: the request has none.
+	CachedNone Cached = "none"
+	// CachedHere: the engine holds them.
+	CachedHere Cached = "here"
+	// CachedEngine: another engine holds them.
+	CachedEngine Cached = "engine"
+	// CachedStore: the KV cache store holds them.
+	CachedStore Cached = "store"
+	// CachedBusy: the KV cache store holds them, and too much waits for its link.
+	CachedBusy Cached = "busy"
+	// CachedNowhere: nobody is known to hold them, and the engine reads them.
+	CachedNowhere Cached = "nowhere"
+	// CachedHome: nobody is known to hold them, but their home has had time to read them.
+	CachedHome Cached = "home"
+	// CachedStray: another engine reads them at the moment, and this one would do so as well.
+	CachedStray Cached = "stray"
+)
+
+// Blocked says why no upstream can be chosen.
+type Blocked string
+
+// Reasons.
+const (
+	// BlockedNone: the service has no upstream that takes work.
+	BlockedNone Blocked = "noUpstream"
+	// BlockedLoading: all upstreams load weights or still have replaced ones.
+	BlockedLoading Blocked = "loading"
+	// BlockedUnreachable: no upstream can be reached.
+	BlockedUnreachable Blocked = "unreachable"
+)
+
+// BlockedError says that no upstream can be chosen now.
+type BlockedError struct {
+	Reason Blocked
+	// RetryAfter is when an upstream may take work again.
+	RetryAfter time.Duration
+}
+
+func (e *BlockedError) Error() string { return "no upstream takes the request: " + string(e.Reason) }
+
+// blockedRetry is when callers may come back if nothing better is known.
+const blockedRetry = 100 * time.Millisecond
+
+// note keeps the reason that ends first.
+func (e *BlockedError) note(reason Blocked, wait time.Duration) {
+	if e.Reason == BlockedNone || wait < e.RetryAfter {
+		e.Reason, e.RetryAfter = reason, max(wait, blockedRetry/4)
+	}
+}
+
+// lastShared returns the deepest part that other requests may share: all but the last belong to many.
+func lastShared(w *Work) string {
+	if len(w.Parts) < 2 {
+		return ""
+	}
+	return w.Parts[len(w.Parts)-2].ID
+}
+
+// sharedPart names the chain of shared parts within its scope.
+func sharedPart(w *Work) string {
+	if id := lastShared(w); id != "" {
+		return w.Scope + "\x00" + id
+	}
+	return ""
+}
+
+func sharedTokens(w *Work) ident.Tokens {
+	var sum ident.Tokens
+	for i := 0; i+1 < len(w.Parts); i++ {
+		sum += w.Parts[i].Tokens
+	}
+	return sum
+}
+
+// Salt is the text under which cached parts of a version and scope are kept apart.
+func Salt(weights int64, scope string) string {
+	return "v" + formatInt(weights) + "." + scope
+}
