Bound what one beat says of loads; test malformed beats

Found by TestMalformedBeatsAreSurvived (400 odd and damaged beats to a daemon): the time of a load was taken as told, up to 49 days, and so was the time for which an engine gets no work. Change: a minute and five seconds at most; the next beats renew the latter.

--- a/internal/coordination/reload/pace.go
+++ b/internal/coordination/reload/pace.go
@@ -22,6 +22,8 @@
 	// instantMost is how many times shorter than expected a load may seem: one that another daemon ordered may end just after
 	// this one's order.
 	instantMost = 3
+	// loadMost is the longest time of a load that is taken from another daemon; published loads take up to a few seconds.
+	loadMost = time.Minute
 	// firstCheck is when the first load of all is looked at; nothing is known of its time.
 	firstCheck = 300 * time.Millisecond
 	// checkEarly is the part of the expected time after which a load is looked at: a shorter time is seen only so.
@@ -60,7 +62,7 @@
 
 // learn takes what another daemon has learned, unless this one has seen loads itself.
 func (p *pace) learn(told Pace) {
-	if len(p.recent) > 0 || told.Load <= 0 {
+	if len(p.recent) > 0 || told.Load <= 0 || told.Load > loadMost {
 		return
 	}
 	p.expected, p.width = told.Load, max(0, told.AtOnce)
--- /dev/null
+++ b/internal/program/entry/beats_test.go
@@ -0,0 +1,77 @@
+package entry
+
+import (
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/gooseberryway/gooseberryway/internal/coordination/place"
+	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/state/view"
+	"github.com/gooseberryway/gooseberryway/platform/standin"
+)
+
+func TestColumnsOfDifferentLengthAreReadAsFarAsAllHaveAValue(t *testing.T) {
+	a, b := &view.Upstream{ID: "a"}, &view.Upstream{ID: "b"}
+	listed := map[ident.UpstreamTag]*view.Upstream{a.ID.Tag(): a, b.ID.Tag(): b}
+	tags := []uint32{uint32(a.ID.Tag()), 7, uint32(b.ID.Tag())}
+	full := &wire.UpstreamLoads{Upstream: tags, Requests: []uint32{1, 2, 3}, Unread: []uint32{10, 20, 30}, Late: []uint32{0, 0, 30}}
+	require.Equal(t, map[ident.UpstreamID]place.Load{"a": {Requests: 1, Unread: 10}, "b": {Requests: 3, Unread: 30, Late: 30}},
+		loadsOf(full, listed), "what isn't listed is left out")
+	short := &wire.UpstreamLoads{Upstream: tags, Requests: []uint32{1, 2, 3}, Unread: []uint32{10, 20}, Late: []uint32{0, 0, 30}}
+	require.Equal(t, map[ident.UpstreamID]place.Load{"a": {Requests: 1, Unread: 10}}, loadsOf(short, listed))
+	require.Empty(t, loadsOf(nil, listed))
+	require.Equal(t, []place.Sent{{Chain: 5, Engine: "a"}}, sentOf(&wire.SentChains{Chain: []uint32{5, 6, 7}, Upstream: tags[:2]}, listed))
+	require.Empty(t, sentOf(&wire.SentChains{Chain: []uint32{5}}, listed))
+}
+
+// One malformed beat, or one with values that make no sense, must not take a daemon down or keep it from serving.
+func TestMalformedBeatsAreSurvived(t *testing.T) {
+	f := newRig(t)
+	f.configure(1, "secret")
+	f.worker("llm", &standin.Worker{ID: "e1", Model: "m", Version: 1, Events: 2})
+	d := f.start("d1", nil)
+	f.ready(1)
+	c, err := net.Dial("udp4", d.Settings.Listen.Peers)
+	require.NoError(t, err)
+	defer c.Close()
+	most := uint32(math.MaxUint32)
+	tag := uint32(ident.UpstreamID("e1").Tag())
+	odd := []*wire.Beat{
+		{},
+		{Daemon: "x", Incarnation: math.MaxUint64, Sequence: math.MaxUint64, PeriodMs: most, StoreAgeMs: most, Ready: true, Serving: true},
+		{Daemon: "x", Brief: true, Active: []*wire.ActiveDaemon{nil, {}, {Daemon: "y", PeerAddress: "nonsense", Capacity: math.Inf(1)}}},
+		{Daemon: "y", Capacity: math.NaN(), Demand: math.Inf(-1), Ready: true, CallerAddress: "nonsense", PeerAddress: "also"},
+		{Daemon: "z", OperatorsNext: math.MaxUint64, UpstreamsNext: math.MaxUint64, UpstreamsChanged: math.MaxUint64},
+		{Daemon: "w", Term: math.MaxUint64, LoadMs: most, LoadsAtOnce: most, Loading: []*wire.LoadingEngine{{Upstream: "e1", ForMs: most}, {}}},
+		{Daemon: "v", Fetching: most, Loads: &wire.UpstreamLoads{Upstream: []uint32{tag, tag}, Requests: []uint32{most}, Unread: []uint32{most}}},
+		{Daemon: "u", Sent: &wire.SentChains{Chain: []uint32{1}, Upstream: []uint32{tag}}, Weights: []*wire.NamedWeights{{Model: "m", Version: math.MinInt64, AgeMs: most}}},
+		{Daemon: "t", Use: []*wire.OrganisationUse{{Organisation: "o", Admitted: math.NaN()}, {Organisation: "none", Admitted: math.Inf(1)}}},
+	}
+	rng := rand.New(rand.NewPCG(1, 1))
+	for i := range 400 {
+		raw, err := proto.Marshal(odd[i%len(odd)])
+		require.NoError(t, err)
+		if i >= len(odd) && len(raw) > 0 {
+			// A few bytes turn, or the end is missing.
+			for range 1 + rng.IntN(3) {
+				raw[rng.IntN(len(raw))] ^= byte(1 << rng.IntN(8))
+			}
+			raw = raw[:1+rng.IntN(len(raw))]
+		}
+		_, err = c.Write(raw)
+		require.NoError(t, err)
+	}
+	f.eventually(func() bool {
+		resp := f.call(d, "/draft/x", "r1", "secret", "p", model, "m")
+		defer resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	}, "the daemon serves no more")
+	require.LessOrEqual(t, d.loads.Pace().Load.Minutes(), 1.0, "a load never takes so long")
+}
--- a/internal/program/entry/duties.go
+++ b/internal/program/entry/duties.go
@@ -15,6 +15,8 @@
 	dutyWeights = "weights"
 	// eligibleAge is how long ago the store must have answered a daemon that takes a duty.
 	eligibleAge = 4 * time.Second
+	// barMost bounds how long one beat keeps work off an engine that loads; the next beats renew it.
+	barMost = 5 * time.Second
 	// maxAgeMs bounds the age of a named version in a beat.
 	maxAgeMs = 1 << 30
 )
@@ -81,7 +83,7 @@
 	}
 	for _, l := range b.GetLoading() {
 		id := ident.UpstreamID(l.GetUpstream())
-		d.placer.SetLoading(id, time.Duration(l.GetForMs())*time.Millisecond)
+		d.placer.SetLoading(id, min(time.Duration(l.GetForMs())*time.Millisecond, barMost))
 		if u := d.board.Upstreams().ByID[id]; u != nil && l.GetVersion() > 0 {
 			d.placer.SawWeights(u, ident.ModelID(l.GetModel()), l.GetVersion())
 		}
