--- a/internal/program/entry/faults_test.go
+++ b/internal/program/entry/faults_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -11,7 +12,10 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
+	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/platform/standin"
 )
 
@@ -146,3 +150,65 @@
 		time.Sleep(time.Duration(i%8) * time.Millisecond)
 	}
 }
+
+// A route's attempts count upstreams that may have run a request; one that says that it did not isn't the last.
+func TestAnUpstreamThatDidNotRunARequestDoesNotUseUpItsAttempt(t *testing.T) {
+	f := newRig(t)
+	f.configure(1, "secret")
+	var refusals atomic.Int64
+	refuse := func(w http.ResponseWriter, _ *http.Request) bool {
+		if refusals.Add(1) > 1 {
+			return false
+		}
+		w.Header().Set("X-Gooseberryway-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return true
+	}
+	workers := []*standin.Worker{
+		{ID: "e1", Model: "m", Version: 1, Events: 2, Behave: refuse}, {ID: "e2", Model: "m", Version: 1, Events: 2, Behave: refuse},
+	}
+	for _, w := range workers {
+		f.worker("llm", w)
+	}
+	d := f.start("d1", nil)
+	f.ready(2)
+	require.Equal(t, wantIDs(2), eventIDs(t, f.call(d, "/draft/x", "r1", "secret", "p", model, "m")))
+	require.Equal(t, 1, len(workers[0].Runs())+len(workers[1].Runs()))
+}
+
+func TestARequestThatWouldOutlastItsCallerIsRefusedAtOnce(t *testing.T) {
+	const tokens = "X-Gooseberryway-Token-Counts"
+	f := newRig(t)
+	f.configureRate(1, 10_000_000, "secret")
+	w := f.worker("llm", &standin.Worker{ID: "e1", Model: "m", Version: 1, Events: 1})
+	d := f.start("d1", nil)
+	f.ready(1)
+	// The daemon learns how fast the engine reads.
+	for i := range 10 {
+		for _, size := range []string{"100,10", "8000,10"} {
+			id := fmt.Sprint("r", i, size)
+			require.Equal(t, http.StatusOK, f.call(d, "/draft/x", id, "secret", "p", model, "m", tokens, size).StatusCode)
+		}
+	}
+	runs := len(w.Runs())
+	c, err := net.Dial("udp4", d.Settings.Listen.Peers)
+	require.NoError(t, err)
+	defer c.Close()
+	beat, err := proto.Marshal(&wire.Beat{
+		Daemon: "busy", Incarnation: 1, Sequence: 1, PeriodMs: 100, PeerAddress: "127.0.0.1:1", Serving: true,
+		Loads: &wire.UpstreamLoads{
+			Upstream: []uint32{uint32(ident.UpstreamID("e1").Tag())}, Requests: []uint32{3}, Unread: []uint32{1 << 31}, Late: []uint32{0},
+		},
+	})
+	require.NoError(t, err)
+	_, err = c.Write(beat)
+	require.NoError(t, err)
+	f.eventually(func() bool { return d.placer.Busy("e1").Unread > 0 }, "the beat was not heard")
+	begun := time.Now()
+	resp := f.call(d, "/draft/x", "late", "secret", "p", model, "m", tokens, "100,10")
+	require.Less(t, time.Since(begun), time.Second, "the refusal is not held back")
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+	require.Contains(t, text(t, resp), "tooLateToServe")
+	require.Len(t, w.Runs(), runs, "not run is true")
+}
--- a/internal/program/entry/fleet_test.go
+++ b/internal/program/entry/fleet_test.go
@@ -90,7 +90,10 @@
 
 // configure writes a configuration with one stream route, one resumable one, one for calls that run once and one for
 // calls that may be repeated.
-func (f *rig) configure(version int, keys ...string) {
+func (f *rig) configure(version int, keys ...string) { f.configureRate(version, 10000, keys...) }
+
+// configureRate publishes a configuration whose organisation has a rate and burst of so many tokens.
+func (f *rig) configureRate(version, rate int, keys ...string) {
 	route := func(name, kind, service string, attempts int, resumable bool) map[string]any {
 		return map[string]any{
 			"name": name, "host": "h.example", "path-prefix": "/" + name + "/", "kind": kind, "timeout-ms": 4000,
@@ -108,7 +111,7 @@
 			map[string]any{"name": "app"},
 		},
 		"tenants": []any{map[string]any{
-			"name": "acme", "keys": keys, "unit": "tokens", "requests-per-s": 10000, "burst": 10000, "uncached-tokens": 10,
+			"name": "acme", "keys": keys, "unit": "tokens", "requests-per-s": rate, "burst": rate, "uncached-tokens": 10,
 		}},
 	})
 }
