--- a/internal/program/entry/faults_test.go
+++ b/internal/program/entry/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -194,15 +195,28 @@
 	c, err := net.Dial("udp4", d.Settings.Listen.Peers)
 	require.NoError(t, err)
 	defer c.Close()
-	beat, err := proto.Marshal(&wire.Beat{
-		Daemon: "busy", Incarnation: 1, Sequence: 1, PeriodMs: 100, PeerAddress: "127.0.0.1:1", Serving: true,
-		Loads: &wire.UpstreamLoads{
-			Upstream: []uint32{uint32(ident.UpstreamID("e1").Tag())}, Requests: []uint32{3}, Unread: []uint32{1 << 31}, Late: []uint32{0},
-		},
-	})
-	require.NoError(t, err)
-	_, err = c.Write(beat)
-	require.NoError(t, err)
+	// What a peer tells of loads counts for some beats only, so that it goes on telling.
+	told := make(chan struct{})
+	defer func() { <-told }()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() {
+		defer close(told)
+		for sequence := uint64(1); ctx.Err() == nil; sequence++ {
+			beat, err := proto.Marshal(&wire.Beat{
+				Daemon: "busy", Incarnation: 1, Sequence: sequence, PeriodMs: 100, PeerAddress: "127.0.0.1:1", Serving: true,
+				Loads: &wire.UpstreamLoads{
+					Upstream: []uint32{uint32(ident.UpstreamID("e1").Tag())}, Requests: []uint32{3}, Unread: []uint32{1 << 31}, Late: []uint32{0},
+				},
+			})
+			if err != nil {
+				return
+			}
+			// One that is lost is followed by others.
+			_, _ = c.Write(beat)
+			time.Sleep(50 * time.Millisecond)
+		}
+	}()
 	f.eventually(func() bool { return d.placer.Busy("e1").Unread > 0 }, "the beat was not heard")
 	begun := time.Now()
 	resp := f.call(d, "/draft/x", "late", "secret", "p", model, "m", tokens, "100,10")
