Count how long a lapsed upstream is kept from when the first daemon missed it

Ruled out: engines that say that they drain (all daemons knew within 0.53 s). Change: records that daemons pass on carry their age, and the time to come back counts from when the first daemon missed the upstream. The new test fails before (heard 0.5 s late: two upstreams left past the drain of 2 s).

--- a/internal/coordination/feed/follower.go
+++ b/internal/coordination/feed/follower.go
@@ -263,6 +263,9 @@
 		if topic == extern.TopicUpstreams && f.renewed(s, r) {
 			continue
 		}
+		if r.SeenAt.IsZero() {
+			r.SeenAt = time.Now()
+		}
 		s.newest[r.Key] = r
 		s.changed = max(s.changed, r.Offset+1)
 		changed = f.applyRecord(topic, r) || changed
@@ -302,9 +305,10 @@
 	changed := false
 	for key, r := range s.newest {
 		if !listed[key] && len(r.Value) > 0 {
-			s.newest[key] = extern.KeyedRecord{Offset: max(next-1, r.Offset), Key: key}
+			removal := extern.KeyedRecord{Offset: max(next-1, r.Offset), Key: key, SeenAt: time.Now()}
+			s.newest[key] = removal
 			s.changed = max(s.changed, next)
-			changed = f.removeUpstream(ident.UpstreamID(key)) || changed
+			changed = f.removeUpstream(ident.UpstreamID(key), removal.SeenAt) || changed
 		}
 	}
 	return changed
@@ -340,10 +344,10 @@
 	case *view.Upstream:
 		return f.setUpstream(c)
 	case *view.UpstreamRemoved:
-		return f.removeUpstream(c.ID)
+		return f.removeUpstream(c.ID, r.SeenAt)
 	case *view.Ignored:
 		klog.InfoS("Record ignored", "topic", topic, "key", r.Key, "offset", r.Offset, "reason", c.Reason)
-		return f.removeUpstream(ident.UpstreamID(r.Key))
+		return f.removeUpstream(ident.UpstreamID(r.Key), r.SeenAt)
 	}
 	return false
 }
@@ -360,16 +364,18 @@
 	return true
 }
 
-// removeUpstream takes an upstream off the list, later if the store was in trouble and the upstream may come back.
-func (f *Follower) removeUpstream(id ident.UpstreamID) bool {
+// removeUpstream takes an upstream off the list whose registration was seen to have ended. If the store was in trouble and
+// the upstream may come back, that is later, counted from when the first daemon saw it: the upstream may as well have left.
+func (f *Follower) removeUpstream(id ident.UpstreamID, seenAt time.Time) bool {
 	u := f.upstreams[id]
 	if u == nil {
 		return false
 	}
-	if f.troubled() && u.State == view.UpstreamReady {
+	kept := time.Until(seenAt.Add(lapsedFor))
+	if f.troubled() && u.State == view.UpstreamReady && kept > 0 {
 		if _, ok := f.leaving[id]; !ok {
-			f.leaving[id] = time.Now().Add(lapsedFor)
-			klog.InfoS("Upstream lapsed during trouble of the store", "upstream", id, "keptMs", lapsedFor.Milliseconds())
+			f.leaving[id] = time.Now().Add(kept)
+			klog.InfoS("Upstream lapsed during trouble of the store", "upstream", id, "keptMs", kept.Milliseconds())
 		}
 		return false
 	}
--- a/internal/coordination/feed/follower_test.go
+++ b/internal/coordination/feed/follower_test.go
@@ -185,6 +185,37 @@
 	})
 }
 
+// A daemon that is cut off hears of an upstream's leaving from others, and late: what they have known it for counts.
+func TestALapsedUpstreamThatOthersHaveLongMissedGetsNoWorkPastTheDrain(t *testing.T) {
+	for _, late := range []time.Duration{0, 500 * time.Millisecond, 1200 * time.Millisecond, 1800 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			const drain = 2 * time.Second
+			shared, own := newLog(), newLog()
+			for _, l := range []*log{shared, own} {
+				l.put(extern.TopicUpstreams, "a", "ready")
+				l.put(extern.TopicUpstreams, "b", "ready")
+			}
+			reader, cut := start(t, shared), start(t, own)
+			own.setDown(true)
+			time.Sleep(time.Second)
+			next := cut.Next(extern.TopicUpstreams)
+			shared.put(extern.TopicUpstreams, "a", "")
+			left := time.Now()
+			for len(reader.Board.Upstreams().ByID) == 2 {
+				time.Sleep(sweepEvery)
+			}
+			time.Sleep(late)
+			records, upTo := reader.Newer(extern.TopicUpstreams, next)
+			cut.Relayed(extern.TopicUpstreams, records, upTo)
+			for time.Since(left) < drain-sweepEvery {
+				time.Sleep(sweepEvery)
+				cut.Sweep()
+			}
+			require.Len(t, cut.Board.Upstreams().ByID, 1, "heard %v late", late)
+		})
+	}
+}
+
 func TestARemovedUpstreamGoesAtOnceWhileTheStoreIsWell(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := newLog()
--- a/internal/program/entry/beats.go
+++ b/internal/program/entry/beats.go
@@ -245,7 +245,10 @@
 func records(stored []*wire.StoredRecord) []extern.KeyedRecord {
 	out := make([]extern.KeyedRecord, 0, len(stored))
 	for _, r := range stored {
-		out = append(out, extern.KeyedRecord{Offset: ident.Offset(r.GetOffset()), Key: r.GetKey(), Value: r.GetValue()})
+		out = append(out, extern.KeyedRecord{
+			Offset: ident.Offset(r.GetOffset()), Key: r.GetKey(), Value: r.GetValue(),
+			SeenAt: time.Now().Add(-time.Duration(r.GetAgeMs()) * time.Millisecond),
+		})
 	}
 	return out
 }
@@ -265,7 +268,8 @@
 func stored(records []extern.KeyedRecord) []*wire.StoredRecord {
 	out := make([]*wire.StoredRecord, 0, len(records))
 	for _, r := range records {
-		out = append(out, &wire.StoredRecord{Offset: uint64(r.Offset), Key: r.Key, Value: r.Value})
+		age := min(max(0, time.Since(r.SeenAt).Milliseconds()), maxAgeMs)
+		out = append(out, &wire.StoredRecord{Offset: uint64(r.Offset), Key: r.Key, Value: r.Value, AgeMs: uint32(age)})
 	}
 	return out
 }
--- a/internal/state/extern/store.go
+++ b/internal/state/extern/store.go
@@ -31,6 +31,8 @@
 	Offset ident.Offset
 	Key    string
 	Value  []byte
+	// SeenAt is when the first daemon on the record's way here learned of it; zero for one that comes from the store itself.
+	SeenAt time.Time
 }
 
 // StoreBatch is the answer to a read.
