--- a/internal/program/entry/active_test.go
+++ b/internal/program/entry/active_test.go
@@ -9,12 +9,10 @@
 	"sync/atomic"
 	"testing"
 
-	"github.com/stretchr/testify/require"
-
-	"github.com/gooseberryway/gooseberryway/internal/coordination/fleet"
 	"github.com/gooseberryway/gooseberryway/internal/program/setup"
 	"github.com/gooseberryway/gooseberryway/internal/state/extern"
 	"github.com/gooseberryway/gooseberryway/platform/standin"
+	"github.com/stretchr/testify/require"
 )
 
 // directory asks a daemon where callers shall connect; a daemon that isn't ready names nobody.
@@ -143,13 +141,3 @@
 		return true
 	}, "a withdrawn key still works")
 }
-
-func TestTheFirstActiveDaemonsAndTheHolderTellTheRest(t *testing.T) {
-	active := make([]fleet.Peer, 10)
-	for rank, want := range map[int]bool{0: true, 3: true, 4: false, 9: false, 10: false} {
-		v := &fleetView{active: active, rank: rank}
-		require.Equal(t, want, v.tellsRest(false), "rank %d", rank)
-	}
-	require.True(t, (&fleetView{active: active, rank: 7}).tellsRest(true), "only the holder knows which engines load")
-	require.False(t, (&fleetView{active: active, rank: 10}).tellsRest(true), "it has just lost its place, and hears of itself")
-}
--- a/internal/program/entry/fleetview.go
+++ b/internal/program/entry/fleetview.go
@@ -11,8 +11,6 @@
 	// with traffic exchange. Single requests reach every daemon now and then.
 	servingActive = 6
 	servingRecent = 12
-	// restTellers of the active daemons tell those without traffic of all active ones: two may be cut off and one stopped.
-	restTellers = 4
 )
 
 // fleetView is what a daemon makes of the fleet at one moment.
@@ -76,12 +74,6 @@
 // meshed reports whether the daemon exchanges all it knows with the others that have traffic.
 func (v *fleetView) meshed() bool { return v.isActive() || v.own.Serving }
 
-// tellsRest reports whether the daemon tells those without traffic of the fleet: the first active ones do, and the holder
-// of the duty, who alone knows which engines load.
-func (v *fleetView) tellsRest(holdsDuty bool) bool {
-	return v.rank < restTellers || v.isActive() && holdsDuty
-}
-
 // meshSize returns the number of daemons with traffic, this one included.
 func (d *Daemon) meshSize() int {
 	if v := d.fleet.Load(); v != nil {
--- a/internal/program/entry/round.go
+++ b/internal/program/entry/round.go
@@ -38,7 +38,7 @@
 	if len(v.mesh) > 0 {
 		out.Messages = append(out.Messages, gossip.Message{Beat: d.beat(v, period), Targets: v.mesh})
 	}
-	if changed || restDue && v.tellsRest(d.keeper.Term() > 0) {
+	if changed || restDue {
 		targets := v.rest
 		if len(v.mesh) == 0 {
 			targets = append(targets, d.seedAddresses()...)
