--- a/internal/program/entry/active_test.go
+++ b/internal/program/entry/active_test.go
@@ -9,10 +9,11 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/stretchr/testify/require"
+
 	"github.com/gooseberryway/gooseberryway/internal/program/setup"
 	"github.com/gooseberryway/gooseberryway/internal/state/extern"
 	"github.com/gooseberryway/gooseberryway/platform/standin"
-	"github.com/stretchr/testify/require"
 )
 
 // directory asks a daemon where callers shall connect; a daemon that isn't ready names nobody.
