One window, one fading mean, one value per service; work out once per request what is the same for all engines

Read again against: - Rings of last samples with medians stood three times (gauge reading, gauge holding, reload pace): gauge.Window.

--- a/internal/coordination/gauge/churn.go
+++ b/internal/coordination/gauge/churn.go
@@ -33,14 +33,10 @@
 	if c.begun.IsZero() {
 		c.begun = now
 	}
-	c.sum = c.decayed(now) + float64(tokens)
+	c.sum = faded(c.sum, now.Sub(c.at), churnHalfLife) + float64(tokens)
 	c.at = now
 }
 
-func (c *Churn) decayed(now time.Time) float64 {
-	return c.sum * math.Exp2(-float64(now.Sub(c.at))/float64(churnHalfLife))
-}
-
 // PerSecond returns the rate; false while it isn't known yet.
 func (c *Churn) PerSecond() (float64, bool) {
 	c.mu.Lock()
@@ -51,6 +47,6 @@
 	}
 	meanLife := churnHalfLife.Seconds() / math.Ln2
 	// What came before the first token is not part of the sum.
-	seen := 1 - math.Exp2(-float64(now.Sub(c.begun))/float64(churnHalfLife))
-	return c.decayed(now) / (meanLife * seen), true
+	seen := 1 - faded(1, now.Sub(c.begun), churnHalfLife)
+	return faded(c.sum, now.Sub(c.at), churnHalfLife) / (meanLife * seen), true
 }
--- a/internal/coordination/gauge/holding.go
+++ b/internal/coordination/gauge/holding.go
@@ -1,7 +1,6 @@
 package gauge
 
 import (
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,25 +12,18 @@
 	usual atomic.Int64
 
 	mu   sync.Mutex
-	last []time.Duration
-	next int
+	last Window[time.Duration]
 }
 
 // Observe takes the time of a request from its sending to the end of its answer.
 func (h *Holding) Observe(took time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if len(h.last) < windowSize {
-		h.last = append(h.last, took)
-	} else {
-		h.last[h.next] = took
-		h.next = (h.next + 1) % windowSize
+	h.last.Size = windowSize
+	h.last.Add(took)
+	if h.last.Len() >= samplesLeast {
+		h.usual.Store(int64(h.last.Median()))
 	}
-	if len(h.last) < samplesLeast {
-		return
-	}
-	sorted := slices.Sorted(slices.Values(h.last))
-	h.usual.Store(int64(sorted[len(sorted)/2]))
 }
 
 // Usual returns the usual time; 0 if it isn't known yet.
--- a/internal/coordination/gauge/reading.go
+++ b/internal/coordination/gauge/reading.go
@@ -2,7 +2,6 @@
 package gauge
 
 import (
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,39 +30,19 @@
 	perToken, base atomic.Int64
 
 	mu          sync.Mutex
-	short, long window
+	short, long prompts
 }
 
-type sample struct {
-	tokens ident.Tokens
-	took   time.Duration
+// prompts are the last requests of one sort.
+type prompts struct {
+	tokens Window[ident.Tokens]
+	took   Window[time.Duration]
 }
 
-// window holds the last samples.
-type window struct {
-	samples []sample
-	next    int
-}
-
-func (w *window) add(s sample) {
-	if len(w.samples) < windowSize {
-		w.samples = append(w.samples, s)
-		return
-	}
-	w.samples[w.next] = s
-	w.next = (w.next + 1) % windowSize
-}
-
-// medians returns the medians of tokens and times.
-func (w *window) medians() sample {
-	tokens := make([]ident.Tokens, 0, len(w.samples))
-	took := make([]time.Duration, 0, len(w.samples))
-	for _, s := range w.samples {
-		tokens, took = append(tokens, s.tokens), append(took, s.took)
-	}
-	slices.Sort(tokens)
-	slices.Sort(took)
-	return sample{tokens[len(tokens)/2], took[len(took)/2]}
+func (p *prompts) add(tokens ident.Tokens, took time.Duration) {
+	p.tokens.Size, p.took.Size = windowSize, windowSize
+	p.tokens.Add(tokens)
+	p.took.Add(took)
 }
 
 // Observe takes the time to the first event of a request with so many tokens to read and none before them.
@@ -74,19 +53,19 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if tokens <= shortMost {
-		r.short.add(sample{tokens, took})
+		r.short.add(tokens, took)
 	} else {
-		r.long.add(sample{tokens, took})
+		r.long.add(tokens, took)
 	}
-	if len(r.short.samples) < samplesLeast || len(r.long.samples) < samplesLeast {
+	if r.short.took.Len() < samplesLeast || r.long.took.Len() < samplesLeast {
 		return
 	}
 	// What both sorts have in common, such as the way to the engine and its first step, cancels out.
-	short, long := r.short.medians(), r.long.medians()
-	slope := (long.took - short.took) / time.Duration(long.tokens-short.tokens)
+	shortTokens, shortTook := r.short.tokens.Median(), r.short.took.Median()
+	slope := (r.long.took.Median() - shortTook) / time.Duration(r.long.tokens.Median()-shortTokens)
 	slope = min(max(slope, leastPerToken), mostPerToken)
 	r.perToken.Store(int64(slope))
-	r.base.Store(int64(max(0, short.took-time.Duration(short.tokens)*slope)))
+	r.base.Store(int64(max(0, shortTook-time.Duration(shortTokens)*slope)))
 }
 
 // Base returns what the first event takes beside reading: the way to the engine and back, and its first step. It is 0 if
--- /dev/null
+++ b/internal/coordination/gauge/window.go
@@ -0,0 +1,34 @@
+package gauge
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Window holds the last samples of a kind. Size is set before the first call; a window is not for concurrent use.
+type Window[T cmp.Ordered] struct {
+	// Size is how many samples count.
+	Size int
+
+	samples []T
+	next    int
+}
+
+// Add takes a sample in place of the oldest one.
+func (w *Window[T]) Add(sample T) {
+	if len(w.samples) < w.Size {
+		w.samples = append(w.samples, sample)
+		return
+	}
+	w.samples[w.next] = sample
+	w.next = (w.next + 1) % w.Size
+}
+
+// Len returns the number of samples.
+func (w *Window[T]) Len() int { return len(w.samples) }
+
+// Median returns the upper median of the samples; there must be one.
+func (w *Window[T]) Median() T {
+	sorted := slices.Sorted(slices.Values(w.samples))
+	return sorted[len(sorted)/2]
+}
--- a/internal/coordination/place/cost.go
+++ b/internal/coordination/place/cost.go
@@ -16,7 +16,7 @@
 		return p.plainCost(c, n.node, u, load, q.now)
 	}
 	c.Cost = float64(load.Unread) + float64(load.Requests)*runningCost + float64(n.rank)*rankCost
-	c.Cost += n.failing(q.now) * failureCost
+	c.Cost += n.failures.At(q.now) * failureCost
 	if u.Slots > 0 && load.Requests >= u.Slots {
 		c.Cost += float64(load.Requests-u.Slots+1) * crowdedCost
 	}
@@ -24,13 +24,13 @@
 	if replacedFor(&q.named, c.Weights, q.now) > olderGrace {
 		c.Cost += olderCost
 	}
-	p.cacheCost(q, c, n)
+	q.cacheCost(c, n)
 	c.Cost *= n.slowness(q.now)
 	return c
 }
 
 // cacheCost adds what it takes to get the shared parts into the engine's cache.
-func (p *Placer) cacheCost(q *query, c *Choice, n *candidate) {
+func (q *query) cacheCost(c *Choice, n *candidate) {
 	if q.chain == "" || q.shared == 0 {
 		c.Cost += float64(c.Unread)
 		return
@@ -44,7 +44,7 @@
 	v := q.versions[n.version]
 	for i := range v.levels {
 		l := &v.levels[i]
-		p.levelCost(q, c, n, v.home, l)
+		q.levelCost(c, n, v.home, l)
 		c.Save = l.deepest && c.Store != nil && !l.stored
 	}
 }
@@ -85,7 +85,7 @@
 }
 
 // levelCost adds what it takes to get one shared part into the engine's cache.
-func (p *Placer) levelCost(q *query, c *Choice, n, home *candidate, l *level) {
+func (q *query) levelCost(c *Choice, n, home *candidate, l *level) {
 	if n.sentRecently(l.key, q.now) || n.settled(q.now) && (home == n || !l.deepest) {
 		return
 	}
@@ -97,14 +97,14 @@
 	}
 	switch {
 	case l.stored && (l.deepest || source == nil):
-		p.storeCost(q, c, n, l, source)
+		q.storeCost(c, n, l, source)
 	case source != nil && l.reading:
 		c.Cached = CachedStray
 		c.Unread += l.tokens
 		c.Cost += tokens * strayCost
 	case source != nil:
 		c.Fetch, c.Source, c.Cached = FetchEngine, source.Address, CachedEngine
-		c.Cost += tokens * q.fetchCost(q.linkMbps(), source.FailureDomain, n)
+		c.Cost += tokens * q.fetchCost(q.engine.LinkMbps, source.FailureDomain, n)
 	case l.deepest && home != n && home.settled(q.now):
 		c.Fetch, c.Source, c.Cached = FetchEngine, home.upstream.Address, CachedHome
 		c.Unread += l.tokens / 2
@@ -123,10 +123,10 @@
 // storeCost adds what it takes to get a part that the KV cache store holds. Once fetches wait for the store's link for
 // longer than reading takes, another engine that was sent the part is asked for it, or it is read: a queue at the one link would
 // otherwise outlast the burst that caused it, as engines lose what they keep meanwhile.
-func (p *Placer) storeCost(q *query, c *Choice, n *candidate, l *level, source *view.Upstream) {
+func (q *query) storeCost(c *Choice, n *candidate, l *level, source *view.Upstream) {
 	tokens := float64(l.tokens)
-	fetch := float64(l.tokens+p.fetching(q.now)) * q.fetchCost(q.store.LinkMbps, q.store.Domain, n)
-	waited := float64(p.service(q.work.Service).fetchWaits(q.now)) > waitedLink*tokens*float64(q.perToken)
+	fetch := float64(l.tokens+q.fetching) * q.fetchCost(q.store.LinkMbps, q.store.Domain, n)
+	waited := float64(q.fetchWait) > waitedLink*tokens*float64(q.perToken)
 	if fetch <= busyLink*tokens || fetch <= fullLink*tokens && !waited {
 		c.Fetch, c.Source, c.Cached = FetchStore, "", CachedStore
 		c.Cost += fetch
@@ -141,19 +141,8 @@
 	}
 }
 
-// linkMbps returns the speed of an engine's link; 0 if it isn't known.
-func (q *query) linkMbps() float64 {
-	if q.engine == nil {
-		return 0
-	}
-	return q.engine.LinkMbps
-}
-
 // fetchCost returns the part of a token's reading time that its fetch over a link takes.
 func (q *query) fetchCost(linkMbps float64, from ident.FailureDomain, to *candidate) float64 {
-	if q.engine == nil {
-		return fetchCost
-	}
 	fetch := q.engine.FetchPerToken(min(linkMbps, q.engine.LinkMbps))
 	if fetch <= 0 {
 		return fetchCost
@@ -200,7 +189,7 @@
 // plainCost weighs services without a cache by their queue and place.
 func (p *Placer) plainCost(c *Choice, n *node, u *view.Upstream, load Load, now time.Time) *Choice {
 	c.Unread = 0
-	c.Cost = float64(load.Requests)*plainQueueCost + n.failing(now)*failureCost
+	c.Cost = float64(load.Requests)*plainQueueCost + n.failures.At(now)*failureCost
 	if u.Slots > 0 && load.Requests >= u.Slots {
 		c.Cost += plainCrowdedCost
 	}
--- a/internal/coordination/place/node.go
+++ b/internal/coordination/place/node.go
@@ -1,11 +1,11 @@
 package place
 
 import (
-	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/gooseberryway/gooseberryway/internal/coordination/gauge"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/state/view"
 )
@@ -39,12 +39,8 @@
 	// loading is the time until which the upstream takes no work because it loads weights.
 	loading time.Time
 
-	// slow is how many times the estimated time first events took lately, as seen at slowAt.
-	slow   float64
-	slowAt time.Time
-
-	failures  float64
-	failureAt time.Time
+	// slow is by how many times the estimated time first events were late, failures the share of requests that failed.
+	slow, failures gauge.Fading
 
 	// down is true from a failed connection or a silence until a connection succeeds.
 	down      bool
@@ -84,47 +80,32 @@
 	return sum
 }
 
-// failing returns the share of requests that fail, which fades with time.
-func (n *node) failing(now time.Time) float64 {
-	if n.failures == 0 {
-		return 0
-	}
-	return n.failures * math.Exp2(-float64(now.Sub(n.failureAt))/float64(outcomeHalfLife))
-}
-
-// slowness returns how many times as long as estimated the upstream takes, 1 or more; it fades with time.
-func (n *node) slowness(now time.Time) float64 {
-	if n.slow <= 1 {
-		return 1
-	}
-	return 1 + (n.slow-1)*math.Exp2(-float64(now.Sub(n.slowAt))/float64(slowHalfLife))
-}
+// slowness returns how many times as long as estimated the upstream takes, 1 or more.
+func (n *node) slowness(now time.Time) float64 { return 1 + n.slow.At(now) }
 
 // observeSpeed takes the time to a first event and what was estimated for it.
 func (n *node) observeSpeed(now time.Time, took, estimated time.Duration) {
 	ratio := min(max(float64(took)/float64(estimated)/slowUsual, 1), slowMost)
-	n.slow = n.slowness(now)*(1-slowWeight) + ratio*slowWeight
-	n.slowAt = now
-}
-
-// observe adds an outcome between 0 for good and 1 for failed.
-func (n *node) observe(now time.Time, failed float64) {
-	n.failures = n.failing(now)*(1-outcomeWeight) + failed*outcomeWeight
-	n.failureAt = now
+	n.slow.Observe(now, ratio-1)
 }
 
-// silent reports whether the upstream has own work and has sent nothing for longer than reading its prompts takes.
-func (n *node) silent(now time.Time, digest time.Duration) bool {
+// quietFor returns how long the upstream has been quiet since a time at which it was heard of; 0 if it has no own work or
+// loads weights.
+func (n *node) quietFor(now, since time.Time) time.Duration {
 	if n.own.Requests == 0 || now.Before(n.loading) {
-		return false
+		return 0
 	}
 	// Runs that were begun before a load go on after it.
-	since := n.heardAt
 	if n.loading.After(since) {
 		since = n.loading
 	}
-	allowed := silentAfter + time.Duration(slowRead*n.slowness(now)*float64(n.readIn(n.load(now, digest).Unread)))
-	return now.Sub(since) > allowed
+	return now.Sub(since)
+}
+
+// silent reports whether the upstream has own work and has sent nothing for longer than reading its prompts takes.
+func (n *node) silent(now time.Time, digest time.Duration) bool {
+	reading := slowRead * n.slowness(now) * float64(n.readIn(n.load(now, digest).Unread))
+	return n.quietFor(now, n.heardAt) > silentAfter+time.Duration(reading)
 }
 
 // readIn returns how long the upstream usually takes to read so many prompt tokens.
@@ -138,14 +119,7 @@
 	if n.down && now.Sub(n.downSince) >= confirmFor {
 		return true
 	}
-	if n.own.Requests == 0 || now.Before(n.loading) {
-		return false
-	}
-	since := n.bytesAt
-	if n.loading.After(since) {
-		since = n.loading
-	}
-	return now.Sub(since) > hangAfter+slowRead*n.readIn(n.load(now, digest).Unread)
+	return n.quietFor(now, n.bytesAt) > hangAfter+slowRead*n.readIn(n.load(now, digest).Unread)
 }
 
 // setDown keeps work off until a connection succeeds.
@@ -160,7 +134,8 @@
 	if n.started != u.Started {
 		n.started = u.Started
 		n.recent = map[ChainKey]time.Time{}
-		n.failures, n.down = 0, false
+		n.failures.Reset()
+		n.down = false
 	}
 	for model, version := range u.Weights {
 		n.saw(model, version)
--- a/internal/coordination/place/placer.go
+++ b/internal/coordination/place/placer.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/gooseberryway/gooseberryway/internal/coordination/fleet"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/gauge"
 	"github.com/gooseberryway/gooseberryway/internal/state/cached"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/state/view"
@@ -50,12 +51,12 @@
 	services map[view.ServiceID]*service
 }
 
-// engineOf returns what the configuration says of a service's engines; nil if it runs no models.
+// engineOf returns what the configuration says of a service's engines, which is nothing if it runs no models.
 func (p *Placer) engineOf(id view.ServiceID) *view.Engine {
-	if c := p.Board.Config(); c != nil && c.Services[id] != nil {
+	if c := p.Board.Config(); c != nil && c.Services[id] != nil && c.Services[id].Engine != nil {
 		return c.Services[id].Engine
 	}
-	return nil
+	return &view.Engine{}
 }
 
 func (p *Placer) node(u *view.Upstream) *node {
@@ -71,6 +72,9 @@
 			weights: map[ident.ModelID]int64{},
 			recent:  map[ChainKey]time.Time{},
 			service: p.service(u.Service),
+
+			slow:     gauge.Fading{HalfLife: slowHalfLife, Weight: slowWeight},
+			failures: gauge.Fading{HalfLife: outcomeHalfLife, Weight: outcomeWeight},
 		}
 		p.nodes[u.ID] = n
 	}
@@ -93,7 +97,10 @@
 	blocked := &BlockedError{Reason: BlockedNone, RetryAfter: blockedRetry}
 	learned := p.service(w.Service)
 	q.perToken = learned.reading.PerToken()
-	p.refreshKeep(learned, w.Service, now)
+	p.refreshKeep(learned, q.engine, w.Service, now)
+	if q.store != nil {
+		q.fetching, q.fetchWait = p.fetching(now), time.Duration(learned.fetchWait.At(now))
+	}
 	candidates := p.candidates(q, blocked)
 	var best *Choice
 	for i := range candidates {
@@ -121,8 +128,10 @@
 	digest time.Duration
 	// store keeps the chain; nil for none.
 	store *cached.Parts
-	// engine is what is published of the service's engines; nil if nothing is. perToken is how long they take to read one
-	// token.
+	// fetching are the tokens that engines fetch from it, and fetchWait is how long such fetches waited lately.
+	fetching  ident.Tokens
+	fetchWait time.Duration
+	// engine is what is published of the service's engines, perToken how long they take to read one token.
 	engine   *view.Engine
 	perToken time.Duration
 	// versions holds what is the same for all candidates with a version of the weights.
--- a/internal/coordination/place/service.go
+++ b/internal/coordination/place/service.go
@@ -1,7 +1,6 @@
 package place
 
 import (
-	"math"
 	"time"
 
 	"github.com/gooseberryway/gooseberryway/internal/coordination/gauge"
@@ -15,10 +14,9 @@
 	reading gauge.Reading
 	holding gauge.Holding
 	churn   gauge.Churn
-	// fetchWait is how much longer than estimated without it requests with a fetch from the KV cache store took, as seen
-	// at fetchAt.
-	fetchWait time.Duration
-	fetchAt   time.Time
+	// fetchWait is how much longer than estimated without it requests with a fetch from the KV cache store took, in
+	// nanoseconds.
+	fetchWait gauge.Fading
 	// keep is how long an engine is taken to keep a chain that it was sent; keepAt is when that was worked out.
 	keep   time.Duration
 	keepAt time.Time
@@ -31,32 +29,22 @@
 	}
 	s := p.services[id]
 	if s == nil {
-		s = &service{keep: recentFor}
+		s = &service{keep: recentFor, fetchWait: gauge.Fading{HalfLife: linkHalfLife, Weight: linkWeight}}
 		p.services[id] = s
 	}
 	return s
 }
 
-// fetchWaits returns how long fetches from the KV cache store waited lately; it fades with time.
-func (s *service) fetchWaits(now time.Time) time.Duration {
-	return time.Duration(float64(s.fetchWait) * math.Exp2(-float64(now.Sub(s.fetchAt))/float64(linkHalfLife)))
-}
-
-func (s *service) observeFetch(now time.Time, wait time.Duration) {
-	s.fetchWait = time.Duration((1-linkWeight)*float64(s.fetchWaits(now)) + linkWeight*float64(max(0, wait)))
-	s.fetchAt = now
-}
-
 // refreshKeep works out how long engines keep what they were sent: the least recently used tokens yield, so that it is the
 // time in which an engine gets as many new ones as its memory holds.
-func (p *Placer) refreshKeep(s *service, id view.ServiceID, now time.Time) {
+func (p *Placer) refreshKeep(s *service, engine *view.Engine, id view.ServiceID, now time.Time) {
 	if now.Sub(s.keepAt) < keepPeriod {
 		return
 	}
 	s.keepAt = now
-	engine, engines := p.engineOf(id), len(p.Board.Upstreams().ByService[id])
+	engines := len(p.Board.Upstreams().ByService[id])
 	rate, known := s.churn.PerSecond()
-	if engine == nil || engine.CacheTokens <= 0 || engines == 0 || !known || rate <= 0 {
+	if engine.CacheTokens <= 0 || engines == 0 || !known || rate <= 0 {
 		s.keep = recentFor
 		return
 	}
--- a/internal/coordination/place/track.go
+++ b/internal/coordination/place/track.go
@@ -216,16 +216,17 @@
 }
 
 func (t *Ticket) started() {
-	took := time.Since(t.begun)
+	now := time.Now()
+	took := now.Sub(t.begun)
 	if t.timed {
 		t.node.service.reading.Observe(t.unread, took)
 		t.timed = false
 	}
 	switch {
 	case t.estimated > 0 && t.fetch == 0:
-		t.node.observeSpeed(time.Now(), took, t.estimated)
+		t.node.observeSpeed(now, took, t.estimated)
 	case t.estimated > 0:
-		t.node.service.observeFetch(time.Now(), took-t.estimated)
+		t.node.service.fetchWait.Observe(now, float64(max(0, took-t.estimated)))
 	}
 	t.estimated = 0
 	t.node.own.Unread -= t.unread
@@ -250,7 +251,7 @@
 	case OutcomeUnreachable:
 		n.setDown(now)
 	default:
-		n.observe(now, weightOf(o))
+		n.failures.Observe(now, weightOf(o))
 		if o == OutcomeMisdirected {
 			// What the engine was taken to have is wrong: only its registration counts until it is seen again.
 			n.weights = map[ident.ModelID]int64{}
--- a/internal/coordination/reload/pace.go
+++ b/internal/coordination/reload/pace.go
@@ -1,8 +1,9 @@
 package reload
 
 import (
-	"slices"
 	"time"
+
+	"github.com/gooseberryway/gooseberryway/internal/coordination/gauge"
 )
 
 const (
@@ -38,12 +39,15 @@
 	AtOnce int
 }
 
+// loadTimes are the last times of loads.
+type loadTimes = gauge.Window[time.Duration]
+
 // pace learns how long loads take and how many engines may load at once. The zero value knows nothing.
 type pace struct {
 	// took holds the last times of loads by the number of engines that loaded beside each other.
-	took map[int][]time.Duration
+	took map[int]*loadTimes
 	// recent are the last times of all loads, expected their median; 0 before the first.
-	recent   []time.Duration
+	recent   loadTimes
 	expected time.Duration
 	// width is how many may load at once; 0 for the prior. slowAt is the smallest number that was too many; 0 for none.
 	width, slowAt int
@@ -62,7 +66,7 @@
 
 // learn takes what another daemon has learned, unless this one has seen loads itself.
 func (p *pace) learn(told Pace) {
-	if len(p.recent) > 0 || told.Load <= 0 || told.Load > loadMost {
+	if p.recent.Len() > 0 || told.Load <= 0 || told.Load > loadMost {
 		return
 	}
 	p.expected, p.width = told.Load, max(0, told.AtOnce)
@@ -83,20 +87,26 @@
 
 // observe takes the time of a load of one of n engines, while at most beside of them loaded.
 func (p *pace) observe(took time.Duration, beside, n int) {
-	if p.took == nil {
-		p.took = map[int][]time.Duration{}
-	}
 	if p.known() && took < p.expected/instantMost {
 		return
 	}
-	p.took[beside] = remember(p.took[beside], took)
-	p.recent = remember(p.recent, took)
-	p.expected = median(p.recent)
+	if p.took == nil {
+		p.took = map[int]*loadTimes{}
+	}
+	same := p.took[beside]
+	if same == nil {
+		same = &loadTimes{Size: paceSamples}
+		p.took[beside] = same
+	}
+	same.Add(took)
+	p.recent.Size = paceSamples
+	p.recent.Add(took)
+	p.expected = p.recent.Median()
 	current := p.atOnce(n)
-	if beside != current || len(p.took[beside]) < min(paceSamples, current) {
+	if beside != current || same.Len() < min(paceSamples, current) {
 		return
 	}
-	fastest, usual := p.fastest(), median(p.took[current])
+	fastest, usual := p.fastest(), same.Median()
 	switch {
 	case fastest > 0 && usual > time.Duration(slowedBy*float64(fastest)):
 		p.slowAt = current
@@ -106,11 +116,6 @@
 	}
 }
 
-func remember(all []time.Duration, took time.Duration) []time.Duration {
-	all = append(all, took)
-	return all[max(0, len(all)-paceSamples):]
-}
-
 // narrowest returns the least number that load at once: a weight store that serves fewer makes loads longer, but not fewer.
 func narrowest(n int) int { return max(1, n/(2*enginesPerLoad)) }
 
@@ -120,17 +125,12 @@
 func (p *pace) fastest() time.Duration {
 	var out time.Duration
 	for _, took := range p.took {
-		if len(took) < paceLeast {
+		if took.Len() < paceLeast {
 			continue
 		}
-		if m := median(took); out == 0 || m < out {
+		if m := took.Median(); out == 0 || m < out {
 			out = m
 		}
 	}
 	return out
 }
-
-func median(all []time.Duration) time.Duration {
-	sorted := slices.Sorted(slices.Values(all))
-	return sorted[len(sorted)/2]
-}
--- a/internal/coordination/triage/triage.go
+++ b/internal/coordination/triage/triage.go
@@ -11,8 +11,6 @@
 import (
 	"sync"
 	"time"
-
-	"github.com/gooseberryway/gooseberryway/internal/state/view"
 )
 
 const (
@@ -83,27 +81,6 @@
 	return &Send{Priority: min(r.Priority+behind, max(lastPriority, r.Priority)), Late: true}
 }
 
-// Desks are the desks of all services. The zero value is ready.
-type Desks struct {
-	mu    sync.Mutex
-	desks map[view.ServiceID]*Desk
-}
-
-// Of returns the desk of a service.
-func (d *Desks) Of(service view.ServiceID) *Desk {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.desks == nil {
-		d.desks = map[view.ServiceID]*Desk{}
-	}
-	desk := d.desks[service]
-	if desk == nil {
-		desk = &Desk{}
-		d.desks[service] = desk
-	}
-	return desk
-}
-
 // back returns when the caller of a refused request may return: once the queue has shrunk to what the caller would have
 // waited for, and after those who were refused before.
 func (d *Desk) back(r *Request) time.Duration {
--- a/internal/coordination/triage/triage_test.go
+++ b/internal/coordination/triage/triage_test.go
@@ -63,9 +63,3 @@
 		require.Equal(t, 500*ms, v.RetryAfter)
 	})
 }
-
-func TestDesksAreOnePerService(t *testing.T) {
-	d := &Desks{}
-	require.Same(t, d.Of("a"), d.Of("a"))
-	require.NotSame(t, d.Of("a"), d.Of("b"))
-}
--- a/internal/program/entry/daemon.go
+++ b/internal/program/entry/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/gooseberryway/gooseberryway/internal/coordination/feed"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/fleet"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/place"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/relay"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/reload"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/triage"
 	"github.com/gooseberryway/gooseberryway/internal/program/setup"
@@ -149,7 +150,7 @@
 		Placer:  d.placer,
 		Meter:   &d.meter,
 		Budgets: d.budgets(),
-		Desks:   &triage.Desks{},
+		Desks:   &view.PerService[triage.Desk]{},
 		Pool:    upstreams,
 		Leaving: d.leaving.Load,
 	}
@@ -172,14 +173,14 @@
 )
 
 // budgets divides the retry budget of the fleet: the share holds for each daemon, the slack is split.
-func (d *Daemon) budgets() *opaque.Budgets {
+func (d *Daemon) budgets() *view.PerService[relay.Budget] {
 	l := d.Settings.Limits
-	return &opaque.Budgets{
-		Share: ident.Permille(max(1, l.RetryShare*budgetShare*permille)),
-		Reserve: func() int64 {
-			return int64(max(1, l.RetrySlack*budgetShare/float64(max(fleetLeast, d.meshSize()))))
-		},
-	}
+	return &view.PerService[relay.Budget]{Make: func() *relay.Budget {
+		return &relay.Budget{
+			Share:   ident.Permille(max(1, l.RetryShare*budgetShare*permille)),
+			Reserve: int64(max(1, l.RetrySlack*budgetShare/float64(max(fleetLeast, d.meshSize())))),
+		}
+	}}
 }
 
 // Listening returns a channel that is closed once the daemon listens.
--- a/internal/transport/opaque/handler.go
+++ b/internal/transport/opaque/handler.go
@@ -12,6 +12,7 @@
 
 	"github.com/gooseberryway/gooseberryway/internal/coordination/admit"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/place"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/relay"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/triage"
 	"github.com/gooseberryway/gooseberryway/internal/state/guard"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
@@ -36,8 +37,9 @@
 	Dialect Dialect
 	Placer  *place.Placer
 	Meter   *admit.Meter
-	Budgets *Budgets
-	Desks   *triage.Desks
+	// Budgets are the retry budgets of services, Desks decide on late work.
+	Budgets *view.PerService[relay.Budget]
+	Desks   *view.PerService[triage.Desk]
 	Pool    *httpc.Pool
 	// Leaving reports whether the daemon is about to stop; answers then end their connections.
 	Leaving func() bool
