Don't miss upstreams that left before the daemon asked had started

One that was behind and asked it for what it lacked got the newest records and the offset after them, and so never heard of an upstream that had left in between without a word (a third of the leaving ones there say nothing); nor did those who took from its beats that nothing had changed. During a rolling restart a daemon starts every half second. Change: a daemon tells from which offset on it knows of all changes; peers below it skip nothing on its word, ask others first, and get the whole list from it where there is none. TestWhatADaemonThatHasJustStartedDoesNotKnowIsNotMissed fails on the code before (the upstream stays listed).

--- a/internal/coordination/feed/follower.go
+++ b/internal/coordination/feed/follower.go
@@ -78,6 +78,8 @@
 	// changed follows the last record that told of more than the age of what was known, advancedAt is when next last grew.
 	changed    ident.Offset
 	advancedAt time.Time
+	// since is the offset from which on all changes are known: the state was read as a whole there.
+	since ident.Offset
 	// newest keeps the records for peers, without those that changed nothing. A record without a value removes its key.
 	newest map[string]extern.KeyedRecord
 }
@@ -255,6 +257,7 @@
 	changed := false
 	if whole {
 		changed = f.dropMissing(topic, s, records, next)
+		s.since = next
 	}
 	for _, r := range records {
 		if old, ok := s.newest[r.Key]; ok && old.Offset >= r.Offset {
@@ -417,27 +420,44 @@
 	f.Board.SetUpstreams(view.NewUpstreams(byID, next))
 }
 
-// Newer returns the newest records from the offset on, and the offset that follows.
-func (f *Follower) Newer(topic extern.Topic, from ident.Offset) ([]extern.KeyedRecord, ident.Offset) {
+// Changes is what a daemon passes on of a topic.
+type Changes struct {
+	extern.StoreBatch
+	// Whole says that the records are all that there are: keys that they lack have gone.
+	Whole bool
+}
+
+// Since returns the offset from which on this daemon knows of all changes of a topic.
+func (f *Follower) Since(topic extern.Topic) ident.Offset {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state(topic).since
+}
+
+// Newer returns the newest records from the offset on, or all upstreams if some may have left since that this daemon never
+// knew of.
+func (f *Follower) Newer(topic extern.Topic, from ident.Offset) Changes {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.state(topic)
-	var out []extern.KeyedRecord
+	out := Changes{Whole: topic == extern.TopicUpstreams && from < s.since}
+	out.Next = s.next
 	for _, r := range s.newest {
-		if r.Offset >= from {
-			out = append(out, r)
+		if out.Whole && len(r.Value) > 0 || !out.Whole && r.Offset >= from {
+			out.Records = append(out.Records, r)
 		}
 	}
-	return out, s.next
+	return out
 }
 
 // Relayed applies what a peer has read beyond this daemon.
-func (f *Follower) Relayed(topic extern.Topic, records []extern.KeyedRecord, next ident.Offset) {
-	if next <= f.Next(topic) {
+func (f *Follower) Relayed(topic extern.Topic, c Changes) {
+	if c.Next <= f.Next(topic) {
 		return
 	}
-	klog.InfoS("Records of the store came from a peer", "topic", topic, "records", len(records), "next", next)
-	f.apply(topic, records, next, false)
+	klog.InfoS("Records of the store came from a peer", "topic", topic, "records", len(c.Records), "whole", c.Whole,
+		"next", c.Next)
+	f.apply(topic, c.Records, c.Next, c.Whole)
 }
 
 // Skip takes that a peer has read up to next and found no change beyond what this daemon has.
--- a/internal/coordination/feed/follower_test.go
+++ b/internal/coordination/feed/follower_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -205,8 +207,7 @@
 				time.Sleep(sweepEvery)
 			}
 			time.Sleep(late)
-			records, upTo := reader.Newer(extern.TopicUpstreams, next)
-			cut.Relayed(extern.TopicUpstreams, records, upTo)
+			cut.Relayed(extern.TopicUpstreams, reader.Newer(extern.TopicUpstreams, next))
 			for time.Since(left) < drain-sweepEvery {
 				time.Sleep(sweepEvery)
 				cut.Sweep()
@@ -254,10 +255,10 @@
 		refused.setDown(true)
 		well.put(extern.TopicOperators, "config", "2")
 		time.Sleep(time.Second)
-		records, next := a.Newer(extern.TopicOperators, b.Next(extern.TopicOperators))
-		b.Relayed(extern.TopicOperators, records, next)
+		b.Relayed(extern.TopicOperators, a.Newer(extern.TopicOperators, b.Next(extern.TopicOperators)))
 		require.EqualValues(t, 2, b.Board.Config().Version)
-		b.Relayed(extern.TopicOperators, []extern.KeyedRecord{{Offset: 0, Key: "config", Value: []byte("1")}}, 1)
+		old := []extern.KeyedRecord{{Offset: 0, Key: "config", Value: []byte("1")}}
+		b.Relayed(extern.TopicOperators, Changes{StoreBatch: extern.StoreBatch{Records: old, Next: 1}})
 		require.EqualValues(t, 2, b.Board.Config().Version, "the configuration never goes back")
 	})
 }
@@ -301,7 +302,7 @@
 		}
 		require.Equal(t, begun+5, f.Next(extern.TopicUpstreams))
 		require.Equal(t, changed, f.Changed(extern.TopicUpstreams))
-		records, _ := f.Newer(extern.TopicUpstreams, begun)
+		records := f.Newer(extern.TopicUpstreams, begun).Records
 		require.Empty(t, records)
 		l.put(extern.TopicUpstreams, "a", "")
 		time.Sleep(time.Second)
@@ -327,9 +328,9 @@
 			time.Sleep(500 * time.Millisecond)
 			next := listener.Next(extern.TopicUpstreams)
 			if reader.Changed(extern.TopicUpstreams) > next {
-				records, upTo := reader.Newer(extern.TopicUpstreams, next)
-				require.Len(t, records, 1)
-				listener.Relayed(extern.TopicUpstreams, records, upTo)
+				changes := reader.Newer(extern.TopicUpstreams, next)
+				require.Len(t, changes.Records, 1)
+				listener.Relayed(extern.TopicUpstreams, changes)
 			}
 			listener.Skip(extern.TopicUpstreams, reader.Next(extern.TopicUpstreams))
 		}
@@ -351,6 +352,30 @@
 	})
 }
 
+// A daemon that starts reads the list as it is: it knows nothing of upstreams that had left before. One that asks it for what
+// it lacks must not miss their leaving.
+func TestWhatADaemonThatHasJustStartedDoesNotKnowIsNotMissed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		shared, own := newLog(), newLog()
+		for _, l := range []*log{shared, own} {
+			l.put(extern.TopicUpstreams, "a", "ready")
+			l.put(extern.TopicUpstreams, "b", "ready")
+		}
+		cut := start(t, own)
+		own.setDown(true)
+		shared.put(extern.TopicUpstreams, "b", "")
+		shared.put(extern.TopicUpstreams, "a", "ready")
+		shared.put(extern.TopicUpstreams, "c", "ready")
+		fresh := start(t, shared)
+		require.Len(t, fresh.Board.Upstreams().ByID, 2)
+		cut.Relayed(extern.TopicUpstreams, fresh.Newer(extern.TopicUpstreams, cut.Next(extern.TopicUpstreams)))
+		time.Sleep(lapsedFor)
+		cut.Sweep()
+		require.Equal(t, fresh.Next(extern.TopicUpstreams), cut.Next(extern.TopicUpstreams))
+		require.Equal(t, slices.Sorted(maps.Keys(fresh.Board.Upstreams().ByID)), slices.Sorted(maps.Keys(cut.Board.Upstreams().ByID)))
+	})
+}
+
 func TestARemovalThatOnlyAWholeListShowsIsPassedOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := newLog()
@@ -363,9 +388,9 @@
 		// The record that removed b has gone with the history: only the whole list lacks b.
 		f.apply(extern.TopicUpstreams, []extern.KeyedRecord{{Offset: 0, Key: "a", Value: []byte("ready")}}, next+3, true)
 		require.Len(t, f.Board.Upstreams().ByID, 1)
-		records, upTo := f.Newer(extern.TopicUpstreams, next)
+		changes := f.Newer(extern.TopicUpstreams, next)
 		require.Equal(t, next+3, f.Changed(extern.TopicUpstreams))
-		other.Relayed(extern.TopicUpstreams, records, upTo)
+		other.Relayed(extern.TopicUpstreams, changes)
 		require.Len(t, other.Board.Upstreams().ByID, 1)
 	})
 }
--- a/internal/coordination/fleet/table.go
+++ b/internal/coordination/fleet/table.go
@@ -54,8 +54,9 @@
 	HeardAt time.Time
 	// Operators and Upstreams are the offsets up to which the peer has read the store.
 	Operators, Upstreams ident.Offset
-	// Changed is the offset that follows the last record of an upstream that the peer knows to have changed anything.
-	Changed ident.Offset
+	// Changed is the offset that follows the last record of an upstream that the peer knows to have changed anything; it
+	// knows of all that did from Since on.
+	Changed, Since ident.Offset
 	// StoreAge is how long before the last beat the store had answered the peer.
 	StoreAge time.Duration
 	// Term is the term of the duty that the peer performs; 0 for none.
@@ -178,7 +179,7 @@
 // Skippable returns the offset up to which a daemon that has read the list of upstreams up to next lacks nothing that
 // the peer has; 0 if it lacks something.
 func (p *Peer) Skippable(next ident.Offset) ident.Offset {
-	if p.Changed > next {
+	if p.Changed > next || p.Since > next {
 		return 0
 	}
 	return p.Upstreams
--- a/internal/program/entry/beats.go
+++ b/internal/program/entry/beats.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/gooseberryway/gooseberryway/internal/coordination/admit"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/feed"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/fleet"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/place"
 	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
@@ -42,6 +43,7 @@
 		Operators:     ident.Offset(b.GetOperatorsNext()),
 		Upstreams:     ident.Offset(b.GetUpstreamsNext()),
 		Changed:       ident.Offset(b.GetUpstreamsChanged()),
+		Since:         ident.Offset(b.GetUpstreamsSince()),
 		StoreAge:      time.Duration(b.GetStoreAgeMs()) * time.Millisecond,
 		Term:          ident.Offset(b.GetTerm()),
 		Capacity:      fleet.Rate(b.GetCapacity()),
@@ -206,7 +208,7 @@
 func (d *Daemon) catchUp(ctx context.Context) {
 	operators, upstreams := d.follower.Next(extern.TopicOperators), d.follower.Next(extern.TopicUpstreams)
 	var best fleet.Peer
-	ahead := ident.Offset(0)
+	ahead, complete := ident.Offset(0), false
 	now := time.Now()
 	peers := d.table.All()
 	// Many daemons miss the same records at once and must not all ask the same peer.
@@ -217,8 +219,9 @@
 		}
 		d.follower.Skip(extern.TopicUpstreams, p.Skippable(upstreams))
 		by := max(p.Operators, operators) - operators + max(p.Changed, upstreams) - upstreams
-		if by > ahead {
-			ahead, best = by, p
+		// A peer that knows of all changes since passes on few records, another one the whole list.
+		if knows := p.Since <= upstreams; by > 0 && (knows && !complete || knows == complete && by > ahead) {
+			ahead, best, complete = by, p, knows
 		}
 	}
 	if ahead == 0 {
@@ -238,14 +241,15 @@
 		klog.InfoS("Peer gave no records", "peer", best.ID, "reason", err.Error())
 		return
 	}
-	d.follower.Relayed(extern.TopicOperators, records(reply.GetOperators()), ident.Offset(reply.GetOperatorsNext()))
-	d.follower.Relayed(extern.TopicUpstreams, records(reply.GetUpstreams()), ident.Offset(reply.GetUpstreamsNext()))
+	d.follower.Relayed(extern.TopicOperators, passedOn(reply.GetOperators(), reply.GetOperatorsNext(), false))
+	d.follower.Relayed(extern.TopicUpstreams, passedOn(reply.GetUpstreams(), reply.GetUpstreamsNext(), reply.GetUpstreamsWhole()))
 }
 
-func records(stored []*wire.StoredRecord) []extern.KeyedRecord {
-	out := make([]extern.KeyedRecord, 0, len(stored))
+func passedOn(stored []*wire.StoredRecord, next uint64, whole bool) feed.Changes {
+	out := feed.Changes{Whole: whole}
+	out.Next = ident.Offset(next)
 	for _, r := range stored {
-		out = append(out, extern.KeyedRecord{
+		out.Records = append(out.Records, extern.KeyedRecord{
 			Offset: ident.Offset(r.GetOffset()), Key: r.GetKey(), Value: r.GetValue(),
 			SeenAt: time.Now().Add(-time.Duration(r.GetAgeMs()) * time.Millisecond),
 		})
@@ -255,13 +259,14 @@
 
 // changes answers a peer that misses records.
 func (d *Daemon) changes(req *wire.ChangesRequest) *wire.ChangesReply {
-	operators, operatorsNext := d.follower.Newer(extern.TopicOperators, ident.Offset(req.GetOperatorsNext()))
-	upstreams, upstreamsNext := d.follower.Newer(extern.TopicUpstreams, ident.Offset(req.GetUpstreamsNext()))
+	operators := d.follower.Newer(extern.TopicOperators, ident.Offset(req.GetOperatorsNext()))
+	upstreams := d.follower.Newer(extern.TopicUpstreams, ident.Offset(req.GetUpstreamsNext()))
 	return &wire.ChangesReply{
-		Operators:     stored(operators),
-		Upstreams:     stored(upstreams),
-		OperatorsNext: uint64(operatorsNext),
-		UpstreamsNext: uint64(upstreamsNext),
+		Operators:      stored(operators.Records),
+		Upstreams:      stored(upstreams.Records),
+		OperatorsNext:  uint64(operators.Next),
+		UpstreamsNext:  uint64(upstreams.Next),
+		UpstreamsWhole: upstreams.Whole,
 	}
 }
 
--- a/internal/program/entry/round.go
+++ b/internal/program/entry/round.go
@@ -75,6 +75,7 @@
 		OperatorsNext:    uint64(d.follower.Next(extern.TopicOperators)),
 		UpstreamsNext:    uint64(d.follower.Next(extern.TopicUpstreams)),
 		UpstreamsChanged: uint64(d.follower.Changed(extern.TopicUpstreams)),
+		UpstreamsSince:   uint64(d.follower.Since(extern.TopicUpstreams)),
 		CacheStores:      d.stores.Reached(),
 	}
 	d.tellDuty(b)
