Let a lapsed upstream go by its own timer; one type for parts of prompts

The loop that took lapsed upstreams off the list also asks peers for records, which may hang for 0.6 s each: 1.5 s became up to 2.2. A timer does it when the time has passed; TestALapsedUpstreamGoesByItself fails before.

--- a/internal/coordination/feed/follower.go
+++ b/internal/coordination/feed/follower.go
@@ -38,7 +38,7 @@
 	pauseLeast = 100 * time.Millisecond
 	pauseMost  = 500 * time.Millisecond
 	// lapsedFor is how long an upstream is kept whose registration ended during trouble of the store: it may come back, but
-	// may also have left, and then takes no work two seconds later. A sweep and a request on its way fit in between.
+	// may also have left, and then takes no work two seconds later. A request on its way fits in between.
 	lapsedFor = 1500 * time.Millisecond
 	// troubleFor is how long after a failed call an ended registration may be due to the store.
 	troubleFor = 3 * time.Second
@@ -378,6 +378,7 @@
 	if f.troubled() && u.State == view.UpstreamReady && kept > 0 {
 		if _, ok := f.leaving[id]; !ok {
 			f.leaving[id] = time.Now().Add(kept)
+			time.AfterFunc(kept, f.sweep)
 			klog.InfoS("Upstream lapsed during trouble of the store", "upstream", id, "keptMs", kept.Milliseconds())
 		}
 		return false
@@ -393,8 +394,8 @@
 	return at != nil && time.Since(*at) < troubleFor
 }
 
-// Sweep takes upstreams off the list whose time to come back has passed.
-func (f *Follower) Sweep() {
+// sweep takes upstreams off the list whose time to come back has passed.
+func (f *Follower) sweep() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	changed := false
--- a/internal/coordination/feed/follower_test.go
+++ b/internal/coordination/feed/follower_test.go
@@ -159,11 +159,11 @@
 		l.put(extern.TopicUpstreams, "b", "")
 		l.setDown(false)
 		time.Sleep(time.Second)
-		f.Sweep()
+		f.sweep()
 		require.Len(t, f.Board.Upstreams().ByID, 2)
 		l.put(extern.TopicUpstreams, "a", "ready")
 		time.Sleep(lapsedFor)
-		f.Sweep()
+		f.sweep()
 		require.Len(t, f.Board.Upstreams().ByID, 1, "b did not come back")
 	})
 }
@@ -181,12 +181,29 @@
 		l.put(extern.TopicUpstreams, "a", "")
 		for left := drain - sweepEvery; left > 0; left -= sweepEvery {
 			time.Sleep(sweepEvery)
-			f.Sweep()
+			f.sweep()
 		}
 		require.Empty(t, f.Board.Upstreams().ByID)
 	})
 }
 
+func TestALapsedUpstreamGoesByItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLog()
+		l.put(extern.TopicUpstreams, "a", "ready")
+		f := start(t, l)
+		l.setDown(true)
+		time.Sleep(time.Second)
+		l.setDown(false)
+		time.Sleep(time.Second)
+		l.put(extern.TopicUpstreams, "a", "")
+		time.Sleep(2*gatherLeast + 50*time.Millisecond)
+		require.Len(t, f.Board.Upstreams().ByID, 1, "it may come back")
+		time.Sleep(lapsedFor)
+		require.Empty(t, f.Board.Upstreams().ByID)
+	})
+}
+
 // A daemon that is cut off hears of an upstream's leaving from others, and late: what they have known it for counts.
 func TestALapsedUpstreamThatOthersHaveLongMissedGetsNoWorkPastTheDrain(t *testing.T) {
 	for _, late := range []time.Duration{0, 500 * time.Millisecond, 1200 * time.Millisecond, 1800 * time.Millisecond} {
@@ -210,7 +227,7 @@
 			cut.Relayed(extern.TopicUpstreams, reader.Newer(extern.TopicUpstreams, next))
 			for time.Since(left) < drain-sweepEvery {
 				time.Sleep(sweepEvery)
-				cut.Sweep()
+				cut.sweep()
 			}
 			require.Len(t, cut.Board.Upstreams().ByID, 1, "heard %v late", late)
 		})
@@ -370,7 +387,7 @@
 		require.Len(t, fresh.Board.Upstreams().ByID, 2)
 		cut.Relayed(extern.TopicUpstreams, fresh.Newer(extern.TopicUpstreams, cut.Next(extern.TopicUpstreams)))
 		time.Sleep(lapsedFor)
-		cut.Sweep()
+		cut.sweep()
 		require.Equal(t, fresh.Next(extern.TopicUpstreams), cut.Next(extern.TopicUpstreams))
 		require.Equal(t, slices.Sorted(maps.Keys(fresh.Board.Upstreams().ByID)), slices.Sorted(maps.Keys(cut.Board.Upstreams().ByID)))
 	})
--- a/internal/program/entry/beats.go
+++ b/internal/program/entry/beats.go
@@ -198,7 +198,6 @@
 			d.meter.Remove(id)
 			klog.InfoS("Peer forgotten", "peer", id)
 		}
-		d.follower.Sweep()
 		d.catchUp(ctx)
 		scope.Sleep(ctx, sweepPeriod)
 	}
--- a/internal/transport/opaque/request.go
+++ b/internal/transport/opaque/request.go
@@ -6,15 +6,13 @@
 	"net/http"
 	"time"
 
+	"github.com/gooseberryway/gooseberryway/internal/coordination/place"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/state/view"
 )
 
 // Part is one part of a prompt. Prompts share parts; a part is cached only behind the parts before it.
-type Part struct {
-	ID     string
-	Tokens ident.Tokens
-}
+type Part = place.Part
 
 // Request is what the headers of a request say.
 type Request struct {
--- a/internal/transport/opaque/run.go
+++ b/internal/transport/opaque/run.go
@@ -174,9 +174,7 @@
 	if c.org != nil && c.org.Isolated {
 		w.Scope = string(c.org.ID)
 	}
-	for _, p := range c.req.Parts {
-		w.Parts = append(w.Parts, place.Part{ID: p.ID, Tokens: p.Tokens})
-	}
+	w.Parts = c.req.Parts
 	return w
 }
 
