--- a/internal/program/entry/round.go
+++ b/internal/program/entry/round.go
@@ -24,7 +24,7 @@
 	v := d.look()
 	rest := fleet.RestPeriod(v.size)
 	now := time.Now()
-	changed, restDue := d.told != v.state(), now.Sub(d.restAt) >= rest
+	restDue := now.Sub(d.restAt) >= rest || d.told != v.state()
 	if !v.meshed() {
 		targets := v.mesh
 		if len(targets) == 0 {
@@ -38,7 +38,7 @@
 	if len(v.mesh) > 0 {
 		out.Messages = append(out.Messages, gossip.Message{Beat: d.beat(v, period), Targets: v.mesh})
 	}
-	if changed || restDue {
+	if restDue {
 		targets := v.rest
 		if len(v.mesh) == 0 {
 			targets = append(targets, d.seedAddresses()...)
