Log what upstreams say of their limits

Change: the adapter reads the header into a typed statement; a line and a counter (gooseberrywayUpstreamLimitNews) tell when an upstream names, changes or lifts its limit or names one that can't be read. No decision uses it yet.

go test ./platform/... ./internal/transport/... ./internal/program/entry: ok.

--- a/internal/coordination/fleet/active.go
+++ b/internal/coordination/fleet/active.go
@@ -10,7 +10,7 @@
 )
 
 // RequestsPerSecond is a rate of requests.
-type RequestsPerSecond float64
+type RequestsPerSecond = ident.RequestsPerSecond
 
 const (
 	// minActive is the smallest number of active daemons while the demand is low. The sudden loss of one or two leaves
--- a/internal/program/entry/daemon.go
+++ b/internal/program/entry/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/gooseberryway/gooseberryway/internal/coordination/relay"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/reload"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/shed"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/uprate"
 	"github.com/gooseberryway/gooseberryway/internal/program/setup"
 	"github.com/gooseberryway/gooseberryway/internal/state/extern"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
@@ -44,19 +45,21 @@
 	listening     chan struct{}
 	listeningOnce sync.Once
 
-	incarnation  uint64
-	startedAt    time.Time
-	snapshots    view.Snapshots
-	table        fleet.Table
-	limiter      admit.Limiter
-	follower     *feed.Follower
-	placer       *place.Placer
-	stores       *kvdir.Stores
-	peers        *gossip.Node
-	handler      *proxy.Handler
-	store        extern.Store
-	elector      *leader.Elector
-	weightLoader *reload.Runner
+	incarnation uint64
+	startedAt   time.Time
+	snapshots   view.Snapshots
+	table       fleet.Table
+	limiter     admit.Limiter
+	// upstreamLimits holds the rates that upstreams limit themselves to.
+	upstreamLimits uprate.Table
+	follower       *feed.Follower
+	placer         *place.Placer
+	stores         *kvdir.Stores
+	peers          *gossip.Node
+	handler        *proxy.Handler
+	store          extern.Store
+	elector        *leader.Elector
+	weightLoader   *reload.Runner
 
 	seeds   atomic.Pointer[[]string]
 	leaving atomic.Bool
@@ -153,14 +156,15 @@
 		OnChange:  d.peers.SendSoon,
 	}
 	d.handler = &proxy.Handler{
-		Snapshots:    &d.snapshots,
-		Dialect:      platform.Dialect{},
-		Placer:       d.placer,
-		Limiter:      &d.limiter,
-		RetryBudgets: d.retryBudgets(),
-		Shedders:     &view.PerService[shed.Controller]{},
-		Pool:         upstreams,
-		IsDraining:   d.leaving.Load,
+		Snapshots:      &d.snapshots,
+		Dialect:        platform.Dialect{},
+		Placer:         d.placer,
+		Limiter:        &d.limiter,
+		UpstreamLimits: &d.upstreamLimits,
+		RetryBudgets:   d.retryBudgets(),
+		Shedders:       &view.PerService[shed.Controller]{},
+		Pool:           upstreams,
+		IsDraining:     d.leaving.Load,
 	}
 }
 
--- a/internal/state/ident/ident.go
+++ b/internal/state/ident/ident.go
@@ -51,6 +51,9 @@
 // RequestID identifies a request of a caller.
 type RequestID string
 
+// RequestsPerSecond is a rate of requests.
+type RequestsPerSecond float64
+
 // RecordID identifies a record of the log service. The record's author chooses the id, and can thus find out whether the
 // record was appended if the response to the append was lost.
 type RecordID string
--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -266,6 +266,7 @@
 	defer cancel(nil)
 	end := time.AfterFunc(c.untilDeadline()+deadlineGrace, func() { cancel(context.DeadlineExceeded) })
 	defer end.Stop()
+	c.attemptAt = time.Now()
 	tracker := c.Placer.Begin(choice, placeReq)
 	req, err := c.upstreamRequest(ctx, choice, p)
 	if err != nil {
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -14,6 +14,7 @@
 	"github.com/gooseberryway/gooseberryway/internal/coordination/place"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/relay"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/shed"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/uprate"
 	"github.com/gooseberryway/gooseberryway/internal/state/guard"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/state/view"
@@ -37,6 +38,8 @@
 	Dialect   Dialect
 	Placer    *place.Placer
 	Limiter   *admit.Limiter
+	// UpstreamLimits holds the rates that upstreams limit themselves to.
+	UpstreamLimits *uprate.Table
 	// RetryBudgets holds each service's retry budget, Shedders each service's load shedding.
 	RetryBudgets *view.PerService[relay.RetryBudget]
 	Shedders     *view.PerService[shed.Controller]
@@ -68,6 +71,8 @@
 	// sentAt is when an upstream was first known to have possibly run the request, firstByteAt when the first byte of a
 	// response was ready for the caller; both are zero until then.
 	sentAt, firstByteAt time.Time
+	// attemptAt is when the last attempt began.
+	attemptAt time.Time
 	// lastEventID is the ID of the last event that was delivered to the caller.
 	lastEventID string
 	status      int
--- a/internal/transport/proxy/request.go
+++ b/internal/transport/proxy/request.go
@@ -61,6 +61,8 @@
 	NotRun bool
 	// WeightVersion is the version of the weights that produced the response; 0 if the upstream doesn't say.
 	WeightVersion int64
+	// Limit is what the response says about the rate at which the upstream takes requests.
+	Limit view.LimitStatement
 }
 
 // Dialect translates between the platform's HTTP headers and the types of this package.
--- a/internal/transport/proxy/response.go
+++ b/internal/transport/proxy/response.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/gooseberryway/gooseberryway/internal/coordination/place"
+	"github.com/gooseberryway/gooseberryway/internal/state/view"
 )
 
 // streamBufferBytes is the largest number of bytes that is read from a stream at once.
@@ -39,6 +40,7 @@
 	defer resp.Body.Close()
 	parsed := c.Dialect.ParseResponse(resp.StatusCode, resp.Header)
 	c.Placer.SetWeightVersion(choice.Upstream, placeReq.Model, parsed.WeightVersion)
+	c.observeLimit(resp, &parsed, choice)
 	switch {
 	case parsed.ID != "" && parsed.ID != c.req.ID:
 		c.markSent()
@@ -61,6 +63,18 @@
 	}
 }
 
+// observeLimit records what the response says about the upstream's limit. A misdirected response comes from another
+// upstream, and only a response to a request that ran can say that a limit no longer holds.
+func (c *call) observeLimit(resp *http.Response, parsed *Response, choice *place.Choice) {
+	if resp.StatusCode == http.StatusMisdirectedRequest {
+		return
+	}
+	if _, none := parsed.Limit.(*view.NoLimit); none && (parsed.NotRun || parsed.ID != c.req.ID) {
+		return
+	}
+	c.UpstreamLimits.Observe(choice.Upstream, c.attemptAt, parsed.Limit)
+}
+
 // stepAfterRun returns the next step after an attempt that failed although the request may have run.
 func (c *call) stepAfterRun(reason Reason) (nextStep, Reason) {
 	if c.route.Repeatable() {
