Carry out the roll-outs that operators order

Cause: op/rollout was read and nothing acted on it.

Change: package canary. Every daemon splits the service's traffic by the stage that the leader decided, counts the answers of both releases and judges them with those of its peers (moves.Monitor and moves.Judge); the first daemon that finds the release bad stops sending at once and its heartbeat stops the others. The leader of the fleet keeps stages and status in the store; each write names the end of its topic and a stage its term, so that a former leader's write fails. An engine that appears while a daemon runs is taken to have an empty cache.

--- /dev/null
+++ b/internal/coordination/canary/consts.go
@@ -0,0 +1,40 @@
+package canary
+
+import (
+	"time"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
+
+const (
+	// fullShare is all traffic, in thousandths.
+	fullShare ident.Permille = 1000
+	// evaluationInterval is the time between two evaluations.
+	evaluationInterval = 100 * time.Millisecond
+	// writeTimeout bounds the calls of the store for one decision.
+	writeTimeout = 2 * time.Second
+	// minStepTime is the least time in a step, unless the rollout is too short for that.
+	minStepTime = time.Second
+	// shortStepDivisor is the part of a short rollout's time that is the least time in a step.
+	shortStepDivisor = 15
+	// maxBaselineFraction is the part of the time in which the old release is observed at most before the first step.
+	maxBaselineFraction = 0.12
+	// suspicionDelayFraction is by which part of the time a step is longer while there is some evidence against the
+	// release. completeFraction is the part of the time after which the rollout is completed once the old release has no
+	// requests left, latestCompleteFraction the one after which it is completed in any case: the platform reads the
+	// status until the end of the time.
+	suspicionDelayFraction = 0.04
+	completeFraction       = 0.9
+	latestCompleteFraction = 0.95
+)
+
+// step is a share of the traffic that a rollout passes through.
+type step struct {
+	share ident.Permille
+	// from is the part of the rollout's time after which the step may begin.
+	from float64
+}
+
+// steps keep the exposure to a bad release low: most of the time is spent at shares that suffice to judge it, and the
+// share grows late. A fifth of the traffic loads each new upstream as before if there are a quarter as many.
+var steps = []step{{30, 0}, {80, 0.3}, {200, 0.62}, {fullShare, 0.8}}
--- /dev/null
+++ b/internal/coordination/canary/controller.go
@@ -0,0 +1,354 @@
+// Package canary carries out rollouts: the shift of a service's traffic to upstreams of a new release. Every daemon
+// splits its traffic by the stage that it knows, counts the answers of both releases and judges them with those of its
+// peers (package moves); a daemon that finds the release bad stops sending to it at once and tells the others. The leader
+// decides on stages, keeps them in the platform store and publishes the status for operators.
+package canary
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"k8s.io/klog/v2"
+
+	"github.com/gooseberryway/gooseberryway/internal/coordination/moves"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/place"
+	"github.com/gooseberryway/gooseberryway/internal/state/config"
+	"github.com/gooseberryway/gooseberryway/internal/state/extern"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/state/scope"
+	"github.com/gooseberryway/gooseberryway/internal/state/view"
+)
+
+// Controller carries out rollouts on one daemon. Its exported fields are set before Run.
+type Controller struct {
+	Snapshots *view.Snapshots
+	Store     extern.Store
+	Codec     extern.StatusCodec
+	// Term returns this daemon's term as leader, or 0.
+	Term func() ident.Offset
+	// HasTraffic reports whether callers are sent to this daemon. Without it the daemon hears too late what others have
+	// found, and sends nothing to a release that is not completed.
+	HasTraffic func() bool
+	// RequestsAt returns the number of requests of all daemons at an upstream.
+	RequestsAt func(ident.UpstreamID) int
+	// OnChange, if set, is called after a change that peers should hear of soon.
+	OnChange func()
+
+	splitter moves.Splitter
+	monitor  moves.Monitor
+	judge    moves.Judge
+	once     sync.Once
+
+	// services is what requests read.
+	services atomic.Pointer[map[view.ServiceID]*serviceState]
+
+	mu       sync.Mutex
+	stages   map[view.ServiceID]*Stage
+	verdicts map[ident.MoveID]moves.Verdict
+	// stageChanges counts the changes of stages, refreshed holds what the states of services were last built from.
+	stageChanges uint64
+	refreshed    refreshInputs
+
+	// ledger is used by the leader only, in Run.
+	ledger ledger
+}
+
+// serviceState is the state of a service with a rollout. It is immutable.
+type serviceState struct {
+	stage Stage
+	move  ident.MoveID
+	// from is the release that the rollout replaces.
+	from ident.VersionID
+	// newReady is the number of upstreams of the release that take requests, oldListed that of all registered
+	// upstreams of other releases.
+	newReady, oldListed int
+}
+
+func (c *Controller) init() {
+	c.once.Do(func() {
+		c.monitor.Splitter = &c.splitter
+		c.judge.Monitor = &c.monitor
+	})
+}
+
+// Run works until ctx ends.
+func (c *Controller) Run(ctx context.Context) {
+	c.init()
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for ctx.Err() == nil {
+			c.lead(ctx)
+			scope.Sleep(ctx, evaluationInterval)
+		}
+	})
+	wg.Go(func() {
+		for ctx.Err() == nil {
+			select {
+			case <-ctx.Done():
+			case <-c.monitor.UrgentDigest():
+				c.notifyPeers()
+			}
+		}
+	})
+	for ctx.Err() == nil {
+		c.evaluate(time.Now())
+		scope.Sleep(ctx, evaluationInterval)
+	}
+	wg.Wait()
+}
+
+func (c *Controller) notifyPeers() {
+	if c.OnChange != nil {
+		c.OnChange()
+	}
+}
+
+// evaluate applies the rollouts and stages that are known and stops releases that are judged bad.
+func (c *Controller) evaluate(now time.Time) {
+	c.refresh()
+	verdicts := c.judge.Evaluate(now, moves.Settings{})
+	for id, v := range verdicts {
+		if v.Finding == moves.FindingBad && c.splitter.Stop(id, v.Reason) {
+			klog.InfoS("Stopped sending to the new release", "rollout", id, "reason", v.Reason, "samples", v.Samples)
+			countEvent("stopped")
+			c.notifyPeers()
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.verdicts = verdicts
+}
+
+// refresh rebuilds the states of services from the orders, the stages and the upstreams, if any has changed.
+func (c *Controller) refresh() {
+	rollouts, upstreams, hasTraffic := c.Snapshots.Rollouts(), c.Snapshots.Upstreams(), c.HasTraffic()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if inputs := (refreshInputs{newestOrder(rollouts), upstreams, hasTraffic, c.stageChanges}); inputs != c.refreshed {
+		c.refreshed = inputs
+		c.rebuild(rollouts, upstreams)
+	}
+}
+
+// refreshInputs are what the states of services depend on.
+type refreshInputs struct {
+	newestOrder  ident.Offset
+	upstreams    *view.Upstreams
+	hasTraffic   bool
+	stageChanges uint64
+}
+
+// newestOrder returns the offset after that of the newest order; 0 if there is none.
+func newestOrder(rollouts map[view.ServiceID]view.Rollout) ident.Offset {
+	newest := ident.Offset(0)
+	for _, r := range rollouts {
+		newest = max(newest, r.Offset+1)
+	}
+	return newest
+}
+
+// rebuild rebuilds the states of services. The caller holds c.mu.
+func (c *Controller) rebuild(rollouts map[view.ServiceID]view.Rollout, upstreams *view.Upstreams) {
+	states := make(map[view.ServiceID]*serviceState, len(rollouts))
+	serving := config.ServingVersions{Models: map[ident.ModelID]ident.VersionID{}}
+	var active []*config.Move
+	for id, list := range upstreams.ByService {
+		serving.Models[ident.ModelID(id)] = commonRelease(list, rollouts[id].Release)
+	}
+	for id, r := range rollouts {
+		s := newServiceState(c.stageOf(&r), upstreams.ByService[id])
+		s.from = serving.Models[ident.ModelID(id)]
+		states[id] = s
+		if s.stage.State == view.RolloutCompleted {
+			serving.Models[ident.ModelID(id)] = ident.VersionID(r.Release)
+		}
+		if s.stage.State.Ended() || s.from == "" {
+			continue
+		}
+		active = append(active, &config.Move{
+			ID: s.move, Model: ident.ModelID(id), From: s.from, To: ident.VersionID(r.Release), State: config.MoveRunning,
+			Share: c.ownShare(s), Step: stepOf(s.stage.Share),
+		})
+	}
+	c.splitter.Replace(serving, active)
+	c.services.Store(&states)
+}
+
+// stageOf returns the stage of the newest order of a service. The caller holds c.mu.
+func (c *Controller) stageOf(r *view.Rollout) Stage {
+	if s := c.stages[r.Service]; s != nil && s.Order == r.Offset {
+		return *s
+	}
+	return Stage{Service: r.Service, Order: r.Offset, Release: r.Release, State: view.RolloutInProgress, OrderedAt: r.SeenAt, Since: r.SeenAt}
+}
+
+func newServiceState(stage Stage, list []*view.Upstream) *serviceState {
+	s := &serviceState{stage: stage, move: moveID(stage.Service, stage.Order)}
+	for _, u := range list {
+		switch {
+		case u.Release != stage.Release:
+			s.oldListed++
+		case u.State == view.UpstreamReady:
+			s.newReady++
+		}
+	}
+	return s
+}
+
+// ownShare returns the share of this daemon's traffic that goes to the release.
+func (c *Controller) ownShare(s *serviceState) ident.Permille {
+	if s.newReady == 0 || !c.HasTraffic() {
+		return 0
+	}
+	return s.stage.Share
+}
+
+// commonRelease returns the release of most of the upstreams, without those of the given one; empty if there are none.
+func commonRelease(list []*view.Upstream, except string) ident.VersionID {
+	counts := map[string]int{}
+	best := ""
+	for _, u := range list {
+		if u.Release == except {
+			continue
+		}
+		counts[u.Release]++
+		if n := counts[u.Release]; best == "" || n > counts[best] || n == counts[best] && u.Release < best {
+			best = u.Release
+		}
+	}
+	return ident.VersionID(best)
+}
+
+func moveID(service view.ServiceID, order ident.Offset) ident.MoveID {
+	return ident.MoveID(fmt.Sprintf("%s@%d", service, order))
+}
+
+// stepOf returns the index of the step with the share; 0 if there is none.
+func stepOf(share ident.Permille) int {
+	for i := range steps {
+		if steps[i].share == share {
+			return i
+		}
+	}
+	return 0
+}
+
+// Stages returns the stages that this daemon knows, for its peers.
+func (c *Controller) Stages() []Stage {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make([]Stage, 0, len(c.stages))
+	for _, s := range c.stages {
+		out = append(out, *s)
+	}
+	return out
+}
+
+// ApplyStage applies a stage that a peer knows.
+func (c *Controller) ApplyStage(s Stage) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.apply(s, "peer")
+}
+
+// apply records a stage if it is newer than the known one. The caller holds c.mu.
+func (c *Controller) apply(s Stage, source string) bool {
+	if !s.supersedes(c.stages[s.Service]) {
+		return false
+	}
+	if c.stages == nil {
+		c.stages = map[view.ServiceID]*Stage{}
+	}
+	if old := c.stages[s.Service]; old == nil || old.Order != s.Order || old.State != s.State || old.Share != s.Share {
+		klog.InfoS("Stage of a rollout", "service", s.Service, "release", s.Release, "order", s.Order, "state", s.State,
+			"sharePermille", s.Share, "term", s.Term, "reason", s.Reason, "source", source,
+			"orderAgeMs", time.Since(s.OrderedAt).Milliseconds())
+		countEvent(s.State.String())
+		metrics.GetOrCreateGauge(fmt.Sprintf(`gooseberrywayRolloutSharePermille{service=%q}`, s.Service), nil).Set(float64(s.Share))
+	}
+	c.stages[s.Service] = &s
+	c.stageChanges++
+	return true
+}
+
+// Monitor returns the counts of answers, whose digests daemons exchange.
+func (c *Controller) Monitor() *moves.Monitor {
+	c.init()
+	return &c.monitor
+}
+
+func countEvent(event string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`gooseberrywayRolloutEvents{event=%q}`, event)).Inc()
+}
+
+// Request is what the choice of a release depends on.
+type Request struct {
+	Service      view.ServiceID
+	Route        ident.RouteID
+	Organisation ident.OrganisationID
+	ID           ident.RequestID
+	// Chain identifies the shared parts of the prompt; empty if there are none.
+	Chain string
+	// Retry says that an upstream has had the request already.
+	Retry bool
+}
+
+// Releases returns which upstreams may get the request; nil for all.
+func (c *Controller) Releases(r *Request) *place.ReleaseFilter {
+	order, ok := c.Snapshots.Rollouts()[r.Service]
+	if !ok {
+		return nil
+	}
+	var s *serviceState
+	if states := c.services.Load(); states != nil {
+		s = (*states)[r.Service]
+	}
+	if s == nil || s.stage.Order != order.Offset {
+		// The order has just arrived.
+		return &place.ReleaseFilter{Release: order.Release, Except: true}
+	}
+	switch {
+	case s.oldListed == 0:
+		return nil
+	case s.stage.State == view.RolloutCompleted && s.newReady > 0:
+		return &place.ReleaseFilter{Release: order.Release}
+	case s.stage.State != view.RolloutInProgress || !c.picksNew(s, r):
+		return &place.ReleaseFilter{Release: order.Release, Except: true}
+	default:
+		return &place.ReleaseFilter{Release: order.Release}
+	}
+}
+
+// picksNew reports whether the request goes to the new release of a rollout in progress. Retries go to the old one until
+// the new one gets all requests.
+func (c *Controller) picksNew(s *serviceState, r *Request) bool {
+	if s.stage.Share == fullShare && c.splitter.StopReason(s.move) == "" && c.ownShare(s) > 0 {
+		return true
+	}
+	if r.Retry {
+		return false
+	}
+	version := c.splitter.Version(moves.SplitKey{
+		Model: ident.ModelID(r.Service), Route: r.Route, Organisation: r.Organisation, RequestID: r.ID,
+	})
+	return version == ident.VersionID(s.stage.Release)
+}
+
+// Begin counts a request that is sent to an upstream. work is the number of prompt tokens that the upstream has to
+// compute before the first one of the response.
+func (c *Controller) Begin(r *Request, u *view.Upstream, work ident.Tokens) moves.Attempt {
+	c.init()
+	target := moves.Target{
+		Model: ident.ModelID(r.Service), Route: r.Route, Version: ident.VersionID(u.Release), Upstream: u.ID, Resumed: r.Retry,
+	}
+	if states := c.services.Load(); states != nil {
+		if s := (*states)[r.Service]; s != nil && s.from != "" && u.Release != s.stage.Release {
+			target.Version = s.from
+		}
+	}
+	return c.monitor.Begin(target, work)
+}
--- a/internal/coordination/moves/split.go
+++ b/internal/coordination/moves/split.go
@@ -21,18 +21,21 @@
 }
 
 // Update takes over the moves and models of a configuration.
-func (s *Splitter) Update(state *config.State) {
+func (s *Splitter) Update(state *config.State) { s.Replace(state.Serving(), activeMoves(state)) }
+
+// Replace sets the versions that serve and the moves that have not ended, the one with the largest share first.
+func (s *Splitter) Replace(serving config.ServingVersions, active []*config.Move) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old := s.table.Load()
 	t := &splitTable{
-		serving:   state.Serving(),
+		serving:   serving,
 		byRoute:   map[routeKey]*moveSplit{},
 		byModel:   map[ident.ModelID]*moveSplit{},
 		byMove:    map[ident.MoveID]*moveSplit{},
 		takenBack: map[takenBackKey]*moveSplit{},
 	}
-	t.addActiveMoves(state, old)
+	t.addActiveMoves(active, old)
 	if old != nil {
 		old.keepTakenBack(t)
 	}
--- a/internal/coordination/moves/table.go
+++ b/internal/coordination/moves/table.go
@@ -55,8 +55,8 @@
 	reason  atomic.Pointer[string]
 }
 
-func (t *splitTable) addActiveMoves(state *config.State, old *splitTable) {
-	for _, m := range activeMoves(state) {
+func (t *splitTable) addActiveMoves(active []*config.Move, old *splitTable) {
+	for _, m := range active {
 		split := newMoveSplit(m, old.splitOf(m.ID))
 		t.byMove[m.ID] = split
 		if len(m.Routes) == 0 {
--- a/internal/coordination/place/consts.go
+++ b/internal/coordination/place/consts.go
@@ -108,6 +108,9 @@
 	maxSentChains = 128
 	// maxRecentChains bounds the number of chains remembered for an engine.
 	maxRecentChains = 4096
+	// startupTime is how long after the first upstream others are taken to have been there before: an engine that appears
+	// later has an empty cache.
+	startupTime = 3 * time.Second
 	// maxLimitedRetryAfter is the maximum of a Retry-After because of limits: a limit may be raised or end meanwhile.
 	maxLimitedRetryAfter = 5 * time.Second
 	// maxPrefillRecords is the number of prefill records above which expired ones are removed.
--- a/internal/coordination/place/placer.go
+++ b/internal/coordination/place/placer.go
@@ -46,6 +46,8 @@
 
 	mu             sync.Mutex
 	upstreamStates map[ident.UpstreamID]*upstreamState
+	// firstStateAt is when the first state was created.
+	firstStateAt time.Time
 	// ownFetchTokens are the tokens that engines are fetching from KV cache stores for this daemon's requests.
 	ownFetchTokens  ident.Tokens
 	peerFetchTokens map[ident.DaemonID]peerReport
@@ -70,8 +72,10 @@
 
 // upstreamState returns the state of an upstream, updated from its registration. The caller holds p.mu.
 func (p *Placer) upstreamState(u *view.Upstream) *upstreamState {
+	now := time.Now()
 	if p.upstreamStates == nil {
 		p.upstreamStates = map[ident.UpstreamID]*upstreamState{}
+		p.firstStateAt = now
 	}
 	state := p.upstreamStates[u.ID]
 	if state == nil {
@@ -87,6 +91,9 @@
 			failureRate:    estim.DecayingMean{HalfLife: failureHalfLife, Weight: failureWeight},
 		}
 		p.upstreamStates[u.ID] = state
+		if !p.firstStateAt.IsZero() && now.Sub(p.firstStateAt) > startupTime {
+			state.weightsChangedAt = now
+		}
 	}
 	state.applyRegistration(u)
 	return state
@@ -232,7 +239,7 @@
 	out := make([]candidate, 0, len(upstreams))
 	for hashRank, u := range upstreams {
 		state := p.upstreamState(u)
-		if slices.Contains(q.request.Tried, u.ID) {
+		if slices.Contains(q.request.Tried, u.ID) || !q.request.Releases.allows(u) {
 			continue
 		}
 		if !state.down && state.isSilent(q.now, q.maxReportAge) {
--- a/internal/coordination/place/request.go
+++ b/internal/coordination/place/request.go
@@ -26,6 +26,19 @@
 	CacheScope string
 	// Tried are the upstreams that the request has already been sent to.
 	Tried []ident.UpstreamID
+	// Releases restricts the upstreams by the release of their software; nil for no restriction.
+	Releases *ReleaseFilter
+}
+
+// ReleaseFilter selects the upstreams of one release or, if Except is set, those of all others.
+type ReleaseFilter struct {
+	Release string
+	Except  bool
+}
+
+// allows reports whether the filter selects the upstream. A nil filter selects all.
+func (f *ReleaseFilter) allows(u *view.Upstream) bool {
+	return f == nil || (u.Release == f.Release) != f.Except
 }
 
 // FetchFrom says where an engine gets shared parts of the prompt that are not in its cache.
@@ -55,6 +68,8 @@
 	SaveToStore bool
 	// PrefillTokens is the number of prompt tokens that the engine is expected to compute, as they are not cached.
 	PrefillTokens ident.Tokens
+	// QueuedTokens is the number of prompt tokens that the engine has to compute for other requests.
+	QueuedTokens ident.Tokens
 	// Wait is the estimated time to the first byte; zero while the speed of the service's upstreams is unknown.
 	Wait WaitEstimate
 	// Late is set by the caller of Begin for a request that will miss its target and runs after those that can still
--- a/internal/coordination/place/upstream_state.go
+++ b/internal/coordination/place/upstream_state.go
@@ -34,7 +34,8 @@
 	peerWork  map[ident.DaemonID]peerReport
 
 	weights map[ident.ModelID]int64
-	// weightsChangedAt is when this daemon saw the engine's weights change; zero if it did not see that.
+	// weightsChangedAt is when this daemon saw the engine start or its weights change, so that its cache was empty; zero if
+	// it did not see that.
 	weightsChangedAt time.Time
 	// loadingUntil is when the upstream takes work again after loading weights.
 	loadingUntil time.Time
@@ -141,6 +142,7 @@
 		s.recentChains = map[ChainKey]time.Time{}
 		s.failureRate.Reset()
 		s.down = false
+		s.weightsChangedAt = time.Now()
 	}
 	for model, version := range u.Weights {
 		s.setWeightVersion(model, version)
--- a/internal/program/entry/daemon.go
+++ b/internal/program/entry/daemon.go
@@ -17,6 +17,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/gooseberryway/gooseberryway/internal/coordination/admit"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/canary"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/feed"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/fleet"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/leader"
@@ -50,6 +51,7 @@
 	snapshots   view.Snapshots
 	table       fleet.Table
 	limiter     admit.Limiter
+	rollouts    *canary.Controller
 	// upstreamLimits holds the rates that upstreams limit themselves to.
 	upstreamLimits uprate.Table
 	follower       *feed.Follower
@@ -162,7 +164,17 @@
 		OnFenced:  d.elector.StepDown,
 		OnChange:  d.peers.SendSoon,
 	}
+	d.rollouts = &canary.Controller{
+		Snapshots:  &d.snapshots,
+		Store:      d.store,
+		Codec:      platform.StatusCodec{},
+		Term:       d.elector.Term,
+		HasTraffic: d.isActive,
+		RequestsAt: func(id ident.UpstreamID) int { return d.placer.WorkAt(id).Requests },
+		OnChange:   d.peers.SendSoon,
+	}
 	d.handler = &proxy.Handler{
+		Rollouts:       d.rollouts,
 		Snapshots:      &d.snapshots,
 		Dialect:        platform.Dialect{},
 		Placer:         d.placer,
@@ -241,6 +253,7 @@
 		d.stores.Run,
 		d.elector.Run,
 		d.weightLoader.Run,
+		d.rollouts.Run,
 		d.joinFleet,
 		d.watchSettings,
 		d.probe,
--- a/internal/program/entry/heartbeat.go
+++ b/internal/program/entry/heartbeat.go
@@ -102,6 +102,7 @@
 	}
 	d.addLeaderState(b)
 	d.addUsage(b, v.inMesh())
+	b.Rollouts = encodeStages(d.rollouts.Stages())
 	if !v.inMesh() {
 		return b
 	}
@@ -125,6 +126,7 @@
 	b := d.briefHeartbeat(v, period)
 	b.Brief, b.Active = false, nil
 	b.Limits = encodeLimits(d.upstreamLimits.News())
+	b.Moves = d.rollouts.Monitor().Digest()
 	loads, fetching := d.placer.LocalWork()
 	b.Fetching = uint32(max(0, fetching))
 	b.Loads = &wire.UpstreamLoads{}
--- a/internal/program/entry/peers.go
+++ b/internal/program/entry/peers.go
@@ -57,6 +57,8 @@
 	}
 	d.applyLeaderState(b)
 	d.applyLimits(b.GetLimits())
+	d.applyStages(b.GetRollouts())
+	d.rollouts.Monitor().Merge(id, ident.Incarnation(b.GetIncarnation()), b.GetMoves())
 	if b.GetBrief() {
 		d.applyBriefHeartbeat(b)
 		return
--- a/internal/state/extern/store.go
+++ b/internal/state/extern/store.go
@@ -20,6 +20,8 @@
 	TopicUpstreams Topic = "upstreams"
 	// TopicStatus holds the status that daemons publish for operators.
 	TopicStatus Topic = "status"
+	// TopicRollouts holds how far daemons have taken the rollouts that operators requested.
+	TopicRollouts Topic = "rollouts"
 	// TopicMembers holds the addresses of daemons.
 	TopicMembers Topic = "members"
 	// TopicLeaders holds the elected leader of each task and its term.
@@ -89,6 +91,13 @@
 	Decode(topic Topic, r KeyedRecord) view.Change
 }
 
+// StatusCodec encodes and decodes the records of the status topic.
+type StatusCodec interface {
+	EncodeRollout(s view.RolloutStatus) (key string, value []byte, err error)
+	// DecodeRollout returns false for a record that describes no rollout.
+	DecodeRollout(r KeyedRecord) (view.RolloutStatus, bool)
+}
+
 // WeightsOrder is an order to an engine to load a version of a model's weights.
 type WeightsOrder struct {
 	Model   ident.ModelID
--- a/internal/state/view/upstream.go
+++ b/internal/state/view/upstream.go
@@ -116,3 +116,39 @@
 	Offset  ident.Offset
 	SeenAt  time.Time
 }
+
+// RolloutState is the state of a rollout that operators see.
+type RolloutState uint8
+
+// States of rollouts.
+const (
+	RolloutInProgress RolloutState = iota + 1
+	// RolloutCompleted: the platform stops the upstreams of other releases at once.
+	RolloutCompleted
+	// RolloutRolledBack: the platform drains the upstreams of the release.
+	RolloutRolledBack
+)
+
+// Ended reports whether the state is final.
+func (s RolloutState) Ended() bool { return s == RolloutCompleted || s == RolloutRolledBack }
+
+// String returns the name of the state for logs and operators.
+func (s RolloutState) String() string {
+	switch s {
+	case RolloutInProgress:
+		return "inProgress"
+	case RolloutCompleted:
+		return "completed"
+	case RolloutRolledBack:
+		return "rolledBack"
+	default:
+		return "unknown"
+	}
+}
+
+// RolloutStatus is what operators are told of a rollout.
+type RolloutStatus struct {
+	Service ServiceID
+	Release string
+	State   RolloutState
+}
--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -13,6 +13,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/gooseberryway/gooseberryway/internal/coordination/canary"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/place"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/shed"
 	"github.com/gooseberryway/gooseberryway/internal/state/guard"
@@ -77,7 +78,7 @@
 		if err := c.checkBeforeAttempt(); err != nil {
 			return err
 		}
-		choice, err := c.Placer.Choose(p.placeReq)
+		choice, err := c.choose(p)
 		if err != nil {
 			if !c.waitForUpstream(err, p) {
 				return c.handleBlocked(err)
@@ -102,6 +103,25 @@
 	}
 }
 
+// choose returns the upstream for the next attempt. A request for which no upstream of a new release takes requests goes
+// to one of another release.
+func (c *call) choose(p *progress) (*place.Choice, error) {
+	r := c.rolloutRequest(p.placeReq)
+	p.placeReq.Releases = c.Rollouts.Releases(r)
+	choice, err := c.Placer.Choose(p.placeReq)
+	if f := p.placeReq.Releases; err != nil && f != nil && !f.Except {
+		p.placeReq.Releases = &place.ReleaseFilter{Release: f.Release, Except: true}
+		return c.Placer.Choose(p.placeReq)
+	}
+	return choice, err
+}
+
+func (c *call) rolloutRequest(r *place.Request) *canary.Request {
+	return &canary.Request{
+		Service: r.Service, Route: c.route.Name, Organisation: c.organisationID(), ID: c.req.ID, Retry: c.attempts > 0,
+	}
+}
+
 // shedLoad refuses a request that can't be answered before its deadline, and lowers the priority of one that would
 // miss its target latency below that of requests that can meet theirs.
 func (c *call) shedLoad(service view.ServiceID, choice *place.Choice, p *progress) error {
@@ -269,7 +289,11 @@
 	end := time.AfterFunc(c.untilDeadline()+deadlineGrace, func() { cancel(context.DeadlineExceeded) })
 	defer end.Stop()
 	c.attemptAt = time.Now()
-	tracker := c.Placer.Begin(choice, placeReq)
+	tracker := &attemptTracker{
+		Tracker: c.Placer.Begin(choice, placeReq),
+		rollout: c.Rollouts.Begin(c.rolloutRequest(placeReq), choice.Upstream, choice.QueuedTokens+choice.PrefillTokens),
+		queued:  choice.QueuedTokens,
+	}
 	req, err := c.upstreamRequest(ctx, choice, p)
 	if err != nil {
 		tracker.End(place.OutcomeCancelled)
@@ -279,7 +303,7 @@
 		"weights", choice.WeightVersion, "cost", int64(choice.Cost), "rank", choice.HashRank, "missed", choice.MissedTokens,
 		"candidates", choice.Candidates, "upstreamAgeMs", time.Since(choice.Upstream.SeenAt).Milliseconds(),
 		"leftMs", c.untilDeadline().Milliseconds(), "cached", choice.Locality, "chain", placeReq.SharedPrefix(), "save", choice.SaveToStore,
-		"waitMs", choice.Wait.Total.Milliseconds(), "late", choice.Late, "priority", p.priority)
+		"waitMs", choice.Wait.Total.Milliseconds(), "late", choice.Late, "priority", p.priority, "release", choice.Upstream.Release)
 	c.watchUpstream(ctx, cancel, tracker)
 	resp, err := c.Pool.Do(req) //nolint:bodyclose // handleResponse closes it
 	if err != nil {
@@ -294,7 +318,7 @@
 var errUnresponsive = errors.New("upstream is unreachable or hangs") //nolint:revive // compared by identity only
 
 // watchUpstream cancels an attempt whose upstream becomes unreachable or hangs, if another attempt may follow.
-func (c *call) watchUpstream(ctx context.Context, cancel context.CancelCauseFunc, tracker *place.Tracker) {
+func (c *call) watchUpstream(ctx context.Context, cancel context.CancelCauseFunc, tracker *attemptTracker) {
 	if !c.route.Repeatable() || c.possibleRuns()+1 >= c.route.MaxAttempts {
 		return
 	}
@@ -371,7 +395,7 @@
 }
 
 // handleSendError handles an attempt that got no response.
-func (c *call) handleSendError(err, cause error, choice *place.Choice, tracker *place.Tracker) (nextStep, Reason) {
+func (c *call) handleSendError(err, cause error, choice *place.Choice, tracker *attemptTracker) (nextStep, Reason) {
 	var send *httpc.SendError
 	notSent := errors.As(err, &send) && send.NotSent
 	outcome, step, reason := place.OutcomeBroken, stepFail, ReasonUpstreamBroken
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/gooseberryway/gooseberryway/internal/coordination/admit"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/canary"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/place"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/relay"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/shed"
@@ -38,6 +39,8 @@
 	Dialect   Dialect
 	Placer    *place.Placer
 	Limiter   *admit.Limiter
+	// Rollouts chooses between the releases of upstreams and judges them.
+	Rollouts *canary.Controller
 	// UpstreamLimits holds the rates that upstreams limit themselves to.
 	UpstreamLimits *uprate.Table
 	// RetryBudgets holds each service's retry budget, Shedders each service's load shedding.
--- a/internal/transport/proxy/response.go
+++ b/internal/transport/proxy/response.go
@@ -35,7 +35,7 @@
 
 // handleResponse decides what follows from an upstream's response and forwards the response if it is the final one.
 func (c *call) handleResponse(
-	ctx context.Context, resp *http.Response, choice *place.Choice, placeReq *place.Request, tracker *place.Tracker,
+	ctx context.Context, resp *http.Response, choice *place.Choice, placeReq *place.Request, tracker *attemptTracker,
 ) (nextStep, Reason) {
 	defer resp.Body.Close()
 	parsed := c.Dialect.ParseResponse(resp.StatusCode, resp.Header)
@@ -89,7 +89,7 @@
 }
 
 // handleRejection handles a response that says that the upstream did not run the request.
-func (c *call) handleRejection(resp *http.Response, choice *place.Choice, tracker *place.Tracker) (nextStep, Reason) {
+func (c *call) handleRejection(resp *http.Response, choice *place.Choice, tracker *attemptTracker) (nextStep, Reason) {
 	outcome := place.OutcomeRejected
 	if resp.StatusCode == http.StatusMisdirectedRequest {
 		outcome = place.OutcomeMisdirected
@@ -104,7 +104,7 @@
 
 // bufferFailure reads an error response and keeps it as the fallback in case no other attempt succeeds.
 func (c *call) bufferFailure(
-	ctx context.Context, resp *http.Response, choice *place.Choice, tracker *place.Tracker,
+	ctx context.Context, resp *http.Response, choice *place.Choice, tracker *attemptTracker,
 ) (nextStep, Reason) {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
 	tracker.End(c.outcome(ctx, err, resp.StatusCode))
@@ -156,7 +156,7 @@
 
 // forward sends the response to the caller.
 func (c *call) forward(
-	ctx context.Context, resp *http.Response, choice *place.Choice, tracker *place.Tracker,
+	ctx context.Context, resp *http.Response, choice *place.Choice, tracker *attemptTracker,
 ) (nextStep, Reason) {
 	if !c.isStream(resp) {
 		return c.forwardBuffered(ctx, resp, choice, tracker)
@@ -186,7 +186,7 @@
 // forwardBuffered reads the response, up to maxBufferedBytes, before it sends the header, so that a response that
 // breaks off never looks complete to the caller.
 func (c *call) forwardBuffered(
-	ctx context.Context, resp *http.Response, choice *place.Choice, tracker *place.Tracker,
+	ctx context.Context, resp *http.Response, choice *place.Choice, tracker *attemptTracker,
 ) (nextStep, Reason) {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
 	if err == nil && len(body) == maxBufferedBytes {
@@ -213,7 +213,7 @@
 }
 
 // copyStream forwards bytes as they arrive; of a resumable stream it forwards complete events only.
-func (c *call) copyStream(resp *http.Response, tracker *place.Tracker) error {
+func (c *call) copyStream(resp *http.Response, tracker *attemptTracker) error {
 	rc := http.NewResponseController(c.w)
 	if err := rc.Flush(); err != nil {
 		return err
--- /dev/null
+++ b/internal/transport/proxy/tracker.go
@@ -0,0 +1,50 @@
+package proxy
+
+import (
+	"github.com/gooseberryway/gooseberryway/internal/coordination/moves"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/place"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
+
+// attemptTracker reports the course of an attempt to the placer and to the judgement of releases.
+type attemptTracker struct {
+	*place.Tracker
+	rollout moves.Attempt
+	// queued is the number of prompt tokens that the engine had to compute for other requests.
+	queued ident.Tokens
+	// reads counts the reads of the response's body, which stand for tokens.
+	reads ident.Tokens
+}
+
+// MarkFirstEvent records that a part of the response has come.
+func (t *attemptTracker) MarkFirstEvent() {
+	t.Tracker.MarkFirstEvent()
+	t.rollout.FirstToken(t.queued)
+	t.reads++
+	t.rollout.Tokens(t.reads)
+}
+
+// End records the outcome of the attempt.
+func (t *attemptTracker) End(o place.Outcome) {
+	t.Tracker.End(o)
+	if o == place.OutcomeSucceeded {
+		t.rollout.FirstToken(t.queued)
+	}
+	t.rollout.End(rolloutOutcome(o), t.reads)
+}
+
+// rolloutOutcome returns what the outcome of an attempt says about the release of its upstream.
+func rolloutOutcome(o place.Outcome) moves.Outcome {
+	switch o {
+	case place.OutcomeSucceeded:
+		return moves.OutcomeComplete
+	case place.OutcomeFailed, place.OutcomeTimeout:
+		return moves.OutcomeFailed
+	case place.OutcomeBroken:
+		return moves.OutcomeBroken
+	case place.OutcomeUnreachable:
+		return moves.OutcomeUnreachable
+	default:
+		return moves.OutcomeIgnored
+	}
+}
