--- a/internal/coordination/canary/ledger.go
+++ b/internal/coordination/canary/ledger.go
@@ -35,8 +35,10 @@
 	Term    ident.Offset `json:"term"`
 	// Opened says that operators were told that the rollout is in progress, so that the status belongs to this order.
 	Opened bool `json:"opened"`
-	// ElapsedMs is the time since the order.
-	ElapsedMs int64 `json:"elapsedMs"`
+	// ElapsedMs is the time since the order, OrderedAtMs the wall-clock time of the order since the Unix epoch. The clocks of
+	// VMs may differ.
+	ElapsedMs   int64 `json:"elapsedMs"`
+	OrderedAtMs int64 `json:"orderedAtMs"`
 }
 
 // lead advances the rollouts if this daemon is the leader.
@@ -105,16 +107,22 @@
 	return nil
 }
 
-// adopt applies a record of a former leader. Daemons that were all restarted have lost the evidence, so that a rollout in
-// progress goes on from the first step. What operators were told is final. The caller holds c.mu.
+// adopt applies a record of a former leader, or one that this daemon wrote without a response. Daemons that were all
+// restarted have lost the evidence, so that a rollout in progress goes on from the first step. What operators were told
+// is final. The caller holds c.mu.
 func (c *Controller) adopt(id view.ServiceID, record *stageRecord, status view.RolloutStatus) {
 	s := Stage{
-		Service: id, Order: record.Order, Release: record.Release, Reason: record.Reason, Term: record.Term, State: stateNamed(record.State),
-		Share: min(ident.Permille(record.Share), steps[0].share), Since: time.Now(),
-		OrderedAt: time.Now().Add(-time.Duration(record.ElapsedMs) * time.Millisecond),
-	}
-	if known := c.stages[id]; known != nil && known.Order == s.Order {
-		s.OrderedAt, s.Share = known.OrderedAt, known.Share
+		Service: id, Order: record.Order, Release: record.Release, Reason: record.Reason, Term: record.Term, Sequence: c.ledger.sequence,
+		State: stateNamed(record.State), Share: min(ident.Permille(record.Share), steps[0].share), Since: time.Now(),
+		OrderedAt: c.orderedAt(id, record),
+	}
+	known := c.stages[id]
+	switch {
+	case known == nil || known.Order != s.Order:
+	case record.Term == c.ledger.term:
+		s.Share = ident.Permille(record.Share)
+	default:
+		s.Share = known.Share
 	}
 	if record.Opened && status.Release == record.Release && status.State.Ended() {
 		s.State = status.State
@@ -125,6 +133,22 @@
 	c.apply(s, "store")
 }
 
+// orderedAt returns the earliest time at which the order of a record may have been given. The caller holds c.mu.
+func (c *Controller) orderedAt(id view.ServiceID, record *stageRecord) time.Time {
+	now := time.Now()
+	at := now.Add(-time.Duration(record.ElapsedMs) * time.Millisecond)
+	if wall := now.Sub(time.UnixMilli(record.OrderedAtMs)); wall > 0 && now.Add(-wall).Before(at) {
+		at = now.Add(-wall)
+	}
+	if order := c.Snapshots.Rollouts()[id]; order.Offset == record.Order && order.SeenAt.Before(at) {
+		at = order.SeenAt
+	}
+	if known := c.stages[id]; known != nil && known.Order == record.Order && known.OrderedAt.Before(at) {
+		at = known.OrderedAt
+	}
+	return at
+}
+
 func stateNamed(name string) view.RolloutState {
 	for _, s := range []view.RolloutState{view.RolloutCompleted, view.RolloutRolledBack} {
 		if s.String() == name {
@@ -147,8 +171,11 @@
 		return c.writeStage(ctx, term, stage, false)
 	}
 	if !record.Opened {
-		if err := c.writeStatus(ctx, stage, view.RolloutInProgress); err != nil {
-			return err
+		told := view.RolloutStatus{Service: stage.Service, Release: stage.Release, State: view.RolloutInProgress}
+		if c.ledger.statuses[order.Service] != told {
+			if err := c.writeStatus(ctx, stage, view.RolloutInProgress); err != nil {
+				return err
+			}
 		}
 		return c.writeStage(ctx, term, stage, true)
 	}
@@ -224,7 +251,7 @@
 	s.Term, s.Sequence = term, c.ledger.sequence
 	record := &stageRecord{
 		Order: s.Order, Release: s.Release, State: s.State.String(), Share: int64(s.Share), Reason: s.Reason, Term: term, Opened: opened,
-		ElapsedMs: time.Since(s.OrderedAt).Milliseconds(),
+		ElapsedMs: time.Since(s.OrderedAt).Milliseconds(), OrderedAtMs: s.OrderedAt.UnixMilli(),
 	}
 	value, err := json.Marshal(record)
 	if err != nil {
