Send no request again without counting it

What callers saw: nothing yet; found while looking for other roads by which a request reaches an engine.

Cause: a repeatable request without a body was given to net/http in a form that it sends again by itself when a kept connection breaks. That arrival was taken neither from the upstream's limit nor from the retry budget.

Evidence: TestBrokenConnectionDoesNotRepeatRequestUncounted counted three arrivals for two requests at an upstream that cuts the second.

Change: every request has a body without GetBody, as those that must not run twice had already; retries are the dispatcher's alone.

--- a/internal/program/entry/upstream_limit_test.go
+++ b/internal/program/entry/upstream_limit_test.go
@@ -18,10 +18,12 @@
 	at []time.Time
 }
 
-func (a *arrivalLog) add() {
+// add records an arrival and returns how many there are.
+func (a *arrivalLog) add() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.at = append(a.at, time.Now())
+	return len(a.at)
 }
 
 // mostWithin returns the largest number of arrivals after from in any window.
@@ -84,3 +86,34 @@
 	require.LessOrEqual(t, arrivals.mostWithin(started.Add(time.Second), limitWindow), allowedInWindow(rate))
 	require.NotEmpty(t, other.Runs())
 }
+
+// Guards against requests that net/http sends again by itself when a kept connection breaks: neither the limits of
+// upstreams nor the retry budget would count them.
+func TestBrokenConnectionDoesNotRepeatRequestUncounted(t *testing.T) {
+	f := newTestFleet(t)
+	f.configureRate(1, 1000000, "secret")
+	var arrivals arrivalLog
+	f.startUpstream("app", &standin.Upstream{ID: "a1", Intercept: func(http.ResponseWriter, *http.Request) bool {
+		if arrivals.add() > 1 {
+			panic(http.ErrAbortHandler)
+		}
+		return false
+	}})
+	d := f.start("d1", nil)
+	f.ready(1)
+	get := func(id string) int {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+d.Settings.Listen.Callers+"/lookup/x", http.NoBody)
+		require.NoError(t, err)
+		req.Host = "h.example"
+		req.Header.Set("X-Gooseberryway-Attempt-Id", id)
+		req.Header.Set("Authorization", "Bearer secret")
+		resp, err := http.DefaultClient.Do(req)
+		require.NoError(t, err)
+		defer resp.Body.Close()
+		_ = text(t, resp)
+		return resp.StatusCode
+	}
+	require.Equal(t, http.StatusOK, get("r1"))
+	require.Equal(t, http.StatusBadGateway, get("r2"))
+	require.Equal(t, 3, arrivals.add(), "two requests arrived")
+}
--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -362,10 +362,9 @@
 		Header:        c.Dialect.UpstreamHeaders(c.r.Header, a),
 		ContentLength: int64(len(c.body)),
 	}
-	if len(c.body) > 0 || !c.route.Repeatable() {
-		// Without GetBody the transport never sends the request a second time on its own.
-		req.Body = io.NopCloser(bytes.NewReader(c.body))
-	}
+	// With a body but without GetBody the transport never sends the request a second time on its own. It sends no body
+	// if there is nothing to read.
+	req.Body = io.NopCloser(bytes.NewReader(c.body))
 	if req.URL.Path == "" {
 		return nil, &url.Error{Op: c.r.Method, URL: c.r.URL.String(), Err: http.ErrMissingFile}
 	}
