Judge a release at large shares by what it may do on cold upstreams

Cause: the last step took the traffic from a fifth to all of it, onto upstreams with cold caches. First tokens came after 408 to 518 ms at the median instead of 150; the old release, too, took 312 ms after the rollback. The limit was the 95th percentile of the warm old release and a quarter.

Change: half of the traffic is a step of its own, and from a quarter of the traffic on an answer counts as slow from two and a half times the 95th percentile. A release that is several times slower is found at the small shares or by its pauses between events.

TestGoodReleaseOnColdUpstreamsIsCompleted fails with the former limit.

--- a/internal/coordination/canary/consts.go
+++ b/internal/coordination/canary/consts.go
@@ -24,8 +24,11 @@
 	// requests left, latestCompleteFraction the one after which it is completed in any case: the platform reads the
 	// status until the end of the time.
 	suspicionDelayFraction = 0.04
-	completeFraction       = 0.9
-	latestCompleteFraction = 0.95
+	completeFraction       = 0.92
+	latestCompleteFraction = 0.96
+	// largeShareSlowMarginPercent is how far above the 95th percentile of the old release an answer may be late at large
+	// shares: the caches of the new upstreams are cold, and there may be fewer of them.
+	largeShareSlowMarginPercent = 150
 )
 
 // step is a share of the traffic that a rollout passes through.
@@ -37,4 +40,4 @@
 
 // steps keep the exposure to a bad release low: most of the time is spent at shares that suffice to judge it, and the
 // share grows late. A fifth of the traffic loads each new upstream as before if there are a quarter as many.
-var steps = []step{{30, 0}, {80, 0.3}, {200, 0.62}, {fullShare, 0.8}}
+var steps = []step{{30, 0}, {80, 0.3}, {200, 0.62}, {500, 0.74}, {fullShare, 0.84}}
--- a/internal/coordination/canary/controller.go
+++ b/internal/coordination/canary/controller.go
@@ -110,7 +110,7 @@
 // evaluate applies the rollouts and stages that are known and stops releases that are judged bad.
 func (c *Controller) evaluate(now time.Time) {
 	c.refresh()
-	verdicts := c.judge.Evaluate(now, moves.Settings{})
+	verdicts := c.judge.Evaluate(now, moves.Settings{LargeShareSlowMarginPercent: largeShareSlowMarginPercent})
 	for id, v := range verdicts {
 		if v.Finding == moves.FindingBad && c.splitter.Stop(id, v.Reason) {
 			klog.InfoS("Stopped sending to the new release", "rollout", id, "reason", v.Reason, "samples", v.Samples)
--- a/internal/coordination/canary/controller_test.go
+++ b/internal/coordination/canary/controller_test.go
@@ -309,6 +309,19 @@
 	}
 }
 
+// Guards against a good release that is rolled back because its upstreams are cold and few: at large shares the first tokens
+// come three times as late as before.
+func TestGoodReleaseOnColdUpstreamsIsCompleted(t *testing.T) {
+	playRollout(t, func(f *testFleet) {
+		f.run(11 * time.Second)
+		f.mu.Lock()
+		f.answer = func(ident.RouteID) (time.Duration, bool) { return 3 * usualLatency, false }
+		f.mu.Unlock()
+		f.run(testWithin - 11*time.Second)
+		f.requireCompleted()
+	})
+}
+
 // Guards against a release that turns bad late: what it got before counts as well.
 func TestReleaseThatTurnsBadLateIsRolledBack(t *testing.T) {
 	for _, after := range []time.Duration{4 * time.Second, 8 * time.Second, 11 * time.Second} {
--- a/internal/coordination/moves/judge.go
+++ b/internal/coordination/moves/judge.go
@@ -116,7 +116,7 @@
 		j.evidence[split.move.ID] = e
 	}
 	stats := j.Monitor.statsFor(split)
-	stats.refreshLimits(100 + settings.SlowMarginPercent)
+	stats.refreshLimits(100 + settings.slowMarginPercent(split.permille))
 	if stats.countOverdue(now, split.probes) {
 		notify(j.Monitor.urgent)
 	}
