--- a/internal/coordination/canary/controller_test.go
+++ b/internal/coordination/canary/controller_test.go
@@ -109,7 +109,6 @@
 	total   int
 	exposed int
 	wg      sync.WaitGroup
-	cancel  context.CancelFunc
 }
 
 type testDaemon struct {
