Tell a leader without traffic what daemons have found of a release

Cause: the daemon that had found it told the others, which stopped; the leader was not among the active daemons and got brief heartbeats, which carry no findings.

Change: the leader takes part in the full heartbeats also without traffic, brief heartbeats carry stops, and a leader that hears none of its peers decides nothing. TestLeaderWithoutTrafficHearsOfBadRelease.

--- a/internal/coordination/canary/controller.go
+++ b/internal/coordination/canary/controller.go
@@ -33,6 +33,8 @@
 	// HasTraffic reports whether callers are sent to this daemon. Without it the daemon hears too late what others have
 	// found, and sends nothing to a release that is not completed.
 	HasTraffic func() bool
+	// IsIsolated reports whether this daemon hears none of its peers, and so can't know what they have found.
+	IsIsolated func() bool
 	// RequestsAt returns the number of requests of all daemons at an upstream.
 	RequestsAt func(ident.UpstreamID) int
 	// OnChange, if set, is called after a change that peers should hear of soon.
@@ -49,6 +51,8 @@
 	mu       sync.Mutex
 	stages   map[view.ServiceID]*Stage
 	verdicts map[ident.MoveID]moves.Verdict
+	// stopped are the rollouts whose stop was logged.
+	stopped map[ident.MoveID]bool
 	// stageChanges counts the changes of stages, refreshed holds what the states of services were last built from.
 	stageChanges uint64
 	refreshed    refreshInputs
@@ -121,6 +125,22 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.verdicts = verdicts
+	c.logStops()
+}
+
+// logStops logs which releases this daemon no longer sends to because of a peer. The caller holds c.mu.
+func (c *Controller) logStops() {
+	for _, s := range *c.services.Load() {
+		reason := c.splitter.StopReason(s.move)
+		if reason == "" || c.stopped[s.move] {
+			continue
+		}
+		if c.stopped == nil {
+			c.stopped = map[ident.MoveID]bool{}
+		}
+		c.stopped[s.move] = true
+		klog.InfoS("New release gets no more requests", "rollout", s.move, "reason", reason, "sharePermille", s.stage.Share)
+	}
 }
 
 // refresh rebuilds the states of services from the orders, the stages and the upstreams, if any has changed.
--- a/internal/coordination/canary/controller_test.go
+++ b/internal/coordination/canary/controller_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -106,15 +107,18 @@
 	// answer returns how an upstream of the new release answers a request.
 	answer  func(route ident.RouteID) (took time.Duration, failed bool)
 	mu      sync.Mutex
-	total   int
 	exposed int
 	wg      sync.WaitGroup
 }
 
 type testDaemon struct {
 	*Controller
-	partitioned bool
-	cancel      context.CancelFunc
+	partitioned atomic.Bool
+	// brief says that the daemon has no traffic and gets brief heartbeats only.
+	brief atomic.Bool
+	// formerTerm is the term of which the daemon takes itself for the leader though another one is; 0 for none.
+	formerTerm atomic.Int64
+	cancel     context.CancelFunc
 }
 
 const (
@@ -153,7 +157,8 @@
 	snapshots.SetUpstreams(view.NewUpstreams(byID, 1))
 	d := &testDaemon{}
 	d.Controller = &Controller{
-		Snapshots: snapshots, Store: f.store, Codec: testCodec{}, HasTraffic: func() bool { return true },
+		Snapshots: snapshots, Store: f.store, Codec: testCodec{}, HasTraffic: func() bool { return !d.brief.Load() },
+		IsIsolated: d.partitioned.Load,
 		RequestsAt: func(ident.UpstreamID) int { return 0 },
 		Term: func() ident.Offset {
 			f.mu.Lock()
@@ -161,7 +166,7 @@
 			if f.leader == i {
 				return f.term
 			}
-			return 0
+			return ident.Offset(d.formerTerm.Load())
 		},
 	}
 	ctx, cancel := context.WithCancel(f.t.Context())
@@ -200,23 +205,49 @@
 		if n%(testRate/10) == 0 {
 			f.gossip()
 		}
-		d := f.daemons[f.rng.IntN(len(f.daemons))]
-		r := &Request{Service: testService, Route: []ident.RouteID{"note", "check"}[f.rng.IntN(2)], ID: ident.RequestID(fmt.Sprint(f.rng.Uint64()))}
+		d := f.daemons[f.draw(len(f.daemons))]
+		r := &Request{
+			Service: testService, Route: []ident.RouteID{"note", "check"}[f.draw(2)], ID: ident.RequestID(fmt.Sprint(f.draw(1 << 60))),
+		}
 		f.wg.Go(func() { f.serve(d, r) })
 		time.Sleep(time.Second / testRate)
 	}
 }
 
+func (f *testFleet) draw(n int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rng.IntN(n)
+}
+
+// setAnswer sets how upstreams of the new release answer from now on.
+func (f *testFleet) setAnswer(answer func(ident.RouteID) (time.Duration, bool)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.answer = answer
+}
+
+// exposures returns the number of requests that the new release has got.
+func (f *testFleet) exposures() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.exposed
+}
+
 func (f *testFleet) gossip() {
 	for i, from := range f.daemons {
 		rows := from.Monitor().Digest()
 		for j, to := range f.daemons {
-			if i == j || from.partitioned || to.partitioned {
+			if i == j || from.partitioned.Load() || to.partitioned.Load() {
 				continue
 			}
 			for _, s := range from.Stages() {
 				to.ApplyStage(s)
 			}
+			if to.brief.Load() {
+				to.Monitor().Merge(ident.DaemonID(fmt.Sprint(i)), 1, from.Monitor().Stops())
+				continue
+			}
 			to.Monitor().Merge(ident.DaemonID(fmt.Sprint(i)), 1, rows)
 		}
 	}
@@ -237,7 +268,6 @@
 		took = time.Duration(float64(took) * float64(usual) / float64(usualLatency))
 		f.exposed++
 	}
-	f.total++
 	f.mu.Unlock()
 	attempt := d.Begin(r, u, 500)
 	time.Sleep(took)
@@ -258,7 +288,7 @@
 func (f *testFleet) requireRolledBack() {
 	f.t.Helper()
 	require.Equal(f.t, []string{"inProgress", "rolledBack"}, f.store.states())
-	require.LessOrEqual(f.t, f.exposed, testRate*int(testWithin/time.Second)/10+50)
+	require.LessOrEqual(f.t, f.exposures(), testRate*int(testWithin/time.Second)/10+50)
 }
 
 func (f *testFleet) requireCompleted() {
@@ -272,7 +302,6 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newTestFleet(t, 8)
 		f.run(5 * time.Second)
-		f.total, f.exposed = 0, 0
 		f.order("v2", 7)
 		play(f)
 	})
@@ -300,7 +329,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			playRollout(t, func(f *testFleet) {
-				f.answer = answer
+				f.setAnswer(answer)
 				f.run(testWithin)
 				f.requireRolledBack()
 			})
@@ -313,9 +342,7 @@
 func TestGoodReleaseOnColdUpstreamsIsCompleted(t *testing.T) {
 	playRollout(t, func(f *testFleet) {
 		f.run(11 * time.Second)
-		f.mu.Lock()
-		f.answer = func(ident.RouteID) (time.Duration, bool) { return 3 * usualLatency, false }
-		f.mu.Unlock()
+		f.setAnswer(func(ident.RouteID) (time.Duration, bool) { return 3 * usualLatency, false })
 		f.run(testWithin - 11*time.Second)
 		f.requireCompleted()
 	})
@@ -327,9 +354,7 @@
 		t.Run(after.String(), func(t *testing.T) {
 			playRollout(t, func(f *testFleet) {
 				f.run(after)
-				f.mu.Lock()
-				f.answer = slow
-				f.mu.Unlock()
+				f.setAnswer(slow)
 				f.run(testWithin - after)
 				f.requireRolledBack()
 			})
@@ -344,7 +369,7 @@
 			t.Run(fmt.Sprint(name, " release, owner killed after ", at), func(t *testing.T) {
 				playRollout(t, func(f *testFleet) {
 					if answer != nil {
-						f.answer = answer
+						f.setAnswer(answer)
 					}
 					f.run(at)
 					f.elect(-1)
@@ -368,14 +393,14 @@
 	playRollout(t, func(f *testFleet) {
 		f.run(2 * time.Second)
 		former := f.daemons[0]
+		former.formerTerm.Store(1)
 		f.elect(5)
 		f.run(time.Second)
-		c := former.Controller
-		term := c.ledger.term
-		c.Term = func() ident.Offset { return term }
 		stage := former.Stages()[0]
 		stage.State = view.RolloutCompleted
-		require.Error(t, c.writeStage(t.Context(), term, stage, true))
+		stale := ledger{term: 1, stagesEnd: 3, statusEnd: 1, records: map[view.ServiceID]*stageRecord{}, statuses: map[view.ServiceID]view.RolloutStatus{}}
+		owner := &Controller{Store: f.store, Codec: testCodec{}, Term: former.Term, ledger: stale}
+		require.Error(t, owner.writeStage(t.Context(), 1, stage, true))
 		require.NotContains(t, f.store.states(), "completed")
 		former.cancel()
 		f.run(testWithin - 3*time.Second)
@@ -386,7 +411,7 @@
 // Guards against a status that is written twice, or decided differently, when the store loses responses or is down.
 func TestRolloutSurvivesFaultsOfStore(t *testing.T) {
 	playRollout(t, func(f *testFleet) {
-		f.answer = fails
+		f.setAnswer(fails)
 		f.run(time.Second)
 		f.store.mu.Lock()
 		f.store.loseResponses = true
@@ -399,15 +424,15 @@
 		f.requireRolledBack()
 	})
 	playRollout(t, func(f *testFleet) {
-		f.answer = fails
+		f.setAnswer(fails)
 		f.run(3 * time.Second)
 		f.store.mu.Lock()
 		f.store.down = true
 		f.store.mu.Unlock()
 		f.run(7 * time.Second)
-		exposed := f.exposed
+		exposed := f.exposures()
 		f.run(2 * time.Second)
-		require.Equal(t, exposed, f.exposed, "a bad release gets nothing also while the store is down")
+		require.Equal(t, exposed, f.exposures(), "a bad release gets nothing also while the store is down")
 		f.store.mu.Lock()
 		f.store.down = false
 		f.store.mu.Unlock()
@@ -441,6 +466,27 @@
 	})
 }
 
+// Guards against a leader that hears nothing of what the daemons with traffic have found, and so completes the rollout of a
+// bad release: one that is cut off from all of them, and one that gets brief heartbeats only.
+func TestLeaderWithoutTrafficHearsOfBadRelease(t *testing.T) {
+	playRollout(t, func(f *testFleet) {
+		f.setAnswer(slow)
+		f.run(3 * time.Second)
+		f.daemons[0].partitioned.Store(true)
+		f.run(testWithin)
+		require.Equal(t, []string{"inProgress"}, f.store.states())
+		f.elect(4)
+		f.run(time.Second)
+		f.requireRolledBack()
+	})
+	playRollout(t, func(f *testFleet) {
+		f.setAnswer(slow)
+		f.daemons[0].brief.Store(true)
+		f.run(testWithin)
+		f.requireRolledBack()
+	})
+}
+
 // Guards against requests to a new release before this daemon knows how far its rollout has come.
 func TestNewReleaseGetsNothingBeforeFirstStep(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -449,8 +495,8 @@
 		require.Nil(t, f.daemons[0].Releases(r))
 		f.order("v2", 7)
 		require.Equal(t, &place.ReleaseFilter{Release: "v2", Except: true}, f.daemons[0].Releases(r))
-		f.daemons[0].HasTraffic = func() bool { return false }
+		f.daemons[0].brief.Store(true)
 		f.run(testWithin / 2)
-		require.Zero(t, f.exposed, "a daemon that callers aren't sent to")
+		require.Zero(t, f.exposures(), "a daemon that callers aren't sent to")
 	})
 }
--- a/internal/coordination/canary/ledger.go
+++ b/internal/coordination/canary/ledger.go
@@ -45,7 +45,7 @@
 func (c *Controller) lead(ctx context.Context) {
 	term := c.Term()
 	rollouts := c.Snapshots.Rollouts()
-	if term == 0 || len(rollouts) == 0 {
+	if term == 0 || len(rollouts) == 0 || c.IsIsolated() {
 		c.ledger.term = 0
 		return
 	}
--- a/internal/coordination/moves/digest.go
+++ b/internal/coordination/moves/digest.go
@@ -58,6 +58,19 @@
 	return rows[:min(len(rows), maxDigestRows)]
 }
 
+// Stops returns the rows of the moves whose new version this daemon has stopped, for daemons that get no digests.
+func (m *Monitor) Stops() []*wire.MoveDigest {
+	t := m.Splitter.table.Load()
+	if t == nil {
+		return nil
+	}
+	var rows []*wire.MoveDigest
+	for _, split := range t.byMove {
+		rows = append(rows, stopDigests(split)...)
+	}
+	return rows
+}
+
 // digestUrgency returns a number by which rows are ordered, the most urgent highest: stops, then outages, then bad
 // answers. The rows beyond maxDigestRows are dropped.
 func digestUrgency(row *wire.MoveDigest) int64 {
--- a/internal/coordination/uprate/share.go
+++ b/internal/coordination/uprate/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -110,3 +111,23 @@
 		l.share.tokens = min(l.share.tokens+1, l.share.burst)
 	}
 }
+
+// LimitInForce is a limit and this daemon's share of it; the share is 0 if it holds none.
+type LimitInForce struct {
+	Upstream    ident.UpstreamID
+	Rate, Share ident.RequestsPerSecond
+}
+
+// Limits returns the limits in force, ordered by upstream.
+func (t *Table) Limits() []LimitInForce {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []LimitInForce
+	for id, l := range t.limits {
+		if !l.lifted {
+			out = append(out, LimitInForce{Upstream: id, Rate: l.rate, Share: ident.RequestsPerSecond(l.share.rate)})
+		}
+	}
+	slices.SortFunc(out, func(a, b LimitInForce) int { return strings.Compare(string(a.Upstream), string(b.Upstream)) })
+	return out
+}
--- a/internal/program/entry/daemon.go
+++ b/internal/program/entry/daemon.go
@@ -170,6 +170,7 @@
 		Codec:      platform.StatusCodec{},
 		Term:       d.elector.Term,
 		HasTraffic: d.isActive,
+		IsIsolated: d.isIsolated,
 		RequestsAt: func(id ident.UpstreamID) int { return d.placer.WorkAt(id).Requests },
 		OnChange:   d.peers.SendSoon,
 	}
--- a/internal/program/entry/fleetview.go
+++ b/internal/program/entry/fleetview.go
@@ -22,7 +22,7 @@
 	active []fleet.Peer
 	// activeRank is this daemon's index in active, or len(active) if it is not active.
 	activeRank int
-	// mesh holds the peer addresses of the other daemons with traffic, idle those of all other daemons.
+	// mesh holds the peer addresses of the other daemons with traffic and of the leader, idle those of all other daemons.
 	mesh, idle []string
 	// size is the number of daemons with a recent heartbeat, this one included.
 	size int
@@ -41,6 +41,7 @@
 		Leaving:       d.leaving.Load(),
 		Capacity:      fleet.Capacity(d.Settings.Resources.CPUShare*float64(d.Settings.Resources.Cores), d.Settings.Resources.LinkMbps),
 		Demand:        d.demand.PeakRate(),
+		Term:          d.elector.Term(),
 		Serving:       d.inFlight.Load() >= servingInFlight || d.demand.RecentRequests() >= servingRecentRequests,
 	}
 }
@@ -60,7 +61,7 @@
 	now := time.Now()
 	for _, p := range d.table.All() {
 		switch {
-		case inActive[p.PeerAddress] || p.Serving && p.Alive(now):
+		case inActive[p.PeerAddress] || (p.Serving || p.Term > 0) && p.Alive(now):
 			v.mesh = append(v.mesh, p.PeerAddress)
 		default:
 			v.idle = append(v.idle, p.PeerAddress)
@@ -87,8 +88,12 @@
 // isActive reports whether callers are sent to this daemon.
 func (v *fleetView) isActive() bool { return v.activeRank < len(v.active) }
 
-// inMesh reports whether this daemon exchanges full heartbeats with the other daemons that have traffic.
-func (v *fleetView) inMesh() bool { return v.isActive() || v.own.Serving }
+// inMesh reports whether this daemon exchanges full heartbeats with the other daemons that have traffic. The leader does
+// also without traffic, as it decides by what the others report.
+func (v *fleetView) inMesh() bool { return v.isActive() || v.own.Serving || v.own.Term > 0 }
+
+// isIsolated reports whether this daemon hears none of the daemons that it has heard lately.
+func (d *Daemon) isIsolated() bool { return d.table.AliveCount() == 1 && d.table.RecentCount() > 1 }
 
 // meshSize returns the number of daemons with traffic, this one included.
 func (d *Daemon) meshSize() int {
--- a/internal/program/entry/heartbeat.go
+++ b/internal/program/entry/heartbeat.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/gooseberryway/gooseberryway/internal/coordination/canary"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/fleet"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/uprate"
 	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
@@ -13,12 +14,14 @@
 )
 
 const (
-	// peerListPeriod is the number of full heartbeats from one that lists the known peers to the next.
-	peerListPeriod = 10
+	// peerListPeriod is the number of full heartbeats from one that lists the known peers to the next. Such a heartbeat also
+	// tells of rollouts that ended more than endedStageRepeat ago.
+	peerListPeriod   = 10
+	endedStageRepeat = 5 * time.Second
 	// storedPartHeartbeats is for how many heartbeat periods a part that was added to a KV cache store is reported.
 	storedPartHeartbeats = 1.6
-	// limitTellers is the number of active daemons that tell daemons without traffic of upstreams' limits.
-	limitTellers = 2
+	// idleTellers is the number of active daemons that tell daemons without traffic of upstreams' limits and rollouts.
+	idleTellers = 2
 )
 
 // nextRound returns the heartbeats to send now: full ones to daemons with traffic, and at a longer interval brief
@@ -102,13 +105,14 @@
 	}
 	d.addLeaderState(b)
 	d.addUsage(b, v.inMesh())
-	b.Rollouts = encodeStages(d.rollouts.Stages())
 	if !v.inMesh() {
 		return b
 	}
-	if v.activeRank < limitTellers {
+	if v.activeRank < idleTellers {
 		b.Limits = encodeLimits(d.upstreamLimits.AllNews())
+		b.Rollouts = encodeStages(d.rollouts.Stages())
 	}
+	b.Moves = d.rollouts.Monitor().Stops()
 	for _, p := range v.active {
 		if p.ID == v.own.ID || p.ReportedByPeer {
 			continue
@@ -127,6 +131,10 @@
 	b.Brief, b.Active = false, nil
 	b.Limits = encodeLimits(d.upstreamLimits.News())
 	b.Moves = d.rollouts.Monitor().Digest()
+	peerListDue := d.fullHeartbeats.Add(1)%peerListPeriod == 1
+	b.Rollouts = encodeStages(slices.DeleteFunc(d.rollouts.Stages(), func(s canary.Stage) bool {
+		return !peerListDue && s.State.Ended() && time.Since(s.Since) > endedStageRepeat
+	}))
 	loads, fetching := d.placer.LocalWork()
 	b.Fetching = uint32(max(0, fetching))
 	b.Loads = &wire.UpstreamLoads{}
@@ -147,7 +155,7 @@
 			b.Stored = append(b.Stored, uint64(h))
 		}
 	}
-	if d.fullHeartbeats.Add(1)%peerListPeriod == 1 {
+	if peerListDue {
 		for _, p := range d.table.All() {
 			b.Peers = append(b.Peers, &wire.KnownPeer{
 				Daemon: string(p.ID), PeerAddress: p.PeerAddress, Incarnation: p.Incarnation,
--- a/internal/program/entry/listeners.go
+++ b/internal/program/entry/listeners.go
@@ -57,12 +57,31 @@
 	Ready   bool   `json:"ready"`
 	Leaving bool   `json:"leaving"`
 	// Active says that callers are sent to this daemon.
-	Active        bool         `json:"active"`
-	Requests      int64        `json:"activeRequests"`
-	ConfigVersion int64        `json:"configVersion"`
-	StoreAgeMs    int64        `json:"storeAgeMs"`
-	Upstreams     int          `json:"upstreams"`
-	Peers         []peerStatus `json:"peers"`
+	Active        bool  `json:"active"`
+	Requests      int64 `json:"activeRequests"`
+	ConfigVersion int64 `json:"configVersion"`
+	StoreAgeMs    int64 `json:"storeAgeMs"`
+	Upstreams     int   `json:"upstreams"`
+	// Limits are the rates that upstreams limit all daemons to, Rollouts the shifts of traffic to new releases.
+	Limits   []limitStatus   `json:"limits"`
+	Rollouts []rolloutStatus `json:"rollouts"`
+	Peers    []peerStatus    `json:"peers"`
+}
+
+// limitStatus is the limit of one upstream, in requests per second, and this daemon's share of it.
+type limitStatus struct {
+	Upstream string  `json:"upstream"`
+	Limit    float64 `json:"limit"`
+	Share    float64 `json:"share"`
+}
+
+type rolloutStatus struct {
+	Service       string `json:"service"`
+	Release       string `json:"release"`
+	State         string `json:"state"`
+	SharePermille int    `json:"sharePermille"`
+	Reason        string `json:"reason"`
+	OrderAgeMs    int64  `json:"orderAgeMs"`
 }
 
 type peerStatus struct {
@@ -104,6 +123,15 @@
 	if c := d.snapshots.Config(); c != nil {
 		s.ConfigVersion = c.Version
 	}
+	for _, l := range d.upstreamLimits.Limits() {
+		s.Limits = append(s.Limits, limitStatus{Upstream: string(l.Upstream), Limit: float64(l.Rate), Share: float64(l.Share)})
+	}
+	for _, r := range d.rollouts.Stages() {
+		s.Rollouts = append(s.Rollouts, rolloutStatus{
+			Service: string(r.Service), Release: r.Release, State: r.State.String(), SharePermille: int(r.Share), Reason: r.Reason,
+			OrderAgeMs: time.Since(r.OrderedAt).Milliseconds(),
+		})
+	}
 	active := map[ident.DaemonID]bool{}
 	if v := d.fleet.Load(); v != nil {
 		for _, p := range v.active {
