--- /dev/null
+++ b/internal/program/entry/heartbeat_test.go
@@ -0,0 +1,37 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/gooseberryway/gooseberryway/internal/coordination/canary"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/fleet"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/uprate"
+	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/state/view"
+)
+
+// Guards against limits and rollouts that take up what daemons without traffic may spend on control, 6 KB a second.
+func TestLimitsAndRolloutsLeaveIdleDaemonsWithinControlBudget(t *testing.T) {
+	const budget = 6000.0
+	for daemons, limited := range map[int]int{8: 8, 87: 40, 195: 60, 410: 200} {
+		var news []uprate.News
+		for i := range limited {
+			news = append(news, uprate.News{
+				Upstream: ident.UpstreamID(fmt.Sprint("i-", i)), Incarnation: 1796398941001, Rate: 1.4, Age: time.Second, Confirmed: true,
+			})
+		}
+		b := &wire.Beat{Limits: encodeLimits(news), Rollouts: encodeStages([]canary.Stage{{
+			Service: "model-pool", Release: "v2", State: view.RolloutRolledBack, Order: 12, Term: 31, Sequence: 9,
+			Reason: "on route r-ip5cqxb, 6 of 7 answers of v2 were slow between tokens, at a share of 8 %; of v1 lately 2 of 141",
+		}})}
+		perSecond := float64(idleTellers*proto.Size(b)) / fleet.IdleHeartbeatPeriod(daemons).Seconds()
+		t.Logf("%d daemons, %d limits: %.0f B/s", daemons, limited, perSecond)
+		require.Less(t, perSecond, budget/2, "%d daemons", daemons)
+	}
+}
