Keep limits and rollouts small in the heartbeats of idle daemons

Rates and incarnations take four bytes each, and brief heartbeats leave out the reason of a rollout.

--- a/internal/coordination/uprate/table.go
+++ b/internal/coordination/uprate/table.go
@@ -71,7 +71,8 @@
 	l := t.current(u)
 	switch s := statement.(type) {
 	case *view.RateLimit:
-		changed := t.apply(u, s.Rate, now, "response")
+		// Heartbeats carry rates in single precision.
+		changed := t.apply(u, ident.RequestsPerSecond(float32(s.Rate)), now, "response")
 		l = t.limits[u.ID]
 		l.observedHereAt, l.confirmedAt = now, now
 		return changed
--- a/internal/program/entry/heartbeat.go
+++ b/internal/program/entry/heartbeat.go
@@ -63,8 +63,8 @@
 	out := &wire.UpstreamLimits{}
 	for _, n := range news {
 		out.Upstream = append(out.Upstream, uint32(n.Upstream.Tag()))
-		out.Incarnation = append(out.Incarnation, uint64(n.Incarnation))
-		out.Rate = append(out.Rate, float64(n.Rate))
+		out.Incarnation = append(out.Incarnation, uint32(n.Incarnation))
+		out.Rate = append(out.Rate, float32(n.Rate))
 		out.Lifted = append(out.Lifted, n.Lifted)
 		out.AgeMs = append(out.AgeMs, uint32(min(n.Age.Milliseconds(), maxAgeMs)))
 		out.Confirmed = append(out.Confirmed, n.Confirmed)
@@ -111,6 +111,9 @@
 	if v.activeRank < idleTellers {
 		b.Limits = encodeLimits(d.upstreamLimits.AllNews())
 		b.Rollouts = encodeStages(d.rollouts.Stages())
+		for _, s := range b.Rollouts {
+			s.Reason = ""
+		}
 	}
 	b.Moves = d.rollouts.Monitor().Stops()
 	for _, p := range v.active {
--- a/internal/program/entry/peers.go
+++ b/internal/program/entry/peers.go
@@ -103,11 +103,12 @@
 	ages, confirmed := columns.GetAgeMs(), columns.GetConfirmed()
 	for i, tag := range columns.GetUpstream() {
 		u := listed[ident.UpstreamTag(tag)]
-		if u == nil || i >= min(len(incarnations), len(rates), len(lifted), len(ages), len(confirmed)) {
+		if u == nil || i >= min(len(incarnations), len(rates), len(lifted), len(ages), len(confirmed)) ||
+			incarnations[i] != uint32(u.Incarnation) {
 			continue
 		}
 		d.upstreamLimits.ApplyNews(u, uprate.News{
-			Upstream: u.ID, Incarnation: ident.Incarnation(incarnations[i]), Rate: ident.RequestsPerSecond(rates[i]),
+			Upstream: u.ID, Incarnation: u.Incarnation, Rate: ident.RequestsPerSecond(rates[i]),
 			Lifted: lifted[i], Age: time.Duration(ages[i]) * time.Millisecond, Confirmed: confirmed[i],
 		})
 	}
