Expose less to a release before the last step

The test counts exactly now, and the shares add up to less: 6 and 15 % instead of 8 and 20 %, and less time at a half.

--- a/internal/coordination/canary/consts.go
+++ b/internal/coordination/canary/consts.go
@@ -41,5 +41,5 @@
 }
 
 // steps keep the exposure to a bad release low: most of the time is spent at shares that suffice to judge it, and the
-// share grows late. A fifth of the traffic loads each new upstream as before if there are a quarter as many.
-var steps = []step{{30, 0}, {80, 0.3}, {200, 0.62}, {500, 0.72}, {fullShare, 0.81}}
+// share grows late.
+var steps = []step{{30, 0}, {60, 0.3}, {150, 0.64}, {500, 0.75}, {fullShare, 0.81}}
--- a/internal/coordination/canary/decide_test.go
+++ b/internal/coordination/canary/decide_test.go
@@ -11,11 +11,15 @@
 	"github.com/gooseberryway/gooseberryway/internal/state/view"
 )
 
-// playSteps calls decide every 100 ms and returns the shares by the second in which they began, and the final state. input may
-// change what a decision depends on.
-func playSteps(within time.Duration, input func(in *decisionInput)) (shares map[int]ident.Permille, end view.RolloutState, endedAt time.Duration) {
+// playedStep is a share and the time after the order at which it began.
+type playedStep struct {
+	at    time.Duration
+	share ident.Permille
+}
+
+// playSteps calls decide every 100 ms and returns the steps and the final state. input may change what a decision depends on.
+func playSteps(within time.Duration, input func(in *decisionInput)) (played []playedStep, end view.RolloutState, endedAt time.Duration) {
 	stage, since := Stage{State: view.RolloutInProgress, Release: "v2"}, time.Duration(0)
-	shares = map[int]ident.Permille{}
 	for elapsed := time.Duration(0); elapsed <= 2*within; elapsed += evaluationInterval {
 		in := &decisionInput{
 			stage: stage, within: within, elapsed: elapsed, stageAge: elapsed - since, newReady: 4,
@@ -28,11 +32,11 @@
 		}
 		stage, since = *next, elapsed
 		if stage.State.Ended() {
-			return shares, stage.State, elapsed
+			return played, stage.State, elapsed
 		}
-		shares[int(elapsed/time.Second)] = stage.Share
+		played = append(played, playedStep{elapsed, stage.Share})
 	}
-	return shares, stage.State, 2 * within
+	return played, stage.State, 2 * within
 }
 
 // Guards against a status that is written in time but too late for operators to read it.
@@ -54,18 +58,14 @@
 // to judge it has passed.
 func TestExposureBeforeFullShareIsSmall(t *testing.T) {
 	const within = 15 * time.Second
-	shares, _, _ := playSteps(within, func(*decisionInput) {})
-	exposed, share := 0.0, ident.Permille(0)
-	for second := range int(within / time.Second) {
-		if s, ok := shares[second]; ok {
-			share = s
-		}
-		if share == fullShare {
-			require.GreaterOrEqual(t, second, 11, "full share")
-			break
-		}
-		exposed += float64(share) / float64(fullShare)
+	played, _, _ := playSteps(within, func(*decisionInput) {})
+	exposed := 0.0
+	for i, p := range played[:len(played)-1] {
+		exposed += (played[i+1].at - p.at).Seconds() * float64(p.share) / float64(fullShare)
 	}
+	last := played[len(played)-1]
+	require.Equal(t, fullShare, last.share)
+	require.GreaterOrEqual(t, last.at, within*8/10)
 	require.Less(t, exposed/within.Seconds(), 0.1)
 }
 
@@ -83,8 +83,8 @@
 }
 
 func TestReleaseWithoutUpstreamsIsRolledBackAfterItsTime(t *testing.T) {
-	shares, end, at := playSteps(10*time.Second, func(in *decisionInput) { in.newReady = 0 })
-	require.Empty(t, shares)
+	played, end, at := playSteps(10*time.Second, func(in *decisionInput) { in.newReady = 0 })
+	require.Empty(t, played)
 	require.Equal(t, view.RolloutRolledBack, end)
 	require.Greater(t, at, 10*time.Second)
 }
