Give back to a limit only what was charged to it

Read in the diff: a choice that was made before a limit was named, and then discarded, gave the limit a request that it had not lost. A choice remembers whether it was charged. Tests of discarded choices, of the spacing of Retry-After and of engines that appear while a daemon runs.

--- a/internal/coordination/place/placer.go
+++ b/internal/coordination/place/placer.go
@@ -91,7 +91,7 @@
 			failureRate:    estim.DecayingMean{HalfLife: failureHalfLife, Weight: failureWeight},
 		}
 		p.upstreamStates[u.ID] = state
-		if !p.firstStateAt.IsZero() && now.Sub(p.firstStateAt) > startupTime {
+		if now.Sub(p.firstStateAt) > startupTime {
 			state.weightsChangedAt = now
 		}
 	}
@@ -143,7 +143,12 @@
 				best = i
 			}
 		}
-		if p.UpstreamLimits == nil || p.UpstreamLimits.Take(choices[best].Upstream) {
+		if p.UpstreamLimits == nil {
+			return choices[best]
+		}
+		ok, charged := p.UpstreamLimits.Take(choices[best].Upstream)
+		if ok {
+			choices[best].chargedToLimit = charged
 			return choices[best]
 		}
 		// A limit was named after the candidates were collected.
@@ -155,7 +160,7 @@
 
 // Discard gives a choice back that is not followed by Begin.
 func (p *Placer) Discard(c *Choice) {
-	if p.UpstreamLimits != nil {
+	if c.chargedToLimit {
 		p.UpstreamLimits.Return(c.Upstream)
 	}
 }
--- a/internal/coordination/place/placer_test.go
+++ b/internal/coordination/place/placer_test.go
@@ -8,7 +8,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/gooseberryway/gooseberryway/internal/coordination/uprate"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/state/rhash"
 	"github.com/gooseberryway/gooseberryway/internal/state/view"
 )
 
@@ -216,6 +218,53 @@
 	})
 }
 
+// Guards against taking an engine that has just appeared, as in a rollout, to have the prefixes in use cached.
+func TestEngineThatAppearsLaterIsCold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newTestPlacer()
+		_, err := p.Choose(requestFor(1))
+		require.NoError(t, err)
+		time.Sleep(startupTime + time.Second)
+		started := engineAt(99)
+		p.Snapshots.SetUpstreams(view.NewUpstreams(map[ident.UpstreamID]*view.Upstream{started.ID: started}, 2))
+		c, err := p.Choose(requestFor(1))
+		require.NoError(t, err)
+		require.Equal(t, CachedMiss, c.Locality)
+		require.Equal(t, requestFor(1).Input, c.PrefillTokens)
+	})
+}
+
+// Guards against a request that is charged to a limit and not sent, and against giving back what was not charged.
+func TestDiscardedChoiceIsNotChargedToLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newTestPlacer()
+		u := engineAt(3)
+		p.Snapshots.SetUpstreams(view.NewUpstreams(map[ident.UpstreamID]*view.Upstream{u.ID: u}, 2))
+		p.UpstreamLimits = &uprate.Table{Self: "d"}
+		p.UpstreamLimits.SetMembers([]rhash.Node{{ID: "d"}})
+		unlimited, err := p.Choose(requestFor(1))
+		require.NoError(t, err)
+		p.UpstreamLimits.Observe(u, time.Now(), &view.RateLimit{Rate: 1})
+		p.Discard(unlimited)
+		_, err = p.Choose(requestFor(1))
+		var blocked *BlockedError
+		require.ErrorAs(t, err, &blocked)
+		require.Equal(t, BlockedLimited, blocked.Reason)
+		_, err = p.Choose(requestFor(1))
+		var next *BlockedError
+		require.ErrorAs(t, err, &next)
+		require.Greater(t, next.RetryAfter, blocked.RetryAfter, "callers return one after the other")
+		time.Sleep(time.Second)
+		c, err := p.Choose(requestFor(1))
+		require.NoError(t, err)
+		_, err = p.Choose(requestFor(1))
+		require.Error(t, err)
+		p.Discard(c)
+		_, err = p.Choose(requestFor(1))
+		require.NoError(t, err)
+	})
+}
+
 // Guards against computing a prefix at two engines when its second request arrives during the prefill of the first.
 func TestConcurrentRequestsShareOnePrefill(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/coordination/place/request.go
+++ b/internal/coordination/place/request.go
@@ -82,6 +82,8 @@
 	HashRank     int
 	MissedTokens ident.Tokens
 	Candidates   int
+	// chargedToLimit says that the request was taken out of the upstream's limit.
+	chargedToLimit bool
 	// Locality says where the shared parts of the prompt are cached.
 	Locality CacheLocality
 }
--- a/internal/coordination/uprate/fleet_test.go
+++ b/internal/coordination/uprate/fleet_test.go
@@ -112,7 +112,7 @@
 // request lets daemon i send a request to the upstream if its limit allows that.
 func (f *simFleet) request(i int, now time.Time) {
 	d := f.daemons[i]
-	if now.Before(d.frozenUntil) || !d.table.Take(f.upstream) {
+	if now.Before(d.frozenUntil) || !takes(d.table, f.upstream) {
 		return
 	}
 	if !now.Before(d.excusedUntil) {
--- a/internal/coordination/uprate/share.go
+++ b/internal/coordination/uprate/share.go
@@ -81,26 +81,26 @@
 	return l.share.wait(time.Now()), l.rate, true
 }
 
-// Take takes a request out of this daemon's share of the upstream's limit. It reports false if the share doesn't allow
-// one now. Without a limit it reports true.
-func (t *Table) Take(u *view.Upstream) bool {
+// Take takes a request out of this daemon's share of the upstream's limit. ok is false if the share doesn't allow one
+// now. charged is false if there is no limit.
+func (t *Table) Take(u *view.Upstream) (ok, charged bool) {
 	if t.inForce.Load() == 0 {
-		return true
+		return true, false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	l := t.current(u)
 	if l == nil || l.lifted {
-		return true
+		return true, false
 	}
 	if !l.share.held || l.share.wait(time.Now()) > 0 {
-		return false
+		return false, false
 	}
 	l.share.tokens--
-	return true
+	return true, true
 }
 
-// Return gives back what Take took for a request that was not sent.
+// Return gives back what Take charged for a request that was not sent.
 func (t *Table) Return(u *view.Upstream) {
 	if t.inForce.Load() == 0 {
 		return
--- a/internal/coordination/uprate/table_test.go
+++ b/internal/coordination/uprate/table_test.go
@@ -12,6 +12,11 @@
 	"github.com/gooseberryway/gooseberryway/internal/state/view"
 )
 
+func takes(t *Table, u *view.Upstream) bool {
+	ok, _ := t.Take(u)
+	return ok
+}
+
 func newSoleTable() *Table {
 	t := &Table{Self: "a"}
 	t.SetMembers([]rhash.Node{{ID: "a"}})
@@ -28,9 +33,9 @@
 		time.Sleep(10 * time.Millisecond)
 		table.Observe(u, before, &view.NoLimit{})
 		table.Observe(u, time.Now(), &view.InvalidLimit{Value: "many"})
-		require.False(t, table.Take(u), "the limit holds, and a share begins empty")
+		require.False(t, takes(table, u), "the limit holds, and a share begins empty")
 		table.Observe(u, time.Now(), &view.NoLimit{})
-		require.True(t, table.Take(u))
+		require.True(t, takes(table, u))
 	})
 }
 
@@ -42,10 +47,10 @@
 		news := table.News()
 		require.Len(t, news, 1)
 		restarted := &view.Upstream{ID: "e", Incarnation: 2}
-		require.True(t, table.Take(restarted))
+		require.True(t, takes(table, restarted))
 		table.RemoveUnlisted(map[ident.UpstreamID]*view.Upstream{"e": restarted})
 		table.ApplyNews(restarted, news[0])
-		require.True(t, table.Take(restarted))
+		require.True(t, takes(table, restarted))
 		require.Empty(t, table.News())
 	})
 }
@@ -57,15 +62,15 @@
 		a.Observe(u, time.Now(), &view.RateLimit{Rate: 2})
 		late := a.News()[0]
 		b.ApplyNews(u, late)
-		require.False(t, b.Take(u), "a daemon without a share sends nothing")
+		require.False(t, takes(b, u), "a daemon without a share sends nothing")
 		time.Sleep(time.Second)
 		a.Observe(u, time.Now(), &view.NoLimit{})
 		late.Age = time.Since(time.Now().Add(-time.Second))
 		a.ApplyNews(u, late)
-		require.True(t, a.Take(u))
+		require.True(t, takes(a, u))
 		time.Sleep(confirmTTL + time.Millisecond)
 		b.SetMembers(nil)
-		require.True(t, b.Take(u), "no holder has confirmed the limit for confirmTTL")
+		require.True(t, takes(b, u), "no holder has confirmed the limit for confirmTTL")
 	})
 }
 
@@ -75,11 +80,11 @@
 		table, u := newSoleTable(), &view.Upstream{ID: "e", Incarnation: 1}
 		table.Observe(u, time.Now(), &view.RateLimit{Rate: 1})
 		time.Sleep(time.Second)
-		require.True(t, table.Take(u))
-		require.False(t, table.Take(u))
+		require.True(t, takes(table, u))
+		require.False(t, takes(table, u))
 		wait, rate, limited := table.Wait(u)
 		require.True(t, limited && rate == 1 && wait > 0 && wait <= time.Second)
 		table.Return(u)
-		require.True(t, table.Take(u))
+		require.True(t, takes(table, u))
 	})
 }
