--- a/internal/coordination/canary/controller.go
+++ b/internal/coordination/canary/controller.go
@@ -75,7 +75,7 @@
 func (c *Controller) init() {
 	c.once.Do(func() {
 		c.monitor.Splitter = &c.splitter
-		c.judge.Monitor = &c.monitor
+		c.judge.Monitor, c.judge.LargeShareSlowMarginPercent = &c.monitor, largeShareSlowMarginPercent
 	})
 }
 
@@ -114,7 +114,7 @@
 // evaluate applies the rollouts and stages that are known and stops releases that are judged bad.
 func (c *Controller) evaluate(now time.Time) {
 	c.refresh()
-	verdicts := c.judge.Evaluate(now, moves.Settings{LargeShareSlowMarginPercent: largeShareSlowMarginPercent})
+	verdicts := c.judge.Evaluate(now, moves.Settings{})
 	for id, v := range verdicts {
 		if v.Finding == moves.FindingBad && c.splitter.Stop(id, v.Reason) {
 			klog.InfoS("Stopped sending to the new release", "rollout", id, "reason", v.Reason, "samples", v.Samples)
--- a/internal/coordination/moves/judge.go
+++ b/internal/coordination/moves/judge.go
@@ -34,6 +34,9 @@
 // Judge turns the counts of a Monitor into verdicts. Its methods are for one goroutine.
 type Judge struct {
 	Monitor *Monitor
+	// LargeShareSlowMarginPercent replaces Settings.SlowMarginPercent from coldStepPermille on if it is not 0. It is for
+	// moves to fewer engines with empty caches, which answer later than the old ones while the version is as good.
+	LargeShareSlowMarginPercent int
 
 	// table is the snapshot of the last evaluation.
 	table    *splitTable
@@ -116,7 +119,7 @@
 		j.evidence[split.move.ID] = e
 	}
 	stats := j.Monitor.statsFor(split)
-	stats.refreshLimits(100 + settings.slowMarginPercent(split.permille))
+	stats.refreshLimits(100 + j.slowMarginPercent(split.permille, settings))
 	if stats.countOverdue(now, split.probes) {
 		notify(j.Monitor.urgent)
 	}
@@ -129,6 +132,14 @@
 	return e.verdict(split, settings)
 }
 
+// slowMarginPercent returns how far above the old version's 95th percentile an answer counts as slow at a share.
+func (j *Judge) slowMarginPercent(share ident.Permille, settings Settings) int {
+	if share >= coldStepPermille && j.LargeShareSlowMarginPercent > 0 {
+		return j.LargeShareSlowMarginPercent
+	}
+	return settings.SlowMarginPercent
+}
+
 func newMoveEvidence(now time.Time) *moveEvidence {
 	return &moveEvidence{
 		lastCounts:       [numScopes]map[countersKey]counts{{}, {}},
--- a/internal/coordination/moves/settings.go
+++ b/internal/coordination/moves/settings.go
@@ -19,9 +19,6 @@
 	MaxSoak Millis `json:"maxSoakMs,omitempty" validate:"min=0,max=86400000"`
 	// SlowMarginPercent is how far above the old version's 95th percentile an answer counts as slow, in percent.
 	SlowMarginPercent int `json:"slowPercent,omitempty" validate:"min=0,max=1000"`
-	// LargeShareSlowMarginPercent replaces SlowMarginPercent from coldStepPermille on if it is not 0. It is for moves to
-	// fewer engines with empty caches, which answer later than the old ones while the version is as good.
-	LargeShareSlowMarginPercent int `json:"-"`
 }
 
 // Millis is a time in milliseconds.
@@ -41,14 +38,6 @@
 	}
 }
 
-// slowMarginPercent returns how far above the old version's 95th percentile an answer counts as slow at a share.
-func (s Settings) slowMarginPercent(share ident.Permille) int {
-	if share >= coldStepPermille && s.LargeShareSlowMarginPercent > 0 {
-		return s.LargeShareSlowMarginPercent
-	}
-	return s.SlowMarginPercent
-}
-
 func (s Settings) withDefaults() Settings {
 	defaults := DefaultSettings()
 	if !validSteps(s.Steps) {
