--- a/internal/coordination/canary/controller.go
+++ b/internal/coordination/canary/controller.go
@@ -186,7 +186,7 @@
 		if s.stage.State == view.RolloutCompleted {
 			serving.Models[ident.ModelID(id)] = ident.VersionID(r.Release)
 		}
-		if s.stage.State.Ended() || s.from == "" {
+		if s.stage.State.Ended() {
 			continue
 		}
 		active = append(active, &config.Move{
@@ -311,8 +311,6 @@
 	Route        ident.RouteID
 	Organisation ident.OrganisationID
 	ID           ident.RequestID
-	// Chain identifies the shared parts of the prompt; empty if there are none.
-	Chain string
 	// Retry says that an upstream has had the request already.
 	Retry bool
 }
--- a/internal/coordination/canary/controller_test.go
+++ b/internal/coordination/canary/controller_test.go
@@ -16,6 +16,7 @@
 	"github.com/gooseberryway/gooseberryway/internal/coordination/moves"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/place"
 	"github.com/gooseberryway/gooseberryway/internal/state/extern"
+	"github.com/gooseberryway/gooseberryway/internal/state/guard"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/state/view"
 )
@@ -257,6 +258,9 @@
 	filter := d.Releases(r)
 	u := d.Snapshots.Upstreams().ByID["v1-0"]
 	isNew := filter != nil && !filter.Except
+	if u == nil && filter != nil && filter.Except {
+		return
+	}
 	f.mu.Lock()
 	if filter == nil || isNew {
 		u = d.Snapshots.Upstreams().ByID["v2-0"]
@@ -487,6 +491,29 @@
 	})
 }
 
+// Guards against refusing all requests when the upstreams of the old release are gone, and against taking those that then
+// go to the new one for requests after a rollback.
+func TestOnlyListedReleaseGetsRequests(t *testing.T) {
+	playRollout(t, func(f *testFleet) {
+		var violations atomic.Int32
+		defer guard.Capture(func(*guard.ViolationError) { violations.Add(1) })()
+		f.run(4 * time.Second)
+		d := f.daemons[0]
+		onlyNew := map[ident.UpstreamID]*view.Upstream{}
+		for id, u := range d.Snapshots.Upstreams().ByID {
+			if u.Release == "v2" {
+				onlyNew[id] = u
+			}
+		}
+		for _, d := range f.daemons {
+			d.Snapshots.SetUpstreams(view.NewUpstreams(onlyNew, 2))
+		}
+		f.run(4 * time.Second)
+		require.Nil(t, d.Releases(&Request{Service: testService, Route: "note", ID: "x"}))
+		require.Zero(t, violations.Load())
+	})
+}
+
 // Guards against requests to a new release before this daemon knows how far its rollout has come.
 func TestNewReleaseGetsNothingBeforeFirstStep(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
