Allow cold upstreams more time only where there are caches

Cause: the margin for cold caches held for services without caches as well, and there is too little traffic on each route to judge by.

Change: the margin holds for engines.

--- a/internal/coordination/canary/controller.go
+++ b/internal/coordination/canary/controller.go
@@ -75,10 +75,20 @@
 func (c *Controller) init() {
 	c.once.Do(func() {
 		c.monitor.Splitter = &c.splitter
-		c.judge.Monitor, c.judge.LargeShareSlowMarginPercent = &c.monitor, largeShareSlowMarginPercent
+		c.judge.Monitor, c.judge.LargeShareSlowMarginPercent = &c.monitor, c.largeShareSlowMarginPercent
 	})
 }
 
+// largeShareSlowMarginPercent returns the margin for services whose upstreams have caches; 0 for others.
+func (c *Controller) largeShareSlowMarginPercent(service ident.ModelID) int {
+	if cfg := c.Snapshots.Config(); cfg != nil {
+		if s := cfg.Services[view.ServiceID(service)]; s != nil && s.Engine != nil {
+			return largeShareSlowMarginPercent
+		}
+	}
+	return 0
+}
+
 // Run works until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
 	c.init()
--- a/internal/coordination/canary/controller_test.go
+++ b/internal/coordination/canary/controller_test.go
@@ -156,6 +156,7 @@
 		}
 	}
 	snapshots.SetUpstreams(view.NewUpstreams(byID, 1))
+	snapshots.SetConfig(&view.Config{Version: 1, Services: map[view.ServiceID]*view.Service{testService: {ID: testService, Engine: &view.Engine{}}}})
 	d := &testDaemon{}
 	d.Controller = &Controller{
 		Snapshots: snapshots, Store: f.store, Codec: testCodec{}, HasTraffic: func() bool { return !d.brief.Load() },
--- a/internal/coordination/moves/judge.go
+++ b/internal/coordination/moves/judge.go
@@ -1,6 +1,7 @@
 package moves
 
 import (
+	"cmp"
 	"maps"
 	"time"
 
@@ -34,9 +35,10 @@
 // Judge turns the counts of a Monitor into verdicts. Its methods are for one goroutine.
 type Judge struct {
 	Monitor *Monitor
-	// LargeShareSlowMarginPercent replaces Settings.SlowMarginPercent from coldStepPermille on if it is not 0. It is for
-	// moves to fewer engines with empty caches, which answer later than the old ones while the version is as good.
-	LargeShareSlowMarginPercent int
+	// LargeShareSlowMarginPercent, if set, returns what replaces Settings.SlowMarginPercent for a model from
+	// coldStepPermille on; 0 for no replacement. It is for moves to fewer engines with empty caches, which answer later
+	// than the old ones while the version is as good.
+	LargeShareSlowMarginPercent func(ident.ModelID) int
 
 	// table is the snapshot of the last evaluation.
 	table    *splitTable
@@ -119,7 +121,7 @@
 		j.evidence[split.move.ID] = e
 	}
 	stats := j.Monitor.statsFor(split)
-	stats.refreshLimits(100 + j.slowMarginPercent(split.permille, settings))
+	stats.refreshLimits(100 + j.slowMarginPercent(split, settings))
 	if stats.countOverdue(now, split.probes) {
 		notify(j.Monitor.urgent)
 	}
@@ -132,10 +134,10 @@
 	return e.verdict(split, settings)
 }
 
-// slowMarginPercent returns how far above the old version's 95th percentile an answer counts as slow at a share.
-func (j *Judge) slowMarginPercent(share ident.Permille, settings Settings) int {
-	if share >= coldStepPermille && j.LargeShareSlowMarginPercent > 0 {
-		return j.LargeShareSlowMarginPercent
+// slowMarginPercent returns how far above the old version's 95th percentile an answer counts as slow at the move's share.
+func (j *Judge) slowMarginPercent(split *moveSplit, settings Settings) int {
+	if split.permille >= coldStepPermille && j.LargeShareSlowMarginPercent != nil {
+		return cmp.Or(j.LargeShareSlowMarginPercent(split.move.Model), settings.SlowMarginPercent)
 	}
 	return settings.SlowMarginPercent
 }
