Log which prompt parts the requests had whose upstream broke

The logs named the engines, but not what the broken requests had in common, so they could not tell a part that ends engines from retries or from faults of the engines.

--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -419,10 +419,20 @@
 		c.markSent()
 	}
 	klog.InfoS("Attempt failed", "request", c.req.ID, "upstream", choice.Upstream.ID, "reason", reason,
-		"sent", !notSent, "error", err.Error())
+		"sent", !notSent, "error", err.Error(), "parts", c.sharedParts(),
+		"sinceSentMs", time.Since(c.attemptAt).Milliseconds())
 	return step, reason
 }
 
+// sharedParts returns the ids of the parts of the prompt that other requests may share, for logs.
+func (c *call) sharedParts() []string {
+	var ids []string
+	for _, p := range c.req.Parts[:max(0, len(c.req.Parts)-1)] {
+		ids = append(ids, p.ID)
+	}
+	return ids
+}
+
 // markSent records that the request may have run.
 func (c *call) markSent() {
 	if c.sentAt.IsZero() {
--- a/internal/transport/proxy/response.go
+++ b/internal/transport/proxy/response.go
@@ -169,7 +169,8 @@
 		return stepDone, ""
 	}
 	klog.InfoS("Stream broke", "request", c.req.ID, "upstream", choice.Upstream.ID, "lastEvent", c.lastEventID,
-		"error", err.Error(), "gone", c.callerLeft(), "weights", choice.WeightVersion)
+		"error", err.Error(), "gone", c.callerLeft(), "weights", choice.WeightVersion, "parts", c.sharedParts(),
+		"reads", tracker.reads, "sinceSentMs", time.Since(c.attemptAt).Milliseconds())
 	if outcome == place.OutcomeTimeout && !errors.Is(context.Cause(ctx), errUnresponsive) {
 		return stepFail, ReasonTimeout
 	}
@@ -202,7 +203,8 @@
 		return stepDone, ""
 	}
 	klog.InfoS("Answer broke", "request", c.req.ID, "upstream", choice.Upstream.ID, "status", resp.StatusCode,
-		"bytes", len(body), "error", err.Error())
+		"bytes", len(body), "error", err.Error(), "parts", c.sharedParts(),
+		"sinceSentMs", time.Since(c.attemptAt).Milliseconds())
 	if c.headerSent {
 		return stepFail, ReasonUpstreamBroken
 	}
