--- a/internal/program/entry/helpers_test.go
+++ b/internal/program/entry/helpers_test.go
@@ -169,6 +169,12 @@
 	return string(raw)
 }
 
+// bodyOf returns what arrives of a response's body.
+func bodyOf(resp *http.Response) string {
+	raw, _ := io.ReadAll(resp.Body)
+	return string(raw)
+}
+
 // eventIDs reads a whole stream and returns the IDs of its events.
 func eventIDs(t *testing.T, resp *http.Response) []string {
 	t.Helper()
