Quarantine prompt parts that crash upstreams

Nothing looked for what the requests of ended engines had in common.

Cause: the class of fault is content that fails each replica that it reaches. A daemon judged upstreams by their outcomes and never requests by theirs, and each of the few crashes that tell may be seen by another daemon.

Package coordination/poison collects which shared parts the requests had that broke as their upstream ended, and which parts were answered; heartbeats carry both. Three ends, one after the other, of different upstreams under different requests, with no answer in between, quarantine a part (five for one that had been answered, more while upstreams also end without it). Parts that always came together are quarantined together until answers tell them apart. Each attempt asks before it is sent, and a request whose upstream ended under it is sent again only with evidence that its parts are sound. Quarantines are kept in the store, as all daemons may restart at once; after their term one daemon at a time probes them.

--- /dev/null
+++ b/internal/coordination/poison/quarantine_test.go
@@ -0,0 +1,194 @@
+package poison
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/state/view"
+)
+
+// crashUnder lets an upstream end under a request with these parts.
+func crashUnder(t *testing.T, d *Detector, id ident.UpstreamID, request RequestHash, parts ...PartHash) {
+	t.Helper()
+	u := &view.Upstream{ID: id, Incarnation: 1, State: view.UpstreamReady}
+	a, err := d.Begin(u, request, parts)
+	require.NoError(t, err)
+	time.Sleep(time.Second)
+	a.End(OutcomeBroken)
+	d.MarkRefused(u)
+	time.Sleep(time.Second)
+	d.Tick()
+}
+
+func answer(t *testing.T, d *Detector, request RequestHash, parts ...PartHash) {
+	t.Helper()
+	a, err := d.Begin(&view.Upstream{ID: "sound", Incarnation: 1, State: view.UpstreamReady}, request, parts)
+	require.NoError(t, err)
+	a.MarkFirstEvent()
+	a.End(OutcomeAnswered)
+}
+
+func TestPartsOfTheSameRequestsAreToldApartByAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &Detector{}
+		for i, id := range []ident.UpstreamID{"a", "b", "c"} {
+			crashUnder(t, d, id, RequestHash(i), 1, 2)
+		}
+		require.Error(t, d.Check([]PartHash{1, 2, 9}))
+		require.NoError(t, d.Check([]PartHash{1, 9}), "one of two suspects alone may be sound")
+		answer(t, d, 10, 1, 9)
+		require.NoError(t, d.Check([]PartHash{1}))
+		require.Error(t, d.Check([]PartHash{2}), "the other one has caused the crashes")
+	})
+}
+
+func TestMemberOfSetThatCrashesAloneIsQuarantined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &Detector{}
+		for i, id := range []ident.UpstreamID{"a", "b", "c"} {
+			crashUnder(t, d, id, RequestHash(i), 1, 2)
+		}
+		crashUnder(t, d, "d", 4, 1, 9)
+		crashUnder(t, d, "e", 5, 1, 8)
+		require.Error(t, d.Check([]PartHash{1}))
+	})
+}
+
+func TestAnswerBetweenCrashesClears(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &Detector{}
+		for i, id := range []ident.UpstreamID{"a", "b", "c", "d", "e", "f"} {
+			crashUnder(t, d, id, RequestHash(i), 1)
+			if i%2 == 1 {
+				answer(t, d, RequestHash(100+i), 1)
+			}
+		}
+		require.NoError(t, d.Check([]PartHash{1}))
+	})
+}
+
+func TestRepeatedRequestCountsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &Detector{}
+		for _, id := range []ident.UpstreamID{"a", "b", "c", "d", "e"} {
+			crashUnder(t, d, id, 7, 1)
+		}
+		require.NoError(t, d.Check([]PartHash{1}))
+	})
+}
+
+func TestPlannedEndOfUpstreamIsNoCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &Detector{}
+		for i, id := range []ident.UpstreamID{"a", "b", "c", "d"} {
+			u := &view.Upstream{ID: id, Incarnation: 1, State: view.UpstreamReady}
+			a, err := d.Begin(u, RequestHash(i), []PartHash{1})
+			require.NoError(t, err)
+			a.End(OutcomeBroken)
+			draining := *u
+			draining.State = view.UpstreamDraining
+			d.ApplyList(view.NewUpstreams(map[ident.UpstreamID]*view.Upstream{id: &draining}, 1))
+			d.MarkRefused(u)
+			time.Sleep(time.Second)
+			d.Tick()
+		}
+		require.NoError(t, d.Check([]PartHash{1}))
+	})
+}
+
+func TestOneProbeAfterTheTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &Detector{}
+		d.Apply(News{Quarantines: []Quarantine{{Parts: Set{1}, Strikes: 1, Since: time.Now()}}})
+		u := &view.Upstream{ID: "a", State: view.UpstreamReady}
+		time.Sleep(quarantineTerm - time.Second)
+		require.Error(t, d.Check([]PartHash{1}))
+		time.Sleep(2 * time.Second)
+		probe, err := d.Begin(u, 1, []PartHash{1})
+		require.NoError(t, err)
+		_, err = d.Begin(u, 2, []PartHash{1})
+		require.Error(t, err, "one probe at a time")
+		probe.End(OutcomeBroken)
+		require.Error(t, d.Check([]PartHash{1}))
+		time.Sleep(2*quarantineTerm - time.Second)
+		require.Error(t, d.Check([]PartHash{1}), "the second term is twice as long")
+		time.Sleep(2 * time.Second)
+		probe, err = d.Begin(u, 3, []PartHash{1})
+		require.NoError(t, err)
+		probe.End(OutcomeAnswered)
+		require.NoError(t, d.Check([]PartHash{1}))
+		d.Apply(News{Quarantines: []Quarantine{{Parts: Set{1}, Strikes: 2, Since: time.Now()}}})
+		require.NoError(t, d.Check([]PartHash{1}), "late news doesn't undo the release")
+	})
+}
+
+func TestOnlyOneDaemonProbes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &Detector{IsProbeTurn: func(_ string, round int64) bool { return round == 1 }}
+		d.Apply(News{Quarantines: []Quarantine{{Parts: Set{1}, Strikes: 1, Since: time.Now()}}})
+		time.Sleep(quarantineTerm + time.Second)
+		require.Error(t, d.Check([]PartHash{1}))
+		time.Sleep(probeRound)
+		require.NoError(t, d.Check([]PartHash{1}))
+	})
+}
+
+func TestBrokenRequestWaitsForEvidenceBeforeRetry(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		liveness Liveness
+		answered bool
+		want     bool
+	}{
+		{"the upstream lives", LivenessAlive, false, true},
+		{"the upstream can't be reached", LivenessUnknown, false, true},
+		{"the upstream ended, parts unknown", LivenessEnded, false, false},
+		{"the upstream ended, parts answered elsewhere", LivenessEnded, true, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := &Detector{CheckLiveness: func(*view.Upstream) Liveness {
+					time.Sleep(5 * time.Millisecond)
+					return c.liveness
+				}}
+				a, err := d.Begin(&view.Upstream{ID: "a", State: view.UpstreamReady}, 1, []PartHash{1})
+				require.NoError(t, err)
+				a.End(OutcomeBroken)
+				if c.answered {
+					time.AfterFunc(100*time.Millisecond, func() { d.Apply(News{Answers: []Answer{{1, time.Now().Add(-time.Second)}}}) })
+				}
+				began := time.Now()
+				require.Equal(t, c.want, a.MayRetry(t.Context()))
+				require.LessOrEqual(t, time.Since(began), retryEvidenceWait+retryEvidenceTick)
+			})
+		})
+	}
+}
+
+func TestMemoryAndMessagesAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &Detector{}
+		for i := range 6 * maxSuspects {
+			d.Apply(News{
+				Incidents:   []Incident{{Part: PartHash(i), Upstream: UpstreamKey{1, uint32(i)}, Request: RequestHash(i), At: time.Now()}},
+				Quarantines: []Quarantine{{Parts: Set{PartHash(i)}, Strikes: 1, Since: time.Now()}},
+			})
+			d.answered([]PartHash{PartHash(1<<40 + i)}, time.Now())
+		}
+		require.LessOrEqual(t, len(d.suspects), maxSuspects)
+		require.LessOrEqual(t, len(d.verdicts), maxQuarantines)
+		require.LessOrEqual(t, len(d.answers), maxAnswers)
+		n := d.News(true)
+		require.LessOrEqual(t, len(n.Incidents), maxNewsIncidents)
+		require.LessOrEqual(t, len(n.Quarantines), maxNewsQuarantines)
+		time.Sleep(maxTerm)
+		d.Tick()
+		require.Empty(t, d.suspects)
+		require.Empty(t, d.verdicts)
+		require.Empty(t, d.News(true).Incidents)
+	})
+}
--- /dev/null
+++ b/internal/coordination/poison/suspect.go
@@ -0,0 +1,307 @@
+package poison
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"k8s.io/klog/v2"
+)
+
+// suspect is the evidence against a part.
+type suspect struct {
+	incidents []Incident
+	// own are the incidents that this daemon saw itself.
+	own map[RequestHash]bool
+	// answeredAt is when a request with the part was last answered anywhere, ownAnsweredAt when here.
+	answeredAt, ownAnsweredAt time.Time
+	// logged is the number of crashes that was last logged.
+	logged int
+	// toldAt is when the answer was first told to peers, touchedAt when the evidence last changed.
+	toldAt, touchedAt time.Time
+}
+
+// answer applies an answer and reports whether peers should learn of it: it clears incidents that they may still count.
+func (s *suspect) answer(at, now time.Time) bool {
+	s.ownAnsweredAt = at
+	open := len(s.incidents) > 0
+	s.clear(at, now)
+	if open {
+		s.toldAt = now
+	}
+	return open
+}
+
+// clear removes the incidents before an answer.
+func (s *suspect) clear(answeredAt, now time.Time) {
+	if !answeredAt.After(s.answeredAt) {
+		return
+	}
+	s.answeredAt = answeredAt
+	s.incidents = slices.DeleteFunc(s.incidents, func(i Incident) bool { return !i.At.After(answeredAt) })
+	s.touchedAt = now
+}
+
+// crashes returns the incidents that count as separate crashes: of different requests and upstreams, apart in time and not among
+// more ends of other upstreams, which have another cause.
+func (d *Detector) crashes(s *suspect) []Incident {
+	var out []Incident
+	for _, i := range s.incidents {
+		if 2*s.upstreamsAt(i.At) < d.endsAt(i.At) {
+			continue
+		}
+		known := slices.ContainsFunc(out, func(o Incident) bool {
+			return o.Request == i.Request || o.Upstream == i.Upstream || i.At.Sub(o.At) < crashSpacing
+		})
+		if !known {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// upstreamsAt returns how many upstreams ended at about that time under requests with the part.
+func (s *suspect) upstreamsAt(at time.Time) int {
+	var ended []UpstreamKey
+	for _, i := range s.incidents {
+		if i.At.Sub(at).Abs() < crashSpacing && !slices.Contains(ended, i.Upstream) {
+			ended = append(ended, i.Upstream)
+		}
+	}
+	return len(ended)
+}
+
+// upstreamEnd is when an upstream ended.
+type upstreamEnd struct {
+	upstream UpstreamKey
+	at       time.Time
+	// explained says that a quarantined part has caused it.
+	explained bool
+}
+
+// recordEnd records the end of an upstream, in the order of time. It reports whether a quarantined part has caused it.
+func (d *Detector) recordEnd(i Incident) (explained bool) {
+	if known := slices.IndexFunc(d.ends, func(e upstreamEnd) bool { return e.upstream == i.Upstream }); known >= 0 {
+		return d.ends[known].explained
+	}
+	at, _ := slices.BinarySearchFunc(d.ends, i.At, func(e upstreamEnd, t time.Time) int { return e.at.Compare(t) })
+	d.ends = slices.Insert(d.ends, at, upstreamEnd{upstream: i.Upstream, at: i.At})
+	if len(d.ends) > maxEnds {
+		d.ends = slices.Delete(d.ends, 0, 1)
+	}
+	return false
+}
+
+// endsAt returns how many upstreams ended at about that time.
+func (d *Detector) endsAt(at time.Time) int {
+	byTime := func(e upstreamEnd, t time.Time) int { return e.at.Compare(t) }
+	first, _ := slices.BinarySearchFunc(d.ends, at.Add(1-crashSpacing), byTime)
+	last, _ := slices.BinarySearchFunc(d.ends, at.Add(crashSpacing), byTime)
+	return last - first
+}
+
+// required returns how many crashes quarantine the part with the given ones. It takes more if upstreams also ended in between
+// without the part, as then many parts have been there at some of the ends.
+func (d *Detector) required(s *suspect, crashes []Incident) int {
+	n := minCrashes
+	if !s.answeredAt.IsZero() {
+		n = minCrashesIfAnswered
+	}
+	if len(crashes) < n {
+		return n
+	}
+	moments := d.momentsBetween(crashes[0].At, crashes[len(crashes)-1].At)
+	switch {
+	case 2*len(crashes) >= moments:
+		return n
+	case 4*len(crashes) >= moments:
+		return n + extraCrashes
+	default:
+		return n + manyExtraCrashes
+	}
+}
+
+// momentsBetween returns at how many separate times upstreams ended from first to last.
+func (d *Detector) momentsBetween(first, last time.Time) int {
+	n := 0
+	var previous time.Time
+	for _, e := range d.ends {
+		if !e.explained && !e.at.Before(first) && !e.at.After(last) && (n == 0 || e.at.Sub(previous) >= crashSpacing) {
+			n, previous = n+1, e.at
+		}
+	}
+	return n
+}
+
+func (s *suspect) expire(now time.Time) {
+	s.incidents = slices.DeleteFunc(s.incidents, func(i Incident) bool { return now.Sub(i.At) > evidenceTTL })
+	for r := range s.own {
+		if !slices.ContainsFunc(s.incidents, func(i Incident) bool { return i.Request == r }) {
+			delete(s.own, r)
+		}
+	}
+}
+
+// add adds an incident in the order of time and reports whether it was new.
+func (s *suspect) add(i Incident) bool {
+	if slices.ContainsFunc(s.incidents, func(o Incident) bool { return o.Request == i.Request && o.Upstream == i.Upstream }) {
+		return false
+	}
+	at, _ := slices.BinarySearchFunc(s.incidents, i, func(o, n Incident) int { return o.At.Compare(n.At) })
+	s.incidents = slices.Insert(s.incidents, at, i)
+	if len(s.incidents) > maxIncidents {
+		s.incidents = slices.Delete(s.incidents, 0, 1)
+	}
+	return true
+}
+
+// requests returns the requests of the incidents.
+func (s *suspect) requests() map[RequestHash]bool {
+	out := map[RequestHash]bool{}
+	for _, i := range s.incidents {
+		out[i.Request] = true
+	}
+	return out
+}
+
+// addIncidents puts the parts of requests under suspicion that broke as their upstream ended.
+func (d *Detector) addIncidents(p *pendingUpstream, breaks []pendingBreak) bool {
+	news := false
+	for _, b := range breaks {
+		for _, h := range b.parts {
+			i := Incident{Part: h, Upstream: keyOf(p.upstream), Request: b.request, At: b.at}
+			if s := d.addIncident(i); s != nil {
+				s.own[b.request] = true
+				news = true
+			}
+		}
+	}
+	return news
+}
+
+// addIncident adds an incident. It returns nil if the incident is known or the part was answered after it.
+func (d *Detector) addIncident(i Incident) *suspect {
+	now := time.Now()
+	if now.Sub(i.At) > evidenceTTL || d.recordEnd(i) || d.lastAnswer(i.Part, now).After(i.At) {
+		return nil
+	}
+	s := d.suspects[i.Part]
+	if s == nil {
+		if s = d.newSuspect(i.Part, now); s == nil {
+			return nil
+		}
+	}
+	if !s.add(i) {
+		return nil
+	}
+	s.touchedAt = now
+	if crashes := d.crashes(s); len(crashes) > max(1, s.logged) {
+		s.logged = len(crashes)
+		klog.InfoS("Prompt part under suspicion", "part", i.Part, "crashes", len(crashes), "required", d.required(s, crashes))
+	}
+	return s
+}
+
+// newSuspect returns a new entry for a part. If there are too many, the one with the least evidence yields; the result is nil
+// if none may.
+func (d *Detector) newSuspect(h PartHash, now time.Time) *suspect {
+	if d.suspects == nil {
+		d.suspects = map[PartHash]*suspect{}
+	}
+	if len(d.suspects) >= maxSuspects && !d.evictSuspect() {
+		return nil
+	}
+	own := d.ownAnswer(h, now)
+	s := &suspect{own: map[RequestHash]bool{}, answeredAt: own, ownAnsweredAt: own}
+	if !own.IsZero() {
+		s.toldAt = now
+	}
+	d.suspects[h] = s
+	return s
+}
+
+func (d *Detector) evictSuspect() bool {
+	var victim PartHash
+	least := minCrashes
+	for h, s := range d.suspects {
+		if n := len(s.incidents); n < least {
+			victim, least = h, n
+		}
+	}
+	if least == minCrashes {
+		return false
+	}
+	delete(d.suspects, victim)
+	return true
+}
+
+// condemn quarantines the parts that enough crashes speak against and reports whether there were any. Parts that all the same
+// requests had can't be told apart and are quarantined together: only requests with all of them are refused.
+func (d *Detector) condemn(now time.Time) bool {
+	condemned := false
+	for {
+		h := d.mostSuspect(now)
+		if h == nil {
+			return condemned
+		}
+		s := d.suspects[*h]
+		requests := s.requests()
+		group := []PartHash{*h}
+		for other, o := range d.suspects {
+			if other != *h && len(group) < maxSetParts && maps.Equal(o.requests(), requests) {
+				group = append(group, other)
+			}
+		}
+		d.quarantine(newSet(group), d.crashes(s), now)
+		d.explain(s.incidents)
+		condemned = true
+	}
+}
+
+// mostSuspect returns the part with the most evidence among those with enough; nil if there is none.
+func (d *Detector) mostSuspect(now time.Time) *PartHash {
+	delay := minNewsDelay
+	if d.NewsDelay != nil {
+		delay = max(delay, d.NewsDelay())
+	}
+	type candidate struct {
+		part     PartHash
+		requests int
+	}
+	var found []candidate
+	for h, s := range d.suspects {
+		if len(s.incidents) < minCrashesOfMember {
+			continue
+		}
+		crashes := d.crashes(s)
+		required := d.required(s, crashes)
+		if d.inSet(h) {
+			required = min(required, minCrashesOfMember)
+		}
+		if len(crashes) >= required && now.Sub(crashes[required-1].At) >= delay {
+			found = append(found, candidate{h, len(s.requests())})
+		}
+	}
+	if len(found) == 0 {
+		return nil
+	}
+	most := slices.MaxFunc(found, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.requests, b.requests), cmp.Compare(a.part, b.part))
+	})
+	return &most.part
+}
+
+// explain removes the crashes from the evidence against all parts that a quarantined part has caused.
+func (d *Detector) explain(incidents []Incident) {
+	caused := map[UpstreamKey]bool{}
+	for _, i := range incidents {
+		caused[i.Upstream] = true
+	}
+	for i := range d.ends {
+		d.ends[i].explained = d.ends[i].explained || caused[d.ends[i].upstream]
+	}
+	for _, s := range d.suspects {
+		s.incidents = slices.DeleteFunc(s.incidents, func(i Incident) bool { return caused[i.Upstream] })
+	}
+}
--- a/internal/program/entry/daemon.go
+++ b/internal/program/entry/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/gooseberryway/gooseberryway/internal/coordination/fleet"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/leader"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/place"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/poison"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/relay"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/reload"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/shed"
@@ -54,14 +55,16 @@
 	rollouts    *canary.Controller
 	// upstreamLimits holds the rates that upstreams limit themselves to.
 	upstreamLimits uprate.Table
-	follower       *feed.Follower
-	placer         *place.Placer
-	stores         *kvdir.Stores
-	peers          *gossip.Node
-	handler        *proxy.Handler
-	store          extern.Store
-	elector        *leader.Elector
-	weightLoader   *reload.Runner
+	// detector finds prompt parts that crash upstreams.
+	detector     *poison.Detector
+	follower     *feed.Follower
+	placer       *place.Placer
+	stores       *kvdir.Stores
+	peers        *gossip.Node
+	handler      *proxy.Handler
+	store        extern.Store
+	elector      *leader.Elector
+	weightLoader *reload.Runner
 
 	seeds   atomic.Pointer[[]string]
 	leaving atomic.Bool
@@ -128,6 +131,7 @@
 		Snapshots: &d.snapshots,
 		OnChange: func() {
 			d.placer.RemoveUnlisted()
+			d.detector.ApplyList(d.snapshots.Upstreams())
 			d.upstreamLimits.RemoveUnlisted(d.snapshots.Upstreams().ByID)
 			d.peers.SendSoon()
 		},
@@ -142,6 +146,7 @@
 		OnHeartbeat:   d.applyHeartbeat,
 		HandleChanges: d.changesFor,
 	}
+	d.detector = d.newDetector()
 	d.elector = &leader.Elector{
 		Name:           weightsElection,
 		Self:           s.DaemonID,
@@ -179,6 +184,7 @@
 		Snapshots:      &d.snapshots,
 		Dialect:        platform.Dialect{},
 		Placer:         d.placer,
+		Detector:       d.detector,
 		Limiter:        &d.limiter,
 		UpstreamLimits: &d.upstreamLimits,
 		RetryBudgets:   d.retryBudgets(),
@@ -259,6 +265,7 @@
 		d.watchSettings,
 		d.probe,
 		d.maintain,
+		d.keepQuarantines,
 	} {
 		wg.Go(func() { run(runCtx) })
 	}
--- a/internal/program/entry/heartbeat.go
+++ b/internal/program/entry/heartbeat.go
@@ -7,6 +7,7 @@
 
 	"github.com/gooseberryway/gooseberryway/internal/coordination/canary"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/fleet"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/poison"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/uprate"
 	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
 	"github.com/gooseberryway/gooseberryway/internal/state/extern"
@@ -30,13 +31,13 @@
 	v := d.refreshView()
 	idle := fleet.IdleHeartbeatPeriod(v.size)
 	now := time.Now()
-	idleDue := now.Sub(d.idleSentAt) >= idle || d.idleSentState != v.announced()
+	idleDue := now.Sub(d.idleSentAt) >= idle || d.idleSentState != d.announced(v)
 	if !v.inMesh() {
 		targets := v.mesh
 		if len(targets) == 0 {
 			targets = slices.Concat(v.idle, d.seedAddresses())
 		}
-		d.idleSentState, d.idleSentAt = v.announced(), now
+		d.idleSentState, d.idleSentAt = d.announced(v), now
 		return gossip.Round{Messages: []gossip.Message{{Heartbeat: d.briefHeartbeat(v, idle), Targets: targets}}, NextAfter: idle}
 	}
 	period := fleet.HeartbeatPeriod(1 + len(v.mesh))
@@ -49,7 +50,7 @@
 		if len(v.mesh) == 0 {
 			targets = append(targets, d.seedAddresses()...)
 		}
-		d.idleSentState, d.idleSentAt = v.announced(), now
+		d.idleSentState, d.idleSentAt = d.announced(v), now
 		out.Messages = append(out.Messages, gossip.Message{Heartbeat: d.briefHeartbeat(v, idle), Targets: targets})
 	}
 	return out
@@ -75,10 +76,16 @@
 // announcedState is the state of this daemon whose change is announced to daemons without traffic at once.
 type announcedState struct {
 	ready, leaving, inMesh bool
+	// quarantines is the version of the quarantines, if this daemon tells of them.
+	quarantines uint64
 }
 
-func (v *fleetView) announced() announcedState {
-	return announcedState{v.own.Ready, v.own.Leaving, v.inMesh()}
+func (d *Daemon) announced(v *fleetView) announcedState {
+	s := announcedState{ready: v.own.Ready, leaving: v.own.Leaving, inMesh: v.inMesh()}
+	if v.activeRank < idleTellers {
+		s.quarantines = d.detector.Version()
+	}
+	return s
 }
 
 // briefHeartbeat returns the heartbeat that daemons without traffic send and receive.
@@ -106,9 +113,11 @@
 	d.addLeaderState(b)
 	d.addUsage(b, v.inMesh())
 	if !v.inMesh() {
+		b.Prompts = encodeEvidence(d.detector.News(false))
 		return b
 	}
 	if v.activeRank < idleTellers {
+		b.Prompts = encodeEvidence(poison.News{Quarantines: d.detector.Quarantines()})
 		b.Limits = encodeLimits(d.upstreamLimits.AllNews())
 		b.Rollouts = encodeStages(d.rollouts.Stages())
 		for _, s := range b.Rollouts {
@@ -135,6 +144,7 @@
 	b.Limits = encodeLimits(d.upstreamLimits.News())
 	b.Moves = d.rollouts.Monitor().Digest()
 	peerListDue := d.fullHeartbeats.Add(1)%peerListPeriod == 1
+	b.Prompts = encodeEvidence(d.detector.News(peerListDue))
 	b.Rollouts = encodeStages(slices.DeleteFunc(d.rollouts.Stages(), func(s canary.Stage) bool {
 		return !peerListDue && s.State.Ended() && time.Since(s.Since) > endedStageRepeat
 	}))
--- a/internal/program/entry/peers.go
+++ b/internal/program/entry/peers.go
@@ -58,6 +58,7 @@
 	d.applyLeaderState(b)
 	d.applyLimits(b.GetLimits())
 	d.applyStages(b.GetRollouts())
+	d.detector.Apply(decodeEvidence(b.GetPrompts()))
 	d.rollouts.Monitor().Merge(id, ident.Incarnation(b.GetIncarnation()), b.GetMoves())
 	if b.GetBrief() {
 		d.applyBriefHeartbeat(b)
@@ -225,6 +226,7 @@
 			klog.InfoS("Peer removed", "peer", id)
 		}
 		d.fetchMissingRecords(ctx)
+		d.detector.Tick()
 		scope.Sleep(ctx, maintenancePeriod)
 	}
 }
--- a/internal/state/extern/store.go
+++ b/internal/state/extern/store.go
@@ -24,6 +24,8 @@
 	TopicRollouts Topic = "rollouts"
 	// TopicMembers holds the addresses of daemons.
 	TopicMembers Topic = "members"
+	// TopicQuarantines holds the prompt parts that are quarantined.
+	TopicQuarantines Topic = "quarantines"
 	// TopicLeaders holds the elected leader of each task and its term.
 	TopicLeaders Topic = "duties"
 )
--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -9,12 +9,14 @@
 	"net"
 	"net/http"
 	"net/url"
+	"syscall"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"github.com/gooseberryway/gooseberryway/internal/coordination/canary"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/place"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/poison"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/shed"
 	"github.com/gooseberryway/gooseberryway/internal/state/guard"
 	"github.com/gooseberryway/gooseberryway/internal/state/view"
@@ -97,7 +99,7 @@
 		if step == stepDone {
 			return nil
 		}
-		if c.isLast(step, p, choice) {
+		if c.isLast(step, p, choice) || !c.evidence.MayRetry(c.r.Context()) {
 			return c.endAfterLastAttempt(reason)
 		}
 	}
@@ -158,8 +160,26 @@
 	case !c.stillAuthorised():
 		return c.keyWithdrawnError()
 	default:
+		return c.checkQuarantine()
+	}
+}
+
+// checkQuarantine returns the error that ends the request if parts of its prompt are known to crash upstreams, or nil.
+func (c *call) checkQuarantine() error {
+	err := c.Detector.Check(c.parts)
+	if err == nil {
 		return nil
 	}
+	after := rejectedRetryAfter
+	if q, ok := errors.AsType[*poison.QuarantinedError](err); ok {
+		after = q.RetryAfter
+	}
+	klog.InfoS("Request has quarantined prompt parts", "request", c.req.ID, "parts", c.sharedParts(), "hashes", poison.Set(c.parts).Key(),
+		"reason", err.Error(), "mayHaveRun", c.mayHaveRun())
+	if c.mayHaveRun() {
+		return c.endAfterLastAttempt(ReasonQuarantined)
+	}
+	return c.refundAndRefuse(ReasonQuarantined, after)
 }
 
 // isLast records the attempt that ended with this step in p and reports whether it is the last one.
@@ -284,6 +304,12 @@
 // attempt sends the request to the chosen upstream and handles the response.
 func (c *call) attempt(choice *place.Choice, p *progress) (nextStep, Reason) {
 	placeReq := p.placeReq
+	evidence, err := c.Detector.Begin(choice.Upstream, poison.HashRequest(c.req.ID), c.parts)
+	if err != nil {
+		c.Placer.Discard(choice)
+		return stepFail, ReasonQuarantined
+	}
+	c.evidence = evidence
 	ctx, cancel := context.WithCancelCause(c.r.Context())
 	defer cancel(nil)
 	end := time.AfterFunc(c.untilDeadline()+deadlineGrace, func() { cancel(context.DeadlineExceeded) })
@@ -292,7 +318,7 @@
 	tracker := &attemptTracker{
 		Tracker: c.Placer.Begin(choice, placeReq),
 		rollout: c.Rollouts.Begin(c.rolloutRequest(placeReq), choice.Upstream, choice.QueuedTokens+choice.PrefillTokens),
-		queued:  choice.QueuedTokens,
+		queued:  choice.QueuedTokens, evidence: evidence,
 	}
 	req, err := c.upstreamRequest(ctx, choice, p)
 	if err != nil {
@@ -403,6 +429,9 @@
 		outcome = place.OutcomeCancelled
 	case notSent && isConnectError(err):
 		outcome, step, reason = place.OutcomeUnreachable, stepRetryAny, ReasonUnreachable
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			c.Detector.MarkRefused(choice.Upstream)
+		}
 	case notSent:
 		// The upstream had closed the reused connection; a new connection may work.
 		outcome, step, reason = place.OutcomeCancelled, stepRetryAny, ReasonUnreachable
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -13,6 +13,7 @@
 	"github.com/gooseberryway/gooseberryway/internal/coordination/admit"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/canary"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/place"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/poison"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/relay"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/shed"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/uprate"
@@ -38,7 +39,9 @@
 	Snapshots *view.Snapshots
 	Dialect   Dialect
 	Placer    *place.Placer
-	Limiter   *admit.Limiter
+	// Detector finds prompt parts that crash upstreams.
+	Detector *poison.Detector
+	Limiter  *admit.Limiter
 	// Rollouts chooses between the releases of upstreams and judges them.
 	Rollouts *canary.Controller
 	// UpstreamLimits holds the rates that upstreams limit themselves to.
@@ -65,6 +68,10 @@
 	org      *view.Organisation
 	cost     float64
 	body     []byte
+	// parts are the hashes of the parts of the prompt that other requests may share.
+	parts []poison.PartHash
+	// evidence is what the last attempt says about these parts; nil before the first.
+	evidence *poison.Attempt
 
 	// attempts counts the upstreams that the request reached, rejections those of them that said that they did not
 	// run it.
@@ -88,6 +95,9 @@
 	if h.IsDraining() {
 		w.Header().Set("Connection", "close")
 	}
+	for _, id := range c.sharedParts() {
+		c.parts = append(c.parts, poison.HashPart(id))
+	}
 	err := c.serve()
 	var refusal *RefusedError
 	switch {
--- a/internal/transport/proxy/refusal.go
+++ b/internal/transport/proxy/refusal.go
@@ -28,6 +28,7 @@
 	ReasonResponseMismatch     Reason = "answerToAnotherRequest"
 	ReasonUnreachable          Reason = "upstreamsUnreachable"
 	ReasonTooLate              Reason = "tooLateToServe"
+	ReasonQuarantined          Reason = "promptPartQuarantined"
 )
 
 // RefusedError is the daemon's own final response to a request for which it forwards none from an upstream.
--- a/internal/transport/proxy/tracker.go
+++ b/internal/transport/proxy/tracker.go
@@ -3,13 +3,15 @@
 import (
 	"github.com/gooseberryway/gooseberryway/internal/coordination/moves"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/place"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/poison"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 )
 
 // attemptTracker reports the course of an attempt to the placer and to the judgement of releases.
 type attemptTracker struct {
 	*place.Tracker
-	rollout moves.Attempt
+	rollout  moves.Attempt
+	evidence *poison.Attempt
 	// queued is the number of prompt tokens that the engine had to compute for other requests.
 	queued ident.Tokens
 	// reads counts the reads of the response's body, which stand for tokens.
@@ -19,6 +21,7 @@
 // MarkFirstEvent records that a part of the response has come.
 func (t *attemptTracker) MarkFirstEvent() {
 	t.Tracker.MarkFirstEvent()
+	t.evidence.MarkFirstEvent()
 	t.rollout.FirstToken(t.queued)
 	t.reads++
 	t.rollout.Tokens(t.reads)
@@ -31,6 +34,19 @@
 		t.rollout.FirstToken(t.queued)
 	}
 	t.rollout.End(rolloutOutcome(o), t.reads)
+	t.evidence.End(evidenceOutcome(o))
+}
+
+// evidenceOutcome returns what the outcome of an attempt says about the parts of the request's prompt.
+func evidenceOutcome(o place.Outcome) poison.Outcome {
+	switch o {
+	case place.OutcomeSucceeded:
+		return poison.OutcomeAnswered
+	case place.OutcomeBroken:
+		return poison.OutcomeBroken
+	default:
+		return poison.OutcomeOther
+	}
 }
 
 // rolloutOutcome returns what the outcome of an attempt says about the release of its upstream.
