Break off streams whose upstream ended them inside an event

Callers got a stream that looked complete although its upstream had crashed in the midst of an event: a response with neither a length nor chunks ends with its connection, and only resumable streams were checked for a partial event.

All streams are checked now, and an unframed stream without any event counts as broken off.

--- a/internal/coordination/poison/consts.go
+++ b/internal/coordination/poison/consts.go
@@ -7,7 +7,8 @@
 	// for a part that has been answered before them.
 	minCrashes           = 3
 	minCrashesIfAnswered = 5
-	// extraCrashes are added if less than half of the ends of upstreams had the part, manyExtraCrashes if less than a quarter.
+	// extraCrashes are added if less than two thirds of the ends of upstreams had the part, manyExtraCrashes if less than a
+	// third.
 	extraCrashes     = 2
 	manyExtraCrashes = 5
 	// minCrashesOfMember is the number of further crashes that quarantine a single part of a quarantined set.
--- a/internal/coordination/poison/fleet_test.go
+++ b/internal/coordination/poison/fleet_test.go
@@ -53,7 +53,6 @@
 
 // simFleet is a fleet of detectors that exchange news with delays and losses, before engines that crash.
 type simFleet struct {
-	t   *testing.T
 	rng *rand.Rand
 	// mu guards the engines against checks of their liveness.
 	mu      sync.Mutex
--- a/internal/coordination/poison/suspect.go
+++ b/internal/coordination/poison/suspect.go
@@ -113,9 +113,9 @@
 	}
 	moments := d.momentsBetween(crashes[0].At, crashes[len(crashes)-1].At)
 	switch {
-	case 2*len(crashes) >= moments:
+	case 3*len(crashes) >= 2*moments:
 		return n
-	case 4*len(crashes) >= moments:
+	case 3*len(crashes) >= moments:
 		return n + extraCrashes
 	default:
 		return n + manyExtraCrashes
--- a/internal/transport/proxy/response.go
+++ b/internal/transport/proxy/response.go
@@ -233,16 +233,15 @@
 			out := buf[:n]
 			if c.route.Resumable {
 				out = events.add(out)
+			} else {
+				events.advance(out)
 			}
 			if werr := c.writeStream(rc, out, &events); werr != nil {
 				return werr
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			if events.hasPartialEvent() {
-				return io.ErrUnexpectedEOF
-			}
-			return nil
+			return events.checkEnd(resp)
 		}
 		if err != nil {
 			return err
@@ -250,6 +249,20 @@
 	}
 }
 
+// checkEnd returns an error if the stream was broken off, though its connection ended like that of a complete one.
+func (p *eventPosition) checkEnd(resp *http.Response) error {
+	if p.hasPartialEvent() || !p.started && isUnframed(resp) {
+		return io.ErrUnexpectedEOF
+	}
+	return nil
+}
+
+// isUnframed reports whether a response's body has neither a length nor chunks, so that only its content tells whether it
+// ended early.
+func isUnframed(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 func (c *call) writeStream(rc *http.ResponseController, out []byte, events *eventSplitter) error {
 	if len(out) == 0 {
 		return nil
