Count separate crashes also when very many come at once

At 150 crashes a second a part was never quarantined in time (93 late requests, 502 crashes in the simulated fleet that is added to the test).

The incident closest to its neighbours goes first now.

--- a/internal/coordination/poison/consts.go
+++ b/internal/coordination/poison/consts.go
@@ -45,7 +45,7 @@
 // Bounds of memory and of messages.
 const (
 	maxSuspects         = 512
-	maxIncidents        = 16
+	maxIncidents        = 32
 	maxEnds             = 256
 	maxPendingUpstreams = 256
 	maxPendingBreaks    = 128
--- a/internal/coordination/poison/fleet_test.go
+++ b/internal/coordination/poison/fleet_test.go
@@ -274,7 +274,7 @@
 		loss                   float64
 	}{
 		{8, 12, 20, 70, 0.02, 0}, {8, 12, 20, 70, 0.02, 0.3}, {8, 12, 40, 70, 0.005, 0}, {87, 145, 8, 700, 0.02, 0.1}, {195, 124, 8, 1000, 0.02, 0.1},
-		{410, 700, 6, 1500, 0.01, 0.1},
+		{8, 2000, 4, 3000, 0.05, 0}, {410, 700, 6, 1500, 0.01, 0.1},
 	} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			t.Parallel()
--- a/internal/coordination/poison/suspect.go
+++ b/internal/coordination/poison/suspect.go
@@ -44,11 +44,11 @@
 }
 
 // crashes returns the incidents that count as separate crashes: of different requests and upstreams, apart in time and not among
-// more ends of other upstreams, which have another cause.
+// more ends of other upstreams, which have another cause. Of a part with maxIncidents or more, not all are known.
 func (d *Detector) crashes(s *suspect) []Incident {
 	var out []Incident
 	for _, i := range s.incidents {
-		if 2*s.upstreamsAt(i.At) < d.endsAt(i.At) {
+		if len(s.incidents) < maxIncidents && 2*s.upstreamsAt(i.At) < d.endsAt(i.At) {
 			continue
 		}
 		known := slices.ContainsFunc(out, func(o Incident) bool {
@@ -151,11 +151,24 @@
 	at, _ := slices.BinarySearchFunc(s.incidents, i, func(o, n Incident) int { return o.At.Compare(n.At) })
 	s.incidents = slices.Insert(s.incidents, at, i)
 	if len(s.incidents) > maxIncidents {
-		s.incidents = slices.Delete(s.incidents, 0, 1)
+		s.thin()
 	}
 	return true
 }
 
+// thin removes the incident that is closest to its neighbours, so that the others still show how far apart the crashes were.
+func (s *suspect) thin() {
+	closest := 1
+	for i := 1; i+1 < len(s.incidents); i++ {
+		if s.gapAround(i) < s.gapAround(closest) {
+			closest = i
+		}
+	}
+	s.incidents = slices.Delete(s.incidents, closest, closest+1)
+}
+
+func (s *suspect) gapAround(i int) time.Duration { return s.incidents[i+1].At.Sub(s.incidents[i-1].At) }
+
 // requests returns the requests of the incidents.
 func (s *suspect) requests() map[RequestHash]bool {
 	out := map[RequestHash]bool{}
