Keep the quarantines in the store current, show them to operators

A daemon that took over the task of saving quarantines did not know which ones the store had, so a released one could come back after a restart of all daemons. It reads them first now. GET /v1/status lists the quarantines.

--- a/internal/program/entry/listeners.go
+++ b/internal/program/entry/listeners.go
@@ -65,7 +65,16 @@
 	// Limits are the rates that upstreams limit all daemons to, Rollouts the shifts of traffic to new releases.
 	Limits   []limitStatus   `json:"limits"`
 	Rollouts []rolloutStatus `json:"rollouts"`
-	Peers    []peerStatus    `json:"peers"`
+	// Quarantines are the sets of prompt parts whose requests are refused.
+	Quarantines []quarantineStatus `json:"quarantines"`
+	Peers       []peerStatus       `json:"peers"`
+}
+
+// quarantineStatus is a quarantined set of prompt parts, by their hashes.
+type quarantineStatus struct {
+	Parts   string `json:"parts"`
+	Strikes int    `json:"strikes"`
+	AgeMs   int64  `json:"ageMs"`
 }
 
 // limitStatus is the limit of one upstream, in requests per second, and this daemon's share of it.
@@ -132,6 +141,13 @@
 			OrderAgeMs: time.Since(r.OrderedAt).Milliseconds(),
 		})
 	}
+	for _, q := range d.detector.Quarantines() {
+		if !q.Released {
+			s.Quarantines = append(s.Quarantines, quarantineStatus{
+				Parts: q.Parts.Key(), Strikes: q.Strikes, AgeMs: time.Since(q.Since).Milliseconds(),
+			})
+		}
+	}
 	active := map[ident.DaemonID]bool{}
 	if v := d.fleet.Load(); v != nil {
 		for _, p := range v.active {
--- a/internal/program/entry/poison_part_test.go
+++ b/internal/program/entry/poison_part_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/gooseberryway/gooseberryway/internal/coordination/poison"
 	"github.com/gooseberryway/gooseberryway/platform/standin"
 )
 
@@ -108,7 +109,7 @@
 		}
 		path := [...]string{"/draft/x", "/note/x"}[i%2]
 		callers.Go(func() {
-			resp := f.call(f.daemons[i%len(f.daemons)], path, fmt.Sprint(f.t.Name(), deadly, i), "secret", "",
+			resp := f.call(f.daemons[i%len(f.daemons)], path, fmt.Sprint(started.UnixNano(), "-", i), "secret", "",
 				"X-Gooseberryway-Model", "m", "X-Gooseberryway-Token-Counts", "200,5", "X-Gooseberryway-Prompt-Prefix", prompt)
 			whole := resp.StatusCode == http.StatusOK && strings.Contains(bodyOf(resp), "id: 3\n")
 			mu.Lock()
@@ -156,3 +157,21 @@
 	}
 	require.GreaterOrEqual(t, answered, sound*9/10, "sound requests with the same first part are served")
 }
+
+// Guards against a quarantine that is lost when all daemons start again at once.
+func TestQuarantineOutlivesRestartOfAllDaemons(t *testing.T) {
+	f := newTestFleet(t)
+	f.configureRate(1, 1000000, "secret")
+	newCrashingEngines(f, 6)
+	first := f.start("d0", nil)
+	f.ready(6)
+	sendPrompts(f, 4*time.Second, true)
+	require.NotEmpty(t, first.detector.Quarantines(), "the part is not quarantined")
+	key := first.detector.Quarantines()[0].Parts.Key()
+	f.eventually(func() bool { return len(f.store.Newest("keyed.quarantines", key)) > 0 }, "the quarantine is not in the store")
+	first.stop()
+	second := f.start("d1", nil)
+	<-second.Listening()
+	f.eventually(func() bool { return len(second.detector.Quarantines()) > 0 }, "the quarantine is lost")
+	require.Error(t, second.detector.Check([]poison.PartHash{poison.HashPart("sys"), poison.HashPart(deadlyPart)}))
+}
--- a/internal/program/entry/quarantines.go
+++ b/internal/program/entry/quarantines.go
@@ -130,16 +130,19 @@
 	Strikes int      `json:"strikes"`
 }
 
-// keepQuarantines reads the quarantines in the store, once, and writes those that it lacks. All daemons may have started
-// again, so that none remembers them.
+// keepQuarantines reads the quarantines in the store when the daemon starts, as all daemons may have started again and none
+// may remember them. While it is this daemon's task, it writes those that the store lacks.
 func (d *Daemon) keepQuarantines(ctx context.Context) {
-	stored, read := map[string]int{}, false
+	started := false
+	var stored map[string]int
 	for ctx.Err() == nil {
-		if !read {
-			stored, read = d.readQuarantines(ctx)
-		}
-		if read && d.savesQuarantines() {
-			d.saveQuarantines(ctx, stored)
+		saves := d.savesQuarantines()
+		switch {
+		case !started || saves && stored == nil:
+			stored = d.readQuarantines(ctx)
+			started = started || stored != nil
+		case saves && !d.saveQuarantines(ctx, stored), !saves:
+			stored = nil
 		}
 		scope.Sleep(ctx, quarantineSavePeriod)
 	}
@@ -154,12 +157,12 @@
 	return !slices.ContainsFunc(v.active[:v.activeRank], func(p fleet.Peer) bool { return p.StoreAge < maxReaderStoreAge })
 }
 
-// readQuarantines applies the quarantines in the store and returns the strikes of each.
-func (d *Daemon) readQuarantines(ctx context.Context) (map[string]int, bool) {
+// readQuarantines applies the quarantines in the store and returns the strikes of each; nil if the store could not be read.
+func (d *Daemon) readQuarantines(ctx context.Context) map[string]int {
 	batch, err := d.store.Newest(ctx, extern.TopicQuarantines)
 	if err != nil {
 		klog.InfoS("Quarantines were not read from the store", "reason", err.Error())
-		return nil, false
+		return nil
 	}
 	stored := map[string]int{}
 	var news poison.News
@@ -183,11 +186,12 @@
 		stored[r.Key] = record.Strikes
 	}
 	d.detector.Apply(news)
-	return stored, true
+	return stored
 }
 
-// saveQuarantines writes the quarantines that the store lacks and removes those that have ended.
-func (d *Daemon) saveQuarantines(ctx context.Context, stored map[string]int) {
+// saveQuarantines writes the quarantines that the store lacks and removes those that have ended. It reports whether all calls
+// succeeded.
+func (d *Daemon) saveQuarantines(ctx context.Context, stored map[string]int) bool {
 	current := map[string]bool{}
 	for _, q := range d.detector.Quarantines() {
 		key := q.Parts.Key()
@@ -208,7 +212,7 @@
 		}
 		if err != nil {
 			klog.InfoS("Quarantine was not written to the store", "parts", key, "reason", err.Error())
-			return
+			return false
 		}
 		stored[key] = q.Strikes
 	}
@@ -218,8 +222,9 @@
 		}
 		if _, err := d.store.Put(ctx, extern.TopicQuarantines, key, nil, nil); err != nil {
 			klog.InfoS("Quarantine was not removed from the store", "parts", key, "reason", err.Error())
-			return
+			return false
 		}
 		delete(stored, key)
 	}
+	return true
 }
