--- a/internal/coordination/poison/consts.go
+++ b/internal/coordination/poison/consts.go
@@ -55,4 +55,6 @@
 	maxNewsIncidents    = 64
 	maxNewsAnswers      = 64
 	maxNewsQuarantines  = 32
+	// maxIdleQuarantines bounds the quarantines that don't change in a heartbeat to daemons without traffic.
+	maxIdleQuarantines = 4
 )
--- a/internal/coordination/poison/detector.go
+++ b/internal/coordination/poison/detector.go
@@ -53,6 +53,8 @@
 	// answers and olderAnswers hold when requests with a part were last answered.
 	answers, olderAnswers map[PartHash]time.Time
 	answersSince          time.Time
+	// idleTurn is the position of IdleNews among the quarantines.
+	idleTurn int
 }
 
 // pendingUpstream holds the requests that broke at an upstream.
--- a/internal/coordination/poison/news.go
+++ b/internal/coordination/poison/news.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -62,11 +63,32 @@
 	return incidents[:maxNewsIncidents]
 }
 
-// Quarantines returns what to tell daemons without traffic, which tell nobody: all quarantines.
+// Quarantines returns all quarantines in force.
 func (d *Detector) Quarantines() []Quarantine {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.quarantineNews(func(q *quarantine) bool { return !q.Released || time.Since(q.changedAt) < newsRepeat })
+	var out []Quarantine
+	for _, q := range d.verdicts {
+		if !q.Released {
+			out = append(out, q.Quarantine)
+		}
+	}
+	slices.SortFunc(out, func(a, b Quarantine) int { return strings.Compare(a.Parts.Key(), b.Parts.Key()) })
+	return out
+}
+
+// IdleNews returns what to tell daemons without traffic, which tell nobody: what has changed lately, and the other quarantines
+// in turn, a few each time.
+func (d *Detector) IdleNews() News {
+	all := d.Quarantines()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	recent := d.quarantineNews(func(q *quarantine) bool { return time.Since(q.changedAt) < newsRepeat })
+	for range min(len(all), maxIdleQuarantines) {
+		d.idleTurn++
+		recent = append(recent, all[d.idleTurn%len(all)])
+	}
+	return News{Quarantines: recent}
 }
 
 func (d *Detector) quarantineNews(included func(*quarantine) bool) []Quarantine {
--- a/internal/program/cmds/explain.go
+++ b/internal/program/cmds/explain.go
@@ -146,6 +146,8 @@
 		return fmt.Sprintf("The answer of %s broke off: %s.", f["upstream"], f["error"])
 	case "Answer to another request":
 		return fmt.Sprintf("%s answered request %s instead; the answer was thrown away.", f["upstream"], f["got"])
+	case "Request has quarantined prompt parts":
+		return fmt.Sprintf("It has prompt parts that crash upstreams: %s.", f["reason"])
 	case "Request ended":
 		return fmt.Sprintf("It ended after %s ms with status %s: %s (first byte after %s ms, attempts %s, configuration %s, patience %s ms).",
 			f["totalMs"], f["status"], f["outcome"], f["firstMs"], f["attempts"], f["config"], f["patienceMs"])
--- a/internal/program/entry/heartbeat.go
+++ b/internal/program/entry/heartbeat.go
@@ -7,7 +7,6 @@
 
 	"github.com/gooseberryway/gooseberryway/internal/coordination/canary"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/fleet"
-	"github.com/gooseberryway/gooseberryway/internal/coordination/poison"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/uprate"
 	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
 	"github.com/gooseberryway/gooseberryway/internal/state/extern"
@@ -117,7 +116,7 @@
 		return b
 	}
 	if v.activeRank < idleTellers {
-		b.Prompts = encodeEvidence(poison.News{Quarantines: d.detector.Quarantines()})
+		b.Prompts = encodeEvidence(d.detector.IdleNews())
 		b.Limits = encodeLimits(d.upstreamLimits.AllNews())
 		b.Rollouts = encodeStages(d.rollouts.Stages())
 		for _, s := range b.Rollouts {
--- a/internal/program/entry/heartbeat_test.go
+++ b/internal/program/entry/heartbeat_test.go
@@ -10,12 +10,36 @@
 
 	"github.com/gooseberryway/gooseberryway/internal/coordination/canary"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/fleet"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/poison"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/uprate"
 	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/state/view"
 )
 
+// Guards against quarantines that take up what daemons without traffic may spend on control.
+func TestQuarantinesLeaveIdleDaemonsWithinControlBudget(t *testing.T) {
+	const budget = 6000.0
+	d := &poison.Detector{}
+	for i := range 64 {
+		d.Apply(poison.News{Quarantines: []poison.Quarantine{{
+			Parts: poison.Set{poison.HashPart(fmt.Sprint(i)), poison.HashPart(fmt.Sprint(-i))}, Strikes: 2, Since: time.Now().Add(-time.Hour),
+		}}})
+	}
+	require.Len(t, d.Quarantines(), 64)
+	time.Sleep(3100 * time.Millisecond)
+	told := map[string]bool{}
+	for range 64 {
+		news := d.IdleNews()
+		for _, q := range news.Quarantines {
+			told[q.Parts.Key()] = true
+		}
+		perSecond := float64(idleTellers*proto.Size(&wire.Beat{Prompts: encodeEvidence(news)})) / fleet.IdleHeartbeatPeriod(8).Seconds()
+		require.Less(t, perSecond, budget/4)
+	}
+	require.Len(t, told, 64, "all are told in turn")
+}
+
 // Guards against limits and rollouts that take up what daemons without traffic may spend on control, 6 KB a second.
 func TestLimitsAndRolloutsLeaveIdleDaemonsWithinControlBudget(t *testing.T) {
 	const budget = 6000.0
