Order positions in the store by its era first

Across eras the versions in the values decide: a copy's older configuration, weights, orders and registrations replace nothing, and daemons that start then get the newer ones from their peers. Members, quarantines, stages and statuses of rollouts are written again. An order that is written again stays the same order. A record from before the restore may hide a leader, whose lease a candidate waits out.

--- a/internal/coordination/canary/controller.go
+++ b/internal/coordination/canary/controller.go
@@ -158,7 +158,7 @@
 	rollouts, upstreams, hasTraffic := c.Snapshots.Rollouts(), c.Snapshots.Upstreams(), c.HasTraffic()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if inputs := (refreshInputs{newestOrder(rollouts), upstreams, hasTraffic, c.stageChanges}); inputs != c.refreshed {
+	if inputs := (refreshInputs{sumOfOrders(rollouts), upstreams, hasTraffic, c.stageChanges}); inputs != c.refreshed {
 		c.refreshed = inputs
 		c.rebuild(rollouts, upstreams)
 	}
@@ -166,19 +166,19 @@
 
 // refreshInputs are what the states of services depend on.
 type refreshInputs struct {
-	newestOrder  ident.Offset
+	orders       ident.Offset
 	upstreams    *view.Upstreams
 	hasTraffic   bool
 	stageChanges uint64
 }
 
-// newestOrder returns the offset after that of the newest order; 0 if there is none.
-func newestOrder(rollouts map[view.ServiceID]view.Rollout) ident.Offset {
-	newest := ident.Offset(0)
+// sumOfOrders returns a number that differs whenever the orders do; 0 if there is none.
+func sumOfOrders(rollouts map[view.ServiceID]view.Rollout) ident.Offset {
+	sum := ident.Offset(0)
 	for _, r := range rollouts {
-		newest = max(newest, r.Offset+1)
+		sum += r.Offset + 1
 	}
-	return newest
+	return sum
 }
 
 // rebuild rebuilds the states of services. The caller holds c.mu.
@@ -211,9 +211,11 @@
 // stageOf returns the stage of the newest order of a service. The caller holds c.mu.
 func (c *Controller) stageOf(r *view.Rollout) Stage {
 	if s := c.stages[r.Service]; s != nil && s.Order == r.Offset {
-		return *s
+		known := *s
+		known.Stated = r.Stated
+		return known
 	}
-	return Stage{Service: r.Service, Order: r.Offset, Release: r.Release, State: view.RolloutInProgress, OrderedAt: r.SeenAt, Since: r.SeenAt}
+	return Stage{Service: r.Service, Order: r.Offset, Stated: r.Stated, Release: r.Release, State: view.RolloutInProgress, OrderedAt: r.SeenAt, Since: r.SeenAt}
 }
 
 func newServiceState(stage Stage, list []*view.Upstream) *serviceState {
@@ -272,16 +274,30 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	out := make([]Stage, 0, len(c.stages))
-	for _, s := range c.stages {
-		out = append(out, *s)
+	orders := c.Snapshots.Rollouts()
+	for id, s := range c.stages {
+		stage := *s
+		if order := orders[id]; order.Offset == s.Order {
+			stage.Stated = order.Stated
+		}
+		out = append(out, stage)
 	}
 	return out
 }
 
+// identify lets the newest order of the stage's service be known by the stage's offset if it is the same order.
+func (c *Controller) identify(s *Stage) {
+	if order, ok := c.Snapshots.Rollouts()[s.Service]; ok && s.Order < order.Offset && s.isOf(&order) {
+		klog.InfoS("Order of a rollout was written again", "service", s.Service, "release", s.Release, "order", s.Order, "stated", order.Stated)
+		c.Snapshots.IdentifyRollout(s.Service, s.Order, s.OrderedAt)
+	}
+}
+
 // ApplyStage applies a stage that a peer knows.
 func (c *Controller) ApplyStage(s Stage) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.identify(&s)
 	c.apply(s, "peer")
 }
 
--- a/internal/coordination/canary/ledger.go
+++ b/internal/coordination/canary/ledger.go
@@ -28,6 +28,7 @@
 // stageRecord is the value kept in the store for the rollout of a service.
 type stageRecord struct {
 	Order   ident.Offset `json:"order"`
+	Stated  ident.Offset `json:"stated"`
 	Release string       `json:"release"`
 	State   string       `json:"state"`
 	Share   int64        `json:"sharePermille"`
@@ -51,7 +52,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	if c.ledger.term != term {
+	// A restored store lacks what was written since its copy was made.
+	restored := c.ledger.stagesEnd.Era() < c.Snapshots.Upstreams().Offset.Era()
+	if c.ledger.term != term || restored {
 		if err := c.readLedger(ctx, term); err != nil {
 			klog.InfoS("Rollouts were not read from the store", "term", term, "reason", err.Error())
 			return
@@ -112,10 +115,11 @@
 // is final. The caller holds c.mu.
 func (c *Controller) adopt(id view.ServiceID, record *stageRecord, status view.RolloutStatus) {
 	s := Stage{
-		Service: id, Order: record.Order, Release: record.Release, Reason: record.Reason, Term: record.Term, Sequence: c.ledger.sequence,
+		Service: id, Order: record.Order, Stated: record.Stated, Release: record.Release, Reason: record.Reason, Term: record.Term, Sequence: c.ledger.sequence,
 		State: stateNamed(record.State), Share: min(ident.Permille(record.Share), steps[0].share), Since: time.Now(),
 		OrderedAt: c.orderedAt(id, record),
 	}
+	c.identify(&s)
 	known := c.stages[id]
 	switch {
 	case known == nil || known.Order != s.Order:
@@ -171,9 +175,9 @@
 		return c.writeStage(ctx, term, stage, false)
 	}
 	if !record.Opened {
-		told := view.RolloutStatus{Service: stage.Service, Release: stage.Release, State: view.RolloutInProgress}
+		told := view.RolloutStatus{Service: stage.Service, Release: stage.Release, State: stage.State}
 		if c.ledger.statuses[order.Service] != told {
-			if err := c.writeStatus(ctx, stage, view.RolloutInProgress); err != nil {
+			if err := c.writeStatus(ctx, stage, stage.State); err != nil {
 				return err
 			}
 		}
@@ -250,7 +254,7 @@
 	c.ledger.sequence++
 	s.Term, s.Sequence = term, c.ledger.sequence
 	record := &stageRecord{
-		Order: s.Order, Release: s.Release, State: s.State.String(), Share: int64(s.Share), Reason: s.Reason, Term: term, Opened: opened,
+		Order: s.Order, Stated: s.Stated, Release: s.Release, State: s.State.String(), Share: int64(s.Share), Reason: s.Reason, Term: term, Opened: opened,
 		ElapsedMs: time.Since(s.OrderedAt).Milliseconds(), OrderedAtMs: s.OrderedAt.UnixMilli(),
 	}
 	value, err := json.Marshal(record)
--- a/internal/coordination/canary/stage.go
+++ b/internal/coordination/canary/stage.go
@@ -12,7 +12,9 @@
 type Stage struct {
 	Service view.ServiceID
 	// Order is the offset of the operators' order.
-	Order   ident.Offset
+	Order ident.Offset
+	// Stated is the offset of the newest record that states the order, as far as the sender knows.
+	Stated  ident.Offset
 	Release string
 	State   view.RolloutState
 	// Share is the part of the service's traffic that goes to the release while the rollout is in progress.
@@ -25,6 +27,15 @@
 	OrderedAt, Since time.Time
 }
 
+// isOf reports whether the stage belongs to the order, although the order may be known by the offset at which it was written
+// again after a restore of the store.
+func (s *Stage) isOf(order *view.Rollout) bool {
+	if s.Release != order.Release {
+		return false
+	}
+	return s.Order == order.Offset || s.Stated == order.Stated || s.Order.Era() < order.Offset.Era() && s.Stated.Era() < order.Stated.Era()
+}
+
 // supersedes reports whether s replaces old. A final state of an order is never replaced by another state of it.
 func (s *Stage) supersedes(old *Stage) bool {
 	if old == nil || s.Order != old.Order {
--- a/internal/coordination/feed/follower.go
+++ b/internal/coordination/feed/follower.go
@@ -6,11 +6,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"k8s.io/klog/v2"
 
 	"github.com/gooseberryway/gooseberryway/internal/state/extern"
@@ -45,6 +47,8 @@
 	// register again, but may also have left, and then it accepts no requests two seconds later. The retention is
 	// shorter than that by the time of a request in flight.
 	expiredRetention = 1500 * time.Millisecond
+	// restoreWindow is how long after a restore of the store upstreams may be missing that have not registered again yet.
+	restoreWindow = 3 * time.Second
 	// storeFailureWindow is how long after a failed call the end of a registration may be due to the store.
 	storeFailureWindow = 3 * time.Second
 )
@@ -73,6 +77,9 @@
 	// retainedUntil holds the upstreams whose registration ended while the store was failing, and until when they are
 	// retained.
 	retainedUntil map[ident.UpstreamID]time.Time
+	registrations registrations
+	// restoredAt is when this daemon learned that the store had returned from an older copy; zero if it has not.
+	restoredAt time.Time
 
 	// lastSuccessAt and lastFailureAt are when calls of the store last succeeded and failed; nil for never.
 	lastSuccessAt, lastFailureAt atomic.Pointer[time.Time]
@@ -91,6 +98,8 @@
 	// newest holds the newest record of each key for peers, without records that changed nothing. A record without a
 	// value means that its key was removed.
 	newest map[string]extern.KeyedRecord
+	// interruptRead ends a read of the topic that is waiting for records; nil if there is none.
+	interruptRead context.CancelFunc
 }
 
 func (f *Follower) state(topic extern.Topic) *topicState {
@@ -187,18 +196,27 @@
 
 // readNext makes one read and applies the records.
 func (f *Follower) readNext(ctx context.Context, topic extern.Topic) error {
+	readCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	f.mu.Lock()
 	s := f.state(topic)
 	loaded, next := s.loaded, s.next
+	s.interruptRead = cancel
 	f.mu.Unlock()
-	if !loaded {
+	if !loaded || next.Era() < f.Era() {
 		return f.readNewest(ctx, topic)
 	}
-	batch, err := f.Store.Read(ctx, topic, next, longPollWait)
-	if storeErr, ok := errors.AsType[*extern.StoreError](err); ok && storeErr.Kind == extern.StoreExpired {
-		klog.InfoS("Store history has expired, reading the newest records", "topic", topic, "next", next)
+	batch, err := f.Store.Read(readCtx, topic, next, longPollWait)
+	if err != nil && readCtx.Err() != nil && ctx.Err() == nil {
 		return f.readNewest(ctx, topic)
 	}
+	if storeErr, ok := errors.AsType[*extern.StoreError](err); ok && storeErr.Kind == extern.StoreExpired {
+		klog.InfoS("Store history has expired, reading the newest records", "topic", topic, "next", next, "reason", storeErr.Error())
+		if err = f.readNewest(ctx, topic); err == nil && f.NextOffset(topic) <= next {
+			return storeErr
+		}
+		return err
+	}
 	if err != nil {
 		return err
 	}
@@ -263,28 +281,22 @@
 	f.mu.Lock()
 	s := f.state(topic)
 	if s.loaded && next < s.next {
-		f.mu.Unlock()
-		return
+		if complete || topic != extern.TopicOperators {
+			f.mu.Unlock()
+			return
+		}
+		// Of a peer that has read less, only newer versions count.
+		next = s.next
+	}
+	changed := s.loaded && next.Era() > s.next.Era()
+	if changed {
+		f.markRestored(topic, s, next)
 	}
-	changed := false
 	if complete {
-		changed = f.removeUnlisted(topic, s, records, next)
+		changed = f.removeUnlisted(topic, s, records, next) || changed
 		s.knownSince = next
 	}
-	for _, r := range records {
-		if old, ok := s.newest[r.Key]; ok && old.Offset >= r.Offset {
-			continue
-		}
-		if topic == extern.TopicUpstreams && f.isRenewal(s, r) {
-			continue
-		}
-		if r.SeenAt.IsZero() {
-			r.SeenAt = time.Now()
-		}
-		s.newest[r.Key] = r
-		s.changed = max(s.changed, r.Offset+1)
-		changed = f.applyRecord(topic, r) || changed
-	}
+	changed = f.applyRecords(topic, s, records) || changed
 	if next > s.next || !s.loaded {
 		s.advancedAt = time.Now()
 	}
@@ -298,6 +310,40 @@
 	}
 }
 
+// applyRecords applies the records that are newer than the known ones and reports whether anything changed.
+func (f *Follower) applyRecords(topic extern.Topic, s *topicState, records []extern.KeyedRecord) bool {
+	changed := false
+	for _, r := range records {
+		if !f.isNews(topic, s, &r) || topic == extern.TopicUpstreams && f.isRenewal(s, r) {
+			continue
+		}
+		if r.SeenAt.IsZero() {
+			r.SeenAt = time.Now()
+		}
+		s.newest[r.Key] = r
+		s.changed = max(s.changed, r.Offset+1)
+		changed = f.applyRecord(topic, r) || changed
+	}
+	return changed
+}
+
+// markRestored records that the store has returned from an older copy.
+func (f *Follower) markRestored(topic extern.Topic, s *topicState, next ident.Offset) {
+	f.restoredAt = time.Now()
+	for other, o := range f.topics {
+		if other != topic && o.interruptRead != nil && o.next.Era() < next.Era() {
+			o.interruptRead()
+		}
+	}
+	klog.InfoS("Store has returned from an older copy", "topic", topic, "before", s.next, "next", next)
+	metrics.GetOrCreateCounter(fmt.Sprintf(`gooseberrywayStoreRestores{topic=%q}`, topic)).Inc()
+}
+
+// Era returns the store's era as far as this daemon knows.
+func (f *Follower) Era() ident.Era {
+	return max(f.NextOffset(extern.TopicOperators), f.NextOffset(extern.TopicUpstreams)).Era()
+}
+
 // isRenewal reports whether a record only renews the registration of its upstream.
 func (f *Follower) isRenewal(s *topicState, r extern.KeyedRecord) bool {
 	known := f.upstreams[ident.UpstreamID(r.Key)]
@@ -305,7 +351,11 @@
 		return false
 	}
 	u, ok := f.Decoder.Decode(extern.TopicUpstreams, r).(*view.Upstream)
-	return ok && u.SameRegistration(known)
+	if !ok || !u.SameRegistration(known) {
+		return false
+	}
+	f.registrations.record(u)
+	return true
 }
 
 // removeUnlisted removes the upstreams that a complete list lacks.
@@ -369,6 +419,7 @@
 
 func (f *Follower) setUpstream(u *view.Upstream) bool {
 	u.SeenAt = time.Now()
+	f.registrations.record(u)
 	old := f.upstreams[u.ID]
 	delete(f.retainedUntil, u.ID)
 	f.upstreams[u.ID] = u
@@ -388,7 +439,7 @@
 		return false
 	}
 	retention := time.Until(seenAt.Add(expiredRetention))
-	if f.storeFailedRecently() && u.State == view.UpstreamReady && retention > 0 {
+	if (f.storeFailedRecently() || f.restoredRecently()) && u.State == view.UpstreamReady && retention > 0 {
 		if _, ok := f.retainedUntil[id]; !ok {
 			f.retainedUntil[id] = time.Now().Add(retention)
 			time.AfterFunc(retention, f.removeExpired)
@@ -403,6 +454,8 @@
 	return true
 }
 
+func (f *Follower) restoredRecently() bool { return time.Since(f.restoredAt) < restoreWindow }
+
 func (f *Follower) storeFailedRecently() bool {
 	at := f.lastFailureAt.Load()
 	return at != nil && time.Since(*at) < storeFailureWindow
@@ -467,7 +520,7 @@
 
 // ApplyChanges applies records of a peer that has read further than this daemon.
 func (f *Follower) ApplyChanges(topic extern.Topic, c Changes) {
-	if c.Next <= f.NextOffset(topic) {
+	if c.Next <= f.NextOffset(topic) && !f.hasNews(topic, c.Records) {
 		return
 	}
 	klog.InfoS("Records of the store came from a peer", "topic", topic, "records", len(c.Records), "whole", c.Complete,
--- a/internal/coordination/fleet/table.go
+++ b/internal/coordination/fleet/table.go
@@ -66,6 +66,8 @@
 	// LastChangeOffset is the offset after the last record of the upstreams' topic that, as far as the peer knows,
 	// changed anything. The peer knows all changes from KnownSinceOffset on.
 	LastChangeOffset, KnownSinceOffset ident.Offset
+	// ConfigVersion is the version of the peer's configuration, WeightVersions the sum of the named versions of all models.
+	ConfigVersion, WeightVersions int64
 	// StoreAge is the time between the store's last response to the peer and the peer's last heartbeat.
 	StoreAge time.Duration
 	// Term is the term of the peer as leader; 0 if it isn't the leader.
--- a/internal/coordination/leader/elector.go
+++ b/internal/coordination/leader/elector.go
@@ -72,6 +72,9 @@
 	seenAt       time.Duration
 	seenValid    bool
 	fenced       bool
+	// firstEra is the era of the store when it was first read; firstRead says that it was.
+	firstEra  ident.Era
+	firstRead bool
 }
 
 // Term returns the current term while this daemon is the leader and its lease has not expired, else 0.
@@ -135,11 +138,12 @@
 		return e.readRecord(ctx, now)
 	}
 	wait := time.Duration(e.TakeoverRank()) * rankDelay
-	switch e.seenRecord.Leader {
-	case e.Self:
-	case "":
+	switch {
+	case e.mayHideLeader():
+		wait += leaseDuration + e.TakeoverDelay + takeoverMargin
+	case e.seenRecord.Leader == "":
 		wait += e.TakeoverDelay
-	default:
+	case e.seenRecord.Leader != e.Self:
 		wait += leaseDuration + e.TakeoverDelay + takeoverMargin
 	}
 	if now-e.seenAt < wait {
@@ -150,6 +154,15 @@
 	return e.writeRecord(ctx, 0, topicEnd)
 }
 
+// mayHideLeader reports whether the record as last read is from before a restore of the store, so that another daemon may have
+// become the leader in the history that was lost.
+func (e *Elector) mayHideLeader() bool {
+	if e.seenRecord == (record{}) {
+		return e.seenTopicEnd.Era() > e.firstEra
+	}
+	return e.seenRecord.Term.Era() < e.seenTopicEnd.Era()
+}
+
 // readRecord reads the election's record from the store.
 func (e *Elector) readRecord(ctx context.Context, now time.Duration) error {
 	batch, err := e.Store.Newest(ctx, extern.TopicLeaders)
@@ -157,6 +170,9 @@
 		return err
 	}
 	e.seenRecord, e.seenTopicEnd, e.seenAt, e.seenValid = record{}, batch.Next, now, true
+	if !e.firstRead {
+		e.firstEra, e.firstRead = batch.Next.Era(), true
+	}
 	for _, r := range batch.Records {
 		if r.Key != e.Name {
 			continue
@@ -173,7 +189,7 @@
 func (e *Elector) writeRecord(ctx context.Context, term, topicEnd ident.Offset) error {
 	newTerm := term
 	if term == 0 {
-		// Every record advances the end of the topic, so later terms are higher.
+		// Every record advances the end of the topic and every restore of the store its era, so later terms are higher.
 		newTerm = topicEnd + 1
 	}
 	value, err := json.Marshal(record{Leader: e.Self, Incarnation: e.Incarnation, Term: newTerm})
@@ -226,6 +242,12 @@
 		return err
 	}
 	own := e.seenRecord.Leader == e.Self && e.seenRecord.Incarnation == e.Incarnation
+	if term > 0 && term.Era() < e.seenTopicEnd.Era() && e.mayHideLeader() && e.Term() == term {
+		// The store was restored. While the lease lasts, nobody else leads.
+		klog.InfoS("Duty taken again after a restore of the store", "duty", e.Name, "before", term, "topicEnd", e.seenTopicEnd)
+		e.seenValid = false
+		return e.writeRecord(ctx, 0, e.seenTopicEnd)
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if term > 0 && own && e.seenRecord.Term == term {
--- a/internal/program/entry/heartbeat.go
+++ b/internal/program/entry/heartbeat.go
@@ -108,6 +108,8 @@
 		UpstreamsChanged: uint64(d.follower.LastChangeOffset(extern.TopicUpstreams)),
 		UpstreamsSince:   uint64(d.follower.KnownSinceOffset(extern.TopicUpstreams)),
 		CacheStores:      d.stores.ReachableAddresses(),
+		ConfigVersion:    d.configVersion(),
+		WeightVersions:   d.weightVersions(),
 	}
 	d.addLeaderState(b)
 	d.addUsage(b, v.inMesh())
@@ -202,6 +204,23 @@
 	return uint32(min(d.follower.StoreAge().Milliseconds(), storeUnreachableAgeMs))
 }
 
+// configVersion returns the version of the configuration in force; 0 if there is none.
+func (d *Daemon) configVersion() int64 {
+	if c := d.snapshots.Config(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+// weightVersions returns the sum of the named versions of all models.
+func (d *Daemon) weightVersions() int64 {
+	sum := int64(0)
+	for _, w := range d.snapshots.AllWeights() {
+		sum += w.Version
+	}
+	return sum
+}
+
 // seedAddresses returns the peer addresses of the seeds in the settings. They may be out of date.
 func (d *Daemon) seedAddresses() []string {
 	_, port, err := net.SplitHostPort(d.Settings.Listen.Peers)
--- a/internal/program/entry/peers.go
+++ b/internal/program/entry/peers.go
@@ -26,6 +26,8 @@
 	maintenancePeriod = 100 * time.Millisecond
 	// membersReadPeriod is how often the list of members is read while no live peer is known.
 	membersReadPeriod = 3 * time.Second
+	// rejoinSpread is the time over which the daemons write their records of members again after a restore of the store.
+	rejoinSpread = 3 * time.Second
 	// catchUpDelay is how long a peer must have been ahead of this daemon before it is asked for its records.
 	catchUpDelay = 80 * time.Millisecond
 )
@@ -45,6 +47,8 @@
 		UpstreamsOffset:  ident.Offset(b.GetUpstreamsNext()),
 		LastChangeOffset: ident.Offset(b.GetUpstreamsChanged()),
 		KnownSinceOffset: ident.Offset(b.GetUpstreamsSince()),
+		ConfigVersion:    b.GetConfigVersion(),
+		WeightVersions:   b.GetWeightVersions(),
 		StoreAge:         time.Duration(b.GetStoreAgeMs()) * time.Millisecond,
 		Term:             ident.Offset(b.GetTerm()),
 		Capacity:         fleet.RequestsPerSecond(b.GetCapacity()),
@@ -181,10 +185,16 @@
 		return
 	}
 	written, read := false, false
+	var era ident.Era
 	for ctx.Err() == nil {
+		if now := d.follower.Era(); written && now > era {
+			// The restored store may lack the record. All daemons write it again.
+			written = false
+			scope.Sleep(ctx, rand.N(rejoinSpread))
+		}
 		if !written {
-			_, err := d.store.Put(ctx, extern.TopicMembers, string(d.Settings.DaemonID), value, nil)
-			written = err == nil
+			at, err := d.store.Put(ctx, extern.TopicMembers, string(d.Settings.DaemonID), value, nil)
+			written, era = err == nil, at.Era()
 			if err != nil {
 				klog.InfoS("Member record was not written to the store", "reason", err.Error())
 			}
@@ -231,28 +241,13 @@
 	}
 }
 
-// fetchMissingRecords asks a peer that has read farther for its records, if this daemon has been behind for at least
-// catchUpDelay.
+// fetchMissingRecords asks a peer that has read farther, or has newer versions, for its records, if this daemon has been behind
+// for at least catchUpDelay.
 func (d *Daemon) fetchMissingRecords(ctx context.Context) {
 	operators, upstreams := d.follower.NextOffset(extern.TopicOperators), d.follower.NextOffset(extern.TopicUpstreams)
-	var best fleet.Peer
-	ahead, complete := ident.Offset(0), false
+	best, ok := d.bestInformedPeer(operators, upstreams)
 	now := time.Now()
-	peers := d.table.All()
-	// Many daemons miss the same records at the same time and must not all ask the same peer.
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	for _, p := range peers {
-		if !p.Alive(now) {
-			continue
-		}
-		d.follower.AdvanceTo(extern.TopicUpstreams, p.SkippableOffset(upstreams))
-		lead := max(p.OperatorsOffset, operators) - operators + max(p.LastChangeOffset, upstreams) - upstreams
-		// A peer that knows all changes since this daemon's offset sends few records, any other one the whole list.
-		if hasAll := p.KnownSinceOffset <= upstreams; lead > 0 && (hasAll && !complete || hasAll == complete && lead > ahead) {
-			ahead, best, complete = lead, p, hasAll
-		}
-	}
-	if ahead == 0 {
+	if !ok {
 		d.behindSince = time.Time{}
 		return
 	}
@@ -262,8 +257,13 @@
 	if now.Sub(d.behindSince) < catchUpDelay {
 		return
 	}
+	since := operators
+	if d.hasNewerVersions(&best) {
+		// The peer knows newer states than the store, which has returned from an older copy.
+		since = 0
+	}
 	reply, err := d.peers.Fetch(ctx, best.PeerAddress, &wire.ChangesRequest{
-		OperatorsNext: uint64(operators), UpstreamsNext: uint64(upstreams),
+		OperatorsNext: uint64(since), UpstreamsNext: uint64(upstreams),
 	})
 	if err != nil {
 		klog.InfoS("Peer did not send the missing records", "peer", best.ID, "reason", err.Error())
@@ -273,6 +273,37 @@
 	d.follower.ApplyChanges(extern.TopicUpstreams, decodeChanges(reply.GetUpstreams(), reply.GetUpstreamsNext(), reply.GetUpstreamsWhole()))
 }
 
+// hasNewerVersions reports whether a peer knows newer versions than this daemon.
+func (d *Daemon) hasNewerVersions(p *fleet.Peer) bool {
+	return p.ConfigVersion > d.configVersion() || p.WeightVersions > d.weightVersions()
+}
+
+// bestInformedPeer returns the peer that is farthest ahead of this daemon, which has read up to the given offsets. It returns
+// false if none is.
+func (d *Daemon) bestInformedPeer(operators, upstreams ident.Offset) (fleet.Peer, bool) {
+	var best fleet.Peer
+	ahead, complete := ident.Offset(0), false
+	now := time.Now()
+	peers := d.table.All()
+	// Many daemons miss the same records at the same time and must not all ask the same peer.
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, p := range peers {
+		if !p.Alive(now) {
+			continue
+		}
+		d.follower.AdvanceTo(extern.TopicUpstreams, p.SkippableOffset(upstreams))
+		lead := max(p.OperatorsOffset, operators) - operators + max(p.LastChangeOffset, upstreams) - upstreams
+		if d.hasNewerVersions(&p) {
+			lead++
+		}
+		// A peer that knows all changes since this daemon's offset sends few records, any other one the whole list.
+		if hasAll := p.KnownSinceOffset <= upstreams; lead > 0 && (hasAll && !complete || hasAll == complete && lead > ahead) {
+			ahead, best, complete = lead, p, hasAll
+		}
+	}
+	return best, ahead > 0
+}
+
 func decodeChanges(stored []*wire.StoredRecord, next uint64, complete bool) feed.Changes {
 	out := feed.Changes{Complete: complete}
 	out.Next = ident.Offset(next)
--- a/internal/program/entry/quarantines.go
+++ b/internal/program/entry/quarantines.go
@@ -134,9 +134,14 @@
 // may remember them. While it is this daemon's task, it writes those that the store lacks.
 func (d *Daemon) keepQuarantines(ctx context.Context) {
 	started := false
+	var era ident.Era
 	var stored map[string]int
 	for ctx.Err() == nil {
 		saves := d.savesQuarantines()
+		if now := d.follower.Era(); now > era {
+			// The restored store may lack quarantines.
+			stored, era = nil, now
+		}
 		switch {
 		case !started || saves && stored == nil:
 			stored = d.readQuarantines(ctx)
--- a/internal/program/entry/rollouts.go
+++ b/internal/program/entry/rollouts.go
@@ -15,7 +15,7 @@
 	for i := range stages {
 		s := &stages[i]
 		out = append(out, &wire.RolloutStage{
-			Service: string(s.Service), Order: uint64(s.Order), Release: s.Release, SharePermille: uint32(s.Share), State: uint32(s.State),
+			Service: string(s.Service), Order: uint64(s.Order), Stated: uint64(s.Stated), Release: s.Release, SharePermille: uint32(s.Share), State: uint32(s.State),
 			Reason: s.Reason, Term: uint64(s.Term), Sequence: s.Sequence, OrderAgeMs: ageMs(s.OrderedAt), StageAgeMs: ageMs(s.Since),
 		})
 	}
@@ -34,7 +34,7 @@
 			continue
 		}
 		d.rollouts.ApplyStage(canary.Stage{
-			Service: view.ServiceID(s.GetService()), Order: ident.Offset(s.GetOrder()), Release: s.GetRelease(), State: state,
+			Service: view.ServiceID(s.GetService()), Order: ident.Offset(s.GetOrder()), Stated: ident.Offset(s.GetStated()), Release: s.GetRelease(), State: state,
 			Share: ident.Permille(s.GetSharePermille()), Reason: s.GetReason(), Term: ident.Offset(s.GetTerm()), Sequence: s.GetSequence(),
 			OrderedAt: now.Add(-time.Duration(s.GetOrderAgeMs()) * time.Millisecond),
 			Since:     now.Add(-time.Duration(s.GetStageAgeMs()) * time.Millisecond),
--- a/internal/state/extern/store.go
+++ b/internal/state/extern/store.go
@@ -46,14 +46,15 @@
 	Next ident.Offset
 }
 
-// Store is the platform store. Its operations are linearizable and it doesn't lose acknowledged writes.
+// Store is the platform store. Its operations are linearizable. It loses acknowledged writes only when it returns from an older
+// copy, which begins a new era; offsets of different eras differ.
 type Store interface {
 	// Newest returns the newest record of each key. The error is a *StoreError.
 	Newest(ctx context.Context, topic Topic) (StoreBatch, error)
 	// Read returns records from the offset on and waits up to the given time for the first. The error is a *StoreError.
 	Read(ctx context.Context, topic Topic, from ident.Offset, wait time.Duration) (StoreBatch, error)
 	// Put writes a record and returns its offset. If end is not nil, the record is written only if the topic ends at that
-	// offset. The error is a *StoreError; if its kind is StoreUnknown the record may have been written or may be written later.
+	// offset, in its era. The error is a *StoreError; if its kind is StoreUnknown the record may have been written or may be written later.
 	Put(ctx context.Context, topic Topic, key string, value []byte, end *ident.Offset) (ident.Offset, error)
 }
 
@@ -66,7 +67,7 @@
 	StoreRefused StoreErrorKind = "refused"
 	// StoreConflict: the topic doesn't end at the given offset; nothing was written.
 	StoreConflict StoreErrorKind = "conflict"
-	// StoreExpired: the requested records are no longer retained.
+	// StoreExpired: the requested records are no longer retained, or belong to an earlier era.
 	StoreExpired StoreErrorKind = "expired"
 	// StoreUnknown: the response was lost; a write may have taken effect or may still do so.
 	StoreUnknown StoreErrorKind = "unknown"
--- a/internal/state/ident/ident.go
+++ b/internal/state/ident/ident.go
@@ -4,6 +4,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -63,8 +64,37 @@
 
 // Offset is the position of a record in a stream of the log service or a topic of the platform store. The first record of a
 // stream has offset 1; 0 means none. Offsets also serve as revisions and fencing tokens.
+//
+// The platform store may return from an older copy and give out the same numbers again. The offsets of its topics therefore
+// hold the store's era above the number: an offset of a later era is higher than all of earlier eras.
 type Offset uint64
 
+// Era counts how often the platform store has returned from an older copy.
+type Era uint32
+
+// numberBits is the size of the number in an Offset. With 13 bits for the era, offsets stay exact in JSON numbers.
+const numberBits = 40
+
+// NewOffset returns the offset of the record with a number in an era of the platform store.
+func NewOffset(era Era, number uint64) Offset {
+	return Offset(era)<<numberBits | Offset(number)&(1<<numberBits-1)
+}
+
+// Era returns the era of the platform store.
+func (o Offset) Era() Era { return Era(o >> numberBits) }
+
+// Number returns the offset within its era, as the platform store counts it.
+func (o Offset) Number() uint64 { return uint64(o & (1<<numberBits - 1)) }
+
+// String returns the number, after the era and a colon unless that is 0.
+func (o Offset) String() string {
+	number := strconv.FormatUint(o.Number(), 10)
+	if o.Era() == 0 {
+		return number
+	}
+	return strconv.FormatUint(uint64(o.Era()), 10) + ":" + number
+}
+
 // Incarnation distinguishes the starts of a daemon, an engine or a KV cache store; a later start has a higher one.
 type Incarnation uint64
 
--- a/internal/state/view/snapshots.go
+++ b/internal/state/view/snapshots.go
@@ -13,6 +13,9 @@
 // maxPreviousVersions bounds the replaced versions that are kept per model: engines are never that many versions behind.
 const maxPreviousVersions = 16
 
+// maxPreviousOrders bounds the replaced orders that are kept per service.
+const maxPreviousOrders = 8
+
 // Snapshots publishes the newest snapshot of each kind. Readers load it without a lock. The zero value is empty.
 type Snapshots struct {
 	config    atomic.Pointer[Config]
@@ -122,14 +125,44 @@
 	if all == nil {
 		all = map[ServiceID]Rollout{}
 	}
-	if old, ok := all[r.Service]; ok && old.Offset >= r.Offset {
-		return false
+	r.Stated = r.Offset
+	if old, ok := all[r.Service]; ok {
+		switch {
+		case old.Stated >= r.Offset || r.Offset.Era() > old.Stated.Era() && r.isPrevious(&old):
+			return false
+		case r.restates(&old):
+			if r.RestatedAt = old.RestatedAt; r.Offset.Era() > old.Stated.Era() {
+				r.RestatedAt = time.Now()
+			}
+			r.Offset, r.SeenAt, r.Previous = old.Offset, old.SeenAt, old.Previous
+		default:
+			r.Previous = append([]PreviousOrder{{old.Release, old.Offset}}, old.Previous...)
+			r.Previous = r.Previous[:min(len(r.Previous), maxPreviousOrders)]
+		}
 	}
 	all[r.Service] = r
 	s.rollouts.Store(&all)
 	return true
 }
 
+// IdentifyRollout sets the offset that identifies the newest order of a service and when it was given, as another daemon or the
+// store's records know them. A daemon that starts after a restore of the store sees only that the order was written again.
+func (s *Snapshots) IdentifyRollout(service ServiceID, offset ident.Offset, at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.Rollouts()[service]
+	if !ok || offset >= r.Offset {
+		return
+	}
+	all := maps.Clone(s.Rollouts())
+	r.Offset = offset
+	if at.Before(r.SeenAt) {
+		r.SeenAt = at
+	}
+	all[service] = r
+	s.rollouts.Store(&all)
+}
+
 // SetUpstreams publishes a list of upstreams unconditionally.
 func (s *Snapshots) SetUpstreams(u *Upstreams) {
 	s.mu.Lock()
--- a/internal/state/view/upstream.go
+++ b/internal/state/view/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
@@ -31,6 +32,8 @@
 	State   UpstreamState
 	// Weights are the versions of the models that the upstream has loaded.
 	Weights map[ident.ModelID]int64
+	// Sequence numbers the registrations of this incarnation; 0 if the upstream doesn't number them.
+	Sequence int64
 	// Offset is the position of the registration in the topic.
 	Offset ident.Offset
 	// SeenAt is when this daemon received the registration.
@@ -113,8 +116,41 @@
 	Service ServiceID
 	Release string
 	Within  time.Duration
+	// Offset identifies the order: it is that of the record in which the order was first seen.
+	Offset ident.Offset
+	// Stated is the offset of the newest record that states the order. It is above Offset if the store has returned from an
+	// older copy and the order was written again.
+	Stated ident.Offset
+	// RestatedAt is when the order was first seen written again; zero if it was not.
+	RestatedAt, SeenAt time.Time
+	// Previous are the orders for the service before this one, newest first.
+	Previous []PreviousOrder
+}
+
+// PreviousOrder is an order that another one has replaced.
+type PreviousOrder struct {
+	Release string
 	Offset  ident.Offset
-	SeenAt  time.Time
+}
+
+// restateWindow is how long after the first record of a later era another one with the same order still states the same: the
+// copy may have had the order, and it is written again.
+const restateWindow = 5 * time.Second
+
+// restates reports whether r is the known order written again after a restore of the store.
+func (r *Rollout) restates(known *Rollout) bool {
+	if r.Release != known.Release || r.Within != known.Within {
+		return false
+	}
+	return r.Offset.Era() > known.Stated.Era() || !known.RestatedAt.IsZero() && time.Since(known.RestatedAt) < restateWindow
+}
+
+// isPrevious reports whether r, of a later era, is an order that the known one had replaced: the restored copy is older than
+// the known order, and has the replaced one at its old number.
+func (r *Rollout) isPrevious(known *Rollout) bool {
+	return slices.ContainsFunc(known.Previous, func(p PreviousOrder) bool {
+		return p.Release == r.Release && p.Offset.Number() == r.Offset.Number()
+	})
 }
 
 // RolloutState is the state of a rollout that operators see.
