--- a/internal/coordination/leader/elector_test.go
+++ b/internal/coordination/leader/elector_test.go
@@ -20,6 +20,7 @@
 type fakeStore struct {
 	mu      sync.Mutex
 	records []extern.KeyedRecord
+	era     ident.Era
 	// fault returns the fault of a call: "" for none, "before" or "after" for a failure before or after it took effect,
 	// "late" for a write that fails and takes effect later.
 	fault func(write bool) string
@@ -37,7 +38,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	b := extern.StoreBatch{Next: ident.Offset(len(e.records))}
+	b := extern.StoreBatch{Next: ident.NewOffset(e.era, uint64(len(e.records)))}
 	if n := len(e.records); n > 0 {
 		b.Records = []extern.KeyedRecord{e.records[n-1]}
 	}
@@ -72,11 +73,15 @@
 func (m *fakeStore) appendRecord(key string, value []byte, end *ident.Offset) (ident.Offset, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if *end != ident.Offset(len(m.records)) {
+	if end.Number() != uint64(len(m.records)) {
 		return 0, &extern.StoreError{Kind: extern.StoreConflict}
 	}
-	m.records = append(m.records, extern.KeyedRecord{Offset: *end, Key: key, Value: value})
-	return *end, nil
+	at := ident.NewOffset(m.era, end.Number())
+	m.records = append(m.records, extern.KeyedRecord{Offset: at, Key: key, Value: value})
+	if end.Era() != m.era {
+		return 0, &extern.StoreError{Kind: extern.StoreUnknown}
+	}
+	return at, nil
 }
 
 type daemon struct {
