--- a/internal/coordination/feed/follower.go
+++ b/internal/coordination/feed/follower.go
@@ -129,7 +129,12 @@
 	retryDelay := minRetryDelay
 	failing := false
 	for ctx.Err() == nil {
-		err := f.readNext(ctx, topic)
+		wait := longPollWait
+		if failing {
+			// The response tells at once whether the store has returned from an older copy.
+			wait = 0
+		}
+		err := f.readNext(ctx, topic, wait)
 		if ctx.Err() != nil {
 			return
 		}
@@ -194,8 +199,8 @@
 	return time.Since(f.state(topic).advancedAt) > maxAge
 }
 
-// readNext makes one read and applies the records.
-func (f *Follower) readNext(ctx context.Context, topic extern.Topic) error {
+// readNext makes one read, for which the store may wait for records, and applies the records.
+func (f *Follower) readNext(ctx context.Context, topic extern.Topic, wait time.Duration) error {
 	readCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.mu.Lock()
@@ -206,7 +211,7 @@
 	if !loaded || next.Era() < f.Era() {
 		return f.readNewest(ctx, topic)
 	}
-	batch, err := f.Store.Read(readCtx, topic, next, longPollWait)
+	batch, err := f.Store.Read(readCtx, topic, next, wait)
 	if err != nil && readCtx.Err() != nil && ctx.Err() == nil {
 		return f.readNewest(ctx, topic)
 	}
