Let a late roll-out catch up

With the store away and restored at 9 to 11 s of a 15 s roll-out, a leader was back after 13 s and completed a good release after 16.1 to 16.3 s: each step takes a second, however little time is left. Steps are shorter now when the rollout is late, unless there is evidence against the release. TestLateRolloutCatchesUp failed before (16 s).

--- a/internal/coordination/canary/consts.go
+++ b/internal/coordination/canary/consts.go
@@ -17,6 +17,9 @@
 	minStepTime = time.Second
 	// shortStepDivisor is the part of a short rollout's time that is the least time in a step.
 	shortStepDivisor = 15
+	// lateStepTime is the least time in a step of a rollout that is late: enough for the daemons to hear of the step and to
+	// stop the release on its first failures.
+	lateStepTime = 300 * time.Millisecond
 	// maxBaselineFraction is the part of the time in which the old release is observed at most before the first step.
 	maxBaselineFraction = 0.12
 	// suspicionDelayFraction is by which part of the time a step is longer while there is some evidence against the
--- a/internal/coordination/canary/decide.go
+++ b/internal/coordination/canary/decide.go
@@ -76,15 +76,36 @@
 	if in.stage.Share == 0 {
 		return in.verdict.HasBaseline || in.elapsed >= in.fraction(maxBaselineFraction)
 	}
-	return in.stageAge >= min(minStepTime, in.within/shortStepDivisor)
+	return in.stageAge >= in.stepTime()
+}
+
+// stepTime returns the least time in the present step. A rollout that is late, because there was no leader for a while, takes
+// shorter steps, unless there is evidence against the release.
+func (in *decisionInput) stepTime() time.Duration {
+	usual := min(minStepTime, in.within/shortStepDivisor)
+	if in.verdict.Suspicious {
+		return usual
+	}
+	left := 1
+	for i := range steps {
+		if steps[i].share > in.stage.Share {
+			left++
+		}
+	}
+	return min(usual, max(lateStepTime, (in.latestCompletion()-in.elapsed)/time.Duration(left)))
+}
+
+// latestCompletion returns the time since the order at which the rollout is completed in any case.
+func (in *decisionInput) latestCompletion() time.Duration {
+	return max(in.within-statusReserve, in.fraction(shortCompleteFraction))
 }
 
 // mayComplete reports whether the upstreams of other releases may be stopped.
 func (in *decisionInput) mayComplete() bool {
-	if in.stageAge < min(minStepTime, in.within/shortStepDivisor) {
+	if in.stageAge < in.stepTime() {
 		return false
 	}
-	if in.elapsed >= max(in.within-statusReserve, in.fraction(shortCompleteFraction)) {
+	if in.elapsed >= in.latestCompletion() {
 		return true
 	}
 	return in.oldRequests == 0 && in.elapsed >= in.fraction(completeFraction)
--- a/internal/coordination/canary/decide_test.go
+++ b/internal/coordination/canary/decide_test.go
@@ -109,3 +109,25 @@
 	final := &Stage{Order: 5, Term: 3, Sequence: 2, State: view.RolloutCompleted}
 	require.False(t, (&Stage{Order: 5, Term: 9, Sequence: 9, State: view.RolloutInProgress}).supersedes(final))
 }
+
+// Guards against a good release that is completed too late because nobody led the rollout for some seconds.
+func TestLateRolloutCatchesUp(t *testing.T) {
+	const within = 15 * time.Second
+	noLeaderUntil := func(at time.Duration) func(in *decisionInput) {
+		return func(in *decisionInput) {
+			if in.elapsed > 9*time.Second && in.elapsed < at {
+				in.newReady = 0
+			}
+		}
+	}
+	for _, at := range []time.Duration{11 * time.Second, 12 * time.Second, 13 * time.Second} {
+		_, end, endedAt := playSteps(within, noLeaderUntil(at))
+		require.Equal(t, view.RolloutCompleted, end)
+		require.Less(t, endedAt, within, "led from %v on", at)
+	}
+	_, _, endedAt := playSteps(within, func(in *decisionInput) {
+		noLeaderUntil(13 * time.Second)(in)
+		in.verdict.Suspicious = true
+	})
+	require.Greater(t, endedAt, within, "with evidence against the release the steps stay as they are")
+}
