Take newer versions from peers than a restored store has

A daemon that started just after the restore got the older configuration of the copy, and did not take the newer one of its peers: they keep it at the offset of the older record, and equal offsets counted as equal records.

--- a/internal/coordination/feed/follower_test.go
+++ b/internal/coordination/feed/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"strconv"
@@ -25,6 +26,7 @@
 	records     map[extern.Topic][]extern.KeyedRecord
 	firstOffset map[extern.Topic]int
 	down        bool
+	era         ident.Era
 }
 
 func newFakeStore() *fakeStore {
@@ -34,7 +36,7 @@
 func (s *fakeStore) put(topic extern.Topic, key, value string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r := extern.KeyedRecord{Offset: ident.Offset(len(s.records[topic])), Key: key, Value: []byte(value)}
+	r := extern.KeyedRecord{Offset: ident.NewOffset(s.era, uint64(len(s.records[topic]))), Key: key, Value: []byte(value)}
 	s.records[topic] = append(s.records[topic], r)
 }
 
@@ -57,7 +59,7 @@
 			delete(newest, r.Key)
 		}
 	}
-	b := extern.StoreBatch{Next: ident.Offset(len(s.records[topic]))}
+	b := extern.StoreBatch{Next: ident.NewOffset(s.era, uint64(len(s.records[topic])))}
 	for _, r := range newest {
 		b.Records = append(b.Records, r)
 	}
@@ -69,15 +71,18 @@
 ) (extern.StoreBatch, error) {
 	for end := time.Now().Add(wait); ; {
 		s.mu.Lock()
-		down, all, firstOffset := s.down, s.records[topic], s.firstOffset[topic]
+		down, all, firstOffset, era := s.down, s.records[topic], s.firstOffset[topic], s.era
 		s.mu.Unlock()
+		number := int(from.Number())
 		switch {
 		case down:
 			return extern.StoreBatch{}, &extern.StoreError{Kind: extern.StoreRefused}
-		case int(from) < firstOffset:
+		case number < firstOffset, number > len(all), number < len(all) && from.Era() != era:
 			return extern.StoreBatch{}, &extern.StoreError{Kind: extern.StoreExpired}
-		case int(from) < len(all) || !time.Now().Before(end):
-			return extern.StoreBatch{Records: all[from:], Next: ident.Offset(len(all))}, nil
+		case !time.Now().Before(end) && from.Era() != era:
+			return extern.StoreBatch{}, &extern.StoreError{Kind: extern.StoreExpired}
+		case number < len(all) || !time.Now().Before(end):
+			return extern.StoreBatch{Records: all[number:], Next: ident.NewOffset(era, uint64(len(all)))}, nil
 		}
 		select {
 		case <-ctx.Done():
@@ -101,6 +106,8 @@
 	switch {
 	case topic == extern.TopicUpstreams && len(r.Value) == 0:
 		return &view.UpstreamRemoved{ID: ident.UpstreamID(r.Key)}
+	case topic == extern.TopicUpstreams && strings.Contains(string(r.Value), " "):
+		return decodeNumbered(r)
 	case topic == extern.TopicUpstreams && string(r.Value) == "ready":
 		return &view.Upstream{ID: ident.UpstreamID(r.Key), Service: "s", State: view.UpstreamReady, Offset: r.Offset}
 	case topic == extern.TopicOperators && r.Key == "config":
@@ -116,6 +123,19 @@
 	}
 }
 
+// decodeNumbered decodes a registration such as "ready 2 17": state, incarnation and sequence.
+func decodeNumbered(r extern.KeyedRecord) view.Change {
+	u := &view.Upstream{ID: ident.UpstreamID(r.Key), Service: "s", State: view.UpstreamReady, Offset: r.Offset}
+	var state string
+	if _, err := fmt.Sscan(string(r.Value), &state, &u.Incarnation, &u.Sequence); err != nil {
+		return &view.Ignored{Reason: err.Error()}
+	}
+	if state == "draining" {
+		u.State = view.UpstreamDraining
+	}
+	return u
+}
+
 func startFollower(t *testing.T, s *fakeStore) *Follower {
 	t.Helper()
 	return runFollower(t, &Follower{Store: s, Decoder: fakeDecoder{}, Snapshots: &view.Snapshots{}, InitialVersionAge: 5 * time.Second})
--- a/internal/coordination/feed/restore.go
+++ b/internal/coordination/feed/restore.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"bytes"
 	"fmt"
 	"time"
 
@@ -22,7 +23,7 @@
 	case !ok:
 		return true
 	case r.Offset <= old.Offset:
-		if topic != extern.TopicOperators || r.Offset == old.Offset || !f.isNewerState(topic, r, &old) {
+		if topic != extern.TopicOperators || bytes.Equal(r.Value, old.Value) || !f.isNewerState(topic, r, &old) {
 			return false
 		}
 		r.Offset = old.Offset
