--- a/internal/coordination/canary/controller.go
+++ b/internal/coordination/canary/controller.go
@@ -256,7 +256,7 @@
 }
 
 func moveID(service view.ServiceID, order ident.Offset) ident.MoveID {
-	return ident.MoveID(fmt.Sprintf("%s@%d", service, order))
+	return ident.MoveID(fmt.Sprintf("%s@%v", service, order))
 }
 
 // stepOf returns the index of the step with the share; 0 if there is none.
--- a/internal/program/soak/fleet_test.go
+++ b/internal/program/soak/fleet_test.go
@@ -43,6 +43,8 @@
 	processes    []*process
 	apps         []*standin.Upstream
 	engines      []*standin.Upstream
+	// operator serialises what operators write, so that all of it can be written again after a restore of the store.
+	operator sync.Mutex
 }
 
 // buildBinary compiles the program and returns the path of the binary.
--- a/internal/program/soak/soak_test.go
+++ b/internal/program/soak/soak_test.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/scope"
 )
 
 // failedSeeds are seeds that failed in the past, each with its cause. They run every time.
@@ -105,6 +107,7 @@
 		wg.Go(func() { c.runCaller(ctx, w, rand.New(rand.NewPCG(seed, uint64(i)))) })
 	}
 	wg.Go(func() { c.injectFaults(ctx, w, rand.New(rand.NewPCG(seed, 1000))) })
+	wg.Go(func() { w.restoreStore(ctx, rand.New(rand.NewPCG(seed, 2000))) })
 	wg.Wait()
 	c.checkAfterRecovery(w)
 	t.Logf("seed %d: %d requests served", seed, c.served.Load())
@@ -146,10 +149,14 @@
 			m := proxyMode(rng.IntN(int(proxyModeCount)))
 			wg.Go(func() { p.storeProxy.setMode(m); time.Sleep(faultDuration); p.storeProxy.setMode(modePass) })
 		case 4:
+			w.operator.Lock()
 			w.store.Put("keyed.op", "version/m", map[string]any{"model": "m", "version": weightVersion})
+			w.operator.Unlock()
 			weightVersion++
 		case 5:
+			w.operator.Lock()
 			w.configure(configVersion, "key-a")
+			w.operator.Unlock()
 			configVersion++
 			c.revokedAt.CompareAndSwap(0, time.Now().UnixNano())
 		}
@@ -161,6 +168,23 @@
 	}
 }
 
+// restoreStore lets the store return from a copy that is up to 2.5 s old, once per 3 to 6 s. Operators write again what is lost.
+func (w *cluster) restoreStore(ctx context.Context, rng *rand.Rand) {
+	for scope.Sleep(ctx, time.Duration(1500+rng.IntN(2000))*time.Millisecond) {
+		older := w.store.Copy()
+		if !scope.Sleep(ctx, time.Duration(500+rng.IntN(2000))*time.Millisecond) {
+			return
+		}
+		w.operator.Lock()
+		config, weights := w.store.Newest("keyed.op", "config"), w.store.Newest("keyed.op", "version/m")
+		w.store.Restore(older)
+		time.Sleep(time.Duration(rng.IntN(300)) * time.Millisecond)
+		w.store.Put("keyed.op", "config", config)
+		w.store.Put("keyed.op", "version/m", weights)
+		w.operator.Unlock()
+	}
+}
+
 // restart ends a process by a signal and starts it again. It does nothing during another restart of the process.
 func (w *cluster) restart(p *process, s syscall.Signal) {
 	p.mu.Lock()
