Send large error responses whole

A response that is too large to keep is final now. TestLargeErrorResponseIsWhole failed before. Large responses also count in gooseberrywayFirstByteSeconds.

--- a/internal/transport/proxy/response.go
+++ b/internal/transport/proxy/response.go
@@ -27,9 +27,7 @@
 
 func (b *bufferedResponse) write(c *call) {
 	c.writeHeader(b.status, b.header, int64(len(b.body)))
-	if c.firstByteAt.IsZero() {
-		c.firstByteAt = time.Now()
-	}
+	c.markFirstByte()
 	_, _ = c.w.Write(b.body)
 }
 
@@ -102,11 +100,15 @@
 	return stepRetryOther, ReasonUpstreamsRefused
 }
 
-// bufferFailure reads an error response and keeps it as the fallback in case no other attempt succeeds.
+// bufferFailure reads an error response and keeps it as the fallback in case no other attempt succeeds. One that is too large
+// to keep is the final response.
 func (c *call) bufferFailure(
 	ctx context.Context, resp *http.Response, choice *place.Choice, tracker *attemptTracker,
 ) (nextStep, Reason) {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
+	if err == nil && len(body) == maxBufferedBytes && !c.headerSent {
+		return c.endBuffered(ctx, c.forwardLarge(resp, body), resp, body, choice, tracker)
+	}
 	tracker.End(c.outcome(ctx, err, resp.StatusCode))
 	klog.InfoS("Upstream failed", "request", c.req.ID, "upstream", choice.Upstream.ID, "status", resp.StatusCode)
 	if err == nil && !c.headerSent {
@@ -191,9 +193,30 @@
 ) (nextStep, Reason) {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
 	if err == nil && len(body) == maxBufferedBytes {
-		c.writeHeader(resp.StatusCode, c.Dialect.CallerHeaders(resp.Header), resp.ContentLength)
-		_, err = io.Copy(c.w, io.MultiReader(bytes.NewReader(body), resp.Body))
+		err = c.forwardLarge(resp, body)
 	}
+	return c.endBuffered(ctx, err, resp, body, choice, tracker)
+}
+
+// forwardLarge sends a response to the caller of which only the first part is buffered.
+func (c *call) forwardLarge(resp *http.Response, body []byte) error {
+	c.writeHeader(resp.StatusCode, c.Dialect.CallerHeaders(resp.Header), resp.ContentLength)
+	c.markFirstByte()
+	_, err := io.Copy(c.w, io.MultiReader(bytes.NewReader(body), resp.Body))
+	return err
+}
+
+// markFirstByte records that the first byte of a response is ready for the caller.
+func (c *call) markFirstByte() {
+	if c.firstByteAt.IsZero() {
+		c.firstByteAt = time.Now()
+	}
+}
+
+// endBuffered ends an attempt whose response was read with the given error, and sends the response unless that has begun.
+func (c *call) endBuffered(
+	ctx context.Context, err error, resp *http.Response, body []byte, choice *place.Choice, tracker *attemptTracker,
+) (nextStep, Reason) {
 	outcome := c.outcome(ctx, err, resp.StatusCode)
 	tracker.End(outcome)
 	if err == nil {
@@ -225,9 +248,7 @@
 	for {
 		n, err := resp.Body.Read(buf)
 		if n > 0 {
-			if c.firstByteAt.IsZero() {
-				c.firstByteAt = time.Now()
-			}
+			c.markFirstByte()
 			tracker.MarkActive()
 			tracker.MarkFirstEvent()
 			out := buf[:n]
