--- a/internal/transport/caller/plain.go
+++ b/internal/transport/caller/plain.go
@@ -129,7 +129,14 @@
 // chosen or the upstream did not run the request.
 func plainError(ctx context.Context, err error) *serve.Error {
 	var upstreamErr *extern.UpstreamError
-	if !errors.As(err, &upstreamErr) {
+	sent := errors.As(err, &upstreamErr) && !upstreamErr.NotRun
+	if bodyErr := bodyError(err); bodyErr != nil {
+		if sent {
+			bodyErr.RunStatus = serve.MayHaveRun
+		}
+		return bodyErr
+	}
+	if upstreamErr == nil {
 		return &serve.Error{Code: serve.CodeNoUpstream, Message: "no upstream of this route takes calls now", RetryAfter: overloadedRetryAfter, Err: err}
 	}
 	serveErr := &serve.Error{Code: serve.CodeUpstreamFailed, Message: "the upstream failed", RunStatus: serve.MayHaveRun, Err: err}
@@ -142,6 +149,20 @@
 	return serveErr
 }
 
+// bodyError returns the error for a caller whose own body could not be sent; nil if err has another cause.
+func bodyError(err error) *serve.Error {
+	var large *plain.BodyTooLargeError
+	var unread *plain.BodyReadError
+	switch {
+	case errors.As(err, &large):
+		return &serve.Error{Code: serve.CodeBodyTooLarge, Message: large.Error(), Err: err}
+	case errors.As(err, &unread):
+		return &serve.Error{Code: serve.CodeInvalidRequest, Message: "the body could not be read", Err: err}
+	default:
+		return nil
+	}
+}
+
 // writePlainResponse writes the response of a plain service while it arrives, and stores it for repeats if the request has
 // an idempotency key and the body fits in maxStoredBodyBytes.
 func (s *Server) writePlainResponse(_ context.Context, w http.ResponseWriter, admitted *admittedPlainRequest) error {
