Repeat old evidence on prompt parts only while it can still count

After a loss of many engines active daemons would have repeated the incidents of parts that never come again, up to 64 in a heartbeat each second, for ten minutes: 1.5 KB a second to each peer of an otherwise idle fleet. TestMemoryAndMessagesAreBounded failed before. Empty part ids are left out.

--- a/internal/coordination/poison/consts.go
+++ b/internal/coordination/poison/consts.go
@@ -27,6 +27,9 @@
 	answerGeneration = 30 * time.Second
 	// newsRepeat is how long a daemon repeats its own news in each heartbeat, in case some are lost.
 	newsRepeat = 3 * time.Second
+	// relayTTL is how long daemons repeat what peers have told, for those that missed it. Parts with several incidents are
+	// repeated for as long as these count.
+	relayTTL = 30 * time.Second
 	// minNewsDelay is the age of evidence from which on it can quarantine a part: peers have told by then whether they
 	// know of answers.
 	minNewsDelay = 250 * time.Millisecond
--- a/internal/coordination/poison/news.go
+++ b/internal/coordination/poison/news.go
@@ -29,12 +29,13 @@
 	var n News
 	for h, s := range d.suspects {
 		for _, i := range s.incidents {
-			if whole || s.own[i.Request] && now.Sub(s.touchedAt) < newsRepeat {
+			repeated := whole && (len(s.incidents) > 1 || now.Sub(i.At) < relayTTL)
+			if repeated || s.own[i.Request] && now.Sub(s.touchedAt) < newsRepeat {
 				n.Incidents = append(n.Incidents, i)
 			}
 		}
 		switch {
-		case whole && !s.answeredAt.IsZero():
+		case whole && !s.answeredAt.IsZero() && now.Sub(s.answeredAt) < relayTTL:
 			n.Answers = append(n.Answers, Answer{h, s.answeredAt})
 		case !s.ownAnsweredAt.IsZero() && now.Sub(s.toldAt) < newsRepeat:
 			n.Answers = append(n.Answers, Answer{h, s.ownAnsweredAt})
--- a/internal/coordination/poison/quarantine_test.go
+++ b/internal/coordination/poison/quarantine_test.go
@@ -185,6 +185,8 @@
 		n := d.News(true)
 		require.LessOrEqual(t, len(n.Incidents), maxNewsIncidents)
 		require.LessOrEqual(t, len(n.Quarantines), maxNewsQuarantines)
+		time.Sleep(2 * relayTTL)
+		require.Empty(t, d.News(true).Incidents, "parts with one incident are not repeated for long")
 		time.Sleep(maxTerm)
 		d.Tick()
 		require.Empty(t, d.suspects)
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -96,6 +96,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	for _, id := range c.sharedParts() {
+		if id == "" {
+			continue
+		}
 		c.parts = append(c.parts, poison.HashPart(id))
 	}
 	err := c.serve()
