Wait in a test for daemons that start again before they are asked

The race detector found it in one of three runs beside load: the test asked a daemon that was still being built.

--- a/internal/program/entry/restored_rollout_test.go
+++ b/internal/program/entry/restored_rollout_test.go
@@ -53,8 +53,8 @@
 					if c.restart {
 						f.daemons[1].stop()
 						f.daemons[2].stop()
-						f.start("d1", nil)
-						f.start("d2", nil)
+						<-f.start("d1", nil).Listening()
+						<-f.start("d2", nil).Listening()
 					}
 				}
 				daemons := f.daemons
