Take no planned end of an upstream for a crash

A stream that was cut when its upstream left as planned was held back for 0.4 s, and ended with 502 where one of its parts had no known answer; and the end counted as evidence against its parts. Cause: the detector knew only the registration from before the request was sent, so that an end announced since then was a crash to it, and a retry waited for a check that is never made of a draining upstream. It looks at the list when a request breaks now.

TestEndAnnouncedAfterSendingIsNoCrash failed before in both cases.

--- a/internal/coordination/poison/attempt.go
+++ b/internal/coordination/poison/attempt.go
@@ -117,7 +117,7 @@
 		return true, false
 	}
 	p := d.pending[keyOf(a.upstream)]
-	if p != nil && p.liveness != LivenessEnded && !p.checkedAt.Before(a.brokeAt) {
+	if p != nil && (p.draining || p.liveness != LivenessEnded && !p.checkedAt.Before(a.brokeAt)) {
 		return true, true
 	}
 	now := time.Now()
--- a/internal/coordination/poison/detector.go
+++ b/internal/coordination/poison/detector.go
@@ -28,6 +28,8 @@
 // Detector collects evidence and keeps the quarantined parts. Its exported fields are set before the first call; its methods
 // may be called concurrently.
 type Detector struct {
+	// Snapshots holds the registered upstreams; nil if only ApplyList tells of them.
+	Snapshots *view.Snapshots
 	// CheckLiveness checks whether an upstream still runs. It may take some hundred milliseconds.
 	CheckLiveness func(u *view.Upstream) Liveness
 	// OnChange, if set, is called without locks when peers should learn of news.
@@ -122,12 +124,21 @@
 		if d.pending == nil {
 			d.pending = map[UpstreamKey]*pendingUpstream{}
 		}
-		p = &pendingUpstream{upstream: u, draining: u.State == view.UpstreamDraining}
+		p = &pendingUpstream{upstream: u, draining: d.isLeaving(u)}
 		d.pending[key] = p
 	}
 	return p
 }
 
+// isLeaving reports whether an upstream has announced its end or left the list. One that has crashed is listed for some seconds.
+func (d *Detector) isLeaving(u *view.Upstream) bool {
+	if u.State == view.UpstreamDraining || d.Snapshots == nil {
+		return u.State == view.UpstreamDraining
+	}
+	current := d.Snapshots.Upstreams().ByID[u.ID]
+	return current == nil || current.Incarnation == u.Incarnation && current.State == view.UpstreamDraining
+}
+
 func (d *Detector) checkLiveness(u *view.Upstream) {
 	d.applyLiveness(u, d.CheckLiveness(u))
 }
--- a/internal/coordination/poison/quarantine_test.go
+++ b/internal/coordination/poison/quarantine_test.go
@@ -194,3 +194,32 @@
 		require.Empty(t, d.News(true).Incidents)
 	})
 }
+
+// Guards against the planned end of an upstream that counts as a crash, and holds back retries, because the upstream announced
+// it, or left the list, after the request had been sent.
+func TestEndAnnouncedAfterSendingIsNoCrash(t *testing.T) {
+	for name, state := range map[string]view.UpstreamState{"draining": view.UpstreamDraining, "no longer listed": 0} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := &Detector{Snapshots: &view.Snapshots{}, CheckLiveness: func(*view.Upstream) Liveness { return LivenessEnded }}
+				for i, id := range []ident.UpstreamID{"a", "b", "c", "d"} {
+					u := &view.Upstream{ID: id, Incarnation: 1, State: view.UpstreamReady}
+					a, err := d.Begin(u, RequestHash(i), []PartHash{1})
+					require.NoError(t, err)
+					listed := map[ident.UpstreamID]*view.Upstream{}
+					if state != 0 {
+						listed[id] = &view.Upstream{ID: id, Incarnation: 1, State: state}
+					}
+					d.Snapshots.SetUpstreams(view.NewUpstreams(listed, 1))
+					a.End(OutcomeBroken)
+					began := time.Now()
+					require.True(t, a.MayRetry(t.Context()))
+					require.Zero(t, time.Since(began))
+					time.Sleep(time.Second)
+					d.Tick()
+				}
+				require.NoError(t, d.Check([]PartHash{1}))
+			})
+		})
+	}
+}
--- a/internal/program/entry/quarantines.go
+++ b/internal/program/entry/quarantines.go
@@ -31,6 +31,7 @@
 
 func (d *Daemon) newDetector() *poison.Detector {
 	return &poison.Detector{
+		Snapshots:     &d.snapshots,
 		CheckLiveness: checkLiveness,
 		OnChange:      d.peers.SendSoon,
 		NewsDelay:     func() time.Duration { return fleet.ScaledTimeout(0, newsDelayHeartbeats, d.meshSize()) },
