Log the fingerprint of requests whose upstream broke

The fingerprint of method, target, organisation and body is logged with each broken attempt; it is hashed only then.

--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -448,7 +448,7 @@
 		c.markSent()
 	}
 	klog.InfoS("Attempt failed", "request", c.req.ID, "upstream", choice.Upstream.ID, "reason", reason,
-		"sent", !notSent, "error", err.Error(), "parts", c.sharedParts(),
+		"sent", !notSent, "error", err.Error(), "parts", c.sharedParts(), "fingerprint", c.fingerprint(),
 		"sinceSentMs", time.Since(c.attemptAt).Milliseconds())
 	return step, reason
 }
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -70,6 +70,9 @@
 	body     []byte
 	// parts are the hashes of the parts of the prompt that other requests may share.
 	parts []poison.PartHash
+	// wholeHash is the result of fingerprint once hasFingerprint is set.
+	wholeHash      poison.PartHash
+	hasFingerprint bool
 	// evidence is what the last attempt says about these parts; nil before the first.
 	evidence *poison.Attempt
 
--- a/internal/transport/proxy/response.go
+++ b/internal/transport/proxy/response.go
@@ -171,7 +171,7 @@
 		return stepDone, ""
 	}
 	klog.InfoS("Stream broke", "request", c.req.ID, "upstream", choice.Upstream.ID, "lastEvent", c.lastEventID,
-		"error", err.Error(), "gone", c.callerLeft(), "weights", choice.WeightVersion, "parts", c.sharedParts(),
+		"error", err.Error(), "gone", c.callerLeft(), "weights", choice.WeightVersion, "parts", c.sharedParts(), "fingerprint", c.fingerprint(),
 		"reads", tracker.reads, "sinceSentMs", time.Since(c.attemptAt).Milliseconds())
 	if outcome == place.OutcomeTimeout && !errors.Is(context.Cause(ctx), errUnresponsive) {
 		return stepFail, ReasonTimeout
@@ -226,7 +226,7 @@
 		return stepDone, ""
 	}
 	klog.InfoS("Answer broke", "request", c.req.ID, "upstream", choice.Upstream.ID, "status", resp.StatusCode,
-		"bytes", len(body), "error", err.Error(), "parts", c.sharedParts(),
+		"bytes", len(body), "error", err.Error(), "parts", c.sharedParts(), "fingerprint", c.fingerprint(),
 		"sinceSentMs", time.Since(c.attemptAt).Milliseconds())
 	if c.headerSent {
 		return stepFail, ReasonUpstreamBroken
