--- a/internal/program/entry/poison_part_test.go
+++ b/internal/program/entry/poison_part_test.go
@@ -17,15 +17,21 @@
 const (
 	// deadlyPart crashes each engine that begins to answer a request with it.
 	deadlyPart = "dead"
-	// engineDownTime is how long a crashed engine is away before it starts again under another id.
+	// engineDownTime is how long a crashed upstream is away before it starts again under another id.
 	engineDownTime = 500 * time.Millisecond
+	// The users' bounds: so many deadly requests later than a stability window after the last crash that is allowed for.
+	stabilityWindow = 3 * time.Second
+	allowedLate     = 3
 )
 
-// crashingEngines keeps engines running that crash on deadlyPart and start again.
-type crashingEngines struct {
-	f  *testFleet
-	mu sync.Mutex
-	// deadly holds when requests with deadlyPart arrived, crashes when engines ended.
+// crashingUpstreams keeps upstreams running that crash on deadly requests and start again.
+type crashingUpstreams struct {
+	f       *testFleet
+	service string
+	// isDeadly tells which requests crash them.
+	isDeadly func(r *http.Request) bool
+	mu       sync.Mutex
+	// deadly holds when deadly requests arrived, crashes when upstreams ended.
 	deadly, crashes []time.Time
 	running         map[*standin.Upstream]bool
 	started         int
@@ -33,34 +39,39 @@
 	closing         sync.WaitGroup
 }
 
-func (c *crashingEngines) start() {
+func (c *crashingUpstreams) start() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
 		return
 	}
 	c.started++
-	u := &standin.Upstream{ID: fmt.Sprint("e", c.started), Model: "m", Version: 1, EventCount: 3, EventInterval: 10 * time.Millisecond}
+	u := &standin.Upstream{ID: fmt.Sprint("e", c.started)}
+	if c.service == "llm" {
+		u.Model, u.Version, u.EventCount, u.EventInterval = "m", 1, 3, 10*time.Millisecond
+	}
 	u.Intercept = func(w http.ResponseWriter, r *http.Request) bool {
-		if !strings.Contains(r.Header.Get("X-Gooseberryway-Prompt-Prefix"), deadlyPart+":") {
+		if !c.isDeadly(r) {
 			return false
 		}
 		c.mu.Lock()
 		c.deadly = append(c.deadly, time.Now())
 		c.mu.Unlock()
-		w.Header().Set("X-Gooseberryway-Attempt-Id", r.Header.Get("X-Gooseberryway-Attempt-Id"))
-		_ = http.NewResponseController(w).Flush()
+		if c.service == "llm" {
+			w.Header().Set("X-Gooseberryway-Attempt-Id", r.Header.Get("X-Gooseberryway-Attempt-Id"))
+			_ = http.NewResponseController(w).Flush()
+		}
 		time.Sleep(20 * time.Millisecond)
 		c.crash(u)
 		panic(http.ErrAbortHandler)
 	}
 	c.running[u] = true
-	c.f.store.Put("keyed.servers", u.ID, u.Registration("llm", u.Start(), "ready"))
+	c.f.store.Put("keyed.servers", u.ID, u.Registration(c.service, u.Start(), "ready"))
 }
 
 // crash ends an engine, once, and starts another one after engineDownTime. As on the platform, its registration ends
 // some time after the crash.
-func (c *crashingEngines) crash(u *standin.Upstream) {
+func (c *crashingUpstreams) crash(u *standin.Upstream) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.running[u] {
@@ -76,7 +87,20 @@
 	})
 }
 
-func (c *crashingEngines) close() {
+// lateAfter returns how many deadly requests arrived later than a stability window after the nth crash.
+func (c *crashingUpstreams) lateAfter(nth int) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	late := 0
+	for _, at := range c.deadly {
+		if len(c.crashes) >= nth && at.After(c.crashes[nth-1].Add(stabilityWindow)) {
+			late++
+		}
+	}
+	return late
+}
+
+func (c *crashingUpstreams) close() {
 	c.mu.Lock()
 	c.closed = true
 	c.mu.Unlock()
@@ -86,8 +110,12 @@
 	}
 }
 
-func newCrashingEngines(f *testFleet, n int) *crashingEngines {
-	c := &crashingEngines{f: f, running: map[*standin.Upstream]bool{}}
+func hasDeadlyPart(r *http.Request) bool {
+	return strings.Contains(r.Header.Get("X-Gooseberryway-Prompt-Prefix"), deadlyPart+":")
+}
+
+func startCrashingUpstreams(f *testFleet, n int, service string, isDeadly func(r *http.Request) bool) *crashingUpstreams {
+	c := &crashingUpstreams{f: f, service: service, isDeadly: isDeadly, running: map[*standin.Upstream]bool{}}
 	f.t.Cleanup(c.close)
 	for range n {
 		c.start()
@@ -130,31 +158,16 @@
 
 // Guards against prompt parts that crash one engine after the other.
 func TestPartThatCrashesEnginesIsRefused(t *testing.T) {
-	// The bounds are the users': three requests later than a stability window after the fifth crash.
-	const (
-		stabilityWindow = 3 * time.Second
-		allowed         = 3
-	)
 	f := newTestFleet(t)
 	f.configureRate(1, 1000000, "secret")
-	engines := newCrashingEngines(f, 6)
+	engines := startCrashingUpstreams(f, 6, "llm", hasDeadlyPart)
 	for i := range 3 {
 		f.start(fmt.Sprint("d", i), nil)
 	}
 	f.ready(6)
 	sendPrompts(f, stabilityWindow+2*time.Second, true)
 	answered, sound := sendPrompts(f, 2*time.Second, true)
-	engines.mu.Lock()
-	defer engines.mu.Unlock()
-	if len(engines.crashes) >= 5 {
-		late := 0
-		for _, at := range engines.deadly {
-			if at.After(engines.crashes[4].Add(stabilityWindow)) {
-				late++
-			}
-		}
-		require.LessOrEqual(t, late, allowed, "requests with the part still reach engines, %d crashed", len(engines.crashes))
-	}
+	require.LessOrEqual(t, engines.lateAfter(5), allowedLate, "requests with the part still reach engines, %d crashed", len(engines.crashes))
 	require.GreaterOrEqual(t, answered, sound*9/10, "sound requests with the same first part are served")
 }
 
@@ -162,7 +175,7 @@
 func TestQuarantineOutlivesRestartOfAllDaemons(t *testing.T) {
 	f := newTestFleet(t)
 	f.configureRate(1, 1000000, "secret")
-	newCrashingEngines(f, 6)
+	startCrashingUpstreams(f, 6, "llm", hasDeadlyPart)
 	first := f.start("d0", nil)
 	f.ready(6)
 	sendPrompts(f, 4*time.Second, true)
