Quarantine whole requests that crash upstreams

Callers lost what ran at each worker that one request reached, which came again under new ids at any daemon, and the request was never held back. The detector judged shared prompt parts only: a plain request was not judged at all, and the parts of a stream request are answered for others.

A request is now a subject of suspicion like its parts, known by its fingerprint (method, target, organisation, body): the same incidents, messages, record in the store and question before each attempt. Repeats count once against a part, so that a sound part isn't blamed. Three separate crashes without an answer quarantine it, five at most; answers at any daemon clear it. Fingerprints are hashed only while there is evidence. A daemon tells what doesn't fit into a heartbeat in turn.

TestRepeatedRequestCountsOnce crashed five upstreams under one request, which is now refused after three; it gets the five crashes from peers and still asks that the part is let through.

--- a/internal/coordination/poison/consts.go
+++ b/internal/coordination/poison/consts.go
@@ -3,11 +3,11 @@
 import "time"
 
 const (
-	// minCrashes is the number of crashes that quarantine a part without a known answer, minCrashesIfAnswered the number
-	// for a part that has been answered before them.
+	// minCrashes is the number of crashes that quarantine a subject without a known answer, minCrashesIfAnswered the number
+	// for one that has been answered before them, and the most for a whole request.
 	minCrashes           = 3
 	minCrashesIfAnswered = 5
-	// extraCrashes are added if less than two thirds of the ends of upstreams had the part, manyExtraCrashes if less than a
+	// extraCrashes are added for a part if less than two thirds of the ends of upstreams had it, manyExtraCrashes if less than a
 	// third.
 	extraCrashes     = 2
 	manyExtraCrashes = 5
@@ -47,7 +47,9 @@
 
 // Bounds of memory and of messages.
 const (
+	// maxSuspects bounds the parts under suspicion, maxWholeSuspects the whole requests.
 	maxSuspects         = 512
+	maxWholeSuspects    = 1024
 	maxIncidents        = 32
 	maxEnds             = 256
 	maxPendingUpstreams = 256
--- a/internal/coordination/poison/detector.go
+++ b/internal/coordination/poison/detector.go
@@ -39,24 +39,29 @@
 	// IsProbeTurn reports whether it is this daemon's turn to probe a set of parts in a round; nil for always.
 	IsProbeTurn func(key string, round int64) bool
 
-	// quarantines are the sets in quarantine by one of their parts; nil if there are none.
-	quarantines atomic.Pointer[map[PartHash][]*quarantine]
+	// quarantines are the sets in quarantine by one of their subjects; nil if there are none.
+	quarantines atomic.Pointer[map[Hash][]*quarantine]
+	// judgesWhole says that whole requests are under suspicion or in quarantine.
+	judgesWhole atomic.Bool
 	// version changes with the quarantines.
 	version atomic.Uint64
 
 	mu       sync.Mutex
-	suspects map[PartHash]*suspect
+	suspects map[Hash]*suspect
+	// wholeSuspects and wholeQuarantines count the whole requests under suspicion and in quarantine.
+	wholeSuspects, wholeQuarantines int
 	// pending holds the requests that broke at upstreams that are not known to have ended.
 	pending map[UpstreamKey]*pendingUpstream
 	// ends are the known ends of upstreams, in the order of time.
 	ends []upstreamEnd
 	// verdicts holds the quarantined sets, and those that were released lately, by their key.
 	verdicts map[string]*quarantine
-	// answers and olderAnswers hold when requests with a part were last answered.
-	answers, olderAnswers map[PartHash]time.Time
+	// answers and olderAnswers hold when requests with a part were last answered. Answers to whole requests are remembered only with
+	// the evidence against them.
+	answers, olderAnswers map[Hash]time.Time
 	answersSince          time.Time
-	// idleTurn is the position of IdleNews among the quarantines.
-	idleTurn int
+	// idleTurn is the position of IdleNews among the quarantines, newsTurn that of News among the incidents that don't fit.
+	idleTurn, newsTurn int
 }
 
 // pendingUpstream holds the requests that broke at an upstream.
@@ -76,21 +81,30 @@
 }
 
 type pendingBreak struct {
-	request RequestHash
-	parts   []PartHash
-	at      time.Time
+	fingerprint Hash
+	parts       []Hash
+	at          time.Time
+}
+
+// subjects returns what is judged of a request.
+func (d *Detector) subjects(r *Request) []Hash {
+	if !d.judgesWhole.Load() {
+		return r.Parts
+	}
+	return append(slices.Clip(r.Parts), r.Fingerprint())
 }
 
 // broken records a request that broke at an upstream and has that upstream checked.
 func (d *Detector) broken(a *Attempt) {
+	subjects, fingerprint := d.subjects(a.request), a.request.Fingerprint()
 	d.mu.Lock()
 	p := d.pendingAt(a.upstream)
-	if p == nil || p.draining || len(d.matching(a.parts)) > 0 {
+	if p == nil || p.draining || len(d.matching(subjects)) > 0 {
 		d.mu.Unlock()
 		return
 	}
 	p.touchedAt = a.brokeAt
-	b := pendingBreak{a.request, a.parts, a.brokeAt}
+	b := pendingBreak{fingerprint, a.request.Parts, a.brokeAt}
 	news := false
 	if p.endedAt.IsZero() {
 		p.add(b)
@@ -202,15 +216,21 @@
 	return d.addIncidents(p, breaks)
 }
 
-// answered records that a request with the parts was answered in full.
-func (d *Detector) answered(parts []PartHash, now time.Time) {
+// answered records that a request was answered in full.
+func (d *Detector) answered(r *Request, now time.Time) {
+	subjects := d.subjects(r)
+	if len(subjects) == 0 {
+		return
+	}
 	d.mu.Lock()
 	d.rotateAnswers(now)
-	news := false
-	for _, h := range parts {
+	for _, h := range r.Parts {
 		if _, known := d.answers[h]; known || len(d.answers) < maxAnswers {
 			d.answers[h] = now
 		}
+	}
+	news := false
+	for _, h := range subjects {
 		if s := d.suspects[h]; s != nil {
 			news = s.answer(now, now) || news
 		}
@@ -224,12 +244,12 @@
 
 func (d *Detector) rotateAnswers(now time.Time) {
 	if d.answers == nil || now.Sub(d.answersSince) > answerGeneration {
-		d.olderAnswers, d.answers, d.answersSince = d.answers, map[PartHash]time.Time{}, now
+		d.olderAnswers, d.answers, d.answersSince = d.answers, map[Hash]time.Time{}, now
 	}
 }
 
-// lastAnswer returns when a request with the part was last answered as far as is known; zero if it wasn't.
-func (d *Detector) lastAnswer(h PartHash, now time.Time) time.Time {
+// lastAnswer returns when a request with the subject was last answered as far as is known; zero if it wasn't.
+func (d *Detector) lastAnswer(h Hash, now time.Time) time.Time {
 	at := d.ownAnswer(h, now)
 	if s := d.suspects[h]; s != nil && s.answeredAt.After(at) {
 		at = s.answeredAt
@@ -238,7 +258,7 @@
 }
 
 // ownAnswer returns when this daemon last had an answer to a request with the part; zero if it doesn't know of any.
-func (d *Detector) ownAnswer(h PartHash, now time.Time) time.Time {
+func (d *Detector) ownAnswer(h Hash, now time.Time) time.Time {
 	d.rotateAnswers(now)
 	if at, ok := d.answers[h]; ok {
 		return at
@@ -246,7 +266,7 @@
 	return d.olderAnswers[h]
 }
 
-// Tick quarantines the parts for which there is enough evidence, and forgets what is out of date. It is called several
+// Tick quarantines the subjects against which there is enough evidence, and forgets what is out of date. It is called several
 // times per second.
 func (d *Detector) Tick() {
 	d.mu.Lock()
@@ -258,7 +278,7 @@
 	}
 	for h, s := range d.suspects {
 		if s.expire(now); len(s.incidents) == 0 && now.Sub(s.touchedAt) > 2*answerGeneration {
-			delete(d.suspects, h)
+			d.deleteSuspect(h)
 		}
 	}
 	changed := d.condemn(now)
--- a/internal/coordination/poison/news.go
+++ b/internal/coordination/poison/news.go
@@ -14,10 +14,10 @@
 	Quarantines []Quarantine
 }
 
-// Answer says when a request with a part under suspicion was last answered.
+// Answer says when a request with a subject under suspicion was last answered.
 type Answer struct {
-	Part PartHash
-	At   time.Time
+	Subject Hash
+	At      time.Time
 }
 
 // News returns what to tell the other daemons now. If whole is set, it includes what was told before and what others told, for
@@ -48,20 +48,30 @@
 	return n
 }
 
-// mostTelling returns the incidents that fit into a message: those of parts with the most crashes and without answers first.
+// mostTelling returns the incidents that fit into a message: half of it for those of subjects with the most crashes and without
+// answers, the rest in turn.
 func (d *Detector) mostTelling(incidents []Incident) []Incident {
 	if len(incidents) <= maxNewsIncidents {
 		return incidents
 	}
-	rank := func(i Incident) int {
-		s := d.suspects[i.Part]
-		crashes := d.crashes(s)
-		return len(crashes) - d.required(s, crashes)
+	ranks := map[Hash]int{}
+	for _, i := range incidents {
+		if _, known := ranks[i.Subject]; !known {
+			s := d.suspects[i.Subject]
+			crashes := d.crashes(s)
+			ranks[i.Subject] = len(crashes) - d.required(s, crashes)
+		}
 	}
 	slices.SortFunc(incidents, func(a, b Incident) int {
-		return cmp.Or(cmp.Compare(rank(b), rank(a)), b.At.Compare(a.At))
+		return cmp.Or(cmp.Compare(ranks[b.Subject], ranks[a.Subject]), b.At.Compare(a.At))
 	})
-	return incidents[:maxNewsIncidents]
+	first, rest := incidents[:maxNewsIncidents/2], incidents[maxNewsIncidents/2:]
+	out := slices.Clone(first)
+	for len(out) < maxNewsIncidents {
+		d.newsTurn++
+		out = append(out, rest[d.newsTurn%len(rest)])
+	}
+	return out
 }
 
 // Quarantines returns all quarantines in force.
@@ -74,7 +84,7 @@
 			out = append(out, q.Quarantine)
 		}
 	}
-	slices.SortFunc(out, func(a, b Quarantine) int { return strings.Compare(a.Parts.Key(), b.Parts.Key()) })
+	slices.SortFunc(out, func(a, b Quarantine) int { return strings.Compare(a.Subjects.Key(), b.Subjects.Key()) })
 	return out
 }
 
@@ -119,14 +129,18 @@
 		}
 	}
 	for _, a := range n.Answers {
-		if s := d.suspects[a.Part]; s != nil {
+		if s := d.suspects[a.Subject]; s != nil {
 			s.clear(a.At, now)
 		}
 		d.narrowIfAfter(a)
 	}
 	for _, q := range n.Quarantines {
-		if len(q.Parts) > 0 && len(q.Parts) <= maxSetParts && q.Strikes > 0 {
-			q.Parts = newSet(q.Parts)
+		most := maxSetParts
+		if q.Whole {
+			most = 1
+		}
+		if len(q.Subjects) > 0 && len(q.Subjects) <= most && q.Strikes > 0 {
+			q.Subjects = newSet(q.Subjects)
 			d.put(q, "peer")
 		}
 	}
@@ -139,8 +153,8 @@
 // narrowIfAfter narrows the quarantined sets with a part that was answered after they were quarantined.
 func (d *Detector) narrowIfAfter(a Answer) {
 	for _, q := range d.verdicts {
-		if !q.Released && len(q.Parts) > 1 && slices.Contains(q.Parts, a.Part) && a.At.After(q.Since) {
-			d.narrow(a.Part)
+		if !q.Released && len(q.Subjects) > 1 && slices.Contains(q.Subjects, a.Subject) && a.At.After(q.Since) {
+			d.narrow(a.Subject)
 			return
 		}
 	}
--- a/internal/coordination/poison/quarantine.go
+++ b/internal/coordination/poison/quarantine.go
@@ -9,9 +9,11 @@
 	"k8s.io/klog/v2"
 )
 
-// Quarantine says that requests whose prompts have all parts of a set crash upstreams, or no longer do.
+// Quarantine says that requests with all of a set crash upstreams, or no longer do.
 type Quarantine struct {
-	Parts Set
+	Subjects Set
+	// Whole says that the set is a whole request.
+	Whole bool
 	// Strikes is how many times the set has been quarantined.
 	Strikes int
 	// Released says that the set is no longer quarantined.
@@ -46,23 +48,29 @@
 	return q.Released && !known.Released
 }
 
-// QuarantinedError reports a request that must not be sent, because parts of its prompt crash upstreams.
+// QuarantinedError reports a request that must not be sent, because it, or parts of its prompt, crash upstreams.
 type QuarantinedError struct {
-	Parts Set
-	// RetryAfter is the time until a request with the parts may be tried again.
+	Subjects Set
+	// Whole says that the request itself is quarantined rather than parts of its prompt.
+	Whole bool
+	// RetryAfter is the time until such a request may be tried again.
 	RetryAfter time.Duration
 }
 
 func (e *QuarantinedError) Error() string {
-	return fmt.Sprintf("prompt parts %s are quarantined for %v", e.Parts.Key(), e.RetryAfter)
+	what := "prompt parts"
+	if e.Whole {
+		what = "request"
+	}
+	return fmt.Sprintf("%s %s quarantined for %v", what, e.Subjects.Key(), e.RetryAfter)
 }
 
 // Check returns a *QuarantinedError for a request that must not be sent to any upstream.
-func (d *Detector) Check(parts []PartHash) error {
-	if len(parts) == 0 || d.quarantines.Load() == nil {
+func (d *Detector) Check(r *Request) error {
+	if d.quarantines.Load() == nil {
 		return nil
 	}
-	matching := d.matching(parts)
+	matching := d.matching(d.subjects(r))
 	if len(matching) == 0 {
 		return nil
 	}
@@ -71,16 +79,16 @@
 	return d.check(matching)
 }
 
-// matching returns the quarantined sets that the parts contain.
-func (d *Detector) matching(parts []PartHash) []*quarantine {
+// matching returns the quarantined sets that the subjects contain.
+func (d *Detector) matching(subjects []Hash) []*quarantine {
 	index := d.quarantines.Load()
 	if index == nil {
 		return nil
 	}
 	var out []*quarantine
-	for _, h := range parts {
+	for _, h := range subjects {
 		for _, q := range (*index)[h] {
-			if q.Parts.in(parts) {
+			if q.Subjects.in(subjects) {
 				out = append(out, q)
 			}
 		}
@@ -94,11 +102,14 @@
 	for _, q := range matching {
 		end := q.end()
 		round := int64(now.Sub(end) / probeRound)
-		mine := d.IsProbeTurn == nil || d.IsProbeTurn(q.Parts.Key(), round)
+		mine := d.IsProbeTurn == nil || d.IsProbeTurn(q.Subjects.Key(), round)
 		if now.Before(end) || q.probing || !mine {
 			q.refusedAt = now
 			metrics.GetOrCreateCounter("gooseberrywayQuarantineRefusals").Inc()
-			return &QuarantinedError{Parts: q.Parts, RetryAfter: max(probeRound, end.Sub(now))}
+			if q.Whole {
+				metrics.GetOrCreateCounter("gooseberrywayQuarantinedRequestRefusals").Inc()
+			}
+			return &QuarantinedError{Subjects: q.Subjects, Whole: q.Whole, RetryAfter: max(probeRound, end.Sub(now))}
 		}
 	}
 	return nil
@@ -116,9 +127,9 @@
 		q.probing = false
 		switch o {
 		case OutcomeAnswered:
-			d.put(Quarantine{Parts: q.Parts, Strikes: q.Strikes, Released: true, Since: now}, "answered probe")
+			d.put(Quarantine{Subjects: q.Subjects, Whole: q.Whole, Strikes: q.Strikes, Released: true, Since: now}, "answered probe")
 		case OutcomeBroken:
-			d.put(Quarantine{Parts: q.Parts, Strikes: q.Strikes + 1, Since: now}, "broken probe")
+			d.put(Quarantine{Subjects: q.Subjects, Whole: q.Whole, Strikes: q.Strikes + 1, Since: now}, "broken probe")
 		default:
 		}
 	}
@@ -126,25 +137,25 @@
 	d.notify()
 }
 
-// quarantine quarantines a set of parts.
-func (d *Detector) quarantine(parts Set, crashes []Incident, now time.Time) {
+// quarantine quarantines a set.
+func (d *Detector) quarantine(subjects Set, whole bool, crashes []Incident, now time.Time) {
 	strikes := 1
-	if known := d.verdicts[parts.Key()]; known != nil {
+	if known := d.verdicts[subjects.Key()]; known != nil {
 		if !known.Released && now.Before(known.end()) {
 			return
 		}
 		strikes = known.Strikes + 1
 	}
 	for _, i := range crashes {
-		klog.InfoS("Crash under a quarantined part", "parts", parts.Key(), "upstream", i.Upstream.Tag, "request", i.Request,
+		klog.InfoS("Crash under a quarantined part", "parts", subjects.Key(), "upstream", i.Upstream.Tag, "request", i.Request,
 			"ageMs", now.Sub(i.At).Milliseconds())
 	}
-	d.put(Quarantine{Parts: parts, Strikes: strikes, Since: now}, "crashes")
+	d.put(Quarantine{Subjects: subjects, Whole: whole, Strikes: strikes, Since: now}, "crashes")
 }
 
 // put applies a quarantine or a release, unless the same or a newer one is known.
 func (d *Detector) put(q Quarantine, source string) {
-	key := q.Parts.Key()
+	key := q.Subjects.Key()
 	known := d.verdicts[key]
 	if known != nil && !q.replaces(&known.Quarantine) {
 		return
@@ -158,25 +169,32 @@
 	}
 	now := time.Now()
 	d.verdicts[key] = &quarantine{Quarantine: q, changedAt: now, refusedAt: now}
-	klog.InfoS("Quarantine of prompt parts", "parts", key, "released", q.Released, "strikes", q.Strikes, "source", source,
+	klog.InfoS("Quarantine of prompt parts", "parts", key, "whole", q.Whole, "released", q.Released, "strikes", q.Strikes, "source", source,
 		"ageMs", now.Sub(q.Since).Milliseconds())
 	d.publish()
-	if s := d.suspects[q.Parts[0]]; s != nil && !q.Released {
+	if s := d.suspects[q.Subjects[0]]; s != nil && !q.Released {
 		d.explain(slices.DeleteFunc(slices.Clone(s.incidents), func(i Incident) bool { return i.At.After(q.Since) }))
 	}
 }
 
 // publish makes the quarantines visible to requests.
 func (d *Detector) publish() {
-	index := map[PartHash][]*quarantine{}
-	n := 0
+	index := map[Hash][]*quarantine{}
+	n, wholes := 0, 0
 	for _, q := range d.verdicts {
-		if !q.Released {
-			index[q.Parts[0]] = append(index[q.Parts[0]], q)
-			n++
+		if q.Released {
+			continue
+		}
+		index[q.Subjects[0]] = append(index[q.Subjects[0]], q)
+		n++
+		if q.Whole {
+			wholes++
 		}
 	}
+	d.wholeQuarantines = wholes
+	d.updateJudgesWhole()
 	metrics.GetOrCreateGauge("gooseberrywayQuarantines", nil).Set(float64(n))
+	metrics.GetOrCreateGauge("gooseberrywayQuarantinedRequests", nil).Set(float64(wholes))
 	d.version.Add(1)
 	if n == 0 {
 		d.quarantines.Store(nil)
@@ -189,9 +207,9 @@
 func (d *Detector) Version() uint64 { return d.version.Load() }
 
 // inSet reports whether the part is in a quarantined set of several parts.
-func (d *Detector) inSet(h PartHash) bool {
+func (d *Detector) inSet(h Hash) bool {
 	for _, q := range d.verdicts {
-		if !q.Released && len(q.Parts) > 1 && slices.Contains(q.Parts, h) {
+		if !q.Released && len(q.Subjects) > 1 && slices.Contains(q.Subjects, h) {
 			return true
 		}
 	}
@@ -200,20 +218,20 @@
 
 // narrow removes a part that was answered from the quarantined sets of several parts: the others have caused the crashes. It
 // reports whether there were any.
-func (d *Detector) narrow(h PartHash) bool {
+func (d *Detector) narrow(h Hash) bool {
 	if d.quarantines.Load() == nil {
 		return false
 	}
 	var narrowed []*quarantine
 	for _, q := range d.verdicts {
-		if !q.Released && len(q.Parts) > 1 && slices.Contains(q.Parts, h) {
+		if !q.Released && len(q.Subjects) > 1 && slices.Contains(q.Subjects, h) {
 			narrowed = append(narrowed, q)
 		}
 	}
 	for _, q := range narrowed {
-		rest := slices.DeleteFunc(slices.Clone(q.Parts), func(p PartHash) bool { return p == h })
-		d.put(Quarantine{Parts: rest, Strikes: q.Strikes, Since: q.Since}, "narrowed")
-		d.put(Quarantine{Parts: q.Parts, Strikes: q.Strikes, Released: true, Since: time.Now()}, "narrowed")
+		rest := slices.DeleteFunc(slices.Clone(q.Subjects), func(p Hash) bool { return p == h })
+		d.put(Quarantine{Subjects: rest, Strikes: q.Strikes, Since: q.Since}, "narrowed")
+		d.put(Quarantine{Subjects: q.Subjects, Strikes: q.Strikes, Released: true, Since: time.Now()}, "narrowed")
 	}
 	return len(narrowed) > 0
 }
--- a/internal/coordination/poison/suspect.go
+++ b/internal/coordination/poison/suspect.go
@@ -9,12 +9,14 @@
 	"k8s.io/klog/v2"
 )
 
-// suspect is the evidence against a part.
+// suspect is the evidence against a subject.
 type suspect struct {
+	// whole says that the subject is a whole request.
+	whole     bool
 	incidents []Incident
 	// own are the incidents that this daemon saw itself.
 	own map[RequestHash]bool
-	// answeredAt is when a request with the part was last answered anywhere, ownAnsweredAt when here.
+	// answeredAt is when a request with the subject was last answered anywhere, ownAnsweredAt when here.
 	answeredAt, ownAnsweredAt time.Time
 	// logged is the number of crashes that was last logged.
 	logged int
@@ -43,8 +45,9 @@
 	s.touchedAt = now
 }
 
-// crashes returns the incidents that count as separate crashes: of different requests and upstreams, apart in time and not among
-// more ends of other upstreams, which have another cause. Of a part with maxIncidents or more, not all are known.
+// crashes returns the incidents that count as separate crashes: of different upstreams and, if the subject is a part, of different
+// requests, apart in time and not among more ends of other upstreams, which have another cause. Of a subject with maxIncidents or
+// more, not all are known.
 func (d *Detector) crashes(s *suspect) []Incident {
 	var out []Incident
 	for _, i := range s.incidents {
@@ -52,7 +55,7 @@
 			continue
 		}
 		known := slices.ContainsFunc(out, func(o Incident) bool {
-			return o.Request == i.Request || o.Upstream == i.Upstream || i.At.Sub(o.At) < crashSpacing
+			return !s.whole && o.Request == i.Request || o.Upstream == i.Upstream || i.At.Sub(o.At) < crashSpacing
 		})
 		if !known {
 			out = append(out, i)
@@ -61,7 +64,7 @@
 	return out
 }
 
-// upstreamsAt returns how many upstreams ended at about that time under requests with the part.
+// upstreamsAt returns how many upstreams ended at about that time under requests with the subject.
 func (s *suspect) upstreamsAt(at time.Time) int {
 	var ended []UpstreamKey
 	for _, i := range s.incidents {
@@ -76,11 +79,11 @@
 type upstreamEnd struct {
 	upstream UpstreamKey
 	at       time.Time
-	// explained says that a quarantined part has caused it.
+	// explained says that a quarantined subject has caused it.
 	explained bool
 }
 
-// recordEnd records the end of an upstream, in the order of time. It reports whether a quarantined part has caused it.
+// recordEnd records the end of an upstream, in the order of time. It reports whether a quarantined subject has caused it.
 func (d *Detector) recordEnd(i Incident) (explained bool) {
 	if known := slices.IndexFunc(d.ends, func(e upstreamEnd) bool { return e.upstream == i.Upstream }); known >= 0 {
 		return d.ends[known].explained
@@ -101,8 +104,8 @@
 	return last - first
 }
 
-// required returns how many crashes quarantine the part with the given ones. It takes more if upstreams also ended in between
-// without the part, as then many parts have been there at some of the ends.
+// required returns how many crashes quarantine the subject with the given ones. It takes more if upstreams also ended in between
+// without it, as then many parts have been there at some of the ends.
 func (d *Detector) required(s *suspect, crashes []Incident) int {
 	n := minCrashes
 	if !s.answeredAt.IsZero() {
@@ -115,6 +118,9 @@
 	switch {
 	case 3*len(crashes) >= 2*moments:
 		return n
+	case s.whole:
+		// Each is evidence against one request alone, which is seldom at the ends of several upstreams by chance.
+		return minCrashesIfAnswered
 	case 3*len(crashes) >= moments:
 		return n + extraCrashes
 	default:
@@ -178,30 +184,38 @@
 	return out
 }
 
-// addIncidents puts the parts of requests under suspicion that broke as their upstream ended.
+// addIncidents puts requests that broke as their upstream ended, and their parts, under suspicion.
 func (d *Detector) addIncidents(p *pendingUpstream, breaks []pendingBreak) bool {
 	news := false
 	for _, b := range breaks {
-		for _, h := range b.parts {
-			i := Incident{Part: h, Upstream: keyOf(p.upstream), Request: b.request, At: b.at}
-			if s := d.addIncident(i); s != nil {
-				s.own[b.request] = true
-				news = true
-			}
+		i := Incident{Upstream: keyOf(p.upstream), Request: hashOf(b.fingerprint, b.parts), At: b.at}
+		for _, i.Subject = range b.parts {
+			news = d.addOwnIncident(i) || news
 		}
+		i.Subject, i.Whole = b.fingerprint, true
+		news = d.addOwnIncident(i) || news
 	}
 	return news
 }
 
-// addIncident adds an incident. It returns nil if the incident is known or the part was answered after it.
+func (d *Detector) addOwnIncident(i Incident) bool {
+	s := d.addIncident(i)
+	if s == nil {
+		return false
+	}
+	s.own[i.Request] = true
+	return true
+}
+
+// addIncident adds an incident. It returns nil if the incident is known or the subject was answered after it.
 func (d *Detector) addIncident(i Incident) *suspect {
 	now := time.Now()
-	if now.Sub(i.At) > evidenceTTL || d.recordEnd(i) || d.lastAnswer(i.Part, now).After(i.At) {
+	if now.Sub(i.At) > evidenceTTL || d.recordEnd(i) || d.lastAnswer(i.Subject, now).After(i.At) {
 		return nil
 	}
-	s := d.suspects[i.Part]
+	s := d.suspects[i.Subject]
 	if s == nil {
-		if s = d.newSuspect(i.Part, now); s == nil {
+		if s = d.newSuspect(&i, now); s == nil {
 			return nil
 		}
 	}
@@ -211,45 +225,67 @@
 	s.touchedAt = now
 	if crashes := d.crashes(s); len(crashes) > max(1, s.logged) {
 		s.logged = len(crashes)
-		klog.InfoS("Prompt part under suspicion", "part", i.Part, "crashes", len(crashes), "required", d.required(s, crashes))
+		klog.InfoS("Prompt part under suspicion", "part", i.Subject, "whole", s.whole, "crashes", len(crashes),
+			"required", d.required(s, crashes))
 	}
 	return s
 }
 
-// newSuspect returns a new entry for a part. If there are too many, the one with the least evidence yields; the result is nil
-// if none may.
-func (d *Detector) newSuspect(h PartHash, now time.Time) *suspect {
+// newSuspect returns a new entry for the subject of an incident. If there are too many of its kind, one with the least evidence
+// yields; the result is nil if none may.
+func (d *Detector) newSuspect(i *Incident, now time.Time) *suspect {
 	if d.suspects == nil {
-		d.suspects = map[PartHash]*suspect{}
+		d.suspects = map[Hash]*suspect{}
 	}
-	if len(d.suspects) >= maxSuspects && !d.evictSuspect() {
+	full := len(d.suspects)-d.wholeSuspects >= maxSuspects
+	if i.Whole {
+		full = d.wholeSuspects >= maxWholeSuspects
+	}
+	if full && !d.evictSuspect(i.Whole) {
 		return nil
 	}
-	own := d.ownAnswer(h, now)
-	s := &suspect{own: map[RequestHash]bool{}, answeredAt: own, ownAnsweredAt: own}
+	own := d.ownAnswer(i.Subject, now)
+	s := &suspect{whole: i.Whole, own: map[RequestHash]bool{}, answeredAt: own, ownAnsweredAt: own}
 	if !own.IsZero() {
 		s.toldAt = now
 	}
-	d.suspects[h] = s
+	d.suspects[i.Subject] = s
+	if i.Whole {
+		d.wholeSuspects++
+		d.updateJudgesWhole()
+	}
 	return s
 }
 
-func (d *Detector) evictSuspect() bool {
-	var victim PartHash
+func (d *Detector) deleteSuspect(h Hash) {
+	if d.suspects[h].whole {
+		d.wholeSuspects--
+		d.updateJudgesWhole()
+	}
+	delete(d.suspects, h)
+}
+
+func (d *Detector) updateJudgesWhole() { d.judgesWhole.Store(d.wholeSuspects+d.wholeQuarantines > 0) }
+
+func (d *Detector) evictSuspect(whole bool) bool {
+	var victim Hash
 	least := minCrashes
 	for h, s := range d.suspects {
-		if n := len(s.incidents); n < least {
+		if n := len(s.incidents); s.whole == whole && n < least {
 			victim, least = h, n
 		}
+		if least <= 1 {
+			break
+		}
 	}
 	if least == minCrashes {
 		return false
 	}
-	delete(d.suspects, victim)
+	d.deleteSuspect(victim)
 	return true
 }
 
-// condemn quarantines the parts that enough crashes speak against and reports whether there were any. Parts that all the same
+// condemn quarantines the subjects that enough crashes speak against and reports whether there were any. Parts that all the same
 // requests had can't be told apart and are quarantined together: only requests with all of them are refused.
 func (d *Detector) condemn(now time.Time) bool {
 	condemned := false
@@ -260,27 +296,27 @@
 		}
 		s := d.suspects[*h]
 		requests := s.requests()
-		group := []PartHash{*h}
+		group := []Hash{*h}
 		for other, o := range d.suspects {
-			if other != *h && len(group) < maxSetParts && maps.Equal(o.requests(), requests) {
+			if !s.whole && !o.whole && other != *h && len(group) < maxSetParts && maps.Equal(o.requests(), requests) {
 				group = append(group, other)
 			}
 		}
-		d.quarantine(newSet(group), d.crashes(s), now)
+		d.quarantine(newSet(group), s.whole, d.crashes(s), now)
 		d.explain(s.incidents)
 		condemned = true
 	}
 }
 
-// mostSuspect returns the part with the most evidence among those with enough; nil if there is none.
-func (d *Detector) mostSuspect(now time.Time) *PartHash {
+// mostSuspect returns the subject with the most evidence among those with enough; nil if there is none.
+func (d *Detector) mostSuspect(now time.Time) *Hash {
 	delay := minNewsDelay
 	if d.NewsDelay != nil {
 		delay = max(delay, d.NewsDelay())
 	}
 	type candidate struct {
-		part     PartHash
-		requests int
+		subject  Hash
+		evidence int
 	}
 	var found []candidate
 	for h, s := range d.suspects {
@@ -293,19 +329,27 @@
 			required = min(required, minCrashesOfMember)
 		}
 		if len(crashes) >= required && now.Sub(crashes[required-1].At) >= delay {
-			found = append(found, candidate{h, len(s.requests())})
+			found = append(found, candidate{h, s.evidence(crashes)})
 		}
 	}
 	if len(found) == 0 {
 		return nil
 	}
 	most := slices.MaxFunc(found, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.requests, b.requests), cmp.Compare(a.part, b.part))
+		return cmp.Or(cmp.Compare(a.evidence, b.evidence), cmp.Compare(a.subject, b.subject))
 	})
-	return &most.part
+	return &most.subject
+}
+
+// evidence returns the number of different requests that broke with a part, or of crashes under a whole request.
+func (s *suspect) evidence(crashes []Incident) int {
+	if s.whole {
+		return len(crashes)
+	}
+	return len(s.requests())
 }
 
-// explain removes the crashes from the evidence against all parts that a quarantined part has caused.
+// explain removes the crashes that a quarantined subject has caused from the evidence against all others.
 func (d *Detector) explain(incidents []Incident) {
 	caused := map[UpstreamKey]bool{}
 	for _, i := range incidents {
--- a/internal/program/entry/listeners.go
+++ b/internal/program/entry/listeners.go
@@ -65,14 +65,15 @@
 	// Limits are the rates that upstreams limit all daemons to, Rollouts the shifts of traffic to new releases.
 	Limits   []limitStatus   `json:"limits"`
 	Rollouts []rolloutStatus `json:"rollouts"`
-	// Quarantines are the sets of prompt parts whose requests are refused.
+	// Quarantines are the sets of prompt parts whose requests are refused, and the whole requests that are.
 	Quarantines []quarantineStatus `json:"quarantines"`
 	Peers       []peerStatus       `json:"peers"`
 }
 
-// quarantineStatus is a quarantined set of prompt parts, by their hashes.
+// quarantineStatus is a quarantined set of prompt parts, or a whole request, by their hashes.
 type quarantineStatus struct {
 	Parts   string `json:"parts"`
+	Whole   bool   `json:"whole"`
 	Strikes int    `json:"strikes"`
 	AgeMs   int64  `json:"ageMs"`
 }
@@ -144,7 +145,7 @@
 	for _, q := range d.detector.Quarantines() {
 		if !q.Released {
 			s.Quarantines = append(s.Quarantines, quarantineStatus{
-				Parts: q.Parts.Key(), Strikes: q.Strikes, AgeMs: time.Since(q.Since).Milliseconds(),
+				Parts: q.Subjects.Key(), Whole: q.Whole, Strikes: q.Strikes, AgeMs: time.Since(q.Since).Milliseconds(),
 			})
 		}
 	}
--- a/internal/program/entry/quarantines.go
+++ b/internal/program/entry/quarantines.go
@@ -68,26 +68,27 @@
 	return len(picked) == 1 && picked[0] == d.Settings.DaemonID
 }
 
-// encodeEvidence encodes news of prompt parts; nil for none.
+// encodeEvidence encodes news of prompt parts and whole requests; nil for none.
 func encodeEvidence(n poison.News) *wire.PromptEvidence {
 	if len(n.Incidents)+len(n.Answers)+len(n.Quarantines) == 0 {
 		return nil
 	}
 	out := &wire.PromptEvidence{}
 	for _, i := range n.Incidents {
-		out.Part = append(out.Part, uint64(i.Part))
+		out.Part = append(out.Part, uint64(i.Subject))
+		out.Whole = append(out.Whole, i.Whole)
 		out.Upstream = append(out.Upstream, uint32(i.Upstream.Tag))
 		out.Incarnation = append(out.Incarnation, i.Upstream.Incarnation)
 		out.Request = append(out.Request, uint32(i.Request))
 		out.AgeMs = append(out.AgeMs, ageMs(i.At))
 	}
 	for _, a := range n.Answers {
-		out.AnsweredPart = append(out.AnsweredPart, uint64(a.Part))
+		out.AnsweredPart = append(out.AnsweredPart, uint64(a.Subject))
 		out.AnsweredAgeMs = append(out.AnsweredAgeMs, ageMs(a.At))
 	}
 	for _, q := range n.Quarantines {
-		w := &wire.QuarantinedParts{Strikes: uint32(q.Strikes), Released: q.Released, AgeMs: ageMs(q.Since)}
-		for _, p := range q.Parts {
+		w := &wire.QuarantinedParts{Strikes: uint32(q.Strikes), Released: q.Released, AgeMs: ageMs(q.Since), Whole: q.Whole}
+		for _, p := range q.Subjects {
 			w.Part = append(w.Part, uint64(p))
 		}
 		out.Quarantined = append(out.Quarantined, w)
@@ -95,7 +96,7 @@
 	return out
 }
 
-// decodeEvidence decodes news of prompt parts. The columns may differ in length; entries that lack a value are skipped.
+// decodeEvidence decodes news of prompt parts and whole requests. The columns may differ in length; entries that lack a value are skipped.
 func decodeEvidence(w *wire.PromptEvidence) poison.News {
 	var n poison.News
 	if w == nil {
@@ -106,18 +107,19 @@
 	rows := min(len(w.GetPart()), len(w.GetUpstream()), len(w.GetIncarnation()), len(w.GetRequest()), len(w.GetAgeMs()))
 	for i := range rows {
 		n.Incidents = append(n.Incidents, poison.Incident{
-			Part:     poison.PartHash(w.GetPart()[i]),
+			Subject:  poison.Hash(w.GetPart()[i]),
+			Whole:    i < len(w.GetWhole()) && w.GetWhole()[i],
 			Upstream: poison.UpstreamKey{Tag: ident.UpstreamTag(w.GetUpstream()[i]), Incarnation: w.GetIncarnation()[i]},
 			Request:  poison.RequestHash(w.GetRequest()[i]), At: ago(w.GetAgeMs()[i]),
 		})
 	}
 	for i := range min(len(w.GetAnsweredPart()), len(w.GetAnsweredAgeMs())) {
-		n.Answers = append(n.Answers, poison.Answer{Part: poison.PartHash(w.GetAnsweredPart()[i]), At: ago(w.GetAnsweredAgeMs()[i])})
+		n.Answers = append(n.Answers, poison.Answer{Subject: poison.Hash(w.GetAnsweredPart()[i]), At: ago(w.GetAnsweredAgeMs()[i])})
 	}
 	for _, q := range w.GetQuarantined() {
-		set := poison.Quarantine{Strikes: int(q.GetStrikes()), Released: q.GetReleased(), Since: ago(q.GetAgeMs())}
+		set := poison.Quarantine{Strikes: int(q.GetStrikes()), Released: q.GetReleased(), Since: ago(q.GetAgeMs()), Whole: q.GetWhole()}
 		for _, p := range q.GetPart() {
-			set.Parts = append(set.Parts, poison.PartHash(p))
+			set.Subjects = append(set.Subjects, poison.Hash(p))
 		}
 		n.Quarantines = append(n.Quarantines, set)
 	}
@@ -129,6 +131,8 @@
 type quarantineRecord struct {
 	Parts   []string `json:"parts"`
 	Strikes int      `json:"strikes"`
+	// Whole says that parts holds the hash of a whole request.
+	Whole bool `json:"whole,omitempty"`
 }
 
 // keepQuarantines reads the quarantines in the store when the daemon starts, as all daemons may have started again and none
@@ -178,15 +182,15 @@
 			klog.InfoS("Quarantine record can't be decoded and is ignored", "key", r.Key, "reason", err.Error())
 			continue
 		}
-		q := poison.Quarantine{Strikes: record.Strikes, Since: time.Now()}
+		q := poison.Quarantine{Strikes: record.Strikes, Whole: record.Whole, Since: time.Now()}
 		for _, p := range record.Parts {
 			h, err := strconv.ParseUint(p, 16, 64)
 			if err != nil {
 				klog.InfoS("Quarantine record can't be decoded and is ignored", "key", r.Key, "reason", err.Error())
-				q.Parts = nil
+				q.Subjects = nil
 				break
 			}
-			q.Parts = append(q.Parts, poison.PartHash(h))
+			q.Subjects = append(q.Subjects, poison.Hash(h))
 		}
 		news.Quarantines = append(news.Quarantines, q)
 		stored[r.Key] = record.Strikes
@@ -200,7 +204,7 @@
 func (d *Daemon) saveQuarantines(ctx context.Context, stored map[string]int) bool {
 	current := map[string]bool{}
 	for _, q := range d.detector.Quarantines() {
-		key := q.Parts.Key()
+		key := q.Subjects.Key()
 		if q.Released {
 			continue
 		}
@@ -208,8 +212,8 @@
 		if stored[key] >= q.Strikes {
 			continue
 		}
-		record := quarantineRecord{Strikes: q.Strikes}
-		for _, p := range q.Parts {
+		record := quarantineRecord{Strikes: q.Strikes, Whole: q.Whole}
+		for _, p := range q.Subjects {
 			record.Parts = append(record.Parts, p.String())
 		}
 		value, err := json.Marshal(record)
--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -164,22 +164,25 @@
 	}
 }
 
-// checkQuarantine returns the error that ends the request if parts of its prompt are known to crash upstreams, or nil.
+// checkQuarantine returns the error that ends the request if it, or parts of its prompt, are known to crash upstreams, or nil.
 func (c *call) checkQuarantine() error {
-	err := c.Detector.Check(c.parts)
+	err := c.Detector.Check(&c.suspect)
 	if err == nil {
 		return nil
 	}
-	after := rejectedRetryAfter
+	reason, after := ReasonQuarantined, rejectedRetryAfter
 	if q, ok := errors.AsType[*poison.QuarantinedError](err); ok {
 		after = q.RetryAfter
+		if q.Whole {
+			reason = ReasonRequestQuarantined
+		}
 	}
-	klog.InfoS("Request has quarantined prompt parts", "request", c.req.ID, "parts", c.sharedParts(), "hashes", poison.Set(c.parts).Key(),
-		"reason", err.Error(), "mayHaveRun", c.mayHaveRun())
+	klog.InfoS("Request has quarantined prompt parts", "request", c.req.ID, "parts", c.sharedParts(),
+		"hashes", poison.Set(c.suspect.Parts).Key(), "reason", err.Error(), "mayHaveRun", c.mayHaveRun())
 	if c.mayHaveRun() {
-		return c.endAfterLastAttempt(ReasonQuarantined)
+		return c.endAfterLastAttempt(reason)
 	}
-	return c.refundAndRefuse(ReasonQuarantined, after)
+	return c.refundAndRefuse(reason, after)
 }
 
 // isLast records the attempt that ended with this step in p and reports whether it is the last one.
@@ -304,7 +307,7 @@
 // attempt sends the request to the chosen upstream and handles the response.
 func (c *call) attempt(choice *place.Choice, p *progress) (nextStep, Reason) {
 	placeReq := p.placeReq
-	evidence, err := c.Detector.Begin(choice.Upstream, poison.HashRequest(c.req.ID), c.parts)
+	evidence, err := c.Detector.Begin(choice.Upstream, &c.suspect)
 	if err != nil {
 		c.Placer.Discard(choice)
 		return stepFail, ReasonQuarantined
--- a/internal/transport/proxy/fingerprint.go
+++ b/internal/transport/proxy/fingerprint.go
@@ -13,7 +13,7 @@
 // fingerprint returns the hash of what all repeats of the request have in common: method, target, organisation and body. Callers
 // choose the rest, such as the ID and the deadline, anew for each attempt. The hash is cryptographic, so that no caller can have
 // another one's request refused.
-func (c *call) fingerprint() poison.PartHash {
+func (c *call) fingerprint() poison.Hash {
 	if c.hasFingerprint {
 		return c.wholeHash
 	}
@@ -29,6 +29,6 @@
 		_, _ = io.WriteString(h, field)
 	}
 	_, _ = h.Write(c.body)
-	c.hasFingerprint, c.wholeHash = true, poison.PartHash(binary.BigEndian.Uint64(h.Sum(nil)))
+	c.hasFingerprint, c.wholeHash = true, poison.Hash(binary.BigEndian.Uint64(h.Sum(nil)))
 	return c.wholeHash
 }
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -39,7 +39,7 @@
 	Snapshots *view.Snapshots
 	Dialect   Dialect
 	Placer    *place.Placer
-	// Detector finds prompt parts that crash upstreams.
+	// Detector finds requests and prompt parts that crash upstreams.
 	Detector *poison.Detector
 	Limiter  *admit.Limiter
 	// Rollouts chooses between the releases of upstreams and judges them.
@@ -68,12 +68,12 @@
 	org      *view.Organisation
 	cost     float64
 	body     []byte
-	// parts are the hashes of the parts of the prompt that other requests may share.
-	parts []poison.PartHash
+	// suspect is what may be found to crash upstreams.
+	suspect poison.Request
 	// wholeHash is the result of fingerprint once hasFingerprint is set.
-	wholeHash      poison.PartHash
+	wholeHash      poison.Hash
 	hasFingerprint bool
-	// evidence is what the last attempt says about these parts; nil before the first.
+	// evidence is what the last attempt says about the request; nil before the first.
 	evidence *poison.Attempt
 
 	// attempts counts the upstreams that the request reached, rejections those of them that said that they did not
@@ -98,11 +98,12 @@
 	if h.IsDraining() {
 		w.Header().Set("Connection", "close")
 	}
+	c.suspect.Fingerprint = c.fingerprint
 	for _, id := range c.sharedParts() {
 		if id == "" {
 			continue
 		}
-		c.parts = append(c.parts, poison.HashPart(id))
+		c.suspect.Parts = append(c.suspect.Parts, poison.HashPart(id))
 	}
 	err := c.serve()
 	var refusal *RefusedError
--- a/internal/transport/proxy/refusal.go
+++ b/internal/transport/proxy/refusal.go
@@ -29,6 +29,7 @@
 	ReasonUnreachable          Reason = "upstreamsUnreachable"
 	ReasonTooLate              Reason = "tooLateToServe"
 	ReasonQuarantined          Reason = "promptPartQuarantined"
+	ReasonRequestQuarantined   Reason = "requestQuarantined"
 )
 
 // RefusedError is the daemon's own final response to a request for which it forwards none from an upstream.
--- a/internal/transport/proxy/tracker.go
+++ b/internal/transport/proxy/tracker.go
@@ -37,7 +37,7 @@
 	t.evidence.End(evidenceOutcome(o))
 }
 
-// evidenceOutcome returns what the outcome of an attempt says about the parts of the request's prompt.
+// evidenceOutcome returns what the outcome of an attempt says about the request.
 func evidenceOutcome(o place.Outcome) poison.Outcome {
 	switch o {
 	case place.OutcomeSucceeded:
