Send no more requests to an upstream that says it leaves

An upstream that leaves says so in its answers (Server-Leaving), at times before or without a registration as draining. Nothing read that: requests went on reaching it until its registration changed, and broke when it ended.

The daemon now keeps such an incarnation out of every choice, which all attempts go through (first, retried, resumed, after a wait). The notice outlives a registration that is missing for a while, and ends with a restart. Answers to other requests and misdirected ones say nothing. The end of such an upstream is planned, and no evidence against requests.

--- a/internal/coordination/place/placer.go
+++ b/internal/coordination/place/placer.go
@@ -275,7 +275,7 @@
 	state *upstreamState, u *view.Upstream, model ident.ModelID, named view.Weights, now time.Time,
 ) (BlockedReason, time.Duration) {
 	switch {
-	case u.State != view.UpstreamReady:
+	case u.State != view.UpstreamReady, state.leaving:
 		return BlockedNoUpstream, blockedRetryAfter
 	case now.Before(state.loadingUntil):
 		return BlockedLoading, state.loadingUntil.Sub(now)
--- a/internal/coordination/place/tracker.go
+++ b/internal/coordination/place/tracker.go
@@ -343,13 +343,14 @@
 	p.reportedWork[peer] = work
 }
 
-// RemoveUnlisted removes the state of upstreams that are no longer registered and have no requests of this daemon.
+// RemoveUnlisted removes the state of upstreams that are no longer registered, have no requests of this daemon and gave it no
+// notice lately.
 func (p *Placer) RemoveUnlisted() {
 	listed := p.Snapshots.Upstreams().ByID
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, state := range p.upstreamStates {
-		if listed[id] == nil && state.own.Requests == 0 {
+		if listed[id] == nil && state.own.Requests == 0 && time.Since(state.noticedAt) > noticeTTL {
 			delete(p.upstreamStates, id)
 		}
 	}
--- a/internal/coordination/place/upstream_state.go
+++ b/internal/coordination/place/upstream_state.go
@@ -40,6 +40,10 @@
 	// loadingUntil is when the upstream takes work again after loading weights.
 	loadingUntil time.Time
 
+	// leaving says that the upstream has announced its end in a response; noticedAt is when it last gave such a notice.
+	leaving   bool
+	noticedAt time.Time
+
 	// excessSlowness is the mean of slowness minus 1, failureRate the share of requests that failed. Both decay to 0.
 	excessSlowness, failureRate estim.DecayingMean
 
@@ -141,7 +145,7 @@
 		s.incarnation = u.Incarnation
 		s.recentChains = map[ChainKey]time.Time{}
 		s.failureRate.Reset()
-		s.down = false
+		s.down, s.leaving = false, false
 		s.weightsChangedAt = time.Now()
 	}
 	for model, version := range u.Weights {
--- a/internal/coordination/poison/detector.go
+++ b/internal/coordination/poison/detector.go
@@ -32,6 +32,8 @@
 	Snapshots *view.Snapshots
 	// CheckLiveness checks whether an upstream still runs. It may take some hundred milliseconds.
 	CheckLiveness func(u *view.Upstream) Liveness
+	// IsLeaving, if set, reports whether an upstream has announced its end other than in its registration.
+	IsLeaving func(u *view.Upstream) bool
 	// OnChange, if set, is called without locks when peers should learn of news.
 	OnChange func()
 	// NewsDelay returns how long news from peers may take; nil for a small fleet.
@@ -146,13 +148,18 @@
 
 // isLeaving reports whether an upstream has announced its end or left the list. One that has crashed is listed for some seconds.
 func (d *Detector) isLeaving(u *view.Upstream) bool {
-	if u.State == view.UpstreamDraining || d.Snapshots == nil {
-		return u.State == view.UpstreamDraining
+	if u.State == view.UpstreamDraining || d.saysItLeaves(u) {
+		return true
+	}
+	if d.Snapshots == nil {
+		return false
 	}
 	current := d.Snapshots.Upstreams().ByID[u.ID]
 	return current == nil || current.Incarnation == u.Incarnation && current.State == view.UpstreamDraining
 }
 
+func (d *Detector) saysItLeaves(u *view.Upstream) bool { return d.IsLeaving != nil && d.IsLeaving(u) }
+
 func (d *Detector) checkLiveness(u *view.Upstream) {
 	d.applyLiveness(u, d.CheckLiveness(u))
 }
@@ -200,7 +207,7 @@
 
 // end records that an upstream has ended and reports whether peers should learn of it.
 func (d *Detector) end(p *pendingUpstream, evidence string) bool {
-	if p.draining || !p.endedAt.IsZero() {
+	if p.draining || d.saysItLeaves(p.upstream) || !p.endedAt.IsZero() {
 		return false
 	}
 	now := time.Now()
--- a/internal/coordination/poison/quarantine_test.go
+++ b/internal/coordination/poison/quarantine_test.go
@@ -213,10 +213,15 @@
 // Guards against the planned end of an upstream that counts as a crash, and holds back retries, because the upstream announced
 // it, or left the list, after the request had been sent.
 func TestEndAnnouncedAfterSendingIsNoCrash(t *testing.T) {
-	for name, state := range map[string]view.UpstreamState{"draining": view.UpstreamDraining, "no longer listed": 0} {
+	for name, state := range map[string]view.UpstreamState{
+		"draining": view.UpstreamDraining, "no longer listed": 0, "said in a response": view.UpstreamReady,
+	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				d := &Detector{Snapshots: &view.Snapshots{}, CheckLiveness: func(*view.Upstream) Liveness { return LivenessEnded }}
+				if state == view.UpstreamReady {
+					d.IsLeaving = func(*view.Upstream) bool { return true }
+				}
 				for i, id := range []ident.UpstreamID{"a", "b", "c", "d"} {
 					u := &view.Upstream{ID: id, Incarnation: 1, State: view.UpstreamReady}
 					a, err := d.Begin(u, requestOf(RequestHash(i), 1))
--- a/internal/program/entry/quarantines.go
+++ b/internal/program/entry/quarantines.go
@@ -36,6 +36,7 @@
 		OnChange:      d.peers.SendSoon,
 		NewsDelay:     func() time.Duration { return fleet.ScaledTimeout(0, newsDelayHeartbeats, d.meshSize()) },
 		IsProbeTurn:   d.isProbeTurn,
+		IsLeaving:     d.placer.IsLeaving,
 	}
 }
 
--- a/internal/transport/proxy/request.go
+++ b/internal/transport/proxy/request.go
@@ -63,6 +63,8 @@
 	WeightVersion int64
 	// Limit is what the response says about the rate at which the upstream takes requests.
 	Limit view.LimitStatement
+	// Leaving is true if the upstream says that it leaves soon.
+	Leaving bool
 }
 
 // Dialect translates between the platform's HTTP headers and the types of this package.
--- a/internal/transport/proxy/response.go
+++ b/internal/transport/proxy/response.go
@@ -39,6 +39,7 @@
 	parsed := c.Dialect.ParseResponse(resp.StatusCode, resp.Header)
 	c.Placer.SetWeightVersion(choice.Upstream, placeReq.Model, parsed.WeightVersion)
 	c.observeLimit(resp, &parsed, choice)
+	c.observeNotice(resp, &parsed, choice)
 	switch {
 	case parsed.ID != "" && parsed.ID != c.req.ID:
 		c.markSent()
@@ -73,6 +74,17 @@
 	c.UpstreamLimits.Observe(choice.Upstream, c.attemptAt, parsed.Limit)
 }
 
+// observeNotice records what the upstream says about requests to come. A misdirected response, or one to another request, may come
+// from another upstream.
+func (c *call) observeNotice(resp *http.Response, parsed *Response, choice *place.Choice) {
+	if resp.StatusCode == http.StatusMisdirectedRequest || parsed.ID != "" && parsed.ID != c.req.ID {
+		return
+	}
+	if parsed.Leaving {
+		c.Placer.MarkLeaving(choice.Upstream)
+	}
+}
+
 // stepAfterRun returns the next step after an attempt that failed although the request may have run.
 func (c *call) stepAfterRun(reason Reason) (nextStep, Reason) {
 	if c.route.Repeatable() {
