Begin no repeated append that the deadline of its write cuts short

A write to the log whose deadline passed during an append was reported with an unknown outcome, although the log had refused every append: the caller can't tell whether to write again.

--- a/internal/coordination/replay/consts.go
+++ b/internal/coordination/replay/consts.go
@@ -36,6 +36,7 @@
 	appendBurst           = 8
 	defaultAppendInterval = 25 * time.Millisecond
 	appendTimeout         = 3 * time.Second
+	minAppendTime         = 500 * time.Millisecond // an append that its write's deadline cuts short leaves the outcome unknown
 	minWriteBackoff       = 50 * time.Millisecond
 	maxWriteBackoff       = 2 * time.Second
 
--- a/internal/coordination/replay/writer.go
+++ b/internal/coordination/replay/writer.go
@@ -120,7 +120,7 @@
 		if result, ok := a.writer.Follower.Outcome(a.id); ok {
 			return result, nil
 		}
-		if a.offset == 0 {
+		if a.offset == 0 && a.mayAppend(ctx) {
 			a.append(ctx)
 		}
 		if result, ok := a.awaitResult(ctx, retry.NextBackOff()); ok {
@@ -132,6 +132,12 @@
 	}
 }
 
+// mayAppend reports whether there is time for an append; the first is always made.
+func (a *attempt) mayAppend(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return !ok || a.lastErr == nil || time.Until(deadline) >= minAppendTime
+}
+
 // append makes one append call to the log service. It cancels the call when the record is read back from the log.
 func (a *attempt) append(ctx context.Context) {
 	if err := a.writer.pacer.wait(ctx, a.writer.AppendInterval); err != nil {
