Close the connection on which the answer to another request came

An upstream went on for seconds with a request that already ran elsewhere (TWICE): a faulty upstream had sent an earlier answer once more on a kept connection, the daemon recognised it by its id and sent the request on, but the connection went back to the pool when that answer had no body. The upstream had no reason to stop, and its own answer met the next request.

Such a connection is now closed at once, unless the pool has already given it to another request.

TestEarlierRefusalSentAgainIsNotBelieved failed before: the upstream worked on for 4,000 ms, until the connection idled out; 400 ms are allowed.

--- a/internal/transport/httpc/pool.go
+++ b/internal/transport/httpc/pool.go
@@ -58,7 +58,8 @@
 		req.SetBasicAuth(user.Username(), password)
 	}
 	var tracker sendTracker
-	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: tracker.gotConn})
+	ctx := context.WithValue(req.Context(), trackerKey{}, &tracker)
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: tracker.gotConn})
 	resp, err := p.transport.RoundTrip(req.WithContext(ctx)) //nolint:bodyclose // the caller closes the body
 	if err != nil {
 		return nil, &SendError{NotSent: tracker.seal(), Err: err}
--- a/internal/transport/httpc/send_tracker.go
+++ b/internal/transport/httpc/send_tracker.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"net"
+	"net/http"
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
@@ -19,6 +20,10 @@
 type conn struct {
 	net.Conn
 	state atomic.Int32
+
+	mu sync.Mutex
+	// user is the tracker of the current request.
+	user *sendTracker
 }
 
 // Write fails with net.ErrClosed if the connection is sealed.
@@ -29,9 +34,49 @@
 	return c.Conn.Write(b)
 }
 
-// seal makes all further writes fail if none has started. It returns false if one has.
+// seal makes all further writes fail if none of the current request has started. It returns false if one has.
 func (c *conn) seal() bool {
-	return c.state.CompareAndSwap(connFresh, connSealed)
+	return c.state.CompareAndSwap(connFresh, connSealed) || c.state.Load() == connSealed
+}
+
+// take begins a request, whose writes fail if the connection is sealed.
+func (c *conn) take(t *sendTracker) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.user = t
+	c.state.CompareAndSwap(connUsed, connFresh)
+}
+
+// retire makes all further writes fail and closes the connection, unless it serves another request than the tracker's by now.
+func (c *conn) retire(t *sendTracker) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.user == t {
+		c.state.Store(connSealed)
+		_ = c.Close()
+	}
+}
+
+// trackerKey is the key of a request's sendTracker in its context.
+type trackerKey struct{}
+
+func trackerOf(resp *http.Response) *sendTracker {
+	t, _ := resp.Request.Context().Value(trackerKey{}).(*sendTracker)
+	return t
+}
+
+// Retire closes the connection of a response of Pool.Do, so that a server that still works on the request notices, and no
+// further request gets what is left of the response. The body can't be read any more.
+func Retire(resp *http.Response) {
+	t := trackerOf(resp)
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.current != nil {
+		t.current.retire(t)
+	}
 }
 
 // sendTracker records whether a request was sent on any of the connections that the transport tries for it.
@@ -54,7 +99,7 @@
 		t.maybeSent = true
 		return
 	}
-	t.current.state.Store(connFresh)
+	t.current.take(t)
 }
 
 // seal blocks all further writes of the request. It returns false if a byte may have been sent already.
--- a/internal/transport/proxy/response.go
+++ b/internal/transport/proxy/response.go
@@ -13,6 +13,7 @@
 
 	"github.com/gooseberryway/gooseberryway/internal/coordination/place"
 	"github.com/gooseberryway/gooseberryway/internal/state/view"
+	"github.com/gooseberryway/gooseberryway/internal/transport/httpc"
 )
 
 // streamBufferBytes is the largest number of bytes that is read from a stream at once.
@@ -44,6 +45,8 @@
 	case parsed.ID != "" && parsed.ID != c.req.ID:
 		c.markSent()
 		tracker.End(place.OutcomeBroken)
+		// The upstream may have begun to run this one.
+		httpc.Retire(resp)
 		klog.InfoS("Answer to another request", "request", c.req.ID, "upstream", choice.Upstream.ID, "got", parsed.ID)
 		return c.stepAfterRun(ReasonResponseMismatch)
 	case parsed.NotRun:
