Believe a refusal only if it answers this request

A faulty upstream sends an earlier refusal once more on a kept connection. The daemon believed it where it bore no id, and where it bore that of a request that its caller had sent once more after the first refusal.

A refusal without an id now counts only on the first request of a connection, and one with the id only if no earlier response on that connection had it; otherwise the request may have run, and its connection is closed. A connection remembers 32 such ids.

Reproduced in the soak with real processes and sockets, which callers now send again after refusals, on kept connections, with the same id or another, and whose upstreams take 5 ms to 2 s, refuse with and without ids, break off, crash, restart under the same address, freeze and leave behind proxies. TestEarlierRefusalSentAgainIsNotBelieved failed for the same id and for none, on unsafe and safe routes.

--- a/internal/program/entry/stale_refusal_test.go
+++ b/internal/program/entry/stale_refusal_test.go
@@ -27,9 +27,8 @@
 
 const refusalHead = "HTTP/1.1 503 Service Unavailable\r\nX-Gooseberryway-Not-Executed: 1\r\nContent-Length: 0\r\n"
 
-func refusalTo(id string) string {
-	return refusalHead + "X-Gooseberryway-Attempt-Id: " + id + "\r\n\r\n"
-}
+// earlierRefusal is the refusal of request r0.
+const earlierRefusal = refusalHead + "X-Gooseberryway-Attempt-Id: r0\r\n\r\n"
 
 func (s *staleAnswerer) intercept(w http.ResponseWriter, r *http.Request) bool {
 	if r.Header.Get("X-Gooseberryway-Attempt-Id") != "r0" || s.ran.Load() > 0 {
@@ -59,8 +58,11 @@
 func TestEarlierRefusalSentAgainIsNotBelieved(t *testing.T) {
 	answered := "HTTP/1.1 200 OK\r\nX-Gooseberryway-Attempt-Id: r0\r\nContent-Length: 0\r\n\r\n"
 	for name, c := range map[string]struct{ nextID, first, again string }{
-		"another id":              {"r1", refusalTo("r0"), refusalTo("r0")},
-		"another id, after a run": {"r1", answered, refusalTo("r0")},
+		"the same id":             {"r0", earlierRefusal, earlierRefusal},
+		"another id":              {"r1", earlierRefusal, earlierRefusal},
+		"no id":                   {"r1", earlierRefusal, refusalHead + "\r\n"},
+		"another id, after a run": {"r1", answered, earlierRefusal},
+		"no id, after a run":      {"r1", answered, refusalHead + "\r\n"},
 	} {
 		for _, path := range []string{"/order/x", "/lookup/x"} {
 			t.Run(fmt.Sprint(name, path), func(t *testing.T) {
--- a/internal/program/soak/fleet_test.go
+++ b/internal/program/soak/fleet_test.go
@@ -41,8 +41,7 @@
 	store        *standin.Store
 	storeAddress string
 	processes    []*process
-	apps         []*standin.Upstream
-	engines      []*standin.Upstream
+	workers      []*worker
 	// operator serialises what operators write, so that all of it can be written again after a restore of the store.
 	operator sync.Mutex
 }
@@ -56,21 +55,15 @@
 	return binary
 }
 
-func newCluster(t *testing.T, binary string, daemons int) *cluster {
+func newCluster(t *testing.T, binary string, daemons int, seed uint64) *cluster {
 	t.Helper()
 	w := &cluster{t: t, binary: binary, store: standin.NewStore()}
 	w.storeAddress = w.store.Serve(nil)
 	t.Cleanup(w.store.Close)
 	w.configure(1, "key-a", "key-b")
 	w.store.Put("keyed.op", "version/m", map[string]any{"model": "m", "version": 1})
-	for i := range 3 {
-		e := &standin.Upstream{
-			ID: fmt.Sprint("engine-", i), Model: "m", Version: 1, EventCount: 8, EventInterval: 20 * time.Millisecond, LoadTime: 150 * time.Millisecond,
-		}
-		a := &standin.Upstream{ID: fmt.Sprint("app-", i)}
-		w.engines, w.apps = append(w.engines, e), append(w.apps, a)
-		w.registerUpstream("llm", e)
-		w.registerUpstream("app", a)
+	for i := range workersPerService {
+		w.workers = append(w.workers, startWorker(t, w, "llm", i, seed), startWorker(t, w, "app", workersPerService+i, seed))
 	}
 	for i := range daemons {
 		// In a large fleet every third daemon has few resources and is not active: the directory sends no callers to it.
@@ -79,12 +72,6 @@
 	return w
 }
 
-func (w *cluster) registerUpstream(service string, upstream *standin.Upstream) {
-	address := upstream.Start()
-	w.t.Cleanup(upstream.Close)
-	w.store.Put("keyed.servers", upstream.ID, upstream.Registration(service, address, "ready"))
-}
-
 func (w *cluster) configure(version int, keys ...string) {
 	routes := []any{}
 	for name, kind := range map[string]string{"note": "streaming", "order": "non_idempotent", "lookup": "idempotent"} {
--- a/internal/program/soak/soak_test.go
+++ b/internal/program/soak/soak_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -32,7 +33,11 @@
 	smallFleetSize = 4
 	largeFleetSize = 12
 	callerCount    = 12
-	defaultSeconds = 6
+	// workersPerService is the number of upstreams of each service.
+	workersPerService = 4
+	// maxCallerRetries is how often callers repeat a request that was refused.
+	maxCallerRetries = 3
+	defaultSeconds   = 6
 	// maxRevocationDelay is the published bound on the time until a withdrawn key is rejected.
 	maxRevocationDelay = 5 * time.Second
 )
@@ -96,7 +101,7 @@
 	if seed%2 == 0 {
 		daemons = largeFleetSize
 	}
-	w := newCluster(t, binary, daemons)
+	w := newCluster(t, binary, daemons, seed)
 	t.Cleanup(func() { w.keepLogsOnFailure(seed) })
 	w.waitReady()
 	c := &checker{t: t, seed: seed}
@@ -138,7 +143,8 @@
 	for ctx.Err() == nil {
 		p := w.processes[rng.IntN(len(w.processes))]
 		faultDuration := time.Duration(200+rng.IntN(1300)) * time.Millisecond
-		switch rng.IntN(6) {
+		u := w.workers[rng.IntN(len(w.workers))]
+		switch rng.IntN(10) {
 		case 0:
 			wg.Go(func() { w.restart(p, syscall.SIGKILL) })
 		case 1:
@@ -159,6 +165,15 @@
 			w.operator.Unlock()
 			configVersion++
 			c.revokedAt.CompareAndSwap(0, time.Now().UnixNano())
+		default:
+			if u.busy.CompareAndSwap(false, true) {
+				sameID, m := rng.IntN(2) == 0, proxyMode(1+rng.IntN(int(proxyModeCount)-1))
+				fault := rng.IntN(4)
+				wg.Go(func() {
+					defer u.busy.Store(false)
+					u.injectFault(w, fault, faultDuration, sameID, m)
+				})
+			}
 		}
 		pause := time.Duration(100+rng.IntN(600)) * time.Millisecond
 		select {
@@ -181,6 +196,12 @@
 		time.Sleep(time.Duration(rng.IntN(300)) * time.Millisecond)
 		w.store.Put("keyed.op", "config", config)
 		w.store.Put("keyed.op", "version/m", weights)
+		for _, u := range w.workers {
+			u.mu.Lock()
+			state := u.state
+			u.mu.Unlock()
+			u.register(w, state)
+		}
 		w.operator.Unlock()
 	}
 }
@@ -222,7 +243,18 @@
 		if rng.IntN(8) == 0 {
 			key = "key-b"
 		}
-		c.sendRequest(httpClient, p, kind, id, key)
+		for try := range 1 + maxCallerRetries {
+			after, again := c.sendRequest(httpClient, p, kind, id, key, rng.IntN(10) == 0)
+			if !again || ctx.Err() != nil {
+				break
+			}
+			// A promise allows callers to send the request again: half of them use the same id.
+			scope.Sleep(ctx, after)
+			p = w.processes[rng.IntN(len(w.processes))]
+			if rng.IntN(2) == 0 {
+				id = fmt.Sprint(id, "-", try)
+			}
+		}
 		time.Sleep(time.Duration(rng.IntN(20)) * time.Millisecond)
 	}
 }
@@ -251,11 +283,17 @@
 	return asked
 }
 
-func (c *checker) sendRequest(httpClient *http.Client, p *process, kind, id, key string) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+p.callerAddress+"/"+kind+"/x", strings.NewReader("body of "+id))
+// sendRequest sends a request, which an impatient caller gives up early. It returns when to send it again, if it was refused.
+func (c *checker) sendRequest(httpClient *http.Client, p *process, kind, id, key string, impatient bool) (after time.Duration, again bool) {
+	ctx, cancel := c.t.Context(), func() {}
+	if impatient {
+		ctx, cancel = context.WithTimeout(ctx, 100*time.Millisecond)
+	}
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.callerAddress+"/"+kind+"/x", strings.NewReader("body of "+id))
 	if err != nil {
 		c.reportViolation("%v", err)
-		return
+		return 0, false
 	}
 	req.Host = "h.example"
 	req.Header.Set("X-Gooseberryway-Attempt-Id", id)
@@ -272,13 +310,14 @@
 	resp, err := httpClient.Do(req)
 	if err != nil {
 		c.recordCall(kind, id, 0)
-		return
+		return 0, false
 	}
 	defer resp.Body.Close()
 	c.recordCall(kind, id, resp.StatusCode)
 	if resp.StatusCode != http.StatusOK {
 		_, _ = io.Copy(io.Discard, resp.Body)
-		return
+		seconds, invalid := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+		return time.Duration(seconds * float64(time.Second)), isPromise(resp.StatusCode) && invalid == nil && seconds < 2
 	}
 	if at := c.revokedAt.Load(); key == "key-b" && at > 0 && startedAt.Sub(time.Unix(0, at)) > maxRevocationDelay {
 		c.reportViolation("request %s was served with a key that had been withdrawn %v earlier", id, startedAt.Sub(time.Unix(0, at)))
@@ -288,13 +327,24 @@
 	}
 	if kind == "note" {
 		c.checkStream(resp.Body, id)
-		return
+		return 0, false
 	}
 	raw, err := io.ReadAll(resp.Body)
-	if err == nil && !strings.HasPrefix(string(raw), "answer of app-") {
+	if err == nil && string(raw) != "answer of app" {
 		c.reportViolation("request %s got an unexpected response %q", id, raw)
 	}
 	c.served.Add(1)
+	return 0, false
+}
+
+// isPromise reports whether a status promises that the request has not run and never will.
+func isPromise(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	default:
+		return false
+	}
 }
 
 // checkStream checks that events arrive in order without gaps and that a stream that ends without an error has all 8.
@@ -327,6 +377,18 @@
 	c.atMostOnceCalls = append(c.atMostOnceCalls, callResult{id, status})
 }
 
+// checkOverlap checks that a request does not go on at an upstream while another one that can be reached works on.
+func checkOverlap(c *checker, id string, all []*run) {
+	slices.SortFunc(all, func(a, b *run) int { return a.start.Compare(b.start) })
+	for i := range all[1:] {
+		earlier, later := all[i], all[i+1]
+		end := later.start.Add(maxOverlap)
+		if (earlier.end.IsZero() || earlier.end.After(end)) && !earlier.worker.wasDisturbedBetween(earlier.start, end) {
+			c.reportViolation("request %s went on at %s while it still ran at %s", id, later, earlier)
+		}
+	}
+}
+
 // checkAfterRecovery ends all faults, waits until all daemons serve again and checks the requests that the app upstreams
 // ran.
 func (c *checker) checkAfterRecovery(w *cluster) {
@@ -335,27 +397,21 @@
 		p.storeProxy.setMode(modePass)
 	}
 	w.waitReady()
-	runs := map[string]int{}
-	for _, a := range w.apps {
-		for _, r := range a.Runs() {
-			runs[r.ID]++
-			if r.Header.Get("Authorization") != "" {
-				c.reportViolation("the upstream received the key of request %s", r.ID)
-			}
-			if r.ID != "" && r.Body != "body of "+r.ID {
-				c.reportViolation("request %s ran with body %q", r.ID, r.Body)
-			}
-		}
-	}
+	runs := w.allRuns(c)
+	status := map[string]int{}
 	for _, s := range c.atMostOnceCalls {
-		n := runs[s.id]
-		refused := s.status == http.StatusServiceUnavailable || s.status == http.StatusTooManyRequests
-		if n > 1 {
-			c.reportViolation("call %s ran %d times", s.id, n)
+		if len(runs[s.id]) > 1 {
+			c.reportViolation("call %s ran %d times, at %s and %s", s.id, len(runs[s.id]), runs[s.id][0], runs[s.id][1])
 		}
-		if refused && n > 0 {
-			c.reportViolation("call %s ran although it was rejected with status %d", s.id, s.status)
+		status[s.id] = s.status
+	}
+	for id, last := range status {
+		if isPromise(last) && len(runs[id]) > 0 {
+			c.reportViolation("call %s ran at %s although it was rejected with status %d", id, runs[id][0], last)
 		}
 	}
+	for id, all := range runs {
+		checkOverlap(c, id, all)
+	}
 	require.Positive(c.t, c.served.Load(), "seed %d: no request was served", c.seed)
 }
--- a/internal/transport/httpc/consts.go
+++ b/internal/transport/httpc/consts.go
@@ -10,4 +10,5 @@
 	readBufferBytes         = 4 << 10  // read buffer of a connection
 	maxHeaderBytes          = 64 << 10 // response header
 	maxDocumentBytes        = 16 << 20 // JSON document of GetJSON
+	maxNotedKeys            = 32       // keys noted on a connection
 )
--- a/internal/transport/httpc/send_tracker.go
+++ b/internal/transport/httpc/send_tracker.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"sync"
 	"sync/atomic"
 )
@@ -24,6 +25,8 @@
 	mu sync.Mutex
 	// user is the tracker of the current request.
 	user *sendTracker
+	// keys are what was noted of earlier responses.
+	keys []string
 }
 
 // Write fails with net.ErrClosed if the connection is sealed.
@@ -65,6 +68,18 @@
 	return t
 }
 
+// IsFirst reports whether a response of Pool.Do is to the first request on its connection. Otherwise, what says nothing of the
+// request may belong to an earlier one.
+func IsFirst(resp *http.Response) bool {
+	t := trackerOf(resp)
+	if t == nil {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.current != nil && !t.reused
+}
+
 // Retire closes the connection of a response of Pool.Do, so that a server that still works on the request notices, and no
 // further request gets what is left of the response. The body can't be read any more.
 func Retire(resp *http.Response) {
@@ -79,10 +94,36 @@
 	}
 }
 
+// NoteOnce notes a key of a response of Pool.Do on its connection and reports whether no earlier response had it. A connection with
+// many keys serves no further request.
+func NoteOnce(resp *http.Response, key string) bool {
+	t := trackerOf(resp)
+	if t == nil {
+		return true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.current == nil || t.current.noteOnce(t, key)
+}
+
+func (c *conn) noteOnce(t *sendTracker, key string) bool {
+	c.mu.Lock()
+	known := slices.Contains(c.keys, key)
+	c.keys = append(c.keys, key)
+	full := len(c.keys) >= maxNotedKeys
+	c.mu.Unlock()
+	if full {
+		c.retire(t)
+	}
+	return !known
+}
+
 // sendTracker records whether a request was sent on any of the connections that the transport tries for it.
 type sendTracker struct {
 	mu      sync.Mutex
 	current *conn
+	// reused is true if the current connection has served another request before.
+	reused bool
 	// maybeSent is true if a byte may have been sent on an earlier connection or on one that is not a *conn.
 	maybeSent bool
 }
@@ -99,6 +140,7 @@
 		t.maybeSent = true
 		return
 	}
+	t.reused = info.Reused
 	t.current.take(t)
 }
 
--- a/internal/transport/proxy/response.go
+++ b/internal/transport/proxy/response.go
@@ -49,8 +49,15 @@
 		httpc.Retire(resp)
 		klog.InfoS("Answer to another request", "request", c.req.ID, "upstream", choice.Upstream.ID, "got", parsed.ID)
 		return c.stepAfterRun(ReasonResponseMismatch)
+	case parsed.NotRun && !c.isOwnRejection(resp, &parsed):
+		c.markSent()
+		tracker.End(place.OutcomeBroken)
+		httpc.Retire(resp)
+		klog.InfoS("Rejection that may be an earlier request's", "request", c.req.ID, "upstream", choice.Upstream.ID,
+			"status", resp.StatusCode, "got", parsed.ID)
+		return c.stepAfterRun(ReasonResponseMismatch)
 	case parsed.NotRun:
-		return c.handleRejection(resp, choice, tracker)
+		return c.handleRejection(resp, &parsed, choice, tracker)
 	case c.headerSent && resp.StatusCode != http.StatusOK:
 		// The caller has already got the header of a stream with status 200, so an error response can't be forwarded
 		// any more.
@@ -104,8 +111,17 @@
 	return c.route.Repeatable() && c.possibleRuns() < c.route.MaxAttempts
 }
 
+// isOwnRejection reports whether a rejection answers this request. An upstream may send an earlier one once more on a kept
+// connection: without an id, or with that of this request if it was rejected there before.
+func (c *call) isOwnRejection(resp *http.Response, parsed *Response) bool {
+	if parsed.ID == "" {
+		return httpc.IsFirst(resp)
+	}
+	return httpc.NoteOnce(resp, string(parsed.ID))
+}
+
 // handleRejection handles a response that says that the upstream did not run the request.
-func (c *call) handleRejection(resp *http.Response, choice *place.Choice, tracker *attemptTracker) (nextStep, Reason) {
+func (c *call) handleRejection(resp *http.Response, parsed *Response, choice *place.Choice, tracker *attemptTracker) (nextStep, Reason) {
 	outcome := place.OutcomeRejected
 	if resp.StatusCode == http.StatusMisdirectedRequest {
 		outcome = place.OutcomeMisdirected
@@ -113,7 +129,7 @@
 	tracker.End(outcome)
 	c.rejections++
 	klog.InfoS("Upstream refused", "request", c.req.ID, "upstream", choice.Upstream.ID, "status", resp.StatusCode,
-		"weights", choice.WeightVersion)
+		"weights", choice.WeightVersion, "named", parsed.ID != "")
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, streamBufferBytes))
 	return stepRetryOther, ReasonUpstreamsRefused
 }
