Read on past records that can't be read

One record of another writer stopped the daemons from following a topic: a value that is not base64 or an offset beyond int64 failed the whole page of the newest records, and a key that is not UTF-8 was passed on to peers, whose messages can't carry it, so that daemons could not fetch from each other what the store did not tell them.

Such a record is left out, counted (gooseberrywayUnreadableRecords) and logged.

--- a/internal/program/entry/store_metrics.go
+++ b/internal/program/entry/store_metrics.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"k8s.io/klog/v2"
 
 	"github.com/gooseberryway/gooseberryway/internal/state/extern"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
@@ -21,6 +22,7 @@
 	start := time.Now()
 	batch, err := s.Store.Newest(ctx, topic)
 	recordCall("newest", topic, start, err)
+	reportUnreadable(topic, batch)
 	return batch, err
 }
 
@@ -32,6 +34,7 @@
 	start := time.Now()
 	batch, err := s.Store.Read(ctx, topic, from, wait)
 	recordCall("read", topic, start, err)
+	reportUnreadable(topic, batch)
 	return batch, err
 }
 
@@ -46,6 +49,15 @@
 	return offset, err
 }
 
+// reportUnreadable tells of records that were left out.
+func reportUnreadable(topic extern.Topic, batch extern.StoreBatch) {
+	if batch.Unreadable == 0 {
+		return
+	}
+	klog.InfoS("Records can't be read and are left out", "topic", topic, "records", batch.Unreadable, "next", batch.Next)
+	metrics.GetOrCreateCounter(fmt.Sprintf(`gooseberrywayUnreadableRecords{topic="%v"}`, topic)).Add(batch.Unreadable)
+}
+
 func recordCall(call string, topic extern.Topic, start time.Time, err error) {
 	outcome := "good"
 	if err != nil {
--- a/internal/state/extern/store.go
+++ b/internal/state/extern/store.go
@@ -44,6 +44,8 @@
 	Records []KeyedRecord
 	// Next is the offset at which the next read starts.
 	Next ident.Offset
+	// Unreadable is the number of records that can't be read and are left out.
+	Unreadable int
 }
 
 // Store is the platform store. Its operations are linearizable. It loses acknowledged writes only when it returns from an older
@@ -168,6 +170,8 @@
 	// EventsLost says that events before these are missing, so that the whole list must be read again.
 	EventsLost bool
 	Parts      []CachePart
+	// Unreadable is the number of entries that can't be read and are left out.
+	Unreadable int
 }
 
 // CacheFeed reads the cache contents of engines and KV cache stores.
