--- a/internal/state/kvdir/store.go
+++ b/internal/state/kvdir/store.go
@@ -141,6 +141,9 @@
 		s.incarnation, s.complete = c.Incarnation, false
 	}
 	s.nextSequence = c.Next
+	if c.Unreadable > 0 {
+		klog.InfoS("Entries of a KV cache store can't be read and are left out", "address", s.Address, "entries", c.Unreadable)
+	}
 	for _, part := range c.Parts {
 		k := partKey{part.Salt, part.ID}
 		if part.Tokens > 0 {
