Promise callers that a request has not run only if its upstream says so

Callers were told by 408, 429 or 503 that an unsafe request had not run, and would send it again, where the upstream answered with that status but without the header that states it: it may have run (REFUSED).

Such an answer to a request that may run once at most ends with 502 now. TestStatusOfUpstreamThatRanIsNoPromise failed before (408 passed on).

--- a/internal/program/entry/stale_refusal_test.go
+++ b/internal/program/entry/stale_refusal_test.go
@@ -93,3 +93,19 @@
 		}
 	}
 }
+
+// Guards against a status that promises callers that their request has not run, where the upstream has not said so.
+func TestStatusOfUpstreamThatRanIsNoPromise(t *testing.T) {
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		f := newTestFleet(t)
+		f.configure(1, "secret")
+		f.startUpstream("app", &standin.Upstream{ID: "a1", Intercept: func(w http.ResponseWriter, r *http.Request) bool {
+			w.Header().Set("X-Gooseberryway-Attempt-Id", r.Header.Get("X-Gooseberryway-Attempt-Id"))
+			w.WriteHeader(status)
+			return true
+		}})
+		d := f.start("d0", nil)
+		f.ready(1)
+		require.Equal(t, http.StatusBadGateway, f.call(d, "/order/x", "r0", "secret", "body").StatusCode, status)
+	}
+}
--- a/internal/transport/proxy/refusal.go
+++ b/internal/transport/proxy/refusal.go
@@ -43,8 +43,16 @@
 func (e *RefusedError) Error() string { return fmt.Sprintf("status %d: %s", e.Status, e.Reason) }
 
 // NotRun reports whether the status promises that the request has not run.
-func (e *RefusedError) NotRun() bool {
-	return e.Status == http.StatusServiceUnavailable || e.Status == http.StatusTooManyRequests
+func (e *RefusedError) NotRun() bool { return promisesNotRun(e.Status) }
+
+// promisesNotRun reports whether callers take a status for the promise that the request has not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
 }
 
 // unavailableError returns a 503 refusal, which promises that the request has not run.
--- a/internal/transport/proxy/response.go
+++ b/internal/transport/proxy/response.go
@@ -58,6 +58,13 @@
 		return c.stepAfterRun(ReasonResponseMismatch)
 	case parsed.NotRun:
 		return c.handleRejection(resp, &parsed, choice, tracker)
+	case promisesNotRun(resp.StatusCode) && !c.route.Repeatable():
+		// Only the header says that the request has not run, but callers go by the status.
+		c.markSent()
+		tracker.End(place.OutcomeFailed)
+		klog.InfoS("Status of an upstream that would promise too much", "request", c.req.ID, "upstream", choice.Upstream.ID,
+			"status", resp.StatusCode)
+		return stepFail, ReasonUpstreamBroken
 	case c.headerSent && resp.StatusCode != http.StatusOK:
 		// The caller has already got the header of a stream with status 200, so an error response can't be forwarded
 		// any more.
