--- a/internal/coordination/poison/attempt.go
+++ b/internal/coordination/poison/attempt.go
@@ -52,7 +52,7 @@
 	}
 	for _, q := range matching {
 		q.probing = true
-		klog.InfoS("Probe of a quarantine", "parts", q.Subjects.Key(), "upstream", u.ID, "strikes", q.Strikes)
+		klog.InfoS("Probe of a quarantined part", "parts", q.Subjects.Key(), "upstream", u.ID, "strikes", q.Strikes)
 	}
 	a.probed = matching
 	return a, nil
