--- a/internal/program/entry/poison_test.go
+++ b/internal/program/entry/poison_part_test.go
@@ -12,7 +12,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/gooseberryway/gooseberryway/internal/coordination/poison"
 	"github.com/gooseberryway/gooseberryway/platform/standin"
 )
 
@@ -125,30 +124,55 @@
 	return c
 }
 
-// sendPrompts sends requests with a common first part to all daemons in turn for the given time, every fifth of them
-// with deadlyPart if deadly is set. It returns how many of the others were answered in full and how many there were.
-func sendPrompts(f *testFleet, d time.Duration, deadly bool) (answered, sound int) {
+// callerRequest is a request of a caller.
+type callerRequest struct {
+	path, prompt, body string
+	deadly             bool
+}
+
+func (f *testFleet) callWith(d *testDaemon, id string, r callerRequest) *http.Response {
+	return f.call(d, r.path, id, "secret", r.body,
+		"X-Gooseberryway-Model", "m", "X-Gooseberryway-Token-Counts", "200,5", "X-Gooseberryway-Prompt-Prefix", r.prompt)
+}
+
+// promptWithPart returns the nth request with a common first part, every fifth with deadlyPart.
+func promptWithPart(n int) callerRequest {
+	r := callerRequest{path: [...]string{"/draft/x", "/note/x"}[n%2], prompt: fmt.Sprintf("sys:100,doc%d:50,own%d:20", n%7, n), deadly: n%5 == 0}
+	if r.deadly {
+		r.prompt = fmt.Sprintf("sys:100,%s:30,doc%d:50,own%d:20", deadlyPart, n%7, n)
+	}
+	return r
+}
+
+// repeatsOn returns requests to a path, every fifth with deadlyBody. Repeats have new last parts of their prompts.
+func repeatsOn(path string) func(n int) callerRequest {
+	return func(n int) callerRequest {
+		r := callerRequest{path: path, prompt: fmt.Sprintf("sys:100,doc:50,own%d:20", n), body: fmt.Sprint("body ", n%7), deadly: n%5 == 0}
+		if r.deadly {
+			r.body = deadlyBody
+		}
+		return r
+	}
+}
+
+// sendAll sends requests to all daemons in turn for the given time. It returns how many of the sound ones were answered in full and
+// how many there were.
+func sendAll(f *testFleet, d time.Duration, request func(n int) callerRequest) (answered, sound int) {
 	var mu sync.Mutex
 	var callers sync.WaitGroup
 	started := time.Now()
-	for i := 0; time.Since(started) < d; i++ {
-		prompt := fmt.Sprintf("sys:100,doc%d:50,own%d:20", i%7, i)
-		isDeadly := deadly && i%5 == 0
-		if isDeadly {
-			prompt = fmt.Sprintf("sys:100,%s:30,doc%d:50,own%d:20", deadlyPart, i%7, i)
-		}
-		path := [...]string{"/draft/x", "/note/x"}[i%2]
+	for n := 0; time.Since(started) < d; n++ {
+		r := request(n)
 		callers.Go(func() {
-			resp := f.call(f.daemons[i%len(f.daemons)], path, fmt.Sprint(started.UnixNano(), "-", i), "secret", "",
-				"X-Gooseberryway-Model", "m", "X-Gooseberryway-Token-Counts", "200,5", "X-Gooseberryway-Prompt-Prefix", prompt)
-			whole := resp.StatusCode == http.StatusOK && strings.Contains(bodyOf(resp), "id: 3\n")
+			resp := f.callWith(f.daemons[n%len(f.daemons)], fmt.Sprint(started.UnixNano(), "-", n), r)
+			content := bodyOf(resp)
 			mu.Lock()
 			defer mu.Unlock()
-			if isDeadly {
+			if r.deadly {
 				return
 			}
 			sound++
-			if whole {
+			if resp.StatusCode == http.StatusOK && (strings.Contains(content, "id: 3\n") || strings.HasPrefix(content, "answer")) {
 				answered++
 			}
 		})
@@ -167,28 +191,37 @@
 		f.start(fmt.Sprint("d", i), nil)
 	}
 	f.ready(6)
-	sendPrompts(f, stabilityWindow+2*time.Second, true)
-	answered, sound := sendPrompts(f, 2*time.Second, true)
+	sendAll(f, stabilityWindow+2*time.Second, promptWithPart)
+	answered, sound := sendAll(f, 2*time.Second, promptWithPart)
 	require.LessOrEqual(t, engines.lateAfter(5), allowedLate, "requests with the part still reach engines, %d crashed", len(engines.crashes))
 	require.GreaterOrEqual(t, answered, sound*9/10, "sound requests with the same first part are served")
 }
 
 // Guards against a quarantine that is lost when all daemons start again at once.
 func TestQuarantineOutlivesRestartOfAllDaemons(t *testing.T) {
-	f := newTestFleet(t)
-	f.configureRate(1, 1000000, "secret")
-	startCrashingUpstreams(f, 6, "llm", hasDeadlyPart)
-	first := f.start("d0", nil)
-	f.ready(6)
-	sendPrompts(f, 4*time.Second, true)
-	require.NotEmpty(t, first.detector.Quarantines(), "the part is not quarantined")
-	key := first.detector.Quarantines()[0].Subjects.Key()
-	f.eventually(func() bool { return len(f.store.Newest("keyed.quarantines", key)) > 0 }, "the quarantine is not in the store")
-	first.stop()
-	second := f.start("d1", nil)
-	<-second.Listening()
-	f.eventually(func() bool { return len(second.detector.Quarantines()) > 0 }, "the quarantine is lost")
-	require.Error(t, second.detector.Check(&poison.Request{Parts: []poison.Hash{poison.HashPart("sys"), poison.HashPart(deadlyPart)}, Fingerprint: func() poison.Hash { return 0 }}))
+	for name, c := range map[string]struct {
+		isDeadly func(*http.Request) bool
+		request  func(n int) callerRequest
+	}{"part": {hasDeadlyPart, promptWithPart}, "request": {hasDeadlyBody, repeatsOn("/draft/x")}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newTestFleet(t)
+			f.configureRate(1, 1000000, "secret")
+			startCrashingUpstreams(f, 6, "llm", c.isDeadly)
+			first := f.start("d0", nil)
+			f.ready(6)
+			sendAll(f, 4*time.Second, c.request)
+			require.NotEmpty(t, first.detector.Quarantines(), "nothing is quarantined")
+			key := first.detector.Quarantines()[0].Subjects.Key()
+			f.eventually(func() bool { return len(f.store.Newest("keyed.quarantines", key)) > 0 }, "the quarantine is not in the store")
+			first.stop()
+			second := f.start("d1", nil)
+			<-second.Listening()
+			f.eventually(func() bool { return len(second.detector.Quarantines()) > 0 }, "the quarantine is lost")
+			f.eventually(second.ready, "the daemon is not ready")
+			require.Equal(t, http.StatusServiceUnavailable, f.callWith(second, "again", c.request(0)).StatusCode)
+		})
+	}
 }
 
 // deadlyBody is the body of the request that crashes upstreams.
@@ -200,38 +233,6 @@
 	return err == nil && string(body) == deadlyBody
 }
 
-// sendRequests sends requests to all daemons in turn for the given time, every fifth with deadlyBody. It returns how many of the
-// others were answered and how many there were.
-func sendRequests(f *testFleet, path string, d time.Duration) (answered, sound int) {
-	var mu sync.Mutex
-	var callers sync.WaitGroup
-	for i, started := 0, time.Now(); time.Since(started) < d; i++ {
-		body := fmt.Sprint("body ", i%7)
-		if i%5 == 0 {
-			body = deadlyBody
-		}
-		// Callers' repeats have new ids, and new last parts of their prompts.
-		prompt := fmt.Sprintf("sys:100,doc:50,own%d:20", i)
-		callers.Go(func() {
-			resp := f.call(f.daemons[i%len(f.daemons)], path, fmt.Sprint(started.UnixNano(), "-", i), "secret", body,
-				"X-Gooseberryway-Model", "m", "X-Gooseberryway-Token-Counts", "200,5", "X-Gooseberryway-Prompt-Prefix", prompt)
-			content := bodyOf(resp)
-			mu.Lock()
-			defer mu.Unlock()
-			if body == deadlyBody {
-				return
-			}
-			sound++
-			if resp.StatusCode == http.StatusOK && (strings.Contains(content, "id: 3\n") || strings.HasPrefix(content, "answer")) {
-				answered++
-			}
-		})
-		time.Sleep(40 * time.Millisecond)
-	}
-	callers.Wait()
-	return answered, sound
-}
-
 // Guards against one request that comes again and crashes one upstream after the other.
 func TestRepeatedRequestThatCrashesUpstreamsIsRefused(t *testing.T) {
 	for path, service := range map[string]string{"/draft/x": "llm", "/note/x": "llm", "/order/x": "app", "/lookup/x": "app"} {
@@ -244,8 +245,8 @@
 				f.start(fmt.Sprint("d", i), nil)
 			}
 			f.ready(6)
-			sendRequests(f, path, stabilityWindow+2*time.Second)
-			answered, sound := sendRequests(f, path, 2*time.Second)
+			sendAll(f, stabilityWindow+2*time.Second, repeatsOn(path))
+			answered, sound := sendAll(f, 2*time.Second, repeatsOn(path))
 			require.LessOrEqual(t, upstreams.lateAfter(3), allowedLate, "the request still reaches upstreams, %d crashed", len(upstreams.crashes))
 			require.GreaterOrEqual(t, answered, sound*9/10, "sound requests with the same shared parts are served")
 		})
