--- a/internal/coordination/poison/fleet_test.go
+++ b/internal/coordination/poison/fleet_test.go
@@ -261,6 +261,17 @@
 	e.requests = nil
 }
 
+// crashEach returns a function for run that ends a random engine each period.
+func (f *simFleet) crashEach(period time.Duration) func() {
+	next := time.Now()
+	return func() {
+		if !time.Now().Before(next) {
+			f.crash(f.engines[f.rng.IntN(len(f.engines))])
+			next = time.Now().Add(period)
+		}
+	}
+}
+
 // gossip exchanges heartbeats: every 100 ms, or at once if there is news.
 func (f *simFleet) gossip() {
 	f.heartbeats++
@@ -285,25 +296,11 @@
 	}
 }
 
-// lateRequests returns how many deadly requests were sent later than a stability window after the nth crash.
-func (f *simFleet) lateRequests(nth int) int {
-	if len(f.crashes) < nth {
-		return 0
-	}
-	n := 0
-	for _, at := range f.deadlySent {
-		if at.After(f.crashes[nth-1].Add(stabilityWindow)) {
-			n++
-		}
-	}
-	return n
-}
-
-// lateRepeats returns how many times deadlyRequest was sent later than a stability window after the third crash under it.
-func (f *simFleet) lateRepeats() int {
+// lateAfter returns how many requests were sent later than a stability window after the nth crash.
+func lateAfter(sent, crashes []time.Time, nth int) int {
 	n := 0
-	for _, at := range f.repeatsSent {
-		if len(f.repeatCrashes) >= 3 && at.After(f.repeatCrashes[2].Add(stabilityWindow)) {
+	for _, at := range sent {
+		if len(crashes) >= nth && at.After(crashes[nth-1].Add(stabilityWindow)) {
 			n++
 		}
 	}
@@ -342,7 +339,7 @@
 				f.run(time.Second, nil)
 				f.deadlyShare = size.deadlyShare
 				f.run(size.seconds*time.Second, nil)
-				require.LessOrEqual(t, f.lateRequests(5), allowedRequests, "%d crashes", len(f.crashes))
+				require.LessOrEqual(t, lateAfter(f.deadlySent, f.crashes, 5), allowedRequests, "%d crashes", len(f.crashes))
 				require.NotEmpty(t, f.quarantined())
 				for _, set := range f.quarantined() {
 					require.Contains(t, set, deadlyPart)
@@ -377,13 +374,7 @@
 			return nil
 		}},
 		{"beside crashes", 8, 24, 30, 70, 0.01, 0.1, false, func(f *simFleet) func() {
-			next := time.Now()
-			return func() {
-				if !time.Now().Before(next) {
-					f.crash(f.engines[f.rng.IntN(len(f.engines))])
-					next = time.Now().Add(700 * time.Millisecond)
-				}
-			}
+			return f.crashEach(700 * time.Millisecond)
 		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -403,7 +394,7 @@
 						each = c.each(f)
 					}
 					f.run(c.seconds*time.Second, each)
-					require.LessOrEqual(t, f.lateRepeats(), allowedRequests, "seed %d, %d crashes", seed, len(f.crashes))
+					require.LessOrEqual(t, lateAfter(f.repeatsSent, f.repeatCrashes, 3), allowedRequests, "seed %d, %d crashes", seed, len(f.crashes))
 					for _, d := range f.daemons {
 						require.Error(t, d.Check(requestOf(deadlyRequest)), "seed %d", seed)
 					}
@@ -418,13 +409,7 @@
 func TestFaultsWithoutDeadlyPartQuarantineNone(t *testing.T) {
 	faults := map[string]func(f *simFleet) func(){
 		"crashes one after the other": func(f *simFleet) func() {
-			next := time.Now()
-			return func() {
-				if !time.Now().Before(next) {
-					f.crash(f.engines[f.rng.IntN(len(f.engines))])
-					next = time.Now().Add(700 * time.Millisecond)
-				}
-			}
+			return f.crashEach(700 * time.Millisecond)
 		},
 		"all crash at once, again and again": func(f *simFleet) func() {
 			next := time.Now()
@@ -464,23 +449,11 @@
 		},
 		"a popular request beside crashes": func(f *simFleet) func() {
 			f.plain, f.popularShare = true, 0.2
-			next := time.Now()
-			return func() {
-				if !time.Now().Before(next) {
-					f.crash(f.engines[f.rng.IntN(len(f.engines))])
-					next = time.Now().Add(400 * time.Millisecond)
-				}
-			}
+			return f.crashEach(400 * time.Millisecond)
 		},
 		"callers repeat what broke": func(f *simFleet) func() {
 			f.callersRepeat = true
-			next := time.Now()
-			return func() {
-				if !time.Now().Before(next) {
-					f.crash(f.engines[f.rng.IntN(len(f.engines))])
-					next = time.Now().Add(700 * time.Millisecond)
-				}
-			}
+			return f.crashEach(700 * time.Millisecond)
 		},
 		"garbled responses": func(f *simFleet) func() {
 			f.garbled = 0.2
@@ -520,6 +493,6 @@
 		delete(f.gone, 7)
 		f.run(1200*time.Millisecond, nil)
 		require.Error(t, check(f.daemons[7], 1, 101, 102, deadlyPart))
-		require.LessOrEqual(t, f.lateRequests(5), allowedRequests)
+		require.LessOrEqual(t, lateAfter(f.deadlySent, f.crashes, 5), allowedRequests)
 	})
 }
