Take notices only from answers that are believed

An earlier refusal that an upstream sends once more could pause it again, though it says nothing of this request. Answers are now checked once for whose they are, before anything of them is used. Read in the code; the tests of repeated refusals, notices and misdirected answers pass.

--- a/internal/transport/proxy/response.go
+++ b/internal/transport/proxy/response.go
@@ -40,22 +40,17 @@
 	parsed := c.Dialect.ParseResponse(resp.StatusCode, resp.Header)
 	c.Placer.SetWeightVersion(choice.Upstream, placeReq.Model, parsed.WeightVersion)
 	c.observeLimit(resp, &parsed, choice)
-	c.observeNotice(resp, &parsed, choice)
-	switch {
-	case parsed.ID != "" && parsed.ID != c.req.ID:
-		c.markSent()
-		tracker.End(place.OutcomeBroken)
-		// The upstream may have begun to run this one.
-		httpc.Retire(resp)
-		klog.InfoS("Answer to another request", "request", c.req.ID, "upstream", choice.Upstream.ID, "got", parsed.ID)
-		return c.stepAfterRun(ReasonResponseMismatch)
-	case parsed.NotRun && !c.isOwnRejection(resp, &parsed):
+	if !c.isOwnResponse(resp, &parsed) {
+		// The upstream may have begun to run this request.
 		c.markSent()
 		tracker.End(place.OutcomeBroken)
 		httpc.Retire(resp)
-		klog.InfoS("Rejection that may be an earlier request's", "request", c.req.ID, "upstream", choice.Upstream.ID,
-			"status", resp.StatusCode, "got", parsed.ID)
+		klog.InfoS("Answer to another request", "request", c.req.ID, "upstream", choice.Upstream.ID, "got", parsed.ID,
+			"status", resp.StatusCode, "rejection", parsed.NotRun)
 		return c.stepAfterRun(ReasonResponseMismatch)
+	}
+	c.observeNotice(resp, &parsed, choice)
+	switch {
 	case parsed.NotRun:
 		return c.handleRejection(resp, &parsed, choice, tracker)
 	case promisesNotRun(resp.StatusCode) && !c.route.Repeatable():
@@ -91,10 +86,9 @@
 	c.UpstreamLimits.Observe(choice.Upstream, c.attemptAt, parsed.Limit)
 }
 
-// observeNotice records what the upstream says about requests to come. A misdirected response, or one to another request, may come
-// from another upstream.
+// observeNotice records what the upstream says about requests to come. A misdirected response comes from another upstream.
 func (c *call) observeNotice(resp *http.Response, parsed *Response, choice *place.Choice) {
-	if resp.StatusCode == http.StatusMisdirectedRequest || parsed.ID != "" && parsed.ID != c.req.ID {
+	if resp.StatusCode == http.StatusMisdirectedRequest {
 		return
 	}
 	if parsed.Leaving {
@@ -118,13 +112,19 @@
 	return c.route.Repeatable() && c.possibleRuns() < c.route.MaxAttempts
 }
 
-// isOwnRejection reports whether a rejection answers this request. An upstream may send an earlier one once more on a kept
+// isOwnResponse reports whether a response answers this request. An upstream may send an earlier rejection once more on a kept
 // connection: without an id, or with that of this request if it was rejected there before.
-func (c *call) isOwnRejection(resp *http.Response, parsed *Response) bool {
-	if parsed.ID == "" {
+func (c *call) isOwnResponse(resp *http.Response, parsed *Response) bool {
+	switch {
+	case parsed.ID != "" && parsed.ID != c.req.ID:
+		return false
+	case !parsed.NotRun:
+		return true
+	case parsed.ID == "":
 		return httpc.IsFirst(resp)
+	default:
+		return httpc.NoteOnce(resp, string(parsed.ID))
 	}
-	return httpc.NoteOnce(resp, string(parsed.ID))
 }
 
 // handleRejection handles a response that says that the upstream did not run the request.
