--- a/internal/program/cmds/explain.go
+++ b/internal/program/cmds/explain.go
@@ -145,8 +145,16 @@
 		}
 		return fmt.Sprintf("The answer of %s broke off: %s.", f["upstream"], f["error"])
 	case "Answer to another request":
+		if f["rejection"] == "true" {
+			return fmt.Sprintf("%s sent an earlier refusal once more (status %s); it may run there.", f["upstream"], f["status"])
+		}
 		return fmt.Sprintf("%s answered request %s instead; the answer was thrown away.", f["upstream"], f["got"])
+	case "Status of an upstream that would promise too much":
+		return fmt.Sprintf("%s answered with status %s without saying that it has not run; it may have.", f["upstream"], f["status"])
 	case "Request has quarantined prompt parts":
+		if strings.HasPrefix(f["reason"], "request ") {
+			return fmt.Sprintf("It crashes the upstreams that begin it: %s.", f["reason"])
+		}
 		return fmt.Sprintf("It has prompt parts that crash upstreams: %s.", f["reason"])
 	case "Request ended":
 		return fmt.Sprintf("It ended after %s ms with status %s: %s (first byte after %s ms, attempts %s, configuration %s, patience %s ms).",
