Find a deadly request in time beside crashes that it did not cause

Upstreams still ended under a request after the third crash, where others ended for another reason in between: five crashes were required then, and crashes close together count once, so that five more attempts reached upstreams where three are allowed.

A whole request needs one crash more then, not two.

--- a/internal/coordination/poison/consts.go
+++ b/internal/coordination/poison/consts.go
@@ -8,9 +8,10 @@
 	minCrashes           = 3
 	minCrashesIfAnswered = 5
 	// extraCrashes are added for a part if less than two thirds of the ends of upstreams had it, manyExtraCrashes if less than a
-	// third.
-	extraCrashes     = 2
-	manyExtraCrashes = 5
+	// third; extraWholeCrashes are added for a whole request, up to minCrashesIfAnswered.
+	extraCrashes      = 2
+	manyExtraCrashes  = 5
+	extraWholeCrashes = 1
 	// minCrashesOfMember is the number of further crashes that quarantine a single part of a quarantined set.
 	minCrashesOfMember = 2
 	// crashSpacing is the shortest time between crashes that count separately: upstreams that end together, as those of
--- a/internal/coordination/poison/fleet_test.go
+++ b/internal/coordination/poison/fleet_test.go
@@ -376,10 +376,18 @@
 		{"beside crashes", 8, 24, 30, 70, 0.01, 0.1, false, func(f *simFleet) func() {
 			return f.crashEach(700 * time.Millisecond)
 		}},
+		{"seldom beside crashes of few", 8, 4, 30, 30, 0.03, 0, true, func(f *simFleet) func() {
+			f.popularShare, f.callersRepeat = 0.15, true
+			return f.crashEach(700 * time.Millisecond)
+		}},
+		{"seldom beside crashes of many", 8, 12, 30, 30, 0.03, 0, true, func(f *simFleet) func() {
+			f.popularShare, f.callersRepeat = 0.15, true
+			return f.crashEach(1500 * time.Millisecond)
+		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			seeds := uint64(3)
+			seeds := uint64(15)
 			if c.daemons > 8 {
 				seeds = 1
 			}
--- a/internal/coordination/poison/suspect.go
+++ b/internal/coordination/poison/suspect.go
@@ -120,7 +120,7 @@
 		return n
 	case s.whole:
 		// Each is evidence against one request alone, which is seldom at the ends of several upstreams by chance.
-		return minCrashesIfAnswered
+		return min(n+extraWholeCrashes, minCrashesIfAnswered)
 	case 3*len(crashes) >= moments:
 		return n + extraCrashes
 	default:
