Hold back no retry after a planned end that was announced late

A request whose upstream said in an answer that it leaves, after the request had broken there and before it ended, waited 400 ms for evidence and then ended with 502: the end was not taken for a crash, but not noted as planned either. TestNoticeAfterBreakMakesEndPlanned failed before.

--- a/internal/coordination/poison/detector.go
+++ b/internal/coordination/poison/detector.go
@@ -207,7 +207,8 @@
 
 // end records that an upstream has ended and reports whether peers should learn of it.
 func (d *Detector) end(p *pendingUpstream, evidence string) bool {
-	if p.draining || d.saysItLeaves(p.upstream) || !p.endedAt.IsZero() {
+	p.draining = p.draining || d.saysItLeaves(p.upstream)
+	if p.draining || !p.endedAt.IsZero() {
 		return false
 	}
 	now := time.Now()
--- a/internal/coordination/poison/quarantine_test.go
+++ b/internal/coordination/poison/quarantine_test.go
@@ -243,3 +243,20 @@
 		})
 	}
 }
+
+// Guards against a retry that is held back because the upstream announced its end, in a response, only after the request had broken.
+func TestNoticeAfterBreakMakesEndPlanned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		leaving := false
+		d := &Detector{IsLeaving: func(*view.Upstream) bool { return leaving }}
+		u := &view.Upstream{ID: "a", Incarnation: 1, State: view.UpstreamReady}
+		a, err := d.Begin(u, requestOf(1, 1))
+		require.NoError(t, err)
+		a.End(OutcomeBroken)
+		leaving = true
+		d.MarkRefused(u)
+		began := time.Now()
+		require.True(t, a.MayRetry(t.Context()))
+		require.Zero(t, time.Since(began))
+	})
+}
