Report unreadable entries once, and count those of caches

A record that can't be read was logged and counted each time that a list with it was read, several times a second for the members and the duties: the log filled with it and the metric told nothing. Lists now report what the list before did not have; entries of KV cache stores are logged when they begin and end, and counted (gooseberrywayUnreadableCacheEntries). TestUnreadableRecordOfListIsReportedOnce failed before: three reports of one record.

--- a/internal/program/entry/daemon.go
+++ b/internal/program/entry/daemon.go
@@ -114,7 +114,7 @@
 		}
 		return nil
 	}
-	d.store = instrumentedStore{&platform.Store{Address: s.Store, Pool: httpc.Pool{DialTimeout: storeDialTimeout}}}
+	d.store = &instrumentedStore{Store: &platform.Store{Address: s.Store, Pool: httpc.Pool{DialTimeout: storeDialTimeout}}}
 	upstreams := &httpc.Pool{DialTimeout: upstreamDialTimeout, IdleTimeout: upstreamIdleTimeout}
 	d.stores = &kvdir.Stores{Feed: &platform.CacheFeed{Pool: &httpc.Pool{DialTimeout: storeDialTimeout}}, Snapshots: &d.snapshots, Follows: d.followsKVStores}
 	d.placer = &place.Placer{
--- a/internal/program/entry/odd_records_test.go
+++ b/internal/program/entry/odd_records_test.go
@@ -1,15 +1,19 @@
 package entry
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/gooseberryway/gooseberryway/internal/program/setup"
 	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
+	"github.com/gooseberryway/gooseberryway/internal/state/extern"
+	"github.com/gooseberryway/gooseberryway/platform"
 	"github.com/gooseberryway/gooseberryway/platform/standin"
 )
 
@@ -42,6 +46,22 @@
 	}
 }
 
+// Guards against a log line and a count for each time that a list with the same unreadable record is read.
+func TestUnreadableRecordOfListIsReportedOnce(t *testing.T) {
+	store := standin.NewStore()
+	t.Cleanup(store.Close)
+	store.Put("keyed.members", "b\xffd", []byte(`{}`))
+	s := &instrumentedStore{Store: &platform.Store{Address: store.Serve(nil)}}
+	reported := metrics.GetOrCreateCounter(fmt.Sprintf(`gooseberrywayUnreadableRecords{topic="%v"}`, extern.TopicMembers))
+	before := reported.Get()
+	for range 3 {
+		batch, err := s.Newest(t.Context(), extern.TopicMembers)
+		require.NoError(t, err)
+		require.Equal(t, 1, batch.Unreadable)
+	}
+	require.Equal(t, before+1, reported.Get())
+}
+
 // FuzzHeartbeat checks that no heartbeat of a peer causes a panic.
 func FuzzHeartbeat(f *testing.F) {
 	raw, err := proto.Marshal(&wire.Beat{
--- a/internal/program/entry/store_metrics.go
+++ b/internal/program/entry/store_metrics.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -15,32 +16,36 @@
 // instrumentedStore counts and times the calls of the platform store.
 type instrumentedStore struct {
 	extern.Store
+
+	mu sync.Mutex
+	// unreadable is the number of unreadable records in the last list of each topic.
+	unreadable map[extern.Topic]int
 }
 
 // Newest returns the newest record of each key of a topic.
-func (s instrumentedStore) Newest(ctx context.Context, topic extern.Topic) (extern.StoreBatch, error) {
+func (s *instrumentedStore) Newest(ctx context.Context, topic extern.Topic) (extern.StoreBatch, error) {
 	start := time.Now()
 	batch, err := s.Store.Newest(ctx, topic)
 	recordCall("newest", topic, start, err)
-	reportUnreadable(topic, batch)
+	s.reportListed(topic, batch)
 	return batch, err
 }
 
 // Read returns the records of a topic from an offset on. If there are none yet, it waits for them up to the given
 // time.
-func (s instrumentedStore) Read(
+func (s *instrumentedStore) Read(
 	ctx context.Context, topic extern.Topic, from ident.Offset, wait time.Duration,
 ) (extern.StoreBatch, error) {
 	start := time.Now()
 	batch, err := s.Store.Read(ctx, topic, from, wait)
 	recordCall("read", topic, start, err)
-	reportUnreadable(topic, batch)
+	reportUnreadable(topic, batch.Unreadable, batch.Next)
 	return batch, err
 }
 
 // Put writes a record and returns its offset. Unless end is nil, the write succeeds only if the topic still ends at
 // that offset.
-func (s instrumentedStore) Put(
+func (s *instrumentedStore) Put(
 	ctx context.Context, topic extern.Topic, key string, value []byte, end *ident.Offset,
 ) (ident.Offset, error) {
 	start := time.Now()
@@ -49,13 +54,25 @@
 	return offset, err
 }
 
+// reportListed tells of unreadable records in a list that the list before did not have: lists are read again and again.
+func (s *instrumentedStore) reportListed(topic extern.Topic, batch extern.StoreBatch) {
+	s.mu.Lock()
+	added := batch.Unreadable - s.unreadable[topic]
+	if s.unreadable == nil {
+		s.unreadable = map[extern.Topic]int{}
+	}
+	s.unreadable[topic] = batch.Unreadable
+	s.mu.Unlock()
+	reportUnreadable(topic, added, batch.Next)
+}
+
 // reportUnreadable tells of records that were left out.
-func reportUnreadable(topic extern.Topic, batch extern.StoreBatch) {
-	if batch.Unreadable == 0 {
+func reportUnreadable(topic extern.Topic, records int, next ident.Offset) {
+	if records <= 0 {
 		return
 	}
-	klog.InfoS("Records can't be read and are left out", "topic", topic, "records", batch.Unreadable, "next", batch.Next)
-	metrics.GetOrCreateCounter(fmt.Sprintf(`gooseberrywayUnreadableRecords{topic="%v"}`, topic)).Add(batch.Unreadable)
+	klog.InfoS("Records can't be read and are left out", "topic", topic, "records", records, "next", next)
+	metrics.GetOrCreateCounter(fmt.Sprintf(`gooseberrywayUnreadableRecords{topic="%v"}`, topic)).Add(records)
 }
 
 func recordCall(call string, topic extern.Topic, start time.Time, err error) {
--- a/internal/state/kvdir/store.go
+++ b/internal/state/kvdir/store.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
@@ -68,8 +69,10 @@
 	saveRequestedAt map[partKey]time.Time
 	lastResponseAt  time.Time
 	lastReadFailed  bool
-	incarnation     ident.Incarnation
-	nextSequence    ident.Sequence
+	// unreadable says that the last response had entries that can't be read.
+	unreadable   bool
+	incarnation  ident.Incarnation
+	nextSequence ident.Sequence
 	// complete says that held matches the store: the whole list was read and no events have been lost since.
 	complete bool
 	// added are the parts that the store added recently, peerAdded those that peers reported as added, with the time of the
@@ -142,6 +145,10 @@
 	}
 	s.nextSequence = c.Next
 	if c.Unreadable > 0 {
+		metrics.GetOrCreateCounter("gooseberrywayUnreadableCacheEntries").Add(c.Unreadable)
+	}
+	if unreadable := c.Unreadable > 0; unreadable != s.unreadable {
+		s.unreadable = unreadable
 		klog.InfoS("Entries of a KV cache store can't be read and are left out", "address", s.Address, "entries", c.Unreadable)
 	}
 	for _, part := range c.Parts {
