Order no load of weights from an engine that leaves or wants a pause

The leader went on ordering loads from engines that had said in an answer that they leave, or want nothing for a while: a road that did not ask. Such engines are left out of what is to be loaded until the pause has ended; a leaving one stays out. TestEngineWithNoticeGetsNoOrder failed before.

--- a/internal/coordination/place/notice.go
+++ b/internal/coordination/place/notice.go
@@ -69,6 +69,14 @@
 	return shortest
 }
 
+// HasNotice reports whether the incarnation of an upstream has said that it leaves, or wants a pause that has not ended.
+func (p *Placer) HasNotice(u *view.Upstream) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	state := p.upstreamStates[u.ID]
+	return state != nil && state.incarnation == u.Incarnation && (state.leaving || time.Now().Before(state.pausedUntil))
+}
+
 // noticeState returns the state in which to record a notice of an upstream; nil if a later incarnation is known. The caller holds p.mu.
 func (p *Placer) noticeState(u *view.Upstream) *upstreamState {
 	if current := p.Snapshots.Upstreams().ByID[u.ID]; current != nil && current.Incarnation != u.Incarnation {
--- a/internal/coordination/reload/plan_test.go
+++ b/internal/coordination/reload/plan_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/gooseberryway/gooseberryway/internal/coordination/place"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/state/view"
 )
@@ -153,3 +155,21 @@
 		require.InEpsilon(t, took(p.allowedConcurrency(engines)), p.expectedTime, 0.3)
 	}
 }
+
+// Guards against loads of weights by engines that leave, or want nothing for a while.
+func TestEngineWithNoticeGetsNoOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &view.Upstream{ID: "e", Service: "llm", Incarnation: 1, State: view.UpstreamReady, Weights: map[ident.ModelID]int64{"m": 1}}
+		snapshots := &view.Snapshots{}
+		snapshots.SetUpstreams(view.NewUpstreams(map[ident.UpstreamID]*view.Upstream{u.ID: u}, 1))
+		r := &Runner{Snapshots: snapshots, Placer: &place.Placer{Snapshots: snapshots}}
+		outdated := func() int { return len(r.outdatedEngines([]*view.Upstream{u}, "m", 2)) }
+		require.Equal(t, 1, outdated())
+		r.Placer.Pause(u, time.Second)
+		require.Zero(t, outdated())
+		time.Sleep(time.Second)
+		require.Equal(t, 1, outdated())
+		r.Placer.MarkLeaving(u)
+		require.Zero(t, outdated())
+	})
+}
--- a/internal/coordination/reload/runner.go
+++ b/internal/coordination/reload/runner.go
@@ -184,12 +184,13 @@
 	return out
 }
 
-// outdatedEngines returns the ready engines that have an older version, no job and are not avoided.
+// outdatedEngines returns the ready engines that have an older version and no job, are not avoided and have not said that they leave
+// or want a pause.
 func (r *Runner) outdatedEngines(engines []*view.Upstream, model ident.ModelID, version int64) []candidate {
 	var out []candidate
 	for _, u := range engines {
 		currentVersion := r.Placer.WeightVersion(u, model)
-		if u.State != view.UpstreamReady || r.jobs[u.ID] != nil || currentVersion >= version || r.isAvoided(u.ID) {
+		if u.State != view.UpstreamReady || r.jobs[u.ID] != nil || currentVersion >= version || r.isAvoided(u.ID) || r.Placer.HasNotice(u) {
 			continue
 		}
 		out = append(out, candidate{engine: u, currentVersion: currentVersion, version: version, requests: r.Placer.WorkAt(u.ID).Requests})
