Know a quarantined request for one, whoever told of it first

During an upgrade a daemon of the older release passes the quarantine of a whole request on as one of parts. A daemon that heard it so first let the request through for good: the same quarantine from others changed nothing. TestWholeRequestPassedOnAsPartsIsRefused failed before.

--- a/internal/coordination/poison/quarantine.go
+++ b/internal/coordination/poison/quarantine.go
@@ -45,7 +45,11 @@
 	if q.Strikes != known.Strikes {
 		return q.Strikes > known.Strikes
 	}
-	return q.Released && !known.Released
+	if q.Released != known.Released {
+		return q.Released
+	}
+	// A daemon of an older release passes on the quarantine of a whole request as one of parts.
+	return q.Whole && !known.Whole
 }
 
 // QuarantinedError reports a request that must not be sent, because it, or parts of its prompt, crash upstreams.
--- a/internal/coordination/poison/quarantine_test.go
+++ b/internal/coordination/poison/quarantine_test.go
@@ -260,3 +260,18 @@
 		require.Zero(t, time.Since(began))
 	})
 }
+
+// Guards against a quarantined request that is let through by a daemon that heard of it from one of an older release first.
+func TestWholeRequestPassedOnAsPartsIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d, r := &Detector{}, requestOf(7)
+		q := Quarantine{Subjects: Set{r.Fingerprint()}, Strikes: 1, Since: time.Now()}
+		d.Apply(News{Quarantines: []Quarantine{q}})
+		q.Whole = true
+		d.Apply(News{Quarantines: []Quarantine{q}})
+		require.Error(t, d.Check(r))
+		q.Whole = false
+		d.Apply(News{Quarantines: []Quarantine{q}})
+		require.Error(t, d.Check(r))
+	})
+}
