--- a/internal/program/entry/upstream_notice_test.go
+++ b/internal/program/entry/upstream_notice_test.go
@@ -61,8 +61,8 @@
 
 // Guards against requests that reach an upstream within the time for which it has turned away all of this daemon's requests, and
 // against refusals that let callers return before any upstream accepts them.
-func TestUpstreamThatAsksForQuietGetsIt(t *testing.T) {
-	const quiet = 1500 * time.Millisecond
+func TestUpstreamThatAsksForPauseGetsNoRequests(t *testing.T) {
+	const pause = 1500 * time.Millisecond
 	for path, service := range noticeRoutes {
 		t.Run(path, func(t *testing.T) {
 			t.Parallel()
@@ -71,7 +71,7 @@
 			var arrivals, until atomic.Int64
 			f.startServiceUpstream(service, "busy", func(w http.ResponseWriter, r *http.Request) bool {
 				if arrivals.Add(1) == 1 {
-					until.Store(time.Now().Add(quiet).UnixNano())
+					until.Store(time.Now().Add(pause).UnixNano())
 				}
 				if time.Now().UnixNano() >= until.Load() {
 					return false
--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -72,11 +72,10 @@
 
 // run sends the request to upstreams until there is a final response.
 func (c *call) run() error {
-	service := c.pickService()
-	c.service = service
-	budget := c.RetryBudgets.Of(service)
+	c.service = c.pickService()
+	budget := c.RetryBudgets.Of(c.service)
 	budget.Deposit()
-	p := &progress{placeReq: c.placeReq(service)}
+	p := &progress{placeReq: c.placeReq(c.service)}
 	for {
 		if err := c.checkBeforeAttempt(); err != nil {
 			return err
@@ -88,7 +87,7 @@
 			}
 			continue
 		}
-		if err := c.shedLoad(service, choice, p); err != nil {
+		if err := c.shedLoad(choice, p); err != nil {
 			c.Placer.Discard(choice)
 			return err
 		}
@@ -127,13 +126,13 @@
 
 // shedLoad refuses a request that can't be answered before its deadline, and lowers the priority of one that would
 // miss its target latency below that of requests that can meet theirs.
-func (c *call) shedLoad(service view.ServiceID, choice *place.Choice, p *progress) error {
+func (c *call) shedLoad(choice *place.Choice, p *progress) error {
 	p.priority = c.priority()
 	r := &shed.Request{
 		FirstByte: choice.Wait.Total, FirstByteBeforeLate: choice.Wait.BeforeLate, Own: choice.Wait.Own,
 		Target: c.route.TargetLatency, UntilDeadline: c.untilDeadline(), Waited: time.Since(c.arrived), Priority: p.priority,
 	}
-	switch v := c.Shedders.Of(service).Decide(r).(type) {
+	switch v := c.Shedders.Of(c.service).Decide(r).(type) {
 	case *shed.Admit:
 		p.priority, choice.Late = v.Priority, v.Late
 		if v.Late {
@@ -167,7 +166,7 @@
 
 // checkQuarantine returns the error that ends the request if it, or parts of its prompt, are known to crash upstreams, or nil.
 func (c *call) checkQuarantine() error {
-	err := c.Detector.Check(&c.suspect)
+	err := c.Detector.Check(&c.judged)
 	if err == nil {
 		return nil
 	}
@@ -179,7 +178,7 @@
 		}
 	}
 	klog.InfoS("Request has quarantined prompt parts", "request", c.req.ID, "parts", c.sharedParts(),
-		"hashes", poison.Set(c.suspect.Parts).Key(), "reason", err.Error(), "mayHaveRun", c.mayHaveRun())
+		"whole", reason == ReasonRequestQuarantined, "hashes", poison.Set(c.judged.Parts).Key(), "reason", err.Error(), "mayHaveRun", c.mayHaveRun())
 	if c.mayHaveRun() {
 		return c.endAfterLastAttempt(reason)
 	}
@@ -308,7 +307,7 @@
 // attempt sends the request to the chosen upstream and handles the response.
 func (c *call) attempt(choice *place.Choice, p *progress) (nextStep, Reason) {
 	placeReq := p.placeReq
-	evidence, err := c.Detector.Begin(choice.Upstream, &c.suspect)
+	evidence, err := c.Detector.Begin(choice.Upstream, &c.judged)
 	if err != nil {
 		c.Placer.Discard(choice)
 		return stepFail, ReasonQuarantined
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -70,8 +70,8 @@
 	org     *view.Organisation
 	cost    float64
 	body    []byte
-	// suspect is what may be found to crash upstreams.
-	suspect poison.Request
+	// judged is what may be found to crash upstreams.
+	judged poison.Request
 	// wholeHash is the result of fingerprint once hasFingerprint is set.
 	wholeHash      poison.Hash
 	hasFingerprint bool
@@ -100,12 +100,12 @@
 	if h.IsDraining() {
 		w.Header().Set("Connection", "close")
 	}
-	c.suspect.Fingerprint = c.fingerprint
+	c.judged.Fingerprint = c.fingerprint
 	for _, id := range c.sharedParts() {
 		if id == "" {
 			continue
 		}
-		c.suspect.Parts = append(c.suspect.Parts, poison.HashPart(id))
+		c.judged.Parts = append(c.judged.Parts, poison.HashPart(id))
 	}
 	err := c.serve()
 	var refusal *RefusedError
--- a/internal/transport/proxy/metrics.go
+++ b/internal/transport/proxy/metrics.go
@@ -35,6 +35,17 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf(`gooseberrywayLateRequests{kind=%q}`, kindName(c))).Inc()
 }
 
+// countForeignAnswer counts an answer that isn't believed to be to the request that got it.
+func countForeignAnswer(rejection bool) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`gooseberrywayForeignAnswers{rejection="%t"}`, rejection)).Inc()
+}
+
+// countUnstatedPromise counts an upstream's status that callers would take for the promise that a request has not run, without the
+// header that states it.
+func countUnstatedPromise(status int) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`gooseberrywayUnstatedPromises{status="%d"}`, status)).Inc()
+}
+
 func kindName(c *call) string {
 	if c.route == nil {
 		return "none"
--- a/internal/transport/proxy/response.go
+++ b/internal/transport/proxy/response.go
@@ -47,6 +47,7 @@
 		httpc.Retire(resp)
 		klog.InfoS("Answer to another request", "request", c.req.ID, "upstream", choice.Upstream.ID, "got", parsed.ID,
 			"status", resp.StatusCode, "rejection", parsed.NotRun)
+		countForeignAnswer(parsed.NotRun)
 		return c.stepAfterRun(ReasonResponseMismatch)
 	}
 	c.observeNotice(resp, &parsed, choice)
@@ -59,6 +60,7 @@
 		tracker.End(place.OutcomeFailed)
 		klog.InfoS("Status of an upstream that would promise too much", "request", c.req.ID, "upstream", choice.Upstream.ID,
 			"status", resp.StatusCode)
+		countUnstatedPromise(resp.StatusCode)
 		return stepFail, ReasonUpstreamBroken
 	case c.headerSent && resp.StatusCode != http.StatusOK:
 		// The caller has already got the header of a stream with status 200, so an error response can't be forwarded
