Show that an outage of its service may have a sound request quarantined

A request that comes often runs at the ends of most upstreams of a service; where nearly all are down all the time for another reason, nothing answers it between three of them, and it is refused for ten minutes. Waiting for the service to answer others first would cost more upstreams under each deadly request.

--- a/internal/coordination/poison/fleet_test.go
+++ b/internal/coordination/poison/fleet_test.go
@@ -504,3 +504,18 @@
 		require.LessOrEqual(t, lateAfter(f.deadlySent, f.crashes, 5), allowedRequests)
 	})
 }
+
+// Guards against a sound request that is quarantined because it was at the ends of upstreams of a service that answered nobody.
+func TestPopularRequestOutlivesOutageOfItsService(t *testing.T) {
+	for _, perSecond := range []float64{10, 70} {
+		for seed := range uint64(12) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newSimFleet(t, seed, 8, 3)
+				f.callersRepeat, f.perSecond, f.plain, f.popularShare = true, perSecond, true, 0.15
+				f.run(time.Second, nil)
+				f.run(time.Minute, f.crashEach(500*time.Millisecond))
+				require.Empty(t, f.quarantined(), "%.0f requests a second, seed %d", perSecond, seed)
+			})
+		}
+	}
+}
