--- /dev/null
+++ b/internal/transport/proxy/attempt.go
@@ -0,0 +1,194 @@
+package proxy
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"syscall"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/gooseberryway/gooseberryway/internal/coordination/place"
+	"github.com/gooseberryway/gooseberryway/internal/state/guard"
+	"github.com/gooseberryway/gooseberryway/internal/transport/httpc"
+)
+
+const (
+	// deadlineGrace is how long after the deadline this daemon still waits for a response, so that it can forward the
+	// upstream's own response to the deadline.
+	deadlineGrace = 40 * time.Millisecond
+	// responsivenessTick is how often a pending attempt checks whether its upstream is still reachable and
+	// responsive.
+	responsivenessTick = 100 * time.Millisecond
+)
+
+// attempt sends the request to the chosen upstream and handles the response.
+func (c *call) attempt(choice *place.Choice, p *progress) (nextStep, Reason) {
+	placeReq := p.placeReq
+	evidence, err := c.Detector.Begin(choice.Upstream, &c.judged)
+	if err != nil {
+		c.Placer.Discard(choice)
+		return stepFail, ReasonQuarantined
+	}
+	c.evidence = evidence
+	ctx, cancel := context.WithCancelCause(c.r.Context())
+	defer cancel(nil)
+	end := time.AfterFunc(c.untilDeadline()+deadlineGrace, func() { cancel(context.DeadlineExceeded) })
+	defer end.Stop()
+	c.attemptAt = time.Now()
+	tracker := &attemptTracker{
+		Tracker: c.Placer.Begin(choice, placeReq),
+		rollout: c.Rollouts.Begin(c.rolloutRequest(placeReq), choice.Upstream, choice.QueuedTokens+choice.PrefillTokens),
+		queued:  choice.QueuedTokens, evidence: evidence,
+	}
+	req, err := c.upstreamRequest(ctx, choice, p)
+	if err != nil {
+		tracker.End(place.OutcomeCancelled)
+		return stepFail, ReasonUpstreamBroken
+	}
+	klog.InfoS("Request sent", "request", c.req.ID, "upstream", choice.Upstream.ID, "attempt", c.attempts+1,
+		"weights", choice.WeightVersion, "cost", int64(choice.Cost), "rank", choice.HashRank, "missed", choice.MissedTokens,
+		"candidates", choice.Candidates, "upstreamAgeMs", time.Since(choice.Upstream.SeenAt).Milliseconds(),
+		"leftMs", c.untilDeadline().Milliseconds(), "cached", choice.Locality, "chain", placeReq.SharedPrefix(), "save", choice.SaveToStore,
+		"waitMs", choice.Wait.Total.Milliseconds(), "late", choice.Late, "priority", p.priority, "release", choice.Upstream.Release)
+	c.watchUpstream(ctx, cancel, tracker)
+	resp, err := c.Pool.Do(req) //nolint:bodyclose // handleResponse closes it
+	if err != nil {
+		return c.handleSendError(err, context.Cause(ctx), choice, tracker)
+	}
+	tracker.MarkActive()
+	c.attempts++
+	return c.handleResponse(ctx, resp, choice, placeReq, tracker)
+}
+
+// errUnresponsive is the cause with which an attempt is cancelled whose upstream has become unreachable or hangs.
+var errUnresponsive = errors.New("upstream is unreachable or hangs") //nolint:revive // compared by identity only
+
+// watchUpstream cancels an attempt whose upstream becomes unreachable or hangs, if another attempt may follow.
+func (c *call) watchUpstream(ctx context.Context, cancel context.CancelCauseFunc, tracker *attemptTracker) {
+	if !c.route.Repeatable() || c.possibleRuns()+1 >= c.route.MaxAttempts {
+		return
+	}
+	go func() {
+		t := time.NewTicker(responsivenessTick)
+		defer t.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-t.C:
+			}
+			if tracker.ShouldAbort() {
+				cancel(errUnresponsive)
+				return
+			}
+		}
+	}()
+}
+
+func (c *call) upstreamRequest(ctx context.Context, choice *place.Choice, p *progress) (*http.Request, error) {
+	placeReq := p.placeReq
+	u := *c.r.URL
+	u.Scheme, u.Host, u.User = "http", choice.Upstream.Address, nil
+	a := Attempt{
+		Upstream:      choice.Upstream,
+		UntilDeadline: c.untilDeadline(),
+		Organisation:  c.organisationID(),
+		LastEventID:   c.lastEventID,
+	}
+	if placeReq.Model != "" {
+		a.WeightVersion = choice.WeightVersion
+		a.Priority = p.priority
+		a.CacheSalt = place.CacheSalt(choice.WeightVersion, placeReq.CacheScope)
+		a.FetchFrom, a.SaveTo = c.cacheAddresses(choice)
+	}
+	req := &http.Request{
+		Method:        c.r.Method,
+		URL:           &u,
+		Host:          c.r.Host,
+		Header:        c.Dialect.UpstreamHeaders(c.r.Header, a),
+		ContentLength: int64(len(c.body)),
+	}
+	// With a body but without GetBody the transport never sends the request a second time on its own. It sends no body
+	// if there is nothing to read.
+	req.Body = io.NopCloser(bytes.NewReader(c.body))
+	if req.URL.Path == "" {
+		return nil, &url.Error{Op: c.r.Method, URL: c.r.URL.String(), Err: http.ErrMissingFile}
+	}
+	guard.Check(req.Header.Get("Authorization") == "", guard.KeyStripped, "request %s", c.req.ID)
+	return req.WithContext(ctx), nil
+}
+
+// cacheAddresses returns the addresses to fetch cached parts from and to save them to; empty for none.
+func (c *call) cacheAddresses(choice *place.Choice) (from, to string) {
+	if choice.Fetch == place.FetchFromEngine {
+		from = choice.SourceAddress
+	}
+	if choice.Fetch == place.FetchFromStore {
+		from = choice.Store.Address
+	}
+	if choice.SaveToStore {
+		to = choice.Store.Address
+	}
+	return from, to
+}
+
+// handleSendError handles an attempt that got no response.
+func (c *call) handleSendError(err, cause error, choice *place.Choice, tracker *attemptTracker) (nextStep, Reason) {
+	var send *httpc.SendError
+	notSent := errors.As(err, &send) && send.NotSent
+	outcome, step, reason := place.OutcomeBroken, stepFail, ReasonUpstreamBroken
+	switch {
+	case c.callerLeft():
+		outcome = place.OutcomeCancelled
+	case notSent && isConnectError(err):
+		outcome, step, reason = place.OutcomeUnreachable, stepRetryAny, ReasonUnreachable
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			c.Detector.MarkRefused(choice.Upstream)
+		}
+	case notSent:
+		// The upstream had closed the reused connection; a new connection may work.
+		outcome, step, reason = place.OutcomeCancelled, stepRetryAny, ReasonUnreachable
+	case errors.Is(cause, context.DeadlineExceeded):
+		outcome, reason = place.OutcomeTimeout, ReasonTimeout
+	case errors.Is(cause, errUnresponsive):
+		outcome, step, reason = place.OutcomeTimeout, stepRetryOther, ReasonTimeout
+	case c.route.Repeatable():
+		step = stepRetryOther
+	}
+	tracker.End(outcome)
+	if !notSent {
+		c.attempts++
+		c.markSent()
+	}
+	klog.InfoS("Attempt failed", "request", c.req.ID, "upstream", choice.Upstream.ID, "reason", reason,
+		"sent", !notSent, "error", err.Error(), "parts", c.sharedParts(), "fingerprint", c.fingerprint(),
+		"sinceSentMs", time.Since(c.attemptAt).Milliseconds())
+	return step, reason
+}
+
+// sharedParts returns the ids of the parts of the prompt that other requests may share, for logs.
+func (c *call) sharedParts() []string {
+	var ids []string
+	for _, p := range c.req.Parts[:max(0, len(c.req.Parts)-1)] {
+		ids = append(ids, p.ID)
+	}
+	return ids
+}
+
+// markSent records that the request may have run.
+func (c *call) markSent() {
+	if c.sentAt.IsZero() {
+		c.sentAt = time.Now()
+	}
+}
+
+func isConnectError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial" || httpc.IsTimeout(err)
+}
