Tell callers the true end of a quarantine that began while they were placed

A request whose quarantine began between the check and the attempt was refused with a Retry-After of 60 ms instead of the rest of the term, and came back in vain. Found by reading; the window is too short for a test of its own.

--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -275,6 +275,12 @@
 // endAfterLastAttempt ends a request that has no response after its last attempt: it forwards the fallback, if there
 // is one, or returns a refusal.
 func (c *call) endAfterLastAttempt(reason Reason) error {
+	if reason == ReasonQuarantined && !c.mayHaveRun() {
+		// The quarantine began, or its probe was taken, after the check of this round.
+		if err := c.checkQuarantine(); err != nil {
+			return err
+		}
+	}
 	switch {
 	case c.headerSent:
 		return &RefusedError{Status: http.StatusBadGateway, Reason: reason}
