Let one owner end a caller's response as complete

With lines that end in CR LF the whole stream was held back and the response ended empty.

Cause: the end of a response was decided in six places, by whether the answer had a length, and the end of an event by two parsers of which one knew LF LF only.

Now a reply holds what the caller has got: whether the header is out, the position in the stream, and whether the response is complete. Only it ends a response; what isn't complete when the request ends is cut. One scanner finds the ends of events (LF, CR LF, CR, byte order mark), with constant work a byte; the framing of an answer no longer matters, and a stream with a length is forwarded as it arrives. The header goes out with the first event, so that a stream that never began can still be answered by another upstream's error or by a 502 with its reason. A stream of events without IDs is cut at a break: its events came twice before.

--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -99,7 +99,7 @@
 		Upstream:      choice.Upstream,
 		UntilDeadline: c.untilDeadline(),
 		Organisation:  c.organisationID(),
-		LastEventID:   c.lastEventID,
+		LastEventID:   c.reply.position.lastID,
 	}
 	if placeReq.Model != "" {
 		a.WeightVersion = choice.WeightVersion
--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -266,7 +266,7 @@
 
 // keyWithdrawnError returns the refusal of a request whose key was withdrawn while it waited.
 func (c *call) keyWithdrawnError() error {
-	if c.headerSent {
+	if c.reply.begun() {
 		return &RefusedError{Status: http.StatusBadGateway, Reason: ReasonUnknownKey}
 	}
 	return &RefusedError{Status: http.StatusUnauthorized, Reason: ReasonUnknownKey}
@@ -282,10 +282,10 @@
 		}
 	}
 	switch {
-	case c.headerSent:
+	case c.reply.begun():
 		return &RefusedError{Status: http.StatusBadGateway, Reason: reason}
 	case c.fallback != nil:
-		c.fallback.write(c)
+		c.reply.send(c.fallback)
 		return nil
 	case !c.mayHaveRun():
 		return c.refundAndRefuse(reason, max(rejectedRetryAfter, c.Placer.PausedFor(c.service)))
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -81,22 +81,20 @@
 	// attempts counts the upstreams that the request reached, rejections those of them that said that they did not
 	// run it.
 	attempts, rejections int
-	// headerSent is true once the caller was sent the header of a response.
-	headerSent bool
-	// sentAt is when an upstream was first known to have possibly run the request, firstByteAt when the first byte of a
-	// response was ready for the caller; both are zero until then.
-	sentAt, firstByteAt time.Time
+	// reply is the response to the caller.
+	reply reply
+	// sentAt is when an upstream was first known to have possibly run the request; zero until then.
+	sentAt time.Time
 	// attemptAt is when the last attempt began.
 	attemptAt time.Time
-	// lastEventID is the ID of the last event that was delivered to the caller.
-	lastEventID string
-	status      int
-	fallback    *bufferedResponse
+	// fallback is an upstream's error response that is forwarded if no other attempt succeeds.
+	fallback *bufferedResponse
 }
 
 // ServeHTTP routes one request and forwards the response.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := &call{Handler: h, w: w, r: r, arrived: time.Now(), req: h.Dialect.ParseRequest(r)}
+	c := &call{Handler: h, w: w, r: r, reply: reply{w: w}, arrived: time.Now(), req: h.Dialect.ParseRequest(r)}
+	c.reply.position.lastID = c.req.LastEventID
 	if h.IsDraining() {
 		w.Header().Set("Connection", "close")
 	}
@@ -109,16 +107,14 @@
 	}
 	err := c.serve()
 	var refusal *RefusedError
-	switch {
-	case err == nil:
-	case errors.As(err, &refusal) && !c.headerSent:
-		c.status = refusal.Status
-		refusal.write(w, h.Dialect)
-	default:
-		c.logEnd(err)
-		panic(http.ErrAbortHandler)
+	if errors.As(err, &refusal) && !c.reply.begun() {
+		c.reply.refuse(refusal, h.Dialect)
 	}
 	c.logEnd(err)
+	if !c.reply.complete {
+		guard.Check(err != nil, guard.StreamWhole, "request %s ended without an error, but its response isn't complete", c.req.ID)
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // serve handles the request. An error that isn't a *RefusedError means that the connection has to be aborted.
@@ -236,7 +232,7 @@
 // refundAndRefuse refunds the request's cost to its organisation's rate limit and refuses the request, which must not
 // have run.
 func (c *call) refundAndRefuse(reason Reason, after time.Duration) error {
-	guard.Check(c.lastEventID == "" && !c.headerSent, guard.NotRunTrue, "request %s is refused as not run, but part of its response was sent", c.req.ID)
+	guard.Check(!c.reply.begun(), guard.NotRunTrue, "request %s is refused as not run, but part of its response was sent", c.req.ID)
 	if c.org != nil {
 		c.Limiter.Refund(c.org, c.cost)
 	}
@@ -264,10 +260,10 @@
 		version = c.config.Version
 	}
 	var firstByte time.Duration
-	if !c.firstByteAt.IsZero() {
-		firstByte = c.firstByteAt.Sub(c.arrived)
+	if !c.reply.firstByteAt.IsZero() {
+		firstByte = c.reply.firstByteAt.Sub(c.arrived)
 	}
-	klog.InfoS("Request ended", "request", c.req.ID, "route", route, "organisation", c.organisationID(), "status", c.status,
+	klog.InfoS("Request ended", "request", c.req.ID, "route", route, "organisation", c.organisationID(), "status", c.reply.status,
 		"outcome", outcome, "attempts", c.attempts, "config", version, "firstMs", firstByte.Milliseconds(),
 		"totalMs", time.Since(c.arrived).Milliseconds(), "patienceMs", c.deadline.Sub(c.arrived).Milliseconds())
 	recordRequest(c, err)
--- a/internal/transport/proxy/metrics.go
+++ b/internal/transport/proxy/metrics.go
@@ -23,9 +23,9 @@
 	kind := kindName(c)
 	metrics.GetOrCreateCounter(fmt.Sprintf(`gooseberrywayRequests{kind=%q,outcome=%q}`, kind, reason)).Inc()
 	metrics.GetOrCreateHistogram(fmt.Sprintf(`gooseberrywayRequestSeconds{kind=%q}`, kind)).Update(time.Since(c.arrived).Seconds())
-	if !c.firstByteAt.IsZero() {
+	if !c.reply.firstByteAt.IsZero() {
 		metrics.GetOrCreateHistogram(fmt.Sprintf(`gooseberrywayFirstByteSeconds{kind=%q}`, kind)).
-			Update(c.firstByteAt.Sub(c.arrived).Seconds())
+			Update(c.reply.firstByteAt.Sub(c.arrived).Seconds())
 	}
 }
 
--- a/internal/transport/proxy/response.go
+++ b/internal/transport/proxy/response.go
@@ -5,8 +5,8 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
-	"strconv"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -16,8 +16,13 @@
 	"github.com/gooseberryway/gooseberryway/internal/transport/httpc"
 )
 
-// streamBufferBytes is the largest number of bytes that is read from a stream at once.
-const streamBufferBytes = 16 << 10
+const (
+	// streamBufferBytes is the largest number of bytes that is read from a stream at once.
+	streamBufferBytes = 16 << 10
+	// eventStreamType is the media type of streams of server-sent events.
+	eventStreamType = "text/event-stream"
+	kindStream      = view.KindStream
+)
 
 // bufferedResponse is a response that was read as a whole before any of it is sent to the caller.
 type bufferedResponse struct {
@@ -26,12 +31,6 @@
 	body   []byte
 }
 
-func (b *bufferedResponse) write(c *call) {
-	c.writeHeader(b.status, b.header, int64(len(b.body)))
-	c.markFirstByte()
-	_, _ = c.w.Write(b.body)
-}
-
 // handleResponse decides what follows from an upstream's response and forwards the response if it is the final one.
 func (c *call) handleResponse(
 	ctx context.Context, resp *http.Response, choice *place.Choice, placeReq *place.Request, tracker *attemptTracker,
@@ -62,10 +61,12 @@
 			"status", resp.StatusCode)
 		countUnstatedPromise(resp.StatusCode)
 		return stepFail, ReasonUpstreamBroken
-	case c.headerSent && resp.StatusCode != http.StatusOK:
-		// The caller has already got the header of a stream with status 200, so an error response can't be forwarded
-		// any more.
+	case c.reply.begun() && !c.isStream(resp):
+		// The caller has got the beginning of a stream, so that no other response can be forwarded any more.
+		c.markSent()
 		tracker.End(place.OutcomeFailed)
+		klog.InfoS("Answer doesn't go on with a stream", "request", c.req.ID, "upstream", choice.Upstream.ID, "status", resp.StatusCode,
+			"lastEvent", c.reply.position.lastID)
 		return c.stepAfterRun(ReasonUpstreamBroken)
 	case resp.StatusCode >= http.StatusInternalServerError && c.canRetryAfterRun():
 		c.markSent()
@@ -101,9 +102,10 @@
 	}
 }
 
-// stepAfterRun returns the next step after an attempt that failed although the request may have run.
+// stepAfterRun returns the next step after an attempt that failed although the request may have run. Of a response that has begun only
+// a stream can go on, if it is known how much of it the caller has got.
 func (c *call) stepAfterRun(reason Reason) (nextStep, Reason) {
-	if c.route.Repeatable() {
+	if c.route.Repeatable() && (!c.reply.begun() || c.reply.isStream && !c.reply.position.ambiguous) {
 		return stepRetryOther, reason
 	}
 	return stepFail, reason
@@ -149,12 +151,12 @@
 	ctx context.Context, resp *http.Response, choice *place.Choice, tracker *attemptTracker,
 ) (nextStep, Reason) {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
-	if err == nil && len(body) == maxBufferedBytes && !c.headerSent {
+	if err == nil && len(body) == maxBufferedBytes {
 		return c.endBuffered(ctx, c.forwardLarge(resp, body), resp, body, choice, tracker)
 	}
 	tracker.End(c.outcome(ctx, err, resp.StatusCode))
 	klog.InfoS("Upstream failed", "request", c.req.ID, "upstream", choice.Upstream.ID, "status", resp.StatusCode)
-	if err == nil && !c.headerSent {
+	if err == nil {
 		c.fallback = &bufferedResponse{status: resp.StatusCode, header: c.Dialect.CallerHeaders(resp.Header), body: body}
 	}
 	return stepRetryOther, ReasonUpstreamBroken
@@ -176,29 +178,6 @@
 	}
 }
 
-// writeHeader sends the status and the header of the response, unless they have been sent before.
-func (c *call) writeHeader(status int, header http.Header, length int64) {
-	if c.headerSent {
-		return
-	}
-	h := c.w.Header()
-	for name, values := range header {
-		h[name] = values
-	}
-	if _, ok := header["Content-Type"]; !ok {
-		// A nil value keeps net/http from sniffing the content type.
-		h["Content-Type"] = nil
-	}
-	if _, ok := header["Date"]; !ok {
-		h["Date"] = nil
-	}
-	if length >= 0 {
-		h.Set("Content-Length", strconv.FormatInt(length, 10))
-	}
-	c.w.WriteHeader(status)
-	c.headerSent, c.status = true, status
-}
-
 // forward sends the response to the caller.
 func (c *call) forward(
 	ctx context.Context, resp *http.Response, choice *place.Choice, tracker *attemptTracker,
@@ -206,14 +185,13 @@
 	if !c.isStream(resp) {
 		return c.forwardBuffered(ctx, resp, choice, tracker)
 	}
-	c.writeHeader(resp.StatusCode, c.Dialect.CallerHeaders(resp.Header), -1)
 	err := c.copyStream(resp, tracker)
 	outcome := c.outcome(ctx, err, resp.StatusCode)
 	tracker.End(outcome)
 	if err == nil {
 		return stepDone, ""
 	}
-	klog.InfoS("Stream broke", "request", c.req.ID, "upstream", choice.Upstream.ID, "lastEvent", c.lastEventID,
+	klog.InfoS("Stream broke", "request", c.req.ID, "upstream", choice.Upstream.ID, "lastEvent", c.reply.position.lastID,
 		"error", err.Error(), "gone", c.callerLeft(), "weights", choice.WeightVersion, "parts", c.sharedParts(), "fingerprint", c.fingerprint(),
 		"reads", tracker.reads, "sinceSentMs", time.Since(c.attemptAt).Milliseconds())
 	if outcome == place.OutcomeTimeout && !errors.Is(context.Cause(ctx), errUnresponsive) {
@@ -225,8 +203,17 @@
 	return c.stepAfterRun(ReasonUpstreamBroken)
 }
 
+// isStream reports whether a response is a stream of events. How its body is framed says nothing of that.
 func (c *call) isStream(resp *http.Response) bool {
-	return resp.ContentLength < 0 && resp.StatusCode < http.StatusBadRequest && c.route.Kind == kindStream
+	if c.route.Kind != kindStream || resp.StatusCode != http.StatusOK || resp.Header.Get("Content-Encoding") != "" {
+		return false
+	}
+	contentType := resp.Header.Get("Content-Type")
+	if contentType == "" {
+		return true
+	}
+	mediaType, _, err := mime.ParseMediaType(contentType)
+	return err == nil && mediaType == eventStreamType
 }
 
 // forwardBuffered reads the response, up to maxBufferedBytes, before it sends the header, so that a response that
@@ -243,17 +230,12 @@
 
 // forwardLarge sends a response to the caller of which only the first part is buffered.
 func (c *call) forwardLarge(resp *http.Response, body []byte) error {
-	c.writeHeader(resp.StatusCode, c.Dialect.CallerHeaders(resp.Header), resp.ContentLength)
-	c.markFirstByte()
-	_, err := io.Copy(c.w, io.MultiReader(bytes.NewReader(body), resp.Body))
-	return err
-}
-
-// markFirstByte records that the first byte of a response is ready for the caller.
-func (c *call) markFirstByte() {
-	if c.firstByteAt.IsZero() {
-		c.firstByteAt = time.Now()
+	c.reply.begin(resp.StatusCode, c.Dialect.CallerHeaders(resp.Header), resp.ContentLength)
+	_, err := io.Copy(&c.reply, io.MultiReader(bytes.NewReader(body), resp.Body))
+	if err == nil {
+		c.reply.finish()
 	}
+	return err
 }
 
 // endBuffered ends an attempt whose response was read with the given error, and sends the response unless that has begun.
@@ -263,49 +245,36 @@
 	outcome := c.outcome(ctx, err, resp.StatusCode)
 	tracker.End(outcome)
 	if err == nil {
-		if !c.headerSent {
-			(&bufferedResponse{status: resp.StatusCode, header: c.Dialect.CallerHeaders(resp.Header), body: body}).write(c)
+		if !c.reply.begun() {
+			c.reply.send(&bufferedResponse{status: resp.StatusCode, header: c.Dialect.CallerHeaders(resp.Header), body: body})
 		}
 		return stepDone, ""
 	}
 	klog.InfoS("Answer broke", "request", c.req.ID, "upstream", choice.Upstream.ID, "status", resp.StatusCode,
 		"bytes", len(body), "error", err.Error(), "parts", c.sharedParts(), "fingerprint", c.fingerprint(),
 		"sinceSentMs", time.Since(c.attemptAt).Milliseconds())
-	if c.headerSent {
-		return stepFail, ReasonUpstreamBroken
-	}
 	if outcome == place.OutcomeTimeout && !errors.Is(context.Cause(ctx), errUnresponsive) {
 		return stepFail, ReasonTimeout
 	}
 	return c.stepAfterRun(ReasonUpstreamBroken)
 }
 
-// copyStream forwards bytes as they arrive; of a resumable stream it forwards complete events only.
+// copyStream forwards a stream of events as they arrive.
 func (c *call) copyStream(resp *http.Response, tracker *attemptTracker) error {
-	rc := http.NewResponseController(c.w)
-	if err := rc.Flush(); err != nil {
-		return err
-	}
-	var events eventSplitter
+	f := &streamForwarder{reply: &c.reply, header: c.Dialect.CallerHeaders(resp.Header), resumable: c.route.Resumable}
+	f.init()
 	buf := make([]byte, streamBufferBytes)
 	for {
 		n, err := resp.Body.Read(buf)
 		if n > 0 {
-			c.markFirstByte()
 			tracker.MarkActive()
 			tracker.MarkFirstEvent()
-			out := buf[:n]
-			if c.route.Resumable {
-				out = events.add(out)
-			} else {
-				events.advance(out)
-			}
-			if werr := c.writeStream(rc, out, &events); werr != nil {
-				return werr
+			if ferr := f.forward(buf[:n]); ferr != nil {
+				return ferr
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return events.checkEnd(resp)
+			return f.end(isUnframed(resp))
 		}
 		if err != nil {
 			return err
@@ -313,29 +282,8 @@
 	}
 }
 
-// checkEnd returns an error if the stream was broken off, though its connection ended like that of a complete one.
-func (p *eventPosition) checkEnd(resp *http.Response) error {
-	if p.hasPartialEvent() || !p.started && isUnframed(resp) {
-		return io.ErrUnexpectedEOF
-	}
-	return nil
-}
-
 // isUnframed reports whether a response's body has neither a length nor chunks, so that only its content tells whether it
 // ended early.
 func isUnframed(resp *http.Response) bool {
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
-
-func (c *call) writeStream(rc *http.ResponseController, out []byte, events *eventSplitter) error {
-	if len(out) == 0 {
-		return nil
-	}
-	if _, err := c.w.Write(out); err != nil {
-		return err
-	}
-	if events.lastID != "" {
-		c.lastEventID = events.lastID
-	}
-	return rc.Flush()
-}
--- /dev/null
+++ b/internal/transport/proxy/stream_forwarder.go
@@ -0,0 +1,75 @@
+package proxy
+
+import (
+	"io"
+	"net/http"
+)
+
+// streamForwarder forwards the stream of events of one upstream to the caller. The header goes out with the first events, so that a
+// stream that breaks off before them can still be answered otherwise.
+type streamForwarder struct {
+	reply  *reply
+	header http.Header
+	// resumable says that another upstream may send the rest of the stream, so that only complete events are forwarded.
+	resumable bool
+
+	scanner eventScanner
+	// pending are the bytes of an event that isn't complete.
+	pending []byte
+}
+
+// init prepares the forwarder for the first call of forward.
+func (f *streamForwarder) init() {
+	f.scanner = eventScanner{onEvent: f.addEvent, mayHaveMark: !f.reply.begun()}
+}
+
+// addEvent advances the caller's position.
+func (f *streamForwarder) addEvent(e *event) error {
+	f.reply.position.advance(e)
+	return nil
+}
+
+// forward sends what may be sent after the next bytes of the upstream's stream.
+func (f *streamForwarder) forward(p []byte) error {
+	complete, err := f.scanner.scan(p)
+	if !f.resumable {
+		complete = len(p)
+	}
+	if complete > 0 {
+		if werr := f.write(p[:complete]); werr != nil {
+			return werr
+		}
+		f.pending = f.pending[:0]
+	}
+	if err != nil {
+		return err
+	}
+	f.pending = append(f.pending, p[complete:]...)
+	return nil
+}
+
+// write sends the pending bytes and those that follow them.
+func (f *streamForwarder) write(p []byte) error {
+	f.reply.begin(http.StatusOK, f.header, -1)
+	f.reply.isStream = true
+	for _, b := range [][]byte{f.pending, p} {
+		if len(b) == 0 {
+			continue
+		}
+		if _, err := f.reply.Write(b); err != nil {
+			return err
+		}
+	}
+	return f.reply.flush()
+}
+
+// end ends the upstream's stream. It returns an error if the stream was broken off, though its connection ended like that of a
+// complete one. unframed says that the body had neither a length nor chunks.
+func (f *streamForwarder) end(unframed bool) error {
+	if f.scanner.hasPartialEvent() || unframed && !f.scanner.started {
+		return io.ErrUnexpectedEOF
+	}
+	f.reply.begin(http.StatusOK, f.header, -1)
+	f.reply.finish()
+	return nil
+}
