Cut a stream rather than go on with an answer that doesn't follow it

Cause: after a break, status 200 was all that was asked of the next upstream's answer. Its events were passed on whatever their IDs were.

What goes on with a stream now has status 200, the media type of an event stream, no encoding and the request's ID, and its first event has the ID that follows the last one delivered: a higher number, and the next one if the IDs of the stream have had no gaps. Any other answer counts as a failure of its upstream; another attempt follows if the route allows it, or the response is cut. An upstream that ignores the caller's own Last-Event-Id is caught in the same way.

--- a/internal/program/entry/resumed_stream_test.go
+++ b/internal/program/entry/resumed_stream_test.go
@@ -183,6 +183,48 @@
 	require.Equal(t, body[len(half):], text(t, resp))
 }
 
+// Guards against a response that shows an upstream's error, or events out of order, in the middle of a stream, or that ends as complete
+// there: what doesn't go on with the stream is dropped and the response is cut.
+func TestAnswerThatDoesNotGoOnWithStreamIsNotForwarded(t *testing.T) {
+	const eventStream = "text/event-stream"
+	engines := startScriptedEngines(t)
+	errorResponse := "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\n\r\nout of memory\n\n"
+	rest := events(brokenAfter+1, streamLength, "\n")
+	large := strings.Repeat("x", 540<<10)
+	rests := map[string]string{
+		"without its request's ID":          strings.Replace(framings["length"](200, eventStream, rest), requestIDKey+": @id\r\n", "", 1),
+		"empty, unframed":                   framings["end of connection"](200, eventStream, ""),
+		"unavailable, not stated as unrun":  framings["length"](503, "text/plain", "busy"),
+		"not run":                           responseHead(503, "text/plain", "X-Gooseberryway-Not-Executed: 1", "Content-Length: 4") + "busy",
+		"large error":                       framings["length"](500, "text/plain", large),
+		"no content":                        responseHead(204, eventStream),
+		"encoded":                           strings.Replace(framings["chunks"](200, eventStream, rest), "Connection", "Content-Encoding: gzip\r\nConnection", 1),
+		"broken off before the first event": brokenStream("id: 3\nda"),
+	}
+	for name, frame := range framings {
+		rests["plain text, "+name] = frame(200, "text/plain", "out of memory\n\n")
+		rests["JSON, "+name] = frame(200, "application/json", `{"error":"x"}`)
+		rests["not found, "+name] = frame(404, "text/plain", "no such model\n\n")
+		rests["failed, "+name] = frame(500, eventStream, rest)
+		rests["partial content, "+name] = frame(206, eventStream, rest)
+		rests["error response as a body, "+name] = frame(200, eventStream, errorResponse)
+		rests["from the beginning, "+name] = frame(200, eventStream, events(1, streamLength, "\n"))
+		rests["one event too early, "+name] = frame(200, eventStream, events(brokenAfter, streamLength, "\n"))
+		rests["one event too late, "+name] = frame(200, eventStream, events(brokenAfter+2, streamLength, "\n"))
+		rests["events without IDs, "+name] = frame(200, eventStream, "data: x\n\n")
+		rests["byte order mark, "+name] = frame(200, eventStream, "\xef\xbb\xbf"+rest)
+	}
+	for name, answer := range rests {
+		t.Run(name, func(t *testing.T) {
+			got := engines.play("/note/x", t.Name(), []string{brokenStream(events(1, brokenAfter, "\n")), answer})
+			require.Equal(t, events(1, brokenAfter, "\n"), got.body)
+			require.True(t, got.cut, "the response looks complete")
+			require.Equal(t, http.StatusOK, got.status)
+			require.Equal(t, strconv.Itoa(brokenAfter), got.lastIDs[1])
+		})
+	}
+}
+
 // Guards against what else can go wrong at a break: events that come twice or are missing, and a stream that never began and can't be
 // answered otherwise.
 func TestStreamAfterBreak(t *testing.T) {
@@ -241,6 +283,11 @@
 			answers: []string{brokenStream("data: a\n\ndata: b\n\n"), framings["length"](200, eventStream, "data: a\n\ndata: b\n\ndata: c\n\n")},
 			want:    played{status: 200, body: "data: a\n\ndata: b\n\n", cut: true, lastIDs: []string{""}},
 		},
+		"caller resumes and the upstream starts again": {
+			answers: []string{framings["chunks"](200, eventStream, whole), framings["chunks"](200, eventStream, rest)},
+			headers: []string{"Last-Event-Id", "2"},
+			want:    played{status: 200, body: rest, lastIDs: []string{"2", "2"}},
+		},
 		"no resumable stream": {
 			path: "/draft/x", answers: []string{brokenStream("id: 1\nda"), framings["length"](200, eventStream, whole)},
 			want: played{status: 200, body: "id: 1\nda", cut: true, lastIDs: []string{""}},
--- a/internal/transport/proxy/response.go
+++ b/internal/transport/proxy/response.go
@@ -61,7 +61,7 @@
 			"status", resp.StatusCode)
 		countUnstatedPromise(resp.StatusCode)
 		return stepFail, ReasonUpstreamBroken
-	case c.reply.begun() && !c.isStream(resp):
+	case c.reply.begun() && (!c.isStream(resp) || parsed.ID == ""):
 		// The caller has got the beginning of a stream, so that no other response can be forwarded any more.
 		c.markSent()
 		tracker.End(place.OutcomeFailed)
@@ -169,6 +169,8 @@
 		return place.OutcomeCancelled
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded), errors.Is(context.Cause(ctx), errUnresponsive):
 		return place.OutcomeTimeout
+	case isContinuationError(err):
+		return place.OutcomeFailed
 	case err != nil:
 		return place.OutcomeBroken
 	case status >= http.StatusInternalServerError:
--- a/internal/transport/proxy/stream_forwarder.go
+++ b/internal/transport/proxy/stream_forwarder.go
@@ -16,15 +16,24 @@
 	scanner eventScanner
 	// pending are the bytes of an event that isn't complete.
 	pending []byte
+	// verified says that the stream goes on where the caller's stream ended.
+	verified bool
 }
 
 // init prepares the forwarder for the first call of forward.
 func (f *streamForwarder) init() {
 	f.scanner = eventScanner{onEvent: f.addEvent, mayHaveMark: !f.reply.begun()}
+	f.verified = !f.resumable
 }
 
-// addEvent advances the caller's position.
+// addEvent advances the caller's position. It returns a *ContinuationError if the first event doesn't follow it.
 func (f *streamForwarder) addEvent(e *event) error {
+	if !f.verified && (e.hasID || e.hasData) {
+		if err := f.reply.position.checkContinuation(e); err != nil {
+			return err
+		}
+		f.verified = true
+	}
 	f.reply.position.advance(e)
 	return nil
 }
