Bound what a worker can make a daemon keep or work on

A faulty worker that sends bytes without end took the memory of the daemon that had called it (a report of other operators: the process ended, and with it the requests of others). Here a resumable stream without an empty line was kept whole: 24 callers took the heap to 202 and 216 MB in 4 s (the users' findings; a VM has 134), and each read looked at all that was kept. The same on a stream that isn't resumable went to the caller, 1.1 GB in 4 s.

Cause: an event had no largest size. An event may take 64 KB on a resumable stream, where it is held until it is complete, and 1 MB on others, where it is passed on; then its upstream counts as failed. A worker runs 64 requests at once, so that one that sends garbage to all of them makes a daemon hold 4 MB.

--- a/internal/program/entry/upstream_faults_test.go
+++ b/internal/program/entry/upstream_faults_test.go
@@ -70,6 +70,15 @@
 			path: "/draft/x", endlessResponse: &endlessResponse{head: ok + "Transfer-Encoding: chunked\r\n\r\n", piece: "1\r\nx\r\n", pause: 20 * time.Millisecond},
 			maxBytes: 1 << 10,
 		},
+		"endless event": {
+			path: "/draft/x", endlessResponse: &endlessResponse{head: ok + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ", piece: kilobyte}, maxBytes: 16 << 20,
+		},
+		"endless event of a resumable stream": {
+			path: "/note/x", endlessResponse: &endlessResponse{head: ok + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ", piece: kilobyte}, maxBytes: 16 << 20,
+		},
+		"endless lines of a resumable stream": {
+			path: "/note/x", endlessResponse: &endlessResponse{head: ok + "\r\n", piece: "data: " + kilobyte + "\n"}, maxBytes: 16 << 20,
+		},
 		"endless chunk extension": {
 			path: "/draft/x", endlessResponse: &endlessResponse{head: ok + "Transfer-Encoding: chunked\r\n\r\n1;", piece: kilobyte}, maxBytes: 16 << 20,
 		},
@@ -79,7 +88,7 @@
 			f.configure(1, "secret")
 			e := c.endlessResponse
 			service, modelName := "app", ""
-			if strings.HasPrefix(c.path, "/draft") {
+			if !strings.HasPrefix(c.path, "/order") {
 				service, modelName = "llm", "m"
 			}
 			f.startUpstream(service, &standin.Upstream{ID: "w1", Model: modelName, Version: 1, Intercept: e.intercept})
--- a/internal/transport/proxy/bench_test.go
+++ b/internal/transport/proxy/bench_test.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"bytes"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -14,3 +16,16 @@
 		(&call{r: r, body: body}).fingerprint()
 	}
 }
+
+// BenchmarkScanLongEvent is what a read costs of a stream whose event is long.
+func BenchmarkScanLongEvent(b *testing.B) {
+	const readBytes = 1 << 10
+	s := eventScanner{onEvent: func(*event) error { return nil }, maxEventBytes: math.MaxInt}
+	p := bytes.Repeat([]byte("x"), readBytes)
+	b.SetBytes(readBytes)
+	for b.Loop() {
+		if _, err := s.scan(p); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -26,8 +26,9 @@
 	// rejectedRetryAfter is the Retry-After for requests that upstreams rejected or that timed out before they were
 	// sent.
 	rejectedRetryAfter = 60 * time.Millisecond
-	// maxBufferedBytes is the size up to which a response is buffered before its header is forwarded.
-	maxBufferedBytes = 256 << 10
+	// maxBufferedBytes is the size up to which a response is buffered before its header is forwarded. An upstream may answer hundreds
+	// of requests at once with bodies that don't end.
+	maxBufferedBytes = 64 << 10
 )
 
 // nextStep is what follows after an attempt.
--- a/internal/transport/proxy/event_scanner.go
+++ b/internal/transport/proxy/event_scanner.go
@@ -2,11 +2,33 @@
 
 import (
 	"bytes"
+	"errors"
+	"fmt"
 	"strings"
 )
 
-// maxIDBytes is the length of the longest event ID with which a stream can be resumed.
-const maxIDBytes = 256
+const (
+	// maxIDBytes is the length of the longest event ID with which a stream can be resumed.
+	maxIDBytes = 256
+	// maxHeldEventBytes is the length of the longest event of a resumable stream, which is held in memory until it is complete:
+	// an upstream may run hundreds of requests at once. maxEventBytes is the same for other streams.
+	maxHeldEventBytes = 64 << 10
+	maxEventBytes     = 1 << 20
+)
+
+// EventSizeError reports an event that is longer than MaxBytes, such as bytes without end that are no events.
+type EventSizeError struct {
+	MaxBytes int
+}
+
+func (e *EventSizeError) Error() string {
+	return fmt.Sprintf("an event of the stream is longer than %d bytes", e.MaxBytes)
+}
+
+func isEventSizeError(err error) bool {
+	_, ok := errors.AsType[*EventSizeError](err)
+	return ok
+}
 
 var byteOrderMark = []byte("\xef\xbb\xbf")
 
@@ -23,6 +45,8 @@
 type eventScanner struct {
 	// onEvent is called for each event once it is complete. Its error ends the scan.
 	onEvent func(e *event) error
+	// maxEventBytes is the length of the longest event.
+	maxEventBytes int
 	// mayHaveMark says that the next line may begin with a byte order mark, as the first one of a stream.
 	mayHaveMark bool
 
@@ -56,8 +80,11 @@
 			s.eventBytes++
 			s.addToLine(b)
 		}
-		if s.eventBytes == 0 {
+		switch {
+		case s.eventBytes == 0:
 			complete = i + 1
+		case s.eventBytes > s.maxEventBytes:
+			return complete, &EventSizeError{MaxBytes: s.maxEventBytes}
 		}
 	}
 	return complete, nil
--- a/internal/transport/proxy/event_scanner_test.go
+++ b/internal/transport/proxy/event_scanner_test.go
@@ -117,3 +117,33 @@
 		require.Equal(t, unsplit.complete, split.complete)
 	})
 }
+
+// Guards against a stream whose bytes are kept without a bound while they are no events.
+func TestEventWithoutEndIsNotKept(t *testing.T) {
+	piece := []byte("data: " + strings.Repeat("x", 1000) + "\n")
+	for name, c := range map[string]struct {
+		resumable bool
+		maxBytes  int
+	}{
+		"resumable": {true, maxHeldEventBytes},
+		"other":     {false, maxEventBytes},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, w := newForwarder("")
+			f.resumable = c.resumable
+			f.init()
+			require.NoError(t, f.forward([]byte("id: 1\n\n")))
+			var err error
+			read := 0
+			for ; err == nil && read <= 2*c.maxBytes; read += len(piece) {
+				err = f.forward(piece)
+				require.LessOrEqual(t, len(f.pending), c.maxBytes)
+			}
+			require.True(t, isEventSizeError(err), "%v", err)
+			require.LessOrEqual(t, read, c.maxBytes+2*len(piece))
+			require.False(t, f.reply.complete)
+			require.True(t, strings.HasPrefix(w.Body.String(), "id: 1\n\n"))
+			require.Equal(t, c.resumable, w.Body.Len() == len("id: 1\n\n"))
+		})
+	}
+}
--- a/internal/transport/proxy/response.go
+++ b/internal/transport/proxy/response.go
@@ -169,7 +169,7 @@
 		return place.OutcomeCancelled
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded), errors.Is(context.Cause(ctx), errUnresponsive):
 		return place.OutcomeTimeout
-	case isContinuationError(err):
+	case isContinuationError(err), isEventSizeError(err):
 		return place.OutcomeFailed
 	case err != nil:
 		return place.OutcomeBroken
--- a/internal/transport/proxy/stream_forwarder.go
+++ b/internal/transport/proxy/stream_forwarder.go
@@ -22,7 +22,10 @@
 
 // init prepares the forwarder for the first call of forward.
 func (f *streamForwarder) init() {
-	f.scanner = eventScanner{onEvent: f.addEvent, mayHaveMark: !f.reply.begun()}
+	f.scanner = eventScanner{onEvent: f.addEvent, mayHaveMark: !f.reply.begun(), maxEventBytes: maxEventBytes}
+	if f.resumable {
+		f.scanner.maxEventBytes = maxHeldEventBytes
+	}
 	f.verified = !f.resumable
 }
 
@@ -38,7 +41,8 @@
 	return nil
 }
 
-// forward sends what may be sent after the next bytes of the upstream's stream.
+// forward sends what may be sent after the next bytes of the upstream's stream. An error of the scan comes after what was complete
+// before it.
 func (f *streamForwarder) forward(p []byte) error {
 	complete, err := f.scanner.scan(p)
 	if !f.resumable {
