Refuse at a planned stop what can't end in time

Cause: after the signal a daemon took whatever came until its listeners closed, whatever the request needed, and closed the connections of what was left 0.4 s before the end.

Before each attempt a daemon that stops asks now whether the request can end in the time that is left: the longest of the last 64 responses of its route, twice that for requests that may run once only, at most its deadline, and the deadline where too little is known. What can't is refused at once with 503 and Retry-After: it has not run, and callers find another daemon. What is still open at the end gets a final answer (502, or 503 if nothing was sent; a request whose body is half read hasn't run); a resumable stream that is out is cut, and its caller resumes it. Requests on connections that were open, used or not, are answered until nothing is open any more: http.Server.Shutdown read and dropped them.

--- a/internal/coordination/estim/window.go
+++ b/internal/coordination/estim/window.go
@@ -27,6 +27,9 @@
 // Len returns the number of samples.
 func (w *Window[T]) Len() int { return len(w.samples) }
 
+// Max returns the largest sample. It panics if there are none.
+func (w *Window[T]) Max() T { return slices.Max(w.samples) }
+
 // Median returns the upper median of the samples. It panics if there are none.
 func (w *Window[T]) Median() T {
 	sorted := slices.Sorted(slices.Values(w.samples))
--- /dev/null
+++ b/internal/coordination/shed/stop.go
@@ -0,0 +1,98 @@
+package shed
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/gooseberryway/gooseberryway/internal/coordination/estim"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
+
+const (
+	// stopSamples is the number of last responses of a route whose longest time is taken for that of the next request.
+	stopSamples = 64
+	// minStopSamples is the number of responses that an estimate needs. Until then a request may take until its deadline.
+	minStopSamples = 8
+	// maxStopRoutes is the number of routes whose responses are remembered; all are forgotten when there are more.
+	maxStopRoutes = 1024
+	// atMostOnceFactor lengthens the estimate for requests that can't be repeated, whose loss costs the most.
+	atMostOnceFactor = 2
+)
+
+// Stop decides during a planned stop of the daemon which requests can still end before it. The zero value is ready for use; its
+// methods may be called concurrently.
+type Stop struct {
+	mu sync.Mutex
+	// at is when requests have to be over; zero while no stop is planned.
+	at    time.Time
+	times map[ident.RouteID]*estim.Window[time.Duration]
+
+	once   sync.Once
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// StopRequest is a request that is about to be sent to an upstream.
+type StopRequest struct {
+	Route         ident.RouteID
+	UntilDeadline time.Duration
+	// AtMostOnce says that the request can't be repeated if it is cut.
+	AtMostOnce bool
+}
+
+// Begin plans the stop.
+func (s *Stop) Begin(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.at = at
+}
+
+// Expire ends the time for requests that are still open.
+func (s *Stop) Expire() {
+	s.init()
+	s.cancel()
+}
+
+// Expired returns a context that ends when the time for open requests is over.
+func (s *Stop) Expired() context.Context {
+	s.init()
+	return s.ctx
+}
+
+func (s *Stop) init() {
+	s.once.Do(func() { s.ctx, s.cancel = context.WithCancel(context.Background()) })
+}
+
+// Observe records how long a complete response of a route took from its sending to an upstream.
+func (s *Stop) Observe(route ident.RouteID, took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w := s.times[route]
+	if w == nil {
+		if s.times == nil || len(s.times) >= maxStopRoutes {
+			s.times = map[ident.RouteID]*estim.Window[time.Duration]{}
+		}
+		w = &estim.Window[time.Duration]{Size: stopSamples}
+		s.times[route] = w
+	}
+	w.Add(took)
+}
+
+// CanFinish reports whether a request is expected to end before the stop.
+func (s *Stop) CanFinish(r StopRequest) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.at.IsZero() {
+		return true
+	}
+	takes := r.UntilDeadline
+	if w := s.times[r.Route]; w != nil && w.Len() >= minStopSamples {
+		estimate := w.Max()
+		if r.AtMostOnce {
+			estimate *= atMostOnceFactor
+		}
+		takes = min(takes, estimate)
+	}
+	return takes <= time.Until(s.at)
+}
--- /dev/null
+++ b/internal/coordination/shed/stop_test.go
@@ -0,0 +1,67 @@
+package shed
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
+
+// Guards against requests that are taken during a planned stop although they can't end before it, and against refusing others.
+func TestStopAdmitsWhatCanEndBeforeIt(t *testing.T) {
+	for name, c := range map[string]struct {
+		samples    []time.Duration
+		deadline   time.Duration
+		atMostOnce bool
+		want       bool
+	}{
+		"deadline before the stop":             {deadline: 2 * time.Second, want: true},
+		"deadline after the stop, not known":   {deadline: 4 * time.Second},
+		"too few samples":                      {samples: repeat(time.Second, minStopSamples-1), deadline: 4 * time.Second},
+		"short":                                {samples: repeat(time.Second, minStopSamples), deadline: 4 * time.Second, want: true},
+		"one of many is long":                  {samples: append(repeat(time.Second, 20), 5*time.Second), deadline: 9 * time.Second},
+		"long, but the deadline is short":      {samples: repeat(5*time.Second, 20), deadline: 2 * time.Second, want: true},
+		"short, at most once":                  {samples: repeat(time.Second, 20), deadline: 9 * time.Second, atMostOnce: true, want: true},
+		"two thirds of the time, at most once": {samples: repeat(2*time.Second, 20), deadline: 9 * time.Second, atMostOnce: true},
+		"two thirds of the time":               {samples: repeat(2*time.Second, 20), deadline: 9 * time.Second, want: true},
+		"long ones are too old":                {samples: append(repeat(5*time.Second, 9), repeat(time.Second, stopSamples)...), deadline: 9 * time.Second, want: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &Stop{}
+				for _, took := range c.samples {
+					s.Observe("r", took)
+				}
+				r := StopRequest{Route: "r", UntilDeadline: c.deadline, AtMostOnce: c.atMostOnce}
+				require.True(t, s.CanFinish(r), "no stop is planned")
+				s.Begin(time.Now().Add(3 * time.Second))
+				require.Equal(t, c.want, s.CanFinish(r))
+				time.Sleep(3*time.Second + time.Millisecond)
+				require.False(t, s.CanFinish(r))
+				require.NoError(t, s.Expired().Err())
+				s.Expire()
+				require.Error(t, s.Expired().Err())
+			})
+		})
+	}
+}
+
+func TestStopRemembersBoundedNumberOfRoutes(t *testing.T) {
+	s := &Stop{}
+	for i := range 3 * maxStopRoutes {
+		s.Observe(ident.RouteID(fmt.Sprint(i)), time.Second)
+		require.LessOrEqual(t, len(s.times), maxStopRoutes)
+	}
+}
+
+func repeat(d time.Duration, n int) []time.Duration {
+	out := make([]time.Duration, n)
+	for i := range out {
+		out[i] = d
+	}
+	return out
+}
--- a/internal/program/entry/daemon.go
+++ b/internal/program/entry/daemon.go
@@ -65,6 +65,8 @@
 	store        extern.Store
 	elector      *leader.Elector
 	weightLoader *reload.Runner
+	// requestStop decides which requests can end before a planned stop.
+	requestStop shed.Stop
 
 	seeds   atomic.Pointer[[]string]
 	leaving atomic.Bool
@@ -190,6 +192,7 @@
 		RetryBudgets:   d.retryBudgets(),
 		Shedders:       &view.PerService[shed.Controller]{},
 		Pool:           upstreams,
+		Stop:           &d.requestStop,
 		IsDraining:     d.leaving.Load,
 	}
 }
@@ -289,8 +292,13 @@
 type servers struct {
 	httpServers []*http.Server
 	listeners   []net.Listener
+	// busy are the callers' connections with a request.
+	busy busyConns
 }
 
+// callerServer is the index of the server for callers.
+const callerServer = 0
+
 // ListenError reports that the daemon can't listen on an address.
 type ListenError struct {
 	Address string
@@ -332,13 +340,14 @@
 			ErrorLog:          klog.NewStandardLogger("INFO"),
 		})
 	}
+	s.httpServers[callerServer].ConnState = s.busy.update
 	return s, nil
 }
 
 func (s *servers) serve(wg *sync.WaitGroup, failed chan<- error) {
 	for i, server := range s.httpServers {
 		wg.Go(func() {
-			if err := server.Serve(s.listeners[i]); !errors.Is(err, http.ErrServerClosed) {
+			if err := server.Serve(s.listeners[i]); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 				failed <- err
 			}
 		})
--- a/internal/program/entry/drain.go
+++ b/internal/program/entry/drain.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
+	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -13,28 +16,75 @@
 	// directoryExpiry is how long new callers may still arrive after the directory has dropped the daemon, because they
 	// keep its responses for directoryTTL. Requests that arrive later might not end before the platform kills the process.
 	directoryExpiry = directoryTTL + 300*time.Millisecond
-	// killMargin is how long before the platform kills the process the daemon stops waiting for requests.
-	killMargin = 400 * time.Millisecond
+	// killMargin is how long before the platform kills the process the daemon stops waiting for requests, and finalAnswerTime how long
+	// those have then to end with a final answer.
+	killMargin      = 400 * time.Millisecond
+	finalAnswerTime = 200 * time.Millisecond
 )
 
 // drain removes the daemon from the directory, resigns leadership, waits for requests in progress and closes the
-// servers.
+// servers. Requests that can't end in time are refused at once; those that are still open at the end get a final answer, unless
+// a part of a response is out.
 func (d *Daemon) drain(s *servers) {
 	d.leaving.Store(true)
 	d.peers.SendSoon()
 	start := time.Now()
 	klog.InfoS("Daemon leaves", "daemon", d.Settings.DaemonID, "active", d.inFlight.Load())
 	end := start.Add(time.Duration(d.Settings.Limits.GraceS*float64(time.Second)) - killMargin)
+	d.requestStop.Begin(end)
+	expire := time.AfterFunc(time.Until(end), d.requestStop.Expire)
+	defer expire.Stop()
 	resignCtx, cancelResign := context.WithTimeout(context.Background(), directoryExpiry)
 	d.elector.Resign(resignCtx)
 	cancelResign()
 	time.Sleep(min(directoryExpiry-time.Since(start), time.Until(end)))
+	end = end.Add(finalAnswerTime)
+	s.closeCallers(end)
+	guard.Check(d.inFlight.Load() == 0, guard.ShutdownClean, "%d requests in progress are aborted at shutdown", d.inFlight.Load())
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	for _, server := range s.httpServers {
 		if err := server.Shutdown(ctx); err != nil {
-			guard.Check(d.inFlight.Load() == 0, guard.ShutdownClean, "%d requests in progress are aborted at shutdown", d.inFlight.Load())
 			_ = server.Close()
 		}
 	}
 }
+
+// closeCallers closes the callers' listener, and their connections once no request is read or answered on any of them, at the latest
+// at the given time. Requests on open connections are answered until then: http.Server.Shutdown would read and drop them.
+func (s *servers) closeCallers(latest time.Time) {
+	_ = s.listeners[callerServer].Close()
+	for s.busy.count() > 0 && time.Now().Before(latest) {
+		time.Sleep(busyPollInterval)
+	}
+	_ = s.httpServers[callerServer].Close()
+}
+
+// busyPollInterval is how often the end of all open requests is looked for during a stop.
+const busyPollInterval = 5 * time.Millisecond
+
+// busyConns are the connections on which a request is being read or answered.
+type busyConns struct {
+	mu    sync.Mutex
+	conns map[net.Conn]bool
+}
+
+// update is the ConnState hook of the server.
+func (b *busyConns) update(c net.Conn, state http.ConnState) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if state == http.StateActive {
+		if b.conns == nil {
+			b.conns = map[net.Conn]bool{}
+		}
+		b.conns[c] = true
+		return
+	}
+	delete(b.conns, c)
+}
+
+func (b *busyConns) count() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.conns)
+}
--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -36,7 +36,7 @@
 		return stepFail, ReasonQuarantined
 	}
 	c.evidence = evidence
-	ctx, cancel := context.WithCancelCause(c.r.Context())
+	ctx, cancel := context.WithCancelCause(c.ctx)
 	defer cancel(nil)
 	end := time.AfterFunc(c.untilDeadline()+deadlineGrace, func() { cancel(context.DeadlineExceeded) })
 	defer end.Stop()
@@ -63,7 +63,11 @@
 	}
 	tracker.MarkActive()
 	c.attempts++
-	return c.handleResponse(ctx, resp, choice, placeReq, tracker)
+	step, reason := c.handleResponse(ctx, resp, choice, placeReq, tracker)
+	if step == stepDone {
+		c.Stop.Observe(c.route.Name, time.Since(c.attemptAt))
+	}
+	return step, reason
 }
 
 // errUnresponsive is the cause with which an attempt is cancelled whose upstream has become unreachable or hangs.
@@ -156,6 +160,8 @@
 		outcome, step, reason = place.OutcomeCancelled, stepRetryAny, ReasonUnreachable
 	case errors.Is(cause, context.DeadlineExceeded):
 		outcome, reason = place.OutcomeTimeout, ReasonTimeout
+	case errors.Is(cause, errStopping):
+		outcome, reason = place.OutcomeCancelled, ReasonStopping
 	case errors.Is(cause, errUnresponsive):
 		outcome, step, reason = place.OutcomeTimeout, stepRetryOther, ReasonTimeout
 	case c.route.Repeatable():
--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -87,7 +87,7 @@
 		if step == stepDone {
 			return nil
 		}
-		if c.isLast(step, p, choice) || !c.evidence.MayRetry(c.r.Context()) {
+		if c.isLast(step, p, choice) || !c.evidence.MayRetry(c.ctx) {
 			return c.endAfterLastAttempt(reason)
 		}
 	}
@@ -147,11 +147,30 @@
 		return c.handleDeadline()
 	case !c.stillAuthorised():
 		return c.keyWithdrawnError()
+	case c.stopped() || !c.canFinish():
+		return c.handleStop()
 	default:
 		return c.checkQuarantine()
 	}
 }
 
+// canFinish reports whether the request is expected to end before a planned stop of the daemon.
+func (c *call) canFinish() bool {
+	return c.Stop.CanFinish(shed.StopRequest{
+		Route: c.route.Name, UntilDeadline: c.untilDeadline(), AtMostOnce: !c.route.Repeatable(),
+	})
+}
+
+// handleStop ends a request that can't end before the daemon stops. Callers find another daemon at once.
+func (c *call) handleStop() error {
+	klog.InfoS("Request can't end before the daemon stops", "request", c.req.ID, "route", c.route.Name,
+		"leftMs", c.untilDeadline().Milliseconds(), "mayHaveRun", c.mayHaveRun())
+	if c.mayHaveRun() {
+		return c.endAfterLastAttempt(ReasonStopping)
+	}
+	return c.refundAndRefuse(ReasonStopping, rejectedRetryAfter)
+}
+
 // checkQuarantine returns the error that ends the request if it, or parts of its prompt, are known to crash upstreams, or nil.
 func (c *call) checkQuarantine() error {
 	err := c.Detector.Check(&c.judged)
@@ -236,7 +255,7 @@
 func (c *call) sleep(d time.Duration) {
 	select {
 	case <-time.After(d):
-	case <-c.r.Context().Done():
+	case <-c.ctx.Done():
 	}
 }
 
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -50,6 +50,8 @@
 	RetryBudgets *view.PerService[relay.RetryBudget]
 	Shedders     *view.PerService[shed.Controller]
 	Pool         *httpc.Pool
+	// Stop decides which requests can end before a planned stop of the daemon.
+	Stop *shed.Stop
 	// IsDraining reports whether the daemon is shutting down; responses then close their connections.
 	IsDraining func() bool
 }
@@ -57,8 +59,10 @@
 // call is the state of one request.
 type call struct {
 	*Handler
-	w       http.ResponseWriter
-	r       *http.Request
+	w http.ResponseWriter
+	r *http.Request
+	// ctx ends when the caller leaves, or with errStopping when the daemon's time for open requests is over.
+	ctx     context.Context //nolint:containedctx // of the one request
 	req     Request
 	arrived time.Time
 	// deadline is when the caller's deadline or the route's timeout ends, whichever comes first.
@@ -98,6 +102,10 @@
 	if h.IsDraining() {
 		w.Header().Set("Connection", "close")
 	}
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	defer context.AfterFunc(h.Stop.Expired(), func() { cancel(errStopping) })()
+	c.ctx = ctx
 	c.judged.Fingerprint = c.fingerprint
 	for _, id := range c.sharedParts() {
 		if id == "" {
@@ -180,7 +188,12 @@
 	}
 	rc := http.NewResponseController(c.w)
 	_ = rc.SetReadDeadline(c.deadline)
+	endRead := context.AfterFunc(c.ctx, func() { _ = rc.SetReadDeadline(time.Now()) })
 	body, err := io.ReadAll(io.LimitReader(c.r.Body, limit+1))
+	endRead()
+	if err != nil && c.stopped() {
+		return unavailableError(ReasonStopping, rejectedRetryAfter)
+	}
 	if err != nil {
 		return &RefusedError{Status: http.StatusBadRequest, Reason: ReasonBodyBroken}
 	}
@@ -239,6 +252,9 @@
 	return unavailableError(reason, after)
 }
 
+// stopped reports whether the daemon's time for open requests is over.
+func (c *call) stopped() bool { return errors.Is(context.Cause(c.ctx), errStopping) }
+
 // callerLeft reports whether the caller has disconnected.
 func (c *call) callerLeft() bool { return c.r.Context().Err() != nil }
 
@@ -269,5 +285,8 @@
 	recordRequest(c, err)
 }
 
+// errStopping is the cause with which requests are ended that are still open at the end of a planned stop.
+var errStopping = errors.New("the daemon stops") //nolint:revive // compared by identity only
+
 // errCallerLeft ends a request whose caller has disconnected.
 var errCallerLeft = context.Canceled
--- a/internal/transport/proxy/refusal.go
+++ b/internal/transport/proxy/refusal.go
@@ -30,6 +30,7 @@
 	ReasonTooLate              Reason = "tooLateToServe"
 	ReasonQuarantined          Reason = "promptPartQuarantined"
 	ReasonRequestQuarantined   Reason = "requestQuarantined"
+	ReasonStopping             Reason = "stopping"
 )
 
 // RefusedError is the daemon's own final response to a request for which it forwards none from an upstream.
--- a/internal/transport/proxy/response.go
+++ b/internal/transport/proxy/response.go
@@ -165,7 +165,7 @@
 // outcome classifies how a response ended.
 func (c *call) outcome(ctx context.Context, err error, status int) place.Outcome {
 	switch {
-	case c.callerLeft():
+	case c.callerLeft(), c.stopped():
 		return place.OutcomeCancelled
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded), errors.Is(context.Cause(ctx), errUnresponsive):
 		return place.OutcomeTimeout
@@ -200,11 +200,19 @@
 		return stepFail, ReasonTimeout
 	}
 	if outcome == place.OutcomeCancelled {
-		return stepFail, ReasonUpstreamBroken
+		return stepFail, c.cancelReason()
 	}
 	return c.stepAfterRun(ReasonUpstreamBroken)
 }
 
+// cancelReason returns why an attempt was cancelled.
+func (c *call) cancelReason() Reason {
+	if c.stopped() {
+		return ReasonStopping
+	}
+	return ReasonUpstreamBroken
+}
+
 // isStream reports whether a response is a stream of events. How its body is framed says nothing of that.
 func (c *call) isStream(resp *http.Response) bool {
 	if c.route.Kind != kindStream || resp.StatusCode != http.StatusOK || resp.Header.Get("Content-Encoding") != "" {
@@ -258,6 +266,9 @@
 	if outcome == place.OutcomeTimeout && !errors.Is(context.Cause(ctx), errUnresponsive) {
 		return stepFail, ReasonTimeout
 	}
+	if outcome == place.OutcomeCancelled {
+		return stepFail, c.cancelReason()
+	}
 	return c.stepAfterRun(ReasonUpstreamBroken)
 }
 
