--- a/internal/program/soak/fleet_test.go
+++ b/internal/program/soak/fleet_test.go
@@ -17,6 +17,9 @@
 	"github.com/gooseberryway/gooseberryway/platform/standin"
 )
 
+// startTime is how long a process takes at most until it handles signals.
+const startTime = time.Second
+
 // process is a daemon that runs as a separate process.
 type process struct {
 	id            string
@@ -30,7 +33,8 @@
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	exited chan struct{}
-	// restarting is true from the start of a restart until the process runs again.
+	// startedAt is when the process was started, restarting is true from the start of a restart until the process runs again.
+	startedAt  time.Time
 	restarting bool
 }
 
@@ -134,7 +138,17 @@
 	}()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.cmd, p.exited, p.restarting = cmd, done, false
+	p.cmd, p.exited, p.restarting, p.startedAt = cmd, done, false, time.Now()
+}
+
+// signalIfRunning sends a signal to the process unless it has just started, when it doesn't handle signals yet.
+func (p *process) signalIfRunning(s syscall.Signal) {
+	p.mu.Lock()
+	age := time.Since(p.startedAt)
+	p.mu.Unlock()
+	if age > startTime {
+		p.signal(s)
+	}
 }
 
 // signal sends a signal to the process unless it has exited.
--- a/internal/program/soak/soak_test.go
+++ b/internal/program/soak/soak_test.go
@@ -86,7 +86,7 @@
 
 // TestSoak injects random faults into running daemons. It guards against at-most-once calls that run twice or run after a
 // rejection, wrong or incomplete responses, and withdrawn keys that still work. SOAK_SEED is the first seed, SOAK_SEEDS the
-// number of seeds and SOAK_SECONDS the length of each run.
+// number of seeds, SOAK_SECONDS the length of each run and SOAK_DAEMONS the size of the fleet.
 func TestSoak(t *testing.T) {
 	binary := buildBinary(t)
 	for _, seed := range seedsToRun() {
@@ -100,6 +100,9 @@
 	if seed%2 == 0 {
 		daemons = largeFleetSize
 	}
+	if n, err := strconv.Atoi(os.Getenv("SOAK_DAEMONS")); err == nil && n > 0 {
+		daemons = n
+	}
 	w := newCluster(t, binary, daemons, seed)
 	t.Cleanup(func() { w.keepLogsOnFailure(seed) })
 	w.waitReady()
@@ -147,7 +150,9 @@
 		case 0:
 			wg.Go(func() { w.restart(p, syscall.SIGKILL) })
 		case 1:
+			again := [...]syscall.Signal{syscall.SIGTERM, syscall.SIGHUP}[rng.IntN(2)]
 			wg.Go(func() { w.restart(p, syscall.SIGTERM) })
+			wg.Go(func() { time.Sleep(faultDuration / 2); p.signalIfRunning(again) })
 		case 2:
 			wg.Go(func() { p.signal(syscall.SIGSTOP); time.Sleep(faultDuration); p.signal(syscall.SIGCONT) })
 		case 3:
