--- a/internal/transport/httpc/retire_test.go
+++ b/internal/transport/httpc/retire_test.go
@@ -20,8 +20,8 @@
 	defer l.Close()
 	ended := make(chan struct{})
 	go func() {
-		c, err := l.Accept()
-		if err != nil {
+		c, acceptErr := l.Accept()
+		if acceptErr != nil {
 			return
 		}
 		defer close(ended)
@@ -41,8 +41,8 @@
 	p := &Pool{}
 	defer p.Close()
 	request := func() *http.Request {
-		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+l.Addr().String(), strings.NewReader("x"))
-		require.NoError(t, err)
+		req, reqErr := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+l.Addr().String(), strings.NewReader("x"))
+		require.NoError(t, reqErr)
 		return req
 	}
 	first, err := p.Do(request())
