Hold a connection until it is known whose answer it brought

Cause: net/http frees a connection for the next request as soon as a response without a body is read, before the caller has looked at it. Retire then left a connection open that another request had taken.

The proxy holds the connection of a response now until the answer is found to be its request's own. A request that would take a held connection is not sent: the connection is closed, and the request goes out on another one. Retire still closes what was not taken.

TestRetiredConnectionIsClosedThoughAnotherRequestHasTakenIt failed each time before and asks also that the other request was not sent; it passes five times in a row with the race detector. Its requests have no GetBody any more, like those of the proxy.

--- a/internal/transport/httpc/pool.go
+++ b/internal/transport/httpc/pool.go
@@ -51,14 +51,24 @@
 
 // Do sends the request and returns the response, whose body must be closed. A user and password in the URL are sent as
 // basic authentication if the request has no Authorization header. The error is a *SendError.
-func (p *Pool) Do(req *http.Request) (*http.Response, error) {
+func (p *Pool) Do(req *http.Request) (*http.Response, error) { return p.do(req, &sendTracker{}) }
+
+// DoHeld is Do for callers that look at whose answer they got: until Release no other request is sent on the connection of the
+// response, which may be free for the next one before DoHeld returns if the response has no body. A request that would have been is
+// not sent.
+func (p *Pool) DoHeld(req *http.Request) (*http.Response, error) {
+	tracker := &sendTracker{}
+	tracker.held.Store(true)
+	return p.do(req, tracker)
+}
+
+func (p *Pool) do(req *http.Request, tracker *sendTracker) (*http.Response, error) {
 	p.once.Do(p.init)
 	if user := req.URL.User; user != nil && req.Header.Get("Authorization") == "" {
 		password, _ := user.Password()
 		req.SetBasicAuth(user.Username(), password)
 	}
-	var tracker sendTracker
-	ctx := context.WithValue(req.Context(), trackerKey{}, &tracker)
+	ctx := context.WithValue(req.Context(), trackerKey{}, tracker)
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: tracker.gotConn})
 	resp, err := p.transport.RoundTrip(req.WithContext(ctx)) //nolint:bodyclose // the caller closes the body
 	if err != nil {
--- a/internal/transport/httpc/retire_test.go
+++ b/internal/transport/httpc/retire_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,15 +29,20 @@
 		t.Helper()
 		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+l.Addr().String(), strings.NewReader("x"))
 		require.NoError(t, err)
+		// Without it the transport doesn't send the request again on its own.
+		req.GetBody = nil
 		return req
 	}
-	first, err := p.Do(request())
+	first, err := p.DoHeld(request())
 	require.NoError(t, err)
 	defer first.Body.Close()
+	second := make(chan error, 1)
 	go func() {
-		if resp, err := p.Do(request()); err == nil {
+		resp, secondErr := p.DoHeld(request())
+		if secondErr == nil {
 			_ = resp.Body.Close()
 		}
+		second <- secondErr
 	}()
 	time.Sleep(100 * time.Millisecond)
 	Retire(first)
@@ -44,6 +51,35 @@
 	case <-time.After(time.Second):
 		t.Fatal("the connection of the retired response is still open")
 	}
+	require.NoError(t, l.Close())
+	err = <-second
+	var send *SendError
+	require.ErrorAs(t, err, &send)
+	require.True(t, send.NotSent, "the other request may have been sent on the retired connection")
+}
+
+// Guards against connections that are given up although their answers were believed.
+func TestReleasedConnectionIsUsedAgain(t *testing.T) {
+	var conns atomic.Int64
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }))
+	s.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			conns.Add(1)
+		}
+	}
+	s.Start()
+	defer s.Close()
+	p := &Pool{}
+	defer p.Close()
+	for range 10 {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.URL, strings.NewReader("x"))
+		require.NoError(t, err)
+		resp, err := p.DoHeld(req)
+		require.NoError(t, err)
+		Release(resp)
+		require.NoError(t, resp.Body.Close())
+	}
+	require.EqualValues(t, 1, conns.Load())
 }
 
 func listen(t *testing.T) net.Listener {
--- a/internal/transport/httpc/send_tracker.go
+++ b/internal/transport/httpc/send_tracker.go
@@ -42,10 +42,15 @@
 	return c.state.CompareAndSwap(connFresh, connSealed) || c.state.Load() == connSealed
 }
 
-// take begins a request, whose writes fail if the connection is sealed.
+// take begins a request, whose writes fail if the connection is sealed. A connection that is still held for its last response is
+// sealed and closed.
 func (c *conn) take(t *sendTracker) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.user != nil && c.user.held.Load() {
+		c.state.Store(connSealed)
+		_ = c.Close()
+	}
 	c.user = t
 	c.state.CompareAndSwap(connUsed, connFresh)
 }
@@ -80,6 +85,13 @@
 	return t.current != nil && !t.reused
 }
 
+// Release ends the hold of a response of Pool.DoHeld on its connection.
+func Release(resp *http.Response) {
+	if t := trackerOf(resp); t != nil {
+		t.held.Store(false)
+	}
+}
+
 // Retire closes the connection of a response of Pool.Do, so that a server that still works on the request notices, and no
 // further request gets what is left of the response. The body can't be read any more.
 func Retire(resp *http.Response) {
@@ -120,6 +132,9 @@
 
 // sendTracker records whether a request was sent on any of the connections that the transport tries for it.
 type sendTracker struct {
+	// held says that no other request may be sent on the connection of the response.
+	held atomic.Bool
+
 	mu      sync.Mutex
 	current *conn
 	// reused is true if the current connection has served another request before.
--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -57,7 +57,7 @@
 		"leftMs", c.untilDeadline().Milliseconds(), "cached", choice.Locality, "chain", placeReq.SharedPrefix(), "save", choice.SaveToStore,
 		"waitMs", choice.Wait.Total.Milliseconds(), "late", choice.Late, "priority", p.priority, "release", choice.Upstream.Release)
 	c.watchUpstream(ctx, cancel, tracker)
-	resp, err := c.Pool.Do(req) //nolint:bodyclose // handleResponse closes it
+	resp, err := c.Pool.DoHeld(req) //nolint:bodyclose // handleResponse closes it
 	if err != nil {
 		return c.handleSendError(err, context.Cause(ctx), choice, tracker)
 	}
--- a/internal/transport/proxy/response.go
+++ b/internal/transport/proxy/response.go
@@ -49,6 +49,7 @@
 		countForeignAnswer(parsed.NotRun)
 		return c.stepAfterRun(ReasonResponseMismatch)
 	}
+	httpc.Release(resp)
 	c.observeNotice(resp, &parsed, choice)
 	switch {
 	case parsed.NotRun:
