Charge for silent peers no more than the balance

Cause: silent peers are presumed to admit an even share of the rate, charged when the organisation's next request comes. By then the balance has been refilled up to the burst only, so that a silence of ten seconds costs ten seconds of the rate; and the share of those that are left grows, for all the time that they have been silent, whenever a silent peer is removed.

All daemons together admit no more than the balance, so what is only presumed takes no more than that. What peers report is charged as before, less what was charged for them.

TestSilentPeersDoNotLeaveBalanceFarBelowZero failed before: -2.0 M after 15 s of silence and -7.1 M with 39 peers removed, at a rate of 150,000. The tests of limits under partitions and restarts pass unchanged.

--- a/internal/coordination/admit/limiter.go
+++ b/internal/coordination/admit/limiter.go
@@ -67,8 +67,9 @@
 	admitted    map[ident.OrganisationID]float64
 	// rate is a moving average of the peer's admitted cost per second.
 	rate map[ident.OrganisationID]float64
-	// estimatedUse is the cost charged by estimation since the peer's last report.
-	estimatedUse map[ident.OrganisationID]float64
+	// estimatedUse is the cost that the peer is estimated to have admitted since its last report, chargedUse the part of it that was
+	// charged.
+	estimatedUse, chargedUse map[ident.OrganisationID]float64
 	// idle is true for a peer that gets hardly any requests: nothing is charged for it while it is silent.
 	idle bool
 }
@@ -175,7 +176,8 @@
 }
 
 // chargeEstimates charges what peers are estimated to have admitted since their last reports: at their recent rate, and
-// once they are silent at least at an even share of the organisation's rate. It returns the number of silent peers.
+// once they are silent at least at an even share of the organisation's rate. All daemons together admit no more than the balance, so that
+// what silent peers are presumed to have admitted takes no more than that. It returns the number of silent peers.
 func (l *Limiter) chargeEstimates(o *view.Organisation, now time.Time) int {
 	a := l.accounts[o.ID]
 	silentPeers, timeout := 0, silenceTimeout
@@ -194,8 +196,12 @@
 			expectedUse = max(expectedUse, (age-timeout).Seconds()*evenShare)
 		}
 		if increase := expectedUse - p.estimatedUse[o.ID]; increase > 0 {
-			a.balance -= increase
 			p.estimatedUse[o.ID] = expectedUse
+			if age > timeout {
+				increase = min(increase, max(a.balance, 0))
+			}
+			a.balance -= increase
+			p.chargedUse[o.ID] += increase
 		}
 	}
 	return silentPeers
@@ -264,7 +270,7 @@
 	admitted := make(map[ident.OrganisationID]float64, len(usages))
 	for org, usage := range usages {
 		newUse := usage.Admitted - p.admitted[org]
-		l.charge(org, newUse-p.estimatedUse[org])
+		l.charge(org, newUse-p.chargedUse[org])
 		l.adopt(org, usage, now)
 		admitted[org], rates[org] = usage.Admitted, p.rate[org]
 		if elapsed := now.Sub(p.lastUsageAt).Seconds(); elapsed > 0 && !p.lastUsageAt.IsZero() {
@@ -272,7 +278,7 @@
 		}
 	}
 	p.admitted, p.rate = admitted, rates
-	p.estimatedUse = map[ident.OrganisationID]float64{}
+	p.estimatedUse, p.chargedUse = map[ident.OrganisationID]float64{}, map[ident.OrganisationID]float64{}
 	p.lastUsageAt = now
 }
 
--- a/internal/coordination/admit/limiter_test.go
+++ b/internal/coordination/admit/limiter_test.go
@@ -258,3 +258,42 @@
 		require.False(t, idle.Admit(organisation, 30000).Admitted)
 	})
 }
+
+// Guards against a daemon that refuses requests within the rate for as long as it didn't hear its peers, as what these are presumed to
+// have admitted adds up below zero: when it is asked again after a while, and when it removes them one after the other.
+func TestSilentPeersDoNotLeaveBalanceFarBelowZero(t *testing.T) {
+	const peers, silence = 40, 15 * time.Second
+	for name, removed := range map[string]bool{"asked again after the silence": false, "removed one after the other": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				limiter := newLimiter()
+				report := map[ident.OrganisationID]Usage{"acme": {Admitted: 10}}
+				id := func(i int) ident.DaemonID { return ident.DaemonID(fmt.Sprint("d", i)) }
+				for range 100 {
+					for i := range peers {
+						limiter.ApplyPeerUsage(id(i), 1, report)
+					}
+					time.Sleep(heartbeatPeriod)
+				}
+				require.True(t, limiter.Admit(organisation, 10).Admitted)
+				time.Sleep(silence)
+				for i := range peers - 1 {
+					if removed {
+						limiter.RemovePeer(id(i))
+						limiter.Admit(organisation, 0)
+					}
+				}
+				require.GreaterOrEqual(t, limiter.Admit(organisation, 0).Balance, 0.0)
+				// What the peers report then is charged in place of the presumption, and the balance refills at the rate.
+				for range time.Second / heartbeatPeriod {
+					for i := range peers {
+						limiter.ApplyPeerUsage(id(i), 1, report)
+					}
+					time.Sleep(heartbeatPeriod)
+				}
+				d := limiter.Admit(organisation, 0.9*rate)
+				require.True(t, d.Admitted, "balance %v", d.Balance)
+			})
+		})
+	}
+}
