Don't take an unframed stream of comments for a whole one

A stream that had only comments and ended with its connection ended as complete for its caller, after a break too: with neither a length nor chunks, nothing says that such a stream is whole. And a stream whose media type has a parameter that can't be read was held back as a plain answer and, after a break, refused.

Cause: any byte counted as the beginning of an event, and the media type was parsed with its parameters.

An unframed stream needs an event now to end as complete; the media type is what stands before the first semicolon, in any case.

TestStreamAfterBreak failed before in its new cases "comments only, unframed" (once more for the second attempt) and "media type with a parameter that can't be read"; "comments only after a break" is new with the fix.

--- a/internal/program/entry/resumed_stream_test.go
+++ b/internal/program/entry/resumed_stream_test.go
@@ -292,6 +292,20 @@
 			path: "/draft/x", answers: []string{brokenStream("id: 1\nda"), framings["length"](200, eventStream, whole)},
 			want: played{status: 200, body: "id: 1\nda", cut: true, lastIDs: []string{""}},
 		},
+		"comments only, unframed": {
+			answers: []string{framings["end of connection"](200, eventStream, ": keep-alive\n\n")},
+			want:    played{status: 200, body: ": keep-alive\n\n: keep-alive\n\n", cut: true, lastIDs: []string{"", ""}},
+		},
+		"comments only after a break, unframed": {
+			answers: []string{begin, framings["end of connection"](200, eventStream, ": keep-alive\n\n")},
+			want:    played{status: 200, body: events(1, brokenAfter, "\n") + ": keep-alive\n\n", cut: true, lastIDs: []string{"", "2"}},
+		},
+		"media type with a parameter that can't be read": {
+			answers: []string{
+				strings.Replace(begin, eventStream, eventStream+"; charset", 1), framings["length"](200, "Text/Event-Stream ;x", rest),
+			},
+			want: played{status: 200, body: whole, lastIDs: []string{"", "2"}},
+		},
 		"JSON on the route of a stream": {
 			answers: []string{framings["chunks"](200, "application/json", `{"a":1}`)},
 			want:    played{status: 200, body: `{"a":1}`, lastIDs: []string{""}},
--- a/internal/transport/proxy/event_scanner.go
+++ b/internal/transport/proxy/event_scanner.go
@@ -50,8 +50,7 @@
 	// mayHaveMark says that the next line may begin with a byte order mark, as the first one of a stream.
 	mayHaveMark bool
 
-	// started says that an event has begun, eventBytes is the length so far of one that isn't complete.
-	started    bool
+	// eventBytes is the length so far of an event that isn't complete.
 	eventBytes int
 	current    event
 	// line holds the first bytes of the current line, lineBytes its length.
@@ -76,7 +75,6 @@
 			}
 		default:
 			s.afterCR = false
-			s.started = true
 			s.eventBytes++
 			s.addToLine(b)
 		}
--- a/internal/transport/proxy/response.go
+++ b/internal/transport/proxy/response.go
@@ -5,8 +5,8 @@
 	"context"
 	"errors"
 	"io"
-	"mime"
 	"net/http"
+	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -219,12 +219,9 @@
 	if c.route.Kind != kindStream || resp.StatusCode != http.StatusOK || resp.Header.Get("Content-Encoding") != "" {
 		return false
 	}
-	contentType := resp.Header.Get("Content-Type")
-	if contentType == "" {
-		return true
-	}
-	mediaType, _, err := mime.ParseMediaType(contentType)
-	return err == nil && mediaType == eventStreamType
+	mediaType, _, _ := strings.Cut(resp.Header.Get("Content-Type"), ";")
+	mediaType = strings.TrimSpace(mediaType)
+	return mediaType == "" || strings.EqualFold(mediaType, eventStreamType)
 }
 
 // forwardBuffered reads the response, up to maxBufferedBytes, before it sends the header, so that a response that
--- a/internal/transport/proxy/stream_forwarder.go
+++ b/internal/transport/proxy/stream_forwarder.go
@@ -16,8 +16,8 @@
 	scanner eventScanner
 	// pending are the bytes of an event that isn't complete.
 	pending []byte
-	// verified says that the stream goes on where the caller's stream ended.
-	verified bool
+	// verified says that the stream goes on where the caller's stream ended, hasEvents that it had more than comments.
+	verified, hasEvents bool
 }
 
 // init prepares the forwarder for the first call of forward.
@@ -37,6 +37,7 @@
 		}
 		f.verified = true
 	}
+	f.hasEvents = f.hasEvents || e.hasID || e.hasData
 	f.reply.position.advance(e)
 	return nil
 }
@@ -77,9 +78,9 @@
 }
 
 // end ends the upstream's stream. It returns an error if the stream was broken off, though its connection ended like that of a
-// complete one. unframed says that the body had neither a length nor chunks.
+// complete one. unframed says that the body had neither a length nor chunks: without events, nothing tells that it was not cut short.
 func (f *streamForwarder) end(unframed bool) error {
-	if f.scanner.hasPartialEvent() || unframed && !f.scanner.started {
+	if f.scanner.hasPartialEvent() || unframed && !f.hasEvents {
 		return io.ErrUnexpectedEOF
 	}
 	f.reply.begin(http.StatusOK, f.header, -1)
