Require keys while the list of organisations is empty

The check on access failed open.

Cause: keys were required while there were organisations. The page asks for a key if the manifest contains the list, which an empty one does. A missing list, or null, still means that no key is needed.

--- a/internal/state/view/config.go
+++ b/internal/state/view/config.go
@@ -136,7 +136,9 @@
 	Routes        []Route
 	Services      map[ServiceID]*Service
 	Organisations map[ident.OrganisationID]*Organisation
-	Limits        Limits
+	// ListsOrganisations says that the operators list organisations, if only none: without a list requests need no key.
+	ListsOrganisations bool
+	Limits             Limits
 
 	byHost map[string][]*Route
 	byKey  map[ident.Digest]*Organisation
@@ -181,8 +183,8 @@
 	return c.byKey[ident.DigestOf(key)]
 }
 
-// RequiresKey reports whether requests need a key, which is so once the configuration has organisations.
-func (c *Config) RequiresKey() bool { return len(c.Organisations) > 0 }
+// RequiresKey reports whether requests need a key.
+func (c *Config) RequiresKey() bool { return c.ListsOrganisations || len(c.Organisations) > 0 }
 
 // CacheStores returns the KV cache stores, ordered by the ids of their services.
 func (c *Config) CacheStores() []*Store {
