Believe no answer without an ID on a connection that was used before

Cause: an answer without an ID was taken for the request's own unless it said that the request had not run, and requests shared their connections with reports and orders, whose answers bear no ID.

An answer without an ID is believed on a new connection only, whatever it says, if the request has an ID; and reports and orders have connections of their own, which also protects requests without an ID and the reports themselves from answers to requests.

--- a/internal/program/entry/daemon.go
+++ b/internal/program/entry/daemon.go
@@ -118,6 +118,8 @@
 	}
 	d.store = &instrumentedStore{Store: &platform.Store{Address: s.Store, Pool: httpc.Pool{DialTimeout: storeDialTimeout}}}
 	upstreams := &httpc.Pool{DialTimeout: upstreamDialTimeout, IdleTimeout: upstreamIdleTimeout}
+	// Answers to reports and orders bear no id, so that they must not come on connections of requests.
+	control := &httpc.Pool{DialTimeout: upstreamDialTimeout, IdleTimeout: upstreamIdleTimeout}
 	d.stores = &kvdir.Stores{Feed: &platform.CacheFeed{Pool: &httpc.Pool{DialTimeout: storeDialTimeout}}, Snapshots: &d.snapshots, Follows: d.followsKVStores}
 	d.placer = &place.Placer{
 		Snapshots:       &d.snapshots,
@@ -166,7 +168,7 @@
 		Self:      s.DaemonID,
 		Snapshots: &d.snapshots,
 		Placer:    d.placer,
-		Control:   &platform.Control{Pool: upstreams},
+		Control:   &platform.Control{Pool: control},
 		Term:      d.elector.Term,
 		OnFenced:  d.elector.StepDown,
 		OnChange:  d.peers.SendSoon,
--- a/internal/transport/proxy/response.go
+++ b/internal/transport/proxy/response.go
@@ -117,16 +117,17 @@
 	return c.route.Repeatable() && c.possibleRuns() < c.route.MaxAttempts
 }
 
-// isOwnResponse reports whether a response answers this request. An upstream may send an earlier rejection once more on a kept
-// connection: without an id, or with that of this request if it was rejected there before.
+// isOwnResponse reports whether a response answers this request. An upstream may send an earlier answer once more on a kept
+// connection: without an id, as those to reports and orders, or a rejection with that of this request if it was rejected there before. What
+// answers a request without an id can't be told.
 func (c *call) isOwnResponse(resp *http.Response, parsed *Response) bool {
 	switch {
 	case parsed.ID != "" && parsed.ID != c.req.ID:
 		return false
+	case parsed.ID == "" && (c.req.ID != "" || parsed.NotRun):
+		return httpc.IsFirst(resp)
 	case !parsed.NotRun:
 		return true
-	case parsed.ID == "":
-		return httpc.IsFirst(resp)
 	default:
 		return httpc.NoteOnce(resp, string(parsed.ID))
 	}
