--- a/internal/coordination/place/store_link_test.go
+++ b/internal/coordination/place/store_link_test.go
@@ -62,6 +62,8 @@
 				lastFetches := 0
 				for i := range 3 * perSecond {
 					time.Sleep(time.Second / time.Duration(perSecond))
+					// What ends at this moment has ended before the next request is placed.
+					synctest.Wait()
 					w := requestFor(i % chainCount)
 					w.Parts[1].ID = fmt.Sprint("chain", i%chainCount)
 					c, err := p.Choose(w)
