--- a/internal/coordination/place/scope_ages.go
+++ b/internal/coordination/place/scope_ages.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"k8s.io/klog/v2"
+
 	"github.com/gooseberryway/gooseberryway/internal/state/view"
 )
 
@@ -26,6 +29,10 @@
 		}
 		since[scope] = at
 	}
+	if pool := c.CacheScope(""); !since[pool].IsZero() && since[pool].Equal(now) {
+		klog.InfoS("Shared cache pool changed, nothing is cached in it yet", "pool", pool.Pool, "isolated", len(since)-1, "config", c.Version)
+		metrics.GetOrCreateCounter("gooseberrywayCachePoolChanges").Inc()
+	}
 	a.config, a.since = c, since
 }
 
