Refuse what still comes before the connections are closed in a planned stop

A request that arrived between the last look at the callers' connections and their end could be passed on to an upstream and cut. The time is short, but callers go on using open connections, and such a cut counts as a lost request.

Once no request is open, and at the end of the grace, the handler refuses what still comes; only then are the connections closed, when that has been answered too. The stop is planned before the daemon says that it leaves, so that no request falls between the two.

The line of a request that is refused says what decided: the estimate, the number of samples, the time until the stop. A refused continuation of a stream is counted, and its line says what came.

--- a/internal/coordination/shed/stop.go
+++ b/internal/coordination/shed/stop.go
@@ -79,20 +79,33 @@
 	w.Add(took)
 }
 
-// CanFinish reports whether a request is expected to end before the stop.
-func (s *Stop) CanFinish(r StopRequest) bool {
+// StopEstimate says whether a request is expected to end before the stop, with what decided.
+type StopEstimate struct {
+	CanFinish bool
+	// Takes is how long the request may take, Left the time until the stop, Samples the number of responses that are known of its route. They are zero
+	// while no stop is planned.
+	Takes, Left time.Duration
+	Samples     int
+}
+
+// Estimate estimates whether a request can end before the stop.
+func (s *Stop) Estimate(r StopRequest) StopEstimate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.at.IsZero() {
-		return true
+		return StopEstimate{CanFinish: true}
+	}
+	e := StopEstimate{Takes: r.UntilDeadline, Left: time.Until(s.at)}
+	if w := s.times[r.Route]; w != nil {
+		e.Samples = w.Len()
 	}
-	takes := r.UntilDeadline
-	if w := s.times[r.Route]; w != nil && w.Len() >= minStopSamples {
-		estimate := w.Max()
+	if e.Samples >= minStopSamples {
+		longest := s.times[r.Route].Max()
 		if r.AtMostOnce {
-			estimate *= atMostOnceFactor
+			longest *= atMostOnceFactor
 		}
-		takes = min(takes, estimate)
+		e.Takes = min(e.Takes, longest)
 	}
-	return takes <= time.Until(s.at)
+	e.CanFinish = e.Takes <= e.Left
+	return e
 }
--- a/internal/coordination/shed/stop_test.go
+++ b/internal/coordination/shed/stop_test.go
@@ -37,11 +37,11 @@
 					s.Observe("r", took)
 				}
 				r := StopRequest{Route: "r", UntilDeadline: c.deadline, AtMostOnce: c.atMostOnce}
-				require.True(t, s.CanFinish(r), "no stop is planned")
+				require.True(t, s.Estimate(r).CanFinish, "no stop is planned")
 				s.Begin(time.Now().Add(3 * time.Second))
-				require.Equal(t, c.want, s.CanFinish(r))
+				require.Equal(t, c.want, s.Estimate(r).CanFinish)
 				time.Sleep(3*time.Second + time.Millisecond)
-				require.False(t, s.CanFinish(r))
+				require.False(t, s.Estimate(r).CanFinish)
 				require.NoError(t, s.Expired().Err())
 				s.Expire()
 				require.Error(t, s.Expired().Err())
--- a/internal/program/entry/drain.go
+++ b/internal/program/entry/drain.go
@@ -26,12 +26,12 @@
 // servers. Requests that can't end in time are refused at once; those that are still open at the end get a final answer, unless
 // a part of a response is out.
 func (d *Daemon) drain(s *servers) {
-	d.leaving.Store(true)
-	d.peers.SendSoon()
 	start := time.Now()
-	klog.InfoS("Daemon leaves", "daemon", d.Settings.DaemonID, "active", d.inFlight.Load())
 	end := start.Add(time.Duration(d.Settings.Limits.GraceS*float64(time.Second)) - killMargin)
 	d.requestStop.Begin(end)
+	d.leaving.Store(true)
+	d.peers.SendSoon()
+	klog.InfoS("Daemon leaves", "daemon", d.Settings.DaemonID, "active", d.inFlight.Load(), "untilEndMs", time.Until(end).Milliseconds())
 	expire := time.AfterFunc(time.Until(end), d.requestStop.Expire)
 	defer expire.Stop()
 	resignCtx, cancelResign := context.WithTimeout(context.Background(), directoryExpiry)
@@ -39,8 +39,8 @@
 	cancelResign()
 	time.Sleep(min(directoryExpiry-time.Since(start), time.Until(end)))
 	end = end.Add(finalAnswerTime)
-	s.closeCallers(end)
-	guard.Check(d.inFlight.Load() == 0, guard.ShutdownClean, "%d requests in progress are aborted at shutdown", d.inFlight.Load())
+	open := s.closeCallers(end, d.requestStop.Expire)
+	guard.Check(open == 0, guard.ShutdownClean, "requests on %d connections are aborted at shutdown", open)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	for _, server := range s.httpServers {
@@ -51,13 +51,24 @@
 }
 
 // closeCallers closes the callers' listener, and their connections once no request is read or answered on any of them, at the latest
-// at the given time. Requests on open connections are answered until then: http.Server.Shutdown would read and drop them.
-func (s *servers) closeCallers(latest time.Time) {
+// at the given time. Requests on open connections are answered until then: http.Server.Shutdown would read and drop them. Before the
+// connections are closed, refuse makes the handler refuse what still comes, so that none is passed on and cut. It returns the number of connections with
+// a request that is cut.
+func (s *servers) closeCallers(latest time.Time, refuse func()) int {
 	_ = s.listeners[callerServer].Close()
+	s.awaitIdle(latest)
+	refuse()
+	s.awaitIdle(latest)
+	open := s.busy.count()
+	_ = s.httpServers[callerServer].Close()
+	return open
+}
+
+// awaitIdle waits until no request is read or answered on a caller's connection, at the latest until the given time.
+func (s *servers) awaitIdle(latest time.Time) {
 	for s.busy.count() > 0 && time.Now().Before(latest) {
 		time.Sleep(busyPollInterval)
 	}
-	_ = s.httpServers[callerServer].Close()
 }
 
 // busyPollInterval is how often the end of all open requests is looked for during a stop.
--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -147,24 +147,24 @@
 		return c.handleDeadline()
 	case !c.stillAuthorised():
 		return c.keyWithdrawnError()
-	case c.stopped() || !c.canFinish():
-		return c.handleStop()
-	default:
-		return c.checkQuarantine()
 	}
+	if err := c.checkStop(); err != nil {
+		return err
+	}
+	return c.checkQuarantine()
 }
 
-// canFinish reports whether the request is expected to end before a planned stop of the daemon.
-func (c *call) canFinish() bool {
-	return c.Stop.CanFinish(shed.StopRequest{
+// checkStop returns the error that ends the request if it can't end before a planned stop of the daemon, or nil. Callers find
+// another daemon at once.
+func (c *call) checkStop() error {
+	e := c.Stop.Estimate(shed.StopRequest{
 		Route: c.route.Name, UntilDeadline: c.untilDeadline(), AtMostOnce: !c.route.Repeatable(),
 	})
-}
-
-// handleStop ends a request that can't end before the daemon stops. Callers find another daemon at once.
-func (c *call) handleStop() error {
-	klog.InfoS("Request can't end before the daemon stops", "request", c.req.ID, "route", c.route.Name,
-		"leftMs", c.untilDeadline().Milliseconds(), "mayHaveRun", c.mayHaveRun())
+	if e.CanFinish && !c.stopped() {
+		return nil
+	}
+	klog.InfoS("Request can't end before the daemon stops", "request", c.req.ID, "route", c.route.Name, "takesMs", e.Takes.Milliseconds(),
+		"samples", e.Samples, "untilStopMs", e.Left.Milliseconds(), "leftMs", c.untilDeadline().Milliseconds(), "mayHaveRun", c.mayHaveRun())
 	if c.mayHaveRun() {
 		return c.endAfterLastAttempt(ReasonStopping)
 	}
--- a/internal/transport/proxy/metrics.go
+++ b/internal/transport/proxy/metrics.go
@@ -40,6 +40,11 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf(`gooseberrywayForeignAnswers{rejection="%t"}`, rejection)).Inc()
 }
 
+// countRefusedContinuation counts a response that doesn't go on with a stream that has broken off.
+func countRefusedContinuation() {
+	metrics.GetOrCreateCounter("gooseberrywayRefusedContinuations").Inc()
+}
+
 // countUnstatedPromise counts an upstream's status that callers would take for the promise that a request has not run, without the
 // header that states it.
 func countUnstatedPromise(status int) {
--- a/internal/transport/proxy/response.go
+++ b/internal/transport/proxy/response.go
@@ -67,7 +67,8 @@
 		c.markSent()
 		tracker.End(place.OutcomeFailed)
 		klog.InfoS("Answer doesn't go on with a stream", "request", c.req.ID, "upstream", choice.Upstream.ID, "status", resp.StatusCode,
-			"lastEvent", c.reply.position.lastID)
+			"contentType", resp.Header.Get("Content-Type"), "got", parsed.ID, "lastEvent", c.reply.position.lastID)
+		countRefusedContinuation()
 		return c.stepAfterRun(ReasonUpstreamBroken)
 	case resp.StatusCode >= http.StatusInternalServerError && c.canRetryAfterRun():
 		c.markSent()
@@ -198,6 +199,9 @@
 	klog.InfoS("Stream broke", "request", c.req.ID, "upstream", choice.Upstream.ID, "lastEvent", c.reply.position.lastID,
 		"error", err.Error(), "gone", c.callerLeft(), "weights", choice.WeightVersion, "parts", c.sharedParts(), "fingerprint", c.fingerprint(),
 		"reads", tracker.reads, "sinceSentMs", time.Since(c.attemptAt).Milliseconds())
+	if isContinuationError(err) {
+		countRefusedContinuation()
+	}
 	if outcome == place.OutcomeTimeout && !errors.Is(context.Cause(ctx), errUnresponsive) {
 		return stepFail, ReasonTimeout
 	}
