Take versions before unknown ones for replaced long ago

Cause: a daemon that starts knows the newest version and when it was named, from its peers, and took that time for the one at which all older versions were replaced. Version 1 had been replaced by version 2, of which it knew nothing.

A version is taken for replaced long ago now if versions that aren't kept may have come between it and the next one that is. Where numbers skip, a daemon that has just started uses no upstream with the version before for some seconds; the others do.

--- a/internal/state/view/snapshots_test.go
+++ b/internal/state/view/snapshots_test.go
@@ -47,3 +47,20 @@
 		require.Equal(t, observed, w.NamedAt)
 	})
 }
+
+// Guards against a daemon that starts and takes the time at which the newest version was named for that at which all older ones were
+// replaced: a version in between, of which it knows nothing, has replaced the older ones before.
+func TestVersionsBeforeUnknownOnesWereReplacedLongAgo(t *testing.T) {
+	named := time.Now()
+	w := &Weights{Version: 3, NamedAt: named, NamedAtObserved: true}
+	at, replaced := w.ReplacedAt(2)
+	require.True(t, replaced)
+	require.Equal(t, named, at)
+	at, replaced = w.ReplacedAt(1)
+	require.True(t, replaced)
+	require.Greater(t, named.Sub(at), 24*time.Hour)
+	// A daemon that saw version 1 replaced by version 3 knows when that was.
+	w.Previous = []NamedVersion{{Version: 1, NamedAt: named.Add(-time.Minute)}}
+	at, _ = w.ReplacedAt(1)
+	require.Equal(t, named, at)
+}
--- a/internal/state/view/upstream.go
+++ b/internal/state/view/upstream.go
@@ -89,20 +89,23 @@
 	NamedAt time.Time
 }
 
-// ReplacedAt returns when the next newer version was named; false if the version is the newest or newer. If the version is
-// older than all that are kept, it returns when the oldest kept version was named.
+// ReplacedAt returns when the next newer version was named; false if the version is the newest or newer. The time is zero if versions that
+// aren't kept may have come in between, as for a daemon that has started since: these were named earlier than all that are kept.
 func (w *Weights) ReplacedAt(version int64) (time.Time, bool) {
 	if version >= w.Version {
 		return time.Time{}, false
 	}
-	at := w.NamedAt
+	next := NamedVersion{w.Version, w.NamedAt}
 	for _, e := range w.Previous {
 		if e.Version <= version {
-			break
+			return next.NamedAt, true
 		}
-		at = e.NamedAt
+		next = e
 	}
-	return at, true
+	if next.Version > version+1 {
+		return time.Time{}, true
+	}
+	return next.NamedAt, true
 }
 
 // shouldReplaceNamedAt reports whether the time at which a peer observed the naming of a version replaces NamedAt: w must
