Bound the memory of request bodies

Cause: each body is kept until its request ends, as it may have to be sent again, and nothing bounded their sum.

Memory is taken before it is filled; a request that finds none is refused at once with 503 and Retry-After: it was not read, and callers find another daemon. The settings get resources.memoryMb.

--- a/internal/program/entry/daemon.go
+++ b/internal/program/entry/daemon.go
@@ -97,6 +97,10 @@
 	// long it may keep an idle connection. The platform's published limits are 3 s and 15 s.
 	callerHeaderTimeout = 5 * time.Second
 	callerIdleTimeout   = 20 * time.Second
+	bytesPerMB          = 1e6
+	// bodyMemoryDivisor is what part of a process' memory request bodies may take. The garbage collector lets the heap grow to twice
+	// of what is in use.
+	bodyMemoryDivisor = 5
 	// maxHeaderBytes bounds the size of a request's headers.
 	maxHeaderBytes = 64 << 10
 )
@@ -194,6 +198,7 @@
 		RetryBudgets:   d.retryBudgets(),
 		Shedders:       &view.PerService[shed.Controller]{},
 		Pool:           upstreams,
+		Bodies:         &proxy.BodyBudget{MaxBytes: int64(s.Resources.MemoryMB * bytesPerMB / bodyMemoryDivisor)},
 		Stop:           &d.requestStop,
 		IsDraining:     d.leaving.Load,
 	}
--- a/internal/program/setup/entry.go
+++ b/internal/program/setup/entry.go
@@ -23,6 +23,8 @@
 	Cores    int     `json:"cores" validate:"min=0,max=1024"`
 	// LinkMbps is the bandwidth of the VM's network link in megabits per second.
 	LinkMbps float64 `json:"linkMbps" validate:"min=0"`
+	// MemoryMB is the memory of a process in megabytes; one that takes more is killed.
+	MemoryMB float64 `json:"memoryMb" validate:"min=0"`
 }
 
 // EntryListen holds the addresses to listen on as IP:PORT. Admin and Metrics may be empty.
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"time"
@@ -50,6 +49,8 @@
 	RetryBudgets *view.PerService[relay.RetryBudget]
 	Shedders     *view.PerService[shed.Controller]
 	Pool         *httpc.Pool
+	// Bodies bounds the memory of request bodies.
+	Bodies *BodyBudget
 	// Stop decides which requests can end before a planned stop of the daemon.
 	Stop *shed.Stop
 	// IsDraining reports whether the daemon is shutting down; responses then close their connections.
@@ -74,6 +75,8 @@
 	org     *view.Organisation
 	cost    float64
 	body    []byte
+	// bodyReserved is the memory that was taken for the body.
+	bodyReserved int64
 	// judged is what may be found to crash upstreams.
 	judged poison.Request
 	// wholeHash is the result of fingerprint once hasFingerprint is set.
@@ -113,6 +116,7 @@
 		}
 		c.judged.Parts = append(c.judged.Parts, poison.HashPart(id))
 	}
+	defer func() { h.Bodies.release(c.bodyReserved) }()
 	err := c.serve()
 	var refusal *RefusedError
 	if errors.As(err, &refusal) && !c.reply.begun() {
@@ -189,11 +193,17 @@
 	rc := http.NewResponseController(c.w)
 	_ = rc.SetReadDeadline(c.deadline)
 	endRead := context.AfterFunc(c.ctx, func() { _ = rc.SetReadDeadline(time.Now()) })
-	body, err := io.ReadAll(io.LimitReader(c.r.Body, limit+1))
+	var body []byte
+	var err error
+	body, c.bodyReserved, err = c.Bodies.read(c.r.Body, c.r.ContentLength, limit)
 	endRead()
 	if err != nil && c.stopped() {
 		return unavailableError(ReasonStopping, rejectedRetryAfter)
 	}
+	if errors.Is(err, errBodyBudget) {
+		klog.InfoS("No memory for a request's body", "request", c.req.ID, "bytes", c.r.ContentLength, "used", c.Bodies.used.Load())
+		return unavailableError(ReasonBodyMemory, rejectedRetryAfter)
+	}
 	if err != nil {
 		return &RefusedError{Status: http.StatusBadRequest, Reason: ReasonBodyBroken}
 	}
--- a/internal/transport/proxy/refusal.go
+++ b/internal/transport/proxy/refusal.go
@@ -19,6 +19,7 @@
 	ReasonUnknownKey           Reason = "unknownKey"
 	ReasonBodyTooLarge         Reason = "bodyTooLarge"
 	ReasonBodyBroken           Reason = "bodyBroken"
+	ReasonBodyMemory           Reason = "noMemoryForBody"
 	ReasonOverLimit            Reason = "overLimit"
 	ReasonNoUpstream           Reason = "noUpstreamTakesIt"
 	ReasonUpstreamsRefused     Reason = "upstreamsRefused"
