Forward the path of a request as it came

The request's target is sent as the caller wrote it, up to the query, unless it begins with two slashes or is not a path.

--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strings"
 	"syscall"
 	"time"
 
@@ -99,6 +100,10 @@
 	placeReq := p.placeReq
 	u := *c.r.URL
 	u.Scheme, u.Host, u.User = "http", choice.Upstream.Address, nil
+	if path, _, _ := strings.Cut(c.r.RequestURI, "?"); isUnchangedPath(path) {
+		// Otherwise net/url encodes what RFC 3986 wants encoded, so that the upstream sees another path.
+		u.Opaque = path
+	}
 	a := Attempt{
 		Upstream:      choice.Upstream,
 		UntilDeadline: c.untilDeadline(),
@@ -128,6 +133,11 @@
 	return req.WithContext(ctx), nil
 }
 
+// isUnchangedPath reports whether a path can be sent as it came: it is one of the server's own, and not to be taken for a host.
+func isUnchangedPath(path string) bool {
+	return strings.HasPrefix(path, "/") && !strings.HasPrefix(path, "//")
+}
+
 // cacheAddresses returns the addresses to fetch cached parts from and to save them to; empty for none.
 func (c *call) cacheAddresses(choice *place.Choice) (from, to string) {
 	if choice.Fetch == place.FetchFromEngine {
