Count crashes of one request in quick succession separately

Cause: crashes within 250 ms count as one, as upstreams that end together ended for one reason. A request that is sent again as soon as its upstream ended crashes the next one within that time.

Crashes under one whole request are 50 ms apart now to count separately.

TestRequestThatCrashesUpstreamsInQuickSuccessionIsRefused failed before.

--- a/internal/coordination/poison/consts.go
+++ b/internal/coordination/poison/consts.go
@@ -17,6 +17,8 @@
 	// crashSpacing is the shortest time between crashes that count separately: upstreams that end together, as those of
 	// a rack do, ended for one reason.
 	crashSpacing = 250 * time.Millisecond
+	// wholeCrashSpacing is the same for the crashes under one whole request, which may be sent again as soon as its upstream ended.
+	wholeCrashSpacing = 50 * time.Millisecond
 	// endWindow is how long after a request broke the end of its upstream still counts as its effect.
 	endWindow = 10 * time.Second
 	// answerStartWindow is how long after its first event a response counts as beginning. Upstreams crash when they begin
--- a/internal/coordination/poison/quarantine_test.go
+++ b/internal/coordination/poison/quarantine_test.go
@@ -21,14 +21,20 @@
 
 // crashUnder lets an upstream end under a request with these parts.
 func crashUnder(t *testing.T, d *Detector, id ident.UpstreamID, request RequestHash, parts ...Hash) {
+	t.Helper()
+	crashWithin(t, d, 2*time.Second, id, request, parts...)
+}
+
+// crashWithin does the same within a time.
+func crashWithin(t *testing.T, d *Detector, took time.Duration, id ident.UpstreamID, request RequestHash, parts ...Hash) {
 	t.Helper()
 	u := &view.Upstream{ID: id, Incarnation: 1, State: view.UpstreamReady}
 	a, err := d.Begin(u, requestOf(request, parts...))
 	require.NoError(t, err)
-	time.Sleep(time.Second)
+	time.Sleep(took / 2)
 	a.End(OutcomeBroken)
 	d.MarkRefused(u)
-	time.Sleep(time.Second)
+	time.Sleep(took / 2)
 	d.Tick()
 }
 
@@ -79,6 +85,35 @@
 	})
 }
 
+// Guards against a request that goes on to crash upstreams because it crashed the first ones in quick succession.
+func TestRequestThatCrashesUpstreamsInQuickSuccessionIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &Detector{}
+		for _, id := range []ident.UpstreamID{"a", "b", "c"} {
+			crashWithin(t, d, 100*time.Millisecond, id, 7, 1)
+		}
+		time.Sleep(minNewsDelay)
+		d.Tick()
+		var quarantined *QuarantinedError
+		require.ErrorAs(t, d.Check(requestOf(7, 2)), &quarantined)
+		require.True(t, quarantined.Whole)
+		require.NoError(t, check(d, 1), "one request says little of its parts")
+	})
+}
+
+// Guards against taking the loss of a rack for crashes under a request that ran on each of its upstreams.
+func TestUpstreamsThatEndTogetherCountOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &Detector{}
+		for _, id := range []ident.UpstreamID{"a", "b", "c", "d"} {
+			crashWithin(t, d, 10*time.Millisecond, id, 7, 1)
+		}
+		time.Sleep(minNewsDelay)
+		d.Tick()
+		require.NoError(t, d.Check(requestOf(7, 1)))
+	})
+}
+
 func TestRepeatedRequestCountsOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := &Detector{}
--- a/internal/coordination/poison/suspect.go
+++ b/internal/coordination/poison/suspect.go
@@ -50,12 +50,16 @@
 // more, not all are known.
 func (d *Detector) crashes(s *suspect) []Incident {
 	var out []Incident
+	spacing := crashSpacing
+	if s.whole {
+		spacing = wholeCrashSpacing
+	}
 	for _, i := range s.incidents {
 		if len(s.incidents) < maxIncidents && 2*s.upstreamsAt(i.At) < d.endsAt(i.At) {
 			continue
 		}
 		known := slices.ContainsFunc(out, func(o Incident) bool {
-			return !s.whole && o.Request == i.Request || o.Upstream == i.Upstream || i.At.Sub(o.At) < crashSpacing
+			return !s.whole && o.Request == i.Request || o.Upstream == i.Upstream || i.At.Sub(o.At) < spacing
 		})
 		if !known {
 			out = append(out, i)
