Log why a version was thought fit for a request

Request sent has the named version, its age, whether that was observed, the record's offset (with the store's era) and for how long the request's version has been replaced. Weights named has the peer, the version before, the age and the age of the store's last answer. A peer's heartbeat that replaces an estimate, or moves the time by 100 ms or more, is logged: smaller corrections come with most heartbeats. The test of Follower.apply passes the same list in the argument's new type.

--- a/internal/coordination/feed/follower.go
+++ b/internal/coordination/feed/follower.go
@@ -226,7 +226,7 @@
 		return err
 	}
 	f.markSuccess()
-	f.apply(topic, batch.Records, batch.Next, false)
+	f.apply(topic, Changes{StoreBatch: batch})
 	return nil
 }
 
@@ -237,7 +237,7 @@
 		return err
 	}
 	f.markSuccess()
-	f.apply(topic, batch.Records, batch.Next, true)
+	f.apply(topic, Changes{StoreBatch: batch, Complete: true})
 	return nil
 }
 
@@ -280,13 +280,12 @@
 	return f.state(topic).next
 }
 
-// apply applies records up to the offset next. If complete is true, they replace the whole state: keys without a record
-// have been removed.
-func (f *Follower) apply(topic extern.Topic, records []extern.KeyedRecord, next ident.Offset, complete bool) {
+// apply applies changes of the store or of a peer.
+func (f *Follower) apply(topic extern.Topic, c Changes) {
 	f.mu.Lock()
-	s := f.state(topic)
+	s, next := f.state(topic), c.Next
 	if s.loaded && next < s.next {
-		if complete || topic != extern.TopicOperators {
+		if c.Complete || topic != extern.TopicOperators {
 			f.mu.Unlock()
 			return
 		}
@@ -297,11 +296,11 @@
 	if changed {
 		f.markRestored(topic, s, next)
 	}
-	if complete {
-		changed = f.removeUnlisted(topic, s, records, next) || changed
+	if c.Complete {
+		changed = f.removeUnlisted(topic, s, c.Records, next) || changed
 		s.knownSince = next
 	}
-	changed = f.applyRecords(topic, s, records) || changed
+	changed = f.applyRecords(topic, s, c.Records, c.From) || changed
 	if next > s.next || !s.loaded {
 		s.advancedAt = time.Now()
 	}
@@ -316,7 +315,7 @@
 }
 
 // applyRecords applies the records that are newer than the known ones and reports whether anything changed.
-func (f *Follower) applyRecords(topic extern.Topic, s *topicState, records []extern.KeyedRecord) bool {
+func (f *Follower) applyRecords(topic extern.Topic, s *topicState, records []extern.KeyedRecord, from ident.DaemonID) bool {
 	changed := false
 	for _, r := range records {
 		if !f.isNews(topic, s, &r) || topic == extern.TopicUpstreams && f.isRenewal(s, r) {
@@ -327,7 +326,7 @@
 		}
 		s.newest[r.Key] = r
 		s.changed = max(s.changed, r.Offset+1)
-		changed = f.applyRecord(topic, r) || changed
+		changed = f.applyRecord(topic, r, from) || changed
 	}
 	return changed
 }
@@ -384,8 +383,8 @@
 	return changed
 }
 
-// applyRecord applies one record and reports whether anything changed.
-func (f *Follower) applyRecord(topic extern.Topic, r extern.KeyedRecord) bool {
+// applyRecord applies one record of the store, or of the peer from, and reports whether anything changed.
+func (f *Follower) applyRecord(topic extern.Topic, r extern.KeyedRecord, from ident.DaemonID) bool {
 	switch c := f.Decoder.Decode(topic, r).(type) {
 	case *view.Config:
 		if !f.Snapshots.SetConfig(c) {
@@ -399,10 +398,12 @@
 		if !c.NamedAtObserved {
 			c.NamedAt = c.NamedAt.Add(-f.InitialVersionAge)
 		}
+		before, _ := f.Snapshots.Weights(c.Model)
 		if !f.Snapshots.SetWeights(*c) {
 			return false
 		}
-		klog.InfoS("Weights named", "model", c.Model, "version", c.Version, "offset", r.Offset)
+		klog.InfoS("Weights named", "model", c.Model, "version", c.Version, "offset", r.Offset, "before", before.Version, "peer", from,
+			"ageMs", c.Age().Milliseconds(), "observed", c.NamedAtObserved, "storeAgeMs", f.StoreAge().Milliseconds())
 		return true
 	case *view.Rollout:
 		c.SeenAt = time.Now()
@@ -493,9 +494,11 @@
 	f.Snapshots.SetUpstreams(view.NewUpstreams(byID, next))
 }
 
-// Changes is a part of a topic that a daemon passes on to a peer.
+// Changes is a part of a topic that the store gave or a daemon passes on to a peer.
 type Changes struct {
 	extern.StoreBatch
+	// From is the peer that passed the changes on; empty for the store.
+	From ident.DaemonID
 	// Complete says that Records is the whole state of the topic: keys without a record have been removed.
 	Complete bool
 }
@@ -528,9 +531,9 @@
 	if c.Next <= f.NextOffset(topic) && !f.hasNews(topic, c.Records) {
 		return
 	}
-	klog.InfoS("Records of the store came from a peer", "topic", topic, "records", len(c.Records), "whole", c.Complete,
+	klog.InfoS("Records of the store came from a peer", "topic", topic, "peer", c.From, "records", len(c.Records), "whole", c.Complete,
 		"next", c.Next)
-	f.apply(topic, c.Records, c.Next, c.Complete)
+	f.apply(topic, c)
 }
 
 // AdvanceTo advances the offset to which a topic counts as read: a peer has read up to next and found no change that
--- a/internal/coordination/feed/follower_test.go
+++ b/internal/coordination/feed/follower_test.go
@@ -426,7 +426,8 @@
 		next := other.NextOffset(extern.TopicUpstreams)
 		require.NoError(t, f.readNewest(t.Context(), extern.TopicUpstreams))
 		// The history no longer has the record that removed b: only the complete list shows that b has gone.
-		f.apply(extern.TopicUpstreams, []extern.KeyedRecord{{Offset: 0, Key: "a", Value: []byte("ready")}}, next+3, true)
+		list := extern.StoreBatch{Records: []extern.KeyedRecord{{Offset: 0, Key: "a", Value: []byte("ready")}}, Next: next + 3}
+		f.apply(extern.TopicUpstreams, Changes{StoreBatch: list, Complete: true})
 		require.Len(t, f.Snapshots.Upstreams().ByID, 1)
 		changes := f.ChangesSince(extern.TopicUpstreams, next)
 		require.Equal(t, next+3, f.LastChangeOffset(extern.TopicUpstreams))
--- a/internal/coordination/place/cost.go
+++ b/internal/coordination/place/cost.go
@@ -21,8 +21,9 @@
 	if u.Slots > 0 && totalWork.Requests >= u.Slots {
 		c.Cost += float64(totalWork.Requests-u.Slots+1) * excessRequestCostTokens
 	}
-	c.WeightVersion = cand.weightVersion
-	if sinceReplaced(&q.namedWeights, c.WeightVersion, q.now) > oldWeightsFreeTime {
+	c.WeightVersion, c.Named = cand.weightVersion, q.namedWeights
+	c.ReplacedFor = sinceReplaced(&q.namedWeights, c.WeightVersion, q.now)
+	if c.ReplacedFor > oldWeightsFreeTime {
 		c.Cost += oldWeightsCostTokens
 	}
 	q.addCacheCost(c, cand)
--- a/internal/coordination/place/request.go
+++ b/internal/coordination/place/request.go
@@ -58,6 +58,10 @@
 	Upstream *view.Upstream
 	// WeightVersion is the version that the engine is known to have; 0 for services that run no models.
 	WeightVersion int64
+	// Named is the version that operators have named for the model, and ReplacedFor how long ago it or an earlier one replaced WeightVersion;
+	// both are zero for services that run no models.
+	Named       view.Weights
+	ReplacedFor time.Duration
 	// Fetch says where cached parts shall be fetched from; SourceAddress is set if that is another engine.
 	Fetch         FetchFrom
 	SourceAddress string
--- a/internal/program/cmds/explain.go
+++ b/internal/program/cmds/explain.go
@@ -121,13 +121,26 @@
 	"stray":   "which reads its prompt although another engine did",
 }
 
+// describeOldWeights tells from the fields of a sent request that it asked for a version that had been replaced.
+func describeOldWeights(f map[string]string) string {
+	if f["replacedMs"] == "" || f["replacedMs"] == "0" {
+		return ""
+	}
+	known := "observed"
+	if f["namedObserved"] != "true" {
+		known = "estimated"
+	}
+	return fmt.Sprintf(" Its weights, version %s, were replaced %s ms before; version %s was named %s ms before (%s, record %s).",
+		f["weights"], f["replacedMs"], f["named"], f["namedAgeMs"], known, f["namedOffset"])
+}
+
 // describeLine describes a log line in a sentence. A message that it does not know is returned with its fields.
 func describeLine(l logLine) string {
 	f := l.fields
 	switch l.message {
 	case "Request sent":
-		return fmt.Sprintf("Attempt %s went to %s, %s; some %s tokens of work were ahead, %s ms were left.",
-			f["attempt"], f["upstream"], cacheSourceTexts[f["cached"]], f["cost"], f["leftMs"])
+		return fmt.Sprintf("Attempt %s went to %s, %s; some %s tokens of work were ahead, %s ms were left.%s",
+			f["attempt"], f["upstream"], cacheSourceTexts[f["cached"]], f["cost"], f["leftMs"], describeOldWeights(f))
 	case "Request over its organisation's limit":
 		return fmt.Sprintf("Organisation %s was over its limit: the request costs %s, %s were left over all daemons.",
 			f["organisation"], f["cost"], f["balance"])
--- a/internal/program/cmds/explain_test.go
+++ b/internal/program/cmds/explain_test.go
@@ -29,6 +29,17 @@
 		"attempts 1, configuration 4, patience 5566 ms).\n", out.String())
 }
 
+// Guards against an incident whose logs don't tell why a replaced version was thought fit.
+func TestExplainTellsOfReplacedWeights(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "a.log")
+	line := `I0417 17:57:18.518342   13832 attempt.go:54] "Request sent" request="0591" upstream="i-3b" attempt=1 weights=1 replacedMs=6950 ` +
+		`named=2 namedAgeMs=6950 namedObserved=false namedOffset="1:44" cost=13891 cached="here" leftMs=5565` + "\n"
+	require.NoError(t, os.WriteFile(file, []byte(line), 0o600))
+	var out, errOut bytes.Buffer
+	require.Equal(t, ExitOK, Execute([]string{"explain", "0591", file}, &out, &errOut), errOut.String())
+	require.Contains(t, out.String(), "version 1, were replaced 6950 ms before; version 2 was named 6950 ms before (estimated, record 1:44).")
+}
+
 // A request without log lines must not end in an empty output with exit code 0; a missing file is a usage error.
 func TestExplainFailsForUnknownRequest(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "a.log")
--- a/internal/program/entry/leadership.go
+++ b/internal/program/entry/leadership.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+	"k8s.io/klog/v2"
 
 	"github.com/gooseberryway/gooseberryway/internal/coordination/reload"
 	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
@@ -20,6 +21,9 @@
 	maxLoadingTime = 5 * time.Second
 	// maxAgeMs bounds the ages of weight versions and store records in messages to peers, in milliseconds.
 	maxAgeMs = 1 << 30
+	// minLoggedCorrection is the smallest correction of a version's time of naming that is logged. Heartbeats take a varying time, so that
+	// smaller ones are frequent.
+	minLoggedCorrection = 100 * time.Millisecond
 )
 
 // processStart is the start of the clock that bootClock falls back to.
@@ -78,7 +82,11 @@
 func (d *Daemon) applyLeaderState(b *wire.Beat) {
 	for _, w := range b.GetWeights() {
 		at := time.Now().Add(-time.Duration(w.GetAgeMs()) * time.Millisecond)
-		d.snapshots.SetWeightsNamedAt(ident.ModelID(w.GetModel()), w.GetVersion(), at)
+		before, changed := d.snapshots.SetWeightsNamedAt(ident.ModelID(w.GetModel()), w.GetVersion(), at)
+		if changed && (!before.NamedAtObserved || before.NamedAt.Sub(at) >= minLoggedCorrection) {
+			klog.InfoS("Time of naming weights came from a peer", "peer", b.GetDaemon(), "model", w.GetModel(), "version", w.GetVersion(),
+				"ageMs", w.GetAgeMs(), "beforeAgeMs", before.Age().Milliseconds(), "beforeObserved", before.NamedAtObserved, "offset", before.Offset)
+		}
 	}
 	if b.GetTerm() > 0 {
 		d.weightLoader.SetPrior(reload.Estimate{
--- a/internal/program/entry/peers.go
+++ b/internal/program/entry/peers.go
@@ -269,8 +269,8 @@
 		klog.InfoS("Peer did not send the missing records", "peer", best.ID, "reason", err.Error())
 		return
 	}
-	d.follower.ApplyChanges(extern.TopicOperators, decodeChanges(reply.GetOperators(), reply.GetOperatorsNext(), false))
-	d.follower.ApplyChanges(extern.TopicUpstreams, decodeChanges(reply.GetUpstreams(), reply.GetUpstreamsNext(), reply.GetUpstreamsWhole()))
+	d.follower.ApplyChanges(extern.TopicOperators, decodeChanges(best.ID, reply.GetOperators(), reply.GetOperatorsNext(), false))
+	d.follower.ApplyChanges(extern.TopicUpstreams, decodeChanges(best.ID, reply.GetUpstreams(), reply.GetUpstreamsNext(), reply.GetUpstreamsWhole()))
 }
 
 // hasNewerVersions reports whether a peer knows newer versions than this daemon.
@@ -304,8 +304,8 @@
 	return best, ahead > 0
 }
 
-func decodeChanges(stored []*wire.StoredRecord, next uint64, complete bool) feed.Changes {
-	out := feed.Changes{Complete: complete}
+func decodeChanges(from ident.DaemonID, stored []*wire.StoredRecord, next uint64, complete bool) feed.Changes {
+	out := feed.Changes{From: from, Complete: complete}
 	out.Next = ident.Offset(next)
 	for _, r := range stored {
 		out.Records = append(out.Records, extern.KeyedRecord{
--- a/internal/state/view/snapshots.go
+++ b/internal/state/view/snapshots.go
@@ -100,21 +100,23 @@
 
 // SetWeightsNamedAt sets the time at which a peer observed the naming of the version, if it is the newest known one. The
 // earliest observation is kept: a daemon that was paused or partitioned learns of the version late. An observation always
-// replaces an estimate.
-func (s *Snapshots) SetWeightsNamedAt(model ident.ModelID, version int64, at time.Time) {
+// replaces an estimate. It returns what was known before, and whether that was replaced.
+func (s *Snapshots) SetWeightsNamedAt(model ident.ModelID, version int64, at time.Time) (Weights, bool) {
 	if w, ok := s.Weights(model); !ok || !w.shouldReplaceNamedAt(version, at) {
-		return
+		return w, false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	w, ok := s.Weights(model)
 	if !ok || !w.shouldReplaceNamedAt(version, at) {
-		return
+		return w, false
 	}
+	before := w
 	w.NamedAt, w.NamedAtObserved = at, true
 	all := maps.Clone(s.AllWeights())
 	all[model] = w
 	s.weights.Store(&all)
+	return before, true
 }
 
 // SetRollout publishes a rollout unless the service has the same or a newer one. It reports whether it did.
--- a/internal/state/view/upstream.go
+++ b/internal/state/view/upstream.go
@@ -83,6 +83,14 @@
 	Previous []NamedVersion
 }
 
+// Age returns the time since the version was named, as far as this daemon knows; 0 if none was.
+func (w *Weights) Age() time.Duration {
+	if w.NamedAt.IsZero() {
+		return 0
+	}
+	return time.Since(w.NamedAt)
+}
+
 // NamedVersion is a version and the time at which it was named.
 type NamedVersion struct {
 	Version int64
--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -53,7 +53,8 @@
 		return stepFail, ReasonUpstreamBroken
 	}
 	klog.InfoS("Request sent", "request", c.req.ID, "upstream", choice.Upstream.ID, "attempt", c.attempts+1,
-		"weights", choice.WeightVersion, "cost", int64(choice.Cost), "rank", choice.HashRank, "missed", choice.MissedTokens,
+		"weights", choice.WeightVersion, "replacedMs", choice.ReplacedFor.Milliseconds(), "named", choice.Named.Version,
+		"namedAgeMs", choice.Named.Age().Milliseconds(), "namedObserved", choice.Named.NamedAtObserved, "namedOffset", choice.Named.Offset, "cost", int64(choice.Cost), "rank", choice.HashRank, "missed", choice.MissedTokens,
 		"candidates", choice.Candidates, "upstreamAgeMs", time.Since(choice.Upstream.SeenAt).Milliseconds(),
 		"leftMs", c.untilDeadline().Milliseconds(), "cached", choice.Locality, "chain", placeReq.SharedPrefix(), "save", choice.SaveToStore,
 		"waitMs", choice.Wait.Total.Milliseconds(), "late", choice.Late, "priority", p.priority, "release", choice.Upstream.Release)
