Begin requests on replaced weights before their limit

The limit counts at the first token.

Cause: whether an upstream's weights are fit was asked when the request was sent, with 1 s for the way and the wait. A request waits for a slot and behind the prompts of others; after a start of all daemons everything comes at once.

An upstream with a replaced version is chosen only if the request begins before the limit, less the margin, though it takes twice its estimate behind all that is known to wait there, times the upstream's slowness. Retries and continued streams are placed by the same call. Requests that wait already aren't called back.

--- a/internal/coordination/place/placer.go
+++ b/internal/coordination/place/placer.go
@@ -38,8 +38,8 @@
 	// FleetSize returns the number of daemons: heartbeats are less frequent in a large fleet, so that what peers
 	// reported counts for longer. Nil for a small fleet.
 	FleetSize func() int
-	// OldWeightsGrace is how long after a version was replaced requests may still start on engines that have it; 0
-	// for no limit.
+	// OldWeightsGrace is how long after a version was replaced requests may still begin, with their first token, on engines that
+	// have it; 0 for no limit.
 	OldWeightsGrace time.Duration
 	// UpstreamLimits holds the rates that upstreams limit themselves to; nil for none.
 	UpstreamLimits *uprate.Table
@@ -134,11 +134,16 @@
 	return best, nil
 }
 
-// cheapest returns the choice with the lowest cost among the candidates whose limits allow a request, or nil.
+// cheapest returns the choice with the lowest cost among the candidates at which the request begins in time and whose limits allow it, or nil.
 func (p *Placer) cheapest(q *query, candidates []candidate, blocked *BlockedError) *Choice {
-	choices := make([]*Choice, len(candidates))
+	choices := make([]*Choice, 0, len(candidates))
 	for i := range candidates {
-		choices[i] = p.evaluate(q, &candidates[i])
+		c := p.evaluate(q, &candidates[i])
+		if p.mayBeginTooLate(q, c) {
+			blocked.addReason(BlockedLoading, blockedRetryAfter)
+			continue
+		}
+		choices = append(choices, c)
 	}
 	for len(choices) > 0 {
 		best := 0
--- /dev/null
+++ b/internal/coordination/place/replaced_weights_test.go
@@ -0,0 +1,48 @@
+package place
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/state/view"
+)
+
+// Guards against requests that are sent for replaced weights before their limit and wait at the engine until after it.
+func TestQueuedRequestsBeginOnReplacedWeightsWithinLimit(t *testing.T) {
+	for name, known := range map[string]bool{"prefill time known": true, "prefill time unknown": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newTestPlacer()
+				limit, named := p.OldWeightsGrace+time.Second, time.Now()
+				if known {
+					p.estimates("llm").prefill.SetPrior(time.Millisecond / prefillTokensPerMs)
+				}
+				p.Snapshots.SetWeights(view.Weights{Model: "m", Version: 2, NamedAt: named})
+				time.Sleep(p.OldWeightsGrace - 2*time.Second)
+				queueEnds, sent := map[ident.UpstreamID]time.Time{}, 0
+				for i := range 500 {
+					time.Sleep(5 * time.Millisecond)
+					c, err := p.Choose(requestFor(i))
+					if err != nil {
+						continue
+					}
+					sent++
+					tracker := p.Begin(c, requestFor(i))
+					begins := time.Now()
+					if at := queueEnds[c.Upstream.ID]; at.After(begins) {
+						begins = at
+					}
+					begins = begins.Add(time.Duration(normalTTFTRatio * float64(c.PrefillTokens) * float64(time.Millisecond) / prefillTokensPerMs))
+					queueEnds[c.Upstream.ID] = begins
+					require.LessOrEqual(t, begins.Sub(named), limit, "request %d", i)
+					time.AfterFunc(time.Until(begins), func() { tracker.MarkActive(); tracker.MarkFirstEvent() })
+				}
+				require.Greater(t, sent, engineCount, "weights may be used until their limit")
+			})
+		})
+	}
+}
--- a/internal/coordination/place/wait_estimate.go
+++ b/internal/coordination/place/wait_estimate.go
@@ -30,6 +30,21 @@
 	}
 }
 
+// mayBeginTooLate reports whether the request may get its first token on replaced weights after OldWeightsGrace. The engine gives it then,
+// whatever it is told meanwhile.
+func (p *Placer) mayBeginTooLate(q *query, c *Choice) bool {
+	return p.OldWeightsGrace > 0 && c.ReplacedFor > 0 && c.ReplacedFor > p.OldWeightsGrace-p.longestWait(q, c)
+}
+
+// longestWait returns how long the first token may take at the chosen engine, also while the prefill time is unknown.
+func (p *Placer) longestWait(q *query, c *Choice) time.Duration {
+	state := p.upstreamStates[c.Upstream.ID]
+	work := state.totalWork(q.now, q.maxReportAge)
+	prefill := state.estimates.prefill.Overhead() + state.prefillTime(work.PrefillTokens+c.PrefillTokens)
+	queue := waitForSlot(work.Requests, c.Upstream.Slots, state.estimates.serviceTime.Median())
+	return time.Duration(prefillSlackFactor * state.slowness(q.now) * float64(queue+prefill))
+}
+
 // waitForSlot returns how long it takes until an upstream with so many requests has a free slot.
 func waitForSlot(requests, slots int, serviceTime time.Duration) time.Duration {
 	if slots <= 0 || requests < slots {
--- a/internal/program/entry/daemon.go
+++ b/internal/program/entry/daemon.go
@@ -209,8 +209,8 @@
 // doesn't count as connected, and may use older weights.
 const initialVersionMargin = 3 * time.Second
 
-// oldWeightsMargin is how long before their limit older weights are no longer used, because a request still travels
-// to the engine and waits there.
+// oldWeightsMargin is how long before their limit requests on older weights are expected to begin at the latest: they still travel to the
+// engine, and may wait there longer than estimated.
 const oldWeightsMargin = time.Second
 
 const (
