Count the assumed age of weights from the daemon's start

These seconds counted from the moment at which the version was read: a daemon that read it 2.5 s after its start used older versions for 2.5 s longer, while it counted as connected again.

They count from the start now, or from the last failed call of the store: what an outage ends with may have been named at its end.

--- a/internal/coordination/feed/follower.go
+++ b/internal/coordination/feed/follower.go
@@ -58,7 +58,8 @@
 	Store     extern.Store
 	Decoder   extern.Decoder
 	Snapshots *view.Snapshots
-	// InitialVersionAge is the assumed age of weight versions that were already in the store when the daemon started.
+	// InitialVersionAge is the assumed age, at the start of the daemon, of weight versions that its first read of the store finds. It counts
+	// from the last failed call of the store if there was one: they may have been named at the end of its outage.
 	InitialVersionAge time.Duration
 	// ReadsContinuously reports whether this daemon follows a topic continuously. The other daemons get the records
 	// from it and read the store only now and then. Nil means always.
@@ -93,6 +94,8 @@
 	// next last grew.
 	changed    ident.Offset
 	advancedAt time.Time
+	// checkedAt is when the last call of the store that read the topic ended, also one that failed; the start of Run before that.
+	checkedAt time.Time
 	// knownSince is the offset from which on all changes are known, because the whole state was read there.
 	knownSince ident.Offset
 	// newest holds the newest record of each key for peers, without records that changed nothing. A record without a
@@ -120,6 +123,7 @@
 func (f *Follower) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	for _, topic := range []extern.Topic{extern.TopicOperators, extern.TopicUpstreams} {
+		f.setChecked(topic)
 		wg.Go(func() { f.follow(ctx, topic) })
 	}
 	wg.Wait()
@@ -135,6 +139,7 @@
 			wait = 0
 		}
 		err := f.readNext(ctx, topic, wait)
+		f.setChecked(topic)
 		if ctx.Err() != nil {
 			return
 		}
@@ -162,6 +167,12 @@
 	}
 }
 
+func (f *Follower) setChecked(topic extern.Topic) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.state(topic).checkedAt = time.Now()
+}
+
 // isLoaded reports whether a topic was read at least once.
 func (f *Follower) isLoaded(topic extern.Topic) bool {
 	f.mu.Lock()
@@ -394,10 +405,7 @@
 			"organisations", len(c.Organisations), "storeAgeMs", f.StoreAge().Milliseconds())
 		return true
 	case *view.Weights:
-		c.NamedAt, c.NamedAtObserved = time.Now(), f.state(topic).loaded
-		if !c.NamedAtObserved {
-			c.NamedAt = c.NamedAt.Add(-f.InitialVersionAge)
-		}
+		c.NamedAt, c.NamedAtObserved = f.namedAt(f.state(topic))
 		before, _ := f.Snapshots.Weights(c.Model)
 		if !f.Snapshots.SetWeights(*c) {
 			return false
@@ -423,6 +431,14 @@
 	return false
 }
 
+// namedAt returns when a version that is learnt now was named, and whether that was observed.
+func (f *Follower) namedAt(s *topicState) (time.Time, bool) {
+	if s.loaded {
+		return time.Now(), true
+	}
+	return s.checkedAt.Add(-f.InitialVersionAge), false
+}
+
 func (f *Follower) setUpstream(u *view.Upstream) bool {
 	u.SeenAt = time.Now()
 	f.registrations.record(u)
--- /dev/null
+++ b/internal/coordination/feed/named_at_test.go
@@ -0,0 +1,51 @@
+package feed
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/extern"
+	"github.com/gooseberryway/gooseberryway/internal/state/view"
+)
+
+// slowStore takes a while to return the newest records.
+type slowStore struct {
+	*fakeStore
+	takes time.Duration
+}
+
+func (s *slowStore) Newest(ctx context.Context, topic extern.Topic) (extern.StoreBatch, error) {
+	time.Sleep(s.takes)
+	return s.fakeStore.Newest(ctx, topic)
+}
+
+// Guards against a daemon that has read the store late after its start and uses replaced weights for as much longer. What is read after
+// an outage of the store may have been named at its end.
+func TestAssumedAgeOfVersionCountsFromStart(t *testing.T) {
+	for name, c := range map[string]struct{ outage, takes, countsFrom time.Duration }{
+		"slow read": {takes: 2500 * time.Millisecond},
+		"outage":    {outage: 4 * time.Second, countsFrom: 4 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newFakeStore()
+				s.put(extern.TopicOperators, "version/m", "xx")
+				s.setDown(c.outage > 0)
+				time.AfterFunc(c.outage, func() { s.setDown(false) })
+				startedAt := time.Now()
+				f := runFollower(t, &Follower{
+					Store: &slowStore{s, c.takes}, Decoder: fakeDecoder{}, Snapshots: &view.Snapshots{}, InitialVersionAge: 5 * time.Second,
+				})
+				time.Sleep(5 * time.Second)
+				w, ok := f.Snapshots.Weights("m")
+				require.True(t, ok)
+				require.False(t, w.NamedAtObserved)
+				require.WithinRange(t, w.NamedAt.Add(f.InitialVersionAge), startedAt.Add(c.countsFrom-maxRetryDelay*3/2), startedAt.Add(c.countsFrom))
+			})
+		})
+	}
+}
--- a/internal/program/entry/daemon.go
+++ b/internal/program/entry/daemon.go
@@ -204,9 +204,9 @@
 	}
 }
 
-// initialVersionMargin is subtracted from the limit on older weights to get the assumed age of versions that were in the
-// store before the daemon started, unless a peer reports when they were named. For this time after its start the daemon
-// doesn't count as connected, and may use older weights.
+// initialVersionMargin is subtracted from the limit on older weights to get the age that versions in the store are assumed to have when the
+// daemon starts, unless a peer reports when they were named. For this time after its start the daemon doesn't count as connected, and may
+// use older weights.
 const initialVersionMargin = 3 * time.Second
 
 // oldWeightsMargin is how long before their limit requests on older weights are expected to begin at the latest: they still travel to the
