Take the naming of weights that a peer passed on for unobserved

A daemon that learnt a version from a peer took that moment for the one at which the version was named, and told all others that it had observed it. Daemons read the store through few of their number, so that a version may come from one that has just started.

The time of a version that a peer passed on is an estimate, of the age that a start assumes when the peer saw the record, but not before this daemon's own last read. The peer's heartbeats replace it if it, or anyone, did observe the naming.

--- a/internal/coordination/feed/follower.go
+++ b/internal/coordination/feed/follower.go
@@ -311,7 +311,7 @@
 		changed = f.removeUnlisted(topic, s, c.Records, next) || changed
 		s.knownSince = next
 	}
-	changed = f.applyRecords(topic, s, c.Records, c.From) || changed
+	changed = f.applyRecords(topic, s, &c) || changed
 	if next > s.next || !s.loaded {
 		s.advancedAt = time.Now()
 	}
@@ -326,9 +326,9 @@
 }
 
 // applyRecords applies the records that are newer than the known ones and reports whether anything changed.
-func (f *Follower) applyRecords(topic extern.Topic, s *topicState, records []extern.KeyedRecord, from ident.DaemonID) bool {
+func (f *Follower) applyRecords(topic extern.Topic, s *topicState, source *Changes) bool {
 	changed := false
-	for _, r := range records {
+	for _, r := range source.Records {
 		if !f.isNews(topic, s, &r) || topic == extern.TopicUpstreams && f.isRenewal(s, r) {
 			continue
 		}
@@ -337,7 +337,7 @@
 		}
 		s.newest[r.Key] = r
 		s.changed = max(s.changed, r.Offset+1)
-		changed = f.applyRecord(topic, r, from) || changed
+		changed = f.applyRecord(topic, r, source) || changed
 	}
 	return changed
 }
@@ -394,8 +394,8 @@
 	return changed
 }
 
-// applyRecord applies one record of the store, or of the peer from, and reports whether anything changed.
-func (f *Follower) applyRecord(topic extern.Topic, r extern.KeyedRecord, from ident.DaemonID) bool {
+// applyRecord applies one record of the changes and reports whether anything changed.
+func (f *Follower) applyRecord(topic extern.Topic, r extern.KeyedRecord, source *Changes) bool {
 	switch c := f.Decoder.Decode(topic, r).(type) {
 	case *view.Config:
 		if !f.Snapshots.SetConfig(c) {
@@ -405,12 +405,12 @@
 			"organisations", len(c.Organisations), "storeAgeMs", f.StoreAge().Milliseconds())
 		return true
 	case *view.Weights:
-		c.NamedAt, c.NamedAtObserved = f.namedAt(f.state(topic))
+		c.NamedAt, c.NamedAtObserved = f.namedAt(f.state(topic), &r, source.passedOn)
 		before, _ := f.Snapshots.Weights(c.Model)
 		if !f.Snapshots.SetWeights(*c) {
 			return false
 		}
-		klog.InfoS("Weights named", "model", c.Model, "version", c.Version, "offset", r.Offset, "before", before.Version, "peer", from,
+		klog.InfoS("Weights named", "model", c.Model, "version", c.Version, "offset", r.Offset, "before", before.Version, "peer", source.From,
 			"ageMs", c.Age().Milliseconds(), "observed", c.NamedAtObserved, "storeAgeMs", f.StoreAge().Milliseconds())
 		return true
 	case *view.Rollout:
@@ -431,12 +431,24 @@
 	return false
 }
 
-// namedAt returns when a version that is learnt now was named, and whether that was observed.
-func (f *Follower) namedAt(s *topicState) (time.Time, bool) {
-	if s.loaded {
+// namedAt returns when a version that is learnt now was named, and whether that was observed. A peer that passes it on may have
+// started after the naming; if it observed that, its heartbeats tell.
+func (f *Follower) namedAt(s *topicState, r *extern.KeyedRecord, passedOn bool) (time.Time, bool) {
+	switch {
+	case !s.loaded:
+		return s.checkedAt.Add(-f.InitialVersionAge), false
+	case passedOn:
+		return later(s.checkedAt, r.SeenAt.Add(-f.InitialVersionAge)), false
+	default:
 		return time.Now(), true
 	}
-	return s.checkedAt.Add(-f.InitialVersionAge), false
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 func (f *Follower) setUpstream(u *view.Upstream) bool {
@@ -515,6 +527,8 @@
 	extern.StoreBatch
 	// From is the peer that passed the changes on; empty for the store.
 	From ident.DaemonID
+
+	passedOn bool
 	// Complete says that Records is the whole state of the topic: keys without a record have been removed.
 	Complete bool
 }
@@ -549,6 +563,7 @@
 	}
 	klog.InfoS("Records of the store came from a peer", "topic", topic, "peer", c.From, "records", len(c.Records), "whole", c.Complete,
 		"next", c.Next)
+	c.passedOn = true
 	f.apply(topic, c)
 }
 
--- a/internal/coordination/feed/named_at_test.go
+++ b/internal/coordination/feed/named_at_test.go
@@ -49,3 +49,25 @@
 		})
 	}
 }
+
+// Guards against a daemon that learns a version from a peer, which has started since it was named, and tells all others that it saw
+// the naming.
+func TestVersionFromPeerIsNotObserved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		s.put(extern.TopicOperators, "version/m", "x")
+		learner := runFollower(t, &Follower{
+			Store: s, Decoder: fakeDecoder{}, Snapshots: &view.Snapshots{}, InitialVersionAge: 5 * time.Second,
+			ReadsContinuously: func(extern.Topic) bool { return false },
+		})
+		s.put(extern.TopicOperators, "version/m", "xx")
+		namedAt := time.Now()
+		time.Sleep(2 * time.Second)
+		peer := startFollower(t, s)
+		learner.ApplyChanges(extern.TopicOperators, peer.ChangesSince(extern.TopicOperators, learner.NextOffset(extern.TopicOperators)))
+		w, _ := learner.Snapshots.Weights("m")
+		require.EqualValues(t, 2, w.Version)
+		require.False(t, w.NamedAtObserved)
+		require.False(t, w.NamedAt.After(namedAt), "taken for named %v late", w.NamedAt.Sub(namedAt))
+	})
+}
