Take a version read after a pause for named when the pause began

Cause: a daemon that had read a topic once took the moment of each later read for that of the naming. Just after its start nobody reads the store continuously for a second, as ranks aren't known; when the readers end, the others take over after some time; and each daemon reads by itself now and then. All these told their peers that they had observed the naming.

The time of a version that the store gives is now the moment at which the topic stopped being read. It counts as observed if that was at most half a second ago: a read that the store holds begins when the one before ends. An outage of the store, whose failed calls count as reads, isn't a pause: nothing can be named in it, and what is named at its end is found within a retry.

TestVersionNamedBetweenReadsIsNotTakenForNew failed before, 3 s late. x86-64.

--- a/internal/coordination/feed/follower.go
+++ b/internal/coordination/feed/follower.go
@@ -49,6 +49,9 @@
 	expiredRetention = 1500 * time.Millisecond
 	// restoreWindow is how long after a restore of the store upstreams may be missing that have not registered again yet.
 	restoreWindow = 3 * time.Second
+	// maxObservationGap is how long a topic may not have been read for the naming of a version to count as observed. A request on older
+	// weights takes a second to its engine, and half of that is left to heartbeats.
+	maxObservationGap = 500 * time.Millisecond
 	// storeFailureWindow is how long after a failed call the end of a registration may be due to the store.
 	storeFailureWindow = 3 * time.Second
 )
@@ -96,6 +99,8 @@
 	advancedAt time.Time
 	// checkedAt is when the last call of the store that read the topic ended, also one that failed; the start of Run before that.
 	checkedAt time.Time
+	// unreadFor is how long the topic had not been read when the current call of the store began.
+	unreadFor time.Duration
 	// knownSince is the offset from which on all changes are known, because the whole state was read there.
 	knownSince ident.Offset
 	// newest holds the newest record of each key for peers, without records that changed nothing. A record without a
@@ -218,6 +223,7 @@
 	s := f.state(topic)
 	loaded, next := s.loaded, s.next
 	s.interruptRead = cancel
+	s.unreadFor = time.Since(s.checkedAt)
 	f.mu.Unlock()
 	if !loaded || next.Era() < f.Era() {
 		return f.readNewest(ctx, topic)
@@ -432,7 +438,8 @@
 }
 
 // namedAt returns when a version that is learnt now was named, and whether that was observed. A peer that passes it on may have
-// started after the naming; if it observed that, its heartbeats tell.
+// started after the naming; if it observed that, its heartbeats tell. A version that the store gives may have been named at any time since
+// the read before, unless the store held this read until then. An outage of the store isn't part of that time.
 func (f *Follower) namedAt(s *topicState, r *extern.KeyedRecord, passedOn bool) (time.Time, bool) {
 	switch {
 	case !s.loaded:
@@ -440,7 +447,7 @@
 	case passedOn:
 		return later(s.checkedAt, r.SeenAt.Add(-f.InitialVersionAge)), false
 	default:
-		return time.Now(), true
+		return time.Now().Add(-min(s.unreadFor, f.InitialVersionAge)), s.unreadFor <= maxObservationGap
 	}
 }
 
--- a/internal/coordination/feed/named_at_test.go
+++ b/internal/coordination/feed/named_at_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -50,6 +51,35 @@
 	}
 }
 
+// Guards against a version that is named while no daemon reads the store, as just after a start of all, and taken for named when it
+// is read.
+func TestVersionNamedBetweenReadsIsNotTakenForNew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		s.put(extern.TopicOperators, "version/m", "x")
+		var reads atomic.Bool
+		f := runFollower(t, &Follower{
+			Store: s, Decoder: fakeDecoder{}, Snapshots: &view.Snapshots{}, InitialVersionAge: 5 * time.Second,
+			ReadsContinuously: func(extern.Topic) bool { return reads.Load() },
+		})
+		s.put(extern.TopicOperators, "version/m", "xx")
+		namedAt := time.Now()
+		time.Sleep(3 * time.Second)
+		reads.Store(true)
+		time.Sleep(time.Second)
+		w, _ := f.Snapshots.Weights("m")
+		require.EqualValues(t, 2, w.Version)
+		require.False(t, w.NamedAt.After(namedAt), "taken for named %v late", w.NamedAt.Sub(namedAt))
+		require.False(t, w.NamedAtObserved, "peers would believe it")
+		s.put(extern.TopicOperators, "version/m", "xxx")
+		namedAt = time.Now()
+		time.Sleep(time.Second)
+		w, _ = f.Snapshots.Weights("m")
+		require.True(t, w.NamedAtObserved)
+		require.WithinDuration(t, namedAt, w.NamedAt, 100*time.Millisecond)
+	})
+}
+
 // Guards against a daemon that learns a version from a peer, which has started since it was named, and tells all others that it saw
 // the naming.
 func TestVersionFromPeerIsNotObserved(t *testing.T) {
