Count an answered request as sent though its connection was taken

Callers could be told with 503 that a request had not run although it had (REFUSED), and a request that may run once could be sent to a second upstream (TWICE).

Cause: whether a write had started was kept in the connection alone. net/http frees a connection for the next request before it delivers a response without a body. A request that ended in that moment (its deadline, a planned stop) asked the connection after the next request had reset that state (connFresh), or had sealed and closed it because it was held, and was reported as not sent.

A connection serves another request only after the one before was answered. So a request whose connection has another user by now was sent.

The other tests of the package pass three times in a row with the race detector. No run of real processes has shown this road.

--- a/internal/transport/httpc/pool_test.go
+++ b/internal/transport/httpc/pool_test.go
@@ -102,14 +102,14 @@
 	defer remote.Close()
 	go func() { _, _ = remote.Read(make([]byte, 8)) }()
 	c := &conn{Conn: local}
-	require.True(t, c.seal())
+	require.True(t, c.seal(nil))
 	_, err := c.Write([]byte("x"))
 	require.ErrorIs(t, err, net.ErrClosed)
 
 	used := &conn{Conn: local}
 	_, err = used.Write([]byte("x"))
 	require.NoError(t, err)
-	require.False(t, used.seal())
+	require.False(t, used.seal(nil))
 }
 
 // Over TLS the handshake writes bytes before the request. A failed handshake must count as not sent, a connection closed by
--- a/internal/transport/httpc/send_tracker.go
+++ b/internal/transport/httpc/send_tracker.go
@@ -37,8 +37,14 @@
 	return c.Conn.Write(b)
 }
 
-// seal makes all further writes fail if none of the current request has started. It returns false if one has.
-func (c *conn) seal() bool {
+// seal makes all further writes fail if none of the tracker's request has started. It returns false if one has. A connection serves
+// another request only after the response to the one before.
+func (c *conn) seal(t *sendTracker) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.user != t {
+		return false
+	}
 	return c.state.CompareAndSwap(connFresh, connSealed) || c.state.Load() == connSealed
 }
 
@@ -147,7 +153,7 @@
 func (t *sendTracker) gotConn(info httptrace.GotConnInfo) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.current != nil && !t.current.seal() {
+	if t.current != nil && !t.current.seal(t) {
 		t.maybeSent = true
 	}
 	t.current = trackedConn(info.Conn)
@@ -166,7 +172,7 @@
 	if t.maybeSent {
 		return false
 	}
-	return t.current == nil || t.current.seal()
+	return t.current == nil || t.current.seal(t)
 }
 
 // trackedConn returns the *conn under nc, or nil if there is none.
