--- a/internal/transport/httpc/pool.go
+++ b/internal/transport/httpc/pool.go
@@ -37,7 +37,9 @@
 type SendError struct {
 	// NotSent is true if no byte of the request was written to a connection and none will be.
 	NotSent bool
-	Err     error
+	// Reused is true if the last connection had served another request before.
+	Reused bool
+	Err    error
 }
 
 func (e *SendError) Error() string {
@@ -72,7 +74,7 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: tracker.gotConn})
 	resp, err := p.transport.RoundTrip(req.WithContext(ctx)) //nolint:bodyclose // the caller closes the body
 	if err != nil {
-		return nil, &SendError{NotSent: tracker.seal(), Err: err}
+		return nil, &SendError{NotSent: tracker.seal(), Reused: tracker.isReused(), Err: err}
 	}
 	return resp, nil
 }
--- a/internal/transport/httpc/send_tracker.go
+++ b/internal/transport/httpc/send_tracker.go
@@ -165,6 +165,13 @@
 	t.current.take(t)
 }
 
+// isReused reports whether the last connection had served another request before.
+func (t *sendTracker) isReused() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reused
+}
+
 // seal blocks all further writes of the request. It returns false if a byte may have been sent already.
 func (t *sendTracker) seal() bool {
 	t.mu.Lock()
--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -184,11 +184,19 @@
 		c.markSent()
 	}
 	klog.InfoS("Attempt failed", "request", c.req.ID, "upstream", choice.Upstream.ID, "reason", reason,
-		"sent", !notSent, "error", err.Error(), "parts", c.sharedParts(), "fingerprint", c.fingerprint(),
+		"sent", !notSent, "reused", send != nil && send.Reused, "cause", causeText(cause), "error", err.Error(), "parts", c.sharedParts(), "fingerprint", c.fingerprint(),
 		"sinceSentMs", time.Since(c.attemptAt).Milliseconds())
 	return step, reason
 }
 
+// causeText is the cause with which an attempt was cancelled, for logs; empty if it was not.
+func causeText(cause error) string {
+	if cause == nil {
+		return ""
+	}
+	return cause.Error()
+}
+
 // sharedParts returns the ids of the parts of the prompt that other requests may share, for logs.
 func (c *call) sharedParts() []string {
 	var ids []string
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -290,7 +290,7 @@
 		firstByte = c.reply.firstByteAt.Sub(c.arrived)
 	}
 	klog.InfoS("Request ended", "request", c.req.ID, "route", route, "organisation", c.organisationID(), "status", c.reply.status,
-		"outcome", outcome, "attempts", c.attempts, "config", version, "firstMs", firstByte.Milliseconds(),
+		"outcome", outcome, "attempts", c.attempts, "rejections", c.rejections, "mayHaveRun", c.mayHaveRun(), "config", version, "firstMs", firstByte.Milliseconds(),
 		"totalMs", time.Since(c.arrived).Milliseconds(), "patienceMs", c.deadline.Sub(c.arrived).Milliseconds())
 	recordRequest(c, err)
 }
--- a/internal/transport/proxy/response.go
+++ b/internal/transport/proxy/response.go
@@ -45,7 +45,7 @@
 		tracker.End(place.OutcomeBroken)
 		httpc.Retire(resp)
 		klog.InfoS("Answer to another request", "request", c.req.ID, "upstream", choice.Upstream.ID, "got", parsed.ID,
-			"status", resp.StatusCode, "rejection", parsed.NotRun)
+			"status", resp.StatusCode, "rejection", parsed.NotRun, "reused", !httpc.IsFirst(resp))
 		countForeignAnswer(parsed.NotRun)
 		return c.stepAfterRun(ReasonResponseMismatch)
 	}
@@ -143,7 +143,8 @@
 	tracker.End(outcome)
 	c.rejections++
 	klog.InfoS("Upstream refused", "request", c.req.ID, "upstream", choice.Upstream.ID, "status", resp.StatusCode,
-		"weights", choice.WeightVersion, "named", parsed.ID != "")
+		"weights", choice.WeightVersion, "named", parsed.ID != "", "reused", !httpc.IsFirst(resp),
+		"sinceSentMs", time.Since(c.attemptAt).Milliseconds())
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, streamBufferBytes))
 	return stepRetryOther, ReasonUpstreamsRefused
 }
