Believe no earlier answer of a plain service sent again

A service of `serve` that sent an earlier rejection once more on a kept connection made callers hear that their request had not run while it ran, or it went on at another service (REFUSED, TWICE); after the answer to another request the service worked on.

Cause: the plain client compared IDs only where there was one, took a rejection with the request's own ID for new each time, and left the connection of a foreign answer open.

It judges answers as the proxy does now: the connection is held until then and closed after a foreign answer. An answer without an ID that is no rejection is still believed, as plain services needn't send IDs.

TestEarlierAnswerSentAgainIsNotBelieved failed before in all four cases; the package passes with the race detector.

--- a/internal/transport/plain/send.go
+++ b/internal/transport/plain/send.go
@@ -84,22 +84,26 @@
 	return c.ReadCloser.Close()
 }
 
-// exchange sends the request and waits for the response's header until ctx ends. It rejects a response to another request.
+// exchange sends the request and waits for the response's header until ctx ends. It rejects a response to another request, and closes its
+// connection, on which the service may be at work on this one.
 func (c *Client) exchange(ctx context.Context, r *Request, t Target, b *body) (*Response, error) {
 	req, err := c.newRequest(ctx, r, t, b)
 	if err != nil {
 		return nil, &extern.UpstreamError{Kind: extern.UpstreamRejected, Upstream: t.Upstream, NotRun: true, Err: err}
 	}
-	resp, err := c.Pool.Do(req)
+	resp, err := c.Pool.DoHeld(req)
 	if err != nil {
 		return nil, httpc.AsUpstreamError(t.Upstream, err)
 	}
-	if got := ident.RequestID(resp.Header.Get(headerRequestID)); got != "" && got != r.ID {
+	notRun := resp.StatusCode >= http.StatusBadRequest && resp.Header.Get(headerNotRun) == "true"
+	got := ident.RequestID(resp.Header.Get(headerRequestID))
+	if !isOwnResponse(resp, r.ID, got, notRun) {
+		httpc.Retire(resp)
 		_ = resp.Body.Close()
 		mismatch := &ResponseMismatchError{Want: r.ID, Got: got}
 		return nil, &extern.UpstreamError{Kind: extern.UpstreamResponseMismatch, Upstream: t.Upstream, Err: mismatch}
 	}
-	notRun := resp.StatusCode >= http.StatusBadRequest && resp.Header.Get(headerNotRun) == "true"
+	httpc.Release(resp)
 	return &Response{
 		Upstream: t.Upstream,
 		Status:   resp.StatusCode,
@@ -109,6 +113,21 @@
 	}, nil
 }
 
+// isOwnResponse reports whether a response with the ID got, empty for none, answers request id. A service may send an earlier rejection once
+// more on a kept connection: without an ID, or with that of this request if it was rejected there before.
+func isOwnResponse(resp *http.Response, id, got ident.RequestID, notRun bool) bool {
+	switch {
+	case got != "" && got != id:
+		return false
+	case !notRun:
+		return true
+	case got == "":
+		return httpc.IsFirst(resp)
+	default:
+		return httpc.NoteOnce(resp, string(got))
+	}
+}
+
 // newRequest returns the HTTP request for the service, without the caller's key.
 func (c *Client) newRequest(ctx context.Context, r *Request, t Target, b *body) (*http.Request, error) {
 	if r.CallerKey != "" && urlContainsKey(r.Path, r.CallerKey) {
