--- a/internal/program/soak/soak_test.go
+++ b/internal/program/soak/soak_test.go
@@ -33,12 +33,14 @@
 	// Odd seeds run a small fleet, whose daemons are all active. Even seeds run a large one, where some are not.
 	smallFleetSize = 4
 	largeFleetSize = 12
-	callerCount    = 12
+	callerCount    = 48
 	// workersPerService is the number of upstreams of each service.
 	workersPerService = 4
 	// maxCallerRetries is how often callers repeat a request that was refused.
 	maxCallerRetries = 3
-	defaultSeconds   = 6
+	// seriesLength is the number of restarts, and of changes of configuration, that follow each other at once.
+	seriesLength   = 3
+	defaultSeconds = 6
 	// maxRevocationDelay is the published bound on the time until a withdrawn key is rejected.
 	maxRevocationDelay = 5 * time.Second
 )
@@ -148,7 +150,7 @@
 		p := w.processes[rng.IntN(len(w.processes))]
 		faultDuration := time.Duration(200+rng.IntN(1300)) * time.Millisecond
 		u := w.workers[rng.IntN(len(w.workers))]
-		switch rng.IntN(10) {
+		switch rng.IntN(12) {
 		case 0:
 			wg.Go(func() { w.restart(p, syscall.SIGKILL) })
 		case 1:
@@ -171,10 +173,27 @@
 			w.operator.Unlock()
 			configVersion++
 			c.revokedAt.CompareAndSwap(0, time.Now().UnixNano())
+		case 6:
+			first, gap := rng.IntN(len(w.processes)), faultDuration/4
+			wg.Go(func() { w.restartSeries(first, gap) })
+		case 7:
+			// Without the key, or the requests with it would be served again.
+			for range seriesLength {
+				w.operator.Lock()
+				w.configure(configVersion, "key-a")
+				w.operator.Unlock()
+				configVersion++
+				p.signalIfRunning(syscall.SIGHUP)
+			}
+			c.revokedAt.CompareAndSwap(0, time.Now().UnixNano())
 		default:
 			if u.busy.CompareAndSwap(false, true) {
 				sameID, m := rng.IntN(2) == 0, proxyMode(1+rng.IntN(int(proxyModeCount)-1))
 				fault := rng.IntN(4)
+				if fault == faultFreeze && rng.IntN(2) == 0 {
+					// A daemon ends between sending requests and hearing of them.
+					wg.Go(func() { time.Sleep(faultDuration / 2); w.restart(p, syscall.SIGKILL) })
+				}
 				wg.Go(func() {
 					defer u.busy.Store(false)
 					u.injectFault(w, fault, faultDuration, sameID, m)
@@ -229,15 +248,32 @@
 	w.startDaemon(p)
 }
 
+// restartSeries restarts processes one after the other, without waiting for the one before, by SIGTERM and SIGKILL in turn.
+func (w *cluster) restartSeries(first int, gap time.Duration) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for i := range min(seriesLength, len(w.processes)-1) {
+		p := w.processes[(first+i)%len(w.processes)]
+		s := [...]syscall.Signal{syscall.SIGTERM, syscall.SIGKILL}[i%2]
+		wg.Go(func() { w.restart(p, s) })
+		time.Sleep(gap)
+	}
+}
+
 // runCaller sends requests until ctx ends, each to a randomly chosen daemon.
 func (c *checker) runCaller(ctx context.Context, w *cluster, rng *rand.Rand) {
 	httpClient := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}, Timeout: 7 * time.Second}
 	defer httpClient.CloseIdleConnections()
 	// Three quarters of the callers ask the directory for a daemon's address, the others use any daemon.
 	usesDirectory := rng.IntN(4) > 0
+	// Some callers use a daemon's open connections until its process is gone.
+	staysPercent := [...]int{0, 90}[rng.IntN(2)]
+	p := w.processes[rng.IntN(len(w.processes))]
 	for n := 0; ctx.Err() == nil; n++ {
 		id := fmt.Sprintf("%d-%d-%d", c.seed, rng.Uint32(), n)
-		p := w.processes[rng.IntN(len(w.processes))]
+		if rng.IntN(100) >= staysPercent {
+			p = w.processes[rng.IntN(len(w.processes))]
+		}
 		if usesDirectory {
 			p = c.pickFromDirectory(httpClient, w, p, rng)
 		}
--- a/internal/program/soak/worker_test.go
+++ b/internal/program/soak/worker_test.go
@@ -19,6 +19,8 @@
 	drainTime = 2 * time.Second
 	// maxOverlap is how long an upstream may go on with a request that goes on elsewhere.
 	maxOverlap = 400 * time.Millisecond
+	// faultFreeze is the fault in which a worker stops for a time and then runs what it has got.
+	faultFreeze = 1
 )
 
 type span struct{ from, to time.Time }
@@ -112,9 +114,12 @@
 			time.Sleep(d)
 			u.restart(w, sameID)
 		})
-	case 1:
+	case faultFreeze:
 		u.disturb(func() {
-			u.link.setMode(modeSilent)
+			if sameID {
+				// What comes meanwhile waits on the link, otherwise at the worker.
+				u.link.setMode(modeSilent)
+			}
 			u.Freeze(d)
 			u.link.setMode(modePass)
 		})
--- a/internal/transport/plain/late_answer_test.go
+++ b/internal/transport/plain/late_answer_test.go
@@ -38,15 +38,15 @@
 			defer l.Close()
 			ran, closed := make(chan struct{}), make(chan error, 1)
 			go func() {
-				conn, err := l.Accept()
-				if err != nil {
+				conn, acceptErr := l.Accept()
+				if acceptErr != nil {
 					return
 				}
 				defer conn.Close()
 				r := bufio.NewReader(conn)
 				for _, text := range []string{c.first, c.again} {
-					req, err := http.ReadRequest(r)
-					if err != nil {
+					req, readErr := http.ReadRequest(r)
+					if readErr != nil {
 						return
 					}
 					_, _ = io.Copy(io.Discard, req.Body)
@@ -54,17 +54,18 @@
 				}
 				close(ran)
 				_ = conn.SetReadDeadline(time.Now().Add(time.Second))
-				_, err = r.ReadByte()
-				closed <- err
+				_, readErr := r.ReadByte()
+				closed <- readErr
 			}()
 			client := startClient(t)
 			picker := func() *sequentialPicker { return &sequentialPicker{urls: []string{"http://" + l.Addr().String()}} }
-			if resp, err := client.Do(t.Context(), newRequest("x"), picker()); err == nil {
+			resp, err := client.Do(t.Context(), newRequest("x"), picker())
+			if err == nil {
 				require.NoError(t, resp.Body.Close())
 			}
 			second := newRequest("x")
 			second.ID = c.second
-			resp, err := client.Do(t.Context(), second, picker())
+			resp, err = client.Do(t.Context(), second, picker())
 			<-ran
 			if err == nil {
 				require.NoError(t, resp.Body.Close())
