Wait for a connection that is held for its last answer

Cause: a request that got a held connection sealed and closed it at once. net/http hands a connection on before it delivers a response without a body, at best to a request that waits for a connection, so that it was closed under the response; and the request had to be sent again.

Such a request now waits until the answer before was judged, which takes microseconds, or until its own context ends. A retired connection is sealed as before.

--- a/internal/transport/httpc/pool.go
+++ b/internal/transport/httpc/pool.go
@@ -55,17 +55,15 @@
 // basic authentication if the request has no Authorization header. The error is a *SendError.
 func (p *Pool) Do(req *http.Request) (*http.Response, error) { return p.do(req, &sendTracker{}) }
 
-// DoHeld is Do for callers that look at whose answer they got: until Release no other request is sent on the connection of the
-// response, which may be free for the next one before DoHeld returns if the response has no body. A request that would have been is
-// not sent.
+// DoHeld is Do for callers that look at whose answer they got: until Release or Retire no other request is sent on the connection of the
+// response, which may be free for the next one before DoHeld returns if the response has no body. A request that gets it waits.
 func (p *Pool) DoHeld(req *http.Request) (*http.Response, error) {
-	tracker := &sendTracker{}
-	tracker.held.Store(true)
-	return p.do(req, tracker)
+	return p.do(req, &sendTracker{released: make(chan struct{})})
 }
 
 func (p *Pool) do(req *http.Request, tracker *sendTracker) (*http.Response, error) {
 	p.once.Do(p.init)
+	tracker.ended = req.Context().Done()
 	if user := req.URL.User; user != nil && req.Header.Get("Authorization") == "" {
 		password, _ := user.Password()
 		req.SetBasicAuth(user.Username(), password)
@@ -74,6 +72,7 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: tracker.gotConn})
 	resp, err := p.transport.RoundTrip(req.WithContext(ctx)) //nolint:bodyclose // the caller closes the body
 	if err != nil {
+		defer tracker.release()
 		return nil, &SendError{NotSent: tracker.seal(), Reused: tracker.isReused(), Err: err}
 	}
 	return resp, nil
--- a/internal/transport/httpc/send_tracker.go
+++ b/internal/transport/httpc/send_tracker.go
@@ -48,12 +48,14 @@
 	return c.state.CompareAndSwap(connFresh, connSealed) || c.state.Load() == connSealed
 }
 
-// take begins a request, whose writes fail if the connection is sealed. A connection that is still held for its last response is
-// sealed and closed.
+// take begins a request, whose writes fail if the connection is sealed. It waits while the connection is held for its last response. One
+// that is still held when the request ends is sealed and closed.
 func (c *conn) take(t *sendTracker) {
+	last := c.lastUser()
+	last.awaitRelease(t.ended)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.user != nil && c.user.held.Load() {
+	if last.isHeld() {
 		c.state.Store(connSealed)
 		_ = c.Close()
 	}
@@ -61,6 +63,12 @@
 	c.state.CompareAndSwap(connUsed, connFresh)
 }
 
+func (c *conn) lastUser() *sendTracker {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.user
+}
+
 // retire makes all further writes fail and closes the connection, unless it serves another request than the tracker's by now.
 func (c *conn) retire(t *sendTracker) {
 	c.mu.Lock()
@@ -94,7 +102,7 @@
 // Release ends the hold of a response of Pool.DoHeld on its connection.
 func Release(resp *http.Response) {
 	if t := trackerOf(resp); t != nil {
-		t.held.Store(false)
+		t.release()
 	}
 }
 
@@ -105,6 +113,7 @@
 	if t == nil {
 		return
 	}
+	defer t.release()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.current != nil {
@@ -138,8 +147,11 @@
 
 // sendTracker records whether a request was sent on any of the connections that the transport tries for it.
 type sendTracker struct {
-	// held says that no other request may be sent on the connection of the response.
-	held atomic.Bool
+	// ended is closed when the request's context ends.
+	ended <-chan struct{}
+	// released is closed once another request may be sent on the connection of the response; nil if it always may.
+	released    chan struct{}
+	releaseOnce sync.Once
 
 	mu      sync.Mutex
 	current *conn
@@ -149,6 +161,36 @@
 	maybeSent bool
 }
 
+// release lets other requests use the connection.
+func (t *sendTracker) release() {
+	if t.released != nil {
+		t.releaseOnce.Do(func() { close(t.released) })
+	}
+}
+
+// awaitRelease waits until other requests may use the connection, or until ended is closed.
+func (t *sendTracker) awaitRelease(ended <-chan struct{}) {
+	if t == nil || t.released == nil {
+		return
+	}
+	select {
+	case <-t.released:
+	case <-ended:
+	}
+}
+
+func (t *sendTracker) isHeld() bool {
+	if t == nil || t.released == nil {
+		return false
+	}
+	select {
+	case <-t.released:
+		return false
+	default:
+		return true
+	}
+}
+
 // gotConn is called by the transport when it has chosen a connection for the request.
 func (t *sendTracker) gotConn(info httptrace.GotConnInfo) {
 	t.mu.Lock()
