Refuse answers whose status is not a final one

A worker that answered 101 Switching Protocols, alone or before a final answer that it cut, gave callers a 101 with its signature, without a body and framed as whole (MIXED). One that answered with a status below 100 had its request's connection closed without an answer, as net/http panics on such a status.

Cause: net/http's transport takes 101 and all statuses below 100 for final answers, and so did the daemon. No request asks for another protocol: Upgrade is not passed on.

The connection pool treats such an answer as broken, after the request was sent, and closes its connection. All calls go through it: requests, reports and orders, the store, KV cache events, and `serve`.

TestStatusThatIsNotFinalIsNotForwarded failed before with 101; a status of 000 panicked in the handler.

--- a/internal/transport/httpc/pool.go
+++ b/internal/transport/httpc/pool.go
@@ -51,6 +51,15 @@
 
 func (e *SendError) Unwrap() error { return e.Err }
 
+// NotFinalError is a response that can't be the final one, such as a switch of protocols, which no request asks for.
+type NotFinalError struct {
+	Status int
+}
+
+func (e *NotFinalError) Error() string {
+	return fmt.Sprintf("status %d is not that of a final response", e.Status)
+}
+
 // Do sends the request and returns the response, whose body must be closed. A user and password in the URL are sent as
 // basic authentication if the request has no Authorization header. The error is a *SendError.
 func (p *Pool) Do(req *http.Request) (*http.Response, error) { return p.do(req, &sendTracker{}) }
@@ -75,6 +84,11 @@
 		defer tracker.release()
 		return nil, &SendError{NotSent: tracker.seal(), Reused: tracker.isReused(), Err: err}
 	}
+	if resp.StatusCode < http.StatusOK {
+		Retire(resp)
+		_ = resp.Body.Close()
+		return nil, &SendError{Err: &NotFinalError{Status: resp.StatusCode}}
+	}
 	return resp, nil
 }
 
