--- a/internal/program/entry/cut_head_test.go
+++ b/internal/program/entry/cut_head_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/gooseberryway/gooseberryway/internal/standin/httpd"
 	"github.com/gooseberryway/gooseberryway/platform/standin"
 )
 
@@ -44,30 +45,19 @@
 }
 
 func (u *cutUpstreams) serve(w http.ResponseWriter, r *http.Request) bool {
-	_, _ = io.Copy(io.Discard, r.Body)
-	c, buffered, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		return false
-	}
-	defer c.Close()
-	for first := true; ; first = false {
+	raw := &httpd.Raw{Answer: func(r *http.Request, reused bool) (string, bool) {
 		id := r.Header.Get(requestIDKey)
-		_, _ = io.WriteString(c, u.nextAnswer(id, first))
-		if !strings.HasPrefix(id, warmUp) {
-			return true
-		}
-		if r, err = http.ReadRequest(buffered.Reader); err != nil {
-			return true
-		}
-		_, _ = io.Copy(io.Discard, r.Body)
-	}
+		return u.nextAnswer(id, reused), strings.HasPrefix(id, warmUp)
+	}}
+	raw.ServeHTTP(w, r)
+	return true
 }
 
 // nextAnswer returns the answer to the next attempt of a request; the last one goes for all further attempts.
-func (u *cutUpstreams) nextAnswer(id string, first bool) string {
+func (u *cutUpstreams) nextAnswer(id string, reused bool) string {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if !first {
+	if reused {
 		u.reused++
 	}
 	answers := u.answers[id]
@@ -100,45 +90,9 @@
 	}
 }
 
-// interimAnswers come before the final one and say nothing of it.
-const interimAnswers = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\nX-Step: 1\r\n\r\n" +
-	"HTTP/1.1 103 Early Hints\r\nLink: </a>; rel=preload\r\nContent-Length: 0\r\n\r\n"
-
-// wholeAnswer is an answer of which any shorter part must not pass for a whole one. unframed is its length if the end of the
-// connection is that of the body too, so that only the head can be told from a whole answer's; otherwise it is 0.
-type wholeAnswer struct {
-	name, text string
-	unframed   int
-}
-
-// wholeAnswers returns an answer in each framing.
-func wholeAnswers(contentType, body string) []wholeAnswer {
-	head := strings.Replace(responseHead(http.StatusOK, contentType), "Connection: close\r\n", "", 1)
-	withLine := func(line string) string { return strings.TrimSuffix(head, "\r\n") + line + "\r\n\r\n" }
-	length := withLine(fmt.Sprintf("Content-Length: %d", len(body)))
-	return []wholeAnswer{
-		{name: "length", text: length + body},
-		{name: "chunks and trailers", text: withLine("Transfer-Encoding: chunked\r\nTrailer: X-Sum") + chunk(body) + "0\r\nX-Sum: 1\r\n\r\n"},
-		{name: "end of connection", text: head + body, unframed: len(head)},
-		{name: "LF lines", text: strings.ReplaceAll(length, "\r\n", "\n") + body},
-		{name: "LF lines, end of connection", text: strings.ReplaceAll(head, "\r\n", "\n") + body, unframed: len(strings.ReplaceAll(head, "\r\n", "\n"))},
-	}
-}
-
-// lastCut returns the number of bytes from which a part of the answer is a whole one.
-func (a *wholeAnswer) lastCut() int {
-	if a.unframed > 0 {
-		return a.unframed
-	}
-	return len(a.text)
-}
-
-// firstCut returns the number of bytes of the first cut of answer number i. Cuts of the interim answers differ by nothing that follows.
-func firstCut(i int) int {
-	if i == 0 {
-		return 0
-	}
-	return len(interimAnswers)
+// wholeAnswers returns an answer of an upstream in each framing.
+func wholeAnswers(contentType, body string) []httpd.RawResponse {
+	return httpd.RawResponses("200 OK", body, requestIDKey+": @id", signatureKey+": sig", "Content-Type: "+contentType)
 }
 
 // Guards against a part of an answer that a caller takes for the whole, as its upstream has stopped in the middle of the head, of the
@@ -154,12 +108,16 @@
 					contentType, body = "text/event-stream", events(1, 2, "\n")
 				}
 				answers := wholeAnswers(contentType, body)
-				for i, a := range answers {
-					for n := firstCut(i); n < len(interimAnswers)+a.lastCut(); n++ {
-						u.requireBroken(t, path, fmt.Sprint(a.name, n), body, answers[0].text, (interimAnswers + a.text)[:n], kept)
+				for _, a := range answers {
+					for n, part := range a.Parts() {
+						u.requireBroken(t, path, fmt.Sprint(a.Framing, n), body, answers[0].Text, part, kept)
+					}
+					id := a.Framing
+					if a.IsFramed() {
+						id = warmUp + id
 					}
-					whole := u.send(path, a.name, interimAnswers+a.text)
-					require.Equal(t, cutResult{status: http.StatusOK, body: body, signature: "sig", attempts: 1}, whole, a.name)
+					whole := u.send(path, id, a.Text)
+					require.Equal(t, cutResult{status: http.StatusOK, body: body, signature: "sig", attempts: 1}, whole, id)
 				}
 				if kept {
 					require.Greater(t, u.reused, len(u.attempts)/4, "most answers came on new connections")
@@ -192,10 +150,10 @@
 func TestRestOfStreamCutInItsHeadNeverLooksWhole(t *testing.T) {
 	u := startCutUpstreams(t)
 	begin := brokenStream(events(1, brokenAfter, "\n"))
-	for i, a := range wholeAnswers("text/event-stream", events(brokenAfter+1, streamLength, "\n")) {
-		for n := firstCut(i); n < len(interimAnswers)+a.lastCut(); n++ {
-			id := fmt.Sprint(a.name, n)
-			got := u.send("/note/x", id, begin, (interimAnswers + a.text)[:n])
+	for _, a := range wholeAnswers("text/event-stream", events(brokenAfter+1, streamLength, "\n")) {
+		for n, part := range a.Parts() {
+			id := fmt.Sprint(a.Framing, n)
+			got := u.send("/note/x", id, begin, part)
 			require.True(t, got.cut, "%s: the response looks complete", id)
 			require.Equal(t, http.StatusOK, got.status, id)
 			require.True(t, strings.HasPrefix(events(1, streamLength, "\n"), got.body), id)
