--- a/internal/program/local/request_test.go
+++ b/internal/program/local/request_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/gooseberryway/gooseberryway/internal/program/client"
 	"github.com/gooseberryway/gooseberryway/internal/standin/fakes"
+	"github.com/gooseberryway/gooseberryway/internal/standin/plain"
 )
 
 // callBookings sends a request to the plain service, with the headers that are not empty, and returns the status and the
@@ -199,3 +200,22 @@
 	require.Error(t, err)
 	require.Eventually(t, func() bool { return cancelled() > cancelledBefore }, 30*time.Second, 20*time.Millisecond)
 }
+
+// Guards against a body that a plain service has cut and that looks complete to the caller.
+func TestCutBodyOfPlainServiceNeverLooksWhole(t *testing.T) {
+	bookings.SetFaults(plain.Faults{Truncated: 1})
+	t.Cleanup(func() { bookings.SetFaults(plain.Faults{}) })
+	effects := bookings.Stats().Effects
+	for range 20 {
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+testSystem.Addresses()[0]+"/open/visits", strings.NewReader("mirror at noon"))
+		require.NoError(t, err)
+		resp, err := http.DefaultClient.Do(r)
+		if err != nil {
+			continue
+		}
+		_, err = io.ReadAll(resp.Body)
+		require.NoError(t, resp.Body.Close())
+		require.True(t, err != nil || resp.StatusCode != http.StatusOK, "the response looks complete")
+	}
+	require.Equal(t, effects+20, bookings.Stats().Effects)
+}
--- a/internal/standin/httpd/raw.go
+++ b/internal/standin/httpd/raw.go
@@ -42,6 +42,8 @@
 // RawResponse is a response with interim ones before it, as bytes.
 type RawResponse struct {
 	Framing, Text string
+	// HeadBytes is the length of the interim responses and the head.
+	HeadBytes int
 	// shortest is the length of the shortest part to test. From whole on a part can't be told from a whole response.
 	shortest, whole int
 }
@@ -54,27 +56,28 @@
 	unframed, length := head(), head(fmt.Sprintf("Content-Length: %d", len(body)))
 	trailers := fmt.Sprintf("%x\r\n%s\r\n0\r\nX-Sum: 1\r\n\r\n", len(body), body)
 	all := []RawResponse{
-		{Framing: "length", Text: length + body},
-		{Framing: "chunks and trailers", Text: head("Transfer-Encoding: chunked", "Trailer: X-Sum") + trailers},
-		{Framing: "end of connection", Text: unframed + body, whole: len(unframed)},
-		{Framing: "LF lines", Text: strings.ReplaceAll(length, "\r\n", "\n") + body},
-		{Framing: "LF lines, end of connection", Text: strings.ReplaceAll(unframed, "\r\n", "\n") + body, whole: len(strings.ReplaceAll(unframed, "\r\n", "\n"))},
+		newRawResponse("length", length, body, true),
+		newRawResponse("chunks and trailers", head("Transfer-Encoding: chunked", "Trailer: X-Sum"), trailers, true),
+		newRawResponse("end of connection", unframed, body, false),
+		newRawResponse("LF lines", strings.ReplaceAll(length, "\r\n", "\n"), body, true),
+		newRawResponse("LF lines, end of connection", strings.ReplaceAll(unframed, "\r\n", "\n"), body, false),
 	}
-	for i := range all {
-		r := &all[i]
-		if r.whole == 0 {
-			r.whole = len(r.Text)
-		}
-		r.whole += len(interimResponses)
-		r.Text = interimResponses + r.Text
-		if i > 0 {
-			// Parts of the interim responses alone are those of the first response.
-			r.shortest = len(interimResponses)
-		}
+	for i := range all[1:] {
+		// Parts of the interim responses alone are those of the first response.
+		all[1+i].shortest = len(interimResponses)
 	}
 	return all
 }
 
+func newRawResponse(framing, head, body string, isFramed bool) RawResponse {
+	r := RawResponse{Framing: framing, Text: interimResponses + head + body, HeadBytes: len(interimResponses) + len(head)}
+	r.whole = r.HeadBytes
+	if isFramed {
+		r.whole = len(r.Text)
+	}
+	return r
+}
+
 // IsFramed reports whether the response itself tells where its body ends, so that its connection can stay open.
 func (r *RawResponse) IsFramed() bool { return r.whole == len(r.Text) }
 
