--- a/internal/program/entry/helpers_test.go
+++ b/internal/program/entry/helpers_test.go
@@ -69,6 +69,7 @@
 		FailureDomain: "z",
 		Listen: setup.EntryListen{
 			Callers: standin.FreeAddress(), Ready: standin.FreeAddress(), Directory: standin.FreeAddress(), Peers: standin.FreeAddress(), Admin: standin.FreeAddress(),
+			Metrics: standin.FreeAddress(),
 		},
 		Store: f.store.Serve(faults),
 		Limits: setup.EntryLimits{
