Forget an engine's weights when it restarts

Cause: what a daemon knows of an engine's weights only rises, and a new incarnation's registration didn't reset it; reports, late answers and the leader's word of a finished load, all from before the restart, raised it again. No request ran on a version that it hadn't asked for: an engine refuses those, so that this isn't the cause of the late requests.

A new incarnation has the weights of its registration, an observation counts for the incarnation that it was made of, and the leader tells of a load only while the engine that loaded is listed. The state of an upstream follows the newest list, also for an attempt that was placed by an older one.

TestRestartedEngineHasWeightsOfItsRegistration (3 instead of 1), TestLoadIsNotReportedAfterRestartOfEngine and TestEngineBackWithOlderWeightsIsAskedForThese (421 for weights=3, 503 to the caller) failed before.

--- a/internal/coordination/place/placer.go
+++ b/internal/coordination/place/placer.go
@@ -72,8 +72,11 @@
 	return &view.Engine{}
 }
 
-// upstreamState returns the state of an upstream, updated from its registration. The caller holds p.mu.
+// upstreamState returns the state of an upstream, updated from its newest registration, or from u if it has left. The caller holds p.mu.
 func (p *Placer) upstreamState(u *view.Upstream) *upstreamState {
+	if listed := p.Snapshots.Upstreams().ByID[u.ID]; listed != nil {
+		u = listed
+	}
 	now := time.Now()
 	if p.upstreamStates == nil {
 		p.upstreamStates = map[ident.UpstreamID]*upstreamState{}
--- a/internal/coordination/place/replaced_weights_test.go
+++ b/internal/coordination/place/replaced_weights_test.go
@@ -46,3 +46,22 @@
 		})
 	}
 }
+
+// Guards against an engine that has restarted with older weights than it had and is taken to have the newer ones still: requests are refused there,
+// and the leader doesn't order it to load.
+func TestRestartedEngineHasWeightsOfItsRegistration(t *testing.T) {
+	p := newTestPlacer()
+	p.Snapshots.SetWeights(view.Weights{Model: "m", Version: 3, NamedAt: time.Now()})
+	before := engineAt(0)
+	p.SetWeightVersion(before, "m", 3)
+	restarted := engineAt(0)
+	restarted.Incarnation++
+	p.Snapshots.SetUpstreams(view.NewUpstreams(map[ident.UpstreamID]*view.Upstream{restarted.ID: restarted}, 2))
+	require.EqualValues(t, 1, p.WeightVersion(restarted, "m"))
+	// An answer or a heartbeat from before the restart comes late.
+	p.SetWeightVersion(before, "m", 3)
+	c, err := p.Choose(requestFor(1))
+	require.NoError(t, err)
+	require.EqualValues(t, 1, c.WeightVersion)
+	require.EqualValues(t, 1, p.WeightVersion(restarted, "m"))
+}
--- a/internal/coordination/place/tracker.go
+++ b/internal/coordination/place/tracker.go
@@ -264,14 +264,16 @@
 	}
 }
 
-// SetWeightVersion records the weight version that an engine was observed to have.
+// SetWeightVersion records the weight version that this incarnation of an engine was observed to have.
 func (p *Placer) SetWeightVersion(u *view.Upstream, model ident.ModelID, version int64) {
 	if version <= 0 || model == "" {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.upstreamState(u).setWeightVersion(model, version)
+	if state := p.upstreamState(u); state.incarnation == u.Incarnation {
+		state.setWeightVersion(model, version)
+	}
 }
 
 // WeightVersion returns the weight version that an engine is known to have.
--- a/internal/coordination/place/upstream_state.go
+++ b/internal/coordination/place/upstream_state.go
@@ -143,10 +143,11 @@
 	}
 }
 
-// applyRegistration updates the state from a registration. A new incarnation has an empty cache and no failures.
+// applyRegistration updates the state from a registration. A new incarnation has an empty cache, no failures, and may have other weights.
 func (s *upstreamState) applyRegistration(u *view.Upstream) {
 	if s.incarnation != u.Incarnation {
 		s.incarnation = u.Incarnation
+		s.weights = map[ident.ModelID]int64{}
 		s.recentChains = map[ChainKey]time.Time{}
 		s.failureRate.Reset()
 		s.down, s.leaving, s.pausedUntil = false, false, time.Time{}
--- a/internal/coordination/reload/order.go
+++ b/internal/coordination/reload/order.go
@@ -175,6 +175,6 @@
 	delete(r.jobs, j.engine.ID)
 	r.Placer.SetWeightVersion(j.engine, j.model, version)
 	r.Placer.SetLoading(j.engine.ID, 0)
-	r.finishedLoads[j.engine.ID] = finishedLoad{model: j.model, version: version, finishedAt: time.Now()}
+	r.finishedLoads[j.engine.ID] = finishedLoad{model: j.model, incarnation: j.engine.Incarnation, version: version, finishedAt: time.Now()}
 	r.OnChange()
 }
--- a/internal/coordination/reload/plan_test.go
+++ b/internal/coordination/reload/plan_test.go
@@ -173,3 +173,22 @@
 		require.Zero(t, outdated())
 	})
 }
+
+// Guards against a leader that tells of an engine's load after the engine has restarted, perhaps with the weights from before it.
+func TestLoadIsNotReportedAfterRestartOfEngine(t *testing.T) {
+	engine := func(incarnation ident.Incarnation) *view.Upstream {
+		return &view.Upstream{ID: "e", Service: "llm", Incarnation: incarnation, State: view.UpstreamReady, Weights: map[ident.ModelID]int64{"m": 1}}
+	}
+	snapshots := &view.Snapshots{}
+	list := func(u *view.Upstream) {
+		snapshots.SetUpstreams(view.NewUpstreams(map[ident.UpstreamID]*view.Upstream{u.ID: u}, 1))
+	}
+	list(engine(1))
+	r := &Runner{Snapshots: snapshots, Placer: &place.Placer{Snapshots: snapshots}, OnChange: func() {}, finishedLoads: map[ident.UpstreamID]finishedLoad{}}
+	r.finishLoad(&job{engine: engine(1), model: "m", version: 2}, 2)
+	require.Equal(t, []EngineStatus{{Engine: "e", Model: "m", Version: 2}}, r.EngineStatuses())
+	require.Empty(t, r.outdatedEngines([]*view.Upstream{engine(1)}, "m", 2))
+	list(engine(2))
+	require.Empty(t, r.EngineStatuses())
+	require.Len(t, r.outdatedEngines([]*view.Upstream{engine(2)}, "m", 2), 1, "it has to load again")
+}
--- a/internal/coordination/reload/runner.go
+++ b/internal/coordination/reload/runner.go
@@ -58,9 +58,10 @@
 }
 
 type finishedLoad struct {
-	model      ident.ModelID
-	version    int64
-	finishedAt time.Time
+	model       ident.ModelID
+	incarnation ident.Incarnation
+	version     int64
+	finishedAt  time.Time
 }
 
 // Run drains engines and orders loads until ctx ends and all calls in flight have returned.
@@ -241,8 +242,10 @@
 	for id, j := range r.jobs {
 		out = append(out, EngineStatus{Engine: id, UnavailableFor: r.unavailableTime(j), Model: j.model})
 	}
+	listed := r.Snapshots.Upstreams().ByID
 	for id, f := range r.finishedLoads {
-		if time.Since(f.finishedAt) > finishedReportTime {
+		restarted := listed[id] != nil && listed[id].Incarnation != f.incarnation
+		if restarted || time.Since(f.finishedAt) > finishedReportTime {
 			delete(r.finishedLoads, id)
 		} else if r.jobs[id] == nil {
 			out = append(out, EngineStatus{Engine: id, Model: f.model, Version: f.version})
--- a/internal/program/entry/named_weights_test.go
+++ b/internal/program/entry/named_weights_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
@@ -36,3 +37,22 @@
 		time.Sleep(waitTick)
 	}
 }
+
+// Guards against an engine that is back under its ID and address with older weights than it had, and is asked for the newer ones.
+func TestEngineBackWithOlderWeightsIsAskedForThese(t *testing.T) {
+	f := newTestFleet(t)
+	f.configure(1, "secret")
+	e := &standin.Upstream{ID: "e1", Model: "m", Version: 3, EventCount: 1}
+	f.startUpstream("llm", e)
+	d := f.start("d0", nil)
+	f.ready(1)
+	require.Equal(t, http.StatusOK, f.call(d, "/draft/x", "r0", "secret", "p", modelHeader, "m").StatusCode)
+	back := &standin.Upstream{ID: "e1", Model: "m", Version: 1, EventCount: 1}
+	registration := back.Registration("llm", back.Start(), "ready")
+	t.Cleanup(back.Close)
+	registration["born"] = time.Now().UnixMilli()
+	f.store.Put("keyed.servers", "e1", registration)
+	f.eventually(func() bool { return d.snapshots.Upstreams().ByID["e1"].Weights["m"] == 1 }, "the engine has not registered")
+	require.Equal(t, http.StatusOK, f.call(d, "/draft/x", "r1", "secret", "p", modelHeader, "m").StatusCode)
+	require.Equal(t, "1", back.Runs()[0].Header.Get("X-Gooseberryway-Expect-Version"))
+}
