Queue no request on replaced weights while the service time is unknown

An unknown wait for a slot takes longer than any limit on replaced weights now. Engines with free slots are used as before.

TestNoWaitForSlotOnReplacedWeightsWhileServiceTimeIsUnknown failed before: the fifth request was placed at an engine of four slots.

--- a/internal/coordination/place/replaced_weights_test.go
+++ b/internal/coordination/place/replaced_weights_test.go
@@ -65,3 +65,25 @@
 	require.EqualValues(t, 1, c.WeightVersion)
 	require.EqualValues(t, 1, p.WeightVersion(restarted, "m"))
 }
+
+// Guards against a daemon that has just started, doesn't know how long requests run, and takes those that wait for a slot of an engine with
+// replaced weights for begun at once.
+func TestNoWaitForSlotOnReplacedWeightsWhileServiceTimeIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newTestPlacer()
+		u := engineAt(0)
+		u.Slots = 4
+		p.Snapshots.SetUpstreams(view.NewUpstreams(map[ident.UpstreamID]*view.Upstream{u.ID: u}, 2))
+		p.Snapshots.SetWeights(view.Weights{Model: "m", Version: 2, NamedAt: time.Now()})
+		time.Sleep(p.OldWeightsGrace - time.Second)
+		for i := range u.Slots {
+			c, err := p.Choose(requestFor(1))
+			require.NoError(t, err, "slot %d", i)
+			p.Begin(c, requestFor(1)).MarkFirstEvent()
+		}
+		_, err := p.Choose(requestFor(1))
+		var blocked *BlockedError
+		require.ErrorAs(t, err, &blocked)
+		require.Equal(t, BlockedLoading, blocked.Reason)
+	})
+}
--- a/internal/coordination/place/wait_estimate.go
+++ b/internal/coordination/place/wait_estimate.go
@@ -36,12 +36,17 @@
 	return p.OldWeightsGrace > 0 && c.ReplacedFor > 0 && c.ReplacedFor > p.OldWeightsGrace-p.longestWait(q, c)
 }
 
-// longestWait returns how long the first token may take at the chosen engine, also while the prefill time is unknown.
+// longestWait returns how long the first token may take at the chosen engine, also while the prefill time is unknown. A wait for a slot while it
+// isn't known how long requests run has no bound, and takes OldWeightsGrace.
 func (p *Placer) longestWait(q *query, c *Choice) time.Duration {
 	state := p.upstreamStates[c.Upstream.ID]
 	work := state.totalWork(q.now, q.maxReportAge)
 	prefill := state.estimates.prefill.Overhead() + state.prefillTime(work.PrefillTokens+c.PrefillTokens)
-	queue := waitForSlot(work.Requests, c.Upstream.Slots, state.estimates.serviceTime.Median())
+	serviceTime := state.estimates.serviceTime.Median()
+	if serviceTime == 0 {
+		serviceTime = time.Duration(c.Upstream.Slots) * p.OldWeightsGrace
+	}
+	queue := waitForSlot(work.Requests, c.Upstream.Slots, serviceTime)
 	return time.Duration(prefillSlackFactor * state.slowness(q.now) * float64(queue+prefill))
 }
 
