Take a version read after a pause of the process for named in it

A daemon that was frozen while a version was named took the moment of its return for that of the naming, and told its peers that it had observed it.

TestVersionReadAfterPauseOfProcessIsNotObserved fails with the detector's word ignored: the naming counts as observed. No real process was frozen.

--- a/internal/coordination/feed/follower.go
+++ b/internal/coordination/feed/follower.go
@@ -82,6 +82,7 @@
 	// retained.
 	retainedUntil map[ident.UpstreamID]time.Time
 	registrations registrations
+	pauses        pauseDetector
 	// restoredAt is when this daemon learned that the store had returned from an older copy; zero if it has not.
 	restoredAt time.Time
 
@@ -131,6 +132,7 @@
 		f.setChecked(topic)
 		wg.Go(func() { f.follow(ctx, topic) })
 	}
+	wg.Go(func() { f.detectPauses(ctx) })
 	wg.Wait()
 }
 
@@ -172,6 +174,15 @@
 	}
 }
 
+func (f *Follower) detectPauses(ctx context.Context) {
+	for ctx.Err() == nil {
+		f.mu.Lock()
+		f.pauses.tick(time.Now())
+		f.mu.Unlock()
+		scope.Sleep(ctx, pauseCheckInterval)
+	}
+}
+
 func (f *Follower) setChecked(topic extern.Topic) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -439,16 +450,21 @@
 
 // namedAt returns when a version that is learnt now was named, and whether that was observed. A peer that passes it on may have
 // started after the naming; if it observed that, its heartbeats tell. A version that the store gives may have been named at any time since
-// the read before, unless the store held this read until then. An outage of the store isn't part of that time.
+// the read before, unless the store held this read until then and the process wasn't paused meanwhile. An outage of the store isn't part of
+// that time.
 func (f *Follower) namedAt(s *topicState, r *extern.KeyedRecord, passedOn bool) (time.Time, bool) {
 	switch {
 	case !s.loaded:
 		return s.checkedAt.Add(-f.InitialVersionAge), false
 	case passedOn:
 		return later(s.checkedAt, r.SeenAt.Add(-f.InitialVersionAge)), false
-	default:
-		return time.Now().Add(-min(s.unreadFor, f.InitialVersionAge)), s.unreadFor <= maxObservationGap
 	}
+	now := time.Now()
+	unreadFor := s.unreadFor
+	if pausedAt, ok := f.pauses.justResumed(now); ok {
+		unreadFor = max(unreadFor, now.Sub(pausedAt))
+	}
+	return now.Add(-min(unreadFor, f.InitialVersionAge)), unreadFor <= maxObservationGap
 }
 
 func later(a, b time.Time) time.Time {
--- a/internal/coordination/feed/named_at_test.go
+++ b/internal/coordination/feed/named_at_test.go
@@ -101,3 +101,27 @@
 		require.False(t, w.NamedAt.After(namedAt), "taken for named %v late", w.NamedAt.Sub(namedAt))
 	})
 }
+
+// Guards against a daemon that was frozen while a version was named, and tells peers that have started since that it saw that on its return.
+func TestVersionReadAfterPauseOfProcessIsNotObserved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &Follower{InitialVersionAge: 5 * time.Second}
+		s := &topicState{loaded: true}
+		f.pauses.tick(time.Now())
+		time.Sleep(pauseCheckInterval)
+		at, observed := f.namedAt(s, &extern.KeyedRecord{}, false)
+		require.True(t, observed)
+		require.Equal(t, time.Now(), at)
+		pausedAt := time.Now()
+		time.Sleep(3 * time.Second)
+		// The process may notice that it was paused before it reads what has arrived, or after it.
+		f.pauses.tick(time.Now())
+		time.Sleep(pauseCheckInterval)
+		at, observed = f.namedAt(s, &extern.KeyedRecord{}, false)
+		require.False(t, observed)
+		require.Equal(t, pausedAt, at)
+		time.Sleep(3 * time.Second)
+		_, observed = f.namedAt(s, &extern.KeyedRecord{}, false)
+		require.False(t, observed)
+	})
+}
