Let tests of the entry daemon replace how upstreams are dialled

Pool.Dial replaces net.Dialer, bounded by DialTimeout as before, so that a test can cut one daemon off from upstreams that others reach. The pools of requests and of orders and the probe of unreachable upstreams dial through the daemon's unexported dialUpstream. Nothing changes where it is nil.

--- a/internal/program/entry/daemon.go
+++ b/internal/program/entry/daemon.go
@@ -44,6 +44,9 @@
 	// Reload reads the settings again; nil if the settings can't change while the daemon runs.
 	Reload func() (*setup.Entry, error)
 
+	// dialUpstream opens connections to upstreams; nil means net.Dialer.
+	dialUpstream func(ctx context.Context, network, address string) (net.Conn, error)
+
 	listening     chan struct{}
 	listeningOnce sync.Once
 
@@ -121,9 +124,9 @@
 		return nil
 	}
 	d.store = &instrumentedStore{Store: &platform.Store{Address: s.Store, Pool: httpc.Pool{DialTimeout: storeDialTimeout}}}
-	upstreams := &httpc.Pool{DialTimeout: upstreamDialTimeout, IdleTimeout: upstreamIdleTimeout}
+	upstreams := &httpc.Pool{DialTimeout: upstreamDialTimeout, Dial: d.dialUpstream, IdleTimeout: upstreamIdleTimeout}
 	// Answers to reports and orders bear no id, so that they must not come on connections of requests.
-	control := &httpc.Pool{DialTimeout: upstreamDialTimeout, IdleTimeout: upstreamIdleTimeout}
+	control := &httpc.Pool{DialTimeout: upstreamDialTimeout, Dial: d.dialUpstream, IdleTimeout: upstreamIdleTimeout}
 	d.stores = &kvdir.Stores{Feed: &platform.CacheFeed{Pool: &httpc.Pool{DialTimeout: storeDialTimeout}}, Snapshots: &d.snapshots, Follows: d.followsKVStores}
 	d.placer = &place.Placer{
 		Snapshots:       &d.snapshots,
--- a/internal/program/entry/probe.go
+++ b/internal/program/entry/probe.go
@@ -37,7 +37,7 @@
 			}
 			nextAttempt[id] = now.Add(probePeriod + rand.N(probePeriod/2))
 			wg.Go(func() {
-				if canConnect(ctx, address) {
+				if d.canConnect(ctx, address) {
 					d.placer.MarkReachable(id)
 				}
 			})
@@ -46,9 +46,14 @@
 	}
 }
 
-func canConnect(ctx context.Context, address string) bool {
-	dialer := net.Dialer{Timeout: probeTimeout}
-	c, err := dialer.DialContext(ctx, "tcp4", address)
+func (d *Daemon) canConnect(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	dial := d.dialUpstream
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	c, err := dial(ctx, "tcp4", address)
 	if err != nil {
 		return false
 	}
--- a/internal/transport/httpc/pool.go
+++ b/internal/transport/httpc/pool.go
@@ -26,6 +26,8 @@
 	MaxIdleConnsPerHost int
 	// IdleTimeout is how long an idle connection is kept; 0 means 60 seconds.
 	IdleTimeout time.Duration
+	// Dial opens connections; nil means net.Dialer. Its context ends after DialTimeout.
+	Dial meter.DialFunc
 	// Link is the metric label under which the bytes of the connections are counted; if empty, they are not counted.
 	Link meter.Link
 
@@ -100,13 +102,18 @@
 }
 
 func (p *Pool) init() {
-	dialer := &net.Dialer{Timeout: orDefault(p.DialTimeout, defaultDialTimeout)}
-	dial := meter.DialFunc(dialer.DialContext)
+	dialTimeout := orDefault(p.DialTimeout, defaultDialTimeout)
+	dial := p.Dial
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
 	if p.Link != "" {
 		dial = p.Link.Dial(dial)
 	}
 	p.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+			defer cancel()
 			c, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, err
@@ -114,7 +121,7 @@
 			return &conn{Conn: c}, nil
 		},
 		TLSClientConfig:        p.TLS,
-		TLSHandshakeTimeout:    orDefault(p.DialTimeout, defaultDialTimeout),
+		TLSHandshakeTimeout:    dialTimeout,
 		MaxIdleConns:           0,
 		MaxIdleConnsPerHost:    orDefault(p.MaxIdleConnsPerHost, defaultIdleConnsPerHost),
 		IdleConnTimeout:        orDefault(p.IdleTimeout, defaultIdleTimeout),
--- a/internal/transport/httpc/pool_test.go
+++ b/internal/transport/httpc/pool_test.go
@@ -167,3 +167,17 @@
 	require.NoError(t, resp.Body.Close())
 	require.Equal(t, credentials{"router", "secret"}, <-got)
 }
+
+func TestDialFieldIsBoundedByDialTimeout(t *testing.T) {
+	p := &Pool{DialTimeout: 50 * time.Millisecond, Dial: func(ctx context.Context, network, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, &net.OpError{Op: "dial", Net: network, Err: ctx.Err()}
+	}}
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://upstream.example/", http.NoBody)
+	require.NoError(t, err)
+	_, err = p.Do(req)
+	var send *SendError
+	require.ErrorAs(t, err, &send)
+	require.True(t, send.NotSent)
+	require.True(t, IsTimeout(err))
+}
