--- a/internal/program/entry/helpers_test.go
+++ b/internal/program/entry/helpers_test.go
@@ -29,14 +29,18 @@
 	// retrySlack is the number of retries in a window that all daemons allow for; 50 if 0.
 	retrySlack float64
 	// graceS is the time from SIGTERM to SIGKILL in seconds; 4 if 0.
-	graceS  float64
-	t       *testing.T
-	store   *standin.Store
-	daemons []*testDaemon
+	graceS float64
+	// cuttable gives each daemon a link to the upstreams that can be cut.
+	cuttable bool
+	t        *testing.T
+	store    *standin.Store
+	daemons  []*testDaemon
 }
 
 type testDaemon struct {
 	*Daemon
+	// link is nil unless the fleet is cuttable.
+	link   *upstreamLink
 	cancel context.CancelFunc
 	done   chan struct{}
 }
@@ -79,6 +83,10 @@
 	}
 	ctx, cancel := context.WithCancel(f.t.Context())
 	r := &testDaemon{Daemon: &Daemon{Settings: s}, cancel: cancel, done: make(chan struct{})}
+	if f.cuttable {
+		r.link = newUpstreamLink()
+		r.dialUpstream = r.link.dial
+	}
 	go func() {
 		defer close(r.done)
 		if err := r.Run(ctx); err != nil {
@@ -153,7 +161,16 @@
 // call sends a request to a daemon. headers are alternating names and values.
 func (f *testFleet) call(d *testDaemon, path, id, key, body string, headers ...string) *http.Response {
 	f.t.Helper()
-	req, err := http.NewRequestWithContext(f.t.Context(), http.MethodPost, "http://"+d.Settings.Listen.Callers+path, strings.NewReader(body))
+	resp, err := http.DefaultClient.Do(f.request(f.t.Context(), d, path, id, key, body, headers...))
+	require.NoError(f.t, err)
+	f.t.Cleanup(func() { _ = resp.Body.Close() })
+	return resp
+}
+
+// request returns a request to a daemon. headers are alternating names and values.
+func (f *testFleet) request(ctx context.Context, d *testDaemon, path, id, key, body string, headers ...string) *http.Request {
+	f.t.Helper()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.Settings.Listen.Callers+path, strings.NewReader(body))
 	require.NoError(f.t, err)
 	req.Host = "h.example"
 	req.Header.Set("X-Gooseberryway-Attempt-Id", id)
@@ -162,10 +179,7 @@
 	for i := 0; i+1 < len(headers); i += 2 {
 		req.Header.Set(headers[i], headers[i+1])
 	}
-	resp, err := http.DefaultClient.Do(req)
-	require.NoError(f.t, err)
-	f.t.Cleanup(func() { _ = resp.Body.Close() })
-	return resp
+	return req
 }
 
 func text(t *testing.T, resp *http.Response) string {
