--- a/internal/program/entry/stranded_test.go
+++ b/internal/program/entry/stranded_test.go
@@ -95,8 +95,10 @@
 	id, path string
 	status   int
 	body     string
-	cut      bool
-	took     time.Duration
+	// signature is the upstream's.
+	signature string
+	cut       bool
+	took      time.Duration
 }
 
 func (a *answer) served() bool {
@@ -104,7 +106,7 @@
 	if a.path == "/draft/x" || a.path == "/note/x" {
 		want = events(1, fleetEvents, "\n")
 	}
-	return a.status == http.StatusOK && !a.cut && strings.HasPrefix(a.body, want)
+	return a.status == http.StatusOK && !a.cut && strings.HasPrefix(a.signature, "sig-") && strings.HasPrefix(a.body, want)
 }
 
 var lastRequest atomic.Int64
@@ -119,7 +121,7 @@
 		defer resp.Body.Close()
 		var raw []byte
 		raw, err = io.ReadAll(resp.Body)
-		a.status, a.body, a.cut = resp.StatusCode, string(raw), err != nil
+		a.status, a.body, a.cut, a.signature = resp.StatusCode, string(raw), err != nil, resp.Header.Get(signatureKey)
 	}
 	a.took = time.Since(started)
 	return a
