Keep streams on connections that live while new ones are refused

Cause: an upstream that can't be connected to is down, and requests at an upstream that has been down for a while were aborted, whether or not anything arrived from it.

They are aborted now only if nothing has arrived for that time either.

TestStreamOnOpenConnectionOutlivesRefusedConnections and TestStreamOnLiveConnectionOutlivesFailedConnects failed before.

--- a/internal/coordination/place/upstream_state.go
+++ b/internal/coordination/place/upstream_state.go
@@ -127,10 +127,10 @@
 }
 
 // shouldAbort reports whether requests at the upstream are to be aborted: it has not been reachable for
-// unreachableConfirmTime, or it accepts connections but has sent nothing for longer than hangTimeout. An upstream
+// unreachableConfirmTime and has sent nothing on its open connections either, or it accepts connections but has sent nothing for longer than hangTimeout. An upstream
 // that is merely slow does neither.
 func (s *upstreamState) shouldAbort(now time.Time, maxReportAge time.Duration) bool {
-	if s.down && now.Sub(s.downSince) >= unreachableConfirmTime {
+	if s.down && now.Sub(s.downSince) >= unreachableConfirmTime && now.Sub(s.lastBytesAt) >= unreachableConfirmTime {
 		return true
 	}
 	return s.silentFor(now, s.lastBytesAt) > hangTimeout+prefillSlackFactor*s.prefillTime(s.totalWork(now, maxReportAge).PrefillTokens)
