Pass requests on to a peer when no upstream can be reached

Cause: a daemon has one road to upstreams, its own connections. No message tells which upstreams a daemon reaches.

A daemon that can connect to no upstream of a service has a peer run the request, over one hop: heartbeats name the services that a daemon can't reach, the peer decides by what it knows, and counts it once.

--- /dev/null
+++ b/internal/coordination/detour/chooser.go
@@ -0,0 +1,100 @@
+// Package detour chooses the peer that runs a request for a daemon that can connect to no upstream of the request's service, while
+// the peer can. It does no I/O.
+package detour
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gooseberryway/gooseberryway/internal/coordination/fleet"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/state/view"
+)
+
+// Chooser chooses peers and keeps account of the requests that they run for this daemon. Its fields are set before the first call;
+// its methods may be called concurrently.
+type Chooser struct {
+	Self ident.DaemonID
+	// Peers returns the known peers.
+	Peers func() []fleet.Peer
+	// IsActive reports whether callers are sent to a peer. The other peers hear less often of the fleet.
+	IsActive func(ident.DaemonID) bool
+	// ConfigVersion returns the version of this daemon's configuration.
+	ConfigVersion func() int64
+
+	mu       sync.Mutex
+	inFlight map[ident.DaemonID]int
+	// newestVersion is the newest version of the configuration of the peers that were chosen.
+	newestVersion int64
+}
+
+// Choose returns a peer that can connect to upstreams of the service, other than those that were tried; false if there is none. The
+// choice ends with Release.
+func (c *Chooser) Choose(service view.ServiceID, tried []ident.DaemonID) (fleet.Peer, bool) {
+	candidates := c.candidates(service, tried)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	candidates = withVersion(candidates, max(c.ConfigVersion(), c.newestVersion))
+	if len(candidates) == 0 {
+		return fleet.Peer{}, false
+	}
+	// Of two peers drawn at random the one with less to do, so that daemons that choose at the same time don't choose the same peer.
+	best, other := candidates[rand.N(len(candidates))], candidates[rand.N(len(candidates))]
+	if c.inFlight[other.ID] < c.inFlight[best.ID] {
+		best = other
+	}
+	if c.inFlight == nil {
+		c.inFlight = map[ident.DaemonID]int{}
+	}
+	c.inFlight[best.ID]++
+	c.newestVersion = max(c.newestVersion, best.ConfigVersion)
+	return best, true
+}
+
+// withVersion returns the peers whose configuration has the given version or a newer one, so that callers of this daemon don't see an
+// older one again. If there are none, those with the newest remain.
+func withVersion(peers []fleet.Peer, version int64) []fleet.Peer {
+	newest := int64(0)
+	for _, p := range peers {
+		newest = max(newest, p.ConfigVersion)
+	}
+	return slices.DeleteFunc(peers, func(p fleet.Peer) bool { return p.ConfigVersion < min(version, newest) })
+}
+
+// Release ends a choice.
+func (c *Chooser) Release(id ident.DaemonID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.inFlight[id]--; c.inFlight[id] <= 0 {
+		delete(c.inFlight, id)
+	}
+}
+
+// IsAlive reports whether a peer was heard lately.
+func (c *Chooser) IsAlive(id ident.DaemonID) bool {
+	now := time.Now()
+	return slices.ContainsFunc(c.Peers(), func(p fleet.Peer) bool { return p.ID == id && p.Alive(now) })
+}
+
+// candidates returns the peers that may run a request to the service: the active ones, or if none of them may the others.
+func (c *Chooser) candidates(service view.ServiceID, tried []ident.DaemonID) []fleet.Peer {
+	now := time.Now()
+	var active, idle []fleet.Peer
+	for _, p := range c.Peers() {
+		if !p.Alive(now) || !p.Ready || p.Leaving || !p.TakesRequests ||
+			slices.Contains(p.UnreachableServices, service) || slices.Contains(tried, p.ID) {
+			continue
+		}
+		if c.IsActive(p.ID) {
+			active = append(active, p)
+		} else {
+			idle = append(idle, p)
+		}
+	}
+	if len(active) > 0 {
+		return active
+	}
+	return idle
+}
--- a/internal/coordination/fleet/table.go
+++ b/internal/coordination/fleet/table.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/state/view"
 )
 
 const (
@@ -76,6 +77,10 @@
 	Capacity, Demand RequestsPerSecond
 	// Serving says that requests reach the peer.
 	Serving bool
+	// TakesRequests says that the peer runs requests that are passed on to it, UnreachableServices to which services' upstreams it
+	// can't connect. Only the peer itself tells so, no other daemon.
+	TakesRequests       bool
+	UnreachableServices []view.ServiceID
 	// HeartbeatPeriod is the time between the peer's heartbeats.
 	HeartbeatPeriod time.Duration
 	// ReportedByPeer says that another daemon reported the peer as alive, and that no recent heartbeat came from the
--- a/internal/program/cmds/explain.go
+++ b/internal/program/cmds/explain.go
@@ -164,6 +164,12 @@
 		return fmt.Sprintf("%s answered request %s instead; the answer was thrown away.", f["upstream"], f["got"])
 	case "Status of an upstream that would promise too much":
 		return fmt.Sprintf("%s answered with status %s without saying that it has not run; it may have.", f["upstream"], f["status"])
+	case "Request passed on":
+		return fmt.Sprintf("No upstream of %s could be reached from here; it went to %s, with %s ms left.", f["service"], f["peer"], f["leftMs"])
+	case "Peer answered":
+		return fmt.Sprintf("%s answered after %s ms with status %s (%s).", f["peer"], f["sinceSentMs"], f["status"], f["outcome"])
+	case "Peer did not answer", "Answer of a peer broke":
+		return fmt.Sprintf("No whole answer came from %s: %s.", f["peer"], f["error"])
 	case "Request has quarantined prompt parts":
 		if strings.HasPrefix(f["reason"], "request ") {
 			return fmt.Sprintf("It crashes the upstreams that begin it: %s.", f["reason"])
--- a/internal/program/entry/daemon.go
+++ b/internal/program/entry/daemon.go
@@ -18,6 +18,7 @@
 
 	"github.com/gooseberryway/gooseberryway/internal/coordination/admit"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/canary"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/detour"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/feed"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/fleet"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/leader"
@@ -74,12 +75,17 @@
 	seeds   atomic.Pointer[[]string]
 	leaving atomic.Bool
 	// inFlight counts the callers' requests in progress.
-	inFlight       atomic.Int64
+	inFlight atomic.Int64
+	// passedInFlight counts the requests in progress that peers passed on.
+	passedInFlight atomic.Int64
 	fullHeartbeats atomic.Uint64
 	// demand counts the callers' requests that arrive at this daemon.
 	demand fleet.Demand
 	// fleet is the view of the fleet as of the last heartbeat round; nil before the first.
 	fleet atomic.Pointer[fleetView]
+	// unreachableServices are those to none of whose upstreams this daemon could connect in the last heartbeat round; nil before the
+	// first.
+	unreachableServices atomic.Pointer[[]view.ServiceID]
 	// idleSentAt is when heartbeats last went to daemons without traffic, idleSentState the state that they
 	// announced. Only nextRound uses them.
 	idleSentAt    time.Time
@@ -92,6 +98,9 @@
 const (
 	// upstreamDialTimeout bounds connecting to an upstream, which normally takes a few milliseconds.
 	upstreamDialTimeout = 300 * time.Millisecond
+	// peerDialTimeout bounds connecting to a peer, and peerIdleTimeout is how long an idle connection to one is kept.
+	peerDialTimeout = 300 * time.Millisecond
+	peerIdleTimeout = 4 * time.Second
 	// storeDialTimeout bounds connecting to the platform store or a KV cache store.
 	storeDialTimeout = 500 * time.Millisecond
 	// upstreamIdleTimeout is how long an idle connection to an upstream is kept open.
@@ -156,6 +165,8 @@
 		NextRound:     d.nextRound,
 		OnHeartbeat:   d.applyHeartbeat,
 		HandleChanges: d.changesFor,
+		Requests:      http.HandlerFunc(d.servePassed),
+		IsRequest:     proxy.IsPassed,
 	}
 	d.detector = d.newDetector()
 	d.elector = &leader.Elector{
@@ -201,6 +212,8 @@
 		RetryBudgets:   d.retryBudgets(),
 		Shedders:       &view.PerService[shed.Controller]{},
 		Pool:           upstreams,
+		Peers:          &detour.Chooser{Self: s.DaemonID, Peers: d.table.All, IsActive: d.isActivePeer, ConfigVersion: d.configVersion},
+		PeerPool:       &httpc.Pool{DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout},
 		Bodies:         &proxy.BodyBudget{MaxBytes: int64(s.Resources.MemoryMB * bytesPerMB / bodyMemoryDivisor)},
 		Stop:           &d.requestStop,
 		IsDraining:     d.leaving.Load,
@@ -304,8 +317,13 @@
 	listeners   []net.Listener
 	// busy are the callers' connections with a request.
 	busy busyConns
+	// passed counts the requests in progress that peers passed on.
+	passed *atomic.Int64
 }
 
+// inProgress returns the number of requests that are read or answered.
+func (s *servers) inProgress() int { return s.busy.count() + int(s.passed.Load()) }
+
 // callerServer is the index of the server for callers.
 const callerServer = 0
 
@@ -320,7 +338,7 @@
 func (e *ListenError) Unwrap() error { return e.Err }
 
 func (d *Daemon) listen(ctx context.Context) (*servers, error) {
-	s := &servers{}
+	s := &servers{passed: &d.passedInFlight}
 	l := d.Settings.Listen
 	for _, endpoint := range []struct {
 		address string
--- a/internal/program/entry/drain.go
+++ b/internal/program/entry/drain.go
@@ -59,14 +59,14 @@
 	s.awaitIdle(latest)
 	refuse()
 	s.awaitIdle(latest)
-	open := s.busy.count()
+	open := s.inProgress()
 	_ = s.httpServers[callerServer].Close()
 	return open
 }
 
-// awaitIdle waits until no request is read or answered on a caller's connection, at the latest until the given time.
+// awaitIdle waits until no request of a caller or passed on by a peer is read or answered, at the latest until the given time.
 func (s *servers) awaitIdle(latest time.Time) {
-	for s.busy.count() > 0 && time.Now().Before(latest) {
+	for s.inProgress() > 0 && time.Now().Before(latest) {
 		time.Sleep(busyPollInterval)
 	}
 }
--- a/internal/program/entry/fleetview.go
+++ b/internal/program/entry/fleetview.go
@@ -48,6 +48,7 @@
 
 // refreshView computes the present view of the fleet, publishes it for the other goroutines and returns it.
 func (d *Daemon) refreshView() *fleetView {
+	d.updateUnreachable()
 	v := &fleetView{own: d.self(), size: d.table.RecentCount()}
 	v.active = d.table.Active(v.own)
 	v.activeRank = len(v.active)
--- a/internal/program/entry/heartbeat.go
+++ b/internal/program/entry/heartbeat.go
@@ -110,6 +110,10 @@
 		CacheStores:      d.stores.ReachableAddresses(),
 		ConfigVersion:    d.configVersion(),
 		WeightVersions:   d.weightVersions(),
+		TakesRequests:    true,
+	}
+	for _, service := range d.unreachable() {
+		b.UnreachableServices = append(b.UnreachableServices, string(service))
 	}
 	d.addLeaderState(b)
 	d.addUsage(b, v.inMesh())
--- a/internal/program/entry/peers.go
+++ b/internal/program/entry/peers.go
@@ -55,6 +55,10 @@
 		Demand:           fleet.RequestsPerSecond(b.GetDemand()),
 		Serving:          b.GetServing(),
 		HeartbeatPeriod:  time.Duration(b.GetPeriodMs()) * time.Millisecond,
+		TakesRequests:    b.GetTakesRequests(),
+	}
+	for _, service := range b.GetUnreachableServices() {
+		p.UnreachableServices = append(p.UnreachableServices, view.ServiceID(service))
 	}
 	if !d.table.ApplyHeartbeat(p, b.GetSequence()) {
 		return
--- a/internal/transport/gossip/gossip.go
+++ b/internal/transport/gossip/gossip.go
@@ -26,7 +26,9 @@
 	// urgentCoalesceDelay is the longest delay of an urgent round, so that it includes further changes.
 	urgentCoalesceDelay = 60 * time.Millisecond
 	callTimeout         = 600 * time.Millisecond
-	maxHeaderBytes      = 4 << 10
+	maxHeaderBytes      = 64 << 10
+	// serverIdleTimeout is how long the connection of a peer is kept, longer than peers keep idle ones.
+	serverIdleTimeout = 20 * time.Second
 )
 
 // Round is the set of heartbeats that a daemon sends at one time.
@@ -52,6 +54,9 @@
 	OnHeartbeat func(*wire.Beat)
 	// HandleChanges returns the records that a peer is missing.
 	HandleChanges func(*wire.ChangesRequest) *wire.ChangesReply
+	// Requests serves the calls of peers of which IsRequest says that they are callers' requests; nil for none.
+	Requests  http.Handler
+	IsRequest func(*http.Request) bool
 
 	socket        *net.UDPConn
 	server        *http.Server
@@ -96,7 +101,18 @@
 func (n *Node) Run(ctx context.Context, l net.Listener) {
 	mux := http.NewServeMux()
 	mux.Handle(wire.NewFleetServiceHandler(service{n}))
-	n.server = &http.Server{Handler: mux, ReadHeaderTimeout: callTimeout, MaxHeaderBytes: maxHeaderBytes}
+	n.server = &http.Server{
+		// The mux would redirect requests with a path that isn't in its shortest form.
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if n.Requests != nil && n.IsRequest(r) {
+				n.Requests.ServeHTTP(w, r)
+				return
+			}
+			mux.ServeHTTP(w, r)
+		}),
+		ReadHeaderTimeout: callTimeout, IdleTimeout: serverIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: klog.NewStandardLogger("INFO"),
+	}
 	var wg sync.WaitGroup
 	wg.Go(func() {
 		if err := n.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -77,7 +77,7 @@
 
 // watchUpstream cancels an attempt whose upstream becomes unreachable or hangs, if another attempt may follow.
 func (c *call) watchUpstream(ctx context.Context, cancel context.CancelCauseFunc, tracker *attemptTracker) {
-	if !c.route.Repeatable() || c.possibleRuns()+1 >= c.route.MaxAttempts {
+	if !c.route.Repeatable() || c.possibleRuns()+1 >= c.maxRuns() {
 		return
 	}
 	go func() {
@@ -99,12 +99,7 @@
 
 func (c *call) upstreamRequest(ctx context.Context, choice *place.Choice, p *progress) (*http.Request, error) {
 	placeReq := p.placeReq
-	u := *c.r.URL
-	u.Scheme, u.Host, u.User = "http", choice.Upstream.Address, nil
-	if path, _, _ := strings.Cut(c.r.RequestURI, "?"); isUnchangedPath(path) {
-		// Otherwise net/url encodes what RFC 3986 wants encoded, so that the upstream sees another path.
-		u.Opaque = path
-	}
+	u := c.targetAt(choice.Upstream.Address)
 	a := Attempt{
 		Upstream:      choice.Upstream,
 		UntilDeadline: c.untilDeadline(),
@@ -119,7 +114,7 @@
 	}
 	req := &http.Request{
 		Method:        c.r.Method,
-		URL:           &u,
+		URL:           u,
 		Host:          c.r.Host,
 		Header:        c.Dialect.UpstreamHeaders(c.r.Header, a),
 		ContentLength: int64(len(c.body)),
@@ -134,6 +129,17 @@
 	return req.WithContext(ctx), nil
 }
 
+// targetAt returns the request's target at an address.
+func (c *call) targetAt(address string) *url.URL {
+	u := *c.r.URL
+	u.Scheme, u.Host, u.User = "http", address, nil
+	if path, _, _ := strings.Cut(c.r.RequestURI, "?"); isUnchangedPath(path) {
+		// Otherwise net/url encodes what RFC 3986 wants encoded, so that the upstream sees another path.
+		u.Opaque = path
+	}
+	return &u
+}
+
 // isUnchangedPath reports whether a path can be sent as it came: it is one of the server's own, and not to be taken for a host.
 func isUnchangedPath(path string) bool {
 	return strings.HasPrefix(path, "/") && !strings.HasPrefix(path, "//")
--- /dev/null
+++ b/internal/transport/proxy/detour.go
@@ -0,0 +1,209 @@
+package proxy
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/gooseberryway/gooseberryway/internal/coordination/fleet"
+	"github.com/gooseberryway/gooseberryway/internal/state/guard"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/transport/httpc"
+)
+
+const (
+	// maxDetours is the number of peers that a request is passed on to, one after the other.
+	maxDetours = 2
+	// detourDeadlineGrace is how long after the deadline a response of a peer is waited for, which itself waits for deadlineGrace.
+	detourDeadlineGrace = 2 * deadlineGrace
+)
+
+// isCutOff reports whether this daemon can connect to no upstream of the request's service.
+func (c *call) isCutOff() bool { return c.Peers != nil && c.Placer.IsUnreachable(c.service) }
+
+// passOn has a peer run the request. It returns false if no peer was found that may have run it or has answered it, so that the request
+// may still be refused here.
+func (c *call) passOn() (ended bool, err error) {
+	if c.Peers == nil || c.hop != nil || c.detoured {
+		return false, nil
+	}
+	c.detoured = true
+	// The peer charges the request to its organisation's rate limit.
+	c.refund()
+	var tried []ident.DaemonID
+	for len(tried) < maxDetours {
+		if err := c.checkBeforeAttempt(); err != nil {
+			return true, err
+		}
+		if c.mayHaveRun() && !c.mayRunAgain() {
+			return true, c.endAfterLastAttempt(ReasonUnreachable)
+		}
+		peer, ok := c.Peers.Choose(c.service, tried)
+		if !ok {
+			break
+		}
+		tried = append(tried, peer.ID)
+		step, reason := c.passTo(peer, maxDetours-len(tried))
+		c.Peers.Release(peer.ID)
+		if step == stepDone {
+			return true, nil
+		}
+		if step == stepFail {
+			return true, c.endAfterLastAttempt(reason)
+		}
+	}
+	if c.mayHaveRun() {
+		return true, c.endAfterLastAttempt(ReasonUnreachable)
+	}
+	return false, nil
+}
+
+// mayRunAgain reports whether another upstream may run the request after one that may have run it.
+func (c *call) mayRunAgain() bool {
+	step, _ := c.stepAfterRun("")
+	return step == stepRetryOther && c.possibleRuns() < c.maxRuns()
+}
+
+// passTo passes the request on to a peer and forwards the response. spare is the number of peers that may follow.
+func (c *call) passTo(peer fleet.Peer, spare int) (nextStep, Reason) {
+	ctx, cancel := context.WithCancelCause(c.ctx)
+	defer cancel(nil)
+	end := time.AfterFunc(c.untilDeadline()+detourDeadlineGrace, func() { cancel(context.DeadlineExceeded) })
+	defer end.Stop()
+	// Each peer leaves the next one a run.
+	runs := max(1, c.maxRuns()-c.possibleRuns()-spare)
+	req, err := c.peerRequest(ctx, peer, runs)
+	if err != nil {
+		return stepFail, ReasonPeerBroke
+	}
+	c.attemptAt = time.Now()
+	klog.InfoS("Request passed on", "request", c.req.ID, "peer", peer.ID, "service", c.service, "runs", c.possibleRuns(), "runsLeft", runs,
+		"lastEvent", c.reply.position.lastID, "heardMs", time.Since(peer.LastHeartbeatAt).Milliseconds(), "leftMs", c.untilDeadline().Milliseconds())
+	if c.route.Repeatable() && c.possibleRuns()+runs < c.maxRuns() {
+		go c.watchPeer(ctx, cancel, peer.ID)
+	}
+	resp, err := c.PeerPool.Do(req)
+	if err != nil {
+		return c.handlePassError(ctx, err, peer, runs)
+	}
+	defer resp.Body.Close()
+	return c.handlePeerResponse(ctx, resp, peer, runs)
+}
+
+// peerRequest returns the request as the caller sent it, with the time and the events that are left.
+func (c *call) peerRequest(ctx context.Context, peer fleet.Peer, runs int) (*http.Request, error) {
+	h := hop{from: c.Peers.Self, service: c.service, runs: c.possibleRuns(), runsLeft: runs, budgeted: c.budgeted}
+	encoded, err := h.encode()
+	if err != nil {
+		return nil, err
+	}
+	req := &http.Request{
+		Method: c.r.Method, URL: c.targetAt(peer.PeerAddress), Host: c.r.Host,
+		Header:        c.Dialect.PeerHeaders(c.r.Header, c.untilDeadline(), c.reply.position.lastID),
+		ContentLength: int64(len(c.body)),
+		// As for upstreams, the transport must not send the request a second time on its own.
+		Body: io.NopCloser(bytes.NewReader(c.body)),
+	}
+	req.Header.Set(hopHeader, encoded)
+	return req.WithContext(ctx), nil
+}
+
+// watchPeer cancels an attempt whose peer has fallen silent, if another peer may follow.
+func (c *call) watchPeer(ctx context.Context, cancel context.CancelCauseFunc, peer ident.DaemonID) {
+	t := time.NewTicker(responsivenessTick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		if !c.Peers.IsAlive(peer) {
+			cancel(errUnresponsive)
+			return
+		}
+	}
+}
+
+// handlePassError handles a request that got no response from a peer.
+func (c *call) handlePassError(ctx context.Context, err error, peer fleet.Peer, runs int) (nextStep, Reason) {
+	var send *httpc.SendError
+	notSent := errors.As(err, &send) && send.NotSent
+	klog.InfoS("Peer did not answer", "request", c.req.ID, "peer", peer.ID, "sent", !notSent, "error", err.Error(),
+		"sinceSentMs", time.Since(c.attemptAt).Milliseconds())
+	countDetour("unanswered")
+	if notSent {
+		return stepRetryOther, ReasonUnreachable
+	}
+	return c.endPass(ctx, runs)
+}
+
+// endPass returns the next step after a peer that may have had so many upstreams run the request and did not answer it in full.
+func (c *call) endPass(ctx context.Context, runs int) (nextStep, Reason) {
+	c.attempts += runs
+	c.markSent()
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, context.DeadlineExceeded):
+		return stepFail, ReasonTimeout
+	case c.callerLeft(), c.stopped():
+		return stepFail, c.cancelReason()
+	default:
+		return c.stepAfterRun(ReasonPeerBroke)
+	}
+}
+
+// handlePeerResponse forwards a peer's response, which is the upstream's or a refusal of the peer's own.
+func (c *call) handlePeerResponse(ctx context.Context, resp *http.Response, peer fleet.Peer, runs int) (nextStep, Reason) {
+	outcome := resp.Header.Get(hopOutcomeHeader)
+	resp.Header.Del(hopOutcomeHeader)
+	refused := outcome != hopAnswered && promisesNotRun(resp.StatusCode)
+	klog.InfoS("Peer answered", "request", c.req.ID, "peer", peer.ID, "status", resp.StatusCode, "outcome", outcome,
+		"sinceSentMs", time.Since(c.attemptAt).Milliseconds())
+	switch {
+	case outcome == "":
+		countDetour("notUnderstood")
+		return c.endPass(ctx, runs)
+	case refused && (mayPassAfter(Reason(outcome)) || c.mayHaveRun()):
+		countDetour("refused")
+		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, streamBufferBytes))
+		return stepRetryOther, Reason(outcome)
+	case c.reply.begun() && !c.isStream(resp):
+		countRefusedContinuation()
+		return c.endPass(ctx, runs)
+	}
+	err := c.forwardFromPeer(resp)
+	if err == nil {
+		countDetour(outcome)
+		c.Stop.Observe(c.route.Name, time.Since(c.attemptAt))
+		return stepDone, ""
+	}
+	klog.InfoS("Answer of a peer broke", "request", c.req.ID, "peer", peer.ID, "lastEvent", c.reply.position.lastID, "error", err.Error(),
+		"sinceSentMs", time.Since(c.attemptAt).Milliseconds())
+	countDetour("broken")
+	guard.Check(!refused || !c.reply.begun(), guard.NotRunTrue, "refusal of a peer for request %s broke", c.req.ID)
+	return c.endPass(ctx, runs)
+}
+
+func (c *call) forwardFromPeer(resp *http.Response) error {
+	if c.isStream(resp) {
+		return c.copyStream(resp, func() {})
+	}
+	body, err := c.readBuffered(resp)
+	if err == nil {
+		c.sendBuffered(resp, body)
+	}
+	return err
+}
+
+// mayPassAfter reports whether another peer may take a request that a peer has refused for this reason: it could not serve it itself.
+func mayPassAfter(reason Reason) bool {
+	return slices.Contains([]Reason{
+		ReasonUnreachable, ReasonNoUpstream, ReasonStarting, ReasonStopping, ReasonBodyMemory, ReasonPeerBusy,
+	}, reason)
+}
--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -4,6 +4,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -59,9 +60,11 @@
 
 // run sends the request to upstreams until there is a final response.
 func (c *call) run() error {
-	c.service = c.pickService()
 	budget := c.RetryBudgets.Of(c.service)
-	budget.Deposit()
+	if !c.budgeted {
+		budget.Deposit()
+		c.budgeted = true
+	}
 	p := &progress{placeReq: c.placeReq(c.service)}
 	for {
 		if err := c.checkBeforeAttempt(); err != nil {
@@ -70,16 +73,16 @@
 		p.placeReq.CacheScope = c.cacheScope()
 		choice, err := c.choose(p)
 		if err != nil {
-			if !c.waitForUpstream(err, p) {
-				return c.handleBlocked(err)
+			if c.waitForUpstream(err, p) {
+				continue
 			}
-			continue
+			return c.endBlocked(err)
 		}
 		if err := c.shedLoad(choice, p); err != nil {
 			c.Placer.Discard(choice)
 			return err
 		}
-		if c.attempts > 0 && !budget.TryWithdraw() {
+		if c.isRepeat() && !budget.TryWithdraw() {
 			c.Placer.Discard(choice)
 			return c.endAfterLastAttempt(ReasonUpstreamsRefused)
 		}
@@ -88,9 +91,29 @@
 			return nil
 		}
 		if c.isLast(step, p, choice) || !c.evidence.MayRetry(c.ctx) {
-			return c.endAfterLastAttempt(reason)
+			return c.endAttempts(p, reason)
+		}
+	}
+}
+
+// endBlocked ends a request for which no upstream can be chosen: a peer runs it, or it has none.
+func (c *call) endBlocked(blocked error) error {
+	if c.isCutOff() {
+		if ended, err := c.passOn(); ended {
+			return err
 		}
 	}
+	return c.handleBlocked(blocked)
+}
+
+// endAttempts ends a request after its last attempt. A peer runs it if too many upstreams could not be connected to.
+func (c *call) endAttempts(p *progress, reason Reason) error {
+	if p.connectFailures >= maxConnectFailures {
+		if ended, err := c.passOn(); ended {
+			return err
+		}
+	}
+	return c.endAfterLastAttempt(reason)
 }
 
 // choose returns the upstream for the next attempt. A request for which no upstream of a new release takes requests goes
@@ -108,7 +131,7 @@
 
 func (c *call) rolloutRequest(r *place.Request) *canary.Request {
 	return &canary.Request{
-		Service: r.Service, Route: c.route.Name, Organisation: c.organisationID(), ID: c.req.ID, Retry: c.attempts > 0,
+		Service: r.Service, Route: c.route.Name, Organisation: c.organisationID(), ID: c.req.ID, Retry: c.isRepeat(),
 	}
 }
 
@@ -200,14 +223,18 @@
 		return p.connectFailures >= maxConnectFailures
 	case stepRetryOther:
 		p.placeReq.Tried = append(p.placeReq.Tried, choice.Upstream.ID)
-		return c.possibleRuns() >= c.route.MaxAttempts || c.rejections > maxRejections
+		return c.possibleRuns() >= c.maxRuns() || c.rejections > maxRejections
 	default:
 		return true
 	}
 }
 
-// pickService picks one of the route's services at random, in proportion to their weights.
+// pickService picks one of the route's services at random, in proportion to their weights. A request that a peer passed on goes to the
+// service that the peer picked, if the route still has it.
 func (c *call) pickService() view.ServiceID {
+	if c.hop != nil && slices.ContainsFunc(c.route.Shares, func(s view.Share) bool { return s.Service == c.hop.service && s.Weight > 0 }) {
+		return c.hop.service
+	}
 	total := 0.0
 	for _, s := range c.route.Shares {
 		total += s.Weight
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -11,6 +11,7 @@
 
 	"github.com/gooseberryway/gooseberryway/internal/coordination/admit"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/canary"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/detour"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/place"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/poison"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/relay"
@@ -49,6 +50,9 @@
 	RetryBudgets *view.PerService[relay.RetryBudget]
 	Shedders     *view.PerService[shed.Controller]
 	Pool         *httpc.Pool
+	// Peers chooses the peers that run requests whose service this daemon can't reach, over connections of PeerPool; nil for none.
+	Peers    *detour.Chooser
+	PeerPool *httpc.Pool
 	// Bodies bounds the memory of request bodies.
 	Bodies *BodyBudget
 	// Stop decides which requests can end before a planned stop of the daemon.
@@ -70,6 +74,12 @@
 	deadline time.Time
 	config   *view.Config
 	route    *view.Route
+	// hop is set if a peer passed the request on.
+	hop *hop
+	// budgeted says that the request is counted in the retry budget of its service.
+	budgeted bool
+	// detoured says that peers were asked to run the request.
+	detoured bool
 	// service is the one of the route's that was picked.
 	service view.ServiceID
 	org     *view.Organisation
@@ -99,9 +109,14 @@
 }
 
 // ServeHTTP routes one request and forwards the response.
-func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := &call{Handler: h, w: w, r: r, reply: reply{w: w}, arrived: time.Now(), req: h.Dialect.ParseRequest(r)}
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.serve(w, r, nil) }
+
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request, from *hop) {
+	c := &call{
+		Handler: h, w: w, r: r, reply: reply{w: w, toPeer: from != nil}, arrived: time.Now(), req: h.Dialect.ParseRequest(r), hop: from,
+	}
 	c.reply.position.lastID = c.req.LastEventID
+	c.budgeted = from != nil && from.budgeted
 	if h.IsDraining() {
 		w.Header().Set("Connection", "close")
 	}
@@ -142,6 +157,12 @@
 	if err := c.readBody(); err != nil {
 		return err
 	}
+	c.service = c.pickService()
+	if c.isCutOff() {
+		if ended, err := c.passOn(); ended {
+			return err
+		}
+	}
 	if err := c.admit(); err != nil {
 		return err
 	}
@@ -256,10 +277,16 @@
 // have run.
 func (c *call) refundAndRefuse(reason Reason, after time.Duration) error {
 	guard.Check(!c.reply.begun(), guard.NotRunTrue, "request %s is refused as not run, but part of its response was sent", c.req.ID)
+	c.refund()
+	return unavailableError(reason, after)
+}
+
+// refund gives the request's cost back to its organisation's rate limit.
+func (c *call) refund() {
 	if c.org != nil {
 		c.Limiter.Refund(c.org, c.cost)
+		c.cost = 0
 	}
-	return unavailableError(reason, after)
 }
 
 // stopped reports whether the daemon's time for open requests is over.
@@ -289,8 +316,9 @@
 	if !c.reply.firstByteAt.IsZero() {
 		firstByte = c.reply.firstByteAt.Sub(c.arrived)
 	}
-	klog.InfoS("Request ended", "request", c.req.ID, "route", route, "organisation", c.organisationID(), "status", c.reply.status,
-		"outcome", outcome, "attempts", c.attempts, "rejections", c.rejections, "mayHaveRun", c.mayHaveRun(), "config", version, "firstMs", firstByte.Milliseconds(),
+	klog.InfoS("Request ended", "request", c.req.ID, "passedBy", c.hop.sender(), "route", route, "organisation", c.organisationID(),
+		"status", c.reply.status, "outcome", outcome, "attempts", c.attempts, "rejections", c.rejections, "mayHaveRun", c.mayHaveRun(),
+		"config", version, "firstMs", firstByte.Milliseconds(),
 		"totalMs", time.Since(c.arrived).Milliseconds(), "patienceMs", c.deadline.Sub(c.arrived).Milliseconds())
 	recordRequest(c, err)
 }
--- a/internal/transport/proxy/metrics.go
+++ b/internal/transport/proxy/metrics.go
@@ -45,6 +45,11 @@
 	metrics.GetOrCreateCounter("gooseberrywayRefusedContinuations").Inc()
 }
 
+// countDetour counts a request that was passed on to a peer.
+func countDetour(outcome string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`gooseberrywayPassedRequests{outcome=%q}`, outcome)).Inc()
+}
+
 // countUnstatedPromise counts an upstream's status that callers would take for the promise that a request has not run, without the
 // header that states it.
 func countUnstatedPromise(status int) {
--- a/internal/transport/proxy/refusal.go
+++ b/internal/transport/proxy/refusal.go
@@ -32,6 +32,8 @@
 	ReasonQuarantined          Reason = "promptPartQuarantined"
 	ReasonRequestQuarantined   Reason = "requestQuarantined"
 	ReasonStopping             Reason = "stopping"
+	ReasonPeerBroke            Reason = "peerBroke"
+	ReasonPeerBusy             Reason = "peerBusy"
 )
 
 // RefusedError is the daemon's own final response to a request for which it forwards none from an upstream.
--- a/internal/transport/proxy/reply.go
+++ b/internal/transport/proxy/reply.go
@@ -19,6 +19,8 @@
 	// firstByteAt is when the first byte of the body was ready; zero until then.
 	firstByteAt time.Time
 	complete    bool
+	// toPeer says that a peer passed the request on.
+	toPeer bool
 }
 
 // begun reports whether the header is out, so that no other response can be given.
@@ -44,6 +46,9 @@
 	if length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
+	if p.toPeer {
+		h.Set(hopOutcomeHeader, hopAnswered)
+	}
 	p.w.WriteHeader(status)
 	p.status = status
 }
@@ -75,6 +80,9 @@
 // refuse sends the daemon's own response.
 func (p *reply) refuse(e *RefusedError, d Dialect) {
 	p.status = e.Status
+	if p.toPeer {
+		p.w.Header().Set(hopOutcomeHeader, string(e.Reason))
+	}
 	e.write(p.w, d)
 	p.finish()
 }
--- a/internal/transport/proxy/response.go
+++ b/internal/transport/proxy/response.go
@@ -115,7 +115,7 @@
 
 // canRetryAfterRun reports whether the request may be sent to another upstream after one that ran it.
 func (c *call) canRetryAfterRun() bool {
-	return c.route.Repeatable() && c.possibleRuns() < c.route.MaxAttempts
+	return c.route.Repeatable() && c.possibleRuns() < c.maxRuns()
 }
 
 // isOwnResponse reports whether a response answers this request. An upstream may send an earlier answer once more on a kept
@@ -191,7 +191,10 @@
 	if !c.isStream(resp) {
 		return c.forwardBuffered(ctx, resp, choice, tracker)
 	}
-	err := c.copyStream(resp, tracker)
+	err := c.copyStream(resp, func() {
+		tracker.MarkActive()
+		tracker.MarkFirstEvent()
+	})
 	outcome := c.outcome(ctx, err, resp.StatusCode)
 	tracker.End(outcome)
 	if err == nil {
@@ -230,16 +233,22 @@
 	return mediaType == "" || strings.EqualFold(mediaType, eventStreamType)
 }
 
-// forwardBuffered reads the response, up to maxBufferedBytes, before it sends the header, so that a response that
-// breaks off never looks complete to the caller.
+// forwardBuffered forwards a response that is no stream.
 func (c *call) forwardBuffered(
 	ctx context.Context, resp *http.Response, choice *place.Choice, tracker *attemptTracker,
 ) (nextStep, Reason) {
+	body, err := c.readBuffered(resp)
+	return c.endBuffered(ctx, err, resp, body, choice, tracker)
+}
+
+// readBuffered reads a response, up to maxBufferedBytes, before any of it is sent, so that a response that breaks off never
+// looks complete to the caller. A larger one is sent as well.
+func (c *call) readBuffered(resp *http.Response) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
 	if err == nil && len(body) == maxBufferedBytes {
 		err = c.forwardLarge(resp, body)
 	}
-	return c.endBuffered(ctx, err, resp, body, choice, tracker)
+	return body, err
 }
 
 // forwardLarge sends a response to the caller of which only the first part is buffered.
@@ -259,9 +268,7 @@
 	outcome := c.outcome(ctx, err, resp.StatusCode)
 	tracker.End(outcome)
 	if err == nil {
-		if !c.reply.begun() {
-			c.reply.send(&bufferedResponse{status: resp.StatusCode, header: c.Dialect.CallerHeaders(resp.Header), body: body})
-		}
+		c.sendBuffered(resp, body)
 		return stepDone, ""
 	}
 	klog.InfoS("Answer broke", "request", c.req.ID, "upstream", choice.Upstream.ID, "status", resp.StatusCode,
@@ -276,16 +283,22 @@
 	return c.stepAfterRun(ReasonUpstreamBroken)
 }
 
-// copyStream forwards a stream of events as they arrive.
-func (c *call) copyStream(resp *http.Response, tracker *attemptTracker) error {
+// sendBuffered sends a response that was read, unless readBuffered has sent it.
+func (c *call) sendBuffered(resp *http.Response, body []byte) {
+	if !c.reply.begun() {
+		c.reply.send(&bufferedResponse{status: resp.StatusCode, header: c.Dialect.CallerHeaders(resp.Header), body: body})
+	}
+}
+
+// copyStream forwards a stream of events as they arrive. It calls onRead after each read.
+func (c *call) copyStream(resp *http.Response, onRead func()) error {
 	f := &streamForwarder{reply: &c.reply, header: c.Dialect.CallerHeaders(resp.Header), resumable: c.route.Resumable}
 	f.init()
 	buf := make([]byte, streamBufferBytes)
 	for {
 		n, err := resp.Body.Read(buf)
 		if n > 0 {
-			tracker.MarkActive()
-			tracker.MarkFirstEvent()
+			onRead()
 			if ferr := f.forward(buf[:n]); ferr != nil {
 				return ferr
 			}
