Let a leader that is cut off from upstreams resign

Cause: leading needs the store only, and the cut-off daemon kept its lease.

A leader that can't connect to upstreams of a service which a peer reaches resigns, and daemons that reach less than a peer don't stand for election. One that resigned doesn't lead again within the time in which orders of two leaders must not alternate.

--- a/internal/program/entry/daemon.go
+++ b/internal/program/entry/daemon.go
@@ -86,6 +86,8 @@
 	// unreachableServices are those to none of whose upstreams this daemon could connect in the last heartbeat round; nil before the
 	// first.
 	unreachableServices atomic.Pointer[[]view.ServiceID]
+	// resignedAt is when this daemon last resigned because it was cut off from upstreams; nil if it never did.
+	resignedAt atomic.Pointer[time.Time]
 	// idleSentAt is when heartbeats last went to daemons without traffic, idleSentState the state that they
 	// announced. Only nextRound uses them.
 	idleSentAt    time.Time
@@ -179,7 +181,7 @@
 		TakeoverRank:   d.activeRank,
 		HasOtherLeader: d.hasOtherLeader,
 		Eligible: func() bool {
-			return d.ready() && d.pastStartup() && d.isActive() && d.follower.StoreAge() < maxEligibleStoreAge
+			return d.ready() && d.pastStartup() && d.isActive() && d.follower.StoreAge() < maxEligibleStoreAge && d.mayLead()
 		},
 	}
 	d.weightLoader = &reload.Runner{
@@ -292,6 +294,7 @@
 		d.probe,
 		d.maintain,
 		d.keepQuarantines,
+		d.resignIfCutOff,
 	} {
 		wg.Go(func() { run(runCtx) })
 	}
