Keep upstreams up that fall over when they reject too much

A service whose upstreams said Server-Brittle: 6 and got twice what they can run fell over 16 times in 12 s; 26 requests were served in the last 9 s and 1,285 were not (TestBrittleUpstreamsStayUpAboveCapacity on the code before, one run; 4 daemons, 4 upstreams with 8 slots; the rule allows 2).

Cause: nobody read the header, and each daemon sends to all free slots that it sees. Reports of work are a heartbeat old, so that all daemons fill the same slots at once, and wait at the upstream for what they don't find. What is rejected is retried at the next upstream, which is as full.

The limit is read in all answers but misdirected ones, and told to the other daemons with heartbeats (Beat.rejections, 43; older releases skip it). The slots of such an upstream are divided among the active daemons by its rendezvous hash order; half of the rejections that it bears is divided in the same way among requests beyond that, each of which counts until its response begins. What may be rejected is bounded before it is sent, over all daemons together. After a rejection a daemon sends less there for a while. What finds no place is refused at once with 503, not run, and a Retry-After at the rate at which the upstreams end requests. An upstream that has not answered yet is presumed to be like the others of its service: it returns empty, and all would fill it at once. Nothing changes while no upstream names a limit.

--- a/internal/coordination/place/placer.go
+++ b/internal/coordination/place/placer.go
@@ -14,6 +14,7 @@
 
 	"github.com/gooseberryway/gooseberryway/internal/coordination/estim"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/fleet"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/reject"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/uprate"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/state/kvdir"
@@ -43,6 +44,8 @@
 	OldWeightsGrace time.Duration
 	// UpstreamLimits holds the rates that upstreams limit themselves to; nil for none.
 	UpstreamLimits *uprate.Table
+	// RejectionLimits holds how many rejections upstreams bear; nil for none.
+	RejectionLimits *reject.Table
 
 	mu             sync.Mutex
 	upstreamStates map[ident.UpstreamID]*upstreamState
@@ -155,26 +158,48 @@
 				best = i
 			}
 		}
-		if p.UpstreamLimits == nil {
-			return choices[best]
-		}
-		ok, charged := p.UpstreamLimits.Take(choices[best].Upstream)
-		if ok {
-			choices[best].chargedToLimit = charged
+		if p.take(q, choices[best], blocked) {
 			return choices[best]
 		}
 		// A limit was named after the candidates were collected.
-		blocked.addReason(BlockedLimited, blockedRetryAfter)
 		choices = slices.Delete(choices, best, best+1)
 	}
 	return nil
 }
 
+// take takes the request out of the limits of its upstream. It reports false if they don't allow one now.
+func (p *Placer) take(q *query, c *Choice, blocked *BlockedError) bool {
+	state := p.upstreamStates[c.Upstream.ID]
+	admission := p.admission(state, c.Upstream, q)
+	if admission.Wait > 0 {
+		blocked.addReason(BlockedFull, admission.Wait)
+		return false
+	}
+	if p.UpstreamLimits != nil {
+		ok, charged := p.UpstreamLimits.Take(c.Upstream)
+		if !ok {
+			blocked.addReason(BlockedLimited, blockedRetryAfter)
+			return false
+		}
+		c.chargedToLimit = charged
+	}
+	if admission.Limited {
+		c.reserved, c.risky = true, admission.Risky
+		state.reserve(c)
+	}
+	return true
+}
+
 // Discard gives a choice back that is not followed by Begin.
 func (p *Placer) Discard(c *Choice) {
 	if c.chargedToLimit {
 		p.UpstreamLimits.Return(c.Upstream)
 	}
+	if c.reserved {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.upstreamStates[c.Upstream.ID].cancel(c)
+	}
 }
 
 // limitedFor returns how long an upstream's limit keeps requests of this daemon away, and adds the limit to blocked.
@@ -193,7 +218,7 @@
 // spaceRetries sets when the caller may retry of a request that only limits keep from running: after the callers that
 // were refused before, at the rate of the limits. All daemons refuse callers, who may return to any of them.
 func (p *Placer) spaceRetries(est *estimates, blocked *BlockedError, now time.Time) {
-	if blocked.Reason != BlockedLimited || blocked.limits <= 0 {
+	if blocked.Reason != BlockedLimited && blocked.Reason != BlockedFull || blocked.limits <= 0 {
 		return
 	}
 	daemons := 1
@@ -274,6 +299,10 @@
 			blocked.addReason(BlockedLimited, wait)
 			continue
 		}
+		if wait := p.fullFor(state, u, q, blocked); wait > 0 {
+			blocked.addReason(BlockedFull, wait)
+			continue
+		}
 		out = append(out, candidate{upstreamState: state, upstream: u, hashRank: hashRank, weightVersion: state.weights[q.request.Model]})
 	}
 	for i := range out {
--- a/internal/coordination/place/placer_test.go
+++ b/internal/coordination/place/placer_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/gooseberryway/gooseberryway/internal/coordination/reject"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/uprate"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/state/rhash"
@@ -316,3 +317,43 @@
 		require.NotContains(t, p.upstreamStates, leaver.ID)
 	})
 }
+
+// Guards against choices that are not counted at an upstream that falls over until they are sent, and against those that
+// are given up and still counted.
+func TestChoicesCountAtUpstreamThatFallsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newTestPlacer()
+		u := *engineAt(3)
+		u.Slots = 2
+		p.Snapshots.SetUpstreams(view.NewUpstreams(map[ident.UpstreamID]*view.Upstream{u.ID: &u}, 2))
+		p.RejectionLimits = &reject.Table{Self: "d"}
+		p.RejectionLimits.SetMembers([]rhash.Node{{ID: "d"}})
+		p.RejectionLimits.Observe(&u, time.Now(), &view.RejectionLimit{PerSecond: 4})
+		choose := func() *Choice {
+			c, err := p.Choose(requestFor(1))
+			require.NoError(t, err)
+			return c
+		}
+		requireFull := func() {
+			t.Helper()
+			_, err := p.Choose(requestFor(1))
+			var blocked *BlockedError
+			require.ErrorAs(t, err, &blocked)
+			require.Equal(t, BlockedFull, blocked.Reason)
+			require.Positive(t, blocked.RetryAfter)
+		}
+		first, second := choose(), choose()
+		requireFull()
+		p.Discard(second)
+		running := p.Begin(first, requestFor(1))
+		accepted := p.Begin(choose(), requestFor(1))
+		requireFull()
+		running.End(OutcomeRejected)
+		p.MarkFull(&u)
+		requireFull()
+		time.Sleep(time.Minute)
+		accepted.MarkActive()
+		choose()
+		requireFull()
+	})
+}
--- a/internal/coordination/place/request.go
+++ b/internal/coordination/place/request.go
@@ -87,6 +87,9 @@
 	Candidates   int
 	// chargedToLimit says that the request was taken out of the upstream's limit.
 	chargedToLimit bool
+	// reserved says that the request is counted at its upstream until Begin, as one beyond this daemon's places there if
+	// risky is set.
+	reserved, risky bool
 	// Locality says where the shared parts of the prompt are cached.
 	Locality CacheLocality
 }
@@ -128,6 +131,8 @@
 	BlockedUnreachable BlockedReason = "unreachable"
 	// BlockedLimited: the upstreams limit the rate of requests.
 	BlockedLimited BlockedReason = "limited"
+	// BlockedFull: the upstreams have no room for the request and fall over when they reject too many.
+	BlockedFull BlockedReason = "full"
 	// BlockedPaused: the upstreams have asked for a pause.
 	BlockedPaused BlockedReason = "paused"
 )
@@ -138,7 +143,7 @@
 	// RetryAfter is the time after which an upstream may take requests again.
 	RetryAfter time.Duration
 
-	// limits is the sum of the limits of the upstreams.
+	// limits is the sum of the rates that the upstreams take.
 	limits ident.RequestsPerSecond
 }
 
--- a/internal/coordination/place/tracker.go
+++ b/internal/coordination/place/tracker.go
@@ -65,6 +65,8 @@
 	measuresPrefill bool
 	// estimatedTTFT is the estimated time to the first event; 0 if there is no estimate.
 	estimatedTTFT time.Duration
+	// unanswered says that the request is beyond this daemon's places at the upstream and has no response yet.
+	unanswered bool
 }
 
 // Begin accounts for an attempt that is about to be sent.
@@ -77,6 +79,9 @@
 	}
 	idle := state.totalWork(now, p.peerReportTTL()).PrefillTokens == 0
 	state.own.Requests++
+	if c.reserved {
+		state.chosen--
+	}
 	state.own.PrefillTokens += c.PrefillTokens
 	var latePrefillTokens ident.Tokens
 	if c.Late {
@@ -95,7 +100,7 @@
 	}
 	t := &Tracker{
 		placer: p, upstreamState: state, prefillTokens: c.PrefillTokens, latePrefillTokens: latePrefillTokens, startedAt: now,
-		estimatedTTFT:   c.Wait.Total,
+		estimatedTTFT: c.Wait.Total, unanswered: c.risky,
 		measuresPrefill: idle && r.Model != "" && (c.MissedTokens == 0 || c.Locality == CachedMiss),
 	}
 	if c.Fetch == FetchFromStore {
@@ -170,6 +175,15 @@
 	defer t.placer.mu.Unlock()
 	t.upstreamState.lastActiveAt = time.Now()
 	t.upstreamState.lastBytesAt = t.upstreamState.lastActiveAt
+	t.endRisk()
+}
+
+// endRisk records that the upstream can no longer reject the request. The caller holds the placer's mutex.
+func (t *Tracker) endRisk() {
+	if t.unanswered {
+		t.unanswered = false
+		t.upstreamState.unanswered--
+	}
 }
 
 // ShouldAbort reports whether the attempt is to be aborted, because the upstream can't be reached or hangs.
@@ -245,6 +259,7 @@
 	defer t.placer.mu.Unlock()
 	t.measuresPrefill, t.estimatedTTFT = false, 0
 	t.recordFirstEvent()
+	t.endRisk()
 	state, now := t.upstreamState, time.Now()
 	state.own.Requests--
 	if o == OutcomeSucceeded {
@@ -352,7 +367,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, state := range p.upstreamStates {
-		if listed[id] == nil && state.own.Requests == 0 && time.Since(state.noticedAt) > noticeTTL {
+		if listed[id] == nil && state.own.Requests == 0 && state.chosen == 0 && time.Since(state.noticedAt) > noticeTTL {
 			delete(p.upstreamStates, id)
 		}
 	}
--- a/internal/coordination/place/upstream_state.go
+++ b/internal/coordination/place/upstream_state.go
@@ -33,7 +33,8 @@
 	// estimates are shared by all upstreams of the service.
 	estimates *estimates
 	own       OutstandingWork
-	peerWork  map[ident.DaemonID]peerReport
+	reservations
+	peerWork map[ident.DaemonID]peerReport
 
 	weights map[ident.ModelID]int64
 	// weightsChangedAt is when this daemon saw the engine start or its weights change, so that its cache was empty; zero if
--- a/internal/program/entry/daemon.go
+++ b/internal/program/entry/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/gooseberryway/gooseberryway/internal/coordination/leader"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/place"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/poison"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/reject"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/relay"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/reload"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/shed"
@@ -59,6 +60,8 @@
 	rollouts    *canary.Controller
 	// upstreamLimits holds the rates that upstreams limit themselves to.
 	upstreamLimits uprate.Table
+	// rejectionLimits holds how many rejections upstreams bear.
+	rejectionLimits reject.Table
 	// detector finds prompt parts that crash upstreams.
 	detector     *poison.Detector
 	follower     *feed.Follower
@@ -126,6 +129,8 @@
 	d.table.Self = s.DaemonID
 	d.upstreamLimits.Self = s.DaemonID
 	d.upstreamLimits.OnChange = func() { d.peers.SendSoon() }
+	d.rejectionLimits.Self = s.DaemonID
+	d.rejectionLimits.OnChange = func() { d.peers.SendSoon() }
 	d.seeds.Store(&s.Seeds)
 	d.limiter.FleetSize = d.meshSize
 	d.limiter.Lookup = func(id ident.OrganisationID) *view.Organisation {
@@ -145,6 +150,7 @@
 		Stores:          d.stores,
 		FleetSize:       d.meshSize,
 		UpstreamLimits:  &d.upstreamLimits,
+		RejectionLimits: &d.rejectionLimits,
 		OldWeightsGrace: time.Duration(s.Limits.WeightsMs)*time.Millisecond - oldWeightsMargin,
 	}
 	d.follower = &feed.Follower{
@@ -155,6 +161,7 @@
 			d.placer.RemoveUnlisted()
 			d.detector.ApplyList(d.snapshots.Upstreams())
 			d.upstreamLimits.RemoveUnlisted(d.snapshots.Upstreams().ByID)
+			d.rejectionLimits.RemoveUnlisted(d.snapshots.Upstreams().ByID)
 			d.peers.SendSoon()
 		},
 		ReadsContinuously:  d.readsContinuously,
@@ -204,21 +211,22 @@
 		OnChange:   d.peers.SendSoon,
 	}
 	d.handler = &proxy.Handler{
-		Rollouts:       d.rollouts,
-		Snapshots:      &d.snapshots,
-		Dialect:        platform.Dialect{},
-		Placer:         d.placer,
-		Detector:       d.detector,
-		Limiter:        &d.limiter,
-		UpstreamLimits: &d.upstreamLimits,
-		RetryBudgets:   d.retryBudgets(),
-		Shedders:       &view.PerService[shed.Controller]{},
-		Pool:           upstreams,
-		Peers:          &detour.Chooser{Self: s.DaemonID, Peers: d.table.All, IsActive: d.isActivePeer, ConfigVersion: d.configVersion},
-		PeerPool:       &httpc.Pool{DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout},
-		Bodies:         &proxy.BodyBudget{MaxBytes: int64(s.Resources.MemoryMB * bytesPerMB / bodyMemoryDivisor)},
-		Stop:           &d.requestStop,
-		IsDraining:     d.leaving.Load,
+		Rollouts:        d.rollouts,
+		Snapshots:       &d.snapshots,
+		Dialect:         platform.Dialect{},
+		Placer:          d.placer,
+		Detector:        d.detector,
+		Limiter:         &d.limiter,
+		UpstreamLimits:  &d.upstreamLimits,
+		RejectionLimits: &d.rejectionLimits,
+		RetryBudgets:    d.retryBudgets(),
+		Shedders:        &view.PerService[shed.Controller]{},
+		Pool:            upstreams,
+		Peers:           &detour.Chooser{Self: s.DaemonID, Peers: d.table.All, IsActive: d.isActivePeer, ConfigVersion: d.configVersion},
+		PeerPool:        &httpc.Pool{DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout},
+		Bodies:          &proxy.BodyBudget{MaxBytes: int64(s.Resources.MemoryMB * bytesPerMB / bodyMemoryDivisor)},
+		Stop:            &d.requestStop,
+		IsDraining:      d.leaving.Load,
 	}
 }
 
--- a/internal/program/entry/fleetview.go
+++ b/internal/program/entry/fleetview.go
@@ -69,7 +69,9 @@
 		}
 	}
 	d.fleet.Store(v)
-	d.upstreamLimits.SetMembers(d.limitMembers(v))
+	members := d.limitMembers(v)
+	d.upstreamLimits.SetMembers(members)
+	d.rejectionLimits.SetMembers(members)
 	return v
 }
 
--- a/internal/program/entry/heartbeat.go
+++ b/internal/program/entry/heartbeat.go
@@ -7,6 +7,7 @@
 
 	"github.com/gooseberryway/gooseberryway/internal/coordination/canary"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/fleet"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/reject"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/uprate"
 	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
 	"github.com/gooseberryway/gooseberryway/internal/state/extern"
@@ -72,6 +73,23 @@
 	return out
 }
 
+// encodeRejectionLimits encodes what is known of upstreams' rejection limits; nil for nothing.
+func encodeRejectionLimits(news []reject.News) *wire.RejectionLimits {
+	if len(news) == 0 {
+		return nil
+	}
+	out := &wire.RejectionLimits{}
+	for _, n := range news {
+		out.Upstream = append(out.Upstream, uint32(n.Upstream.Tag()))
+		out.Incarnation = append(out.Incarnation, uint32(n.Incarnation))
+		out.PerSecond = append(out.PerSecond, float32(n.PerSecond))
+		out.Lifted = append(out.Lifted, n.Lifted)
+		out.AgeMs = append(out.AgeMs, uint32(min(n.Age.Milliseconds(), maxAgeMs)))
+		out.Confirmed = append(out.Confirmed, n.Confirmed)
+	}
+	return out
+}
+
 // announcedState is the state of this daemon whose change is announced to daemons without traffic at once.
 type announcedState struct {
 	ready, leaving, inMesh bool
@@ -124,6 +142,7 @@
 	if v.activeRank < idleTellers {
 		b.Prompts = encodeEvidence(d.detector.IdleNews())
 		b.Limits = encodeLimits(d.upstreamLimits.AllNews())
+		b.Rejections = encodeRejectionLimits(d.rejectionLimits.IdleNews())
 		b.Rollouts = encodeStages(d.rollouts.Stages())
 		for _, s := range b.Rollouts {
 			s.Reason = ""
@@ -147,6 +166,7 @@
 	b := d.briefHeartbeat(v, period)
 	b.Brief, b.Active = false, nil
 	b.Limits = encodeLimits(d.upstreamLimits.News())
+	b.Rejections = encodeRejectionLimits(d.rejectionLimits.News())
 	b.Moves = d.rollouts.Monitor().Digest()
 	peerListDue := d.fullHeartbeats.Add(1)%peerListPeriod == 1
 	b.Prompts = encodeEvidence(d.detector.News(peerListDue))
--- a/internal/program/entry/heartbeat_test.go
+++ b/internal/program/entry/heartbeat_test.go
@@ -11,6 +11,7 @@
 	"github.com/gooseberryway/gooseberryway/internal/coordination/canary"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/fleet"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/poison"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/reject"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/uprate"
 	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
@@ -45,12 +46,18 @@
 	const budget = 6000.0
 	for daemons, limited := range map[int]int{8: 8, 87: 40, 195: 60, 410: 200} {
 		var news []uprate.News
+		var rejections reject.Table
 		for i := range limited {
 			news = append(news, uprate.News{
 				Upstream: ident.UpstreamID(fmt.Sprint("i-", i)), Incarnation: 1796398941001, Rate: 1.4, Age: time.Second, Confirmed: true,
 			})
+			u := &view.Upstream{ID: ident.UpstreamID(fmt.Sprint("i-", i)), Incarnation: 1796398941001, Service: "model-pool"}
+			rejections.Observe(u, time.Now(), &view.RejectionLimit{PerSecond: 6})
+			gone := &view.Upstream{ID: u.ID + "x", Incarnation: 1796398941001, Service: "survey-app"}
+			rejections.Observe(gone, time.Now(), &view.RejectionLimit{PerSecond: 6})
+			rejections.Observe(gone, time.Now().Add(time.Second), &view.NoRejectionLimit{})
 		}
-		b := &wire.Beat{Limits: encodeLimits(news), Rollouts: encodeStages([]canary.Stage{{
+		b := &wire.Beat{Limits: encodeLimits(news), Rejections: encodeRejectionLimits(rejections.IdleNews()), Rollouts: encodeStages([]canary.Stage{{
 			Service: "model-pool", Release: "v2", State: view.RolloutRolledBack, Order: 12, Term: 31, Sequence: 9,
 		}})}
 		perSecond := float64(idleTellers*proto.Size(b)) / fleet.IdleHeartbeatPeriod(daemons).Seconds()
--- a/internal/program/entry/listeners.go
+++ b/internal/program/entry/listeners.go
@@ -65,6 +65,8 @@
 	// Limits are the rates that upstreams limit all daemons to, Rollouts the shifts of traffic to new releases.
 	Limits   []limitStatus   `json:"limits"`
 	Rollouts []rolloutStatus `json:"rollouts"`
+	// RejectionLimits tells how many rejections upstreams bear.
+	RejectionLimits []rejectionLimitStatus `json:"rejectionLimits"`
 	// Quarantines are the sets of prompt parts whose requests are refused, and the whole requests that are.
 	Quarantines []quarantineStatus `json:"quarantines"`
 	Peers       []peerStatus       `json:"peers"`
@@ -85,6 +87,14 @@
 	Share    float64 `json:"share"`
 }
 
+// rejectionLimitStatus tells above how many rejections a second an upstream falls over, and how many requests this daemon may
+// have there whatever the others do.
+type rejectionLimitStatus struct {
+	Upstream  string  `json:"upstream"`
+	PerSecond float64 `json:"perSecond"`
+	Places    int     `json:"places"`
+}
+
 type rolloutStatus struct {
 	Service       string `json:"service"`
 	Release       string `json:"release"`
@@ -136,6 +146,9 @@
 	for _, l := range d.upstreamLimits.Limits() {
 		s.Limits = append(s.Limits, limitStatus{Upstream: string(l.Upstream), Limit: float64(l.Rate), Share: float64(l.Share)})
 	}
+	for _, l := range d.rejectionLimits.Limits() {
+		s.RejectionLimits = append(s.RejectionLimits, rejectionLimitStatus{Upstream: string(l.Upstream), PerSecond: l.PerSecond, Places: l.Places})
+	}
 	for _, r := range d.rollouts.Stages() {
 		s.Rollouts = append(s.Rollouts, rolloutStatus{
 			Service: string(r.Service), Release: r.Release, State: r.State.String(), SharePermille: int(r.Share), Reason: r.Reason,
--- a/internal/program/entry/peers.go
+++ b/internal/program/entry/peers.go
@@ -12,6 +12,7 @@
 	"github.com/gooseberryway/gooseberryway/internal/coordination/feed"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/fleet"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/place"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/reject"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/uprate"
 	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
 	"github.com/gooseberryway/gooseberryway/internal/state/extern"
@@ -65,6 +66,7 @@
 	}
 	d.applyLeaderState(b)
 	d.applyLimits(b.GetLimits())
+	d.applyRejectionLimits(b.GetRejections())
 	d.applyStages(b.GetRollouts())
 	d.detector.Apply(decodeEvidence(b.GetPrompts()))
 	d.rollouts.Monitor().Merge(id, ident.Incarnation(b.GetIncarnation()), b.GetMoves())
@@ -123,6 +125,24 @@
 	}
 }
 
+// applyRejectionLimits does the same for rejection limits.
+func (d *Daemon) applyRejectionLimits(columns *wire.RejectionLimits) {
+	listed := d.snapshots.Upstreams().ByTag
+	incarnations, perSecond, lifted := columns.GetIncarnation(), columns.GetPerSecond(), columns.GetLifted()
+	ages, confirmed := columns.GetAgeMs(), columns.GetConfirmed()
+	for i, tag := range columns.GetUpstream() {
+		u := listed[ident.UpstreamTag(tag)]
+		if u == nil || i >= min(len(incarnations), len(perSecond), len(lifted), len(ages), len(confirmed)) ||
+			incarnations[i] != uint32(u.Incarnation) {
+			continue
+		}
+		d.rejectionLimits.ApplyNews(u, reject.News{
+			Upstream: u.ID, Incarnation: u.Incarnation, PerSecond: float64(perSecond[i]),
+			Lifted: lifted[i], Age: time.Duration(ages[i]) * time.Millisecond, Confirmed: confirmed[i],
+		})
+	}
+}
+
 // decodeSentChains decodes which prefix chains were sent to which listed engines. Entries that lack a value are
 // skipped.
 func decodeSentChains(columns *wire.SentChains, listed map[ident.UpstreamTag]*view.Upstream) []place.SentChain {
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -14,6 +14,7 @@
 	"github.com/gooseberryway/gooseberryway/internal/coordination/detour"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/place"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/poison"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/reject"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/relay"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/shed"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/uprate"
@@ -46,6 +47,8 @@
 	Rollouts *canary.Controller
 	// UpstreamLimits holds the rates that upstreams limit themselves to.
 	UpstreamLimits *uprate.Table
+	// RejectionLimits holds how many rejections upstreams bear.
+	RejectionLimits *reject.Table
 	// RetryBudgets holds each service's retry budget, Shedders each service's load shedding.
 	RetryBudgets *view.PerService[relay.RetryBudget]
 	Shedders     *view.PerService[shed.Controller]
--- a/internal/transport/proxy/request.go
+++ b/internal/transport/proxy/request.go
@@ -63,6 +63,8 @@
 	WeightVersion int64
 	// Limit is what the response says about the rate at which the upstream takes requests.
 	Limit view.LimitStatement
+	// RejectionLimit is what the response says about how many requests the upstream can reject.
+	RejectionLimit view.RejectionStatement
 	// Leaving is true if the upstream says that it leaves soon.
 	Leaving bool
 	// RetryAfter is how long the upstream wants no requests from this daemon; 0 if it doesn't say.
--- a/internal/transport/proxy/response.go
+++ b/internal/transport/proxy/response.go
@@ -39,6 +39,7 @@
 	parsed := c.Dialect.ParseResponse(resp.StatusCode, resp.Header)
 	c.Placer.SetWeightVersion(choice.Upstream, placeReq.Model, parsed.WeightVersion)
 	c.observeLimit(resp, &parsed, choice)
+	c.observeRejectionLimit(resp, &parsed, choice)
 	if !c.isOwnResponse(resp, &parsed) {
 		// The upstream may have begun to run this request.
 		c.markSent()
@@ -91,6 +92,17 @@
 	c.UpstreamLimits.Observe(choice.Upstream, c.attemptAt, parsed.Limit)
 }
 
+// observeRejectionLimit does the same for what the response says about rejections.
+func (c *call) observeRejectionLimit(resp *http.Response, parsed *Response, choice *place.Choice) {
+	if resp.StatusCode == http.StatusMisdirectedRequest {
+		return
+	}
+	if _, none := parsed.RejectionLimit.(*view.NoRejectionLimit); none && (parsed.NotRun || parsed.ID != c.req.ID) {
+		return
+	}
+	c.RejectionLimits.Observe(choice.Upstream, c.attemptAt, parsed.RejectionLimit)
+}
+
 // observeNotice records what the upstream says about requests to come. A misdirected response comes from another upstream.
 func (c *call) observeNotice(resp *http.Response, parsed *Response, choice *place.Choice) {
 	if resp.StatusCode == http.StatusMisdirectedRequest {
@@ -141,6 +153,9 @@
 		outcome = place.OutcomeMisdirected
 	}
 	tracker.End(outcome)
+	if resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests {
+		c.Placer.MarkFull(choice.Upstream)
+	}
 	c.rejections++
 	klog.InfoS("Upstream refused", "request", c.req.ID, "upstream", choice.Upstream.ID, "status", resp.StatusCode,
 		"weights", choice.WeightVersion, "named", parsed.ID != "", "reused", !httpc.IsFirst(resp),
