--- a/internal/program/entry/listeners.go
+++ b/internal/program/entry/listeners.go
@@ -62,6 +62,8 @@
 	ConfigVersion int64 `json:"configVersion"`
 	StoreAgeMs    int64 `json:"storeAgeMs"`
 	Upstreams     int   `json:"upstreams"`
+	// UnreachableServices are those to none of whose upstreams this daemon can connect.
+	UnreachableServices []string `json:"unreachableServices"`
 	// Limits are the rates that upstreams limit all daemons to, Rollouts the shifts of traffic to new releases.
 	Limits   []limitStatus   `json:"limits"`
 	Rollouts []rolloutStatus `json:"rollouts"`
@@ -143,6 +145,9 @@
 	if c := d.snapshots.Config(); c != nil {
 		s.ConfigVersion = c.Version
 	}
+	for _, service := range d.unreachable() {
+		s.UnreachableServices = append(s.UnreachableServices, string(service))
+	}
 	for _, l := range d.upstreamLimits.Limits() {
 		s.Limits = append(s.Limits, limitStatus{Upstream: string(l.Upstream), Limit: float64(l.Rate), Share: float64(l.Share)})
 	}
