Count what a passed request did over all daemons

Causes: a peer that refuses did not tell how many upstreams had rejected the request, so that the next one took its attempt for the first, and each peer deposited in the retry budget anew; the first daemon gave the charge back before it knew whether a peer would charge; the hop stripped the headers that the caller's connection lists.

A peer tells with its refusal how many upstreams the request reached and whether it was budgeted; the charge stays where it was made, and the hop says so; the Connection header travels beside the request. A refusal by an older configuration than the one that allowed the request is not forwarded, and a forged header of the hop doesn't reach upstreams. Lookups of active and live peers take no scan of the fleet.

--- a/internal/coordination/detour/chooser.go
+++ b/internal/coordination/detour/chooser.go
@@ -17,8 +17,9 @@
 // its methods may be called concurrently.
 type Chooser struct {
 	Self ident.DaemonID
-	// Peers returns the known peers.
-	Peers func() []fleet.Peer
+	// Peers returns the known peers, IsAlive whether one of them was heard lately.
+	Peers   func() []fleet.Peer
+	IsAlive func(ident.DaemonID) bool
 	// IsActive reports whether callers are sent to a peer. The other peers hear less often of the fleet.
 	IsActive func(ident.DaemonID) bool
 	// ConfigVersion returns the version of this daemon's configuration.
@@ -72,12 +73,6 @@
 	}
 }
 
-// IsAlive reports whether a peer was heard lately.
-func (c *Chooser) IsAlive(id ident.DaemonID) bool {
-	now := time.Now()
-	return slices.ContainsFunc(c.Peers(), func(p fleet.Peer) bool { return p.ID == id && p.Alive(now) })
-}
-
 // candidates returns the peers that may run a request to the service: the active ones, or if none of them may the others.
 func (c *Chooser) candidates(service view.ServiceID, tried []ident.DaemonID) []fleet.Peer {
 	now := time.Now()
--- a/internal/coordination/detour/chooser_test.go
+++ b/internal/coordination/detour/chooser_test.go
@@ -46,9 +46,6 @@
 		p, ok := c.Choose("other", nil)
 		require.True(t, ok)
 		require.EqualValues(t, "cut", p.ID, "it reaches the other service, and is active")
-		require.True(t, c.IsAlive("idle"))
-		require.False(t, c.IsAlive("silent"))
-		require.False(t, c.IsAlive("unknown"))
 	})
 }
 
--- a/internal/coordination/fleet/table.go
+++ b/internal/coordination/fleet/table.go
@@ -81,6 +81,8 @@
 	// can't connect. Only the peer itself tells so, no other daemon.
 	TakesRequests       bool
 	UnreachableServices []view.ServiceID
+	// ReachedServices are those that another daemon can't reach, and of whose upstreams the peer has heard lately.
+	ReachedServices []view.ServiceID
 	// HeartbeatPeriod is the time between the peer's heartbeats.
 	HeartbeatPeriod time.Duration
 	// ReportedByPeer says that another daemon reported the peer as alive, and that no recent heartbeat came from the
@@ -195,6 +197,14 @@
 	return !p.LastHeartbeatAt.IsZero() && now.Sub(p.LastHeartbeatAt) < p.aliveTimeout()
 }
 
+// IsAlive reports whether the peer is known and alive.
+func (t *Table) IsAlive(id ident.DaemonID) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.peers[id]
+	return p != nil && p.Alive(time.Now())
+}
+
 // SkippableOffset returns the offset to which a daemon can advance that has read the list of upstreams up to next,
 // because the peer knows of no change after next; 0 if there may be one.
 func (p *Peer) SkippableOffset(next ident.Offset) ident.Offset {
--- a/internal/program/cmds/explain.go
+++ b/internal/program/cmds/explain.go
@@ -167,7 +167,10 @@
 	case "Request passed on":
 		return fmt.Sprintf("No upstream of %s could be reached from here; it went to %s, with %s ms left.", f["service"], f["peer"], f["leftMs"])
 	case "Peer answered":
-		return fmt.Sprintf("%s answered after %s ms with status %s (%s).", f["peer"], f["sinceSentMs"], f["status"], f["outcome"])
+		if f["refusal"] != "" {
+			return fmt.Sprintf("%s refused it with status %s: %s.", f["peer"], f["status"], f["refusal"])
+		}
+		return fmt.Sprintf("%s answered after %s ms with status %s.", f["peer"], f["sinceSentMs"], f["status"])
 	case "Peer did not answer", "Answer of a peer broke":
 		return fmt.Sprintf("No whole answer came from %s: %s.", f["peer"], f["error"])
 	case "Request has quarantined prompt parts":
--- a/internal/program/entry/fleetview.go
+++ b/internal/program/entry/fleetview.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/gooseberryway/gooseberryway/internal/coordination/fleet"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/state/rhash"
 )
 
@@ -20,6 +21,8 @@
 	own fleet.Peer
 	// active are the daemons that callers are sent to, those with the highest capacity first.
 	active []fleet.Peer
+	// activeIDs are the IDs of these.
+	activeIDs map[ident.DaemonID]bool
 	// activeRank is this daemon's index in active, or len(active) if it is not active.
 	activeRank int
 	// mesh holds the peer addresses of the other daemons with traffic and of the leader, idle those of all other daemons.
@@ -53,8 +56,9 @@
 	v.active = d.table.Active(v.own)
 	v.activeRank = len(v.active)
 	inActive := map[string]bool{}
+	v.activeIDs = make(map[ident.DaemonID]bool, len(v.active))
 	for i, p := range v.active {
-		inActive[p.PeerAddress] = true
+		inActive[p.PeerAddress], v.activeIDs[p.ID] = true, true
 		if p.ID == v.own.ID {
 			v.activeRank = i
 		}
--- a/internal/program/entry/stranded_test.go
+++ b/internal/program/entry/stranded_test.go
@@ -39,9 +39,15 @@
 
 // newStrandedFleet starts a fleet. change, unless it is nil, changes each upstream before it starts.
 func newStrandedFleet(t *testing.T, daemons int, change func(*standin.Upstream)) *strandedFleet {
+	t.Helper()
+	return newStrandedFleetWithRetries(t, daemons, 10_000, change)
+}
+
+// newStrandedFleetWithRetries does the same with so many retries that all daemons allow for.
+func newStrandedFleetWithRetries(t *testing.T, daemons int, retries float64, change func(*standin.Upstream)) *strandedFleet {
 	t.Helper()
 	f := &strandedFleet{testFleet: newTestFleet(t), addresses: map[string]string{}}
-	f.cuttable, f.retrySlack = true, 10_000
+	f.cuttable, f.retrySlack = true, retries
 	f.configureRate(1, 1_000_000, "secret")
 	for _, u := range []*standin.Upstream{
 		{ID: "e1", Model: "m", Version: 1, EventCount: fleetEvents}, {ID: "e2", Model: "m", Version: 1, EventCount: fleetEvents}, {ID: "a1"}, {ID: "a2"},
--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -112,11 +112,13 @@
 		a.CacheSalt = place.CacheSalt(choice.WeightVersion, placeReq.CacheScope)
 		a.FetchFrom, a.SaveTo = c.cacheAddresses(choice)
 	}
+	header := c.Dialect.UpstreamHeaders(c.r.Header, a)
+	header.Del(hopHeader)
 	req := &http.Request{
 		Method:        c.r.Method,
 		URL:           u,
 		Host:          c.r.Host,
-		Header:        c.Dialect.UpstreamHeaders(c.r.Header, a),
+		Header:        header,
 		ContentLength: int64(len(c.body)),
 	}
 	// With a body but without GetBody the transport never sends the request a second time on its own. It sends no body
--- a/internal/transport/proxy/detour.go
+++ b/internal/transport/proxy/detour.go
@@ -7,12 +7,12 @@
 	"io"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"github.com/gooseberryway/gooseberryway/internal/coordination/fleet"
-	"github.com/gooseberryway/gooseberryway/internal/state/guard"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/transport/httpc"
 )
@@ -34,8 +34,6 @@
 		return false, nil
 	}
 	c.detoured = true
-	// The peer charges the request to its organisation's rate limit.
-	c.refund()
 	var tried []ident.DaemonID
 	for len(tried) < maxDetours {
 		if err := c.checkBeforeAttempt(); err != nil {
@@ -83,7 +81,7 @@
 		return stepFail, ReasonPeerBroke
 	}
 	c.attemptAt = time.Now()
-	klog.InfoS("Request passed on", "request", c.req.ID, "peer", peer.ID, "service", c.service, "runs", c.possibleRuns(), "runsLeft", runs,
+	klog.InfoS("Request passed on", "request", c.req.ID, "peer", peer.ID, "service", c.service, "arrivals", c.arrivals(), "runsLeft", runs,
 		"lastEvent", c.reply.position.lastID, "heardMs", time.Since(peer.LastHeartbeatAt).Milliseconds(), "leftMs", c.untilDeadline().Milliseconds())
 	if c.route.Repeatable() && c.possibleRuns()+runs < c.maxRuns() {
 		go c.watchPeer(ctx, cancel, peer.ID)
@@ -98,7 +96,10 @@
 
 // peerRequest returns the request as the caller sent it, with the time and the events that are left.
 func (c *call) peerRequest(ctx context.Context, peer fleet.Peer, runs int) (*http.Request, error) {
-	h := hop{from: c.Peers.Self, service: c.service, runs: c.possibleRuns(), runsLeft: runs, budgeted: c.budgeted}
+	h := hop{
+		from: c.Peers.Self, service: c.service, arrivals: c.arrivals(), runsLeft: runs, budgeted: c.budgeted, charged: c.charged,
+		connection: strings.Join(c.r.Header["Connection"], ","),
+	}
 	encoded, err := h.encode()
 	if err != nil {
 		return nil, err
@@ -160,33 +161,33 @@
 
 // handlePeerResponse forwards a peer's response, which is the upstream's or a refusal of the peer's own.
 func (c *call) handlePeerResponse(ctx context.Context, resp *http.Response, peer fleet.Peer, runs int) (nextStep, Reason) {
-	outcome := resp.Header.Get(hopOutcomeHeader)
+	outcome, unreadable := decodeHopOutcome(resp.Header.Get(hopOutcomeHeader))
 	resp.Header.Del(hopOutcomeHeader)
-	refused := outcome != hopAnswered && promisesNotRun(resp.StatusCode)
-	klog.InfoS("Peer answered", "request", c.req.ID, "peer", peer.ID, "status", resp.StatusCode, "outcome", outcome,
-		"sinceSentMs", time.Since(c.attemptAt).Milliseconds())
+	klog.InfoS("Peer answered", "request", c.req.ID, "peer", peer.ID, "status", resp.StatusCode, "understood", unreadable == nil,
+		"refusal", outcome.reason, "arrivals", outcome.arrivals, "sinceSentMs", time.Since(c.attemptAt).Milliseconds())
+	c.budgeted = c.budgeted || outcome.budgeted
 	switch {
-	case outcome == "":
+	case unreadable != nil:
 		countDetour("notUnderstood")
 		return c.endPass(ctx, runs)
-	case refused && (mayPassAfter(Reason(outcome)) || c.mayHaveRun()):
+	case c.mayPassAfter(&outcome, resp.StatusCode, peer):
 		countDetour("refused")
+		c.peerArrivals += outcome.arrivals
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, streamBufferBytes))
-		return stepRetryOther, Reason(outcome)
+		return stepRetryOther, outcome.reason
 	case c.reply.begun() && !c.isStream(resp):
 		countRefusedContinuation()
 		return c.endPass(ctx, runs)
 	}
 	err := c.forwardFromPeer(resp)
 	if err == nil {
-		countDetour(outcome)
+		countDetour("answered")
 		c.Stop.Observe(c.route.Name, time.Since(c.attemptAt))
 		return stepDone, ""
 	}
 	klog.InfoS("Answer of a peer broke", "request", c.req.ID, "peer", peer.ID, "lastEvent", c.reply.position.lastID, "error", err.Error(),
 		"sinceSentMs", time.Since(c.attemptAt).Milliseconds())
 	countDetour("broken")
-	guard.Check(!refused || !c.reply.begun(), guard.NotRunTrue, "refusal of a peer for request %s broke", c.req.ID)
 	return c.endPass(ctx, runs)
 }
 
@@ -201,9 +202,18 @@
 	return err
 }
 
-// mayPassAfter reports whether another peer may take a request that a peer has refused for this reason: it could not serve it itself.
-func mayPassAfter(reason Reason) bool {
-	return slices.Contains([]Reason{
-		ReasonUnreachable, ReasonNoUpstream, ReasonStarting, ReasonStopping, ReasonBodyMemory, ReasonPeerBusy,
-	}, reason)
+// mayPassAfter reports whether another peer may take a request that a peer has refused without running it: for its own state, or because
+// it doesn't know yet what this daemon's configuration allows. Otherwise the refusal is forwarded, unless the request may have run before.
+func (c *call) mayPassAfter(o *hopOutcome, status int, peer fleet.Peer) bool {
+	switch {
+	case o.reason == "":
+		return false
+	case promisesNotRun(status):
+		return c.mayHaveRun() || slices.Contains(reasonsOfPeer, o.reason)
+	default:
+		return o.arrivals == 0 && (o.reason == ReasonNoRoute || o.reason == ReasonUnknownKey) && peer.ConfigVersion < c.config.Version
+	}
 }
+
+// reasonsOfPeer are those for which a peer refuses what another one may serve.
+var reasonsOfPeer = []Reason{ReasonUnreachable, ReasonNoUpstream, ReasonStarting, ReasonStopping, ReasonBodyMemory, ReasonPeerBusy}
--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -108,7 +108,7 @@
 
 // endAttempts ends a request after its last attempt. A peer runs it if too many upstreams could not be connected to.
 func (c *call) endAttempts(p *progress, reason Reason) error {
-	if p.connectFailures >= maxConnectFailures {
+	if p.connectFailures >= maxConnectFailures && (!c.mayHaveRun() || c.evidence.MayRetry(c.ctx)) {
 		if ended, err := c.passOn(); ended {
 			return err
 		}
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -81,6 +81,10 @@
 	hop *hop
 	// budgeted says that the request is counted in the retry budget of its service.
 	budgeted bool
+	// charged says that the request is charged to its organisation's rate limit, here or at the peer that passed it on.
+	charged bool
+	// peerArrivals is how many upstreams the request reached from peers that refused it.
+	peerArrivals int
 	// detoured says that peers were asked to run the request.
 	detoured bool
 	// service is the one of the route's that was picked.
@@ -116,10 +120,12 @@
 
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request, from *hop) {
 	c := &call{
-		Handler: h, w: w, r: r, reply: reply{w: w, toPeer: from != nil}, arrived: time.Now(), req: h.Dialect.ParseRequest(r), hop: from,
+		Handler: h, w: w, r: r, reply: reply{w: w}, arrived: time.Now(), req: h.Dialect.ParseRequest(r), hop: from,
 	}
 	c.reply.position.lastID = c.req.LastEventID
-	c.budgeted = from != nil && from.budgeted
+	if from != nil {
+		c.budgeted, c.charged, c.reply.toPeer = from.budgeted, from.charged, c.hopOutcome
+	}
 	if h.IsDraining() {
 		w.Header().Set("Connection", "close")
 	}
@@ -241,12 +247,13 @@
 
 // admit charges the request's cost to its organisation's rate limit.
 func (c *call) admit() error {
-	if c.org == nil {
+	if c.org == nil || c.charged {
 		return nil
 	}
 	c.cost = admit.Cost(c.org, c.req.Input, c.req.MaxOutput, c.req.HasTokens)
 	d := c.Limiter.Admit(c.org, c.cost)
 	if d.Admitted {
+		c.charged = true
 		return nil
 	}
 	klog.InfoS("Request over its organisation's limit", "request", c.req.ID, "organisation", c.org.ID, "cost", c.cost,
@@ -280,16 +287,10 @@
 // have run.
 func (c *call) refundAndRefuse(reason Reason, after time.Duration) error {
 	guard.Check(!c.reply.begun(), guard.NotRunTrue, "request %s is refused as not run, but part of its response was sent", c.req.ID)
-	c.refund()
-	return unavailableError(reason, after)
-}
-
-// refund gives the request's cost back to its organisation's rate limit.
-func (c *call) refund() {
 	if c.org != nil {
 		c.Limiter.Refund(c.org, c.cost)
-		c.cost = 0
 	}
+	return unavailableError(reason, after)
 }
 
 // stopped reports whether the daemon's time for open requests is over.
--- a/internal/transport/proxy/hop.go
+++ b/internal/transport/proxy/hop.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/base64"
+	"errors"
 	"net/http"
 
 	"google.golang.org/protobuf/proto"
@@ -15,9 +16,8 @@
 const (
 	// hopHeader comes with a request that a daemon passes on to a peer: a wire.PassedRequest in base64.
 	hopHeader = "Gooseberryway-Passed-Request"
-	// hopOutcomeHeader comes with the response to such a request: hopAnswered, or the Reason for which the peer refused it.
+	// hopOutcomeHeader comes with the response to such a request: a wire.PassedOutcome in base64.
 	hopOutcomeHeader = "Gooseberryway-Passed-Outcome"
-	hopAnswered      = "answered"
 )
 
 // hop describes a request that a peer passed on to this daemon, which must not pass it on again.
@@ -25,10 +25,12 @@
 	from ident.DaemonID
 	// service is the one that the peer picked.
 	service view.ServiceID
-	// runs is how many upstreams may have run the request before, runsLeft how many more may.
-	runs, runsLeft int
-	// budgeted says that the request is counted in the retry budget already.
-	budgeted bool
+	// arrivals is how many upstreams the request has reached before, runsLeft how many more may run it.
+	arrivals, runsLeft int
+	// budgeted says that the request is counted in the retry budget already, charged that it is charged to its organisation.
+	budgeted, charged bool
+	// connection is the caller's Connection header.
+	connection string
 }
 
 // sender returns the daemon that passed the request on; empty if the caller sent it here.
@@ -40,28 +42,73 @@
 }
 
 func (h *hop) encode() (string, error) {
-	raw, err := proto.Marshal(&wire.PassedRequest{
-		Daemon: string(h.from), Service: string(h.service), Runs: uint32(max(0, h.runs)), RunsLeft: uint32(max(0, h.runsLeft)),
-		Budgeted: h.budgeted,
+	return encodeMessage(&wire.PassedRequest{
+		Daemon: string(h.from), Service: string(h.service), Arrivals: uint32(max(0, h.arrivals)), RunsLeft: uint32(max(0, h.runsLeft)),
+		Budgeted: h.budgeted, Charged: h.charged, Connection: h.connection,
 	})
-	return base64.RawStdEncoding.EncodeToString(raw), err
 }
 
 func decodeHop(value string) (*hop, error) {
-	raw, err := base64.RawStdEncoding.DecodeString(value)
-	if err != nil {
-		return nil, err
-	}
 	var m wire.PassedRequest
-	if err := proto.Unmarshal(raw, &m); err != nil {
+	if err := decodeMessage(value, &m); err != nil {
 		return nil, err
 	}
 	return &hop{
-		from: ident.DaemonID(m.GetDaemon()), service: view.ServiceID(m.GetService()), runs: int(m.GetRuns()),
-		runsLeft: int(m.GetRunsLeft()), budgeted: m.GetBudgeted(),
+		from: ident.DaemonID(m.GetDaemon()), service: view.ServiceID(m.GetService()), arrivals: int(m.GetArrivals()),
+		runsLeft: int(m.GetRunsLeft()), budgeted: m.GetBudgeted(), charged: m.GetCharged(), connection: m.GetConnection(),
 	}, nil
 }
 
+// hopOutcome is what a peer says of a request that was passed on to it.
+type hopOutcome struct {
+	// reason is that of the peer's own refusal; empty for the response of an upstream.
+	reason Reason
+	// arrivals is how many upstreams the request reached.
+	arrivals int
+	// budgeted says that the peer has counted the request in the retry budget.
+	budgeted bool
+}
+
+func decodeHopOutcome(value string) (hopOutcome, error) {
+	var m wire.PassedOutcome
+	if err := decodeMessage(value, &m); err != nil {
+		return hopOutcome{}, err
+	}
+	return hopOutcome{reason: Reason(m.GetReason()), arrivals: int(m.GetArrivals()), budgeted: m.GetBudgeted()}, nil
+}
+
+// setOutcome adds the outcome of a passed request to the header of its response.
+func (o hopOutcome) setOutcome(h http.Header) {
+	value, err := encodeMessage(&wire.PassedOutcome{Reason: string(o.reason), Arrivals: uint32(max(0, o.arrivals)), Budgeted: o.budgeted})
+	if err == nil {
+		h.Set(hopOutcomeHeader, value)
+	}
+}
+
+// hopOutcome returns the outcome of a request that a peer passed on.
+func (c *call) hopOutcome(reason Reason) hopOutcome {
+	return hopOutcome{reason: reason, arrivals: c.attempts, budgeted: c.budgeted}
+}
+
+func encodeMessage(m proto.Message) (string, error) {
+	raw, err := proto.Marshal(m)
+	return base64.RawStdEncoding.EncodeToString(raw), err
+}
+
+// errNoMessage says that a header is missing.
+var errNoMessage = errors.New("the header is missing") //nolint:revive // for logs only
+
+func decodeMessage(value string, m proto.Message) error {
+	if value == "" {
+		return errNoMessage
+	}
+	raw, err := base64.RawStdEncoding.DecodeString(value)
+	if err != nil {
+		return err
+	}
+	return proto.Unmarshal(raw, m)
+}
+
 // IsPassed reports whether a request that arrived from a peer is a caller's that the peer passes on.
 func IsPassed(r *http.Request) bool { return r.Header.Get(hopHeader) != "" }
 
@@ -74,6 +121,9 @@
 		return
 	}
 	r.Header.Del(hopHeader)
+	if from.connection != "" {
+		r.Header.Set("Connection", from.connection)
+	}
 	h.serve(w, r, from)
 }
 
@@ -86,10 +136,19 @@
 }
 
 // isRepeat reports whether an upstream may have got the request before, from this daemon or a peer.
-func (c *call) isRepeat() bool { return c.attempts > 0 || c.hop != nil && c.hop.runs > 0 }
+func (c *call) isRepeat() bool { return c.arrivals() > 0 }
+
+// arrivals returns how many upstreams the request has reached, from this daemon or from peers.
+func (c *call) arrivals() int {
+	n := c.attempts + c.peerArrivals
+	if c.hop != nil {
+		n += c.hop.arrivals
+	}
+	return n
+}
 
 // RefusePassed refuses a request that a peer passes on, before it was read.
 func (h *Handler) RefusePassed(w http.ResponseWriter, reason Reason) {
-	p := reply{w: w, toPeer: true}
+	p := reply{w: w, toPeer: func(reason Reason) hopOutcome { return hopOutcome{reason: reason} }}
 	p.refuse(unavailableError(reason, rejectedRetryAfter), h.Dialect)
 }
--- a/internal/transport/proxy/hop_test.go
+++ b/internal/transport/proxy/hop_test.go
@@ -9,7 +9,7 @@
 )
 
 func TestHopOutlivesItsHeader(t *testing.T) {
-	sent := &hop{from: "d1", service: "s", runs: 1, runsLeft: 2, budgeted: true}
+	sent := &hop{from: "d1", service: "s", arrivals: 1, runsLeft: 2, budgeted: true, charged: true, connection: "close"}
 	value, err := sent.encode()
 	require.NoError(t, err)
 	got, err := decodeHop(value)
@@ -31,7 +31,7 @@
 }
 
 func FuzzDecodeHop(f *testing.F) {
-	value, err := (&hop{from: "d1", service: "s", runs: 1, runsLeft: 2}).encode()
+	value, err := (&hop{from: "d1", service: "s", arrivals: 1, runsLeft: 2}).encode()
 	require.NoError(f, err)
 	f.Add(value)
 	f.Fuzz(func(t *testing.T, value string) {
--- a/internal/transport/proxy/reply.go
+++ b/internal/transport/proxy/reply.go
@@ -19,8 +19,8 @@
 	// firstByteAt is when the first byte of the body was ready; zero until then.
 	firstByteAt time.Time
 	complete    bool
-	// toPeer says that a peer passed the request on.
-	toPeer bool
+	// toPeer returns what the peer that passed the request on is told; nil if the caller sent it here.
+	toPeer func(refusal Reason) hopOutcome
 }
 
 // begun reports whether the header is out, so that no other response can be given.
@@ -46,8 +46,9 @@
 	if length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
-	if p.toPeer {
-		h.Set(hopOutcomeHeader, hopAnswered)
+	h.Del(hopOutcomeHeader)
+	if p.toPeer != nil {
+		p.toPeer("").setOutcome(h)
 	}
 	p.w.WriteHeader(status)
 	p.status = status
@@ -80,8 +81,8 @@
 // refuse sends the daemon's own response.
 func (p *reply) refuse(e *RefusedError, d Dialect) {
 	p.status = e.Status
-	if p.toPeer {
-		p.w.Header().Set(hopOutcomeHeader, string(e.Reason))
+	if p.toPeer != nil {
+		p.toPeer(e.Reason).setOutcome(p.w.Header())
 	}
 	e.write(p.w, d)
 	p.finish()
--- a/internal/transport/proxy/request.go
+++ b/internal/transport/proxy/request.go
@@ -78,7 +78,7 @@
 	// UpstreamHeaders returns the headers to send to an upstream: those of the caller without its key, hop-by-hop
 	// headers and headers that only the router may set, and those that describe the attempt.
 	UpstreamHeaders(h http.Header, a Attempt) http.Header
-	// PeerHeaders returns the headers to send to a peer that runs the request: those of the caller without hop-by-hop headers, with
+	// PeerHeaders returns the headers to send to a peer that runs the request: those of the caller but for those of its connection, with
 	// the time until the deadline, and the last event that the caller has got unless that is empty.
 	PeerHeaders(h http.Header, untilDeadline time.Duration, lastEventID string) http.Header
 	// ParseResponse reads the status and the headers of an upstream's response.
