Resign only if a peer has heard of the engines lately

Cause: a service that a peer doesn't report as unreachable was taken for one that it reaches; services without engines counted too, which the leader never gives orders to.

A peer counts only if it has heard of an engine of the service within the last second, has read the store lately and reaches more in all. Daemons tell that only of services that one of them can't reach.

TestLeaderOfEnginesThatAreDownStays failed before; TestLeaderCutOffFromUpstreamsResigns holds.

--- a/internal/coordination/place/reach.go
+++ b/internal/coordination/place/reach.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/gooseberryway/gooseberryway/internal/state/view"
 )
@@ -29,6 +30,20 @@
 	return out
 }
 
+// heardWindow is how long after its last bytes an upstream counts as heard.
+const heardWindow = time.Second
+
+// HasHeardOf reports whether an upstream of the service has sent something to this daemon lately.
+func (p *Placer) HasHeardOf(service view.ServiceID) bool {
+	upstreams := p.Snapshots.Upstreams().ByService[service]
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(upstreams, func(u *view.Upstream) bool {
+		state := p.upstreamStates[u.ID]
+		return state != nil && time.Since(state.heardAt) < heardWindow
+	})
+}
+
 // isUnreachable reports whether all of the upstreams that take requests are down, of which there must be some. The caller holds p.mu.
 func (p *Placer) isUnreachable(upstreams []*view.Upstream) bool {
 	down := 0
--- a/internal/coordination/place/tracker.go
+++ b/internal/coordination/place/tracker.go
@@ -175,6 +175,7 @@
 	defer t.placer.mu.Unlock()
 	t.upstreamState.lastActiveAt = time.Now()
 	t.upstreamState.lastBytesAt = t.upstreamState.lastActiveAt
+	t.upstreamState.heardAt = t.upstreamState.lastActiveAt
 	t.endRisk()
 }
 
--- a/internal/coordination/place/upstream_state.go
+++ b/internal/coordination/place/upstream_state.go
@@ -61,6 +61,9 @@
 	// lastBytesAt is the same without accepted connections.
 	lastBytesAt time.Time
 
+	// heardAt is when the upstream last sent anything; zero if it never did.
+	heardAt time.Time
+
 	// recentChains holds when a chain was last sent here by any daemon.
 	recentChains map[ChainKey]time.Time
 }
--- a/internal/program/entry/cut_off_leader_test.go
+++ b/internal/program/entry/cut_off_leader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -35,3 +36,21 @@
 	f.eventually(first.mayLead, "it reaches as much as its peers, and the lease has passed")
 	require.Zero(t, first.elector.Term(), "the other daemon still leads")
 }
+
+// Guards against leaders that resign one after the other because they are the first to find engines down, which are down for all.
+func TestLeaderOfEnginesThatAreDownStays(t *testing.T) {
+	t.Parallel()
+	f := newStrandedFleet(t, 7, nil)
+	f.eventually(func() bool { return f.leader() != nil }, "no leader")
+	first := f.leader()
+	for _, u := range f.upstreams {
+		if u.Model != "" {
+			u.Close()
+		}
+	}
+	for started := time.Now(); time.Since(started) < 5*time.Second; time.Sleep(500 * time.Millisecond) {
+		f.try(first, "/note/x")
+		require.NotZero(t, first.elector.Term())
+	}
+	require.Contains(t, first.placer.UnreachableServices(), first.snapshots.Config().Route("h.example", "/note/x").Shares[0].Service)
+}
--- a/internal/program/entry/detour.go
+++ b/internal/program/entry/detour.go
@@ -31,7 +31,7 @@
 // isActivePeer reports whether callers are sent to a peer.
 func (d *Daemon) isActivePeer(id ident.DaemonID) bool {
 	v := d.fleet.Load()
-	return v != nil && slices.ContainsFunc(v.active, func(p fleet.Peer) bool { return p.ID == id })
+	return v != nil && v.activeIDs[id]
 }
 
 // updateUnreachable finds out to which services' upstreams this daemon can't connect, and logs changes.
@@ -52,14 +52,30 @@
 	return nil
 }
 
-// reachesLessThanPeers reports whether callers are sent to a peer that can connect to upstreams of more services than this daemon.
+// reachedServices returns the services that peers can't reach and of whose upstreams this daemon has heard lately.
+func (d *Daemon) reachedServices() []view.ServiceID {
+	var out []view.ServiceID
+	for _, p := range d.table.All() {
+		for _, service := range p.UnreachableServices {
+			if !slices.Contains(out, service) && d.placer.HasHeardOf(service) {
+				out = append(out, service)
+			}
+		}
+	}
+	return out
+}
+
+// reachesLessThanPeers reports whether this daemon can't connect to engines of which a peer has heard that may lead in its place and
+// reaches more. If the engines are down for all, none has.
 func (d *Daemon) reachesLessThanPeers() bool {
-	unreachable, v := d.unreachable(), d.fleet.Load()
-	if len(unreachable) == 0 || v == nil {
+	unreachable, v, config := d.unreachable(), d.fleet.Load(), d.snapshots.Config()
+	if len(unreachable) == 0 || v == nil || config == nil {
 		return false
 	}
+	hasEngines := func(id view.ServiceID) bool { s := config.Services[id]; return s != nil && s.Engine != nil }
 	return slices.ContainsFunc(v.active, func(p fleet.Peer) bool {
-		return p.ID != d.Settings.DaemonID && !p.ReportedByPeer && len(p.UnreachableServices) < len(unreachable)
+		return p.StoreAge < maxEligibleStoreAge && len(p.UnreachableServices) < len(unreachable) &&
+			slices.ContainsFunc(p.ReachedServices, func(id view.ServiceID) bool { return slices.Contains(unreachable, id) && hasEngines(id) })
 	})
 }
 
--- a/internal/program/entry/heartbeat.go
+++ b/internal/program/entry/heartbeat.go
@@ -133,6 +133,9 @@
 	for _, service := range d.unreachable() {
 		b.UnreachableServices = append(b.UnreachableServices, string(service))
 	}
+	for _, service := range d.reachedServices() {
+		b.ReachedServices = append(b.ReachedServices, string(service))
+	}
 	d.addLeaderState(b)
 	d.addUsage(b, v.inMesh())
 	if !v.inMesh() {
--- a/internal/program/entry/peers.go
+++ b/internal/program/entry/peers.go
@@ -61,6 +61,9 @@
 	for _, service := range b.GetUnreachableServices() {
 		p.UnreachableServices = append(p.UnreachableServices, view.ServiceID(service))
 	}
+	for _, service := range b.GetReachedServices() {
+		p.ReachedServices = append(p.ReachedServices, view.ServiceID(service))
+	}
 	if !d.table.ApplyHeartbeat(p, b.GetSequence()) {
 		return
 	}
