Let a peer recover from the failure of an upstream as for its own requests

Repeatable requests that a daemon passed on failed with the first upstream that failed, where the route allows two attempts: each peer left the next one a run, so that it had no other and did not watch for upstreams that hang either.

The peer may use what is left now, and leaves one of three or more to the next peer. Its response tells how many upstreams had the request when it began; from then on the peer cuts a stream that breaks, and the first daemon has it go on elsewhere, so that the runs of both stay within the route's.

--- a/internal/program/entry/detour_accounting_test.go
+++ b/internal/program/entry/detour_accounting_test.go
@@ -95,3 +95,25 @@
 	a := f.try(f.daemons[0], "/order/x", "Connection", "Authorization")
 	require.Equal(t, http.StatusOK, a.status)
 }
+
+// Guards against passed requests that get one attempt where the route allows two.
+func TestPeerRetriesAfterFailureOfUpstream(t *testing.T) {
+	t.Parallel()
+	var arrivals atomic.Int64
+	f := newStrandedFleet(t, 3, func(u *standin.Upstream) {
+		u.Intercept = func(w http.ResponseWriter, r *http.Request) bool {
+			if !strings.HasPrefix(r.Header.Get(requestIDKey), "failing") || arrivals.Add(1) > 1 {
+				return false
+			}
+			w.Header().Set(requestIDKey, r.Header.Get(requestIDKey))
+			w.WriteHeader(http.StatusInternalServerError)
+			return true
+		}
+	})
+	f.cutOff(f.daemons[0], "/lookup/x")
+	resp, err := http.DefaultClient.Do(f.request(t.Context(), f.daemons[0], "/lookup/x", "failing", "secret", "p"))
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.EqualValues(t, 2, arrivals.Load())
+}
--- a/internal/transport/proxy/detour.go
+++ b/internal/transport/proxy/detour.go
@@ -20,6 +20,8 @@
 const (
 	// maxDetours is the number of peers that a request is passed on to, one after the other.
 	maxDetours = 2
+	// minRunsOfPeer are as many runs as a peer needs to recover from the failure of an upstream.
+	minRunsOfPeer = 2
 	// detourDeadlineGrace is how long after the deadline a response of a peer is waited for, which itself waits for deadlineGrace.
 	detourDeadlineGrace = 2 * deadlineGrace
 )
@@ -74,8 +76,11 @@
 	defer cancel(nil)
 	end := time.AfterFunc(c.untilDeadline()+detourDeadlineGrace, func() { cancel(context.DeadlineExceeded) })
 	defer end.Stop()
-	// Each peer leaves the next one a run.
-	runs := max(1, c.maxRuns()-c.possibleRuns()-spare)
+	runs := c.maxRuns() - c.possibleRuns()
+	if runs > minRunsOfPeer && spare > 0 {
+		// The peer may fall silent and leaves a run to the next one.
+		runs--
+	}
 	req, err := c.peerRequest(ctx, peer, runs)
 	if err != nil {
 		return stepFail, ReasonPeerBroke
@@ -83,15 +88,24 @@
 	c.attemptAt = time.Now()
 	klog.InfoS("Request passed on", "request", c.req.ID, "peer", peer.ID, "service", c.service, "arrivals", c.arrivals(), "runsLeft", runs,
 		"lastEvent", c.reply.position.lastID, "heardMs", time.Since(peer.LastHeartbeatAt).Milliseconds(), "leftMs", c.untilDeadline().Milliseconds())
-	if c.route.Repeatable() && c.possibleRuns()+runs < c.maxRuns() {
-		go c.watchPeer(ctx, cancel, peer.ID)
-	}
+	watching := c.watchPeer(ctx, cancel, peer.ID, runs)
 	resp, err := c.PeerPool.Do(req)
 	if err != nil {
 		return c.handlePassError(ctx, err, peer, runs)
 	}
 	defer resp.Body.Close()
-	return c.handlePeerResponse(ctx, resp, peer, runs)
+	outcome, unreadable := decodeHopOutcome(resp.Header.Get(hopOutcomeHeader))
+	resp.Header.Del(hopOutcomeHeader)
+	klog.InfoS("Peer answered", "request", c.req.ID, "peer", peer.ID, "status", resp.StatusCode, "understood", unreadable == nil,
+		"refusal", outcome.reason, "arrivals", outcome.arrivals, "sinceSentMs", time.Since(c.attemptAt).Milliseconds())
+	if unreadable != nil {
+		countDetour("notUnderstood")
+		return c.endPass(ctx, runs)
+	}
+	if !watching {
+		c.watchPeer(ctx, cancel, peer.ID, outcome.arrivals)
+	}
+	return c.handlePeerResponse(ctx, resp, peer, &outcome)
 }
 
 // peerRequest returns the request as the caller sent it, with the time and the events that are left.
@@ -115,21 +129,28 @@
 	return req.WithContext(ctx), nil
 }
 
-// watchPeer cancels an attempt whose peer has fallen silent, if another peer may follow.
-func (c *call) watchPeer(ctx context.Context, cancel context.CancelCauseFunc, peer ident.DaemonID) {
-	t := time.NewTicker(responsivenessTick)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-		if !c.Peers.IsAlive(peer) {
-			cancel(errUnresponsive)
-			return
-		}
+// watchPeer cancels an attempt whose peer has fallen silent, if another peer may follow one that had so many upstreams run the request. It
+// reports whether it does.
+func (c *call) watchPeer(ctx context.Context, cancel context.CancelCauseFunc, peer ident.DaemonID, runs int) bool {
+	if !c.route.Repeatable() || c.possibleRuns()+runs >= c.maxRuns() {
+		return false
 	}
+	go func() {
+		t := time.NewTicker(responsivenessTick)
+		defer t.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-t.C:
+			}
+			if !c.Peers.IsAlive(peer) {
+				cancel(errUnresponsive)
+				return
+			}
+		}
+	}()
+	return true
 }
 
 // handlePassError handles a request that got no response from a peer.
@@ -160,24 +181,17 @@
 }
 
 // handlePeerResponse forwards a peer's response, which is the upstream's or a refusal of the peer's own.
-func (c *call) handlePeerResponse(ctx context.Context, resp *http.Response, peer fleet.Peer, runs int) (nextStep, Reason) {
-	outcome, unreadable := decodeHopOutcome(resp.Header.Get(hopOutcomeHeader))
-	resp.Header.Del(hopOutcomeHeader)
-	klog.InfoS("Peer answered", "request", c.req.ID, "peer", peer.ID, "status", resp.StatusCode, "understood", unreadable == nil,
-		"refusal", outcome.reason, "arrivals", outcome.arrivals, "sinceSentMs", time.Since(c.attemptAt).Milliseconds())
+func (c *call) handlePeerResponse(ctx context.Context, resp *http.Response, peer fleet.Peer, outcome *hopOutcome) (nextStep, Reason) {
 	c.budgeted = c.budgeted || outcome.budgeted
 	switch {
-	case unreadable != nil:
-		countDetour("notUnderstood")
-		return c.endPass(ctx, runs)
-	case c.mayPassAfter(&outcome, resp.StatusCode, peer):
+	case c.mayPassAfter(outcome, resp.StatusCode, peer):
 		countDetour("refused")
 		c.peerArrivals += outcome.arrivals
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, streamBufferBytes))
 		return stepRetryOther, outcome.reason
 	case c.reply.begun() && !c.isStream(resp):
 		countRefusedContinuation()
-		return c.endPass(ctx, runs)
+		return c.endPass(ctx, max(1, outcome.arrivals))
 	}
 	err := c.forwardFromPeer(resp)
 	if err == nil {
@@ -188,7 +202,7 @@
 	klog.InfoS("Answer of a peer broke", "request", c.req.ID, "peer", peer.ID, "lastEvent", c.reply.position.lastID, "error", err.Error(),
 		"sinceSentMs", time.Since(c.attemptAt).Milliseconds())
 	countDetour("broken")
-	return c.endPass(ctx, runs)
+	return c.endPass(ctx, max(1, outcome.arrivals))
 }
 
 func (c *call) forwardFromPeer(resp *http.Response) error {
--- a/internal/transport/proxy/response.go
+++ b/internal/transport/proxy/response.go
@@ -117,8 +117,12 @@
 }
 
 // stepAfterRun returns the next step after an attempt that failed although the request may have run. Of a response that has begun only
-// a stream can go on, if it is known how much of it the caller has got.
+// a stream can go on, if it is known how much of it the caller has got. One that a peer passed on goes on from there: the peer knows how many
+// upstreams had run it when its response began.
 func (c *call) stepAfterRun(reason Reason) (nextStep, Reason) {
+	if c.hop != nil && c.reply.begun() {
+		return stepFail, reason
+	}
 	if c.route.Repeatable() && (!c.reply.begun() || c.reply.isStream && !c.reply.position.ambiguous) {
 		return stepRetryOther, reason
 	}
