Wait for all streams in the test of streams on open connections

The test failed once in a whole run beside load, with 503 for one stream (id s2, noUpstreamTakesIt): it cut the link once a stream ran at each of the two upstreams, while others of the eight had not been sent yet, which must be refused then. It waits for all eight now; what it asks of them is unchanged.

--- a/internal/program/entry/stranded_test.go
+++ b/internal/program/entry/stranded_test.go
@@ -238,7 +238,7 @@
 	for i := range results {
 		streams.Go(func() { results[i] = f.try(d, "/note/x") })
 	}
-	f.eventually(func() bool { return f.upstreams[0].Runs() != nil && f.upstreams[1].Runs() != nil }, "no stream runs")
+	f.eventually(func() bool { return len(f.upstreams[0].Runs())+len(f.upstreams[1].Runs()) == len(results) }, "not all streams run")
 	d.link.set(linkRefuses, nil)
 	for range 12 {
 		streams.Go(func() { f.try(d, "/draft/x") })
