--- a/internal/coordination/place/upstream_state.go
+++ b/internal/coordination/place/upstream_state.go
@@ -130,9 +130,9 @@
 	return time.Duration(tokens) * s.estimates.prefill.PerToken()
 }
 
-// shouldAbort reports whether requests at the upstream are to be aborted: it has not been reachable for
-// unreachableConfirmTime and has sent nothing on its open connections either, or it accepts connections but has sent nothing for longer than hangTimeout. An upstream
-// that is merely slow does neither.
+// shouldAbort reports whether requests at the upstream are to be aborted: for unreachableConfirmTime it has not been reachable
+// and has sent nothing on its open connections either, or it accepts connections but has sent nothing for longer than
+// hangTimeout. An upstream that is merely slow does neither.
 func (s *upstreamState) shouldAbort(now time.Time, maxReportAge time.Duration) bool {
 	if s.down && now.Sub(s.downSince) >= unreachableConfirmTime && now.Sub(s.lastBytesAt) >= unreachableConfirmTime {
 		return true
