Log when a request began on replaced weights

The logs said what was known when an attempt was sent, but not when its first token came: "Request ended" counts from the arrival, over all attempts, and to the first byte forwarded. A line and a histogram now tell how old the replacement was at the first token, by what was known then, with the estimates it was sent by. A header or a comment of a stream is no first token.

--- a/internal/coordination/place/cost.go
+++ b/internal/coordination/place/cost.go
@@ -12,7 +12,10 @@
 func (p *Placer) evaluate(q *query, cand *candidate) *Choice {
 	totalWork := cand.totalWork(q.now, q.maxReportAge)
 	u := cand.upstream
-	c := &Choice{Upstream: u, HashRank: cand.hashRank, PrefillTokens: q.request.Input, QueuedTokens: totalWork.PrefillTokens, Locality: CachedNoPrefix}
+	c := &Choice{
+		Upstream: u, HashRank: cand.hashRank, PrefillTokens: q.request.Input, QueuedTokens: totalWork.PrefillTokens,
+		RequestsThere: totalWork.Requests, Locality: CachedNoPrefix,
+	}
 	if q.request.Model == "" {
 		return p.evaluatePlain(c, cand.upstreamState, u, totalWork, q.now)
 	}
--- a/internal/coordination/place/placer.go
+++ b/internal/coordination/place/placer.go
@@ -137,6 +137,9 @@
 	}
 	best.Candidates = len(candidates)
 	best.Wait = p.waitEstimate(q, best)
+	if r.Model != "" {
+		best.LongestWait = p.longestWait(q, best)
+	}
 	return best, nil
 }
 
--- a/internal/coordination/place/request.go
+++ b/internal/coordination/place/request.go
@@ -75,6 +75,10 @@
 	QueuedTokens ident.Tokens
 	// Wait is the estimated time to the first byte; zero while the speed of the service's upstreams is unknown.
 	Wait WaitEstimate
+	// LongestWait is how long the first token is expected to take at most; it is set for services that run models.
+	LongestWait time.Duration
+	// RequestsThere is the number of requests that all daemons have at the upstream, for logs.
+	RequestsThere int
 	// Late is set by the caller of Begin for a request that will miss its target and runs after those that can still
 	// meet it.
 	Late bool
--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -46,6 +46,7 @@
 		Tracker: c.Placer.Begin(choice, placeReq),
 		rollout: c.Rollouts.Begin(c.rolloutRequest(placeReq), choice.Upstream, choice.QueuedTokens+choice.PrefillTokens),
 		queued:  choice.QueuedTokens, evidence: evidence,
+		onBegin: func() { c.logBegin(choice, placeReq) },
 	}
 	req, err := c.upstreamRequest(ctx, choice, p)
 	if err != nil {
@@ -72,6 +73,25 @@
 	return step, reason
 }
 
+// logBegin records the first token of an attempt, the moment that counts for the limit on replaced weights.
+func (c *call) logBegin(choice *place.Choice, r *place.Request) {
+	if r.Model == "" {
+		return
+	}
+	named, _ := c.Snapshots.Weights(r.Model)
+	at, replaced := named.ReplacedAt(choice.WeightVersion)
+	if !replaced {
+		return
+	}
+	replacedFor := time.Since(at)
+	recordReplacedWeights(replacedFor)
+	klog.InfoS("Request began on replaced weights", "request", c.req.ID, "upstream", choice.Upstream.ID, "attempt", c.attempts,
+		"weights", choice.WeightVersion, "replacedMs", replacedFor.Milliseconds(), "replacedWhenSentMs", choice.ReplacedFor.Milliseconds(),
+		"named", named.Version, "namedAgeMs", named.Age().Milliseconds(), "namedObserved", named.NamedAtObserved,
+		"waitMs", time.Since(c.attemptAt).Milliseconds(), "estimatedMs", choice.Wait.Total.Milliseconds(), "longestMs", choice.LongestWait.Milliseconds(),
+		"atUpstream", choice.RequestsThere, "passedBy", c.hop.sender())
+}
+
 // errUnresponsive is the cause with which an attempt is cancelled whose upstream has become unreachable or hangs.
 var errUnresponsive = errors.New("upstream is unreachable or hangs") //nolint:revive // compared by identity only
 
--- a/internal/transport/proxy/detour.go
+++ b/internal/transport/proxy/detour.go
@@ -207,7 +207,7 @@
 
 func (c *call) forwardFromPeer(resp *http.Response) error {
 	if c.isStream(resp) {
-		return c.copyStream(resp, func() {})
+		return c.copyStream(resp, func() {}, nil)
 	}
 	body, err := c.readBuffered(resp)
 	if err == nil {
--- a/internal/transport/proxy/metrics.go
+++ b/internal/transport/proxy/metrics.go
@@ -50,6 +50,11 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf(`gooseberrywayPassedRequests{outcome=%q}`, outcome)).Inc()
 }
 
+// recordReplacedWeights records how long weights had been replaced when a request began on them.
+func recordReplacedWeights(d time.Duration) {
+	metrics.GetOrCreateHistogram("gooseberrywayReplacedWeightsSeconds").Update(d.Seconds())
+}
+
 // countUnstatedPromise counts an upstream's status that callers would take for the promise that a request has not run, without the
 // header that states it.
 func countUnstatedPromise(status int) {
--- a/internal/transport/proxy/response.go
+++ b/internal/transport/proxy/response.go
@@ -213,7 +213,7 @@
 	err := c.copyStream(resp, func() {
 		tracker.MarkActive()
 		tracker.MarkFirstEvent()
-	})
+	}, tracker.markBegun)
 	outcome := c.outcome(ctx, err, resp.StatusCode)
 	tracker.End(outcome)
 	if err == nil {
@@ -257,6 +257,9 @@
 	ctx context.Context, resp *http.Response, choice *place.Choice, tracker *attemptTracker,
 ) (nextStep, Reason) {
 	body, err := c.readBuffered(resp)
+	if err == nil {
+		tracker.markBegun()
+	}
 	return c.endBuffered(ctx, err, resp, body, choice, tracker)
 }
 
@@ -309,9 +312,11 @@
 	}
 }
 
-// copyStream forwards a stream of events as they arrive. It calls onRead after each read.
-func (c *call) copyStream(resp *http.Response, onRead func()) error {
-	f := &streamForwarder{reply: &c.reply, header: c.Dialect.CallerHeaders(resp.Header), resumable: c.route.Resumable}
+// copyStream forwards a stream of events as they arrive. It calls onRead after each read, and onFirstEvent once.
+func (c *call) copyStream(resp *http.Response, onRead, onFirstEvent func()) error {
+	f := &streamForwarder{
+		reply: &c.reply, header: c.Dialect.CallerHeaders(resp.Header), resumable: c.route.Resumable, onFirstEvent: onFirstEvent,
+	}
 	f.init()
 	buf := make([]byte, streamBufferBytes)
 	for {
--- a/internal/transport/proxy/stream_forwarder.go
+++ b/internal/transport/proxy/stream_forwarder.go
@@ -12,6 +12,8 @@
 	header http.Header
 	// resumable says that another upstream may send the rest of the stream, so that only complete events are forwarded.
 	resumable bool
+	// onFirstEvent is called when the first event that is more than comments is complete; nil for none.
+	onFirstEvent func()
 
 	scanner eventScanner
 	// pending are the bytes of an event that isn't complete.
@@ -37,7 +39,12 @@
 		}
 		f.verified = true
 	}
-	f.hasEvents = f.hasEvents || e.hasID || e.hasData
+	if !f.hasEvents && (e.hasID || e.hasData) {
+		f.hasEvents = true
+		if f.onFirstEvent != nil {
+			f.onFirstEvent()
+		}
+	}
 	f.reply.position.advance(e)
 	return nil
 }
--- a/internal/transport/proxy/tracker.go
+++ b/internal/transport/proxy/tracker.go
@@ -16,8 +16,14 @@
 	queued ident.Tokens
 	// reads counts the reads of the response's body, which stand for tokens.
 	reads ident.Tokens
+	// onBegin is called by markBegun.
+	onBegin func()
 }
 
+// markBegun records that the upstream has begun to answer: with an event of a stream, or the whole of another response. A header alone may come
+// while the request waits.
+func (t *attemptTracker) markBegun() { t.onBegin() }
+
 // MarkFirstEvent records that a part of the response has come.
 func (t *attemptTracker) MarkFirstEvent() {
 	t.Tracker.MarkFirstEvent()
