Show requests that begin on replaced weights after their limit, between real processes

The soak could not see it: its engines changed weights at once and had no queue, nothing judged the version of a first token, and no run ended all daemons together.

--- a/internal/program/soak/fleet_test.go
+++ b/internal/program/soak/fleet_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -36,6 +37,8 @@
 	// startedAt is when the process was started, restarting is true from the start of a restart until the process runs again.
 	startedAt  time.Time
 	restarting bool
+	// disturbedAt are the times at which the process was started or got a signal.
+	disturbedAt []time.Time
 }
 
 // cluster is a fleet of daemon processes with a stand-in for the platform store and stand-ins for the upstreams.
@@ -46,6 +49,8 @@
 	storeAddress string
 	processes    []*process
 	workers      []*worker
+	// weightsLimit is how long after a version was replaced requests may begin on it.
+	weightsLimit time.Duration
 	// operator serialises what operators write, so that all of it can be written again after a restore of the store.
 	operator sync.Mutex
 }
@@ -61,11 +66,7 @@
 
 func newCluster(t *testing.T, binary string, daemons int, seed uint64) *cluster {
 	t.Helper()
-	w := &cluster{t: t, binary: binary, store: standin.NewStore()}
-	w.storeAddress = w.store.Serve(nil)
-	t.Cleanup(w.store.Close)
-	w.configure(1, "key-a", "key-b")
-	w.store.Put("keyed.op", "version/m", map[string]any{"model": "m", "version": 1})
+	w := startStore(t, binary, 8*time.Second)
 	for i := range workersPerService {
 		w.workers = append(w.workers, startWorker(t, w, "llm", i, seed), startWorker(t, w, "app", workersPerService+i, seed))
 	}
@@ -76,16 +77,27 @@
 	return w
 }
 
+// startStore returns a cluster without daemons and upstreams.
+func startStore(t *testing.T, binary string, weightsLimit time.Duration) *cluster {
+	t.Helper()
+	w := &cluster{t: t, binary: binary, store: standin.NewStore(), weightsLimit: weightsLimit}
+	w.storeAddress = w.store.Serve(nil)
+	t.Cleanup(w.store.Close)
+	w.configure(1, "key-a", "key-b")
+	w.store.Put("keyed.op", "version/m", map[string]any{"model": "m", "version": 1})
+	return w
+}
+
 func (w *cluster) configure(version int, keys ...string) {
 	routes := []any{}
-	for name, kind := range map[string]string{"note": "streaming", "order": "non_idempotent", "lookup": "idempotent"} {
+	for name, kind := range map[string]string{"note": "streaming", "draft": "streaming", "order": "non_idempotent", "lookup": "idempotent"} {
 		service := "app"
 		if kind == "streaming" {
 			service = "llm"
 		}
 		routes = append(routes, map[string]any{
 			"name": name, "host": "h.example", "path-prefix": "/" + name + "/", "kind": kind, "timeout-ms": 5000,
-			"target-latency-ms": 300, "attempts": 2, "service": service, "resumable": kind == "streaming",
+			"target-latency-ms": 300, "attempts": 2, "service": service, "resumable": name == "note",
 		})
 	}
 	w.store.Put("keyed.op", "config", map[string]any{
@@ -114,7 +126,7 @@
 			"callers": p.callerAddress, "ready": standin.FreeAddress(), "directory": p.directoryAddress, "peers": standin.FreeAddress(),
 		},
 		"limits": map[string]any{
-			"graceS": 4, "leaseMs": 3000, "fenced": true, "weightsMs": 8000, "retryShare": 0.2, "retrySlack": 50, "retryWindowS": 10,
+			"graceS": 4, "leaseMs": 3000, "fenced": true, "weightsMs": w.weightsLimit.Milliseconds(), "retryShare": 0.2, "retrySlack": 50, "retryWindowS": 10,
 		},
 	})
 	require.NoError(w.t, err)
@@ -139,6 +151,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.cmd, p.exited, p.restarting, p.startedAt = cmd, done, false, time.Now()
+	p.disturbedAt = append(p.disturbedAt, p.startedAt)
+}
+
+// undisturbedAt reports whether the process had run for so long at a time, without a signal.
+func (p *process) undisturbedAt(at time.Time, d time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !slices.ContainsFunc(p.disturbedAt, func(t time.Time) bool { return t.After(at.Add(-d)) && t.Before(at) })
 }
 
 // signalIfRunning sends a signal to the process unless it has just started, when it doesn't handle signals yet.
@@ -159,6 +179,7 @@
 	case <-p.exited:
 	default:
 		_ = p.cmd.Process.Signal(s)
+		p.disturbedAt = append(p.disturbedAt, time.Now())
 	}
 }
 
--- a/internal/program/soak/soak_test.go
+++ b/internal/program/soak/soak_test.go
@@ -41,6 +41,8 @@
 	// seriesLength is the number of restarts, and of changes of configuration, that follow each other at once.
 	seriesLength   = 3
 	defaultSeconds = 6
+	// sharedPrefixes is the number of prompt prefixes that requests share.
+	sharedPrefixes = 5
 	// maxRevocationDelay is the published bound on the time until a withdrawn key is rejected.
 	maxRevocationDelay = 5 * time.Second
 )
@@ -51,6 +53,12 @@
 	status int
 }
 
+// sending tells which daemon got a request, and when.
+type sending struct {
+	p  *process
+	at time.Time
+}
+
 // checker sends requests, injects faults and reports each violation of the guarantees to callers.
 type checker struct {
 	t               *testing.T
@@ -58,6 +66,8 @@
 	mu              sync.Mutex
 	atMostOnceCalls []callResult
 	served          atomic.Int64
+	// sent holds which daemon got a request, and when.
+	sent sync.Map
 	// revokedAt is when key-b was withdrawn, as Unix time in nanoseconds; 0 before.
 	revokedAt atomic.Int64
 }
@@ -338,14 +348,15 @@
 	req.Header.Set("X-Gooseberryway-Attempt-Id", id)
 	req.Header.Set("X-Gooseberryway-Deadline-Milliseconds", "4000")
 	req.Header.Set("Authorization", "Bearer "+key)
-	if kind == "note" {
+	if isGeneration(kind) {
 		req.Header.Set("X-Gooseberryway-Model", "m")
 		req.Header.Set("X-Gooseberryway-Token-Counts", "100,8")
-		req.Header.Set("X-Gooseberryway-Prompt-Prefix", "aa:50,bb:30,cc:20")
+		req.Header.Set("X-Gooseberryway-Prompt-Prefix", fmt.Sprintf("aa:50,b%d:30,cc:20", len(id)%sharedPrefixes))
 	}
 	// Without GetBody the HTTP client does not resend a request that may have run.
 	req.GetBody = nil
 	startedAt := time.Now()
+	c.sent.Store(id, sending{p, startedAt})
 	resp, err := httpClient.Do(req)
 	if err != nil {
 		c.recordCall(kind, id, 0)
@@ -364,7 +375,7 @@
 	if got := resp.Header.Get("X-Gooseberryway-Attempt-Id"); got != id {
 		c.reportViolation("request %s got the response of request %q", id, got)
 	}
-	if kind == "note" {
+	if isGeneration(kind) {
 		c.checkStream(resp.Body, id)
 		return 0, false
 	}
@@ -376,6 +387,9 @@
 	return 0, false
 }
 
+// isGeneration reports whether requests of a kind run a model.
+func isGeneration(kind string) bool { return kind == "note" || kind == "draft" }
+
 // isPromise reports whether a status promises that the request has not run and never will.
 func isPromise(status int) bool {
 	switch status {
@@ -408,7 +422,7 @@
 
 // recordCall keeps the status that the caller of an at-most-once call received. Other requests are ignored.
 func (c *checker) recordCall(kind, id string, status int) {
-	if kind != "order" {
+	if kind != "order" && kind != "draft" {
 		return
 	}
 	c.mu.Lock()
@@ -424,7 +438,11 @@
 		p.storeProxy.setMode(modePass)
 	}
 	w.waitReady()
-	runs := w.allRuns(c)
+	c.checkRuns(w.allRuns(c))
+}
+
+// checkRuns checks what upstreams ran, by the ids of requests.
+func (c *checker) checkRuns(runs map[string][]run) {
 	status := map[string]int{}
 	for _, s := range c.atMostOnceCalls {
 		if len(runs[s.id]) > 1 {
--- a/internal/program/soak/worker_test.go
+++ b/internal/program/soak/worker_test.go
@@ -37,14 +37,19 @@
 	mu sync.Mutex
 	// id and state are those of the registration; the state is empty if there is none.
 	id, state string
-	// disturbed are the times in which the worker or its link was disturbed.
-	disturbed []span
+	disturbances
+}
+
+// disturbances are the times in which an upstream or its link was disturbed.
+type disturbances struct {
+	disturbedMu sync.Mutex
+	spans       []span
 }
 
 // run is one execution of a request at a worker.
 type run struct {
 	standin.Execution
-	worker *worker
+	*disturbances
 }
 
 // String tells where and when the run was, in seconds of the minute.
@@ -89,20 +94,20 @@
 	u.register(w, state)
 }
 
-// disturb notes a disturbance of the worker or its link while f runs.
-func (u *worker) disturb(f func()) {
+// disturb notes a disturbance while f runs.
+func (d *disturbances) disturb(f func()) {
 	from := time.Now()
 	f()
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.disturbed = append(u.disturbed, span{from, time.Now()})
+	d.disturbedMu.Lock()
+	defer d.disturbedMu.Unlock()
+	d.spans = append(d.spans, span{from, time.Now()})
 }
 
-// wasDisturbedBetween reports whether the worker or its link was disturbed in the given time or a second before.
-func (u *worker) wasDisturbedBetween(from, to time.Time) bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return slices.ContainsFunc(u.disturbed, func(s span) bool { return s.from.Before(to) && s.to.After(from.Add(-time.Second)) })
+// wasDisturbedBetween reports whether there was a disturbance in the given time or a second before.
+func (d *disturbances) wasDisturbedBetween(from, to time.Time) bool {
+	d.disturbedMu.Lock()
+	defer d.disturbedMu.Unlock()
+	return slices.ContainsFunc(d.spans, func(s span) bool { return s.from.Before(to) && s.to.After(from.Add(-time.Second)) })
 }
 
 // injectFault disturbs the worker in one of several ways.
@@ -158,7 +163,7 @@
 		executions, keys := u.Runs()
 		for id, list := range executions {
 			for _, e := range list {
-				all[id] = append(all[id], run{e, u})
+				all[id] = append(all[id], run{e, &u.disturbances})
 				if id != "" && e.Body != "body of "+id {
 					c.reportViolation("request %s ran with body %q", id, e.Body)
 				}
@@ -181,7 +186,7 @@
 		end := later.Start.Add(maxOverlap)
 		overlaps := earlier.End.IsZero() || earlier.End.After(end)
 		// A disturbed link delivers late what was sent before the earlier run.
-		disturbed := earlier.worker.wasDisturbedBetween(earlier.Start, end) || later.worker.wasDisturbedBetween(later.Start, end)
+		disturbed := earlier.wasDisturbedBetween(earlier.Start, end) || later.wasDisturbedBetween(later.Start, end)
 		if overlaps && !disturbed {
 			c.reportViolation("request %s went on at %s while it still ran at %s", id, later, earlier)
 		}
