Call back requests without a first token before the limit on replaced weights

Cause: the limit is one on the first token, at the engine, and was kept by an estimate of the wait when the request was sent; nobody looked at it again, and one sent while its version was the newest was not even estimated. An estimate can be wrong, the limit may not be.

An attempt is now cancelled when its weights reach the grace (the limit less a second) and it has had no first token. The connection closes, and the engine drops what waits. A stream that may be resumed, and any other repeatable request, goes elsewhere, as a repeat within its attempts and the retry budget. One that may run once ends with 502: it may have begun in that moment, so that nothing else would be true. A header or comments of a stream are no first token.

--- a/internal/coordination/place/placer.go
+++ b/internal/coordination/place/placer.go
@@ -329,13 +329,23 @@
 		return BlockedLoading, state.loadingUntil.Sub(now)
 	case state.down:
 		return BlockedUnreachable, blockedRetryAfter
-	case model != "" && p.OldWeightsGrace > 0 && sinceReplaced(&named, state.weights[model], now) > p.OldWeightsGrace:
+	case model != "" && p.hasExpired(&named, state.weights[model], now):
 		return BlockedLoading, blockedRetryAfter
 	default:
 		return "", 0
 	}
 }
 
+// HasExpired reports whether no request may begin any more on a version of a model.
+func (p *Placer) HasExpired(model ident.ModelID, version int64) bool {
+	named, ok := p.Snapshots.Weights(model)
+	return ok && p.hasExpired(&named, version, time.Now())
+}
+
+func (p *Placer) hasExpired(named *view.Weights, version int64, now time.Time) bool {
+	return p.OldWeightsGrace > 0 && sinceReplaced(named, version, now) > p.OldWeightsGrace
+}
+
 // sinceReplaced returns how long ago a weight version was replaced by a newer one; 0 for the newest.
 func sinceReplaced(named *view.Weights, version int64, now time.Time) time.Duration {
 	at, ok := named.ReplacedAt(version)
--- /dev/null
+++ b/internal/program/entry/call_back_test.go
@@ -0,0 +1,66 @@
+package entry
+
+import (
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/gooseberryway/gooseberryway/platform/standin"
+)
+
+// Guards against a request that is sent while its weights are the newest and waits at its engine, which gives the first token on them after their
+// limit. A header and a comment are no first token.
+func TestRequestWithoutFirstTokenIsCalledBackBeforeLimitOnReplacedWeights(t *testing.T) {
+	waiting := map[string]func(w http.ResponseWriter){
+		"no header": func(http.ResponseWriter) {},
+		"header":    func(w http.ResponseWriter) { _ = http.NewResponseController(w).Flush() },
+		"comment": func(w http.ResponseWriter) {
+			_, _ = w.Write([]byte(": wait\n\n"))
+			_ = http.NewResponseController(w).Flush()
+		},
+	}
+	for name, sendFirst := range waiting {
+		for path, status := range map[string]int{"/note/x": http.StatusOK, "/draft/x": http.StatusBadGateway} {
+			t.Run(name+path, func(t *testing.T) {
+				t.Parallel()
+				f := newTestFleet(t)
+				f.weightsMs = 2000
+				f.configure(1, "secret")
+				f.store.Put("keyed.op", "version/m", map[string]any{"model": "m", "version": 1})
+				dropped := make(chan time.Time, 1)
+				f.startUpstream("llm", &standin.Upstream{ID: "e1", Model: "m", Version: 1, LoadTime: time.Minute, Intercept: func(w http.ResponseWriter, r *http.Request) bool {
+					w.Header().Set(requestIDKey, r.Header.Get(requestIDKey))
+					w.Header().Set("Content-Type", "text/event-stream")
+					_, _ = io.Copy(io.Discard, r.Body)
+					sendFirst(w)
+					select {
+					case <-r.Context().Done():
+					case <-time.After(5 * time.Second):
+					}
+					dropped <- time.Now()
+					return true
+				}})
+				d := f.start("d0", nil)
+				f.ready(1)
+				var named time.Time
+				time.AfterFunc(200*time.Millisecond, func() {
+					f.store.Put("keyed.op", "version/m", map[string]any{"model": "m", "version": 2})
+					named = time.Now()
+					f.startUpstream("llm", &standin.Upstream{ID: "e2", Model: "m", Version: 2, EventCount: 2})
+				})
+				resp := f.call(d, path, "r1", "secret", "p", modelHeader, "m")
+				body := bodyOf(resp)
+				at := <-dropped
+				require.Less(t, at.Sub(named), 2*time.Second, "the engine may still begin it")
+				if name == "comment" && path == "/draft/x" {
+					require.NotContains(t, body, "data:", "the response had begun and is cut")
+					return
+				}
+				require.Equal(t, status, resp.StatusCode, body)
+			})
+		}
+	}
+}
--- a/internal/program/entry/helpers_test.go
+++ b/internal/program/entry/helpers_test.go
@@ -30,6 +30,8 @@
 	retrySlack float64
 	// graceS is the time from SIGTERM to SIGKILL in seconds; 4 if 0.
 	graceS float64
+	// weightsMs is the limit on replaced weights in milliseconds; 8000 if 0.
+	weightsMs int64
 	// cuttable gives each daemon a link to the upstreams that can be cut.
 	cuttable bool
 	t        *testing.T
@@ -77,7 +79,7 @@
 		},
 		Store: f.store.Serve(faults),
 		Limits: setup.EntryLimits{
-			GraceS: cmp.Or(f.graceS, 4), LeaseMs: 3000, Fenced: true, WeightsMs: 8000, RetryShare: 0.2, RetrySlack: cmp.Or(f.retrySlack, 50), RetryWindowS: 10,
+			GraceS: cmp.Or(f.graceS, 4), LeaseMs: 3000, Fenced: true, WeightsMs: cmp.Or(f.weightsMs, 8000), RetryShare: 0.2, RetrySlack: cmp.Or(f.retrySlack, 50), RetryWindowS: 10,
 			DirectoryTTLS: 5,
 		},
 	}
--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -16,6 +16,7 @@
 
 	"github.com/gooseberryway/gooseberryway/internal/coordination/place"
 	"github.com/gooseberryway/gooseberryway/internal/state/guard"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/transport/httpc"
 )
 
@@ -59,7 +60,7 @@
 		"candidates", choice.Candidates, "upstreamAgeMs", time.Since(choice.Upstream.SeenAt).Milliseconds(),
 		"leftMs", c.untilDeadline().Milliseconds(), "cached", choice.Locality, "chain", placeReq.SharedPrefix(), "save", choice.SaveToStore,
 		"waitMs", choice.Wait.Total.Milliseconds(), "late", choice.Late, "priority", p.priority, "release", choice.Upstream.Release)
-	c.watchUpstream(ctx, cancel, tracker)
+	c.watchAttempt(ctx, cancel, choice, placeReq.Model, tracker)
 	resp, err := c.Pool.DoHeld(req) //nolint:bodyclose // handleResponse closes it
 	if err != nil {
 		return c.handleSendError(err, context.Cause(ctx), choice, tracker)
@@ -95,21 +96,30 @@
 // errUnresponsive is the cause with which an attempt is cancelled whose upstream has become unreachable or hangs.
 var errUnresponsive = errors.New("upstream is unreachable or hangs") //nolint:revive // compared by identity only
 
-// watchUpstream cancels an attempt whose upstream becomes unreachable or hangs, if another attempt may follow.
-func (c *call) watchUpstream(ctx context.Context, cancel context.CancelCauseFunc, tracker *attemptTracker) {
-	if !c.route.Repeatable() || c.possibleRuns()+1 >= c.maxRuns() {
+// errWeightsReplaced is the cause with which an attempt is called back that has no first token although its weights near their limit.
+var errWeightsReplaced = errors.New("weights were replaced before the first token") //nolint:revive // compared by identity only
+
+// watchAttempt cancels an attempt whose upstream becomes unreachable or hangs, if another attempt may follow, and one that has no first token
+// when its weights near their limit: the engine would give it on these weights, however late. An engine drops requests whose connections close.
+func (c *call) watchAttempt(ctx context.Context, cancel context.CancelCauseFunc, choice *place.Choice, model ident.ModelID, tracker *attemptTracker) {
+	mayAbort := c.route.Repeatable() && c.possibleRuns()+1 < c.maxRuns()
+	if !mayAbort && model == "" {
 		return
 	}
 	go func() {
 		t := time.NewTicker(responsivenessTick)
 		defer t.Stop()
-		for {
+		for mayAbort || !tracker.hasBegun.Load() {
 			select {
 			case <-ctx.Done():
 				return
 			case <-t.C:
 			}
-			if tracker.ShouldAbort() {
+			if !tracker.hasBegun.Load() && c.Placer.HasExpired(model, choice.WeightVersion) {
+				cancel(errWeightsReplaced)
+				return
+			}
+			if mayAbort && tracker.ShouldAbort() {
 				cancel(errUnresponsive)
 				return
 			}
@@ -117,6 +127,15 @@
 	}()
 }
 
+// stepAfterCallBack returns the next step after an attempt that was called back. The engine may have begun to run it in that moment.
+func (c *call) stepAfterCallBack(choice *place.Choice) (nextStep, Reason) {
+	klog.InfoS("Request called back from replaced weights", "request", c.req.ID, "upstream", choice.Upstream.ID, "weights", choice.WeightVersion,
+		"replacedWhenSentMs", choice.ReplacedFor.Milliseconds(), "waitMs", time.Since(c.attemptAt).Milliseconds(),
+		"estimatedMs", choice.Wait.Total.Milliseconds(), "longestMs", choice.LongestWait.Milliseconds(), "repeatable", c.route.Repeatable())
+	countCallBack(c)
+	return c.stepAfterRun(ReasonWeightsReplaced)
+}
+
 func (c *call) upstreamRequest(ctx context.Context, choice *place.Choice, p *progress) (*http.Request, error) {
 	placeReq := p.placeReq
 	u := c.targetAt(choice.Upstream.Address)
@@ -201,6 +220,9 @@
 		outcome, reason = place.OutcomeTimeout, ReasonTimeout
 	case errors.Is(cause, errStopping):
 		outcome, reason = place.OutcomeCancelled, ReasonStopping
+	case errors.Is(cause, errWeightsReplaced):
+		outcome = place.OutcomeCancelled
+		step, reason = c.stepAfterCallBack(choice)
 	case errors.Is(cause, errUnresponsive):
 		outcome, step, reason = place.OutcomeTimeout, stepRetryOther, ReasonTimeout
 	case c.route.Repeatable():
--- a/internal/transport/proxy/metrics.go
+++ b/internal/transport/proxy/metrics.go
@@ -55,6 +55,11 @@
 	metrics.GetOrCreateHistogram("gooseberrywayReplacedWeightsSeconds").Update(d.Seconds())
 }
 
+// countCallBack counts an attempt that was called back because its weights neared their limit before its first token.
+func countCallBack(c *call) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`gooseberrywayCallBacks{kind=%q,repeatable="%t"}`, kindName(c), c.route.Repeatable())).Inc()
+}
+
 // countUnstatedPromise counts an upstream's status that callers would take for the promise that a request has not run, without the
 // header that states it.
 func countUnstatedPromise(status int) {
--- a/internal/transport/proxy/refusal.go
+++ b/internal/transport/proxy/refusal.go
@@ -34,6 +34,7 @@
 	ReasonStopping             Reason = "stopping"
 	ReasonPeerBroke            Reason = "peerBroke"
 	ReasonPeerBusy             Reason = "peerBusy"
+	ReasonWeightsReplaced      Reason = "weightsReplaced"
 )
 
 // RefusedError is the daemon's own final response to a request for which it forwards none from an upstream.
--- a/internal/transport/proxy/response.go
+++ b/internal/transport/proxy/response.go
@@ -188,7 +188,7 @@
 // outcome classifies how a response ended.
 func (c *call) outcome(ctx context.Context, err error, status int) place.Outcome {
 	switch {
-	case c.callerLeft(), c.stopped():
+	case c.callerLeft(), c.stopped(), isCalledBack(ctx):
 		return place.OutcomeCancelled
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded), errors.Is(context.Cause(ctx), errUnresponsive):
 		return place.OutcomeTimeout
@@ -228,12 +228,24 @@
 	if outcome == place.OutcomeTimeout && !errors.Is(context.Cause(ctx), errUnresponsive) {
 		return stepFail, ReasonTimeout
 	}
-	if outcome == place.OutcomeCancelled {
+	return c.stepAfterBreak(ctx, outcome, choice)
+}
+
+// stepAfterBreak returns the next step after a response that broke for another reason than time.
+func (c *call) stepAfterBreak(ctx context.Context, outcome place.Outcome, choice *place.Choice) (nextStep, Reason) {
+	switch {
+	case outcome != place.OutcomeCancelled:
+		return c.stepAfterRun(ReasonUpstreamBroken)
+	case isCalledBack(ctx) && !c.callerLeft() && !c.stopped():
+		return c.stepAfterCallBack(choice)
+	default:
 		return stepFail, c.cancelReason()
 	}
-	return c.stepAfterRun(ReasonUpstreamBroken)
 }
 
+// isCalledBack reports whether an attempt was cancelled because its weights neared their limit.
+func isCalledBack(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errWeightsReplaced) }
+
 // cancelReason returns why an attempt was cancelled.
 func (c *call) cancelReason() Reason {
 	if c.stopped() {
@@ -299,10 +311,7 @@
 	if outcome == place.OutcomeTimeout && !errors.Is(context.Cause(ctx), errUnresponsive) {
 		return stepFail, ReasonTimeout
 	}
-	if outcome == place.OutcomeCancelled {
-		return stepFail, c.cancelReason()
-	}
-	return c.stepAfterRun(ReasonUpstreamBroken)
+	return c.stepAfterBreak(ctx, outcome, choice)
 }
 
 // sendBuffered sends a response that was read, unless readBuffered has sent it.
--- a/internal/transport/proxy/tracker.go
+++ b/internal/transport/proxy/tracker.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"sync/atomic"
+
 	"github.com/gooseberryway/gooseberryway/internal/coordination/moves"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/place"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/poison"
@@ -16,13 +18,17 @@
 	queued ident.Tokens
 	// reads counts the reads of the response's body, which stand for tokens.
 	reads ident.Tokens
-	// onBegin is called by markBegun.
-	onBegin func()
+	// hasBegun is set by markBegun, which then calls onBegin.
+	hasBegun atomic.Bool
+	onBegin  func()
 }
 
 // markBegun records that the upstream has begun to answer: with an event of a stream, or the whole of another response. A header alone may come
 // while the request waits.
-func (t *attemptTracker) markBegun() { t.onBegin() }
+func (t *attemptTracker) markBegun() {
+	t.hasBegun.Store(true)
+	t.onBegin()
+}
 
 // MarkFirstEvent records that a part of the response has come.
 func (t *attemptTracker) MarkFirstEvent() {
