Learn the longest wait for a first token where the estimate learns nothing

Cause: the longest wait for a first token was computed from the prefill time alone, times the slowness. Where prompts are cached no long ones are measured, so that the prefill time stays unknown, no first token is compared with an estimate, and a slow engine never counts as slow (estimatedMs=0, longestMs=12 for a wait of 3,212 ms).

The longest wait is now at least what the daemon's requests have waited at that engine of late, with a half-life of 3 s, and what those there have waited so far. It decides only whether an engine is chosen for replaced weights; the call back stays the bound.

TestNoRequestOnReplacedWeightsAtEngineWhereOthersWaitedTooLong: both cases failed before.

--- a/internal/coordination/place/placer.go
+++ b/internal/coordination/place/placer.go
@@ -97,6 +97,8 @@
 
 			excessSlowness: estim.DecayingMean{HalfLife: slownessHalfLife, Weight: slownessWeight},
 			failureRate:    estim.DecayingMean{HalfLife: failureHalfLife, Weight: failureWeight},
+			firstTokenWait: estim.DecayingPeak{HalfLife: slownessHalfLife},
+			unbegun:        map[*Tracker]time.Time{},
 		}
 		p.upstreamStates[u.ID] = state
 		if now.Sub(p.firstStateAt) > startupTime {
--- a/internal/coordination/place/replaced_weights_test.go
+++ b/internal/coordination/place/replaced_weights_test.go
@@ -87,3 +87,31 @@
 		require.Equal(t, BlockedLoading, blocked.Reason)
 	})
 }
+
+// Guards against an engine that has turned slow and is chosen for replaced weights until just before their limit, as the estimate learns nothing where
+// prompts are cached.
+func TestNoRequestOnReplacedWeightsAtEngineWhereOthersWaitedTooLong(t *testing.T) {
+	for name, stillWaits := range map[string]bool{"others have waited": false, "others still wait": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newTestPlacer()
+				u := engineAt(0)
+				p.Snapshots.SetUpstreams(view.NewUpstreams(map[ident.UpstreamID]*view.Upstream{u.ID: u}, 2))
+				p.Snapshots.SetWeights(view.Weights{Model: "m", Version: 2, NamedAt: time.Now()})
+				time.Sleep(p.OldWeightsGrace - 4*time.Second)
+				c, err := p.Choose(requestFor(1))
+				require.NoError(t, err)
+				tracker := p.Begin(c, requestFor(1))
+				time.Sleep(3 * time.Second)
+				tracker.MarkActive()
+				if !stillWaits {
+					tracker.MarkFirstEvent()
+				}
+				_, err = p.Choose(requestFor(1))
+				var blocked *BlockedError
+				require.ErrorAs(t, err, &blocked, "the first token may come 2 s after the grace")
+				require.Equal(t, BlockedLoading, blocked.Reason)
+			})
+		})
+	}
+}
--- a/internal/coordination/place/tracker.go
+++ b/internal/coordination/place/tracker.go
@@ -103,6 +103,9 @@
 		estimatedTTFT: c.Wait.Total, unanswered: c.risky,
 		measuresPrefill: idle && r.Model != "" && (c.MissedTokens == 0 || c.Locality == CachedMiss),
 	}
+	if r.Model != "" {
+		state.unbegun[t] = now
+	}
 	if c.Fetch == FetchFromStore {
 		t.fetchTokens = c.MissedTokens
 		p.ownFetchTokens += t.fetchTokens
@@ -237,6 +240,7 @@
 func (t *Tracker) recordFirstEvent() {
 	now := time.Now()
 	took := now.Sub(t.startedAt)
+	t.recordWait(now)
 	if t.measuresPrefill {
 		t.upstreamState.estimates.prefill.Observe(t.prefillTokens, took)
 		t.measuresPrefill = false
@@ -254,6 +258,16 @@
 	t.prefillTokens, t.latePrefillTokens, t.fetchTokens = 0, 0, 0
 }
 
+// recordWait records that the request no longer waits for its first token. One that ends without it would have waited longer.
+func (t *Tracker) recordWait(now time.Time) {
+	sentAt, waits := t.upstreamState.unbegun[t]
+	if !waits {
+		return
+	}
+	delete(t.upstreamState.unbegun, t)
+	t.upstreamState.firstTokenWait.Observe(now, float64(now.Sub(sentAt)))
+}
+
 // End records the outcome of the attempt.
 func (t *Tracker) End(o Outcome) {
 	t.placer.mu.Lock()
--- a/internal/coordination/place/upstream_state.go
+++ b/internal/coordination/place/upstream_state.go
@@ -52,6 +52,11 @@
 	// excessSlowness is the mean of slowness minus 1, failureRate the share of requests that failed. Both decay to 0.
 	excessSlowness, failureRate estim.DecayingMean
 
+	// firstTokenWait is the longest wait for a first token of late, in nanoseconds. unbegun holds when the requests of this daemon were sent that have
+	// none yet.
+	firstTokenWait estim.DecayingPeak
+	unbegun        map[*Tracker]time.Time
+
 	// down is set by a failed connection or a silence, and cleared by a successful connection.
 	down      bool
 	downSince time.Time
@@ -105,6 +110,15 @@
 	s.excessSlowness.Observe(now, ratio-1)
 }
 
+// observedWait returns how long requests have waited here for their first token of late, those included that still wait.
+func (s *upstreamState) observedWait(now time.Time) time.Duration {
+	longest := time.Duration(s.firstTokenWait.At(now))
+	for _, sentAt := range s.unbegun {
+		longest = max(longest, now.Sub(sentAt))
+	}
+	return longest
+}
+
 // silentFor returns for how long an upstream that was last active at since has sent nothing; 0 if it has no requests
 // of this daemon or loads weights.
 func (s *upstreamState) silentFor(now, since time.Time) time.Duration {
@@ -154,6 +168,7 @@
 		s.weights = map[ident.ModelID]int64{}
 		s.recentChains = map[ChainKey]time.Time{}
 		s.failureRate.Reset()
+		s.firstTokenWait.Reset()
 		s.down, s.leaving, s.pausedUntil = false, false, time.Time{}
 		s.weightsChangedAt = time.Now()
 	}
--- a/internal/coordination/place/wait_estimate.go
+++ b/internal/coordination/place/wait_estimate.go
@@ -36,8 +36,8 @@
 	return p.OldWeightsGrace > 0 && c.ReplacedFor > 0 && c.ReplacedFor > p.OldWeightsGrace-p.longestWait(q, c)
 }
 
-// longestWait returns how long the first token may take at the chosen engine, also while the prefill time is unknown. A wait for a slot while it
-// isn't known how long requests run has no bound, and takes OldWeightsGrace.
+// longestWait returns how long the first token may take at the chosen engine, also while the prefill time is unknown: as long as others have waited
+// there, whatever the estimate says. A wait for a slot while it isn't known how long requests run has no bound, and takes OldWeightsGrace.
 func (p *Placer) longestWait(q *query, c *Choice) time.Duration {
 	state := p.upstreamStates[c.Upstream.ID]
 	work := state.totalWork(q.now, q.maxReportAge)
@@ -47,7 +47,8 @@
 		serviceTime = time.Duration(c.Upstream.Slots) * p.OldWeightsGrace
 	}
 	queue := waitForSlot(work.Requests, c.Upstream.Slots, serviceTime)
-	return time.Duration(prefillSlackFactor * state.slowness(q.now) * float64(queue+prefill))
+	estimated := time.Duration(prefillSlackFactor * state.slowness(q.now) * float64(queue+prefill))
+	return max(estimated, state.observedWait(q.now))
 }
 
 // waitForSlot returns how long it takes until an upstream with so many requests has a free slot.
--- a/internal/program/soak/version_test.go
+++ b/internal/program/soak/version_test.go
@@ -221,6 +221,10 @@
 		}
 	}
 	v.checkRuns(runs)
-	v.cluster.t.Logf("seed %d: %d requests served, %d versions, %d first tokens on replaced weights, %d of them after the limit, the latest %v after",
-		v.seed, v.served.Load(), len(v.acknowledged), old, late, latest.Round(time.Millisecond))
+	outcomes := map[int]int{}
+	for _, s := range v.atMostOnceCalls {
+		outcomes[s.status]++
+	}
+	v.cluster.t.Logf("seed %d: %d requests served, %d versions, %d first tokens on replaced weights, %d of them after the limit, the latest %v after; calls that may run once by status: %v",
+		v.seed, v.served.Load(), len(v.acknowledged), old, late, latest.Round(time.Millisecond), outcomes)
 }
