Estimate the wait by the first tokens seen while the prefill time is unknown

What callers saw: with prompts that are short or cached, a slow engine got as many requests as any other; calls there ended with 504 and 502, and after loads engines turned many away with 503. Cause: the estimate of the first byte was 0 while the prefill time was unknown, for ever where no long prompt is computed. No slowness was learned then, and early refusal and placing believed in no wait.

The median wait for a first token of requests that found a free slot stands in for the prefill time until that is known.

--- a/internal/coordination/place/service_estimates.go
+++ b/internal/coordination/place/service_estimates.go
@@ -14,6 +14,9 @@
 	prefill     estim.PrefillTime
 	serviceTime estim.ServiceTime
 	fillRate    estim.FillRate
+	// firstToken is how long requests with a free slot waited for their first token. It stands in for the prefill time while that is unknown, as
+	// where all prompts are short or cached.
+	firstToken estim.ServiceTime
 	// fetchWait is by how much the time to first token of requests that fetched from a KV cache store exceeded the
 	// estimate, which leaves out the wait for the store's link; in nanoseconds.
 	fetchWait estim.DecayingMean
--- a/internal/coordination/place/tracker.go
+++ b/internal/coordination/place/tracker.go
@@ -61,8 +61,9 @@
 	fetchTokens ident.Tokens
 	// startedAt is when the attempt began. measuresPrefill says that the time to its first event is a sample of the
 	// engine's prefill time: no other prompt had to be processed before it, and nothing is fetched.
-	startedAt       time.Time
-	measuresPrefill bool
+	// foundSlot says that the engine had a free slot.
+	startedAt                  time.Time
+	measuresPrefill, foundSlot bool
 	// estimatedTTFT is the estimated time to the first event; 0 if there is no estimate.
 	estimatedTTFT time.Duration
 	// unanswered says that the request is beyond this daemon's places at the upstream and has no response yet.
@@ -77,7 +78,8 @@
 	if state.own.Requests == 0 {
 		state.lastActiveAt, state.lastBytesAt = now, now
 	}
-	idle := state.totalWork(now, p.peerReportTTL()).PrefillTokens == 0
+	work := state.totalWork(now, p.peerReportTTL())
+	idle := work.PrefillTokens == 0
 	state.own.Requests++
 	if c.reserved {
 		state.chosen--
@@ -102,6 +104,7 @@
 		placer: p, upstreamState: state, prefillTokens: c.PrefillTokens, latePrefillTokens: latePrefillTokens, startedAt: now,
 		estimatedTTFT: c.Wait.Total, unanswered: c.risky,
 		measuresPrefill: idle && r.Model != "" && (c.MissedTokens == 0 || c.Locality == CachedMiss),
+		foundSlot:       r.Model != "" && (c.Upstream.Slots <= 0 || work.Requests < c.Upstream.Slots),
 	}
 	if r.Model != "" {
 		state.unbegun[t] = now
@@ -245,6 +248,10 @@
 		t.upstreamState.estimates.prefill.Observe(t.prefillTokens, took)
 		t.measuresPrefill = false
 	}
+	if t.foundSlot {
+		t.upstreamState.estimates.firstToken.Observe(took)
+		t.foundSlot = false
+	}
 	switch {
 	case t.estimatedTTFT > 0 && t.fetchTokens == 0:
 		t.upstreamState.observeTTFT(now, took, t.estimatedTTFT)
@@ -272,7 +279,7 @@
 func (t *Tracker) End(o Outcome) {
 	t.placer.mu.Lock()
 	defer t.placer.mu.Unlock()
-	t.measuresPrefill, t.estimatedTTFT = false, 0
+	t.measuresPrefill, t.foundSlot, t.estimatedTTFT = false, false, 0
 	t.recordFirstEvent()
 	t.endRisk()
 	state, now := t.upstreamState, time.Now()
--- a/internal/coordination/place/wait_estimate.go
+++ b/internal/coordination/place/wait_estimate.go
@@ -9,8 +9,8 @@
 	Total, BeforeLate, Own time.Duration
 }
 
-// waitEstimate estimates the time to the first byte at the chosen upstream; it is zero while the prefill time is
-// unknown. The true time is usually longer, as requests that run at the same time slow down the prefill.
+// waitEstimate estimates the time to the first byte at the chosen upstream; it is zero while nothing is known of how
+// long requests take. The true time is usually longer, as requests that run at the same time slow down the prefill.
 func (p *Placer) waitEstimate(q *query, c *Choice) WaitEstimate {
 	state := p.upstreamStates[c.Upstream.ID]
 	totalWork := state.totalWork(q.now, q.maxReportAge)
@@ -20,7 +20,11 @@
 		return WaitEstimate{Total: queue + own, BeforeLate: queue + own, Own: own}
 	}
 	if !state.estimates.prefill.Known() {
-		return WaitEstimate{}
+		own := state.estimates.firstToken.Median()
+		if own == 0 {
+			return WaitEstimate{}
+		}
+		return WaitEstimate{Total: queue + own, BeforeLate: queue + own, Own: own}
 	}
 	own := state.estimates.prefill.Overhead() + state.prefillTime(c.PrefillTokens)
 	return WaitEstimate{
