Replace daemons of an older build one after the other in the soak

SOAK_FROM names the commit whose build, made in a worktree of the repository, the daemons begin with; they are replaced one after the other by SIGTERM over the run, beside the faults of the random run, or the slow and hanging engines of the run on replaced weights. All promises of the two runs are judged. Nobody had run two builds side by side.

--- a/internal/program/soak/fleet_test.go
+++ b/internal/program/soak/fleet_test.go
@@ -23,7 +23,9 @@
 
 // process is a daemon that runs as a separate process.
 type process struct {
-	id            string
+	id string
+	// binary is what the next start runs.
+	binary        string
 	settingsFile  string
 	callerAddress string
 	// directoryAddress is where callers ask for the addresses of the daemons to use.
@@ -113,7 +115,7 @@
 func (w *cluster) addDaemon(id string, lowResources bool) {
 	dir := w.t.TempDir()
 	p := &process{
-		id: id, settingsFile: filepath.Join(dir, "settings.json"), logFile: filepath.Join(dir, "log"),
+		id: id, binary: w.binary, settingsFile: filepath.Join(dir, "settings.json"), logFile: filepath.Join(dir, "log"),
 		callerAddress: standin.FreeAddress(), directoryAddress: standin.FreeAddress(), storeProxy: startProxy(w.t, w.storeAddress),
 	}
 	resources := map[string]any{"cpuShare": 0.8, "cores": 1, "linkMbps": 200}
@@ -139,7 +141,10 @@
 func (w *cluster) startDaemon(p *process) {
 	log, err := os.OpenFile(p.logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	require.NoError(w.t, err)
-	cmd := exec.Command(w.binary, "entry", "--settings", p.settingsFile)
+	p.mu.Lock()
+	binary := p.binary
+	p.mu.Unlock()
+	cmd := exec.Command(binary, "entry", "--settings", p.settingsFile)
 	cmd.Stdout, cmd.Stderr = log, log
 	require.NoError(w.t, cmd.Start())
 	done := make(chan struct{})
--- a/internal/program/soak/soak_test.go
+++ b/internal/program/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -100,15 +101,17 @@
 
 // TestSoak injects random faults into running daemons. It guards against at-most-once calls that run twice or run after a
 // rejection, wrong or incomplete responses, and withdrawn keys that still work. SOAK_SEED is the first seed, SOAK_SEEDS the
-// number of seeds, SOAK_SECONDS the length of each run and SOAK_DAEMONS the size of the fleet.
+// number of seeds, SOAK_SECONDS the length of each run and SOAK_DAEMONS the size of the fleet. With SOAK_FROM, a
+// commit, the daemons begin with its build and are replaced one after the other.
 func TestSoak(t *testing.T) {
 	binary := buildBinary(t)
+	older := buildOlder(t)
 	for _, seed := range seedsToRun() {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, binary, seed) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, binary, older, seed) })
 	}
 }
 
-func runSeed(t *testing.T, binary string, seed uint64) {
+func runSeed(t *testing.T, binary, older string, seed uint64) {
 	t.Helper()
 	daemons := smallFleetSize
 	if seed%2 == 0 {
@@ -117,7 +120,7 @@
 	if n, err := strconv.Atoi(os.Getenv("SOAK_DAEMONS")); err == nil && n > 0 {
 		daemons = n
 	}
-	w := newCluster(t, binary, daemons, seed)
+	w := newCluster(t, cmp.Or(older, binary), daemons, seed)
 	t.Cleanup(func() { w.keepLogsOnFailure(seed) })
 	w.waitReady()
 	c := &checker{t: t, seed: seed}
@@ -127,6 +130,9 @@
 	for i := range callerCount {
 		wg.Go(func() { c.runCaller(ctx, w, rand.New(rand.NewPCG(seed, uint64(i)))) })
 	}
+	if older != "" {
+		wg.Go(func() { w.upgrade(ctx, binary, runDuration()) })
+	}
 	wg.Go(func() { c.injectFaults(ctx, w, rand.New(rand.NewPCG(seed, 1000))) })
 	wg.Go(func() { w.restoreStore(ctx, rand.New(rand.NewPCG(seed, 2000))) })
 	wg.Wait()
--- a/internal/program/soak/version_test.go
+++ b/internal/program/soak/version_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -47,11 +48,12 @@
 }
 
 // Guards against requests that get their first token on weights that were replaced longer ago than the limit, as they wait at an engine. SOAK_SEED,
-// SOAK_SEEDS, SOAK_SECONDS and SOAK_DAEMONS choose what is played.
+// SOAK_SEEDS, SOAK_SECONDS, SOAK_DAEMONS and SOAK_FROM choose what is played.
 func TestRequestsBeginOnReplacedWeightsWithinLimit(t *testing.T) {
 	binary := buildBinary(t)
+	older := buildOlder(t)
 	for _, seed := range versionSeeds() {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runVersionSeed(t, binary, seed) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runVersionSeed(t, binary, older, seed) })
 	}
 }
 
@@ -70,9 +72,9 @@
 	return out
 }
 
-func runVersionSeed(t *testing.T, binary string, seed uint64) {
+func runVersionSeed(t *testing.T, binary, older string, seed uint64) {
 	t.Helper()
-	v := newVersionRun(t, binary, seed)
+	v := newVersionRun(t, cmp.Or(older, binary), seed)
 	t.Cleanup(func() { v.keepLogsOnFailure(seed) })
 	v.waitReady()
 	seconds := defaultVersionSeconds
@@ -88,7 +90,10 @@
 	}
 	wg.Go(func() { v.nameVersions(ctx, rng(1)) })
 	wg.Go(func() { v.disturbEngines(ctx, rng(2), seed) })
-	if seed%4 != 1 {
+	switch {
+	case older != "":
+		wg.Go(func() { v.upgrade(ctx, binary, time.Duration(seconds)*time.Second) })
+	case seed%4 != 1:
 		wg.Go(func() { v.endDaemons(ctx, rng(3)) })
 	}
 	wg.Wait()
