--- a/internal/program/soak/soak_test.go
+++ b/internal/program/soak/soak_test.go
@@ -54,12 +54,6 @@
 	status int
 }
 
-// sending tells which daemon got a request, and when.
-type sending struct {
-	p  *process
-	at time.Time
-}
-
 // checker sends requests, injects faults and reports each violation of the guarantees to callers.
 type checker struct {
 	t               *testing.T
@@ -67,8 +61,8 @@
 	mu              sync.Mutex
 	atMostOnceCalls []callResult
 	served          atomic.Int64
-	// sent holds which daemon got a request, and when.
-	sent sync.Map
+	// senders holds the process that got a request, by its id.
+	senders sync.Map
 	// revokedAt is when key-b was withdrawn, as Unix time in nanoseconds; 0 before.
 	revokedAt atomic.Int64
 }
@@ -362,7 +356,7 @@
 	// Without GetBody the HTTP client does not resend a request that may have run.
 	req.GetBody = nil
 	startedAt := time.Now()
-	c.sent.Store(id, sending{p, startedAt})
+	c.senders.Store(id, p)
 	resp, err := httpClient.Do(req)
 	if err != nil {
 		c.recordCall(kind, id, 0)
--- a/internal/program/soak/version_test.go
+++ b/internal/program/soak/version_test.go
@@ -218,10 +218,10 @@
 				continue
 			}
 			late++
-			s, _ := v.sent.Load(x.ID)
-			if s.(sending).p.undisturbedAt(s.(sending).at, stabilityWindow) {
-				v.reportViolation("request %s of %s began on version %d at %s %v after the next one was acknowledged",
-					x.ID, s.(sending).p.id, x.Version, x.Upstream, replacedFor.Round(time.Millisecond))
+			sender, _ := v.senders.Load(x.ID)
+			if p, ok := sender.(*process); ok && p.undisturbedAt(x.Arrived, stabilityWindow) {
+				v.reportViolation("request %s of %s, sent at %s, began on version %d at %s %v after the next one was acknowledged",
+					x.ID, p.id, x.Arrived.Format("05.000"), x.Version, x.Upstream, replacedFor.Round(time.Millisecond))
 			}
 		}
 	}
