--- a/internal/program/soak/fleet_test.go
+++ b/internal/program/soak/fleet_test.go
@@ -24,8 +24,10 @@
 // process is a daemon that runs as a separate process.
 type process struct {
 	id string
-	// binary is what the next start runs.
+	// binary is what the next start runs. older says that the process began with an older build, replacedAt when that was replaced; zero if it was not.
 	binary        string
+	older         bool
+	replacedAt    time.Time
 	settingsFile  string
 	callerAddress string
 	// directoryAddress is where callers ask for the addresses of the daemons to use.
--- a/internal/program/soak/upgrade_test.go
+++ b/internal/program/soak/upgrade_test.go
@@ -34,14 +34,26 @@
 
 // upgrade replaces the daemons one after the other by those of a binary, over most of a run that takes d.
 func (w *cluster) upgrade(ctx context.Context, binary string, d time.Duration) {
+	for _, p := range w.processes {
+		p.mu.Lock()
+		p.older = true
+		p.mu.Unlock()
+	}
 	gap := d / time.Duration(len(w.processes)+1)
 	for _, p := range w.processes {
 		if !scope.Sleep(ctx, gap) {
 			return
 		}
 		p.mu.Lock()
-		p.binary = binary
+		p.binary, p.replacedAt = binary, time.Now()
 		p.mu.Unlock()
 		w.restart(p, syscall.SIGTERM)
 	}
 }
+
+// ranOlderAt reports whether the process ran the older build at a time.
+func (p *process) ranOlderAt(at time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.older && (p.replacedAt.IsZero() || at.Before(p.replacedAt))
+}
--- a/internal/program/soak/version_test.go
+++ b/internal/program/soak/version_test.go
@@ -220,8 +220,8 @@
 			late++
 			sender, _ := v.senders.Load(x.ID)
 			if p, ok := sender.(*process); ok && p.undisturbedAt(x.Arrived, stabilityWindow) {
-				v.reportViolation("request %s of %s, sent at %s, began on version %d at %s %v after the next one was acknowledged",
-					x.ID, p.id, x.Arrived.Format("05.000"), x.Version, x.Upstream, replacedFor.Round(time.Millisecond))
+				v.reportViolation("request %s of %s (older build: %t), sent at %s, began on version %d at %s %v after the next one was acknowledged",
+					x.ID, p.id, p.ranOlderAt(x.Arrived), x.Arrived.Format("05.000"), x.Version, x.Upstream, replacedFor.Round(time.Millisecond))
 			}
 		}
 	}
