Call no request back whose answer has begun

What callers would have seen: an answer that began within the limit on replaced weights was cut before its end.

Bytes of an event that are more than a comment, or the first byte of another body, are the begin now.

--- a/internal/program/entry/call_back_test.go
+++ b/internal/program/entry/call_back_test.go
@@ -64,3 +64,43 @@
 		}
 	}
 }
+
+// Guards against a call back after the first token, which cuts an answer that began within the limit.
+func TestRequestThatHasBegunIsNotCalledBack(t *testing.T) {
+	for name, c := range map[string]struct{ contentType, first, rest string }{
+		"stream, in its first event": {"text/event-stream", "id: 1\ndata: a", "b\n\n"},
+		"stream, in its first line":  {"text/event-stream", "data: a", "b\n\n"},
+		"stream, after an event":     {"text/event-stream", "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"},
+		"no stream":                  {"application/json", "[1,", "2]"},
+	} {
+		for _, path := range []string{"/draft/x", "/note/x"} {
+			t.Run(name+path, func(t *testing.T) {
+				t.Parallel()
+				f := newTestFleet(t)
+				f.weightsMs = 2000
+				f.configure(1, "secret")
+				f.store.Put("keyed.op", "version/m", map[string]any{"model": "m", "version": 1})
+				f.startUpstream("llm", &standin.Upstream{ID: "e1", Model: "m", Version: 1, LoadTime: time.Minute, Intercept: func(w http.ResponseWriter, r *http.Request) bool {
+					_, _ = io.Copy(io.Discard, r.Body)
+					w.Header().Set(requestIDKey, r.Header.Get(requestIDKey))
+					w.Header().Set("Content-Type", c.contentType)
+					_, _ = io.WriteString(w, c.first)
+					_ = http.NewResponseController(w).Flush()
+					select {
+					case <-r.Context().Done():
+						panic(http.ErrAbortHandler)
+					case <-time.After(2500 * time.Millisecond):
+					}
+					_, _ = io.WriteString(w, c.rest)
+					return true
+				}})
+				d := f.start("d0", nil)
+				f.ready(1)
+				time.AfterFunc(200*time.Millisecond, func() { f.store.Put("keyed.op", "version/m", map[string]any{"model": "m", "version": 2}) })
+				resp := f.call(d, path, "r1", "secret", "p", modelHeader, "m")
+				require.Equal(t, c.first+c.rest, text(t, resp))
+				require.Equal(t, http.StatusOK, resp.StatusCode)
+			})
+		}
+	}
+}
--- a/internal/transport/proxy/detour.go
+++ b/internal/transport/proxy/detour.go
@@ -209,7 +209,7 @@
 	if c.isStream(resp) {
 		return c.copyStream(resp, func() {}, nil)
 	}
-	body, err := c.readBuffered(resp)
+	body, err := c.readBuffered(resp, func() {})
 	if err == nil {
 		c.sendBuffered(resp, body)
 	}
--- a/internal/transport/proxy/event_scanner.go
+++ b/internal/transport/proxy/event_scanner.go
@@ -30,6 +30,9 @@
 	return ok
 }
 
+// dataField begins the lines of events with data.
+var dataField = []byte("data:")
+
 var byteOrderMark = []byte("\xef\xbb\xbf")
 
 // event is what the lines of a server-sent event say about the position in its stream.
@@ -148,5 +151,10 @@
 	return s == strings.TrimSpace(s)
 }
 
+// hasBegunEvent reports whether an event that isn't complete has an ID or data, also in a line that isn't complete.
+func (s *eventScanner) hasBegunEvent() bool {
+	return s.current.hasID || s.current.hasData || bytes.HasPrefix(s.line, dataField)
+}
+
 // hasPartialEvent reports whether an event has begun that is not complete.
 func (s *eventScanner) hasPartialEvent() bool { return s.eventBytes > 0 }
--- a/internal/transport/proxy/response.go
+++ b/internal/transport/proxy/response.go
@@ -268,23 +268,36 @@
 func (c *call) forwardBuffered(
 	ctx context.Context, resp *http.Response, choice *place.Choice, tracker *attemptTracker,
 ) (nextStep, Reason) {
-	body, err := c.readBuffered(resp)
-	if err == nil {
-		tracker.markBegun()
-	}
+	body, err := c.readBuffered(resp, tracker.markBegun)
 	return c.endBuffered(ctx, err, resp, body, choice, tracker)
 }
 
 // readBuffered reads a response, up to maxBufferedBytes, before any of it is sent, so that a response that breaks off never
-// looks complete to the caller. A larger one is sent as well.
-func (c *call) readBuffered(resp *http.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
+// looks complete to the caller. A larger one is sent as well. It calls onBegin with the first byte.
+func (c *call) readBuffered(resp *http.Response, onBegin func()) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(&beginReader{Reader: resp.Body, onBegin: onBegin}, maxBufferedBytes))
 	if err == nil && len(body) == maxBufferedBytes {
 		err = c.forwardLarge(resp, body)
 	}
 	return body, err
 }
 
+// beginReader calls onBegin with the first byte that is read.
+type beginReader struct {
+	io.Reader
+	onBegin func()
+	begun   bool
+}
+
+func (r *beginReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if n > 0 && !r.begun {
+		r.begun = true
+		r.onBegin()
+	}
+	return n, err
+}
+
 // forwardLarge sends a response to the caller of which only the first part is buffered.
 func (c *call) forwardLarge(resp *http.Response, body []byte) error {
 	c.reply.begin(resp.StatusCode, c.Dialect.CallerHeaders(resp.Header), resp.ContentLength)
@@ -321,10 +334,10 @@
 	}
 }
 
-// copyStream forwards a stream of events as they arrive. It calls onRead after each read, and onFirstEvent once.
-func (c *call) copyStream(resp *http.Response, onRead, onFirstEvent func()) error {
+// copyStream forwards a stream of events as they arrive. It calls onRead after each read, and onBegin, unless that is nil, once an event has begun.
+func (c *call) copyStream(resp *http.Response, onRead, onBegin func()) error {
 	f := &streamForwarder{
-		reply: &c.reply, header: c.Dialect.CallerHeaders(resp.Header), resumable: c.route.Resumable, onFirstEvent: onFirstEvent,
+		reply: &c.reply, header: c.Dialect.CallerHeaders(resp.Header), resumable: c.route.Resumable, onBegin: onBegin,
 	}
 	f.init()
 	buf := make([]byte, streamBufferBytes)
--- a/internal/transport/proxy/stream_forwarder.go
+++ b/internal/transport/proxy/stream_forwarder.go
@@ -12,8 +12,8 @@
 	header http.Header
 	// resumable says that another upstream may send the rest of the stream, so that only complete events are forwarded.
 	resumable bool
-	// onFirstEvent is called when the first event that is more than comments is complete; nil for none.
-	onFirstEvent func()
+	// onBegin is called when the first bytes of an event come that is more than comments; nil for none.
+	onBegin func()
 
 	scanner eventScanner
 	// pending are the bytes of an event that isn't complete.
@@ -39,12 +39,7 @@
 		}
 		f.verified = true
 	}
-	if !f.hasEvents && (e.hasID || e.hasData) {
-		f.hasEvents = true
-		if f.onFirstEvent != nil {
-			f.onFirstEvent()
-		}
-	}
+	f.hasEvents = f.hasEvents || e.hasID || e.hasData
 	f.reply.position.advance(e)
 	return nil
 }
@@ -53,6 +48,10 @@
 // before it.
 func (f *streamForwarder) forward(p []byte) error {
 	complete, err := f.scanner.scan(p)
+	if f.onBegin != nil && (f.hasEvents || f.scanner.hasBegunEvent()) {
+		f.onBegin()
+		f.onBegin = nil
+	}
 	if !f.resumable {
 		complete = len(p)
 	}
--- a/internal/transport/proxy/tracker.go
+++ b/internal/transport/proxy/tracker.go
@@ -23,8 +23,8 @@
 	onBegin  func()
 }
 
-// markBegun records that the upstream has begun to answer: with an event of a stream, or the whole of another response. A header alone may come
-// while the request waits.
+// markBegun records that the upstream has begun to answer: with bytes of an event of a stream, or of another response's body. A header or a comment
+// may come while the request waits.
 func (t *attemptTracker) markBegun() {
 	t.hasBegun.Store(true)
 	t.onBegin()
