--- a/internal/program/cmds/explain.go
+++ b/internal/program/cmds/explain.go
@@ -152,6 +152,12 @@
 		return fmt.Sprintf("%s ran it and failed (status %s).", f["upstream"], f["status"])
 	case "Attempt failed":
 		return fmt.Sprintf("No answer came from %s: %s (sent: %s).", f["upstream"], f["error"], f["sent"])
+	case "Request began on replaced weights":
+		return fmt.Sprintf("%s began it after %s ms on version %s, which had been replaced %s ms before; %s ms were expected, %s at most.",
+			f["upstream"], f["waitMs"], f["weights"], f["replacedMs"], f["estimatedMs"], f["longestMs"])
+	case "Request called back from replaced weights":
+		return fmt.Sprintf("%s had not begun it after %s ms, and its weights, version %s, neared their limit: it was called back; it may run again: %s.",
+			f["upstream"], f["waitMs"], f["weights"], f["repeatable"])
 	case "Stream broke", "Answer broke":
 		if f["gone"] == "true" {
 			return fmt.Sprintf("The caller's connection ended while %s answered; it has events up to %q.", f["upstream"], f["lastEvent"])
--- a/internal/program/cmds/explain_test.go
+++ b/internal/program/cmds/explain_test.go
@@ -49,3 +49,13 @@
 	require.Contains(t, errOut.String(), "no line on request 9999")
 	require.Equal(t, ExitUsage, Execute([]string{"explain", "9999", file + "x"}, &out, &errOut))
 }
+
+// Guards against a request that waited too long on replaced weights and whose call back the operator can't read.
+func TestExplainTellsOfCallBack(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "a.log")
+	line := `I0417 17:57:18.518342   13832 attempt.go:54] "Request called back from replaced weights" request="0591" upstream="i-3b" weights=1 waitMs=950 repeatable=false` + "\n"
+	require.NoError(t, os.WriteFile(file, []byte(line), 0o600))
+	var out, errOut bytes.Buffer
+	require.Equal(t, ExitOK, Execute([]string{"explain", "0591", file}, &out, &errOut), errOut.String())
+	require.Contains(t, out.String(), "i-3b had not begun it after 950 ms, and its weights, version 1, neared their limit: it was called back; it may run again: false.")
+}
