Take a comment of a stream for no first token in estimates

What callers would have seen: an engine that sends comments while a request waits counts as fast, gets more work than it can do in time, and its prompts count as processed. It goes by the begin of an event now, like the call back.

TestCommentIsNoFirstToken failed before: 0 tokens outstanding where 100 waited.

--- a/internal/program/entry/call_back_test.go
+++ b/internal/program/entry/call_back_test.go
@@ -104,3 +104,32 @@
 		}
 	}
 }
+
+// Guards against an engine that sends comments while a request waits and is taken for fast.
+func TestCommentIsNoFirstToken(t *testing.T) {
+	f := newTestFleet(t)
+	f.configure(1, "secret")
+	waits, begin := make(chan struct{}), make(chan struct{})
+	f.startUpstream("llm", &standin.Upstream{ID: "e1", Model: "m", Version: 1, Intercept: func(w http.ResponseWriter, r *http.Request) bool {
+		w.Header().Set(requestIDKey, r.Header.Get(requestIDKey))
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, ": wait\n\n")
+		_ = http.NewResponseController(w).Flush()
+		close(waits)
+		<-begin
+		_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
+		return true
+	}})
+	d := f.start("d0", nil)
+	f.ready(1)
+	done := make(chan string)
+	go func() {
+		done <- bodyOf(f.call(d, "/draft/x", "r1", "secret", "p", modelHeader, "m", "X-Gooseberryway-Token-Counts", "100,8"))
+	}()
+	<-waits
+	time.Sleep(200 * time.Millisecond)
+	waiting := d.placer.WorkAt("e1")
+	close(begin)
+	require.Contains(t, <-done, "data: a")
+	require.EqualValues(t, 100, waiting.PrefillTokens, "its prompt counts as processed")
+}
--- a/internal/transport/proxy/response.go
+++ b/internal/transport/proxy/response.go
@@ -210,10 +210,10 @@
 	if !c.isStream(resp) {
 		return c.forwardBuffered(ctx, resp, choice, tracker)
 	}
-	err := c.copyStream(resp, func() {
-		tracker.MarkActive()
+	err := c.copyStream(resp, tracker.markRead, func() {
 		tracker.MarkFirstEvent()
-	}, tracker.markBegun)
+		tracker.markBegun()
+	})
 	outcome := c.outcome(ctx, err, resp.StatusCode)
 	tracker.End(outcome)
 	if err == nil {
--- a/internal/transport/proxy/tracker.go
+++ b/internal/transport/proxy/tracker.go
@@ -30,9 +30,9 @@
 	t.onBegin()
 }
 
-// MarkFirstEvent records that a part of the response has come.
-func (t *attemptTracker) MarkFirstEvent() {
-	t.Tracker.MarkFirstEvent()
+// markRead records that a part of a stream has come.
+func (t *attemptTracker) markRead() {
+	t.MarkActive()
 	t.evidence.MarkFirstEvent()
 	t.rollout.FirstToken(t.queued)
 	t.reads++
