Don't believe the time of a naming that an older release tells

New daemons keep their own, earlier estimate.

TestNamingToldByOlderReleaseIsNotBelieved failed before (4.9 s later).

--- a/internal/program/entry/leadership.go
+++ b/internal/program/entry/leadership.go
@@ -78,9 +78,18 @@
 	}
 }
 
+// observedNamings returns when weight versions were named by the word of a peer that observed it. Releases whose daemons run no requests of peers also
+// called times observed at which they had learnt of a version late.
+func observedNamings(b *wire.Beat) []*wire.NamedWeights {
+	if !b.GetTakesRequests() {
+		return nil
+	}
+	return b.GetWeights()
+}
+
 // applyLeaderState applies what a peer's heartbeat says of weight versions and loads.
 func (d *Daemon) applyLeaderState(b *wire.Beat) {
-	for _, w := range b.GetWeights() {
+	for _, w := range observedNamings(b) {
 		at := time.Now().Add(-time.Duration(w.GetAgeMs()) * time.Millisecond)
 		before, changed := d.snapshots.SetWeightsNamedAt(ident.ModelID(w.GetModel()), w.GetVersion(), at)
 		if changed && (!before.NamedAtObserved || before.NamedAt.Sub(at) >= minLoggedCorrection) {
--- a/internal/program/entry/named_weights_test.go
+++ b/internal/program/entry/named_weights_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
 	"github.com/gooseberryway/gooseberryway/platform/standin"
 )
 
@@ -38,6 +39,24 @@
 	}
 }
 
+// Guards against a daemon of an older release, beside newer ones in an upgrade, that calls the time observed at which it learnt of a version late.
+func TestNamingToldByOlderReleaseIsNotBelieved(t *testing.T) {
+	f := newTestFleet(t)
+	f.configure(1, "secret")
+	f.store.Put("keyed.op", "version/m", map[string]any{"model": "m", "version": 2})
+	d := f.start("d0", nil)
+	f.eventually(func() bool { w, _ := d.snapshots.Weights("m"); return w.Version == 2 }, "the daemon doesn't know the version")
+	before, _ := d.snapshots.Weights("m")
+	beat := &wire.Beat{Daemon: "d1", Weights: []*wire.NamedWeights{{Model: "m", Version: 2, AgeMs: 100}}}
+	d.applyLeaderState(beat)
+	after, _ := d.snapshots.Weights("m")
+	require.Equal(t, before.NamedAt, after.NamedAt)
+	beat.TakesRequests = true
+	d.applyLeaderState(beat)
+	after, _ = d.snapshots.Weights("m")
+	require.True(t, after.NamedAtObserved, "a daemon of this release is believed")
+}
+
 // Guards against an engine that is back under its ID and address with older weights than it had, and is asked for the newer ones.
 func TestEngineBackWithOlderWeightsIsAskedForThese(t *testing.T) {
 	f := newTestFleet(t)
