Log what a planned stop knew of the requests that it ends

`Stream broke`, `Answer broke`, `Request ended` and `Request can't end before the daemon stops` say during a stop how long after the signal the request came, how much time is left, what was estimated and by how many samples. The end of the stop lists up to 32 requests that it ends, the last admitted ones first. No decision changes.

--- a/internal/coordination/shed/stop.go
+++ b/internal/coordination/shed/stop.go
@@ -24,9 +24,10 @@
 // methods may be called concurrently.
 type Stop struct {
 	mu sync.Mutex
-	// at is when requests have to be over; zero while no stop is planned.
-	at    time.Time
-	times map[ident.RouteID]*estim.Window[time.Duration]
+	// at is when requests have to be over, begunAt when the stop was planned; zero while none is.
+	at, begunAt time.Time
+	times       map[ident.RouteID]*estim.Window[time.Duration]
+	open        map[*OpenRequest]struct{}
 
 	once   sync.Once
 	ctx    context.Context
@@ -45,7 +46,14 @@
 func (s *Stop) Begin(at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.at = at
+	s.at, s.begunAt = at, time.Now()
+}
+
+// Plan returns when a stop was planned and when requests have to be over. It reports false while none is planned.
+func (s *Stop) Plan() (begun, end time.Time, planned bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.begunAt, s.at, !s.at.IsZero()
 }
 
 // Expire ends the time for requests that are still open.
--- a/internal/program/entry/drain.go
+++ b/internal/program/entry/drain.go
@@ -20,6 +20,8 @@
 	// those have then to end with a final answer.
 	killMargin      = 400 * time.Millisecond
 	finalAnswerTime = 200 * time.Millisecond
+	// maxCutLogged is the number of requests that are logged when the stop ends them, the last admitted ones.
+	maxCutLogged = 32
 )
 
 // drain removes the daemon from the directory, resigns leadership, waits for requests in progress and closes the
@@ -32,7 +34,10 @@
 	d.leaving.Store(true)
 	d.peers.SendSoon()
 	klog.InfoS("Daemon leaves", "daemon", d.Settings.DaemonID, "active", d.inFlight.Load(), "untilEndMs", time.Until(end).Milliseconds())
-	expire := time.AfterFunc(time.Until(end), d.requestStop.Expire)
+	expire := time.AfterFunc(time.Until(end), func() {
+		d.logCut(start)
+		d.requestStop.Expire()
+	})
 	defer expire.Stop()
 	resignCtx, cancelResign := context.WithTimeout(context.Background(), directoryExpiry)
 	d.elector.Resign(resignCtx)
@@ -50,6 +55,20 @@
 	}
 }
 
+// logCut logs the requests that a stop planned at the given time cuts.
+func (d *Daemon) logCut(signalled time.Time) {
+	open := d.requestStop.Open()
+	if len(open) == 0 {
+		return
+	}
+	klog.InfoS("Stop ends open requests", "daemon", d.Settings.DaemonID, "requests", len(open))
+	for _, r := range open[:min(len(open), maxCutLogged)] {
+		klog.InfoS("Stop ends request", "request", r.ID, "route", r.Route, "arrivedAfterSignalMs", r.ArrivedAt.Sub(signalled).Milliseconds(),
+			"admittedAfterSignalMs", r.AdmittedAt.Sub(signalled).Milliseconds(), "untilStopWhenAdmittedMs", r.Estimate.Left.Milliseconds(),
+			"takesMs", r.Estimate.Takes.Milliseconds(), "samples", r.Estimate.Samples)
+	}
+}
+
 // closeCallers closes the callers' listener, and their connections once no request is read or answered on any of them, at the latest
 // at the given time. Requests on open connections are answered until then: http.Server.Shutdown would read and drop them. Before the
 // connections are closed, refuse makes the handler refuse what still comes, so that none is passed on and cut. It returns the number of connections with
--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -183,17 +183,28 @@
 	e := c.Stop.Estimate(shed.StopRequest{
 		Route: c.route.Name, UntilDeadline: c.untilDeadline(), AtMostOnce: !c.route.Repeatable(),
 	})
+	c.stopEstimate = e
 	if e.CanFinish && !c.stopped() {
+		c.trackOpen()
 		return nil
 	}
-	klog.InfoS("Request can't end before the daemon stops", "request", c.req.ID, "route", c.route.Name, "takesMs", e.Takes.Milliseconds(),
-		"samples", e.Samples, "untilStopMs", e.Left.Milliseconds(), "leftMs", c.untilDeadline().Milliseconds(), "mayHaveRun", c.mayHaveRun())
+	klog.InfoS("Request can't end before the daemon stops", append([]any{
+		"request", c.req.ID, "route", c.route.Name, "leftMs", c.untilDeadline().Milliseconds(), "mayHaveRun", c.mayHaveRun(),
+	}, c.stopDetails()...)...)
 	if c.mayHaveRun() {
 		return c.endAfterLastAttempt(ReasonStopping)
 	}
 	return c.refundAndRefuse(ReasonStopping, rejectedRetryAfter)
 }
 
+// trackOpen adds the request to those that a planned stop may cut.
+func (c *call) trackOpen() {
+	if c.open == nil {
+		c.open = &shed.OpenRequest{ID: c.req.ID, Route: c.route.Name, ArrivedAt: c.arrived, AdmittedAt: time.Now(), Estimate: c.stopEstimate}
+		c.Stop.Track(c.open)
+	}
+}
+
 // checkQuarantine returns the error that ends the request if it, or parts of its prompt, are known to crash upstreams, or nil.
 func (c *call) checkQuarantine() error {
 	err := c.Detector.Check(&c.judged)
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -99,6 +99,9 @@
 	// wholeHash is the result of fingerprint once hasFingerprint is set.
 	wholeHash      poison.Hash
 	hasFingerprint bool
+	// stopEstimate is the last estimate whether the request ends before a planned stop, open its record there; nil until it is admitted.
+	stopEstimate shed.StopEstimate
+	open         *shed.OpenRequest
 	// evidence is what the last attempt says about the request; nil before the first.
 	evidence *poison.Attempt
 
@@ -141,6 +144,7 @@
 		c.judged.Parts = append(c.judged.Parts, poison.HashPart(id))
 	}
 	defer func() { h.Bodies.release(c.bodyReserved) }()
+	defer func() { h.Stop.Untrack(c.open) }()
 	err := c.serve()
 	var refusal *RefusedError
 	if errors.As(err, &refusal) && !c.reply.begun() {
@@ -320,13 +324,28 @@
 	if !c.reply.firstByteAt.IsZero() {
 		firstByte = c.reply.firstByteAt.Sub(c.arrived)
 	}
-	klog.InfoS("Request ended", "request", c.req.ID, "passedBy", c.hop.sender(), "route", route, "organisation", c.organisationID(),
+	klog.InfoS("Request ended", append([]any{
+		"request", c.req.ID, "passedBy", c.hop.sender(), "route", route, "organisation", c.organisationID(),
 		"status", c.reply.status, "outcome", outcome, "attempts", c.attempts, "rejections", c.rejections, "mayHaveRun", c.mayHaveRun(),
 		"config", version, "firstMs", firstByte.Milliseconds(),
-		"totalMs", time.Since(c.arrived).Milliseconds(), "patienceMs", c.deadline.Sub(c.arrived).Milliseconds())
+		"totalMs", time.Since(c.arrived).Milliseconds(), "patienceMs", c.deadline.Sub(c.arrived).Milliseconds(),
+	}, c.stopDetails()...)...)
 	recordRequest(c, err)
 }
 
+// stopDetails returns what logs say of a planned stop: how long after its signal the request came, how much time is left, and what was estimated
+// by how many samples. It returns nothing while no stop is planned.
+func (c *call) stopDetails() []any {
+	begun, end, planned := c.Stop.Plan()
+	if !planned {
+		return nil
+	}
+	return []any{
+		"arrivedAfterSignalMs", c.arrived.Sub(begun).Milliseconds(), "untilStopMs", time.Until(end).Milliseconds(),
+		"takesMs", c.stopEstimate.Takes.Milliseconds(), "samples", c.stopEstimate.Samples,
+	}
+}
+
 // errStopping is the cause with which requests are ended that are still open at the end of a planned stop.
 var errStopping = errors.New("the daemon stops") //nolint:revive // compared by identity only
 
--- a/internal/transport/proxy/response.go
+++ b/internal/transport/proxy/response.go
@@ -219,9 +219,11 @@
 	if err == nil {
 		return stepDone, ""
 	}
-	klog.InfoS("Stream broke", "request", c.req.ID, "upstream", choice.Upstream.ID, "lastEvent", c.reply.position.lastID,
+	klog.InfoS("Stream broke", append([]any{
+		"request", c.req.ID, "upstream", choice.Upstream.ID, "lastEvent", c.reply.position.lastID,
 		"error", err.Error(), "gone", c.callerLeft(), "weights", choice.WeightVersion, "parts", c.sharedParts(), "fingerprint", c.fingerprint(),
-		"reads", tracker.reads, "sinceSentMs", time.Since(c.attemptAt).Milliseconds())
+		"reads", tracker.reads, "sinceSentMs", time.Since(c.attemptAt).Milliseconds(),
+	}, c.stopDetails()...)...)
 	if isContinuationError(err) {
 		countRefusedContinuation()
 	}
@@ -318,9 +320,11 @@
 		c.sendBuffered(resp, body)
 		return stepDone, ""
 	}
-	klog.InfoS("Answer broke", "request", c.req.ID, "upstream", choice.Upstream.ID, "status", resp.StatusCode,
+	klog.InfoS("Answer broke", append([]any{
+		"request", c.req.ID, "upstream", choice.Upstream.ID, "status", resp.StatusCode,
 		"bytes", len(body), "error", err.Error(), "parts", c.sharedParts(), "fingerprint", c.fingerprint(),
-		"sinceSentMs", time.Since(c.attemptAt).Milliseconds())
+		"sinceSentMs", time.Since(c.attemptAt).Milliseconds(),
+	}, c.stopDetails()...)...)
 	if outcome == place.OutcomeTimeout && !errors.Is(context.Cause(ctx), errUnresponsive) {
 		return stepFail, ReasonTimeout
 	}
