--- a/internal/program/entry/drain.go
+++ b/internal/program/entry/drain.go
@@ -44,7 +44,7 @@
 	cancelResign()
 	time.Sleep(min(directoryExpiry-time.Since(start), time.Until(end)))
 	end = end.Add(finalAnswerTime)
-	open := s.closeCallers(end, d.requestStop.Expire)
+	open := s.closeCallers(end, d.refuseNew)
 	guard.Check(open == 0, guard.ShutdownClean, "requests on %d connections are aborted at shutdown", open)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
@@ -55,6 +55,9 @@
 	}
 }
 
+// refuseNew makes the handler refuse requests that come from now on.
+func (d *Daemon) refuseNew() { d.requestStop.Expire() }
+
 // logCut logs the requests that a stop planned at the given time cuts.
 func (d *Daemon) logCut(signalled time.Time) {
 	open := d.requestStop.Open()
