Send a late request in a planned stop only if its deadline lies before the end

Cause: that the answer ends before the stop was a prediction, made when the request is sent, and nothing kept the promise when it was wrong. The longest of the last answers says nothing of the next one.

Change: the estimate decides only up to 2.75 s after the signal. The platform accepts that the stop cuts what was sent within 3 s of it; 0.25 s are for the delivery of the signal. Later, a request is sent only if its deadline lies before the stop, and refused at once otherwise: the deadline is enforced here, so a request that is sent has ended by then.

TestLateInStopOnlyDeadlinesCount (virtual time) fails without the condition and passes.

--- a/internal/coordination/shed/stop.go
+++ b/internal/coordination/shed/stop.go
@@ -18,6 +18,10 @@
 	maxStopRoutes = 1024
 	// atMostOnceFactor lengthens the estimate for requests that can't be repeated, whose loss costs the most.
 	atMostOnceFactor = 2
+	// cutAllowedTime is how long after the signal a request may be sent at the latest for the platform to accept that the stop cuts it;
+	// signalMargin is taken off, as the signal may have been sent that long before it was handled.
+	cutAllowedTime = 3 * time.Second
+	signalMargin   = 250 * time.Millisecond
 )
 
 // Stop decides during a planned stop of the daemon which requests can still end before it. The zero value is ready for use; its
@@ -96,7 +100,8 @@
 	Samples     int
 }
 
-// Estimate estimates whether a request can end before the stop.
+// Estimate estimates whether a request can end before the stop. Once the platform no longer accepts that the request is cut, its deadline has to
+// lie before the stop, however short other responses were.
 func (s *Stop) Estimate(r StopRequest) StopEstimate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -107,7 +112,7 @@
 	if w := s.times[r.Route]; w != nil {
 		e.Samples = w.Len()
 	}
-	if e.Samples >= minStopSamples {
+	if e.Samples >= minStopSamples && time.Since(s.begunAt) <= cutAllowedTime-signalMargin {
 		longest := s.times[r.Route].Max()
 		if r.AtMostOnce {
 			longest *= atMostOnceFactor
--- a/internal/coordination/shed/stop_test.go
+++ b/internal/coordination/shed/stop_test.go
@@ -50,6 +50,32 @@
 	}
 }
 
+// Guards against a late request that is taken because others were short: only its deadline says when it ends.
+func TestLateInStopOnlyDeadlinesCount(t *testing.T) {
+	const stopAfter, short = 7600 * time.Millisecond, 150 * time.Millisecond
+	for _, c := range []struct {
+		sent, deadline time.Duration
+		want           bool
+	}{
+		{cutAllowedTime - signalMargin, 9 * time.Second, true},
+		{cutAllowedTime - signalMargin + 1, 9 * time.Second, false},
+		{cutAllowedTime, stopAfter - cutAllowedTime, true},
+		{cutAllowedTime, stopAfter - cutAllowedTime + 1, false},
+		{stopAfter - short, short, true},
+		{stopAfter - short, 2 * short, false},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &Stop{}
+			for _, took := range repeat(short, stopSamples) {
+				s.Observe("r", took)
+			}
+			s.Begin(time.Now().Add(stopAfter))
+			time.Sleep(c.sent)
+			require.Equal(t, c.want, s.Estimate(StopRequest{Route: "r", UntilDeadline: c.deadline}).CanFinish, "%+v", c)
+		})
+	}
+}
+
 func TestStopRemembersBoundedNumberOfRoutes(t *testing.T) {
 	s := &Stop{}
 	for i := range 3 * maxStopRoutes {
