Let a planned stop's estimate end no request that may have run

Cause: the estimate was asked before each attempt, also of requests that had been sent. It can't refuse these as not run any more, so a wrong estimate cost the answer, and a right one saved nothing.

Change: a request that may have run goes on to its next attempt, within its attempts and the retry budget, until the stop ends what is open.

Evidence: TestPlannedStopRetriesRequestThatMayHaveRun failed (a call got 502, a resumable stream was cut, 3.5 s before the end of the stop) and passes: both get the whole answer of the second upstream.

--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -178,13 +178,13 @@
 }
 
 // checkStop returns the error that ends the request if it can't end before a planned stop of the daemon, or nil. Callers find
-// another daemon at once.
+// another daemon at once. A request that may have run can't be refused as not run any more, so only the stop itself ends it.
 func (c *call) checkStop() error {
 	e := c.Stop.Estimate(shed.StopRequest{
 		Route: c.route.Name, UntilDeadline: c.untilDeadline(), AtMostOnce: !c.route.Repeatable(),
 	})
 	c.stopEstimate = e
-	if e.CanFinish && !c.stopped() {
+	if (e.CanFinish || c.mayHaveRun()) && !c.stopped() {
 		c.trackOpen()
 		return nil
 	}
