Don't take the end of a reset connection for that of an answer

What callers saw: a worker answered a long upload at once with a 200 without a length, sent a part and reset the connection while the upload was written; callers got the part as a whole answer.

Cause: the system reports a reset to one operation only. If a write takes it, the read after it sees a plain end, which is the end of an answer without a length; the read may return before the write does.

Change: at the end of a connection httpc waits until the write in progress has returned, and returns a *ResetError if a write has failed. A write that took the reset was in progress when the read saw the end, or had failed before, so nothing depends on which goroutine runs first. A worker that closes only its side and reads the rest of the upload on is still believed; the wait is for one write, and closing the connection, as the transport does when the request ends, ends it. Bodies with a length or chunks aren't read to the end.

The stand-in of the test in httpc now reads as ended only once the rest is being written, as the system does: without that the read could come before the write that fails, which no reset does.

--- a/internal/transport/httpc/pool.go
+++ b/internal/transport/httpc/pool.go
@@ -118,7 +118,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &conn{Conn: c}, nil
+			return &conn{Conn: newResetConn(c)}, nil
 		},
 		TLSClientConfig:        p.TLS,
 		TLSHandshakeTimeout:    dialTimeout,
--- a/internal/transport/httpc/reset_test.go
+++ b/internal/transport/httpc/reset_test.go
@@ -16,8 +16,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-// earlyAnswerConn answers a request as soon as it begins and then reads as ended. The write of the rest returns writeErr a second after
-// the end was read, or when the connection is closed.
+// earlyAnswerConn answers a request as soon as it begins, and reads as ended once the rest is being written. That write returns writeErr
+// some time after the end was read, or when the connection is closed.
 type earlyAnswerConn struct {
 	net.Conn
 	answer   io.Reader
@@ -25,9 +25,9 @@
 	// writeTime is how long the write of the rest takes.
 	writeTime time.Duration
 
-	writes                   int
-	began, ended, closed     chan struct{}
-	beginOnce, endOnce, once sync.Once
+	writes                     int
+	began, rest, ended, closed chan struct{}
+	endOnce, closeOnce         sync.Once
 }
 
 func (c *earlyAnswerConn) Read(b []byte) (int, error) {
@@ -38,6 +38,11 @@
 	}
 	n, err := c.answer.Read(b)
 	if err != nil {
+		select {
+		case <-c.rest:
+		case <-c.closed:
+			return 0, net.ErrClosed
+		}
 		c.endOnce.Do(func() { close(c.ended) })
 	}
 	return n, err
@@ -45,9 +50,12 @@
 
 func (c *earlyAnswerConn) Write(b []byte) (int, error) {
 	c.writes++
-	if c.writes == 1 {
-		c.beginOnce.Do(func() { close(c.began) })
+	switch c.writes {
+	case 1:
+		close(c.began)
 		return len(b), nil
+	case 2:
+		close(c.rest)
 	}
 	select {
 	case <-c.ended:
@@ -66,7 +74,7 @@
 }
 
 func (c *earlyAnswerConn) Close() error {
-	c.once.Do(func() { close(c.closed) })
+	c.closeOnce.Do(func() { close(c.closed) })
 	return nil
 }
 
@@ -90,7 +98,7 @@
 				p := &Pool{Dial: func(context.Context, string, string) (net.Conn, error) {
 					return &earlyAnswerConn{
 						answer: strings.NewReader(c.answer), writeErr: c.writeErr, writeTime: c.writeTime,
-						began: make(chan struct{}), ended: make(chan struct{}), closed: make(chan struct{}),
+						began: make(chan struct{}), rest: make(chan struct{}), ended: make(chan struct{}), closed: make(chan struct{}),
 					}, nil
 				}}
 				defer p.Close()
