Count responses that are open, cut or resumed in the estimates of a planned stop

Callers whose request came early in a planned stop were cut at its end, although the daemon had a request of the same route that had already lasted longer than there was time left.

Cause: the estimate knew the times of complete responses, from their last attempt. What was cut, called off, left by its caller or is still open never counted, so long responses were known the less the more of them failed, and a resumed one counted with its last part only.

Change: the daemon keeps its open requests with the time of their admission. An open request counts for as long as it has lasted; one that may have run and was cut counts if no other took as long, so that short cuts push out no long answers; the time of a response counts from its admission.

--- a/internal/coordination/shed/open_request.go
+++ b/internal/coordination/shed/open_request.go
@@ -26,11 +26,45 @@
 	s.open[r] = struct{}{}
 }
 
-// Untrack removes a request from the open ones.
-func (s *Stop) Untrack(r *OpenRequest) {
+// EndKind says how an open request ended.
+type EndKind uint8
+
+const (
+	// EndUnsent means that no upstream got the request.
+	EndUnsent EndKind = iota
+	// EndCut means that an upstream may have run the request, and the response is not complete.
+	EndCut
+	// EndAnswered means that the response of an upstream is complete.
+	EndAnswered
+)
+
+// End removes a request from the open ones; nil stands for one that was not admitted. The time since it was admitted is how long its response took.
+// The response of one that was cut would have taken longer: the time counts if no other took as long.
+func (s *Stop) End(r *OpenRequest, kind EndKind) {
+	if r == nil {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.open, r)
+	if kind == EndUnsent {
+		return
+	}
+	w, took := s.window(r.Route), time.Since(r.AdmittedAt)
+	if kind == EndAnswered || w.Len() > 0 && took > w.Max() {
+		w.Add(took)
+	}
+}
+
+// longestOpen returns how long the longest open request of a route has taken so far.
+func (s *Stop) longestOpen(route ident.RouteID) time.Duration {
+	var longest time.Duration
+	for r := range s.open {
+		if r.Route == route {
+			longest = max(longest, time.Since(r.AdmittedAt))
+		}
+	}
+	return longest
 }
 
 // Open returns the open requests, the last admitted ones first.
--- a/internal/coordination/shed/stop.go
+++ b/internal/coordination/shed/stop.go
@@ -76,10 +76,8 @@
 	s.once.Do(func() { s.ctx, s.cancel = context.WithCancel(context.Background()) })
 }
 
-// Observe records how long a complete response of a route took from its sending to an upstream.
-func (s *Stop) Observe(route ident.RouteID, took time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// window returns the times of the last responses of a route.
+func (s *Stop) window(route ident.RouteID) *estim.Window[time.Duration] {
 	w := s.times[route]
 	if w == nil {
 		if s.times == nil || len(s.times) >= maxStopRoutes {
@@ -88,7 +86,7 @@
 		w = &estim.Window[time.Duration]{Size: stopSamples}
 		s.times[route] = w
 	}
-	w.Add(took)
+	return w
 }
 
 // StopEstimate says whether a request is expected to end before the stop, with what decided.
@@ -113,7 +111,7 @@
 		e.Samples = w.Len()
 	}
 	if e.Samples >= minStopSamples && time.Since(s.begunAt) <= cutAllowedTime-signalMargin {
-		longest := s.times[r.Route].Max()
+		longest := max(s.times[r.Route].Max(), s.longestOpen(r.Route))
 		if r.AtMostOnce {
 			longest *= atMostOnceFactor
 		}
--- a/internal/coordination/shed/stop_test.go
+++ b/internal/coordination/shed/stop_test.go
@@ -34,7 +34,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				s := &Stop{}
 				for _, took := range c.samples {
-					s.Observe("r", took)
+					endAnswered(s, "r", took)
 				}
 				r := StopRequest{Route: "r", UntilDeadline: c.deadline, AtMostOnce: c.atMostOnce}
 				require.True(t, s.Estimate(r).CanFinish, "no stop is planned")
@@ -67,7 +67,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			s := &Stop{}
 			for _, took := range repeat(short, stopSamples) {
-				s.Observe("r", took)
+				endAnswered(s, "r", took)
 			}
 			s.Begin(time.Now().Add(stopAfter))
 			time.Sleep(c.sent)
@@ -79,11 +79,49 @@
 func TestStopRemembersBoundedNumberOfRoutes(t *testing.T) {
 	s := &Stop{}
 	for i := range 3 * maxStopRoutes {
-		s.Observe(ident.RouteID(fmt.Sprint(i)), time.Second)
+		endAnswered(s, ident.RouteID(fmt.Sprint(i)), time.Second)
 		require.LessOrEqual(t, len(s.times), maxStopRoutes)
 	}
 }
 
+// Guards against an estimate by complete responses alone: those that were cut or are open would have taken, or will take, longer.
+func TestStopCountsCutAndOpenRequests(t *testing.T) {
+	const short, long = 150 * time.Millisecond, 4 * time.Second
+	for name, c := range map[string]struct {
+		add  func(s *Stop, long *OpenRequest)
+		want bool
+	}{
+		"open":                  {(*Stop).Track, false},
+		"open, another route":   {func(s *Stop, r *OpenRequest) { r.Route = "other"; s.Track(r) }, true},
+		"cut":                   {func(s *Stop, r *OpenRequest) { s.Track(r); s.End(r, EndCut) }, false},
+		"unsent":                {func(s *Stop, r *OpenRequest) { s.Track(r); s.End(r, EndUnsent) }, true},
+		"cut early beside long": {func(s *Stop, r *OpenRequest) { s.End(r, EndAnswered); cutShort(s) }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &Stop{}
+				for range stopSamples {
+					endAnswered(s, "r", short)
+				}
+				c.add(s, &OpenRequest{Route: "r", AdmittedAt: time.Now().Add(-long)})
+				s.Begin(time.Now().Add(3 * time.Second))
+				require.Equal(t, c.want, s.Estimate(StopRequest{Route: "r", UntilDeadline: 9 * time.Second}).CanFinish)
+			})
+		})
+	}
+}
+
+// cutShort ends as many requests that are cut at once as there are samples.
+func cutShort(s *Stop) {
+	for range stopSamples {
+		s.End(&OpenRequest{Route: "r", AdmittedAt: time.Now()}, EndCut)
+	}
+}
+
+func endAnswered(s *Stop, route ident.RouteID, took time.Duration) {
+	s.End(&OpenRequest{Route: route, AdmittedAt: time.Now().Add(-took)}, EndAnswered)
+}
+
 func repeat(d time.Duration, n int) []time.Duration {
 	out := make([]time.Duration, n)
 	for i := range out {
--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -68,9 +68,7 @@
 	tracker.MarkActive()
 	c.attempts++
 	step, reason := c.handleResponse(ctx, resp, choice, placeReq, tracker)
-	if step == stepDone {
-		c.Stop.Observe(c.route.Name, time.Since(c.attemptAt))
-	}
+	c.answered = step == stepDone
 	return step, reason
 }
 
--- a/internal/transport/proxy/detour.go
+++ b/internal/transport/proxy/detour.go
@@ -196,7 +196,7 @@
 	err := c.forwardFromPeer(resp)
 	if err == nil {
 		countDetour("answered")
-		c.Stop.Observe(c.route.Name, time.Since(c.attemptAt))
+		c.answered = true
 		return stepDone, ""
 	}
 	klog.InfoS("Answer of a peer broke", "request", c.req.ID, "peer", peer.ID, "lastEvent", c.reply.position.lastID, "error", err.Error(),
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -102,6 +102,8 @@
 	// stopEstimate is the last estimate whether the request ends before a planned stop, open its record there; nil until it is admitted.
 	stopEstimate shed.StopEstimate
 	open         *shed.OpenRequest
+	// answered says that the caller has got the complete response of an upstream.
+	answered bool
 	// evidence is what the last attempt says about the request; nil before the first.
 	evidence *poison.Attempt
 
@@ -144,7 +146,7 @@
 		c.judged.Parts = append(c.judged.Parts, poison.HashPart(id))
 	}
 	defer func() { h.Bodies.release(c.bodyReserved) }()
-	defer func() { h.Stop.Untrack(c.open) }()
+	defer func() { h.Stop.End(c.open, c.endKind()) }()
 	err := c.serve()
 	var refusal *RefusedError
 	if errors.As(err, &refusal) && !c.reply.begun() {
@@ -333,6 +335,18 @@
 	recordRequest(c, err)
 }
 
+// endKind returns what the end of the request says about how long others take.
+func (c *call) endKind() shed.EndKind {
+	switch {
+	case c.answered:
+		return shed.EndAnswered
+	case c.mayHaveRun():
+		return shed.EndCut
+	default:
+		return shed.EndUnsent
+	}
+}
+
 // stopDetails returns what logs say of a planned stop: how long after its signal the request came, how much time is left, and what was estimated
 // by how many samples. It returns nothing while no stop is planned.
 func (c *call) stopDetails() []any {
