Answer what comes between the last look at open requests and their refusal

Cause: after its last look the stop ended the time of all open requests, to refuse new ones. That cancelled what had been passed on since the look. It also took effect late: a callback on a context that has ended runs in its own goroutine, so that a request that came afterwards could reach an upstream before it was cancelled.

Change: refusing new requests and ending open ones are two steps. Stop.RefuseNew takes effect in the check before each attempt, under the lock; the stop then waits for what is open, at the latest until the time at which it ends them.

--- a/internal/coordination/shed/stop.go
+++ b/internal/coordination/shed/stop.go
@@ -30,8 +30,10 @@
 	mu sync.Mutex
 	// at is when requests have to be over, begunAt when the stop was planned; zero while none is.
 	at, begunAt time.Time
-	times       map[ident.RouteID]*estim.Window[time.Duration]
-	open        map[*OpenRequest]struct{}
+	// refusesNew says that no further request is admitted.
+	refusesNew bool
+	times      map[ident.RouteID]*estim.Window[time.Duration]
+	open       map[*OpenRequest]struct{}
 
 	once   sync.Once
 	ctx    context.Context
@@ -60,6 +62,13 @@
 	return s.begunAt, s.at, !s.at.IsZero()
 }
 
+// RefuseNew admits no further request. Those that were admitted go on.
+func (s *Stop) RefuseNew() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refusesNew = true
+}
+
 // Expire ends the time for requests that are still open.
 func (s *Stop) Expire() {
 	s.init()
@@ -103,6 +112,9 @@
 func (s *Stop) Estimate(r StopRequest) StopEstimate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.refusesNew {
+		return StopEstimate{}
+	}
 	if s.at.IsZero() {
 		return StopEstimate{CanFinish: true}
 	}
--- a/internal/program/entry/drain.go
+++ b/internal/program/entry/drain.go
@@ -44,7 +44,7 @@
 	cancelResign()
 	time.Sleep(min(directoryExpiry-time.Since(start), time.Until(end)))
 	end = end.Add(finalAnswerTime)
-	open := s.closeCallers(end, d.refuseNew)
+	open := s.closeCallers(end, d.requestStop.RefuseNew)
 	guard.Check(open == 0, guard.ShutdownClean, "requests on %d connections are aborted at shutdown", open)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
@@ -55,9 +55,6 @@
 	}
 }
 
-// refuseNew makes the handler refuse requests that come from now on.
-func (d *Daemon) refuseNew() { d.requestStop.Expire() }
-
 // logCut logs the requests that a stop planned at the given time cuts.
 func (d *Daemon) logCut(signalled time.Time) {
 	open := d.requestStop.Open()
@@ -74,8 +71,8 @@
 
 // closeCallers closes the callers' listener, and their connections once no request is read or answered on any of them, at the latest
 // at the given time. Requests on open connections are answered until then: http.Server.Shutdown would read and drop them. Before the
-// connections are closed, refuse makes the handler refuse what still comes, so that none is passed on and cut. It returns the number of connections with
-// a request that is cut.
+// connections are closed, refuse makes the handler refuse what still comes; what was passed on until then is waited for. It returns the
+// number of connections with a request that is cut.
 func (s *servers) closeCallers(latest time.Time, refuse func()) int {
 	_ = s.listeners[callerServer].Close()
 	s.awaitIdle(latest)
--- a/internal/program/entry/planned_stop_promise_test.go
+++ b/internal/program/entry/planned_stop_promise_test.go
@@ -180,7 +180,7 @@
 		})
 		f.eventually(func() bool { return d.inFlight.Load() == 1 }, "the request isn't there")
 		time.Sleep(took / 3)
-		d.refuseNew()
+		d.requestStop.RefuseNew()
 	}))
 	wg.Wait()
 }
