Log why an attempt is given up for silence, and whether another one may follow

No change of logic; the same of peers that fall silent, and of requests that end for want of retry budget.

go test -race of place, relay, proxy and entry (427 s, the machine shared by five): ok.

--- a/internal/coordination/place/tracker.go
+++ b/internal/coordination/place/tracker.go
@@ -204,6 +204,31 @@
 	return t.upstreamState.shouldAbort(now, maxReportAge)
 }
 
+// Silence describes an upstream that sends nothing.
+type Silence struct {
+	// For is how long it has sent nothing, Requests the number of this daemon's requests there and PeerRequests that of its peers.
+	For                    time.Duration
+	Requests, PeerRequests int
+	// Down says that it is taken to be unreachable, since DownFor, and Hung that it accepts connections but is taken to hang.
+	Down, Hung bool
+	DownFor    time.Duration
+}
+
+// Silence describes the silence of the attempt's upstream.
+func (t *Tracker) Silence() Silence {
+	t.placer.mu.Lock()
+	defer t.placer.mu.Unlock()
+	state, now, maxReportAge := t.upstreamState, time.Now(), t.placer.peerReportTTL()
+	s := Silence{
+		For: now.Sub(state.lastBytesAt), Requests: state.own.Requests, Down: state.down, Hung: state.isHung(now, maxReportAge),
+		PeerRequests: state.totalWork(now, maxReportAge).Requests - state.own.Requests,
+	}
+	if s.Down {
+		s.DownFor = now.Sub(state.downSince)
+	}
+	return s
+}
+
 // DownAddresses returns the addresses of the upstreams that are taken to be down.
 func (p *Placer) DownAddresses() map[ident.UpstreamID]string {
 	listed := p.Snapshots.Upstreams().ByID
--- a/internal/coordination/place/upstream_state.go
+++ b/internal/coordination/place/upstream_state.go
@@ -151,6 +151,11 @@
 	if s.down && now.Sub(s.downSince) >= unreachableConfirmTime && now.Sub(s.lastBytesAt) >= unreachableConfirmTime {
 		return true
 	}
+	return s.isHung(now, maxReportAge)
+}
+
+// isHung reports whether the upstream has sent nothing for longer than hangTimeout beyond the prefill of its prompts.
+func (s *upstreamState) isHung(now time.Time, maxReportAge time.Duration) bool {
 	return s.silentFor(now, s.lastBytesAt) > hangTimeout+prefillSlackFactor*s.prefillTime(s.totalWork(now, maxReportAge).PrefillTokens)
 }
 
--- a/internal/coordination/relay/budget.go
+++ b/internal/coordination/relay/budget.go
@@ -56,6 +56,12 @@
 	}
 }
 
+// Balance returns the number of retries that may be withdrawn; negative after resumptions beyond the budget.
+func (b *RetryBudget) Balance() int64 {
+	b.init()
+	return b.balance.Load() / permille
+}
+
 // ForceWithdraw takes one retry even if the balance has none.
 func (b *RetryBudget) ForceWithdraw() {
 	b.init()
--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -46,7 +46,7 @@
 	tracker := &attemptTracker{
 		Tracker: c.Placer.Begin(choice, placeReq),
 		rollout: c.Rollouts.Begin(c.rolloutRequest(placeReq), choice.Upstream, choice.QueuedTokens+choice.PrefillTokens),
-		queued:  choice.QueuedTokens, evidence: evidence,
+		queued:  choice.QueuedTokens, evidence: evidence, sentAt: c.attemptAt,
 		onBegin: func() { c.logBegin(choice, placeReq) },
 	}
 	req, err := c.upstreamRequest(ctx, choice, p)
@@ -118,6 +118,7 @@
 				return
 			}
 			if mayAbort && tracker.ShouldAbort() {
+				c.logSilence(choice, tracker)
 				cancel(errUnresponsive)
 				return
 			}
@@ -125,6 +126,17 @@
 	}()
 }
 
+// logSilence records why an attempt is given up for the silence of its upstream, and whether another one may follow.
+func (c *call) logSilence(choice *place.Choice, tracker *attemptTracker) {
+	s := tracker.Silence()
+	stop := c.Stop.Estimate(c.stopRequest())
+	klog.InfoS("Upstream silent, attempt given up", "request", c.req.ID, "upstream", choice.Upstream.ID, "silentMs", s.For.Milliseconds(),
+		"requests", s.Requests, "peerRequests", s.PeerRequests, "down", s.Down, "downMs", s.DownFor.Milliseconds(), "hung", s.Hung,
+		"begun", tracker.hasBegun.Load(), "candidates", choice.Candidates, "budget", c.RetryBudgets.Of(c.service).Balance(),
+		"fitsStop", stop.CanFinish, "untilStopMs", stop.Left.Milliseconds(), "leftMs", c.untilDeadline().Milliseconds(),
+		"sinceSentMs", time.Since(tracker.sentAt).Milliseconds())
+}
+
 // stepAfterCallBack returns the next step after an attempt that was called back. The engine may have begun to run it in that moment.
 func (c *call) stepAfterCallBack(choice *place.Choice) (nextStep, Reason) {
 	klog.InfoS("Request called back from replaced weights", "request", c.req.ID, "upstream", choice.Upstream.ID, "weights", choice.WeightVersion,
--- a/internal/transport/proxy/detour.go
+++ b/internal/transport/proxy/detour.go
@@ -145,6 +145,8 @@
 			case <-t.C:
 			}
 			if !c.Peers.IsAlive(peer) {
+				klog.InfoS("Peer silent, attempt given up", "request", c.req.ID, "peer", peer, "runs", runs, "fitsStop", c.Stop.Estimate(c.stopRequest()).CanFinish,
+					"leftMs", c.untilDeadline().Milliseconds())
 				cancel(errUnresponsive)
 				return
 			}
--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -84,6 +84,8 @@
 		}
 		if c.isRepeat() && !budget.TryWithdraw() {
 			c.Placer.Discard(choice)
+			klog.InfoS("No retry budget", "request", c.req.ID, "service", c.service, "attempts", c.attempts, "mayHaveRun", c.mayHaveRun(),
+				"begun", c.reply.begun())
 			return c.endAfterLastAttempt(ReasonUpstreamsRefused)
 		}
 		step, reason := c.attempt(choice, p)
@@ -180,9 +182,7 @@
 // checkStop returns the error that ends the request if it can't end before a planned stop of the daemon, or nil. Callers find
 // another daemon at once. A request that may have run can't be refused as not run any more, so only the stop itself ends it.
 func (c *call) checkStop() error {
-	e := c.Stop.Estimate(shed.StopRequest{
-		Route: c.route.Name, UntilDeadline: c.untilDeadline(), AtMostOnce: !c.route.Repeatable(),
-	})
+	e := c.Stop.Estimate(c.stopRequest())
 	c.stopEstimate = e
 	if (e.CanFinish || c.mayHaveRun()) && !c.stopped() {
 		c.trackOpen()
@@ -205,6 +205,10 @@
 	}
 }
 
+func (c *call) stopRequest() shed.StopRequest {
+	return shed.StopRequest{Route: c.route.Name, UntilDeadline: c.untilDeadline(), AtMostOnce: !c.route.Repeatable()}
+}
+
 // checkQuarantine returns the error that ends the request if it, or parts of its prompt, are known to crash upstreams, or nil.
 func (c *call) checkQuarantine() error {
 	err := c.Detector.Check(&c.judged)
@@ -303,7 +307,7 @@
 	after := rejectedRetryAfter
 	if errors.As(err, &b) {
 		after = b.RetryAfter
-		klog.InfoS("No upstream takes the request", "request", c.req.ID, "reason", b.Reason,
+		klog.InfoS("No upstream takes the request", "request", c.req.ID, "reason", b.Reason, "mayHaveRun", c.mayHaveRun(),
 			"upstreams", c.Snapshots.Upstreams().Offset, "retryAfterMs", after.Milliseconds())
 	}
 	if c.mayHaveRun() {
--- a/internal/transport/proxy/tracker.go
+++ b/internal/transport/proxy/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"github.com/gooseberryway/gooseberryway/internal/coordination/moves"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/place"
@@ -14,6 +15,8 @@
 	*place.Tracker
 	rollout  moves.Attempt
 	evidence *poison.Attempt
+	// sentAt is when the attempt began.
+	sentAt time.Time
 	// queued is the number of prompt tokens that the engine had to compute for other requests.
 	queued ident.Tokens
 	// reads counts the reads of the response's body, which stand for tokens.
