--- a/internal/program/soak/fleet_test.go
+++ b/internal/program/soak/fleet_test.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -18,8 +20,12 @@
 	"github.com/gooseberryway/gooseberryway/platform/standin"
 )
 
-// startTime is how long a process takes at most until it handles signals.
-const startTime = time.Second
+const (
+	// startTime is how long a process takes at most until it handles signals.
+	startTime           = time.Second
+	defaultGrace        = 4 * time.Second
+	defaultRouteTimeout = 5 * time.Second
+)
 
 // process is a daemon that runs as a separate process.
 type process struct {
@@ -55,6 +61,10 @@
 	workers      []*worker
 	// weightsLimit is how long after a version was replaced requests may begin on it.
 	weightsLimit time.Duration
+	// grace is how long a daemon may take to end after SIGTERM; whole seconds.
+	grace time.Duration
+	// routeTimeouts are those of routes by their names; the default is defaultRouteTimeout.
+	routeTimeouts map[string]time.Duration
 	// operator serialises what operators write, so that all of it can be written again after a restore of the store.
 	operator sync.Mutex
 }
@@ -84,7 +94,7 @@
 // startStore returns a cluster without daemons and upstreams.
 func startStore(t *testing.T, binary string, weightsLimit time.Duration) *cluster {
 	t.Helper()
-	w := &cluster{t: t, binary: binary, store: standin.NewStore(), weightsLimit: weightsLimit}
+	w := &cluster{t: t, binary: binary, store: standin.NewStore(), weightsLimit: weightsLimit, grace: defaultGrace}
 	w.storeAddress = w.store.Serve(nil)
 	t.Cleanup(w.store.Close)
 	w.configure(1, "key-a", "key-b")
@@ -99,8 +109,9 @@
 		if kind == "streaming" {
 			service = "llm"
 		}
+		timeout := cmp.Or(w.routeTimeouts[name], defaultRouteTimeout)
 		routes = append(routes, map[string]any{
-			"name": name, "host": "h.example", "path-prefix": "/" + name + "/", "kind": kind, "timeout-ms": 5000,
+			"name": name, "host": "h.example", "path-prefix": "/" + name + "/", "kind": kind, "timeout-ms": timeout.Milliseconds(),
 			"target-latency-ms": 300, "attempts": 2, "service": service, "resumable": name == "note",
 		})
 	}
@@ -120,6 +131,7 @@
 		id: id, binary: w.binary, settingsFile: filepath.Join(dir, "settings.json"), logFile: filepath.Join(dir, "log"),
 		callerAddress: standin.FreeAddress(), directoryAddress: standin.FreeAddress(), storeProxy: startProxy(w.t, w.storeAddress),
 	}
+	reservePorts(w.t, p.callerAddress, p.directoryAddress)
 	resources := map[string]any{"cpuShare": 0.8, "cores": 1, "linkMbps": 200}
 	if lowResources {
 		resources = map[string]any{"cpuShare": 0.2, "cores": 1, "linkMbps": 10}
@@ -130,7 +142,7 @@
 			"callers": p.callerAddress, "ready": standin.FreeAddress(), "directory": p.directoryAddress, "peers": standin.FreeAddress(),
 		},
 		"limits": map[string]any{
-			"graceS": 4, "leaseMs": 3000, "fenced": true, "weightsMs": w.weightsLimit.Milliseconds(), "retryShare": 0.2, "retrySlack": 50, "retryWindowS": 10,
+			"graceS": w.grace.Seconds(), "leaseMs": 3000, "fenced": true, "weightsMs": w.weightsLimit.Milliseconds(), "retryShare": 0.2, "retrySlack": 50, "retryWindowS": 10,
 		},
 	})
 	require.NoError(w.t, err)
@@ -140,6 +152,16 @@
 	w.t.Cleanup(func() { p.kill() })
 }
 
+// reservePorts keeps the UDP ports of addresses, so that FreeAddress of another test doesn't return them while a daemon is away.
+func reservePorts(t *testing.T, addresses ...string) {
+	t.Helper()
+	for _, a := range addresses {
+		c, err := net.ListenPacket("udp4", a)
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+	}
+}
+
 func (w *cluster) startDaemon(p *process) {
 	log, err := os.OpenFile(p.logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	require.NoError(w.t, err)
