Give up a silent peer only when another peer can take the request

A caller whose request had been passed on to a peer got a 502 as soon as that peer's heartbeats failed, also when no other peer could take it: the peer might still have answered before the deadline.

Cause: silence of the peer was a reason to end the attempt if the route allowed another run. Whether another peer followed was found out afterwards; at the last detour none ever did.

Change: the peer is watched only if another detour is left, and given up only once there is a candidate for it. Otherwise the request waits for the response, the broken connection or the deadline.

Evidence: TestSilentPeerIsGivenUpOnlyForAnotherPeer fails without the two conditions (no other peer; the last detour) and passes.

--- a/internal/coordination/detour/chooser.go
+++ b/internal/coordination/detour/chooser.go
@@ -54,6 +54,11 @@
 	return best, true
 }
 
+// HasCandidate reports whether Choose would find a peer.
+func (c *Chooser) HasCandidate(service view.ServiceID, tried []ident.DaemonID) bool {
+	return len(c.candidates(service, tried)) > 0
+}
+
 // withVersion returns the peers whose configuration has the given version or a newer one, so that callers of this daemon don't see an
 // older one again. If there are none, those with the newest remain.
 func withVersion(peers []fleet.Peer, version int64) []fleet.Peer {
--- a/internal/transport/proxy/detour.go
+++ b/internal/transport/proxy/detour.go
@@ -49,7 +49,7 @@
 			break
 		}
 		tried = append(tried, peer.ID)
-		step, reason := c.passTo(peer, maxDetours-len(tried))
+		step, reason := c.passTo(peer, tried)
 		c.Peers.Release(peer.ID)
 		if step == stepDone {
 			return true, nil
@@ -70,14 +70,14 @@
 	return step == stepRetryOther && c.possibleRuns() < c.maxRuns()
 }
 
-// passTo passes the request on to a peer and forwards the response. spare is the number of peers that may follow.
-func (c *call) passTo(peer fleet.Peer, spare int) (nextStep, Reason) {
+// passTo passes the request on to a peer, the last of those that were tried, and forwards the response.
+func (c *call) passTo(peer fleet.Peer, tried []ident.DaemonID) (nextStep, Reason) {
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	defer cancel(nil)
 	end := time.AfterFunc(c.untilDeadline()+detourDeadlineGrace, func() { cancel(context.DeadlineExceeded) })
 	defer end.Stop()
 	runs := c.maxRuns() - c.possibleRuns()
-	if runs > minRunsOfPeer && spare > 0 {
+	if runs > minRunsOfPeer && len(tried) < maxDetours {
 		// The peer may fall silent and leaves a run to the next one.
 		runs--
 	}
@@ -88,7 +88,7 @@
 	c.attemptAt = time.Now()
 	klog.InfoS("Request passed on", "request", c.req.ID, "peer", peer.ID, "service", c.service, "arrivals", c.arrivals(), "runsLeft", runs,
 		"lastEvent", c.reply.position.lastID, "heardMs", time.Since(peer.LastHeartbeatAt).Milliseconds(), "leftMs", c.untilDeadline().Milliseconds())
-	watching := c.watchPeer(ctx, cancel, peer.ID, runs)
+	watching := c.watchPeer(ctx, cancel, tried, runs)
 	resp, err := c.PeerPool.Do(req)
 	if err != nil {
 		return c.handlePassError(ctx, err, peer, runs)
@@ -103,7 +103,7 @@
 		return c.endPass(ctx, runs)
 	}
 	if !watching {
-		c.watchPeer(ctx, cancel, peer.ID, outcome.arrivals)
+		c.watchPeer(ctx, cancel, tried, outcome.arrivals)
 	}
 	return c.handlePeerResponse(ctx, resp, peer, &outcome)
 }
@@ -129,12 +129,13 @@
 	return req.WithContext(ctx), nil
 }
 
-// watchPeer cancels an attempt whose peer has fallen silent, if another peer may follow one that had so many upstreams run the request. It
-// reports whether it does.
-func (c *call) watchPeer(ctx context.Context, cancel context.CancelCauseFunc, peer ident.DaemonID, runs int) bool {
-	if !c.route.Repeatable() || c.possibleRuns()+runs >= c.maxRuns() {
+// watchPeer cancels an attempt whose peer, the last of those that were tried, has fallen silent, once another peer can follow one that had so
+// many upstreams run the request. Otherwise a silent peer may still answer. It reports whether it watches.
+func (c *call) watchPeer(ctx context.Context, cancel context.CancelCauseFunc, tried []ident.DaemonID, runs int) bool {
+	if !c.route.Repeatable() || c.possibleRuns()+runs >= c.maxRuns() || len(tried) >= maxDetours {
 		return false
 	}
+	peer := tried[len(tried)-1]
 	go func() {
 		t := time.NewTicker(responsivenessTick)
 		defer t.Stop()
@@ -144,7 +145,7 @@
 				return
 			case <-t.C:
 			}
-			if !c.Peers.IsAlive(peer) {
+			if !c.Peers.IsAlive(peer) && c.Peers.HasCandidate(c.service, tried) {
 				klog.InfoS("Peer silent, attempt given up", "request", c.req.ID, "peer", peer, "runs", runs, "fitsStop", c.Stop.Estimate(c.stopRequest()).CanFinish,
 					"leftMs", c.untilDeadline().Milliseconds())
 				cancel(errUnresponsive)
--- a/internal/transport/proxy/detour_test.go
+++ b/internal/transport/proxy/detour_test.go
@@ -1,13 +1,17 @@
 package proxy
 
 import (
+	"context"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/gooseberryway/gooseberryway/internal/coordination/detour"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/fleet"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/state/view"
 )
 
@@ -39,3 +43,38 @@
 		require.Equal(t, c.want, got, name)
 	}
 }
+
+// Guards against giving up a silent peer, which may still answer, when no other peer follows.
+func TestSilentPeerIsGivenUpOnlyForAnotherPeer(t *testing.T) {
+	for name, c := range map[string]struct {
+		tried []ident.DaemonID
+		peers []ident.DaemonID
+		want  error
+	}{
+		"another follows":     {[]ident.DaemonID{"silent"}, []ident.DaemonID{"silent", "other"}, errUnresponsive},
+		"no other":            {[]ident.DaemonID{"silent"}, []ident.DaemonID{"silent"}, nil},
+		"last of the detours": {[]ident.DaemonID{"first", "silent"}, []ident.DaemonID{"silent", "other"}, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				peers := &detour.Chooser{
+					Peers: func() (known []fleet.Peer) {
+						for _, id := range c.peers {
+							known = append(known, fleet.Peer{ID: id, Ready: true, TakesRequests: true, LastHeartbeatAt: time.Now()})
+						}
+						return known
+					},
+					IsAlive:  func(id ident.DaemonID) bool { return id != "silent" },
+					IsActive: func(ident.DaemonID) bool { return true },
+				}
+				r := &call{Handler: &Handler{Peers: peers}, route: &view.Route{Kind: view.KindIdempotent, MaxAttempts: 4}}
+				ctx, cancel := context.WithCancelCause(t.Context())
+				defer cancel(nil)
+				r.watchPeer(ctx, cancel, c.tried, 1)
+				time.Sleep(time.Second)
+				synctest.Wait()
+				require.Equal(t, c.want, context.Cause(ctx))
+			})
+		})
+	}
+}
