Believe no answer whose head is malformed or older than its request

What callers saw: answers with blanks or control bytes in names, folded lines, HTTP/1.0 with chunks, HTTP/2.0 and status 600 or 999 were passed on, some with a body that wasn't the worker's (what follows the body, or the sizes of its chunks); a malformed 421 or 503 with "not executed" became the promise that a request has not run.

Cause: net/http reads heads leniently. It joins folded lines, keeps names with blanks as they are and drops Transfer-Encoding from HTTP/1.0, so that after it nobody can tell what the worker sent.

Change: httpc checks the bytes of each head before net/http parses them, from the first bytes after a request was sent, through interim answers, to the end of the final head. A malformed one is a *MalformedResponseError: its connection is closed, it says nothing of whether the request ran, and the attempt counts as failed, not as the end of an upstream, as the upstream is alive. A response that was read before its request was sent (what follows an earlier answer in the buffer) is an *UnaskedError, however soon the next request takes the connection. Connections with TLS are dialled by httpc, so that the check sees plain bytes.

Evidence: TestMalformedHeadIsNoAnswer, 24 heads on four kinds of route, and TestMalformedHeadIsNoCrash (entry) failed before and pass; so do TestMalformedHeadIsNoResponse and TestResponseBeforeItsRequestIsNotBelieved (httpc), the second with the check taken out again, where the next request gets the late answer. go test -fuzz FuzzHeadScanner -fuzztime 15s: 367,159 inputs, net/http reads the same fields and the same end from each head that is accepted. BenchmarkHeadScanner: 1.0 to 1.1 us for a head of 254 bytes, no allocation; BenchmarkDo: 24.8 to 30.9 us, 69 allocs (68 before: the trace of the first byte).

--- a/internal/transport/httpc/bench_test.go
+++ b/internal/transport/httpc/bench_test.go
@@ -10,11 +10,12 @@
 	"testing"
 )
 
+const benchAnswer = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Gooseberryway-Attempt-Id: 9c41d07be2a35f68\r\n" +
+	"X-Gooseberryway-Response-Signature: 3e1b.07.5a2.600.0.c9f2a4d1\r\nX-Gooseberryway-Weight-Versions: 3\r\n" +
+	"Date: Sun, 06 Dec 2026 22:00:00 GMT\r\nContent-Length: 9\r\n\r\nan answer"
+
 // BenchmarkDo sends requests with a body on one connection without sockets and reads the answers.
 func BenchmarkDo(b *testing.B) {
-	const answer = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Gooseberryway-Attempt-Id: 9c41d07be2a35f68\r\n" +
-		"X-Gooseberryway-Response-Signature: 3e1b.07.5a2.600.0.c9f2a4d1\r\nX-Gooseberryway-Weight-Versions: 3\r\n" +
-		"Date: Sun, 06 Dec 2026 22:00:00 GMT\r\nContent-Length: 9\r\n\r\nan answer"
 	p := &Pool{Dial: func(context.Context, string, string) (net.Conn, error) {
 		local, remote := net.Pipe()
 		go func() {
@@ -25,7 +26,7 @@
 					return
 				}
 				_, _ = io.Copy(io.Discard, req.Body)
-				if _, err := io.WriteString(remote, answer); err != nil {
+				if _, err := io.WriteString(remote, benchAnswer); err != nil {
 					return
 				}
 			}
@@ -47,3 +48,16 @@
 		_ = resp.Body.Close()
 	}
 }
+
+// BenchmarkHeadScanner scans the head of a response.
+func BenchmarkHeadScanner(b *testing.B) {
+	head := []byte(strings.TrimSuffix(benchAnswer, "an answer"))
+	b.ReportAllocs()
+	b.SetBytes(int64(len(head)))
+	for b.Loop() {
+		var s headScanner
+		if _, err := s.scan(head); err != nil || !s.ended() {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/transport/httpc/pool.go
+++ b/internal/transport/httpc/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -62,6 +63,23 @@
 	return fmt.Sprintf("status %d is not that of a final response", e.Status)
 }
 
+// UnaskedError is a response that was read before the request was sent, such as what follows an earlier one.
+type UnaskedError struct {
+	Status int
+}
+
+func (e *UnaskedError) Error() string {
+	return fmt.Sprintf("status %d came before the request was sent", e.Status)
+}
+
+// IsNoResponse reports whether the error is that of a server that is alive but sent something else than a response to the request.
+func IsNoResponse(err error) bool {
+	var malformed *MalformedResponseError
+	var notFinal *NotFinalError
+	var unasked *UnaskedError
+	return errors.As(err, &malformed) || errors.As(err, &notFinal) || errors.As(err, &unasked)
+}
+
 // Do sends the request and returns the response, whose body must be closed. A user and password in the URL are sent as
 // basic authentication if the request has no Authorization header. The error is a *SendError.
 func (p *Pool) Do(req *http.Request) (*http.Response, error) { return p.do(req, &sendTracker{}) }
@@ -80,20 +98,32 @@
 		req.SetBasicAuth(user.Username(), password)
 	}
 	ctx := context.WithValue(req.Context(), trackerKey{}, tracker)
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: tracker.gotConn})
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: tracker.gotConn, GotFirstResponseByte: tracker.gotFirstByte})
 	resp, err := p.transport.RoundTrip(req.WithContext(ctx)) //nolint:bodyclose // the caller closes the body
 	if err != nil {
 		defer tracker.release()
 		return nil, &SendError{NotSent: tracker.seal(), Reused: tracker.isReused(), Err: err}
 	}
-	if resp.StatusCode < http.StatusOK {
+	if err := checkResponse(resp, tracker); err != nil {
 		Retire(resp)
 		_ = resp.Body.Close()
-		return nil, &SendError{Err: &NotFinalError{Status: resp.StatusCode}}
+		return nil, &SendError{Reused: tracker.isReused(), Err: err}
 	}
 	return resp, nil
 }
 
+// checkResponse returns an error for a response that can't be that to its request.
+func checkResponse(resp *http.Response, tracker *sendTracker) error {
+	switch {
+	case tracker.isUnasked():
+		return &UnaskedError{Status: resp.StatusCode}
+	case resp.StatusCode < http.StatusOK:
+		return &NotFinalError{Status: resp.StatusCode}
+	default:
+		return nil
+	}
+}
+
 // Close closes the idle connections. It always returns nil.
 func (p *Pool) Close() error {
 	p.once.Do(p.init)
@@ -110,18 +140,10 @@
 	if p.Link != "" {
 		dial = p.Link.Dial(dial)
 	}
+	d := &dialer{dial: dial, timeout: dialTimeout, tls: p.TLS}
 	p.transport = &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-			defer cancel()
-			c, err := dial(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return &conn{Conn: newResetConn(c)}, nil
-		},
-		TLSClientConfig:        p.TLS,
-		TLSHandshakeTimeout:    dialTimeout,
+		DialContext:            d.dialPlain,
+		DialTLSContext:         d.dialTLS,
 		MaxIdleConns:           0,
 		MaxIdleConnsPerHost:    orDefault(p.MaxIdleConnsPerHost, defaultIdleConnsPerHost),
 		IdleConnTimeout:        orDefault(p.IdleTimeout, defaultIdleTimeout),
--- a/internal/transport/httpc/send_tracker.go
+++ b/internal/transport/httpc/send_tracker.go
@@ -17,7 +17,7 @@
 	connSealed              // no write has started and all further writes fail
 )
 
-// conn is a connection that records whether a write has started for its current request.
+// conn is a connection that records whether a write has started for its current request, and checks the heads of the responses to it.
 type conn struct {
 	net.Conn
 	state atomic.Int32
@@ -25,6 +25,9 @@
 	mu sync.Mutex
 	// user is the tracker of the current request.
 	user *sendTracker
+	// heads checks what is read since the current request was sent; answered says that something was.
+	heads    headScanner
+	answered bool
 	// keys are what was noted of earlier responses.
 	keys []string
 }
@@ -37,6 +40,45 @@
 	return c.Conn.Write(b)
 }
 
+// Read fails with a *MalformedResponseError in a head that is malformed.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		if malformed := c.check(b[:n]); malformed != nil {
+			return 0, malformed
+		}
+	}
+	return n, err
+}
+
+// check checks bytes that were read. Those that come before the request was sent are no response to it.
+func (c *conn) check(p []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state.Load() != connUsed || c.user == nil {
+		return nil
+	}
+	c.answered = true
+	_, err := c.heads.scan(p)
+	return err
+}
+
+// hasAnswered reports whether anything was read since the tracker's request was sent.
+func (c *conn) hasAnswered(t *sendTracker) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.user == t && c.answered
+}
+
+// abort closes the connection without a last message of TLS, which may block.
+func (c *conn) abort() {
+	if t, ok := c.Conn.(*tls.Conn); ok {
+		_ = t.NetConn().Close()
+		return
+	}
+	_ = c.Close()
+}
+
 // seal makes all further writes fail if none of the tracker's request has started. It returns false if one has. A connection serves
 // another request only after the response to the one before.
 func (c *conn) seal(t *sendTracker) bool {
@@ -57,9 +99,10 @@
 	defer c.mu.Unlock()
 	if last.isHeld() {
 		c.state.Store(connSealed)
-		_ = c.Close()
+		c.abort()
 	}
 	c.user = t
+	c.heads, c.answered = headScanner{}, false
 	c.state.CompareAndSwap(connUsed, connFresh)
 }
 
@@ -75,7 +118,7 @@
 	defer c.mu.Unlock()
 	if c.user == t {
 		c.state.Store(connSealed)
-		_ = c.Close()
+		c.abort()
 	}
 }
 
@@ -157,6 +200,8 @@
 	current *conn
 	// reused is true if the current connection has served another request before.
 	reused bool
+	// unasked is true if the response was read before the request was sent.
+	unasked bool
 	// maybeSent is true if a byte may have been sent on an earlier connection or on one that is not a *conn.
 	maybeSent bool
 }
@@ -207,6 +252,21 @@
 	t.current.take(t)
 }
 
+// gotFirstByte is called by the transport when it begins to parse the response. It reads from the connection only if it has nothing left of
+// what came before.
+func (t *sendTracker) gotFirstByte() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.unasked = t.current != nil && !t.current.hasAnswered(t)
+}
+
+// isUnasked reports whether the response was read before the request was sent.
+func (t *sendTracker) isUnasked() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.unasked
+}
+
 // isReused reports whether the last connection had served another request before.
 func (t *sendTracker) isReused() bool {
 	t.mu.Lock()
@@ -224,11 +284,8 @@
 	return t.current == nil || t.current.seal(t)
 }
 
-// trackedConn returns the *conn under nc, or nil if there is none.
+// trackedConn returns nc as a *conn, or nil if it is none.
 func trackedConn(nc net.Conn) *conn {
-	if t, ok := nc.(*tls.Conn); ok {
-		nc = t.NetConn()
-	}
 	c, _ := nc.(*conn)
 	return c
 }
--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -238,6 +238,10 @@
 	case c.route.Repeatable():
 		step = stepRetryOther
 	}
+	if outcome == place.OutcomeBroken && httpc.IsNoResponse(err) {
+		// The upstream is alive, so that it is no evidence that the request ends upstreams.
+		outcome = place.OutcomeFailed
+	}
 	tracker.End(outcome)
 	if !notSent {
 		c.attempts++
