Learn from an answer only once it is known whose it is

Cause: the version and the limits were read from the head before its ID was compared. Change: they are read after that, as the notices of upstreams are.

--- a/internal/transport/proxy/response.go
+++ b/internal/transport/proxy/response.go
@@ -37,9 +37,6 @@
 ) (nextStep, Reason) {
 	defer resp.Body.Close()
 	parsed := c.Dialect.ParseResponse(resp.StatusCode, resp.Header)
-	c.Placer.SetWeightVersion(choice.Upstream, placeReq.Model, parsed.WeightVersion)
-	c.observeLimit(resp, &parsed, choice)
-	c.observeRejectionLimit(resp, &parsed, choice)
 	if !c.isOwnResponse(resp, &parsed) {
 		// The upstream may have begun to run this request.
 		c.markSent()
@@ -51,6 +48,9 @@
 		return c.stepAfterRun(ReasonResponseMismatch)
 	}
 	httpc.Release(resp)
+	c.Placer.SetWeightVersion(choice.Upstream, placeReq.Model, parsed.WeightVersion)
+	c.observeLimit(resp, &parsed, choice)
+	c.observeRejectionLimit(resp, &parsed, choice)
 	c.observeNotice(resp, &parsed, choice)
 	switch {
 	case parsed.NotRun:
