Give an attempt up for silence only once another one is secured

What callers saw: an answer that was under way ended, cut or with 502 or 504, though its upstream was sound. An upstream that sends nothing for 1.5 s is taken to hang, and a request there that may be repeated was called off "if another attempt may follow": as far as the route's attempts go. Whether it could was found out only afterwards: no other upstream, none that is up, no retry left in the budget, a planned stop, a withdrawn key, a quarantine, a stream whose position isn't known. Then the daemon itself had ended a sound answer (LOST).

Cause: an effect that can't be taken back, on a prediction, before it is known what follows. Now the watcher of the attempt takes what the next one needs before it cancels: the checks that would end the request, an upstream other than those that were tried, which was heard within the last second or takes a connection, and a retry of the budget. If anything is in the way the attempt goes on, and it is tried again every 300 ms; what isn't used is given back. The connection is still closed before the next attempt is sent. The same for a peer that falls silent. Log and metric say what was in the way.

--- a/internal/coordination/place/placer.go
+++ b/internal/coordination/place/placer.go
@@ -133,8 +133,10 @@
 	}
 	candidates := p.candidates(q, blocked)
 	best := p.cheapest(q, candidates, blocked)
-	if best == nil {
+	if best == nil && !r.Speculative {
 		p.spaceRetries(est, blocked, now)
+	}
+	if best == nil {
 		return nil, blocked
 	}
 	best.Candidates = len(candidates)
--- a/internal/coordination/place/request.go
+++ b/internal/coordination/place/request.go
@@ -27,6 +27,8 @@
 	Tried []ident.UpstreamID
 	// Releases restricts the upstreams by the release of their software; nil for no restriction.
 	Releases *ReleaseFilter
+	// Speculative says that the caller isn't told when to retry if there is no upstream.
+	Speculative bool
 }
 
 // ReleaseFilter selects the upstreams of one release or, if Except is set, those of all others.
--- a/internal/coordination/place/tracker.go
+++ b/internal/coordination/place/tracker.go
@@ -256,6 +256,23 @@
 	klog.InfoS("Upstream reached again", "upstream", id, "downMs", now.Sub(state.downSince).Milliseconds())
 }
 
+// MarkUnreachable records that no connection to an upstream could be made.
+func (p *Placer) MarkUnreachable(id ident.UpstreamID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if state := p.upstreamStates[id]; state != nil {
+		state.markDown(time.Now())
+	}
+}
+
+// HasHeardWithin reports whether an upstream has sent anything within the last d.
+func (p *Placer) HasHeardWithin(id ident.UpstreamID, d time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	state := p.upstreamStates[id]
+	return state != nil && time.Since(state.heardAt) <= d
+}
+
 // MarkFirstEvent records the first event of the response: the prompt has been processed.
 func (t *Tracker) MarkFirstEvent() {
 	t.placer.mu.Lock()
--- a/internal/coordination/relay/budget.go
+++ b/internal/coordination/relay/budget.go
@@ -56,6 +56,12 @@
 	}
 }
 
+// Return gives a retry back that was withdrawn and isn't made.
+func (b *RetryBudget) Return() {
+	b.init()
+	b.add(permille)
+}
+
 // Balance returns the number of retries that may be withdrawn; negative after resumptions beyond the budget.
 func (b *RetryBudget) Balance() int64 {
 	b.init()
--- a/internal/program/entry/daemon.go
+++ b/internal/program/entry/daemon.go
@@ -222,6 +222,7 @@
 		RetryBudgets:    d.retryBudgets(),
 		Shedders:        &view.PerService[shed.Controller]{},
 		Pool:            upstreams,
+		CanConnect:      d.canConnect,
 		Peers:           &detour.Chooser{Self: s.DaemonID, Peers: d.table.All, IsAlive: d.table.IsAlive, IsActive: d.isActivePeer, ConfigVersion: d.configVersion},
 		PeerPool:        &httpc.Pool{DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout},
 		Bodies:          &proxy.BodyBudget{MaxBytes: int64(s.Resources.MemoryMB * bytesPerMB / bodyMemoryDivisor)},
--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -16,7 +16,6 @@
 
 	"github.com/gooseberryway/gooseberryway/internal/coordination/place"
 	"github.com/gooseberryway/gooseberryway/internal/state/guard"
-	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/transport/httpc"
 )
 
@@ -45,7 +44,7 @@
 	c.attemptAt = time.Now()
 	tracker := &attemptTracker{
 		Tracker: c.Placer.Begin(choice, placeReq),
-		rollout: c.Rollouts.Begin(c.rolloutRequest(placeReq), choice.Upstream, choice.QueuedTokens+choice.PrefillTokens),
+		rollout: c.Rollouts.Begin(c.rolloutRequest(placeReq, c.isRepeat()), choice.Upstream, choice.QueuedTokens+choice.PrefillTokens),
 		queued:  choice.QueuedTokens, evidence: evidence, sentAt: c.attemptAt,
 		onBegin: func() { c.logBegin(choice, placeReq) },
 	}
@@ -60,7 +59,8 @@
 		"candidates", choice.Candidates, "upstreamAgeMs", time.Since(choice.Upstream.SeenAt).Milliseconds(),
 		"leftMs", c.untilDeadline().Milliseconds(), "cached", choice.Locality, "chain", placeReq.SharedPrefix(), "save", choice.SaveToStore,
 		"waitMs", choice.Wait.Total.Milliseconds(), "late", choice.Late, "priority", p.priority, "release", choice.Upstream.Release)
-	c.watchAttempt(ctx, cancel, choice, placeReq.Model, tracker)
+	watcher := c.watchAttempt(ctx, cancel, choice, placeReq, tracker)
+	defer func() { p.next = watcher.Close() }()
 	resp, err := c.Pool.DoHeld(req) //nolint:bodyclose // handleResponse closes it
 	if err != nil {
 		return c.handleSendError(err, context.Cause(ctx), choice, tracker)
@@ -97,46 +97,6 @@
 // errWeightsReplaced is the cause with which an attempt is called back that has no first token although its weights near their limit.
 var errWeightsReplaced = errors.New("weights were replaced before the first token") //nolint:revive // compared by identity only
 
-// watchAttempt cancels an attempt whose upstream becomes unreachable or hangs, if another attempt may follow, and one that has no first token
-// when its weights near their limit: the engine would give it on these weights, however late. An engine drops requests whose connections close.
-func (c *call) watchAttempt(ctx context.Context, cancel context.CancelCauseFunc, choice *place.Choice, model ident.ModelID, tracker *attemptTracker) {
-	mayAbort := c.route.Repeatable() && c.possibleRuns()+1 < c.maxRuns()
-	if !mayAbort && model == "" {
-		return
-	}
-	go func() {
-		t := time.NewTicker(responsivenessTick)
-		defer t.Stop()
-		for mayAbort || !tracker.hasBegun.Load() {
-			select {
-			case <-ctx.Done():
-				return
-			case <-t.C:
-			}
-			if !tracker.hasBegun.Load() && c.Placer.HasExpired(model, choice.WeightVersion) {
-				cancel(errWeightsReplaced)
-				return
-			}
-			if mayAbort && tracker.ShouldAbort() {
-				c.logSilence(choice, tracker)
-				cancel(errUnresponsive)
-				return
-			}
-		}
-	}()
-}
-
-// logSilence records why an attempt is given up for the silence of its upstream, and whether another one may follow.
-func (c *call) logSilence(choice *place.Choice, tracker *attemptTracker) {
-	s := tracker.Silence()
-	stop := c.Stop.Estimate(c.stopRequest())
-	klog.InfoS("Upstream silent, attempt given up", "request", c.req.ID, "upstream", choice.Upstream.ID, "silentMs", s.For.Milliseconds(),
-		"requests", s.Requests, "peerRequests", s.PeerRequests, "down", s.Down, "downMs", s.DownFor.Milliseconds(), "hung", s.Hung,
-		"begun", tracker.hasBegun.Load(), "candidates", choice.Candidates, "budget", c.RetryBudgets.Of(c.service).Balance(),
-		"fitsStop", stop.CanFinish, "untilStopMs", stop.Left.Milliseconds(), "leftMs", c.untilDeadline().Milliseconds(),
-		"sinceSentMs", time.Since(tracker.sentAt).Milliseconds())
-}
-
 // stepAfterCallBack returns the next step after an attempt that was called back. The engine may have begun to run it in that moment.
 func (c *call) stepAfterCallBack(choice *place.Choice) (nextStep, Reason) {
 	klog.InfoS("Request called back from replaced weights", "request", c.req.ID, "upstream", choice.Upstream.ID, "weights", choice.WeightVersion,
--- a/internal/transport/proxy/detour.go
+++ b/internal/transport/proxy/detour.go
@@ -70,7 +70,7 @@
 	return step == stepRetryOther && c.possibleRuns() < c.maxRuns()
 }
 
-// passTo passes the request on to a peer, the last of those that were tried, and forwards the response.
+// passTo passes the request on to a peer and forwards the response. tried are the peers so far, with this one.
 func (c *call) passTo(peer fleet.Peer, tried []ident.DaemonID) (nextStep, Reason) {
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	defer cancel(nil)
@@ -129,25 +129,32 @@
 	return req.WithContext(ctx), nil
 }
 
-// watchPeer cancels an attempt whose peer, the last of those that were tried, has fallen silent, once another peer can follow one that had so
-// many upstreams run the request. Otherwise a silent peer may still answer. It reports whether it watches.
+// watchPeer cancels an attempt whose peer, the last one that was tried, has fallen silent once another peer can follow one that had so many
+// upstreams run the request. It reports whether it does.
 func (c *call) watchPeer(ctx context.Context, cancel context.CancelCauseFunc, tried []ident.DaemonID, runs int) bool {
-	if !c.route.Repeatable() || c.possibleRuns()+runs >= c.maxRuns() || len(tried) >= maxDetours {
+	if !c.route.Repeatable() || len(tried) >= maxDetours || c.possibleRuns()+runs >= c.maxRuns() {
 		return false
 	}
 	peer := tried[len(tried)-1]
 	go func() {
 		t := time.NewTicker(responsivenessTick)
 		defer t.Stop()
+		w := obstacleLog{}
 		for {
 			select {
 			case <-ctx.Done():
 				return
 			case <-t.C:
 			}
-			if !c.Peers.IsAlive(peer) && c.Peers.HasCandidate(c.service, tried) {
-				klog.InfoS("Peer silent, attempt given up", "request", c.req.ID, "peer", peer, "runs", runs, "fitsStop", c.Stop.Estimate(c.stopRequest()).CanFinish,
-					"leftMs", c.untilDeadline().Milliseconds())
+			if c.Peers.IsAlive(peer) {
+				continue
+			}
+			o := c.peerObstacle(tried)
+			if w.isNew(o) {
+				klog.InfoS("Peer of an attempt silent", "request", c.req.ID, "peer", peer, "givenUp", o == obstacleNone, "obstacle", o,
+					"runs", runs, "leftMs", c.untilDeadline().Milliseconds())
+			}
+			if o == obstacleNone {
 				cancel(errUnresponsive)
 				return
 			}
@@ -156,6 +163,17 @@
 	return true
 }
 
+// peerObstacle returns what keeps the request from another peer than those that were tried.
+func (c *call) peerObstacle(tried []ident.DaemonID) obstacle {
+	if o := c.obstacle(); o != obstacleNone {
+		return o
+	}
+	if !c.Peers.HasCandidate(c.service, tried) {
+		return obstacleNoPeer
+	}
+	return obstacleNone
+}
+
 // handlePassError handles a request that got no response from a peer.
 func (c *call) handlePassError(ctx context.Context, err error, peer fleet.Peer, runs int) (nextStep, Reason) {
 	var send *httpc.SendError
--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -56,38 +56,23 @@
 	connectFailures int
 	// priority orders the request at the engine; 0 is the most urgent.
 	priority int
+	// next is what was secured for the next attempt before the last one was given up; nil for nothing.
+	next *successor
 }
 
 // run sends the request to upstreams until there is a final response.
 func (c *call) run() error {
-	budget := c.RetryBudgets.Of(c.service)
 	if !c.budgeted {
-		budget.Deposit()
+		c.RetryBudgets.Of(c.service).Deposit()
 		c.budgeted = true
 	}
 	p := &progress{placeReq: c.placeReq(c.service)}
+	defer func() { c.release(p.next) }()
 	for {
-		if err := c.checkBeforeAttempt(); err != nil {
-			return err
-		}
-		p.placeReq.CacheScope = c.cacheScope()
-		choice, err := c.choose(p)
-		if err != nil {
-			if c.waitForUpstream(err, p) {
-				continue
-			}
-			return c.endBlocked(err)
-		}
-		if err := c.shedLoad(choice, p); err != nil {
-			c.Placer.Discard(choice)
+		choice, err := c.nextChoice(p)
+		if choice == nil {
 			return err
 		}
-		if c.isRepeat() && !budget.TryWithdraw() {
-			c.Placer.Discard(choice)
-			klog.InfoS("No retry budget", "request", c.req.ID, "service", c.service, "attempts", c.attempts, "mayHaveRun", c.mayHaveRun(),
-				"begun", c.reply.begun())
-			return c.endAfterLastAttempt(ReasonUpstreamsRefused)
-		}
 		step, reason := c.attempt(choice, p)
 		if step == stepDone {
 			return nil
@@ -98,6 +83,54 @@
 	}
 }
 
+// nextChoice returns the upstream for the next attempt: the one that was secured, or one that is chosen now. Without one, the request has
+// ended with the error.
+func (c *call) nextChoice(p *progress) (*place.Choice, error) {
+	if p.next != nil {
+		return c.useSuccessor(p)
+	}
+	var choice *place.Choice
+	for choice == nil {
+		if err := c.checkBeforeAttempt(); err != nil {
+			return nil, err
+		}
+		p.placeReq.CacheScope = c.cacheScope()
+		var err error
+		if choice, err = c.choose(p.placeReq, c.isRepeat()); err != nil && !c.waitForUpstream(err, p) {
+			return nil, c.endBlocked(err)
+		}
+	}
+	if err := c.shedLoad(choice, p); err != nil {
+		c.Placer.Discard(choice)
+		return nil, err
+	}
+	if c.isRepeat() && !c.RetryBudgets.Of(c.service).TryWithdraw() {
+		c.Placer.Discard(choice)
+		klog.InfoS("No retry budget", "request", c.req.ID, "service", c.service, "attempts", c.attempts, "mayHaveRun", c.mayHaveRun(),
+			"begun", c.reply.begun())
+		return nil, c.endAfterLastAttempt(ReasonUpstreamsRefused)
+	}
+	return choice, nil
+}
+
+// useSuccessor returns the upstream that was secured for the next attempt.
+func (c *call) useSuccessor(p *progress) (*place.Choice, error) {
+	s := p.next
+	if c.callerLeft() {
+		return nil, errCallerLeft
+	}
+	if err := c.shedLoad(s.choice, p); err != nil {
+		return nil, err
+	}
+	p.next = nil
+	if !c.isRepeat() {
+		// The attempt before ended unsent.
+		c.RetryBudgets.Of(c.service).Return()
+	}
+	p.placeReq.CacheScope, p.placeReq.Releases = s.request.CacheScope, s.request.Releases
+	return s.choice, nil
+}
+
 // endBlocked ends a request for which no upstream can be chosen: a peer runs it, or it has none.
 func (c *call) endBlocked(blocked error) error {
 	if c.isCutOff() {
@@ -118,22 +151,20 @@
 	return c.endAfterLastAttempt(reason)
 }
 
-// choose returns the upstream for the next attempt. A request for which no upstream of a new release takes requests goes
-// to one of another release.
-func (c *call) choose(p *progress) (*place.Choice, error) {
-	r := c.rolloutRequest(p.placeReq)
-	p.placeReq.Releases = c.Rollouts.Releases(r)
-	choice, err := c.Placer.Choose(p.placeReq)
-	if f := p.placeReq.Releases; err != nil && f != nil && !f.Except {
-		p.placeReq.Releases = &place.ReleaseFilter{Release: f.Release, Except: true}
-		return c.Placer.Choose(p.placeReq)
+// choose returns the upstream for an attempt. A request for which no upstream of a new release takes requests goes to one of another release.
+func (c *call) choose(r *place.Request, repeat bool) (*place.Choice, error) {
+	r.Releases = c.Rollouts.Releases(c.rolloutRequest(r, repeat))
+	choice, err := c.Placer.Choose(r)
+	if f := r.Releases; err != nil && f != nil && !f.Except {
+		r.Releases = &place.ReleaseFilter{Release: f.Release, Except: true}
+		return c.Placer.Choose(r)
 	}
 	return choice, err
 }
 
-func (c *call) rolloutRequest(r *place.Request) *canary.Request {
+func (c *call) rolloutRequest(r *place.Request, repeat bool) *canary.Request {
 	return &canary.Request{
-		Service: r.Service, Route: c.route.Name, Organisation: c.organisationID(), ID: c.req.ID, Retry: c.isRepeat(),
+		Service: r.Service, Route: c.route.Name, Organisation: c.organisationID(), ID: c.req.ID, Retry: repeat,
 	}
 }
 
--- a/internal/transport/proxy/fingerprint.go
+++ b/internal/transport/proxy/fingerprint.go
@@ -14,9 +14,14 @@
 // choose the rest, such as the ID and the deadline, anew for each attempt. The hash is cryptographic, so that no caller can have
 // another one's request refused.
 func (c *call) fingerprint() poison.Hash {
-	if c.hasFingerprint {
-		return c.wholeHash
+	if !c.hasFingerprint {
+		c.hasFingerprint, c.wholeHash = true, c.newFingerprint()
 	}
+	return c.wholeHash
+}
+
+// newFingerprint computes the fingerprint, also beside an attempt.
+func (c *call) newFingerprint() poison.Hash {
 	host := c.r.Host
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
@@ -29,6 +34,5 @@
 		_, _ = io.WriteString(h, field)
 	}
 	_, _ = h.Write(c.body)
-	c.hasFingerprint, c.wholeHash = true, poison.Hash(binary.BigEndian.Uint64(h.Sum(nil)))
-	return c.wholeHash
+	return poison.Hash(binary.BigEndian.Uint64(h.Sum(nil)))
 }
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -53,6 +53,8 @@
 	RetryBudgets *view.PerService[relay.RetryBudget]
 	Shedders     *view.PerService[shed.Controller]
 	Pool         *httpc.Pool
+	// CanConnect reports whether a connection to an upstream succeeds within a short time.
+	CanConnect func(ctx context.Context, address string) bool
 	// Peers chooses the peers that run requests whose service this daemon can't reach, over connections of PeerPool; nil for none.
 	Peers    *detour.Chooser
 	PeerPool *httpc.Pool
--- a/internal/transport/proxy/metrics.go
+++ b/internal/transport/proxy/metrics.go
@@ -60,6 +60,11 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf(`gooseberrywayCallBacks{kind=%q,repeatable="%t"}`, kindName(c), c.route.Repeatable())).Inc()
 }
 
+// countSilentAttempt counts an attempt whose upstream is silent: one that is given up, or goes on as there is an obstacle to another one.
+func countSilentAttempt(o obstacle) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`gooseberrywaySilentAttempts{obstacle=%q}`, o)).Inc()
+}
+
 // countUnstatedPromise counts an upstream's status that callers would take for the promise that a request has not run, without the
 // header that states it.
 func countUnstatedPromise(status int) {
--- a/internal/transport/proxy/reply.go
+++ b/internal/transport/proxy/reply.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 )
 
@@ -19,6 +20,8 @@
 	// firstByteAt is when the first byte of the body was ready; zero until then.
 	firstByteAt time.Time
 	complete    bool
+	// isFinal says that no other upstream can go on with the response that has begun. It is read beside the attempt.
+	isFinal atomic.Bool
 	// toPeer returns what the peer that passed the request on is told; nil if the caller sent it here.
 	toPeer func(refusal Reason) hopOutcome
 }
@@ -52,6 +55,14 @@
 	}
 	p.w.WriteHeader(status)
 	p.status = status
+	p.isFinal.Store(true)
+}
+
+// markStream records that what was sent is a stream of events, of which another upstream may send the rest if it is known how much of it the
+// caller has got. A stream that a peer passed on goes on there.
+func (p *reply) markStream() {
+	p.isStream = true
+	p.isFinal.Store(p.toPeer != nil || p.position.ambiguous)
 }
 
 // markFirstByte records that the first byte of the body is ready.
--- a/internal/transport/proxy/stream_forwarder.go
+++ b/internal/transport/proxy/stream_forwarder.go
@@ -71,7 +71,7 @@
 // write sends the pending bytes and those that follow them.
 func (f *streamForwarder) write(p []byte) error {
 	f.reply.begin(http.StatusOK, f.header, -1)
-	f.reply.isStream = true
+	f.reply.markStream()
 	for _, b := range [][]byte{f.pending, p} {
 		if len(b) == 0 {
 			continue
