Give the test of a silent peer a whole request

What keeps the request from another peer is looked up in the request itself now; the test built only a part of it and panicked. It asks for the same as before.

--- a/internal/transport/proxy/detour_test.go
+++ b/internal/transport/proxy/detour_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +12,8 @@
 
 	"github.com/gooseberryway/gooseberryway/internal/coordination/detour"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/fleet"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/poison"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/shed"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/state/view"
 )
@@ -67,9 +70,13 @@
 					IsAlive:  func(id ident.DaemonID) bool { return id != "silent" },
 					IsActive: func(ident.DaemonID) bool { return true },
 				}
-				r := &call{Handler: &Handler{Peers: peers}, route: &view.Route{Kind: view.KindIdempotent, MaxAttempts: 4}}
 				ctx, cancel := context.WithCancelCause(t.Context())
 				defer cancel(nil)
+				r := &call{
+					Handler: &Handler{Peers: peers, Snapshots: &view.Snapshots{}, Stop: &shed.Stop{}, Detector: &poison.Detector{}},
+					r:       httptest.NewRequestWithContext(ctx, http.MethodPost, "/", http.NoBody), ctx: ctx, deadline: time.Now().Add(time.Minute),
+					route: &view.Route{Kind: view.KindIdempotent, MaxAttempts: 4},
+				}
 				r.watchPeer(ctx, cancel, c.tried, 1)
 				time.Sleep(time.Second)
 				synctest.Wait()
