Forward no success without its worker's signature

Cause: nothing looked at the signature. Change: the dialect says whether a response is signed; a 2xx that isn't counts as a failed answer of an upstream that may have run the request: another attempt where the route allows one, 502 otherwise. The same holds for the rest of a stream that was resumed and for what a peer passes back. Refusals and failures need none.

No expectation changed.

--- a/internal/program/entry/bodiless_answer_test.go
+++ b/internal/program/entry/bodiless_answer_test.go
@@ -25,6 +25,7 @@
 		runs[id]++
 		mu.Unlock()
 		w.Header().Set(requestIDKey, id)
+		w.Header().Set(signatureKey, "sig")
 		w.WriteHeader(http.StatusNoContent)
 		return true
 	}
--- a/internal/program/entry/cache_isolation_test.go
+++ b/internal/program/entry/cache_isolation_test.go
@@ -93,6 +93,7 @@
 			return false
 		}
 		w.Header().Set(requestIDKey, r.Header.Get(requestIDKey))
+		w.Header().Set(signatureKey, "sig")
 		w.Header().Set("Content-Type", "text/event-stream")
 		_, _ = w.Write([]byte(events(1, brokenAfter, "\n")))
 		_ = http.NewResponseController(w).Flush()
--- a/internal/program/entry/call_back_test.go
+++ b/internal/program/entry/call_back_test.go
@@ -33,6 +33,7 @@
 				dropped := make(chan time.Time, 1)
 				f.startUpstream("llm", &standin.Upstream{ID: "e1", Model: "m", Version: 1, LoadTime: time.Minute, Intercept: func(w http.ResponseWriter, r *http.Request) bool {
 					w.Header().Set(requestIDKey, r.Header.Get(requestIDKey))
+					w.Header().Set(signatureKey, "sig")
 					w.Header().Set("Content-Type", "text/event-stream")
 					_, _ = io.Copy(io.Discard, r.Body)
 					sendFirst(w)
@@ -83,6 +84,7 @@
 				f.startUpstream("llm", &standin.Upstream{ID: "e1", Model: "m", Version: 1, LoadTime: time.Minute, Intercept: func(w http.ResponseWriter, r *http.Request) bool {
 					_, _ = io.Copy(io.Discard, r.Body)
 					w.Header().Set(requestIDKey, r.Header.Get(requestIDKey))
+					w.Header().Set(signatureKey, "sig")
 					w.Header().Set("Content-Type", c.contentType)
 					_, _ = io.WriteString(w, c.first)
 					_ = http.NewResponseController(w).Flush()
@@ -112,6 +114,7 @@
 	waits, begin := make(chan struct{}), make(chan struct{})
 	f.startUpstream("llm", &standin.Upstream{ID: "e1", Model: "m", Version: 1, Intercept: func(w http.ResponseWriter, r *http.Request) bool {
 		w.Header().Set(requestIDKey, r.Header.Get(requestIDKey))
+		w.Header().Set(signatureKey, "sig")
 		w.Header().Set("Content-Type", "text/event-stream")
 		_, _ = io.WriteString(w, ": wait\n\n")
 		_ = http.NewResponseController(w).Flush()
--- a/internal/program/entry/daemon_test.go
+++ b/internal/program/entry/daemon_test.go
@@ -101,6 +101,7 @@
 	f.configure(1, "secret")
 	f.startUpstream("app", &standin.Upstream{ID: "a1", Intercept: func(w http.ResponseWriter, _ *http.Request) bool {
 		w.Header().Set("X-Gooseberryway-Attempt-Id", "somebody-else")
+		w.Header().Set(signatureKey, "sig")
 		_, _ = io.WriteString(w, "their answer")
 		return true
 	}})
@@ -246,6 +247,7 @@
 	f.configure(1, "secret")
 	piece := make([]byte, 1<<20)
 	f.startUpstream("llm", &standin.Upstream{ID: "e1", Model: "m", Version: 1, Intercept: func(w http.ResponseWriter, _ *http.Request) bool {
+		w.Header().Set(signatureKey, "sig")
 		for range 64 {
 			if _, err := w.Write(piece); err != nil {
 				return true
--- a/internal/program/entry/late_report_test.go
+++ b/internal/program/entry/late_report_test.go
@@ -18,7 +18,7 @@
 	f.configureRate(1, 1_000_000, "secret")
 	const report = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 14\r\n\r\n{\"running\":12}"
 	answer := func(id string) string {
-		return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Gooseberryway-Attempt-Id: %s\r\nContent-Length: 4\r\n\r\nmine", id)
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Gooseberryway-Attempt-Id: %s\r\nX-Gooseberryway-Response-Signature: s\r\nContent-Length: 4\r\n\r\nmine", id)
 	}
 	f.startUpstream("app", &standin.Upstream{ID: "a1", Intercept: func(w http.ResponseWriter, r *http.Request) bool {
 		_, _ = io.Copy(io.Discard, r.Body)
--- a/internal/program/entry/poison_part_test.go
+++ b/internal/program/entry/poison_part_test.go
@@ -60,6 +60,7 @@
 		c.mu.Unlock()
 		if c.service == "llm" {
 			w.Header().Set("X-Gooseberryway-Attempt-Id", r.Header.Get("X-Gooseberryway-Attempt-Id"))
+			w.Header().Set(signatureKey, "sig")
 			_ = http.NewResponseController(w).Flush()
 		}
 		time.Sleep(20 * time.Millisecond)
--- a/internal/program/entry/resumed_stream_test.go
+++ b/internal/program/entry/resumed_stream_test.go
@@ -164,6 +164,7 @@
 	goOn := make(chan struct{})
 	f.startUpstream("llm", &standin.Upstream{ID: "e1", Model: "m", Version: 1, Intercept: func(w http.ResponseWriter, r *http.Request) bool {
 		w.Header().Set(requestIDKey, r.Header.Get(requestIDKey))
+		w.Header().Set(signatureKey, "sig")
 		w.Header().Set("Content-Type", "text/event-stream")
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 		_, _ = io.WriteString(w, half)
--- a/internal/program/entry/stale_refusal_test.go
+++ b/internal/program/entry/stale_refusal_test.go
@@ -56,7 +56,7 @@
 // Guards against an upstream's earlier refusal, sent once more on a kept connection, that is taken for the answer to a request that
 // runs: callers would be told that it has not run, or it would run again elsewhere.
 func TestEarlierRefusalSentAgainIsNotBelieved(t *testing.T) {
-	answered := "HTTP/1.1 200 OK\r\nX-Gooseberryway-Attempt-Id: r0\r\nContent-Length: 0\r\n\r\n"
+	answered := "HTTP/1.1 200 OK\r\nX-Gooseberryway-Attempt-Id: r0\r\nX-Gooseberryway-Response-Signature: s\r\nContent-Length: 0\r\n\r\n"
 	for name, c := range map[string]struct{ nextID, first, again string }{
 		"the same id":             {"r0", earlierRefusal, earlierRefusal},
 		"another id":              {"r1", earlierRefusal, earlierRefusal},
--- a/internal/program/entry/stranded_test.go
+++ b/internal/program/entry/stranded_test.go
@@ -400,6 +400,7 @@
 					_, _ = io.Copy(io.Discard, r.Body)
 					if u.Model != "" {
 						w.Header().Set(requestIDKey, "leaves")
+						w.Header().Set(signatureKey, "sig")
 						w.Header().Set("Content-Type", "text/event-stream")
 						_, _ = io.WriteString(w, events(1, 1, "\n"))
 						_ = http.NewResponseController(w).Flush()
--- a/internal/program/entry/upstream_faults_test.go
+++ b/internal/program/entry/upstream_faults_test.go
@@ -54,7 +54,7 @@
 // deadline, without buffering much, and release the request.
 func TestEndlessResponseIsCutAtDeadline(t *testing.T) {
 	kilobyte := strings.Repeat("x", 1<<10)
-	const ok = "HTTP/1.1 200 OK\r\nX-Gooseberryway-Attempt-Id: r1\r\n"
+	const ok = "HTTP/1.1 200 OK\r\nX-Gooseberryway-Attempt-Id: r1\r\nX-Gooseberryway-Response-Signature: s\r\n"
 	for name, c := range map[string]struct {
 		path string
 		*endlessResponse
@@ -130,7 +130,7 @@
 	f := newTestFleet(t)
 	f.configure(1, "secret")
 	response := func(id, text string) string {
-		return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Gooseberryway-Attempt-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(text), text)
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Gooseberryway-Attempt-Id: %s\r\nX-Gooseberryway-Response-Signature: s\r\nContent-Length: %d\r\n\r\n%s", id, len(text), text)
 	}
 	f.startUpstream("app", &standin.Upstream{ID: "a1", Intercept: func(w http.ResponseWriter, r *http.Request) bool {
 		c, rw, err := http.NewResponseController(w).Hijack()
--- a/internal/transport/proxy/detour.go
+++ b/internal/transport/proxy/detour.go
@@ -210,6 +210,9 @@
 		c.peerArrivals += outcome.arrivals
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, streamBufferBytes))
 		return stepRetryOther, outcome.reason
+	case isSuccess(resp.StatusCode) && !c.Dialect.ParseResponse(resp.StatusCode, resp.Header).Signed:
+		countUnsignedSuccess()
+		return c.endPass(ctx, max(1, outcome.arrivals))
 	case c.reply.begun() && !c.isStream(resp):
 		countRefusedContinuation()
 		return c.endPass(ctx, max(1, outcome.arrivals))
--- a/internal/transport/proxy/metrics.go
+++ b/internal/transport/proxy/metrics.go
@@ -71,6 +71,9 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf(`gooseberrywayUnstatedPromises{status="%d"}`, status)).Inc()
 }
 
+// countUnsignedSuccess counts a 2xx without the signature of its upstream.
+func countUnsignedSuccess() { metrics.GetOrCreateCounter("gooseberrywayUnsignedSuccesses").Inc() }
+
 func kindName(c *call) string {
 	if c.route == nil {
 		return "none"
--- a/internal/transport/proxy/request.go
+++ b/internal/transport/proxy/request.go
@@ -59,6 +59,8 @@
 	ID ident.RequestID
 	// NotRun is true if the upstream says that it did not run the request.
 	NotRun bool
+	// Signed is true if the response bears its upstream's signature, without which it is no success.
+	Signed bool
 	// WeightVersion is the version of the weights that produced the response; 0 if the upstream doesn't say.
 	WeightVersion int64
 	// Limit is what the response says about the rate at which the upstream takes requests.
--- a/internal/transport/proxy/response.go
+++ b/internal/transport/proxy/response.go
@@ -63,6 +63,12 @@
 			"status", resp.StatusCode)
 		countUnstatedPromise(resp.StatusCode)
 		return stepFail, ReasonUpstreamBroken
+	case isSuccess(resp.StatusCode) && !parsed.Signed:
+		c.markSent()
+		tracker.End(place.OutcomeFailed)
+		klog.InfoS("Success without a signature", "request", c.req.ID, "upstream", choice.Upstream.ID, "status", resp.StatusCode, "got", parsed.ID)
+		countUnsignedSuccess()
+		return c.stepAfterRun(ReasonUpstreamBroken)
 	case c.reply.begun() && (!c.isStream(resp) || parsed.ID == ""):
 		// The caller has got the beginning of a stream, so that no other response can be forwarded any more.
 		c.markSent()
@@ -80,6 +86,11 @@
 	}
 }
 
+// isSuccess reports whether callers take a status for a success.
+func isSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
+
 // observeLimit records what the response says about the upstream's limit. A misdirected response comes from another
 // upstream, and only a response to a request that ran can say that a limit no longer holds.
 func (c *call) observeLimit(resp *http.Response, parsed *Response, choice *place.Choice) {
