Refuse requests in HTTP/1.0

What workers saw: a request in HTTP/1.0 with Transfer-Encoding: chunked was run without its body, or, with a length besides, with the sizes of the chunks in its body; on a kept connection what followed was read as the next request.

Cause: net/http drops Transfer-Encoding from HTTP/1.0, so that the daemon can't tell such a request from a sound one. Change: requests in HTTP/1.0 get 505, reason httpVersionNotSupported, before anything of them is read or run, and their connection is closed. Callers speak HTTP/1.1 here.

--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -163,6 +163,11 @@
 
 // serve handles the request. An error that isn't a *RefusedError means that the connection has to be aborted.
 func (c *call) serve() error {
+	if !c.r.ProtoAtLeast(1, 1) {
+		// Of HTTP/1.0, net/http drops Transfer-Encoding and takes the chunks for the next request.
+		c.w.Header().Set("Connection", "close")
+		return &RefusedError{Status: http.StatusHTTPVersionNotSupported, Reason: ReasonHTTPVersion}
+	}
 	if err := c.resolve(); err != nil {
 		return err
 	}
--- a/internal/transport/proxy/refusal.go
+++ b/internal/transport/proxy/refusal.go
@@ -15,6 +15,7 @@
 // Reasons for refusals and failures.
 const (
 	ReasonStarting             Reason = "starting"
+	ReasonHTTPVersion          Reason = "httpVersionNotSupported"
 	ReasonNoRoute              Reason = "noRoute"
 	ReasonUnknownKey           Reason = "unknownKey"
 	ReasonBodyTooLarge         Reason = "bodyTooLarge"
