Ask silent engines for a report before they are taken to hang

What callers saw: requests to engines that are sound but send nothing for 1.5 s, such as one long answer behind a first event, were called off, ran again at the next engine, which took as long, and timed out there.

Cause: that an engine hangs was concluded from the silence of its requests alone. An engine that works answers GET /api/report, which needs no slot; one whose process is frozen doesn't, and one that has lost the requests says that it has none. Now an engine with requests of this daemon that has been silent for 1 s (beyond the prefill) is asked, at most every 0.9 s, for at most 0.4 s; a report of requests that run or wait counts as a sign of life, which the 1.5 s are counted from. An engine that doesn't answer, or has no requests, is given up as before. Placer names the engines, the daemon asks them.

--- /dev/null
+++ b/internal/coordination/place/silence.go
@@ -0,0 +1,54 @@
+package place
+
+import (
+	"time"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/state/view"
+)
+
+// reportLead is how long before an engine is taken to hang it is asked for a report.
+const reportLead = 500 * time.Millisecond
+
+// SilentEngines returns the engines that have requests of this daemon and send nothing, so that they are soon taken to hang unless a report
+// shows that they work.
+func (p *Placer) SilentEngines() []*view.Upstream {
+	config, listed, maxReportAge := p.Snapshots.Config(), p.Snapshots.Upstreams().ByID, p.peerReportTTL()
+	if config == nil {
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	var out []*view.Upstream
+	for id, state := range p.upstreamStates {
+		u := listed[id]
+		if state.own.Requests == 0 || u == nil || config.Services[u.Service] == nil || config.Services[u.Service].Engine == nil {
+			continue
+		}
+		if state.isHung(now.Add(reportLead), maxReportAge) {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
+// ConfirmWork records that an engine works on requests, as its report says, so that its silence is no hang.
+func (p *Placer) ConfirmWork(id ident.UpstreamID, incarnation ident.Incarnation) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if state := p.upstreamStates[id]; state != nil && state.incarnation == incarnation {
+		state.workConfirmedAt = time.Now()
+		state.lastActiveAt = state.workConfirmedAt
+	}
+}
+
+// isHung reports whether the upstream has sent nothing for longer than hangTimeout beyond the prefill of its prompts, and no report has shown
+// meanwhile that it works.
+func (s *upstreamState) isHung(now time.Time, maxReportAge time.Duration) bool {
+	since := s.lastBytesAt
+	if s.workConfirmedAt.After(since) {
+		since = s.workConfirmedAt
+	}
+	return s.silentFor(now, since) > hangTimeout+prefillSlackFactor*s.prefillTime(s.totalWork(now, maxReportAge).PrefillTokens)
+}
--- a/internal/coordination/place/upstream_state.go
+++ b/internal/coordination/place/upstream_state.go
@@ -65,6 +65,8 @@
 	lastActiveAt time.Time
 	// lastBytesAt is the same without accepted connections.
 	lastBytesAt time.Time
+	// workConfirmedAt is when a report of the engine last said that it works on requests.
+	workConfirmedAt time.Time
 
 	// heardAt is when the upstream last sent anything; zero if it never did.
 	heardAt time.Time
@@ -154,11 +156,6 @@
 	return s.isHung(now, maxReportAge)
 }
 
-// isHung reports whether the upstream has sent nothing for longer than hangTimeout beyond the prefill of its prompts.
-func (s *upstreamState) isHung(now time.Time, maxReportAge time.Duration) bool {
-	return s.silentFor(now, s.lastBytesAt) > hangTimeout+prefillSlackFactor*s.prefillTime(s.totalWork(now, maxReportAge).PrefillTokens)
-}
-
 // markDown excludes the upstream until a connection succeeds.
 func (s *upstreamState) markDown(now time.Time) {
 	if !s.down {
--- a/internal/program/entry/daemon.go
+++ b/internal/program/entry/daemon.go
@@ -72,6 +72,7 @@
 	store        extern.Store
 	elector      *leader.Elector
 	weightLoader *reload.Runner
+	control      extern.EngineControl
 	// requestStop decides which requests can end before a planned stop.
 	requestStop shed.Stop
 
@@ -142,7 +143,7 @@
 	d.store = &instrumentedStore{Store: &platform.Store{Address: s.Store, Pool: httpc.Pool{DialTimeout: storeDialTimeout}}}
 	upstreams := &httpc.Pool{DialTimeout: upstreamDialTimeout, Dial: d.dialUpstream, IdleTimeout: upstreamIdleTimeout}
 	// Answers to reports and orders bear no id, so that they must not come on connections of requests.
-	control := &httpc.Pool{DialTimeout: upstreamDialTimeout, Dial: d.dialUpstream, IdleTimeout: upstreamIdleTimeout}
+	d.control = &platform.Control{Pool: &httpc.Pool{DialTimeout: upstreamDialTimeout, Dial: d.dialUpstream, IdleTimeout: upstreamIdleTimeout}}
 	d.stores = &kvdir.Stores{Feed: &platform.CacheFeed{Pool: &httpc.Pool{DialTimeout: storeDialTimeout}}, Snapshots: &d.snapshots, Follows: d.followsKVStores}
 	d.placer = &place.Placer{
 		Snapshots:       &d.snapshots,
@@ -195,7 +196,7 @@
 		Self:      s.DaemonID,
 		Snapshots: &d.snapshots,
 		Placer:    d.placer,
-		Control:   &platform.Control{Pool: control},
+		Control:   d.control,
 		Term:      d.elector.Term,
 		OnFenced:  d.elector.StepDown,
 		OnChange:  d.peers.SendSoon,
@@ -301,6 +302,7 @@
 		d.joinFleet,
 		d.watchSettings,
 		d.probe,
+		d.askSilentEngines,
 		d.maintain,
 		d.keepQuarantines,
 		d.resignIfCutOff,
--- /dev/null
+++ b/internal/program/entry/silence.go
@@ -0,0 +1,66 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"k8s.io/klog/v2"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/state/scope"
+	"github.com/gooseberryway/gooseberryway/internal/state/view"
+)
+
+const (
+	// silenceTick is how often the daemon looks for engines with requests that send nothing.
+	silenceTick = 100 * time.Millisecond
+	// reportPeriod is the shortest time between two reports that a silent engine is asked for.
+	reportPeriod = 900 * time.Millisecond
+	// reportTimeout bounds a report, which takes an engine that works a few milliseconds.
+	reportTimeout = 400 * time.Millisecond
+)
+
+// askSilentEngines asks engines that send nothing whether they work, so that only those are taken to hang that don't answer either.
+func (d *Daemon) askSilentEngines(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	askedAt := map[ident.UpstreamID]time.Time{}
+	for ctx.Err() == nil {
+		now := time.Now()
+		for id, at := range askedAt {
+			if now.Sub(at) >= reportPeriod {
+				delete(askedAt, id)
+			}
+		}
+		for _, u := range d.placer.SilentEngines() {
+			if _, asked := askedAt[u.ID]; asked {
+				continue
+			}
+			askedAt[u.ID] = now
+			wg.Go(func() { d.askEngine(ctx, u) })
+		}
+		scope.Sleep(ctx, silenceTick)
+	}
+}
+
+// askEngine asks an engine for a report. One that says that the engine has no requests is no sign that it works on those of this daemon.
+func (d *Daemon) askEngine(ctx context.Context, u *view.Upstream) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	report, err := d.control.Report(ctx, u)
+	outcome := "working"
+	switch {
+	case err != nil:
+		outcome = "unanswered"
+	case report.RunningRequests+report.WaitingRequests == 0:
+		outcome = "idle"
+	default:
+		d.placer.ConfirmWork(u.ID, u.Incarnation)
+	}
+	klog.InfoS("Silent engine asked", "upstream", u.ID, "outcome", outcome, "running", report.RunningRequests, "waiting", report.WaitingRequests,
+		"error", err)
+	metrics.GetOrCreateCounter(fmt.Sprintf(`gooseberrywaySilentEngineReports{outcome=%q}`, outcome)).Inc()
+}
--- a/internal/program/entry/silent_upstream_test.go
+++ b/internal/program/entry/silent_upstream_test.go
@@ -1,11 +1,14 @@
 package entry
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -148,3 +151,82 @@
 		})
 	}
 }
+
+// Guards against waiting long for an engine that hangs, where another one can go on: its process is frozen, or it has lost the request.
+func TestHungEngineIsGivenUpInTime(t *testing.T) {
+	const allowed = 2 * time.Second
+	for _, reports := range []string{"unanswered", "idle"} {
+		for _, firstEvents := range []int{0, 1} {
+			t.Run(fmt.Sprintf("reports %s, %d events first", reports, firstEvents), func(t *testing.T) {
+				t.Parallel()
+				f := newTestFleet(t)
+				f.configureRate(1, 1_000_000, "secret")
+				var hung atomic.Bool
+				end := make(chan struct{})
+				t.Cleanup(func() { close(end) })
+				for i := range 2 {
+					u := quietUpstream(fmt.Sprint("e", i), "m", firstEvents, 0)
+					answer := u.Intercept
+					u.Intercept = func(w http.ResponseWriter, r *http.Request) bool {
+						switch {
+						case hung.Swap(true):
+							return answer(w, r)
+						case reports == "unanswered":
+							go u.FreezeReports(4 * time.Second)
+							return quietUpstream(u.ID, "m", firstEvents, 4*time.Second).Intercept(w, r)
+						}
+						c, _, err := http.NewResponseController(w).Hijack()
+						if err != nil {
+							return true
+						}
+						if firstEvents > 0 {
+							_, _ = io.WriteString(c, strings.ReplaceAll(brokenStream(events(1, firstEvents, "\n")), "@id", r.Header.Get(requestIDKey)))
+						}
+						go func() {
+							<-end
+							_ = c.Close()
+						}()
+						return true
+					}
+					f.startUpstream("llm", u)
+				}
+				d := f.start("d1", nil)
+				f.ready(2)
+				start := time.Now()
+				require.Equal(t, wantIDs(streamLength), eventIDs(t, f.call(d, "/note/x", "r1", "secret", "p", modelHeader, "m")))
+				t.Logf("answered after %v", time.Since(start))
+				require.Less(t, time.Since(start), allowed)
+			})
+		}
+	}
+}
+
+// Guards against retries that are lost with an attempt that was secured and isn't needed, as the silent upstream answers meanwhile.
+func TestUnusedSecuredAttemptIsGivenBack(t *testing.T) {
+	f := newTestFleet(t)
+	f.configureRate(1, 1_000_000, "secret")
+	upstreams := []*standin.Upstream{quietUpstream("w1", "", 0, 1700*time.Millisecond), quietUpstream("w2", "", 0, 1700*time.Millisecond)}
+	var runs atomic.Int64
+	for _, u := range upstreams {
+		answer := u.Intercept
+		u.Intercept = func(w http.ResponseWriter, r *http.Request) bool {
+			runs.Add(1)
+			return answer(w, r)
+		}
+		f.startUpstream("app", u)
+	}
+	d := f.start("d1", nil)
+	f.ready(2)
+	connected := make(chan struct{}, 1)
+	d.handler.CanConnect = func(context.Context, string) bool {
+		time.Sleep(500 * time.Millisecond)
+		connected <- struct{}{}
+		return true
+	}
+	budget := d.handler.RetryBudgets.Of("app")
+	before := budget.Balance()
+	requireWholeAnswer(t, f.call(d, "/lookup/x", "r1", "secret", "p"))
+	<-connected
+	f.eventually(func() bool { return budget.Balance() == before }, "the retry is lost")
+	require.EqualValues(t, 1, runs.Load())
+}
