Probe no other upstream while there is no retry budget

What operators saw: nothing in a record; read in the code. Each request at a silent upstream opened a connection to another one every 300 ms, and held a place there meanwhile, though the retry budget was empty and no attempt could follow.

Cause: secure tried the connection before it asked the budget.

Evidence: TestNoUpstreamIsProbedWithoutRetryBudget, one request at an upstream silent for 3 s: 5 connections before, none now. The budget is still taken after the connection succeeds, so that a probe withholds it from no other request.

--- a/internal/transport/proxy/successor.go
+++ b/internal/transport/proxy/successor.go
@@ -166,6 +166,9 @@
 	case choice.Wait.Total >= c.untilDeadline():
 		c.Placer.Discard(choice)
 		return nil, obstacleTime
+	case c.RetryBudgets.Of(c.service).Balance() <= 0:
+		c.Placer.Discard(choice)
+		return nil, obstacleRetryBudget
 	case !c.isReachable(ctx, choice):
 		c.Placer.Discard(choice)
 		return nil, obstacleNoUpstream
