Check a secured attempt when it is sent

What was secured may be old by then: the attempt before is cancelled, but its run goes on while the caller takes no bytes. An upstream that drains meanwhile, newer weights and limits weren't looked at either.

Cause: useSuccessor asked only whether the caller had left.

--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -86,6 +86,11 @@
 // nextChoice returns the upstream for the next attempt: the one that was secured, or one that is chosen now. Without one, the request has
 // ended with the error.
 func (c *call) nextChoice(p *progress) (*place.Choice, error) {
+	if p.next != nil && time.Since(p.next.securedAt) > successorInterval {
+		// The attempt before went on while its caller read nothing.
+		c.release(p.next)
+		p.next = nil
+	}
 	if p.next != nil {
 		return c.useSuccessor(p)
 	}
@@ -116,8 +121,8 @@
 // useSuccessor returns the upstream that was secured for the next attempt.
 func (c *call) useSuccessor(p *progress) (*place.Choice, error) {
 	s := p.next
-	if c.callerLeft() {
-		return nil, errCallerLeft
+	if err := c.checkBeforeAttempt(); err != nil {
+		return nil, err
 	}
 	if err := c.shedLoad(s.choice, p); err != nil {
 		return nil, err
--- a/internal/transport/proxy/successor.go
+++ b/internal/transport/proxy/successor.go
@@ -19,8 +19,9 @@
 
 // successor is what the attempt after one that is called off needs, taken beforehand: an upstream, and a retry of the budget.
 type successor struct {
-	choice  *place.Choice
-	request *place.Request
+	choice    *place.Choice
+	request   *place.Request
+	securedAt time.Time
 }
 
 // obstacle says why no other attempt can follow; empty if one can.
@@ -176,7 +177,7 @@
 		c.Placer.Discard(choice)
 		return nil, obstacleRetryBudget
 	default:
-		return &successor{choice: choice, request: r}, obstacleNone
+		return &successor{choice: choice, request: r, securedAt: time.Now()}, obstacleNone
 	}
 }
 
