Take no upstream for silent while its caller is written to

What callers saw: a resumable stream ran a second time, at a late priority, because its caller had read nothing for 1.5 s; the upstream had never paused. It was taken to be down besides, for all requests.

Cause: silence was judged by what the daemon reads, also while it doesn't read because a write to the caller blocks.

Change: the watcher judges no silence in a tick, or after one, in which the caller is written to. What came meanwhile is read by the next tick.

--- a/internal/transport/proxy/reply.go
+++ b/internal/transport/proxy/reply.go
@@ -22,6 +22,8 @@
 	complete    bool
 	// isFinal says that no other upstream can go on with the response that has begun. It is read beside the attempt.
 	isFinal atomic.Bool
+	// isWriting says that the caller is being sent a part, for which it has to read. It is read beside the attempt.
+	isWriting atomic.Bool
 	// toPeer returns what the peer that passed the request on is told; nil if the caller sent it here.
 	toPeer func(refusal Reason) hopOutcome
 }
@@ -73,10 +75,18 @@
 }
 
 // Write sends a part of the body after the header.
-func (p *reply) Write(b []byte) (int, error) { return p.w.Write(b) }
+func (p *reply) Write(b []byte) (int, error) {
+	p.isWriting.Store(true)
+	defer p.isWriting.Store(false)
+	return p.w.Write(b)
+}
 
 // flush sends what was written so far.
-func (p *reply) flush() error { return http.NewResponseController(p.w).Flush() }
+func (p *reply) flush() error {
+	p.isWriting.Store(true)
+	defer p.isWriting.Store(false)
+	return http.NewResponseController(p.w).Flush()
+}
 
 // finish ends the response as a complete one.
 func (p *reply) finish() { p.complete = true }
--- a/internal/transport/proxy/successor.go
+++ b/internal/transport/proxy/successor.go
@@ -104,6 +104,7 @@
 	defer close(w.done)
 	t := time.NewTicker(responsivenessTick)
 	defer t.Stop()
+	reading := true
 	for w.mayAbort || !w.tracker.hasBegun.Load() {
 		select {
 		case <-ctx.Done():
@@ -114,7 +115,10 @@
 			w.cancel(errWeightsReplaced)
 			return
 		}
-		if w.mayAbort && w.tracker.ShouldAbort() && w.mayFollow(ctx) {
+		// While the caller is written to, nothing is read from the upstream, which then isn't silent.
+		wasReading := reading
+		reading = !w.call.reply.isWriting.Load()
+		if w.mayAbort && reading && wasReading && w.tracker.ShouldAbort() && w.mayFollow(ctx) {
 			w.cancel(errUnresponsive)
 			return
 		}
