--- a/internal/program/entry/planned_stop_promise_test.go
+++ b/internal/program/entry/planned_stop_promise_test.go
@@ -195,6 +195,7 @@
 	sent := make(chan struct{})
 	f.startUpstream("app", &standin.Upstream{ID: "a1", Intercept: func(w http.ResponseWriter, r *http.Request) bool {
 		w.Header().Set(requestIDKey, r.Header.Get(requestIDKey))
+		w.Header().Set(signatureKey, "sig")
 		<-sent
 		_, _ = w.Write(bytes.Repeat([]byte("x"), size))
 		return true
