Let an engine that hangs be left during a planned stop

A planned stop kept a repeatable request at an upstream that had fallen silent, as the bound for admission was asked whether another attempt fits: on a daemon that knows few answers, or later than 2.75 s after the signal, that is the deadline.

An engine that is taken to hang has been asked for a report and hasn't answered, so that the request may leave it at any time.

Evidence: TestLateInStopOnlyDeadlinesCount asks for the second estimate too and failed without it (the field is new); TestSilentAnswerIsNotGivenUpForNothing and TestHungEngineIsGivenUpInTime pass.

--- a/internal/coordination/shed/stop.go
+++ b/internal/coordination/shed/stop.go
@@ -46,6 +46,8 @@
 	UntilDeadline time.Duration
 	// AtMostOnce says that the request can't be repeated if it is cut.
 	AtMostOnce bool
+	// MayHaveRun says that the request can't be refused any more, so that only what other responses took counts, also late in the stop.
+	MayHaveRun bool
 }
 
 // Begin plans the stop.
@@ -122,7 +124,7 @@
 	if w := s.times[r.Route]; w != nil {
 		e.Samples = w.Len()
 	}
-	if e.Samples >= minStopSamples && time.Since(s.begunAt) <= cutAllowedTime-signalMargin {
+	if e.Samples >= minStopSamples && (r.MayHaveRun || time.Since(s.begunAt) <= cutAllowedTime-signalMargin) {
 		longest := max(s.times[r.Route].Max(), s.longestOpen(r.Route))
 		if r.AtMostOnce {
 			longest *= atMostOnceFactor
--- a/internal/coordination/shed/stop_test.go
+++ b/internal/coordination/shed/stop_test.go
@@ -72,6 +72,7 @@
 			s.Begin(time.Now().Add(stopAfter))
 			time.Sleep(c.sent)
 			require.Equal(t, c.want, s.Estimate(StopRequest{Route: "r", UntilDeadline: c.deadline}).CanFinish, "%+v", c)
+			require.True(t, s.Estimate(StopRequest{Route: "r", UntilDeadline: c.deadline, MayHaveRun: true}).CanFinish, "%+v", c)
 		})
 	}
 }
--- a/internal/transport/proxy/detour_test.go
+++ b/internal/transport/proxy/detour_test.go
@@ -75,7 +75,7 @@
 				r := &call{
 					Handler: &Handler{Peers: peers, Snapshots: &view.Snapshots{}, Stop: &shed.Stop{}, Detector: &poison.Detector{}},
 					r:       httptest.NewRequestWithContext(ctx, http.MethodPost, "/", http.NoBody), ctx: ctx, deadline: time.Now().Add(time.Minute),
-					route: &view.Route{Kind: view.KindIdempotent, MaxAttempts: 4},
+					route: &view.Route{Kind: view.KindIdempotent, MaxAttempts: 4}, config: &view.Config{},
 				}
 				r.watchPeer(ctx, cancel, c.tried, 1)
 				time.Sleep(time.Second)
--- a/internal/transport/proxy/successor.go
+++ b/internal/transport/proxy/successor.go
@@ -206,7 +206,7 @@
 		return obstacleAnswer
 	case c.callerLeft(), c.stopped(), c.untilDeadline() <= 0, !c.stillAuthorised():
 		return obstacleEnd
-	case !c.Stop.Estimate(c.stopRequest()).CanFinish:
+	case !c.mayEndBeforeStop():
 		return obstacleStop
 	case c.Detector.Check(&judged) != nil:
 		return obstacleQuarantine
@@ -215,6 +215,17 @@
 	}
 }
 
+// mayEndBeforeStop reports whether another attempt is worth it during a planned stop. An engine that is taken to hang has not answered when it was
+// asked; of other upstreams only the silence is known, and the answer that is waited for may come sooner than another one.
+func (c *call) mayEndBeforeStop() bool {
+	if s := c.config.Services[c.service]; s != nil && s.Engine != nil {
+		return true
+	}
+	r := c.stopRequest()
+	r.MayHaveRun = true
+	return c.Stop.Estimate(r).CanFinish
+}
+
 // release gives back what was secured and isn't used.
 func (c *call) release(s *successor) {
 	if s != nil {
