Let a planned stop cut nothing that a peer has passed on

A caller whose request a daemon had passed on to a peer lost it when the peer was stopped: the peer took what came early in its stop by an estimate, and cut it at its end. What the platform accepts of a stop holds for the daemon that took the request from its caller, which isn't stopping.

A request that a peer passed on is sent only if its deadline lies before the stop, from the signal on; otherwise it is refused and the sender asks another peer. TestLateInStopOnlyDeadlinesCount: both new cases, the second fails without.

--- a/internal/coordination/shed/stop.go
+++ b/internal/coordination/shed/stop.go
@@ -46,6 +46,8 @@
 	UntilDeadline time.Duration
 	// AtMostOnce says that the request can't be repeated if it is cut.
 	AtMostOnce bool
+	// PassedOn says that a peer passed the request on, whose caller knows nothing of this daemon's stop.
+	PassedOn bool
 	// MayHaveRun says that the request can't be refused any more, so that only what other responses took counts, also late in the stop.
 	MayHaveRun bool
 }
@@ -109,6 +111,11 @@
 	Samples     int
 }
 
+// mayCut reports whether the platform accepts that the stop cuts a request that is sent now.
+func (s *Stop) mayCut(r StopRequest) bool {
+	return !r.PassedOn && time.Since(s.begunAt) <= cutAllowedTime-signalMargin
+}
+
 // Estimate estimates whether a request can end before the stop. Once the platform no longer accepts that the request is cut, its deadline has to
 // lie before the stop, however short other responses were.
 func (s *Stop) Estimate(r StopRequest) StopEstimate {
@@ -124,7 +131,7 @@
 	if w := s.times[r.Route]; w != nil {
 		e.Samples = w.Len()
 	}
-	if e.Samples >= minStopSamples && (r.MayHaveRun || time.Since(s.begunAt) <= cutAllowedTime-signalMargin) {
+	if e.Samples >= minStopSamples && (r.MayHaveRun || s.mayCut(r)) {
 		longest := max(s.times[r.Route].Max(), s.longestOpen(r.Route))
 		if r.AtMostOnce {
 			longest *= atMostOnceFactor
--- a/internal/coordination/shed/stop_test.go
+++ b/internal/coordination/shed/stop_test.go
@@ -50,19 +50,21 @@
 	}
 }
 
-// Guards against a late request that is taken because others were short: only its deadline says when it ends.
+// Guards against a request that comes late, or from a peer, and is taken because others were short: only its deadline says when it ends.
 func TestLateInStopOnlyDeadlinesCount(t *testing.T) {
 	const stopAfter, short = 7600 * time.Millisecond, 150 * time.Millisecond
 	for _, c := range []struct {
 		sent, deadline time.Duration
-		want           bool
+		passedOn, want bool
 	}{
-		{cutAllowedTime - signalMargin, 9 * time.Second, true},
-		{cutAllowedTime - signalMargin + 1, 9 * time.Second, false},
-		{cutAllowedTime, stopAfter - cutAllowedTime, true},
-		{cutAllowedTime, stopAfter - cutAllowedTime + 1, false},
-		{stopAfter - short, short, true},
-		{stopAfter - short, 2 * short, false},
+		{cutAllowedTime - signalMargin, 9 * time.Second, false, true},
+		{cutAllowedTime - signalMargin + 1, 9 * time.Second, false, false},
+		{cutAllowedTime, stopAfter - cutAllowedTime, false, true},
+		{cutAllowedTime, stopAfter - cutAllowedTime + 1, false, false},
+		{stopAfter - short, short, false, true},
+		{stopAfter - short, 2 * short, false, false},
+		{0, stopAfter, true, true},
+		{0, stopAfter + 1, true, false},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			s := &Stop{}
@@ -71,7 +73,7 @@
 			}
 			s.Begin(time.Now().Add(stopAfter))
 			time.Sleep(c.sent)
-			require.Equal(t, c.want, s.Estimate(StopRequest{Route: "r", UntilDeadline: c.deadline}).CanFinish, "%+v", c)
+			require.Equal(t, c.want, s.Estimate(StopRequest{Route: "r", UntilDeadline: c.deadline, PassedOn: c.passedOn}).CanFinish, "%+v", c)
 			require.True(t, s.Estimate(StopRequest{Route: "r", UntilDeadline: c.deadline, MayHaveRun: true}).CanFinish, "%+v", c)
 		})
 	}
--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -242,7 +242,9 @@
 }
 
 func (c *call) stopRequest() shed.StopRequest {
-	return shed.StopRequest{Route: c.route.Name, UntilDeadline: c.untilDeadline(), AtMostOnce: !c.route.Repeatable()}
+	return shed.StopRequest{
+		Route: c.route.Name, UntilDeadline: c.untilDeadline(), AtMostOnce: !c.route.Repeatable(), PassedOn: c.hop != nil,
+	}
 }
 
 // checkQuarantine returns the error that ends the request if it, or parts of its prompt, are known to crash upstreams, or nil.
