--- a/internal/program/entry/linger.go
+++ b/internal/program/entry/linger.go
@@ -12,7 +12,7 @@
 const lingerTime = 500 * time.Millisecond
 
 // lingerer makes connections deliver the last response before they close. Bytes that were not read, as of a pipelined request, would make the system
-// reset the connection and drop what the caller hasn't read yet. The zero value does nothing until Enable.
+// reset the connection and drop what the caller hasn't read yet. It does nothing until enabled is set.
 type lingerer struct {
 	enabled atomic.Bool
 	// open counts the connections that wait for their callers.
