Let the test of the last look wait until its connection is accepted

The test dials a server and closes its listener at once; a connection that has not been accepted by then is reset, so that the request never arrives. With Serve delayed by 0.3 s it fails each time, and passes with this change, which serves a first request on the connection. Callers of such connections get no promise broken: nothing was read or passed on. What the test checks is the same.

--- a/internal/program/entry/planned_stop_promise_test.go
+++ b/internal/program/entry/planned_stop_promise_test.go
@@ -172,6 +172,10 @@
 	c, err := net.Dial("tcp4", l.Addr().String())
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = c.Close() })
+	// The server has accepted the connection once it has served a request on it.
+	status, _, whole := rawCall(c, "/order/x", "r0", "body")
+	require.True(t, status == http.StatusOK && whole)
+	f.eventually(func() bool { return s.inProgress() == 0 }, "the first request isn't over")
 	var wg sync.WaitGroup
 	require.Zero(t, s.closeCallers(time.Now().Add(waitTimeout), func() {
 		wg.Go(func() {
