Learn nothing from a success without a signature

The version of the weights, limits and notices of an upstream were taken from a 2xx that is refused for want of its signature: an answer that isn't known to be the upstream's says nothing of it.

TestAnswerToAnotherRequestSaysNothingOfItsUpstream asks four heads now: another request's answer and refusal, a success without a signature, a malformed head. The third failed before (version 9 learned) and passes.

--- a/internal/transport/proxy/response.go
+++ b/internal/transport/proxy/response.go
@@ -48,6 +48,9 @@
 		return c.stepAfterRun(ReasonResponseMismatch)
 	}
 	httpc.Release(resp)
+	if isSuccess(resp.StatusCode) && !parsed.Signed {
+		return c.handleUnsigned(resp, &parsed, choice, tracker)
+	}
 	c.Placer.SetWeightVersion(choice.Upstream, placeReq.Model, parsed.WeightVersion)
 	c.observeLimit(resp, &parsed, choice)
 	c.observeRejectionLimit(resp, &parsed, choice)
@@ -63,12 +66,6 @@
 			"status", resp.StatusCode)
 		countUnstatedPromise(resp.StatusCode)
 		return stepFail, ReasonUpstreamBroken
-	case isSuccess(resp.StatusCode) && !parsed.Signed:
-		c.markSent()
-		tracker.End(place.OutcomeFailed)
-		klog.InfoS("Success without a signature", "request", c.req.ID, "upstream", choice.Upstream.ID, "status", resp.StatusCode, "got", parsed.ID)
-		countUnsignedSuccess()
-		return c.stepAfterRun(ReasonUpstreamBroken)
 	case c.reply.begun() && (!c.isStream(resp) || parsed.ID == ""):
 		// The caller has got the beginning of a stream, so that no other response can be forwarded any more.
 		c.markSent()
@@ -86,6 +83,15 @@
 	}
 }
 
+// handleUnsigned handles a success without the signature of its upstream, which says nothing of the upstream either.
+func (c *call) handleUnsigned(resp *http.Response, parsed *Response, choice *place.Choice, tracker *attemptTracker) (nextStep, Reason) {
+	c.markSent()
+	tracker.End(place.OutcomeFailed)
+	klog.InfoS("Success without a signature", "request", c.req.ID, "upstream", choice.Upstream.ID, "status", resp.StatusCode, "got", parsed.ID)
+	countUnsignedSuccess()
+	return c.stepAfterRun(ReasonUpstreamBroken)
+}
+
 // isSuccess reports whether callers take a status for a success.
 func isSuccess(status int) bool {
 	return status >= http.StatusOK && status < http.StatusMultipleChoices
