--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -201,6 +201,7 @@
 	if outcome == place.OutcomeBroken && httpc.IsNoResponse(err) {
 		// The upstream is alive, so that it is no evidence that the request ends upstreams.
 		outcome = place.OutcomeFailed
+		countNoAnswer()
 	}
 	tracker.End(outcome)
 	if !notSent {
--- a/internal/transport/proxy/metrics.go
+++ b/internal/transport/proxy/metrics.go
@@ -74,6 +74,9 @@
 // countUnsignedSuccess counts a 2xx without the signature of its upstream.
 func countUnsignedSuccess() { metrics.GetOrCreateCounter("gooseberrywayUnsignedSuccesses").Inc() }
 
+// countNoAnswer counts bytes of an upstream that are no answer: a malformed head, or one that came before the request was sent.
+func countNoAnswer() { metrics.GetOrCreateCounter("gooseberrywayNoAnswers").Inc() }
+
 func kindName(c *call) string {
 	if c.route == nil {
 		return "none"
