Hold limits on replaced weights that are no longer than their margin

Callers saw: with weightsMs of 1000 or less, requests began on replaced weights at any time; one that waited at its engine got 504 at its deadline instead of being called back.

Cause: the margin of a second is subtracted from the limit, and a result of zero or less means that there is no limit.

Change: the margin takes at most half of the limit.

Evidence: TestShortLimitOnReplacedWeightsHolds (600 ms, 1 s) fails without the change (504, both) and passes three times with it, beside the tests of the call back (go test -race -count=3 -run 'TestShortLimitOnReplacedWeightsHolds|CalledBack' ./internal/program/entry).

--- a/internal/program/entry/call_back_test.go
+++ b/internal/program/entry/call_back_test.go
@@ -136,3 +136,29 @@
 	require.Contains(t, <-done, "data: a")
 	require.EqualValues(t, 100, waiting.PrefillTokens, "its prompt counts as processed")
 }
+
+// Guards against a limit that is no longer than its margin and then counts as none.
+func TestShortLimitOnReplacedWeightsHolds(t *testing.T) {
+	for _, limit := range []time.Duration{600 * time.Millisecond, time.Second} {
+		t.Run(limit.String(), func(t *testing.T) {
+			t.Parallel()
+			f := newTestFleet(t)
+			f.weightsMs = limit.Milliseconds()
+			f.configure(1, "secret")
+			f.store.Put("keyed.op", "version/m", map[string]any{"model": "m", "version": 1})
+			dropped := make(chan time.Time, 1)
+			f.startUpstream("llm", &standin.Upstream{ID: "e1", Model: "m", Version: 1, LoadTime: time.Minute, Intercept: func(_ http.ResponseWriter, r *http.Request) bool {
+				_, _ = io.Copy(io.Discard, r.Body)
+				<-r.Context().Done()
+				dropped <- time.Now()
+				panic(http.ErrAbortHandler)
+			}})
+			d := f.start("d0", nil)
+			f.ready(1)
+			time.AfterFunc(200*time.Millisecond, func() { f.store.Put("keyed.op", "version/m", map[string]any{"model": "m", "version": 2}) })
+			require.Equal(t, http.StatusBadGateway, f.call(d, "/draft/x", "r1", "secret", "p", modelHeader, "m").StatusCode)
+			named, _ := d.snapshots.Weights("m")
+			require.Less(t, (<-dropped).Sub(named.NamedAt), limit, "the engine may still begin it")
+		})
+	}
+}
--- a/internal/program/entry/daemon.go
+++ b/internal/program/entry/daemon.go
@@ -152,7 +152,7 @@
 		FleetSize:       d.meshSize,
 		UpstreamLimits:  &d.upstreamLimits,
 		RejectionLimits: &d.rejectionLimits,
-		OldWeightsGrace: time.Duration(s.Limits.WeightsMs)*time.Millisecond - oldWeightsMargin,
+		OldWeightsGrace: oldWeightsGrace(time.Duration(s.Limits.WeightsMs) * time.Millisecond),
 	}
 	d.follower = &feed.Follower{
 		Store:     d.store,
@@ -241,6 +241,12 @@
 // engine, and may wait there longer than estimated.
 const oldWeightsMargin = time.Second
 
+// oldWeightsGrace returns how long after their replacement requests may begin on older weights, by the limit on that; 0 stands for no limit. The
+// margin takes at most half of a short limit.
+func oldWeightsGrace(limit time.Duration) time.Duration {
+	return limit - min(oldWeightsMargin, limit/2)
+}
+
 const (
 	// minBudgetDaemons is the smallest number of daemons that the retry budget is divided by: a daemon that has just
 	// started may not know the others yet.
