Excuse no cut of the soak of planned stops by an upstream's own deadline

The soak took a request for expired if its upstream said so. That deadline is what the daemon hands on: one that hands on too little cuts answers, and was excused.

Change: a request has expired only if its caller waited for its deadline or the route's timeout, less 10 ms, as upstreams get whole milliseconds.

--- a/internal/program/soak/stopjudge_test.go
+++ b/internal/program/soak/stopjudge_test.go
@@ -17,6 +17,8 @@
 	sentInStop = 3 * time.Second
 	// applyTime is how long daemons may take to apply changed settings.
 	applyTime = 2 * time.Second
+	// expirySlack is how much earlier than its deadline an answer may end, as upstreams get the time that is left in whole milliseconds.
+	expirySlack = 10 * time.Millisecond
 	// maxCutInTouch is how many requests on kept connections daemons may pass on and leave without an answer while nothing disturbs them.
 	maxCutInTouch = 3
 )
@@ -125,7 +127,7 @@
 // outcome judges a request by the rule on lost answers; why tells what was lost.
 func (s *stopRun) outcome(q *call, runs []run) (o outcome, why string) {
 	took := q.endedAt.Sub(q.startedAt)
-	expired := took >= min(q.deadline, s.routeTimeouts[q.kind]) || slices.ContainsFunc(runs, func(r run) bool { return r.Expired })
+	expired := took+expirySlack >= min(q.deadline, s.routeTimeouts[q.kind])
 	at, signalled := lastBefore(s.terms[q.daemon], q.endedAt)
 	inStop := signalled && q.endedAt.Sub(at) <= stopGrace+time.Second
 	hup, reloaded := lastBefore(s.hups[q.daemon], q.endedAt)
