Read the answers of daemons to clients and peers through httpc

The command line, the client of operators' calls and the exchange of missing records between daemons used net/http as it is. It reads heads leniently and reports a reset during a write as a plain end, so that what lies between could bend an answer: a completion or a removal counted as done, and a 503 with "notRun" and a malformed head was sent again.

They use httpc.Pool now, as all other clients of HTTP/1.1 do (transport/peer speaks HTTP/2). A request counts as not sent by what was written (httpc.SendError), no longer by the kind of the error, so that a failed TLS handshake and a locate request are told right too. Redirects aren't followed any more: no daemon sends any, and operators' calls report one as an error.

--- a/internal/program/client/admin.go
+++ b/internal/program/client/admin.go
@@ -13,6 +13,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/gooseberryway/gooseberryway/internal/transport/httpc"
 )
 
 // adminTimeout is the timeout of one request to the admin API.
@@ -74,7 +76,7 @@
 	// system are trusted.
 	CAFile string
 
-	http *http.Client
+	pool *httpc.Pool
 }
 
 // Get reads the resource at a path of the API into v. Paths are relative to /admin/v1. Errors are those of Do.
@@ -108,7 +110,7 @@
 // Do sends a request and decodes the response into v, or ignores the response if v is nil. The error is an *AdminError
 // or a *TransportError.
 func (a *AdminClient) Do(ctx context.Context, method, path string, header http.Header, body, v any) error {
-	client, err := a.client()
+	pool, err := a.connections()
 	if err != nil {
 		return &TransportError{Err: err}
 	}
@@ -118,16 +120,16 @@
 	if err != nil {
 		return &TransportError{Err: err}
 	}
-	resp, err := client.Do(r)
+	resp, err := pool.Do(r)
 	if err != nil {
-		return &TransportError{MaybeSent: !isDialError(err), Err: err}
+		return sendError(err)
 	}
 	defer resp.Body.Close()
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxEventBytes))
 	if err != nil {
 		return &TransportError{MaybeSent: true, Err: err}
 	}
-	if resp.StatusCode >= http.StatusBadRequest {
+	if resp.StatusCode >= http.StatusMultipleChoices {
 		return adminError(resp.StatusCode, raw)
 	}
 	if v == nil {
@@ -174,20 +176,20 @@
 	return r, nil
 }
 
-func (a *AdminClient) client() (*http.Client, error) {
-	if a.http != nil {
-		return a.http, nil
+func (a *AdminClient) connections() (*httpc.Pool, error) {
+	if a.pool != nil {
+		return a.pool, nil
 	}
-	transport := &http.Transport{IdleConnTimeout: idleTimeout}
+	pool := &httpc.Pool{IdleTimeout: idleTimeout}
 	if a.CAFile != "" {
-		pool, err := loadCA(a.CAFile)
+		roots, err := loadCA(a.CAFile)
 		if err != nil {
 			return nil, err
 		}
-		transport.TLSClientConfig = &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: pool}
+		pool.TLS = &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: roots}
 	}
-	a.http = &http.Client{Transport: transport}
-	return a.http, nil
+	a.pool = pool
+	return pool, nil
 }
 
 // CAError reports a CA file without a certificate in PEM format.
--- a/internal/program/client/client.go
+++ b/internal/program/client/client.go
@@ -10,7 +10,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -18,6 +17,7 @@
 
 	"github.com/gooseberryway/gooseberryway/internal/protocol/openai"
 	"github.com/gooseberryway/gooseberryway/internal/state/scope"
+	"github.com/gooseberryway/gooseberryway/internal/transport/httpc"
 )
 
 // APIError is an error response of a daemon.
@@ -71,7 +71,7 @@
 	Retries int
 
 	once              sync.Once
-	http              *http.Client
+	pool              *httpc.Pool
 	mu                sync.Mutex
 	addresses         []string
 	addressesExpireAt time.Time
@@ -109,16 +109,11 @@
 // Close closes idle connections.
 func (c *Client) Close() {
 	c.once.Do(c.init)
-	c.http.CloseIdleConnections()
+	_ = c.pool.Close()
 }
 
 func (c *Client) init() {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	c.http = &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: maxIdleConnsPerDaemon,
-		IdleConnTimeout:     idleTimeout,
-	}}
+	c.pool = &httpc.Pool{DialTimeout: dialTimeout, MaxIdleConnsPerHost: maxIdleConnsPerDaemon, IdleTimeout: idleTimeout}
 }
 
 // Complete sends a request, retries it if it did not run, and reads the response to its end. The error is an *APIError,
@@ -164,9 +159,9 @@
 	if err != nil {
 		return nil, err
 	}
-	resp, err := c.http.Do(r)
+	resp, err := c.pool.Do(r)
 	if err != nil {
-		return nil, &TransportError{MaybeSent: !isDialError(err), Err: err}
+		return nil, sendError(err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
@@ -181,9 +176,10 @@
 	return response, nil
 }
 
-func isDialError(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
+// sendError returns the *TransportError of a request that got no response.
+func sendError(err error) error {
+	send, ok := errors.AsType[*httpc.SendError](err)
+	return &TransportError{MaybeSent: !ok || !send.NotSent, Err: err}
 }
 
 // Body returns the JSON body of the request.
--- a/internal/program/client/locate.go
+++ b/internal/program/client/locate.go
@@ -71,9 +71,9 @@
 		return nil, &TransportError{Err: err}
 	}
 	r.Header.Set("Authorization", "Bearer "+c.Key)
-	resp, err := c.http.Do(r)
+	resp, err := c.pool.Do(r)
 	if err != nil {
-		return nil, &TransportError{Err: err}
+		return nil, sendError(err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
--- a/internal/transport/gossip/gossip.go
+++ b/internal/transport/gossip/gossip.go
@@ -18,6 +18,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
+	"github.com/gooseberryway/gooseberryway/internal/transport/httpc"
 )
 
 const (
@@ -27,6 +28,8 @@
 	urgentCoalesceDelay = 60 * time.Millisecond
 	callTimeout         = 600 * time.Millisecond
 	maxHeaderBytes      = 64 << 10
+	// clientIdleTimeout is how long the connection to a peer is kept.
+	clientIdleTimeout = 2 * time.Second
 	// serverIdleTimeout is how long the connection of a peer is kept, longer than peers keep idle ones.
 	serverIdleTimeout = 20 * time.Second
 )
@@ -60,7 +63,7 @@
 
 	socket        *net.UDPConn
 	server        *http.Server
-	client        *http.Client
+	calls         httpc.Pool
 	sequence      atomic.Uint64
 	sendRequested chan struct{}
 	once          sync.Once
@@ -69,11 +72,7 @@
 func (n *Node) init() {
 	n.once.Do(func() {
 		n.sendRequested = make(chan struct{}, 1)
-		n.client = &http.Client{Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: callTimeout}).DialContext,
-			MaxIdleConnsPerHost: 1,
-			IdleConnTimeout:     2 * time.Second,
-		}}
+		n.calls.DialTimeout, n.calls.MaxIdleConnsPerHost, n.calls.IdleTimeout = callTimeout, 1, clientIdleTimeout
 	})
 }
 
@@ -196,7 +195,7 @@
 	n.init()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	resp, err := wire.NewFleetServiceClient(n.client, "http://"+peer).Changes(ctx, connect.NewRequest(req))
+	resp, err := wire.NewFleetServiceClient(&n.calls, "http://"+peer).Changes(ctx, connect.NewRequest(req))
 	if err != nil {
 		return nil, fmt.Errorf("fetch records from %s: %w", peer, err)
 	}
