Count heads that net/http refuses as malformed, not as the end of an upstream

A head with two lengths, a length with a sign or a coding before chunks passes the scanner, as do 64 KiB of it; net/http refuses them, and the pool told its error like that of a broken connection. So an upstream that is alive counted as one that ended under the request.

The scanner knows whether the final head of the request is complete, and how long the heads are. If the transport gives up although it is, no write has failed and the request hasn't ended, it can only have refused the head: the error is a *MalformedResponseError, which keeps that of net/http.

--- a/internal/program/entry/malformed_head_test.go
+++ b/internal/program/entry/malformed_head_test.go
@@ -34,6 +34,10 @@
 	"blanks before the status":      "HTTP/1.1   200 OK\r\n@headContent-Length: 2\r\n\r\n",
 	"control byte in the reason":    "HTTP/1.1 200 O\x01K\r\n@headContent-Length: 2\r\n\r\n",
 	"interim answer":                "HTTP/1.1 103 Early Hints\r\nX Foo: 1\r\n\r\nHTTP/1.1 200 OK\r\n@headContent-Length: 2\r\n\r\n",
+	"two lengths":                   "HTTP/1.1 200 OK\r\n@headContent-Length: 2\r\nContent-Length: 3\r\n\r\n",
+	"sign in a length":              "HTTP/1.1 200 OK\r\n@headContent-Length: +2\r\n\r\n",
+	"coding before chunks":          "HTTP/1.1 200 OK\r\n@headTransfer-Encoding: gzip, chunked\r\n\r\n",
+	"head of 65 KiB":                "HTTP/1.1 200 OK\r\n@headX-Foo: " + strings.Repeat("a", 65<<10) + "\r\nContent-Length: 2\r\n\r\n",
 	"refusal":                       "HTTP/1.1 503 Service Unavailable\r\n@headX-Gooseberryway-Not-Executed: 1\r\nX Foo: 1\r\nContent-Length: 2\r\n\r\n",
 	"refusal, wrong upstream":       "HTTP/1.1 421 Misdirected Request\r\n@headX Foo: 1\r\nContent-Length: 2\r\n\r\n",
 }
@@ -58,15 +62,20 @@
 
 // Guards against sound requests that are quarantined as if they had crashed upstreams, which are alive and answer them with malformed heads.
 func TestMalformedHeadIsNoCrash(t *testing.T) {
-	u := startCutUpstreams(t)
-	const malformed = "HTTP/1.1 200 OK\r\n" + requestIDKey + ": @id\r\n" + signatureKey + ": sig\r\nX Foo: 1\r\nContent-Length: 2\r\n\r\nab"
-	for n := range 40 {
-		u.mu.Lock()
-		id := fmt.Sprint("r", n)
-		u.answers[id] = []string{malformed}
-		u.mu.Unlock()
-		resp := u.f.call(u.daemon, "/lookup/x", id, "secret", "the same body")
-		require.JSONEq(t, `{"error":"upstreamBroke"}`, bodyOf(resp), "request %d", n)
+	for _, name := range []string{"blank in a name", "two lengths", "sign in a length", "coding before chunks", "head of 65 KiB"} {
+		t.Run(name, func(t *testing.T) {
+			u := startCutUpstreams(t)
+			const fields = requestIDKey + ": @id\r\n" + signatureKey + ": sig\r\n"
+			malformed := strings.ReplaceAll(malformedHeads[name], "@head", fields) + "ab"
+			for n := range 40 {
+				u.mu.Lock()
+				id := fmt.Sprint("r", n)
+				u.answers[id] = []string{malformed}
+				u.mu.Unlock()
+				resp := u.f.call(u.daemon, "/lookup/x", id, "secret", "the same body")
+				require.JSONEq(t, `{"error":"upstreamBroke"}`, bodyOf(resp), "request %d", n)
+			}
+		})
 	}
 }
 
--- a/internal/transport/httpc/head_scanner.go
+++ b/internal/transport/httpc/head_scanner.go
@@ -1,13 +1,25 @@
 package httpc
 
-import "net/http"
+import (
+	"fmt"
+	"net/http"
+)
 
 // MalformedResponseError is a response whose head is no HTTP/1.1. The server is alive and may have run the request.
 type MalformedResponseError struct {
 	Reason MalformedReason
+	// Err is why net/http refused a head that the scanner accepted, else nil.
+	Err error
+}
+
+func (e *MalformedResponseError) Error() string {
+	if e.Err == nil {
+		return "malformed response: " + string(e.Reason)
+	}
+	return fmt.Sprintf("malformed response: %s: %v", e.Reason, e.Err)
 }
 
-func (e *MalformedResponseError) Error() string { return "malformed response: " + string(e.Reason) }
+func (e *MalformedResponseError) Unwrap() error { return e.Err }
 
 // MalformedReason says what is malformed in the head of a response.
 type MalformedReason string
@@ -20,6 +32,8 @@
 	MalformedName    MalformedReason = "the name of a field is no token"
 	MalformedFold    MalformedReason = "a folded line"
 	MalformedCoding  MalformedReason = "HTTP/1.0 with Transfer-Encoding"
+	MalformedFraming MalformedReason = "the framing contradicts itself or is unknown"
+	MalformedLength  MalformedReason = "the head is too long"
 )
 
 const (
--- a/internal/transport/httpc/malformed_test.go
+++ b/internal/transport/httpc/malformed_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -93,3 +94,58 @@
 	var unasked *UnaskedError
 	require.ErrorAs(t, <-ended, &unasked, "%q", second)
 }
+
+// Guards against heads that arrived whole but that net/http refuses, which count as the end of their server.
+func TestRefusedHeadIsMalformed(t *testing.T) {
+	const line = "HTTP/1.1 200 OK\r\n"
+	for name, c := range map[string]struct {
+		answer string
+		want   MalformedReason
+		// cancels says that the request is called off before the head.
+		cancels bool
+	}{
+		"two lengths":          {answer: line + "Content-Length: 2\r\nContent-Length: 3\r\n\r\n", want: MalformedFraming},
+		"sign in a length":     {answer: line + "Content-Length: +2\r\n\r\n", want: MalformedFraming},
+		"coding before chunks": {answer: line + "Transfer-Encoding: gzip, chunked\r\n\r\n", want: MalformedFraming},
+		"after interim ones":   {answer: "HTTP/1.1 103 X\r\n\r\n" + line + "Content-Length: +2\r\n\r\n", want: MalformedFraming},
+		"too long":             {answer: line + "X: " + strings.Repeat("a", maxHeaderBytes) + "\r\n\r\n", want: MalformedLength},
+		"too many interim":     {answer: strings.Repeat("HTTP/1.1 103 X\r\n\r\n", maxHeaderBytes), want: MalformedLength},
+		"cut":                  {answer: line + "Content-Length: +2\r\n"},
+		"no answer":            {},
+		"request ended":        {answer: line + "Content-Length: +2\r\n\r\n", cancels: true},
+	} {
+		for _, body := range []string{"x", strings.Repeat("x", 8<<20)} {
+			t.Run(fmt.Sprintf("%s, body of %d bytes", name, len(body)), func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					_, _ = io.Copy(io.Discard, r.Body)
+					nc, _, err := http.NewResponseController(w).Hijack()
+					if err != nil {
+						return
+					}
+					defer nc.Close()
+					if c.cancels {
+						cancel()
+					}
+					_, _ = io.WriteString(nc, c.answer)
+				}))
+				defer s.Close()
+				p := &Pool{}
+				defer p.Close()
+				req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.URL, strings.NewReader(body))
+				require.NoError(t, err)
+				resp, err := p.Do(req)
+				if err == nil {
+					_ = resp.Body.Close()
+				}
+				require.False(t, AsUpstreamError("e1", err).NotRun)
+				malformed, ok := errors.AsType[*MalformedResponseError](err)
+				require.Equal(t, c.want != "", ok, "%v", err)
+				if ok {
+					require.Equal(t, c.want, malformed.Reason)
+				}
+			})
+		}
+	}
+}
--- a/internal/transport/httpc/pool.go
+++ b/internal/transport/httpc/pool.go
@@ -102,6 +102,9 @@
 	resp, err := p.transport.RoundTrip(req.WithContext(ctx)) //nolint:bodyclose // the caller closes the body
 	if err != nil {
 		defer tracker.release()
+		if reason := tracker.refusal(); reason != "" && req.Context().Err() == nil && !IsTimeout(err) {
+			err = &MalformedResponseError{Reason: reason, Err: err}
+		}
 		return nil, &SendError{NotSent: tracker.seal(), Reused: tracker.isReused(), Err: err}
 	}
 	if err := checkResponse(resp, tracker); err != nil {
--- a/internal/transport/httpc/send_tracker.go
+++ b/internal/transport/httpc/send_tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/tls"
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -21,13 +22,17 @@
 type conn struct {
 	net.Conn
 	state atomic.Int32
+	// writeFailed says that a write has failed other than by closing the connection.
+	writeFailed atomic.Bool
 
 	mu sync.Mutex
 	// user is the tracker of the current request.
 	user *sendTracker
-	// heads checks what is read since the current request was sent; answered says that something was.
-	heads    headScanner
-	answered bool
+	// heads checks what is read since the current request was sent, and headBytes is the length of the heads so far; answered says that
+	// something was read.
+	heads     headScanner
+	headBytes int
+	answered  bool
 	// keys are what was noted of earlier responses.
 	keys []string
 }
@@ -37,7 +42,11 @@
 	if !c.state.CompareAndSwap(connFresh, connUsed) && c.state.Load() == connSealed {
 		return 0, net.ErrClosed
 	}
-	return c.Conn.Write(b)
+	n, err := c.Conn.Write(b)
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		c.writeFailed.Store(true)
+	}
+	return n, err
 }
 
 // Read fails with a *MalformedResponseError in a head that is malformed.
@@ -59,10 +68,28 @@
 		return nil
 	}
 	c.answered = true
-	_, err := c.heads.scan(p)
+	n, err := c.heads.scan(p)
+	c.headBytes += n
 	return err
 }
 
+// refusal returns what is malformed if the transport can only have refused the head of the response to the tracker's request: all of it
+// arrived, or more than a head may have, and no write has failed. Else it is empty.
+func (c *conn) refusal(t *sendTracker) MalformedReason {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.user != t || c.writeFailed.Load():
+		return ""
+	case c.heads.ended():
+		return MalformedFraming
+	case c.headBytes >= maxHeaderBytes:
+		return MalformedLength
+	default:
+		return ""
+	}
+}
+
 // hasAnswered reports whether anything was read since the tracker's request was sent.
 func (c *conn) hasAnswered(t *sendTracker) bool {
 	c.mu.Lock()
@@ -102,7 +129,7 @@
 		c.abort()
 	}
 	c.user = t
-	c.heads, c.answered = headScanner{}, false
+	c.heads, c.headBytes, c.answered = headScanner{}, 0, false
 	c.state.CompareAndSwap(connUsed, connFresh)
 }
 
@@ -260,6 +287,16 @@
 	t.unasked = t.current != nil && !t.current.hasAnswered(t)
 }
 
+// refusal returns what is malformed if the transport can only have refused the head of the response, else it is empty.
+func (t *sendTracker) refusal() MalformedReason {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.current == nil {
+		return ""
+	}
+	return t.current.refusal(t)
+}
+
 // isUnasked reports whether the response was read before the request was sent.
 func (t *sendTracker) isUnasked() bool {
 	t.mu.Lock()
