Give up a silent engine in serve only once another attempt can follow

After 30 s without a first token, or 10 s between tokens, an attempt was ended whether or not another engine, attempt or retry was left; a sound but slow answer ended there with 502, or broke off.

The watchdog asks the picker for another engine and takes the retry from the budget first. While none can follow the attempt goes on, and is looked at again each 250 ms until an event comes or the deadline ends it. Without a deadline, which no request of the daemon lacks, it ends as before.

TestSoundSilentEngineIsNotCut with the old attempt.go: 5 of 7 cases red (no other engine, no other engine for a stream, no attempt left, no retry left, another engine later); now green, 5 runs with -race. The price: a connection to the only engine that went silent for good is waited for until the deadline.

--- a/internal/coordination/relay/attempt.go
+++ b/internal/coordination/relay/attempt.go
@@ -27,17 +27,13 @@
 }
 
 // execute sends the request to the engine and delivers chunks until the answer is complete or the attempt fails. A
-// watchdog cancels the attempt when the next event takes too long.
+// watchdog cancels the attempt when the next event takes too long and another attempt can follow.
 func (a *attempt) execute(ctx context.Context) (*extern.EngineDone, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	timeout, needsRetry := a.firstEventTimeout(ctx)
-	watchdog := time.AfterFunc(timeout, func() {
-		if !needsRetry || a.state.prepayRetry() {
-			cancel(&watchdogError{after: timeout})
-		}
-	})
-	defer watchdog.Stop()
+	w := a.newWatchdog(ctx, cancel)
+	timer := time.AfterFunc(w.firstEventTimeout, func() { w.handleSilence(ctx) })
+	defer timer.Stop()
 
 	req := a.state.req
 	req.Priority, req.ImportBlocks = a.picked.Priority, a.picked.ImportBlocks
@@ -52,7 +48,7 @@
 		if err != nil {
 			return nil, a.attemptError(ctx, err)
 		}
-		if !watchdog.Stop() && ctx.Err() != nil {
+		if !timer.Stop() && ctx.Err() != nil {
 			return nil, a.attemptError(ctx, ctx.Err())
 		}
 		switch event := event.(type) {
@@ -64,21 +60,20 @@
 			return a.handleDone(event)
 		}
 		a.gotEvent = true
-		watchdog.Reset(a.state.relay.interTokenTimeout())
+		w.record(a.state.delivered)
+		timer.Reset(a.state.relay.interTokenTimeout())
 	}
 }
 
 // firstEventTimeout returns how long the attempt may wait for its first event. If the request's deadline leaves time
-// for another attempt only when this one ends early, the timeout is half of the remaining time, and needsRetry is
-// true: the attempt is then given up only if the retry budget has a retry.
-func (a *attempt) firstEventTimeout(ctx context.Context) (timeout time.Duration, needsRetry bool) {
-	timeout = a.state.relay.firstTokenTimeout()
+// for another attempt only when this one ends early, it is half of the remaining time.
+func (a *attempt) firstEventTimeout(ctx context.Context) time.Duration {
+	timeout := a.state.relay.firstTokenTimeout()
 	deadline, ok := ctx.Deadline()
 	if !ok || a.state.attemptsSinceToken >= a.state.relay.maxAttempts() {
-		return timeout, false
+		return timeout
 	}
-	halfRemaining := max(time.Until(deadline)/2, minFirstEventTimeout)
-	return min(timeout, halfRemaining), halfRemaining < timeout
+	return min(timeout, max(time.Until(deadline)/2, minFirstEventTimeout))
 }
 
 // attemptError returns err, or a TimeoutError if the watchdog cancelled the attempt.
@@ -89,7 +84,7 @@
 	}
 	timeout := &TimeoutError{After: timedOut.after, BeforeFirstToken: true}
 	if a.gotEvent {
-		timeout = &TimeoutError{After: a.state.relay.interTokenTimeout()}
+		timeout = &TimeoutError{After: timedOut.after}
 	}
 	e := &extern.UpstreamError{Kind: extern.UpstreamTimeout, Upstream: a.picked.Upstream, Err: timeout}
 	e.NotRun = isNotRun(err)
--- a/internal/coordination/relay/consts.go
+++ b/internal/coordination/relay/consts.go
@@ -16,6 +16,8 @@
 
 	// minFirstEventTimeout is the least time that an attempt waits for its first event.
 	minFirstEventTimeout = time.Second
+	// silenceTick is how often a silent engine is looked at again while no other one can follow.
+	silenceTick = 250 * time.Millisecond
 	// engineFaultSilence is how long an engine must have been silent at a request's deadline for the attempt to count
 	// as a failure of the engine.
 	engineFaultSilence = 5 * time.Second
--- a/internal/coordination/relay/relay.go
+++ b/internal/coordination/relay/relay.go
@@ -52,12 +52,14 @@
 type Relay struct {
 	Engine extern.Engine
 	Picker Picker
+	// HasOther reports whether Picker has an engine for the request besides those in tried; nil if it always has. The request is a copy.
+	HasOther func(ctx context.Context, req *extern.EngineRequest, tried []ident.UpstreamID) bool
 	// RetryBudget bounds the retries; nil for no bound.
 	RetryBudget *RetryBudget
 	// MaxAttempts bounds consecutive attempts that deliver no token; 4 when 0.
 	MaxAttempts int
-	// FirstTokenTimeout and InterTokenTimeout bound the silence of an engine; 30 s and 10 s when 0. A request with a
-	// deadline waits for the first event for at most half of the remaining time, if the budget has a retry.
+	// FirstTokenTimeout and InterTokenTimeout bound the silence of an engine while another attempt can follow; 30 s and 10 s when 0. A
+	// request with a deadline waits for the first event for at most half of the remaining time.
 	FirstTokenTimeout, InterTokenTimeout time.Duration
 	// MaxRetryWait is how long a request without a token waits for a retry of the budget; 1 s when 0.
 	MaxRetryWait time.Duration
--- a/internal/program/daemon/components.go
+++ b/internal/program/daemon/components.go
@@ -225,7 +225,7 @@
 		Limits:          limiterAdapter{c.limiter, &c.refusals},
 		Claims:          claimerAdapter{c.claimer},
 		Versions:        versionAdapter{c.splitter},
-		Runner:          relayRunner{relay: &relay.Relay{Engine: c.engineClient, Picker: c.picker, RetryBudget: &relay.RetryBudget{}}},
+		Runner:          relayRunner{relay: &relay.Relay{Engine: c.engineClient, Picker: c.picker, HasOther: c.picker.hasOther, RetryBudget: &relay.RetryBudget{}}},
 		Ready:           c.follower.Bootstrapped,
 		OnOutcome:       c.burn.Record,
 		MaxAdmitWait:    milliseconds(c.settings.Limits.AdmitWaitMs),
--- a/internal/program/daemon/picker.go
+++ b/internal/program/daemon/picker.go
@@ -31,20 +31,11 @@
 // Pick implements relay.Picker. If no engine takes the request at its version, it tries the fallback version, unless the
 // request resumes a response that has begun.
 func (p *picker) Pick(ctx context.Context, req *extern.EngineRequest, tried []ident.UpstreamID) (relay.Attempt, error) {
-	version := req.Version
-	if req.ResumeFrom == 0 && !p.splitter.Sendable(req.Model, req.Route, version) {
-		version = p.splitter.ServingVersion(req.Model, req.Route)
-	}
-	r := p.routeRequest(ctx, req, version, tried)
-	decision, err := p.router.Pick(r)
-	if fallback := p.splitter.FallbackVersion(req.Model, req.Route, version); err != nil && fallback != version && req.ResumeFrom == 0 {
-		version = fallback
-		r = p.routeRequest(ctx, req, version, tried)
-		decision, err = p.router.Pick(r)
-	}
+	r, decision, err := p.decide(ctx, req, tried)
 	if err != nil {
 		return relay.Attempt{}, err
 	}
+	version := r.Scope.Version
 	if p.onDispatch != nil {
 		p.onDispatch(version, req.Route)
 	}
@@ -78,6 +69,27 @@
 	}, nil
 }
 
+// hasOther implements relay.Relay.HasOther.
+func (p *picker) hasOther(ctx context.Context, req *extern.EngineRequest, tried []ident.UpstreamID) bool {
+	_, _, err := p.decide(ctx, req, tried)
+	return err == nil
+}
+
+// decide chooses the version and the engine of an attempt, without beginning it.
+func (p *picker) decide(ctx context.Context, req *extern.EngineRequest, tried []ident.UpstreamID) (*route.Request, route.Decision, error) {
+	version := req.Version
+	if req.ResumeFrom == 0 && !p.splitter.Sendable(req.Model, req.Route, version) {
+		version = p.splitter.ServingVersion(req.Model, req.Route)
+	}
+	r := p.routeRequest(ctx, req, version, tried)
+	decision, err := p.router.Pick(r)
+	if fallback := p.splitter.FallbackVersion(req.Model, req.Route, version); err != nil && fallback != version && req.ResumeFrom == 0 {
+		r = p.routeRequest(ctx, req, fallback, tried)
+		decision, err = p.router.Pick(r)
+	}
+	return r, decision, err
+}
+
 // routeRequest returns the request to the router for an attempt at a version.
 func (p *picker) routeRequest(ctx context.Context, req *extern.EngineRequest, version ident.VersionID, tried []ident.UpstreamID) *route.Request {
 	st := p.state()
