Let the last response to a peer be sent in a planned stop

Callers saw: of a request that a peer had passed on and that ended as the last one of a stopping daemon, 502 or a stream without its end, though the upstream had answered in full.

Cause: the daemon counts a passed request as ended when its handler returns, but the server sends the last bytes after that, up to 4 KB or the end of the chunks. The server for peers was closed at once when nothing was counted any more.

Change: it is shut down first, for which 100 ms are allowed; 200 ms are left there before the kill.

--- a/internal/transport/gossip/gossip.go
+++ b/internal/transport/gossip/gossip.go
@@ -32,6 +32,9 @@
 	clientIdleTimeout = 2 * time.Second
 	// serverIdleTimeout is how long the connection of a peer is kept, longer than peers keep idle ones.
 	serverIdleTimeout = 20 * time.Second
+	// lastResponseTime bounds how long Run waits at its end until responses are sent, which a handler leaves to the server. It lies within what a
+	// planned stop leaves before the process is killed.
+	lastResponseTime = 100 * time.Millisecond
 )
 
 // Round is the set of heartbeats that a daemon sends at one time.
@@ -121,11 +124,20 @@
 	wg.Go(n.receive)
 	wg.Go(func() { n.send(ctx) })
 	<-ctx.Done()
-	_ = n.server.Close()
+	n.closeServer()
 	_ = n.socket.Close()
 	wg.Wait()
 }
 
+// closeServer closes the server and its connections, once the responses in progress are sent or lastResponseTime is over.
+func (n *Node) closeServer() {
+	ctx, cancel := context.WithTimeout(context.Background(), lastResponseTime)
+	defer cancel()
+	if n.server.Shutdown(ctx) != nil {
+		_ = n.server.Close()
+	}
+}
+
 // SendSoon starts the next round after a short delay. Several calls before that round are combined into one.
 func (n *Node) SendSoon() {
 	n.init()
