--- a/internal/coordination/shed/open_request.go
+++ b/internal/coordination/shed/open_request.go
@@ -38,8 +38,8 @@
 	EndAnswered
 )
 
-// End removes a request from the open ones; nil stands for one that was not admitted. The time since it was admitted is how long its response took.
-// The response of one that was cut would have taken longer: the time counts if no other took as long.
+// End removes a request from the open ones; nil stands for one that was not admitted. The time since its admission is a sample of how long responses
+// of its route take. For a response that was cut that time is a lower bound, and a sample only if it exceeds all others.
 func (s *Stop) End(r *OpenRequest, kind EndKind) {
 	if r == nil {
 		return
--- a/internal/coordination/shed/stop.go
+++ b/internal/coordination/shed/stop.go
@@ -48,7 +48,8 @@
 	AtMostOnce bool
 	// PassedOn says that a peer passed the request on, whose caller knows nothing of this daemon's stop.
 	PassedOn bool
-	// MayHaveRun says that the request can't be refused any more, so that only what other responses took counts, also late in the stop.
+	// MayHaveRun says that the request can't be refused as not run any more. The times of other responses then count throughout the stop; for other
+	// requests only while the stop may cut them.
 	MayHaveRun bool
 }
 
--- a/internal/program/entry/silence.go
+++ b/internal/program/entry/silence.go
@@ -46,7 +46,8 @@
 	}
 }
 
-// askEngine asks an engine for a report. One that says that the engine has no requests is no sign that it works on those of this daemon.
+// askEngine asks an engine for a report, and records that it works if the report counts any requests, running or waiting. An engine that reports
+// none is taken to have lost those of this daemon.
 func (d *Daemon) askEngine(ctx context.Context, u *view.Upstream) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
--- a/internal/transport/httpc/reset_conn.go
+++ b/internal/transport/httpc/reset_conn.go
@@ -56,8 +56,8 @@
 	return n, err
 }
 
-// Read implements net.Conn. It returns io.EOF only after the write in progress, and a *ResetError instead if a write has failed. To close
-// the connection ends that write.
+// Read implements net.Conn. Before it returns io.EOF it waits for the write in progress, and if that or an earlier write has failed, it returns a
+// *ResetError instead. Closing the connection ends both.
 func (c *resetConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if !errors.Is(err, io.EOF) {
--- a/internal/transport/proxy/attempt_watcher.go
+++ b/internal/transport/proxy/attempt_watcher.go
@@ -11,9 +11,9 @@
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 )
 
-// attemptWatcher cancels an attempt whose upstream becomes unreachable or hangs, once another attempt is secured, and one that has no first
-// token when its weights near their limit: the engine would give it on these weights, however late. An engine drops requests whose connections
-// close.
+// attemptWatcher cancels an attempt in two cases: its upstream is unreachable or hangs, and another attempt is secured; or it has no first token
+// shortly before the limit on its replaced weights, after which the engine must not begin it. To cancel an attempt closes its connection, and
+// engines drop requests whose connections close.
 type attemptWatcher struct {
 	call    *call
 	cancel  context.CancelCauseFunc
--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -87,7 +87,7 @@
 // ended with the error.
 func (c *call) nextChoice(p *progress) (*place.Choice, error) {
 	if p.next != nil && time.Since(p.next.securedAt) > successorInterval {
-		// The attempt before went on while its caller read nothing.
+		// The cancelled attempt was still writing to its caller, who read nothing, so that the check when it was secured is out of date.
 		c.release(p.next)
 		p.next = nil
 	}
--- a/internal/transport/proxy/successor.go
+++ b/internal/transport/proxy/successor.go
@@ -14,7 +14,7 @@
 	heardLately = time.Second
 )
 
-// successor is what the attempt after one that is called off needs, taken beforehand: an upstream, and a retry of the budget.
+// successor is what was reserved for the next attempt before the present one is cancelled: an upstream, and a retry of the budget.
 type successor struct {
 	choice    *place.Choice
 	request   *place.Request
