Explain silent upstreams and peers, unsigned successes and stops

Cause: `explain` printed the fields of these lines as they are, and silent peers were in no metric.

Change: a sentence for each; gooseberrywaySilentPeers{obstacle}; a log line for a peer's success without a signature.

Evidence: go test ./internal/program/cmds.

--- a/internal/program/cmds/explain.go
+++ b/internal/program/cmds/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"os"
@@ -158,6 +159,13 @@
 	case "Request called back from replaced weights":
 		return fmt.Sprintf("%s had not begun it after %s ms, and its weights, version %s, neared their limit: it was called back; it may run again: %s.",
 			f["upstream"], f["waitMs"], f["weights"], f["repeatable"])
+	case "Upstream of an attempt silent", "Peer of an attempt silent":
+		return explainSilence(f)
+	case "Success without a signature":
+		return fmt.Sprintf("%s sent a success (status %s) that lacks its signature, which is no answer.", cmp.Or(f["upstream"], f["peer"]), f["status"])
+	case "Stop ends request":
+		return fmt.Sprintf("It was still open when the daemon stopped; it came %s ms after the signal, and was expected to take %s ms (%s answers known).",
+			f["arrivedAfterSignalMs"], f["takesMs"], f["samples"])
 	case "Stream broke", "Answer broke":
 		if f["gone"] == "true" {
 			return fmt.Sprintf("The caller's connection ended while %s answered; it has events up to %q.", f["upstream"], f["lastEvent"])
@@ -191,3 +199,12 @@
 		return fmt.Sprintf("%s %v", l.message, f)
 	}
 }
+
+// explainSilence explains a line on an upstream or peer that sends nothing.
+func explainSilence(f map[string]string) string {
+	who := cmp.Or(f["upstream"], f["peer"])
+	if f["givenUp"] == "true" {
+		return fmt.Sprintf("%s had fallen silent: another attempt was secured and this one given up.", who)
+	}
+	return fmt.Sprintf("%s had fallen silent and was waited for, as no other attempt could follow (%s).", who, f["obstacle"])
+}
--- a/internal/program/cmds/explain_test.go
+++ b/internal/program/cmds/explain_test.go
@@ -59,3 +59,20 @@
 	require.Equal(t, ExitOK, Execute([]string{"explain", "0591", file}, &out, &errOut), errOut.String())
 	require.Contains(t, out.String(), "i-3b had not begun it after 950 ms, and its weights, version 1, neared their limit: it was called back; it may run again: false.")
 }
+
+// Guards against silence, unsigned answers and stops in a request's way that the operator can't read.
+func TestExplainTellsOfSilenceAndStops(t *testing.T) {
+	const prefix = `I0417 17:57:18.518342   13832 x.go:1] `
+	for line, want := range map[string]string{
+		`"Upstream of an attempt silent" request="0591" upstream="i-3b" givenUp=true obstacle=""`:        "i-3b had fallen silent: another attempt was secured",
+		`"Peer of an attempt silent" request="0591" peer="d-2" givenUp=false obstacle="noPeer"`:          "d-2 had fallen silent and was waited for, as no other attempt could follow (noPeer).",
+		`"Success without a signature" request="0591" peer="d-2" status=200 arrivals=1`:                  "d-2 sent a success (status 200) that lacks its signature",
+		`"Stop ends request" request="0591" arrivedAfterSignalMs=900 takesMs=1200 samples=9 untilStop=0`: "it came 900 ms after the signal, and was expected to take 1200 ms (9 answers known).",
+	} {
+		file := filepath.Join(t.TempDir(), "a.log")
+		require.NoError(t, os.WriteFile(file, []byte(prefix+line+"\n"), 0o600))
+		var out, errOut bytes.Buffer
+		require.Equal(t, ExitOK, Execute([]string{"explain", "0591", file}, &out, &errOut), errOut.String())
+		require.Contains(t, out.String(), want)
+	}
+}
--- a/internal/transport/proxy/detour.go
+++ b/internal/transport/proxy/detour.go
@@ -153,6 +153,7 @@
 			if w.isNew(o) {
 				klog.InfoS("Peer of an attempt silent", "request", c.req.ID, "peer", peer, "givenUp", o == obstacleNone, "obstacle", o,
 					"runs", runs, "leftMs", c.untilDeadline().Milliseconds())
+				countSilentPeer(o)
 			}
 			if o == obstacleNone {
 				cancel(errUnresponsive)
@@ -211,6 +212,7 @@
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, streamBufferBytes))
 		return stepRetryOther, outcome.reason
 	case isSuccess(resp.StatusCode) && !c.Dialect.ParseResponse(resp.StatusCode, resp.Header).Signed:
+		klog.InfoS("Success without a signature", "request", c.req.ID, "peer", peer.ID, "status", resp.StatusCode, "arrivals", outcome.arrivals)
 		countUnsignedSuccess()
 		return c.endPass(ctx, max(1, outcome.arrivals))
 	case c.reply.begun() && !c.isStream(resp):
--- a/internal/transport/proxy/metrics.go
+++ b/internal/transport/proxy/metrics.go
@@ -65,6 +65,11 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf(`gooseberrywaySilentAttempts{obstacle=%q}`, o)).Inc()
 }
 
+// countSilentPeer does the same for a peer that runs a request.
+func countSilentPeer(o obstacle) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`gooseberrywaySilentPeers{obstacle=%q}`, o)).Inc()
+}
+
 // countUnstatedPromise counts an upstream's status that callers would take for the promise that a request has not run, without the
 // header that states it.
 func countUnstatedPromise(status int) {
