Add types and settings for cold upstreams, evacuations and homes

The parts that decide on them are built side by side; this is what they agree on. Nothing reads these yet.

An upstream's descriptors and the regions of failure domains are passed on as well.

--- a/internal/coordination/place/request.go
+++ b/internal/coordination/place/request.go
@@ -141,6 +141,12 @@
 	BlockedFull BlockedReason = "full"
 	// BlockedPaused: the upstreams have asked for a pause.
 	BlockedPaused BlockedReason = "paused"
+	// BlockedCold: the upstreams are cold, and bear no more requests now.
+	BlockedCold BlockedReason = "cold"
+	// BlockedEvacuated: operators have the upstreams' failure domains evacuated.
+	BlockedEvacuated BlockedReason = "evacuated"
+	// BlockedAbroad: the upstreams are in regions that are no home of the request's route or organisation.
+	BlockedAbroad BlockedReason = "abroad"
 )
 
 // BlockedError says that no upstream can be chosen now.
--- a/internal/program/setup/entry.go
+++ b/internal/program/setup/entry.go
@@ -6,7 +6,9 @@
 type Entry struct {
 	DaemonID      ident.DaemonID      `json:"daemonId" validate:"required,max=64"`
 	FailureDomain ident.FailureDomain `json:"failureDomain" validate:"required,max=64"`
-	Listen        EntryListen         `json:"listen"`
+	// Regions maps each failure domain to its region. Homes of routes and organisations bind only where it is set.
+	Regions map[ident.FailureDomain]ident.Region `json:"regions" validate:"max=1024"`
+	Listen  EntryListen                          `json:"listen"`
 	// Seeds are the addresses of other daemons to contact first; not all of them need to be up.
 	Seeds []string `json:"seeds" validate:"dive,max=64"`
 	// Store is the address of the platform store as IP:PORT.
@@ -25,6 +27,8 @@
 	LinkMbps float64 `json:"linkMbps" validate:"min=0"`
 	// MemoryMB is the memory of a process in megabytes; one that takes more is killed.
 	MemoryMB float64 `json:"memoryMb" validate:"min=0"`
+	// FileDescriptors is the number of descriptors that a process may have open.
+	FileDescriptors int `json:"fileDescriptors" validate:"min=0"`
 }
 
 // EntryListen holds the addresses to listen on as IP:PORT. Admin and Metrics may be empty.
@@ -56,4 +60,11 @@
 	RetryWindowS float64 `json:"retryWindowS" validate:"min=0"`
 	// DirectoryTTLS is the longest time for which callers cache a response of the directory.
 	DirectoryTTLS float64 `json:"directoryTtlS" validate:"min=0,max=600"`
+	// EvacuationMs is the time after an evacuation's acknowledgement from which nothing may reach the failure domain's upstreams; 0
+	// where operators can't evacuate.
+	EvacuationMs int64 `json:"evacuationMs" validate:"min=0,max=600000"`
+	// All daemons together may send a cold upstream its published rate times ColdOverage, and ColdSlack requests more, within a
+	// second. Both 0 mean no such bound.
+	ColdOverage float64 `json:"coldOverage" validate:"min=0,max=1000"`
+	ColdSlack   float64 `json:"coldSlack" validate:"min=0"`
 }
--- a/internal/state/ident/ident.go
+++ b/internal/state/ident/ident.go
@@ -49,6 +49,9 @@
 // FailureDomain identifies a failure domain.
 type FailureDomain string
 
+// Region identifies a group of failure domains.
+type Region string
+
 // RequestID identifies a request of a caller.
 type RequestID string
 
--- a/internal/state/view/config.go
+++ b/internal/state/view/config.go
@@ -53,6 +53,8 @@
 	AllowsAnonymous bool
 	// Resumable streams may continue at another upstream after a failure.
 	Resumable bool
+	// Homes are the regions whose upstreams may run the route's requests; empty for all.
+	Homes []ident.Region
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -70,6 +72,10 @@
 	Engine *Engine
 	// Store is set for a KV cache store, which receives no requests.
 	Store *Store
+	// ColdStart is how long an upstream is cold after its start, ColdRate the requests a second that a cold one bears from all
+	// daemons together. A ColdRate of 0 means that coldness sets no bound.
+	ColdStart time.Duration
+	ColdRate  ident.RequestsPerSecond
 }
 
 // Engine describes the engines of a service. All of them have the same properties.
@@ -119,7 +125,9 @@
 	PlainRequestTokens ident.Tokens
 	// Isolated organisations share no cached prompt prefixes with other organisations.
 	Isolated bool
-	Keys     []ident.Digest
+	// Homes are the regions whose upstreams may run the organisation's requests; empty for all. Those of the route bind as well.
+	Homes []ident.Region
+	Keys  []ident.Digest
 }
 
 // Limits bound the size and timing of callers' requests.
--- a/internal/state/view/upstream.go
+++ b/internal/state/view/upstream.go
@@ -32,6 +32,8 @@
 	State   UpstreamState
 	// Weights are the versions of the models that the upstream has loaded.
 	Weights map[ident.ModelID]int64
+	// ColdFor is how much longer the upstream expected to be cold when it wrote the registration; 0 if it was not.
+	ColdFor time.Duration
 	// Sequence numbers the registrations of this incarnation; 0 if the upstream doesn't number them.
 	Sequence int64
 	// Offset is the position of the registration in the topic.
