Order routes of the same organisations at the engines by their priorities

Callers saw: short, urgent requests waited at the engines behind long ones that are less urgent, as an organisation's priority replaced its routes' priorities.

--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -400,9 +400,5 @@
 	}
 }
 
-func (c *call) priority() int {
-	if c.org != nil && c.org.HasPriority {
-		return c.org.Priority
-	}
-	return c.route.Priority
-}
+// priority returns the request's priority at the upstreams of its service.
+func (c *call) priority() int { return c.Ranks.Of(c.config).Priority(c.service, c.org, c.route) }
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -52,7 +52,9 @@
 	// RetryBudgets holds each service's retry budget, Shedders each service's load shedding.
 	RetryBudgets *view.PerService[relay.RetryBudget]
 	Shedders     *view.PerService[shed.Controller]
-	Pool         *httpc.Pool
+	// Ranks holds the priorities of the configuration's requests at the upstreams.
+	Ranks shed.RanksCache
+	Pool  *httpc.Pool
 	// CanConnect reports whether a connection to an upstream succeeds within a short time.
 	CanConnect func(ctx context.Context, address string) bool
 	// Peers chooses the peers that run requests whose service this daemon can't reach, over connections of PeerPool; nil for none.
