Estimate waits at engines by what runs before a request

Cause: a request was taken for late by all prompt tokens and requests at the engine, also those that are less urgent or late; it was then put behind all others and was late.

Change: place.urgencyMix holds the mix of priorities that this daemon sends, which is that of the fleet, as callers pick daemons at random; no message is needed.

--- a/internal/coordination/estim/decaying_mean.go
+++ b/internal/coordination/estim/decaying_mean.go
@@ -35,5 +35,8 @@
 
 // decayed returns what is left of a value after the age.
 func decayed(value float64, age, halfLife time.Duration) float64 {
-	return value * math.Exp2(-float64(age)/float64(halfLife))
+	return value * Decay(age, halfLife)
 }
+
+// Decay returns the part of a value that is left after the age.
+func Decay(age, halfLife time.Duration) float64 { return math.Exp2(-float64(age) / float64(halfLife)) }
--- a/internal/coordination/place/request.go
+++ b/internal/coordination/place/request.go
@@ -27,6 +27,8 @@
 	Tried []ident.UpstreamID
 	// Releases restricts the upstreams by the release of their software; nil for no restriction.
 	Releases *ReleaseFilter
+	// Priority orders the request at the engines while it can be on time; 0 is the most urgent.
+	Priority int
 	// Speculative says that the caller isn't told when to retry if there is no upstream.
 	Speculative bool
 }
--- a/internal/coordination/place/service_estimates.go
+++ b/internal/coordination/place/service_estimates.go
@@ -24,6 +24,8 @@
 	// retentionUpdatedAt.
 	cacheRetention     time.Duration
 	retentionUpdatedAt time.Time
+	// urgency is the mix of what this daemon sends.
+	urgency urgencyMix
 	// nextRetryAt is the earliest time at which the next caller may retry whose request was refused because of limits.
 	nextRetryAt time.Time
 }
--- a/internal/coordination/place/tracker.go
+++ b/internal/coordination/place/tracker.go
@@ -90,6 +90,7 @@
 		latePrefillTokens = c.PrefillTokens
 		state.own.LatePrefillTokens += latePrefillTokens
 	}
+	state.estimates.urgency.observe(now, r.Priority, c.Late, c.PrefillTokens)
 	if chain := sharedChain(r); chain != "" {
 		salt := CacheSalt(c.WeightVersion, r.CacheScope)
 		for _, part := range r.Parts[:len(r.Parts)-1] {
--- a/internal/coordination/place/wait_estimate.go
+++ b/internal/coordination/place/wait_estimate.go
@@ -1,11 +1,15 @@
 package place
 
-import "time"
+import (
+	"time"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+)
 
 // WaitEstimate is the estimated time from sending a request to the first byte of its response.
 type WaitEstimate struct {
 	// Total is the time if the request runs after all outstanding work at the upstream, BeforeLate the time if it
-	// runs before late requests. Own is the part of both that the request causes itself.
+	// runs before late requests and before less urgent ones. Own is the part of both that the request causes itself.
 	Total, BeforeLate, Own time.Duration
 }
 
@@ -29,11 +33,21 @@
 	own := state.estimates.prefill.Overhead() + state.prefillTime(c.PrefillTokens)
 	return WaitEstimate{
 		Total:      queue + own + state.prefillTime(totalWork.PrefillTokens),
-		BeforeLate: queue + own + state.prefillTime(max(0, totalWork.PrefillTokens-totalWork.LatePrefillTokens)),
+		BeforeLate: own + p.waitBehindUrgent(q, state, totalWork, c.Upstream.Slots),
 		Own:        own,
 	}
 }
 
+// waitBehindUrgent returns the part of the wait at an engine that is due to requests as urgent as this one or more: engines admit the more
+// urgent first, and process their prompts before others.
+func (p *Placer) waitBehindUrgent(q *query, state *upstreamState, work OutstandingWork, slots int) time.Duration {
+	mix, priority := &state.estimates.urgency, q.request.Priority
+	tokens := float64(max(0, work.PrefillTokens-work.LatePrefillTokens)) * mix.tokensBefore(q.now, priority)
+	ahead := float64(max(0, work.Requests-slots)) * mix.requestsBefore(q.now, priority)
+	queue := waitForSlot(min(work.Requests, slots)+int(ahead), slots, state.estimates.serviceTime.Median())
+	return queue + state.prefillTime(ident.Tokens(tokens))
+}
+
 // mayBeginTooLate reports whether the request may get its first token on replaced weights after OldWeightsGrace. The engine gives it then,
 // whatever it is told meanwhile.
 func (p *Placer) mayBeginTooLate(q *query, c *Choice) bool {
--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -176,7 +176,7 @@
 // shedLoad refuses a request that can't be answered before its deadline, and lowers the priority of one that would
 // miss its target latency below that of requests that can meet theirs.
 func (c *call) shedLoad(choice *place.Choice, p *progress) error {
-	p.priority = c.priority()
+	p.priority = p.placeReq.Priority
 	r := &shed.Request{
 		FirstByte: choice.Wait.Total, FirstByteBeforeLate: choice.Wait.BeforeLate, Own: choice.Wait.Own,
 		Target: c.route.TargetLatency, UntilDeadline: c.untilDeadline(), Waited: time.Since(c.arrived), Priority: p.priority,
@@ -302,7 +302,7 @@
 }
 
 func (c *call) placeReq(service view.ServiceID) *place.Request {
-	w := &place.Request{Service: service, Input: c.req.Input}
+	w := &place.Request{Service: service, Input: c.req.Input, Priority: c.priority()}
 	if s := c.config.Services[service]; s == nil || s.Engine == nil {
 		return w
 	}
