Choose engines by what runs there before a request

Cause: the cost of an engine counted late and less urgent prompts that an urgent request overtakes, so that such requests fled from the engines that have their prefixes.

--- a/internal/coordination/place/cost.go
+++ b/internal/coordination/place/cost.go
@@ -19,7 +19,7 @@
 	if q.request.Model == "" {
 		return p.evaluatePlain(c, cand.upstreamState, u, totalWork, q.now)
 	}
-	c.Cost = float64(totalWork.PrefillTokens) + float64(totalWork.Requests)*runningRequestCostTokens + float64(cand.hashRank)*hashRankCostTokens
+	c.Cost = cand.tokensBefore(q, totalWork) + float64(totalWork.Requests)*runningRequestCostTokens + float64(cand.hashRank)*hashRankCostTokens
 	c.Cost += cand.failureRate.At(q.now) * failureCostTokens
 	if u.Slots > 0 && totalWork.Requests >= u.Slots {
 		c.Cost += float64(totalWork.Requests-u.Slots+1) * excessRequestCostTokens
--- a/internal/coordination/place/wait_estimate.go
+++ b/internal/coordination/place/wait_estimate.go
@@ -42,12 +42,18 @@
 // urgent first, and process their prompts before others.
 func (p *Placer) waitBehindUrgent(q *query, state *upstreamState, work OutstandingWork, slots int) time.Duration {
 	mix, priority := &state.estimates.urgency, q.request.Priority
-	tokens := float64(max(0, work.PrefillTokens-work.LatePrefillTokens)) * mix.tokensBefore(q.now, priority)
+	tokens := state.tokensBefore(q, work)
 	ahead := float64(max(0, work.Requests-slots)) * mix.requestsBefore(q.now, priority)
 	queue := waitForSlot(min(work.Requests, slots)+int(ahead), slots, state.estimates.serviceTime.Median())
 	return queue + state.prefillTime(ident.Tokens(tokens))
 }
 
+// tokensBefore returns the queued prompt tokens that an engine processes before the request, if it can be on time.
+func (s *upstreamState) tokensBefore(q *query, work OutstandingWork) float64 {
+	onTime := float64(max(0, work.PrefillTokens-work.LatePrefillTokens))
+	return onTime * s.estimates.urgency.tokensBefore(q.now, q.request.Priority)
+}
+
 // mayBeginTooLate reports whether the request may get its first token on replaced weights after OldWeightsGrace. The engine gives it then,
 // whatever it is told meanwhile.
 func (p *Placer) mayBeginTooLate(q *query, c *Choice) bool {
