Ask a silent engine for a second report before it is taken to hang

Cause: an engine was asked once, from 1.0 s of silence on, and the report might take 0.4 s: there was no time for another one before the engine was taken to hang at 1.5 s, so that one report lost on a kept connection stood for a hang.

Change: an engine is asked from 0.6 s of silence on beyond its prefill, and once more after 0.4 s, on a new connection, if no report came. A report now defers the hang by 0.4 s more than bytes do, so that an engine that works is asked once a second, as before. An engine that answers neither report is given up at 1.5 s, one that hangs after its first report no later than before, one that hangs after a later report up to 0.4 s later. Price: the first report of a silence is asked for 0.4 s earlier, and one more where none came.

--- a/internal/coordination/place/silence.go
+++ b/internal/coordination/place/silence.go
@@ -7,8 +7,12 @@
 	"github.com/gooseberryway/gooseberryway/internal/state/view"
 )
 
-// reportLead is how long before an engine is taken to hang it is asked for a report.
-const reportLead = 500 * time.Millisecond
+const (
+	// reportLead is how long before an engine is taken to hang it is asked for a report: long enough for a second one, if the first is lost.
+	reportLead = 900 * time.Millisecond
+	// reportValidity is how much longer than bytes a report defers a hang, so that an engine at work is asked once a second.
+	reportValidity = 400 * time.Millisecond
+)
 
 // SilentEngines returns the engines that have requests of this daemon and send nothing, so that they are soon taken to hang unless a report
 // shows that they work.
@@ -47,8 +51,8 @@
 // meanwhile that it works.
 func (s *upstreamState) isHung(now time.Time, maxReportAge time.Duration) bool {
 	since := s.lastBytesAt
-	if s.workConfirmedAt.After(since) {
-		since = s.workConfirmedAt
+	if confirmed := s.workConfirmedAt.Add(reportValidity); confirmed.After(since) {
+		since = confirmed
 	}
 	return s.silentFor(now, since) > hangTimeout+prefillSlackFactor*s.prefillTime(s.totalWork(now, maxReportAge).PrefillTokens)
 }
--- a/internal/program/entry/daemon.go
+++ b/internal/program/entry/daemon.go
@@ -72,7 +72,8 @@
 	store        extern.Store
 	elector      *leader.Elector
 	weightLoader *reload.Runner
-	control      extern.EngineControl
+	// control asks engines on kept connections, freshControl on new ones.
+	control, freshControl extern.EngineControl
 	// requestStop decides which requests can end before a planned stop.
 	requestStop shed.Stop
 
@@ -144,6 +145,7 @@
 	upstreams := &httpc.Pool{DialTimeout: upstreamDialTimeout, Dial: d.dialUpstream, IdleTimeout: upstreamIdleTimeout}
 	// Answers to reports and orders bear no id, so that they must not come on connections of requests.
 	d.control = &platform.Control{Pool: &httpc.Pool{DialTimeout: upstreamDialTimeout, Dial: d.dialUpstream, IdleTimeout: upstreamIdleTimeout}}
+	d.freshControl = &platform.Control{Pool: &httpc.Pool{DialTimeout: upstreamDialTimeout, Dial: d.dialUpstream, MaxIdleConnsPerHost: -1}}
 	d.stores = &kvdir.Stores{Feed: &platform.CacheFeed{Pool: &httpc.Pool{DialTimeout: storeDialTimeout}}, Snapshots: &d.snapshots, Follows: d.followsKVStores}
 	d.placer = &place.Placer{
 		Snapshots:       &d.snapshots,
--- a/internal/program/entry/silence.go
+++ b/internal/program/entry/silence.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"k8s.io/klog/v2"
 
+	"github.com/gooseberryway/gooseberryway/internal/state/extern"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/state/scope"
 	"github.com/gooseberryway/gooseberryway/internal/state/view"
@@ -49,9 +50,7 @@
 // askEngine asks an engine for a report, and records that it works if the report counts any requests, running or waiting. An engine that reports
 // none is taken to have lost those of this daemon.
 func (d *Daemon) askEngine(ctx context.Context, u *view.Upstream) {
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	report, err := d.control.Report(ctx, u)
+	report, tries, err := d.reportOf(ctx, u)
 	outcome := "working"
 	switch {
 	case err != nil:
@@ -62,6 +61,28 @@
 		d.placer.ConfirmWork(u.ID, u.Incarnation)
 	}
 	klog.InfoS("Silent engine asked", "upstream", u.ID, "outcome", outcome, "running", report.RunningRequests, "waiting", report.WaitingRequests,
-		"error", err)
+		"tries", tries, "error", err)
 	metrics.GetOrCreateCounter(fmt.Sprintf(`gooseberrywaySilentEngineReports{outcome=%q}`, outcome)).Inc()
 }
+
+// reportOf asks an engine for a report. If none comes in time it asks once more, on a new connection, as the kept one may have gone silent.
+func (d *Daemon) reportOf(ctx context.Context, u *view.Upstream) (report extern.EngineReport, tries int, err error) {
+	for _, control := range []extern.EngineControl{d.control, d.freshControl} {
+		tries++
+		if report, err = askInTime(ctx, control, u); err == nil {
+			break
+		}
+	}
+	return report, tries, err
+}
+
+// askInTime asks for a report. It returns an error no sooner than after reportTimeout, so that what loses one report is over at the next.
+func askInTime(ctx context.Context, control extern.EngineControl, u *view.Upstream) (extern.EngineReport, error) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	report, err := control.Report(ctx, u)
+	if err != nil {
+		<-ctx.Done()
+	}
+	return report, err
+}
--- a/internal/program/entry/silent_upstream_test.go
+++ b/internal/program/entry/silent_upstream_test.go
@@ -262,22 +262,29 @@
 
 // Guards against an engine that is taken to hang for one report that was lost, as on a kept connection that went silent.
 func TestOneLostReportIsNoHang(t *testing.T) {
-	f := newTestFleet(t)
-	f.configureRate(1, 1_000_000, "secret")
-	var runs atomic.Int64
-	for i := range 2 {
-		u := quietUpstream(fmt.Sprint("e", i), "m", 0, 2500*time.Millisecond)
-		answer := u.Intercept
-		u.Intercept = func(w http.ResponseWriter, r *http.Request) bool {
-			if runs.Add(1) == 1 {
-				time.AfterFunc(800*time.Millisecond, func() { u.FreezeReports(800 * time.Millisecond) })
+	for _, c := range []struct{ from, lost time.Duration }{
+		{800 * time.Millisecond, 800 * time.Millisecond},
+		{500 * time.Millisecond, 600 * time.Millisecond},
+	} {
+		t.Run(fmt.Sprint("from ", c.from), func(t *testing.T) {
+			f := newTestFleet(t)
+			f.configureRate(1, 1_000_000, "secret")
+			var runs atomic.Int64
+			for i := range 2 {
+				u := quietUpstream(fmt.Sprint("e", i), "m", 0, 2500*time.Millisecond)
+				answer := u.Intercept
+				u.Intercept = func(w http.ResponseWriter, r *http.Request) bool {
+					if runs.Add(1) == 1 {
+						time.AfterFunc(c.from, func() { u.FreezeReports(c.lost) })
+					}
+					return answer(w, r)
+				}
+				f.startUpstream("llm", u)
 			}
-			return answer(w, r)
-		}
-		f.startUpstream("llm", u)
+			d := f.start("d1", nil)
+			f.ready(2)
+			requireWholeAnswer(t, f.call(d, "/note/x", "r1", "secret", "p", modelHeader, "m"))
+			require.EqualValues(t, 1, runs.Load(), "the second run is in vain")
+		})
 	}
-	d := f.start("d1", nil)
-	f.ready(2)
-	requireWholeAnswer(t, f.call(d, "/note/x", "r1", "secret", "p", modelHeader, "m"))
-	require.EqualValues(t, 1, runs.Load(), "the second run is in vain")
 }
--- a/internal/transport/httpc/pool.go
+++ b/internal/transport/httpc/pool.go
@@ -23,7 +23,7 @@
 	HeaderTimeout time.Duration
 	// TLS is the configuration for https URLs; nil trusts the system's CAs.
 	TLS *tls.Config
-	// MaxIdleConnsPerHost is the maximum number of idle connections for each host; 0 means 256.
+	// MaxIdleConnsPerHost is the maximum number of idle connections for each host; 0 means 256, less than 0 none, so that each request opens one.
 	MaxIdleConnsPerHost int
 	// IdleTimeout is how long an idle connection is kept; 0 means 60 seconds.
 	IdleTimeout time.Duration
