Take no connection that gets no answer as the end of the work at an upstream

Cause: an upstream that couldn't be connected to for 0.35 s and sent nothing had its requests called off after 0.9 s of silence. A machine whose queue of new connections is full drops their opening packet, as a dark one does, while it works on what it has.

Change: a probe is recorded when it begins and when it is refused. After these 1.5 s a dark engine gets no further time for its prefill. A refusal still ends them after 0.35 s: it comes from a machine that was started again. No new request is sent to either, as before. Price: requests at a dark upstream are given up 0.6 s later.

New tests in place hold both bounds, and a long prefill beside a connection that is being tried.

--- a/internal/coordination/place/live_connection_test.go
+++ b/internal/coordination/place/live_connection_test.go
@@ -25,3 +25,49 @@
 		require.True(t, stream.ShouldAbort())
 	})
 }
+
+// Guards against ending work at an upstream whose queue of new connections is full, and against waiting longer than hangTimeout for one that is dark.
+func TestUnansweredConnectsEndWorkAfterHangTimeout(t *testing.T) {
+	for name, c := range map[string]struct {
+		refused bool
+		want    time.Duration
+	}{
+		"unanswered": {false, hangTimeout},
+		"refused":    {true, unreachableConfirmTime},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newTestPlacer()
+				choice, err := p.Choose(requestFor(1))
+				require.NoError(t, err)
+				choice.PrefillTokens = 1_000_000
+				start, tracker := time.Now(), p.Begin(choice, requestFor(1))
+				p.MarkUnreachable(choice.Upstream.ID)
+				p.MarkConnecting(choice.Upstream.ID)
+				if c.refused {
+					p.MarkRefused(choice.Upstream.ID)
+				}
+				for !tracker.ShouldAbort() {
+					time.Sleep(10 * time.Millisecond)
+				}
+				require.InDelta(t, c.want, time.Since(start), float64(20*time.Millisecond))
+			})
+		})
+	}
+}
+
+// Guards against ending work during a long prefill because a connection is being tried.
+func TestPendingConnectEndsNoWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newTestPlacer()
+		c, err := p.Choose(requestFor(1))
+		require.NoError(t, err)
+		c.PrefillTokens = 1_000_000
+		tracker := p.Begin(c, requestFor(1))
+		time.Sleep(2 * hangTimeout)
+		p.MarkUnreachable(c.Upstream.ID)
+		p.MarkConnecting(c.Upstream.ID)
+		time.Sleep(unreachableConfirmTime / 2)
+		require.False(t, tracker.ShouldAbort())
+	})
+}
--- a/internal/coordination/place/silence.go
+++ b/internal/coordination/place/silence.go
@@ -48,11 +48,15 @@
 }
 
 // isHung reports whether the upstream has sent nothing for longer than hangTimeout beyond the prefill of its prompts, and no report has shown
-// meanwhile that it works.
+// meanwhile that it works. One that doesn't answer new connections either gets no time for a prefill.
 func (s *upstreamState) isHung(now time.Time, maxReportAge time.Duration) bool {
 	since := s.lastBytesAt
 	if confirmed := s.workConfirmedAt.Add(reportValidity); confirmed.After(since) {
 		since = confirmed
 	}
-	return s.silentFor(now, since) > hangTimeout+prefillSlackFactor*s.prefillTime(s.totalWork(now, maxReportAge).PrefillTokens)
+	allowed := hangTimeout
+	if !s.connectUnanswered || !s.isDownFor(now, unreachableConfirmTime) {
+		allowed += prefillSlackFactor * s.prefillTime(s.totalWork(now, maxReportAge).PrefillTokens)
+	}
+	return s.silentFor(now, since) > allowed
 }
--- a/internal/coordination/place/tracker.go
+++ b/internal/coordination/place/tracker.go
@@ -256,6 +256,20 @@
 	klog.InfoS("Upstream reached again", "upstream", id, "downMs", now.Sub(state.downSince).Milliseconds())
 }
 
+// MarkConnecting records that a connection to an upstream that is down is tried, until MarkReachable or MarkRefused.
+func (p *Placer) MarkConnecting(id ident.UpstreamID) { p.setConnectUnanswered(id, true) }
+
+// MarkRefused records that a connection to an upstream that is down was refused, so that what is open there is lost if the upstream is silent.
+func (p *Placer) MarkRefused(id ident.UpstreamID) { p.setConnectUnanswered(id, false) }
+
+func (p *Placer) setConnectUnanswered(id ident.UpstreamID, unanswered bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if state := p.upstreamStates[id]; state != nil {
+		state.connectUnanswered = unanswered && state.down
+	}
+}
+
 // MarkUnreachable records that no connection to an upstream could be made.
 func (p *Placer) MarkUnreachable(id ident.UpstreamID) {
 	p.mu.Lock()
--- a/internal/coordination/place/upstream_state.go
+++ b/internal/coordination/place/upstream_state.go
@@ -60,6 +60,8 @@
 	// down is set by a failed connection or a silence, and cleared by a successful connection.
 	down      bool
 	downSince time.Time
+	// connectUnanswered says that a connection was tried since and has been neither accepted nor refused.
+	connectUnanswered bool
 	// lastActiveAt is when the upstream last sent anything or accepted a connection, or when a request was sent to it
 	// while it had none.
 	lastActiveAt time.Time
@@ -146,20 +148,25 @@
 	return time.Duration(tokens) * s.estimates.prefill.PerToken()
 }
 
-// shouldAbort reports whether requests at the upstream are to be aborted: for unreachableConfirmTime it has not been reachable
-// and has sent nothing on its open connections either, or it accepts connections but has sent nothing for longer than
-// hangTimeout. An upstream that is merely slow does neither.
+// shouldAbort reports whether requests at the upstream are to be aborted: for unreachableConfirmTime it has refused connections and has sent
+// nothing on its open ones either, as a VM that was started again does, or it hangs. An upstream that is merely slow does neither. A connection
+// that gets no answer isn't enough: the upstream's queue of new ones may be full while it works.
 func (s *upstreamState) shouldAbort(now time.Time, maxReportAge time.Duration) bool {
-	if s.down && now.Sub(s.downSince) >= unreachableConfirmTime && now.Sub(s.lastBytesAt) >= unreachableConfirmTime {
+	if s.isDownFor(now, unreachableConfirmTime) && !s.connectUnanswered && now.Sub(s.lastBytesAt) >= unreachableConfirmTime {
 		return true
 	}
 	return s.isHung(now, maxReportAge)
 }
 
+// isDownFor reports whether the upstream has been down for d or longer.
+func (s *upstreamState) isDownFor(now time.Time, d time.Duration) bool {
+	return s.down && now.Sub(s.downSince) >= d
+}
+
 // markDown excludes the upstream until a connection succeeds.
 func (s *upstreamState) markDown(now time.Time) {
 	if !s.down {
-		s.down, s.downSince = true, now
+		s.down, s.downSince, s.connectUnanswered = true, now, false
 	}
 }
 
--- a/internal/program/entry/probe.go
+++ b/internal/program/entry/probe.go
@@ -10,6 +10,7 @@
 
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/state/scope"
+	"github.com/gooseberryway/gooseberryway/internal/transport/httpc"
 )
 
 const (
@@ -36,9 +37,13 @@
 				continue
 			}
 			nextAttempt[id] = now.Add(probePeriod + rand.N(probePeriod/2))
+			d.placer.MarkConnecting(id)
 			wg.Go(func() {
-				if d.canConnect(ctx, address) {
+				switch err := d.connect(ctx, address); {
+				case err == nil:
 					d.placer.MarkReachable(id)
+				case !httpc.IsTimeout(err):
+					d.placer.MarkRefused(id)
 				}
 			})
 		}
@@ -47,6 +52,11 @@
 }
 
 func (d *Daemon) canConnect(ctx context.Context, address string) bool {
+	return d.connect(ctx, address) == nil
+}
+
+// connect opens a connection to an upstream and closes it.
+func (d *Daemon) connect(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	dial := d.dialUpstream
@@ -55,8 +65,8 @@
 	}
 	c, err := dial(ctx, "tcp4", address)
 	if err != nil {
-		return false
+		return err
 	}
 	_ = c.Close()
-	return true
+	return nil
 }
