Try another upstream beside a silent one just before a planned stop ends it

Cause: a plain upstream that is silent can't be told from one that hangs, and with fewer than eight known answers of its route the stop expects another attempt to take until the deadline. So the request waited there until the stop cut it.

Change: 0.3 s before the end of the stop a repeatable request at such an upstream, which the stop would cut, is sent to another one as well, for a retry of the budget, and the first whole answer counts. Nothing is called off for it: the silent upstream may answer to the end. Both end with the stop, within the 400 ms in which an upstream may go on with a request that another one has got.

--- a/internal/program/cmds/explain.go
+++ b/internal/program/cmds/explain.go
@@ -163,6 +163,8 @@
 		return explainSilence(f)
 	case "Success without a signature":
 		return fmt.Sprintf("%s sent a success (status %s) that lacks its signature, which is no answer.", cmp.Or(f["upstream"], f["peer"]), f["status"])
+	case "Request tried elsewhere before the stop":
+		return fmt.Sprintf("Its upstream was silent and the daemon about to stop: %s was asked as well (answered: %s).", f["upstream"], f["answered"])
 	case "Stop ends request":
 		return fmt.Sprintf("It was still open when the daemon stopped; it came %s ms after the signal, and was expected to take %s ms (%s answers known).",
 			f["arrivedAfterSignalMs"], f["takesMs"], f["samples"])
--- a/internal/program/cmds/explain_test.go
+++ b/internal/program/cmds/explain_test.go
@@ -67,6 +67,7 @@
 		`"Upstream of an attempt silent" request="0591" upstream="i-3b" givenUp=true obstacle=""`:        "i-3b had fallen silent: another attempt was secured",
 		`"Peer of an attempt silent" request="0591" peer="d-2" givenUp=false obstacle="noPeer"`:          "d-2 had fallen silent and was waited for, as no other attempt could follow (noPeer).",
 		`"Success without a signature" request="0591" peer="d-2" status=200 arrivals=1`:                  "d-2 sent a success (status 200) that lacks its signature",
+		`"Request tried elsewhere before the stop" request="0591" upstream="i-3b" answered=true`:         "i-3b was asked as well (answered: true).",
 		`"Stop ends request" request="0591" arrivedAfterSignalMs=900 takesMs=1200 samples=9 untilStop=0`: "it came 900 ms after the signal, and was expected to take 1200 ms (9 answers known).",
 	} {
 		file := filepath.Join(t.TempDir(), "a.log")
--- a/internal/program/entry/planned_stop_hung_test.go
+++ b/internal/program/entry/planned_stop_hung_test.go
@@ -42,3 +42,16 @@
 
 // Guards against the same at an engine, which doesn't answer when it is asked whether it works.
 func TestPlannedStopRetriesRequestAtHungEngine(t *testing.T) { hangOnce(t, "/note/x", "llm", "m") }
+
+// Guards against calling off a sound answer that comes just before the end of a planned stop, when another upstream is tried as well.
+func TestPlannedStopWaitsForSilentUpstreamToTheEnd(t *testing.T) {
+	f := newTestFleet(t)
+	f.configureRate(1, 1_000_000, "secret")
+	for i := range 2 {
+		f.startUpstream("app", quietUpstream(fmt.Sprint("u", i), "", 0, 3500*time.Millisecond))
+	}
+	d := f.start("d1", nil)
+	f.ready(2)
+	time.AfterFunc(100*time.Millisecond, d.cancel)
+	requireWholeAnswer(t, f.call(d, "/lookup/x", "r1", "secret", "p"))
+}
--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -60,7 +60,7 @@
 		"leftMs", c.untilDeadline().Milliseconds(), "cached", choice.Locality, "chain", placeReq.SharedPrefix(), "save", choice.SaveToStore,
 		"waitMs", choice.Wait.Total.Milliseconds(), "late", choice.Late, "priority", p.priority, "release", choice.Upstream.Release)
 	watcher := c.watchAttempt(ctx, cancel, choice, placeReq, tracker)
-	defer func() { p.next = watcher.Close() }()
+	defer func() { p.next, p.spare = watcher.Close() }()
 	resp, err := c.Pool.DoHeld(req) //nolint:bodyclose // handleResponse closes it
 	if err != nil {
 		return c.handleSendError(err, context.Cause(ctx), choice, tracker)
--- a/internal/transport/proxy/attempt_watcher.go
+++ b/internal/transport/proxy/attempt_watcher.go
@@ -11,7 +11,7 @@
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 )
 
-// attemptWatcher cancels an attempt in two cases: its upstream is unreachable or hangs, and another attempt is secured; or it has no first token
+// attemptWatcher cancels an attempt in two cases: its upstream is unreachable or hangs, and another attempt is secured or has an answer; or it has no first token
 // shortly before the limit on its replaced weights, after which the engine must not begin it. To cancel an attempt closes its connection, and
 // engines drop requests whose connections close.
 type attemptWatcher struct {
@@ -27,6 +27,8 @@
 	done chan struct{}
 	// next is what was secured for the next attempt; nil for nothing. It is read after done.
 	next *successor
+	// spare is an attempt beside this one; nil if there was none. It is read after done.
+	spare *spare
 	// triedAt is when it was last tried to secure it.
 	triedAt   time.Time
 	obstacles obstacleLog
@@ -49,14 +51,14 @@
 	return w
 }
 
-// Close ends the watch and returns what was secured for the next attempt; nil for nothing.
-func (w *attemptWatcher) Close() *successor {
+// Close ends the watch and returns what was secured for the next attempt, and the attempt beside this one; nil for nothing.
+func (w *attemptWatcher) Close() (*successor, *spare) {
 	if w == nil {
-		return nil
+		return nil, nil
 	}
 	w.cancel(nil)
 	<-w.done
-	return w.next
+	return w.next, w.spare
 }
 
 func (w *attemptWatcher) run(ctx context.Context) {
@@ -77,7 +79,7 @@
 		// While the caller is written to, nothing is read from the upstream, which then isn't silent.
 		wasReading := reading
 		reading = !w.call.reply.isWriting.Load()
-		if w.mayAbort && reading && wasReading && w.tracker.ShouldAbort() && w.mayFollow(ctx) {
+		if w.mayAbort && reading && wasReading && w.tracker.ShouldAbort() && (w.mayFollow(ctx) || w.hasSpareAnswer(ctx)) {
 			w.cancel(errUnresponsive)
 			return
 		}
@@ -102,6 +104,16 @@
 	return o == obstacleNone
 }
 
+// hasSpareAnswer tries another upstream beside the silent one, once, if a planned stop is about to end the request. It reports whether that one's
+// answer is there and the caller has got none.
+func (w *attemptWatcher) hasSpareAnswer(ctx context.Context) bool {
+	if w.spare != nil || !w.call.needsSpare() {
+		return false
+	}
+	w.spare = w.call.trySpare(ctx, &w.nextReq)
+	return w.spare.answer != nil && !w.call.reply.isFinal.Load()
+}
+
 // log records that an upstream is silent, and whether its attempt is given up.
 func (w *attemptWatcher) log(o obstacle) {
 	c, s := w.call, w.tracker.Silence()
--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -58,6 +58,8 @@
 	priority int
 	// next is what was secured for the next attempt before the last one was given up; nil for nothing.
 	next *successor
+	// spare ran beside the last attempt; nil if there was none.
+	spare *spare
 }
 
 // run sends the request to upstreams until there is a final response.
@@ -73,8 +75,9 @@
 		if choice == nil {
 			return err
 		}
+		p.spare = nil
 		step, reason := c.attempt(choice, p)
-		if step == stepDone {
+		if c.endSpare(p.spare, step) || step == stepDone {
 			return nil
 		}
 		if c.isLast(step, p, choice) || !c.evidence.MayRetry(c.ctx) {
--- a/internal/transport/proxy/metrics.go
+++ b/internal/transport/proxy/metrics.go
@@ -65,6 +65,11 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf(`gooseberrywaySilentAttempts{obstacle=%q}`, o)).Inc()
 }
 
+// countSpare counts an attempt beside one that a planned stop was about to end.
+func countSpare(s *spare) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`gooseberrywaySpareAttempts{answered="%t"}`, s.answer != nil)).Inc()
+}
+
 // countSilentPeer does the same for a peer that runs a request.
 func countSilentPeer(o obstacle) {
 	metrics.GetOrCreateCounter(fmt.Sprintf(`gooseberrywaySilentPeers{obstacle=%q}`, o)).Inc()
