Keep requests from evacuated failure domains

Every choice of an upstream asks it: first tries, retries, resumed streams, requests that waited and attempts that were secured before. Prompts leave one after the other, in an order on which all daemons agree, and are fetched from the evacuated engine or the KV cache store. While all upstreams are evacuated requests are refused at once.

--- a/internal/coordination/detour/chooser.go
+++ b/internal/coordination/detour/chooser.go
@@ -24,6 +24,9 @@
 	IsActive func(ident.DaemonID) bool
 	// ConfigVersion returns the version of this daemon's configuration.
 	ConfigVersion func() int64
+	// EvacuationOffset returns up to where a peer must have read the operators' topic to know which upstreams are evacuated; nil for
+	// anywhere.
+	EvacuationOffset func() ident.Offset
 
 	mu       sync.Mutex
 	inFlight map[ident.DaemonID]int
@@ -81,9 +84,13 @@
 // candidates returns the peers that may run a request to the service: the active ones, or if none of them may the others.
 func (c *Chooser) candidates(service view.ServiceID, tried []ident.DaemonID) []fleet.Peer {
 	now := time.Now()
+	var minOffset ident.Offset
+	if c.EvacuationOffset != nil {
+		minOffset = c.EvacuationOffset()
+	}
 	var active, idle []fleet.Peer
 	for _, p := range c.Peers() {
-		if !p.Alive(now) || !p.Ready || p.Leaving || !p.TakesRequests ||
+		if !p.Alive(now) || !p.Ready || p.Leaving || !p.TakesRequests || p.OperatorsOffset < minOffset ||
 			slices.Contains(p.UnreachableServices, service) || slices.Contains(tried, p.ID) {
 			continue
 		}
--- a/internal/coordination/detour/chooser_test.go
+++ b/internal/coordination/detour/chooser_test.go
@@ -49,6 +49,24 @@
 	})
 }
 
+// Guards against passing requests to peers that don't know yet which upstreams are evacuated.
+func TestPeersThatMayNotKnowOfEvacuationAreNotChosen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		peers := []fleet.Peer{
+			newPeer("behind", func(p *fleet.Peer) { p.OperatorsOffset = 7 }), newPeer("ahead", func(p *fleet.Peer) { p.OperatorsOffset = 8 }),
+		}
+		c := &Chooser{
+			Peers: func() []fleet.Peer { return peers }, IsActive: func(ident.DaemonID) bool { return true }, ConfigVersion: ownVersion,
+			EvacuationOffset: func() ident.Offset { return 8 },
+		}
+		for range 20 {
+			p, ok := c.Choose("s", nil)
+			require.True(t, ok)
+			require.EqualValues(t, "ahead", p.ID)
+		}
+	})
+}
+
 // Guards against one peer that gets all requests.
 func TestRequestsAreSpreadOverPeers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- /dev/null
+++ b/internal/coordination/feed/evacuation_test.go
@@ -0,0 +1,148 @@
+package feed
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/gooseberryway/gooseberryway/internal/state/extern"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/state/view"
+)
+
+const evacuateZ, marked = "evacuate/z", "{}"
+
+func (f *Follower) isEvacuated() bool { return f.Snapshots.IsEvacuated("z") }
+
+func putEvacuation(s *fakeStore, value string) {
+	s.put(extern.TopicOperators, evacuateZ, value)
+	time.Sleep(time.Second)
+}
+
+// Guards against an evacuation that goes on because its end was no longer in the store's history.
+func TestEvacuationMissingInCompleteReadHasEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		s.put(extern.TopicOperators, "config", "1")
+		f := startFollower(t, s)
+		putEvacuation(s, marked)
+		require.True(t, f.isEvacuated())
+		age, observed := age(f)
+		require.True(t, observed)
+		require.InDelta(t, time.Second, age, float64(50*time.Millisecond))
+		s.setDown(true)
+		putEvacuation(s, "")
+		s.mu.Lock()
+		s.firstOffset[extern.TopicOperators] = len(s.records[extern.TopicOperators])
+		s.mu.Unlock()
+		s.setDown(false)
+		time.Sleep(time.Second)
+		require.False(t, f.isEvacuated())
+		records := f.ChangesSince(extern.TopicOperators, 2).Records
+		require.Len(t, records, 1)
+		require.Empty(t, records[0].Value, "peers learn of the end")
+	})
+}
+
+func age(f *Follower) (time.Duration, bool) {
+	e, _ := f.Snapshots.Evacuation("z")
+	return e.Age(time.Now())
+}
+
+// Guards against an evacuation found at the start whose prompts move as if it had just begun.
+func TestEvacuationFoundAtStartMayHaveBegunLongAgo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		s.put(extern.TopicOperators, evacuateZ, marked)
+		f := startFollower(t, s)
+		require.True(t, f.isEvacuated())
+		_, observed := age(f)
+		require.False(t, observed)
+	})
+}
+
+// Guards against evacuations that a restored store ends too early, keeps for ever or begins again.
+func TestEvacuationAfterRestoreOfStore(t *testing.T) {
+	for name, c := range map[string]struct {
+		inCopy, ended, again   bool
+		wantAtFirst, wantLater bool
+	}{
+		"the copy is older":                      {wantAtFirst: true},
+		"the copy is older, it is written again": {again: true, wantAtFirst: true, wantLater: true},
+		"the copy has it":                        {inCopy: true, wantAtFirst: true, wantLater: true},
+		"the copy has one that has ended":        {inCopy: true, ended: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newFakeStore()
+				s.put(extern.TopicOperators, "config", "1")
+				f := startFollower(t, s)
+				if c.inCopy {
+					putEvacuation(s, marked)
+				}
+				older := map[extern.Topic][]extern.KeyedRecord{extern.TopicOperators: s.copyOf(extern.TopicOperators)}
+				if !c.inCopy {
+					putEvacuation(s, marked)
+				}
+				if c.ended {
+					putEvacuation(s, "")
+				}
+				s.restore(older)
+				time.Sleep(time.Second)
+				require.Equal(t, c.wantAtFirst, f.isEvacuated())
+				if c.again {
+					putEvacuation(s, marked)
+				}
+				time.Sleep(evacuationRetention)
+				require.Equal(t, c.wantLater, f.isEvacuated())
+				putEvacuation(s, marked)
+				require.True(t, f.isEvacuated(), "another one")
+				putEvacuation(s, "")
+				require.False(t, f.isEvacuated())
+			})
+		})
+	}
+}
+
+// Guards against a daemon that missed the end of an evacuation, and has the records after it from a peer that started only then.
+func TestEndOfEvacuationThatNoPeerKnowsIsReadFromStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		s.put(extern.TopicOperators, "config", "1")
+		f := startFollower(t, s)
+		putEvacuation(s, marked)
+		s.setDown(true)
+		putEvacuation(s, "")
+		s.put(extern.TopicOperators, "config", "2")
+		records := s.copyOf(extern.TopicOperators)
+		f.ApplyChanges(extern.TopicOperators, Changes{From: "p", StoreBatch: extern.StoreBatch{
+			Records: records[3:], Next: ident.NewOffset(0, 4),
+		}})
+		require.EqualValues(t, 2, f.Snapshots.Config().Version)
+		require.True(t, f.isEvacuated())
+		s.setDown(false)
+		time.Sleep(longPollWait)
+		require.False(t, f.isEvacuated())
+	})
+}
+
+// Guards against an old record of a peer that ends or begins an evacuation again.
+func TestOlderRecordOfEvacuationChangesNothing(t *testing.T) {
+	var s view.Snapshots
+	at := func(offset ident.Offset, ended bool) view.Evacuation {
+		return view.Evacuation{FailureDomain: "z", Offset: offset, Ended: ended}
+	}
+	for _, step := range []struct {
+		e              view.Evacuation
+		replaced, want bool
+	}{
+		{at(3, true), false, false}, {at(5, false), true, true}, {at(4, true), false, true}, {at(5, false), false, true}, {at(7, true), true, false},
+		{at(8, true), false, false}, {at(6, false), false, false}, {at(9, false), true, true}, {at(9, true), true, false},
+	} {
+		_, replaced := s.SetEvacuation(step.e)
+		require.Equal(t, step.replaced, replaced, "%+v", step.e)
+		require.Equal(t, step.want, s.IsEvacuated("z"), "%+v", step.e)
+	}
+}
--- a/internal/coordination/feed/follower.go
+++ b/internal/coordination/feed/follower.go
@@ -83,6 +83,8 @@
 	retainedUntil map[ident.UpstreamID]time.Time
 	registrations registrations
 	pauses        pauseDetector
+	// evacuationsUntil holds the evacuations that a restored store lacks, by their keys, and until when they are retained.
+	evacuationsUntil map[string]time.Time
 	// restoredAt is when this daemon learned that the store had returned from an older copy; zero if it has not.
 	restoredAt time.Time
 
@@ -102,6 +104,9 @@
 	checkedAt time.Time
 	// unreadFor is how long the topic had not been read when the current call of the store began.
 	unreadFor time.Duration
+	// mayLackEnds says that records of a peer were applied while an evacuation was in force. A peer that started after its end doesn't
+	// know of that end.
+	mayLackEnds bool
 	// knownSince is the offset from which on all changes are known, because the whole state was read there.
 	knownSince ident.Offset
 	// newest holds the newest record of each key for peers, without records that changed nothing. A record without a
@@ -232,7 +237,7 @@
 	defer cancel()
 	f.mu.Lock()
 	s := f.state(topic)
-	loaded, next := s.loaded, s.next
+	loaded, next := s.loaded && !f.mayHaveMissedEnd(s), s.next
 	s.interruptRead = cancel
 	s.unreadFor = time.Since(s.checkedAt)
 	f.mu.Unlock()
@@ -328,6 +333,7 @@
 		changed = f.removeUnlisted(topic, s, c.Records, next) || changed
 		s.knownSince = next
 	}
+	s.mayLackEnds = c.passedOn || s.mayLackEnds && !c.Complete
 	changed = f.applyRecords(topic, s, &c) || changed
 	if next > s.next || !s.loaded {
 		s.advancedAt = time.Now()
@@ -390,15 +396,15 @@
 	return true
 }
 
-// removeUnlisted removes the upstreams that a complete list lacks.
+// removeUnlisted removes the upstreams that a complete list lacks, and ends the evacuations.
 func (f *Follower) removeUnlisted(topic extern.Topic, s *topicState, records []extern.KeyedRecord, next ident.Offset) bool {
-	if topic != extern.TopicUpstreams {
-		return false
-	}
 	listed := map[string]bool{}
 	for _, r := range records {
 		listed[r.Key] = true
 	}
+	if topic != extern.TopicUpstreams {
+		return f.endUnlistedEvacuations(s, listed, next)
+	}
 	changed := false
 	for key, r := range s.newest {
 		if !listed[key] && len(r.Value) > 0 {
@@ -437,6 +443,8 @@
 		}
 		klog.InfoS("Rollout requested", "service", c.Service, "release", c.Release, "offset", r.Offset)
 		return true
+	case *view.Evacuation:
+		return f.applyEvacuation(c, &r, source)
 	case *view.Upstream:
 		return f.setUpstream(c)
 	case *view.UpstreamRemoved:
--- a/internal/coordination/feed/follower_test.go
+++ b/internal/coordination/feed/follower_test.go
@@ -116,6 +116,10 @@
 			return &view.Ignored{Reason: err.Error()}
 		}
 		return &view.Config{Version: version}
+	case strings.HasPrefix(r.Key, "evacuate/"):
+		return &view.Evacuation{
+			FailureDomain: ident.FailureDomain(strings.TrimPrefix(r.Key, "evacuate/")), Ended: len(r.Value) == 0, Offset: r.Offset,
+		}
 	case strings.HasPrefix(r.Key, "version"):
 		return &view.Weights{Model: "m", Version: int64(len(r.Value))}
 	default:
--- a/internal/coordination/feed/restore.go
+++ b/internal/coordination/feed/restore.go
@@ -64,6 +64,10 @@
 	if u, ok := change.(*view.Upstream); ok {
 		return f.registrations.isOlder(u, f.upstreams[u.ID] != nil)
 	}
+	if e, ok := change.(*view.Evacuation); ok {
+		old := f.Snapshots.Evacuations()[e.FailureDomain]
+		return e.IsCopyOf(&old)
+	}
 	a, versioned := stateVersion(change)
 	b, knownVersioned := stateVersion(f.Decoder.Decode(topic, *known))
 	return knownVersioned && (!versioned || a < b)
@@ -71,7 +75,12 @@
 
 // isNewerState reports whether the value of r is known to be newer than that of the known record.
 func (f *Follower) isNewerState(topic extern.Topic, r, known *extern.KeyedRecord) bool {
-	a, ok := stateVersion(f.Decoder.Decode(topic, *r))
+	change := f.Decoder.Decode(topic, *r)
+	if e, ok := change.(*view.Evacuation); ok {
+		// The end of an evacuation is known at the position of its beginning if the restored store is older than the end.
+		return e.Ended && r.Offset == known.Offset && len(known.Value) > 0
+	}
+	a, ok := stateVersion(change)
 	b, knownOK := stateVersion(f.Decoder.Decode(topic, *known))
 	return ok && knownOK && a > b
 }
--- a/internal/coordination/place/cost.go
+++ b/internal/coordination/place/cost.go
@@ -127,7 +127,7 @@
 
 // isSettled reports whether the prefixes in use are assumed to be in the candidate's cache.
 func (q *query) isSettled(cand *candidate) bool {
-	return !q.scopeIsNew && cand.cacheSettled(q.now)
+	return !q.scopeIsNew && !q.moved && cand.cacheSettled(q.now)
 }
 
 // addStoreCost adds the cost of a part that the KV cache store holds. If a fetch from the store would exceed the limits
--- a/internal/coordination/place/placer.go
+++ b/internal/coordination/place/placer.go
@@ -46,6 +46,9 @@
 	UpstreamLimits *uprate.Table
 	// RejectionLimits holds how many rejections upstreams bear; nil for none.
 	RejectionLimits *reject.Table
+	// EvacuationTime is the time in which the prompts of a failure domain's upstreams move to others when its evacuation begins; 0 for
+	// at once.
+	EvacuationTime time.Duration
 
 	mu             sync.Mutex
 	upstreamStates map[ident.UpstreamID]*upstreamState
@@ -263,6 +266,8 @@
 	// engine holds the published properties of the service's engines, prefillPerToken their prefill time per token.
 	engine          *view.Engine
 	prefillPerToken time.Duration
+	// moved says that the chain's most preferred engines are evacuated since a short time, so that those after them may not have it cached.
+	moved bool
 	// byVersion holds what is the same for all candidates with the same weight version.
 	byVersion map[int64]*versionState
 }
@@ -298,6 +303,11 @@
 			klog.InfoS("Upstream silent", "upstream", u.ID, "requests", state.own.Requests, "unread", state.own.PrefillTokens,
 				"silentMs", q.now.Sub(state.lastActiveAt).Milliseconds())
 		}
+		if reason := p.barred(q.request, q.chain, u, q.now); reason != "" {
+			blocked.addReason(reason, barredRetryAfter)
+			q.moved = q.moved || len(out) == 0 && p.wasLeftLately(u, q.now)
+			continue
+		}
 		if reason, wait := p.exclusionReason(state, u, q.request.Model, q.namedWeights, q.now); reason != "" {
 			blocked.addReason(reason, wait)
 			continue
--- a/internal/coordination/place/reach.go
+++ b/internal/coordination/place/reach.go
@@ -53,6 +53,7 @@
 		}
 		state := p.upstreamStates[u.ID]
 		switch {
+		case p.Snapshots.IsEvacuated(u.FailureDomain):
 		case state == nil || state.incarnation != u.Incarnation:
 			return false
 		case state.leaving:
--- a/internal/coordination/place/request.go
+++ b/internal/coordination/place/request.go
@@ -164,9 +164,12 @@
 // blockedRetryAfter is the time after which callers may retry if no better estimate is known.
 const blockedRetryAfter = 100 * time.Millisecond
 
-// addReason records why an upstream is excluded. The reason that ends first is kept.
+// addReason records why an upstream is excluded. The reason that ends first is kept, one that lasts only without another.
 func (e *BlockedError) addReason(reason BlockedReason, wait time.Duration) {
-	if e.Reason == BlockedNoUpstream || wait < e.RetryAfter {
+	if reason.lasts() && e.Reason != BlockedNoUpstream {
+		return
+	}
+	if e.Reason == BlockedNoUpstream || e.Reason.lasts() || wait < e.RetryAfter {
 		e.Reason, e.RetryAfter = reason, max(wait, blockedRetryAfter/4)
 	}
 }
--- a/internal/program/entry/daemon.go
+++ b/internal/program/entry/daemon.go
@@ -99,6 +99,9 @@
 	// behindSince is when a peer was first found to have read farther than this daemon; zero if none has. Only
 	// fetchMissingRecords uses it.
 	behindSince time.Time
+	// askedPeer is set once a peer has sent its records. Only maintain uses it.
+	askedPeer     bool
+	evacuationLog evacuationLog
 }
 
 const (
@@ -152,6 +155,7 @@
 		FleetSize:       d.meshSize,
 		UpstreamLimits:  &d.upstreamLimits,
 		RejectionLimits: &d.rejectionLimits,
+		EvacuationTime:  evacuationTime(s.Limits.EvacuationMs),
 		OldWeightsGrace: oldWeightsGrace(time.Duration(s.Limits.WeightsMs) * time.Millisecond),
 	}
 	d.follower = &feed.Follower{
@@ -224,7 +228,7 @@
 		Shedders:        &view.PerService[shed.Controller]{},
 		Pool:            upstreams,
 		CanConnect:      d.canConnect,
-		Peers:           &detour.Chooser{Self: s.DaemonID, Peers: d.table.All, IsAlive: d.table.IsAlive, IsActive: d.isActivePeer, ConfigVersion: d.configVersion},
+		Peers:           &detour.Chooser{Self: s.DaemonID, Peers: d.table.All, IsAlive: d.table.IsAlive, IsActive: d.isActivePeer, ConfigVersion: d.configVersion, EvacuationOffset: d.evacuationOffset},
 		PeerPool:        &httpc.Pool{DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout},
 		Bodies:          &proxy.BodyBudget{MaxBytes: int64(s.Resources.MemoryMB * bytesPerMB / bodyMemoryDivisor)},
 		Stop:            &d.requestStop,
--- a/internal/program/entry/helpers_test.go
+++ b/internal/program/entry/helpers_test.go
@@ -32,6 +32,8 @@
 	graceS float64
 	// weightsMs is the limit on replaced weights in milliseconds; 8000 if 0.
 	weightsMs int64
+	// evacuationMs is the time after which an evacuation binds in milliseconds.
+	evacuationMs int64
 	// cuttable gives each daemon a link to the upstreams that can be cut.
 	cuttable bool
 	t        *testing.T
@@ -80,7 +82,7 @@
 		Store: f.store.Serve(faults),
 		Limits: setup.EntryLimits{
 			GraceS: cmp.Or(f.graceS, 4), LeaseMs: 3000, Fenced: true, WeightsMs: cmp.Or(f.weightsMs, 8000), RetryShare: 0.2, RetrySlack: cmp.Or(f.retrySlack, 50), RetryWindowS: 10,
-			DirectoryTTLS: 5,
+			DirectoryTTLS: 5, EvacuationMs: f.evacuationMs,
 		},
 	}
 	ctx, cancel := context.WithCancel(f.t.Context())
--- a/internal/program/entry/listeners.go
+++ b/internal/program/entry/listeners.go
@@ -67,6 +67,8 @@
 	// Limits are the rates that upstreams limit all daemons to, Rollouts the shifts of traffic to new releases.
 	Limits   []limitStatus   `json:"limits"`
 	Rollouts []rolloutStatus `json:"rollouts"`
+	// Evacuations are the failure domains whose upstreams get no requests.
+	Evacuations []evacuationStatus `json:"evacuations"`
 	// RejectionLimits tells how many rejections upstreams bear.
 	RejectionLimits []rejectionLimitStatus `json:"rejectionLimits"`
 	// Quarantines are the sets of prompt parts whose requests are refused, and the whole requests that are.
@@ -141,6 +143,8 @@
 		Requests:   d.inFlight.Load(),
 		StoreAgeMs: d.follower.StoreAge().Milliseconds(),
 		Upstreams:  len(d.snapshots.Upstreams().ByID),
+
+		Evacuations: d.evacuations(),
 	}
 	if c := d.snapshots.Config(); c != nil {
 		s.ConfigVersion = c.Version
--- a/internal/program/entry/peers.go
+++ b/internal/program/entry/peers.go
@@ -263,6 +263,7 @@
 			klog.InfoS("Peer removed", "peer", id)
 		}
 		d.fetchMissingRecords(ctx)
+		d.reportEvacuations()
 		d.detector.Tick()
 		scope.Sleep(ctx, maintenancePeriod)
 	}
@@ -272,6 +273,9 @@
 // for at least catchUpDelay.
 func (d *Daemon) fetchMissingRecords(ctx context.Context) {
 	operators, upstreams := d.follower.NextOffset(extern.TopicOperators), d.follower.NextOffset(extern.TopicUpstreams)
+	if d.follower.Loaded() && operators.Era() == 0 {
+		d.askedPeer = true
+	}
 	best, ok := d.bestInformedPeer(operators, upstreams)
 	now := time.Now()
 	if !ok {
@@ -285,7 +289,7 @@
 		return
 	}
 	since := operators
-	if d.hasNewerVersions(&best) {
+	if d.hasNewerVersions(&best) || d.startedOnCopy() {
 		// The peer knows newer states than the store, which has returned from an older copy.
 		since = 0
 	}
@@ -296,6 +300,7 @@
 		klog.InfoS("Peer did not send the missing records", "peer", best.ID, "reason", err.Error())
 		return
 	}
+	d.askedPeer = true
 	d.follower.ApplyChanges(extern.TopicOperators, decodeChanges(best.ID, reply.GetOperators(), reply.GetOperatorsNext(), false))
 	d.follower.ApplyChanges(extern.TopicUpstreams, decodeChanges(best.ID, reply.GetUpstreams(), reply.GetUpstreamsNext(), reply.GetUpstreamsWhole()))
 }
@@ -320,7 +325,7 @@
 		}
 		d.follower.AdvanceTo(extern.TopicUpstreams, p.SkippableOffset(upstreams))
 		lead := max(p.OperatorsOffset, operators) - operators + max(p.LastChangeOffset, upstreams) - upstreams
-		if d.hasNewerVersions(&p) {
+		if d.hasNewerVersions(&p) || d.startedOnCopy() && p.OperatorsOffset >= operators {
 			lead++
 		}
 		// A peer that knows all changes since this daemon's offset sends few records, any other one the whole list.
--- a/internal/state/view/snapshots.go
+++ b/internal/state/view/snapshots.go
@@ -18,10 +18,11 @@
 
 // Snapshots publishes the newest snapshot of each kind. Readers load it without a lock. The zero value is empty.
 type Snapshots struct {
-	config    atomic.Pointer[Config]
-	upstreams atomic.Pointer[Upstreams]
-	weights   atomic.Pointer[map[ident.ModelID]Weights]
-	rollouts  atomic.Pointer[map[ServiceID]Rollout]
+	config      atomic.Pointer[Config]
+	upstreams   atomic.Pointer[Upstreams]
+	weights     atomic.Pointer[map[ident.ModelID]Weights]
+	rollouts    atomic.Pointer[map[ServiceID]Rollout]
+	evacuations atomic.Pointer[map[ident.FailureDomain]Evacuation]
 
 	mu sync.Mutex
 }
--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -86,8 +86,9 @@
 // nextChoice returns the upstream for the next attempt: the one that was secured, or one that is chosen now. Without one, the request has
 // ended with the error.
 func (c *call) nextChoice(p *progress) (*place.Choice, error) {
-	if p.next != nil && time.Since(p.next.securedAt) > successorInterval {
-		// The cancelled attempt was still writing to its caller, who read nothing, so that the check when it was secured is out of date.
+	if p.next != nil && (time.Since(p.next.securedAt) > successorInterval || !c.Placer.Allows(p.next.choice, p.next.request)) {
+		// The cancelled attempt was still writing to its caller, who read nothing, so that the check when it was secured is out of date, or
+		// an operator has closed the upstream to the request.
 		c.release(p.next)
 		p.next = nil
 	}
@@ -321,7 +322,7 @@
 // and a quarter of the time to the deadline. It reports false if waiting doesn't help.
 func (c *call) waitForUpstream(err error, p *progress) bool {
 	var blocked *place.BlockedError
-	if p.held || !errors.As(err, &blocked) || blocked.Reason == place.BlockedNoUpstream {
+	if p.held || !errors.As(err, &blocked) || !blocked.Ends() {
 		return false
 	}
 	p.held = true
--- a/internal/transport/proxy/successor_test.go
+++ b/internal/transport/proxy/successor_test.go
@@ -25,7 +25,10 @@
 	}{
 		"key withdrawn": {func(c *call) { c.Snapshots.SetConfig(&view.Config{Version: 2}) }, ReasonUnknownKey},
 		"time is over":  {func(c *call) { c.deadline = time.Now() }, ReasonTimeout},
-		"long ago":      {func(*call) { time.Sleep(2 * time.Second) }, ReasonNoUpstream},
+		"evacuated": {func(c *call) {
+			c.Snapshots.SetEvacuation(view.Evacuation{FailureDomain: "z", Offset: 1})
+		}, ReasonNoUpstream},
+		"long ago": {func(*call) { time.Sleep(2 * time.Second) }, ReasonNoUpstream},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -45,7 +48,7 @@
 				full := budget.Balance()
 				require.True(t, budget.TryWithdraw())
 				p := &progress{placeReq: &place.Request{}, next: &successor{
-					choice: &place.Choice{Upstream: &view.Upstream{ID: "u"}}, request: &place.Request{}, securedAt: time.Now(),
+					choice: &place.Choice{Upstream: &view.Upstream{ID: "u", FailureDomain: "z"}}, request: &place.Request{}, securedAt: time.Now(),
 				}}
 				c.change(r)
 				choice, err := r.nextChoice(p)
