Keep requests, bodies and cached parts in their homes

The configuration's allowed-regions were ignored: requests went to upstreams in any region.

Every choice of an upstream asks the homes of route and organisation, and takes KV cache stores and engines to fetch from in these only. Prompts with homes have cache salts of their own, so that no other request moves their parts. Peers that run requests for others are taken in the homes. The directory names daemons in the caller's region where there are several.

--- a/internal/coordination/detour/chooser.go
+++ b/internal/coordination/detour/chooser.go
@@ -27,6 +27,8 @@
 	// EvacuationOffset returns up to where a peer must have read the operators' topic to know which upstreams are evacuated; nil for
 	// anywhere.
 	EvacuationOffset func() ident.Offset
+	// Regions maps the peers' failure domains to regions.
+	Regions view.Regions
 
 	mu       sync.Mutex
 	inFlight map[ident.DaemonID]int
@@ -34,10 +36,19 @@
 	newestVersion int64
 }
 
-// Choose returns a peer that can connect to upstreams of the service, other than those that were tried; false if there is none. The
-// choice ends with Release.
-func (c *Chooser) Choose(service view.ServiceID, tried []ident.DaemonID) (fleet.Peer, bool) {
-	candidates := c.candidates(service, tried)
+// Request is what the choice of a peer depends on.
+type Request struct {
+	// Service is that to whose upstreams the peer has to connect.
+	Service view.ServiceID
+	// Homes are the regions whose daemons may get the request.
+	Homes view.Homes
+	// Tried are the peers that the request was already passed on to.
+	Tried []ident.DaemonID
+}
+
+// Choose returns a peer that may run the request; false if there is none. The choice ends with Release.
+func (c *Chooser) Choose(r *Request) (fleet.Peer, bool) {
+	candidates := c.candidates(r)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	candidates = withVersion(candidates, max(c.ConfigVersion(), c.newestVersion))
@@ -58,8 +69,8 @@
 }
 
 // HasCandidate reports whether Choose would find a peer.
-func (c *Chooser) HasCandidate(service view.ServiceID, tried []ident.DaemonID) bool {
-	return len(c.candidates(service, tried)) > 0
+func (c *Chooser) HasCandidate(r *Request) bool {
+	return len(c.candidates(r)) > 0
 }
 
 // withVersion returns the peers whose configuration has the given version or a newer one, so that callers of this daemon don't see an
@@ -81,8 +92,8 @@
 	}
 }
 
-// candidates returns the peers that may run a request to the service: the active ones, or if none of them may the others.
-func (c *Chooser) candidates(service view.ServiceID, tried []ident.DaemonID) []fleet.Peer {
+// candidates returns the peers that may run a request: the active ones, or if none of them may the others.
+func (c *Chooser) candidates(r *Request) []fleet.Peer {
 	now := time.Now()
 	var minOffset ident.Offset
 	if c.EvacuationOffset != nil {
@@ -91,7 +102,7 @@
 	var active, idle []fleet.Peer
 	for _, p := range c.Peers() {
 		if !p.Alive(now) || !p.Ready || p.Leaving || !p.TakesRequests || p.OperatorsOffset < minOffset ||
-			slices.Contains(p.UnreachableServices, service) || slices.Contains(tried, p.ID) {
+			slices.Contains(p.UnreachableServices, r.Service) || slices.Contains(r.Tried, p.ID) || !c.Regions.Allows(r.Homes, p.Domain) {
 			continue
 		}
 		if c.IsActive(p.ID) {
--- a/internal/coordination/detour/chooser_test.go
+++ b/internal/coordination/detour/chooser_test.go
@@ -36,14 +36,14 @@
 		active := map[ident.DaemonID]bool{}
 		c := &Chooser{Peers: func() []fleet.Peer { return peers }, IsActive: func(id ident.DaemonID) bool { return active[id] }, ConfigVersion: ownVersion}
 		for range 20 {
-			p, ok := c.Choose("s", nil)
+			p, ok := c.Choose(&Request{Service: "s"})
 			require.True(t, ok)
 			require.EqualValues(t, "idle", p.ID, "there is no active one")
 		}
-		_, ok := c.Choose("s", []ident.DaemonID{"idle"})
+		_, ok := c.Choose(&Request{Service: "s", Tried: []ident.DaemonID{"idle"}})
 		require.False(t, ok)
 		active["cut"] = true
-		p, ok := c.Choose("other", nil)
+		p, ok := c.Choose(&Request{Service: "other"})
 		require.True(t, ok)
 		require.EqualValues(t, "cut", p.ID, "it reaches the other service, and is active")
 	})
@@ -60,13 +60,33 @@
 			EvacuationOffset: func() ident.Offset { return 8 },
 		}
 		for range 20 {
-			p, ok := c.Choose("s", nil)
+			p, ok := c.Choose(&Request{Service: "s"})
 			require.True(t, ok)
 			require.EqualValues(t, "ahead", p.ID)
 		}
 	})
 }
 
+// Guards against passing requests to daemons outside of their homes.
+func TestPeersAbroadAreNotChosen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		peers := []fleet.Peer{
+			newPeer("home", func(p *fleet.Peer) { p.Domain = "n1" }), newPeer("abroad", func(p *fleet.Peer) { p.Domain = "s1" }),
+			newPeer("nowhere", nil),
+		}
+		c := &Chooser{
+			Peers: func() []fleet.Peer { return peers }, IsActive: func(ident.DaemonID) bool { return true }, ConfigVersion: ownVersion,
+			Regions: view.Regions{"n1": "north", "s1": "south"},
+		}
+		for range 20 {
+			p, ok := c.Choose(&Request{Service: "s", Homes: view.Homes{"north"}})
+			require.True(t, ok)
+			require.EqualValues(t, "home", p.ID)
+		}
+		require.False(t, c.HasCandidate(&Request{Service: "s", Homes: view.Homes{"west"}}))
+	})
+}
+
 // Guards against one peer that gets all requests.
 func TestRequestsAreSpreadOverPeers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -74,7 +94,7 @@
 		c := &Chooser{Peers: func() []fleet.Peer { return peers }, IsActive: func(ident.DaemonID) bool { return true }, ConfigVersion: ownVersion}
 		chosen := map[ident.DaemonID]int{}
 		for range 400 {
-			p, ok := c.Choose("s", nil)
+			p, ok := c.Choose(&Request{Service: "s"})
 			require.True(t, ok)
 			chosen[p.ID]++
 		}
@@ -97,7 +117,7 @@
 		var peers []fleet.Peer
 		c := &Chooser{Peers: func() []fleet.Peer { return peers }, IsActive: func(ident.DaemonID) bool { return true }, ConfigVersion: ownVersion}
 		choose := func() ident.DaemonID {
-			p, ok := c.Choose("s", nil)
+			p, ok := c.Choose(&Request{Service: "s"})
 			require.True(t, ok)
 			return p.ID
 		}
--- a/internal/coordination/fleet/table.go
+++ b/internal/coordination/fleet/table.go
@@ -252,6 +252,24 @@
 	return n
 }
 
+// CallerAddressesAmong returns the addresses of the active daemons that are selected, or of all ready ones if no active one is; empty if none is.
+func (t *Table) CallerAddressesAmong(own Peer, selected func(*Peer) bool) []string {
+	now := time.Now()
+	ready := slices.DeleteFunc(append(t.All(), own), func(p Peer) bool { return !p.Ready || p.Leaving || p.ID != own.ID && !p.Alive(now) })
+	for _, peers := range [][]Peer{t.Active(own), ready} {
+		var out []string
+		for i := range peers {
+			if p := &peers[i]; p.CallerAddress != "" && selected(p) {
+				out = append(out, p.CallerAddress)
+			}
+		}
+		if len(out) > 0 {
+			return out[:min(len(out), maxCallerAddresses)]
+		}
+	}
+	return nil
+}
+
 // CallerAddresses returns the addresses of the active daemons, to which callers should connect. If there are no others,
 // this daemon may be partitioned itself, and the result includes all ready daemons that it knows.
 func (t *Table) CallerAddresses(own Peer) []string {
--- a/internal/coordination/place/barred.go
+++ b/internal/coordination/place/barred.go
@@ -23,7 +23,10 @@
 }
 
 // barred returns why operators keep a request from an upstream; empty if they don't.
-func (p *Placer) barred(_ *Request, chain string, u *view.Upstream, now time.Time) BlockedReason {
+func (p *Placer) barred(r *Request, chain string, u *view.Upstream, now time.Time) BlockedReason {
+	if !p.Regions.Allows(r.Homes, u.FailureDomain) {
+		return BlockedAbroad
+	}
 	if e, ok := p.Snapshots.Evacuation(u.FailureDomain); ok && p.hasLeft(&e, chain, now) {
 		return BlockedEvacuated
 	}
--- a/internal/coordination/place/placer.go
+++ b/internal/coordination/place/placer.go
@@ -23,8 +23,9 @@
 
 // CacheStores looks up KV cache stores.
 type CacheStores interface {
-	// StoreFor returns the store that is responsible for a prefix chain, or nil if it is not available.
-	StoreFor(chain string) *kvdir.Store
+	// StoreFor returns the store that is responsible for a prefix chain among those in the allowed failure domains, or nil if none is
+	// available.
+	StoreFor(chain string, allowed func(ident.FailureDomain) bool) *kvdir.Store
 	// Count returns the number of stores.
 	Count() int
 }
@@ -49,6 +50,8 @@
 	// EvacuationTime is the time in which the prompts of a failure domain's upstreams move to others when its evacuation begins; 0 for
 	// at once.
 	EvacuationTime time.Duration
+	// Regions maps failure domains to regions; homes bind only where it is set.
+	Regions view.Regions
 
 	mu             sync.Mutex
 	upstreamStates map[ident.UpstreamID]*upstreamState
@@ -121,7 +124,7 @@
 	q.maxReportAge = p.peerReportTTL()
 	q.engine = p.engineConfig(r.Service)
 	if p.Stores != nil && q.chain != "" {
-		q.store = p.Stores.StoreFor(q.chain)
+		q.store = p.Stores.StoreFor(q.chain, func(domain ident.FailureDomain) bool { return p.Regions.Allows(r.Homes, domain) })
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/coordination/place/request.go
+++ b/internal/coordination/place/request.go
@@ -23,6 +23,8 @@
 	Input ident.Tokens
 	// CacheScope tells whose cached parts the request may use.
 	CacheScope view.CacheScope
+	// Homes are the regions that may serve the request.
+	Homes view.Homes
 	// Tried are the upstreams that the request has already been sent to.
 	Tried []ident.UpstreamID
 	// Releases restricts the upstreams by the release of their software; nil for no restriction.
@@ -166,7 +168,7 @@
 
 // addReason records why an upstream is excluded. The reason that ends first is kept, one that lasts only without another.
 func (e *BlockedError) addReason(reason BlockedReason, wait time.Duration) {
-	if reason.lasts() && e.Reason != BlockedNoUpstream {
+	if reason.lasts() && e.Reason != BlockedNoUpstream && e.Reason != BlockedAbroad {
 		return
 	}
 	if e.Reason == BlockedNoUpstream || e.Reason.lasts() || wait < e.RetryAfter {
--- a/internal/coordination/place/scope_ages.go
+++ b/internal/coordination/place/scope_ages.go
@@ -38,6 +38,7 @@
 
 // isNew reports whether a scope has begun too recently for the prefixes in use to be in the engines' caches.
 func (a *scopeAges) isNew(scope view.CacheScope, now time.Time) bool {
+	scope.Homes = ""
 	at := a.since[scope]
 	return !at.IsZero() && now.Sub(at) <= defaultCacheRetention
 }
--- a/internal/coordination/place/store_link_test.go
+++ b/internal/coordination/place/store_link_test.go
@@ -16,7 +16,7 @@
 // singleStore is a KV cache store that is responsible for all chains.
 type singleStore struct{ store *kvdir.Store }
 
-func (s *singleStore) StoreFor(string) *kvdir.Store { return s.store }
+func (s *singleStore) StoreFor(string, func(ident.FailureDomain) bool) *kvdir.Store { return s.store }
 
 func (s *singleStore) Count() int { return 1 }
 
--- a/internal/program/entry/daemon.go
+++ b/internal/program/entry/daemon.go
@@ -155,6 +155,7 @@
 		FleetSize:       d.meshSize,
 		UpstreamLimits:  &d.upstreamLimits,
 		RejectionLimits: &d.rejectionLimits,
+		Regions:         view.Regions(s.Regions),
 		EvacuationTime:  evacuationTime(s.Limits.EvacuationMs),
 		OldWeightsGrace: oldWeightsGrace(time.Duration(s.Limits.WeightsMs) * time.Millisecond),
 	}
@@ -217,6 +218,7 @@
 	}
 	d.handler = &proxy.Handler{
 		Rollouts:        d.rollouts,
+		Regions:         view.Regions(s.Regions),
 		Snapshots:       &d.snapshots,
 		Dialect:         platform.Dialect{},
 		Placer:          d.placer,
@@ -228,7 +230,7 @@
 		Shedders:        &view.PerService[shed.Controller]{},
 		Pool:            upstreams,
 		CanConnect:      d.canConnect,
-		Peers:           &detour.Chooser{Self: s.DaemonID, Peers: d.table.All, IsAlive: d.table.IsAlive, IsActive: d.isActivePeer, ConfigVersion: d.configVersion, EvacuationOffset: d.evacuationOffset},
+		Peers:           &detour.Chooser{Self: s.DaemonID, Peers: d.table.All, IsAlive: d.table.IsAlive, IsActive: d.isActivePeer, ConfigVersion: d.configVersion, EvacuationOffset: d.evacuationOffset, Regions: view.Regions(s.Regions)},
 		PeerPool:        &httpc.Pool{DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout},
 		Bodies:          &proxy.BodyBudget{MaxBytes: int64(s.Resources.MemoryMB * bytesPerMB / bodyMemoryDivisor)},
 		Stop:            &d.requestStop,
--- a/internal/program/entry/evacuation_test.go
+++ b/internal/program/entry/evacuation_test.go
@@ -18,12 +18,16 @@
 // evacuateOwn evacuates the failure domain of the tests' daemons, which prefer its upstreams.
 const evacuateOwn, own = "evacuate/z", "z"
 
-// startUpstreamIn starts an upstream of the service app in a failure domain.
+// startUpstreamIn starts an upstream in a failure domain, of the service llm if it has a model, else of app.
 func (f *testFleet) startUpstreamIn(domain string, w *standin.Upstream) *standin.Upstream {
 	f.t.Helper()
 	address := w.Start()
 	f.t.Cleanup(w.Close)
-	r := w.Registration("app", address, "ready")
+	service := "app"
+	if w.Model != "" {
+		service = "llm"
+	}
+	r := w.Registration(service, address, "ready")
 	r["zone"] = domain
 	f.store.Put("keyed.servers", w.ID, r)
 	return w
--- a/internal/program/entry/helpers_test.go
+++ b/internal/program/entry/helpers_test.go
@@ -34,6 +34,9 @@
 	weightsMs int64
 	// evacuationMs is the time after which an evacuation binds in milliseconds.
 	evacuationMs int64
+	// regions maps failure domains to regions; domains holds the failure domains of daemons that aren't in z.
+	regions map[ident.FailureDomain]ident.Region
+	domains map[string]ident.FailureDomain
 	// cuttable gives each daemon a link to the upstreams that can be cut.
 	cuttable bool
 	t        *testing.T
@@ -74,7 +77,8 @@
 	s := &setup.Entry{
 		Resources:     vm,
 		DaemonID:      ident.DaemonID(id),
-		FailureDomain: "z",
+		FailureDomain: cmp.Or(f.domains[id], "z"),
+		Regions:       f.regions,
 		Listen: setup.EntryListen{
 			Callers: standin.FreeAddress(), Ready: standin.FreeAddress(), Directory: standin.FreeAddress(), Peers: standin.FreeAddress(), Admin: standin.FreeAddress(),
 			Metrics: standin.FreeAddress(),
--- a/internal/program/entry/listeners.go
+++ b/internal/program/entry/listeners.go
@@ -32,8 +32,8 @@
 }
 
 // serveDirectory responds with the addresses that callers should connect to.
-func (d *Daemon) serveDirectory(w http.ResponseWriter, _ *http.Request) {
-	addresses := d.table.CallerAddresses(d.self())
+func (d *Daemon) serveDirectory(w http.ResponseWriter, r *http.Request) {
+	addresses := d.callerAddresses(platform.DirectoryCaller(r))
 	if len(addresses) == 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/internal/state/kvdir/stores.go
+++ b/internal/state/kvdir/stores.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/gooseberryway/gooseberryway/internal/state/extern"
+	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/state/scope"
 	"github.com/gooseberryway/gooseberryway/internal/state/view"
 )
@@ -87,14 +88,17 @@
 	return f
 }
 
-// StoreFor returns the store of a prefix chain: the available store with the highest rendezvous score. It returns nil if
-// no store is available.
-func (s *Stores) StoreFor(chain string) *Store {
+// StoreFor returns the store of a prefix chain: the available store with the highest rendezvous score among those in the allowed failure
+// domains; all are if allowed is nil. It returns nil if no such store is available.
+func (s *Stores) StoreFor(chain string, allowed func(ident.FailureDomain) bool) *Store {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	var best *Store
 	var highestScore uint64
 	for _, f := range s.followers {
+		if allowed != nil && !allowed(f.FailureDomain) {
+			continue
+		}
 		score := xxhash.Sum64String(f.Address + "\x00" + chain)
 		if (best == nil || score > highestScore) && f.Available() {
 			best, highestScore = f.Store, score
--- a/internal/state/kvdir/stores_test.go
+++ b/internal/state/kvdir/stores_test.go
@@ -63,7 +63,7 @@
 			out := map[string]string{}
 			for i := range 300 {
 				chain := fmt.Sprint(i)
-				if store := s.StoreFor(chain); store != nil {
+				if store := s.StoreFor(chain, nil); store != nil {
 					out[chain] = store.Address
 				}
 			}
--- a/internal/state/view/cache_scope.go
+++ b/internal/state/view/cache_scope.go
@@ -21,14 +21,21 @@
 	// Whatever is cached under a pool was made by organisations outside that set and is used only while the same set is in force. So no
 	// history is needed: all daemons that know a configuration agree, also after a restart or without the platform's store.
 	Pool string
+	// Homes is the digest of the homes of the requests; empty without homes. Parts of prompts with homes are not shared with others, whose
+	// requests may move them to other regions.
+	Homes string
 }
 
 // Salt returns a text that differs between scopes.
 func (s CacheScope) Salt() string {
+	salt := "p." + s.Pool
 	if s.Owner != "" {
-		return "o." + string(s.Owner)
+		salt = "o." + string(s.Owner)
 	}
-	return "p." + s.Pool
+	if s.Homes != "" {
+		salt = "h." + s.Homes + "." + salt
+	}
+	return salt
 }
 
 // sharedScope returns the scope of the organisations that aren't isolated.
--- a/internal/transport/proxy/detour.go
+++ b/internal/transport/proxy/detour.go
@@ -12,6 +12,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/gooseberryway/gooseberryway/internal/coordination/detour"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/fleet"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
 	"github.com/gooseberryway/gooseberryway/internal/transport/httpc"
@@ -29,6 +30,11 @@
 // isCutOff reports whether this daemon can connect to no upstream of the request's service.
 func (c *call) isCutOff() bool { return c.Peers != nil && c.Placer.IsUnreachable(c.service) }
 
+// detourRequest describes the request to the choice of a peer, other than those that were tried.
+func (c *call) detourRequest(tried []ident.DaemonID) *detour.Request {
+	return &detour.Request{Service: c.service, Homes: c.homes(), Tried: tried}
+}
+
 // passOn has a peer run the request. It returns false if no peer was found that may have run it or has answered it, so that the request
 // may still be refused here.
 func (c *call) passOn() (ended bool, err error) {
@@ -44,7 +50,7 @@
 		if c.mayHaveRun() && !c.mayRunAgain() {
 			return true, c.endAfterLastAttempt(ReasonUnreachable)
 		}
-		peer, ok := c.Peers.Choose(c.service, tried)
+		peer, ok := c.Peers.Choose(c.detourRequest(tried))
 		if !ok {
 			break
 		}
@@ -169,7 +175,7 @@
 	if o := c.obstacle(); o != obstacleNone {
 		return o
 	}
-	if !c.Peers.HasCandidate(c.service, tried) {
+	if !c.Peers.HasCandidate(c.detourRequest(tried)) {
 		return obstacleNoPeer
 	}
 	return obstacleNone
--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -133,7 +133,7 @@
 		// The attempt before ended unsent.
 		c.RetryBudgets.Of(c.service).Return()
 	}
-	p.placeReq.CacheScope, p.placeReq.Releases = s.request.CacheScope, s.request.Releases
+	p.placeReq.CacheScope, p.placeReq.Releases, p.placeReq.Homes = s.request.CacheScope, s.request.Releases, s.request.Homes
 	return s.choice, nil
 }
 
@@ -159,6 +159,8 @@
 
 // choose returns the upstream for an attempt. A request for which no upstream of a new release takes requests goes to one of another release.
 func (c *call) choose(r *place.Request, repeat bool) (*place.Choice, error) {
+	r.Homes = c.homes()
+	r.CacheScope.Homes = r.Homes.Digest()
 	r.Releases = c.Rollouts.Releases(c.rolloutRequest(r, repeat))
 	choice, err := c.Placer.Choose(r)
 	if f := r.Releases; err != nil && f != nil && !f.Except {
@@ -318,6 +320,19 @@
 	return c.Snapshots.Config().CacheScope(c.organisationID())
 }
 
+// homes returns the regions that may serve the request. Those of its organisation are taken from the configuration in force, as its cache
+// scope is.
+func (c *call) homes() view.Homes {
+	if len(c.Regions) == 0 {
+		return nil
+	}
+	o := c.org
+	if now := c.Snapshots.Config(); o != nil && now.Organisations[o.ID] != nil {
+		o = now.Organisations[o.ID]
+	}
+	return c.Regions.Homes(c.route, o)
+}
+
 // waitForUpstream waits, at most once per request, for an upstream that is expected to accept requests within maxHold
 // and a quarter of the time to the deadline. It reports false if waiting doesn't help.
 func (c *call) waitForUpstream(err error, p *progress) bool {
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -56,7 +56,10 @@
 	// CanConnect reports whether a connection to an upstream succeeds within a short time.
 	CanConnect func(ctx context.Context, address string) bool
 	// Peers chooses the peers that run requests whose service this daemon can't reach, over connections of PeerPool; nil for none.
-	Peers    *detour.Chooser
+	Peers *detour.Chooser
+	// Regions maps failure domains to regions; homes bind only where it is set.
+	Regions view.Regions
+
 	PeerPool *httpc.Pool
 	// Bodies bounds the memory of request bodies.
 	Bodies *BodyBudget
--- a/internal/transport/proxy/successor.go
+++ b/internal/transport/proxy/successor.go
@@ -58,7 +58,7 @@
 	r.CacheScope = c.cacheScope()
 	choice, err := c.choose(r, true)
 	switch {
-	case err != nil && c.isCutOff() && c.hop == nil && !c.detoured && c.Peers.HasCandidate(c.service, nil):
+	case err != nil && c.isCutOff() && c.hop == nil && !c.detoured && c.Peers.HasCandidate(c.detourRequest(nil)):
 		return nil, obstacleNone
 	case err != nil:
 		return nil, obstacleNoUpstream
