--- a/internal/coordination/place/placer.go
+++ b/internal/coordination/place/placer.go
@@ -23,8 +23,9 @@
 
 // CacheStores looks up KV cache stores.
 type CacheStores interface {
-	// StoreFor returns the store that is responsible for a prefix chain, or nil if it is not available.
-	StoreFor(chain string) *kvdir.Store
+	// StoreFor returns the store that is responsible for a prefix chain among those in the allowed failure domains, or nil if none is
+	// available.
+	StoreFor(chain string, allowed func(ident.FailureDomain) bool) *kvdir.Store
 	// Count returns the number of stores.
 	Count() int
 }
@@ -46,6 +47,11 @@
 	UpstreamLimits *uprate.Table
 	// RejectionLimits holds how many rejections upstreams bear; nil for none.
 	RejectionLimits *reject.Table
+	// EvacuationTime is the time in which the prompts of a failure domain's upstreams move to others when its evacuation begins; 0 for
+	// at once.
+	EvacuationTime time.Duration
+	// Regions maps failure domains to regions; homes bind only where it is set.
+	Regions view.Regions
 
 	mu             sync.Mutex
 	upstreamStates map[ident.UpstreamID]*upstreamState
@@ -118,7 +124,7 @@
 	q.maxReportAge = p.peerReportTTL()
 	q.engine = p.engineConfig(r.Service)
 	if p.Stores != nil && q.chain != "" {
-		q.store = p.Stores.StoreFor(q.chain)
+		q.store = p.Stores.StoreFor(q.chain, func(domain ident.FailureDomain) bool { return p.Regions.Allows(r.Homes, domain) })
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -263,6 +269,8 @@
 	// engine holds the published properties of the service's engines, prefillPerToken their prefill time per token.
 	engine          *view.Engine
 	prefillPerToken time.Duration
+	// moved says that the chain's most preferred engines are evacuated since a short time, so that those after them may not have it cached.
+	moved bool
 	// byVersion holds what is the same for all candidates with the same weight version.
 	byVersion map[int64]*versionState
 }
@@ -298,6 +306,11 @@
 			klog.InfoS("Upstream silent", "upstream", u.ID, "requests", state.own.Requests, "unread", state.own.PrefillTokens,
 				"silentMs", q.now.Sub(state.lastActiveAt).Milliseconds())
 		}
+		if reason := p.barred(q.request, q.chain, u, q.now); reason != "" {
+			blocked.addReason(reason, barredRetryAfter)
+			q.moved = q.moved || len(out) == 0 && p.wasLeftLately(u, q.now)
+			continue
+		}
 		if reason, wait := p.exclusionReason(state, u, q.request.Model, q.namedWeights, q.now); reason != "" {
 			blocked.addReason(reason, wait)
 			continue
--- a/internal/program/entry/helpers_test.go
+++ b/internal/program/entry/helpers_test.go
@@ -32,6 +32,11 @@
 	graceS float64
 	// weightsMs is the limit on replaced weights in milliseconds; 8000 if 0.
 	weightsMs int64
+	// evacuationMs is the time after which an evacuation binds in milliseconds.
+	evacuationMs int64
+	// regions maps failure domains to regions; domains holds the failure domains of daemons that aren't in z.
+	regions map[ident.FailureDomain]ident.Region
+	domains map[string]ident.FailureDomain
 	// cuttable gives each daemon a link to the upstreams that can be cut.
 	cuttable bool
 	t        *testing.T
@@ -72,7 +77,8 @@
 	s := &setup.Entry{
 		Resources:     vm,
 		DaemonID:      ident.DaemonID(id),
-		FailureDomain: "z",
+		FailureDomain: cmp.Or(f.domains[id], "z"),
+		Regions:       f.regions,
 		Listen: setup.EntryListen{
 			Callers: standin.FreeAddress(), Ready: standin.FreeAddress(), Directory: standin.FreeAddress(), Peers: standin.FreeAddress(), Admin: standin.FreeAddress(),
 			Metrics: standin.FreeAddress(),
@@ -80,7 +86,7 @@
 		Store: f.store.Serve(faults),
 		Limits: setup.EntryLimits{
 			GraceS: cmp.Or(f.graceS, 4), LeaseMs: 3000, Fenced: true, WeightsMs: cmp.Or(f.weightsMs, 8000), RetryShare: 0.2, RetrySlack: cmp.Or(f.retrySlack, 50), RetryWindowS: 10,
-			DirectoryTTLS: 5,
+			DirectoryTTLS: 5, EvacuationMs: f.evacuationMs,
 		},
 	}
 	ctx, cancel := context.WithCancel(f.t.Context())
--- a/internal/program/entry/listeners.go
+++ b/internal/program/entry/listeners.go
@@ -32,8 +32,8 @@
 }
 
 // serveDirectory responds with the addresses that callers should connect to.
-func (d *Daemon) serveDirectory(w http.ResponseWriter, _ *http.Request) {
-	addresses := d.table.CallerAddresses(d.self())
+func (d *Daemon) serveDirectory(w http.ResponseWriter, r *http.Request) {
+	addresses := d.callerAddresses(platform.DirectoryCaller(r))
 	if len(addresses) == 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -67,6 +67,8 @@
 	// Limits are the rates that upstreams limit all daemons to, Rollouts the shifts of traffic to new releases.
 	Limits   []limitStatus   `json:"limits"`
 	Rollouts []rolloutStatus `json:"rollouts"`
+	// Evacuations are the failure domains whose upstreams get no requests.
+	Evacuations []evacuationStatus `json:"evacuations"`
 	// RejectionLimits tells how many rejections upstreams bear.
 	RejectionLimits []rejectionLimitStatus `json:"rejectionLimits"`
 	// Quarantines are the sets of prompt parts whose requests are refused, and the whole requests that are.
@@ -141,6 +143,8 @@
 		Requests:   d.inFlight.Load(),
 		StoreAgeMs: d.follower.StoreAge().Milliseconds(),
 		Upstreams:  len(d.snapshots.Upstreams().ByID),
+
+		Evacuations: d.evacuations(),
 	}
 	if c := d.snapshots.Config(); c != nil {
 		s.ConfigVersion = c.Version
