--- a/internal/coordination/feed/follower.go
+++ b/internal/coordination/feed/follower.go
@@ -64,6 +64,9 @@
 	// InitialVersionAge is the assumed age, at the start of the daemon, of weight versions that its first read of the store finds. It counts
 	// from the last failed call of the store if there was one: they may have been named at the end of its outage.
 	InitialVersionAge time.Duration
+	// BoundsCold reports whether coldness bounds the requests to upstreams of a service, so that changes of it count. Nil
+	// means never.
+	BoundsCold func(view.ServiceID) bool
 	// ReadsContinuously reports whether this daemon follows a topic continuously. The other daemons get the records
 	// from it and read the store only now and then. Nil means always.
 	ReadsContinuously func(extern.Topic) bool
@@ -383,7 +386,7 @@
 		return false
 	}
 	u, ok := f.Decoder.Decode(extern.TopicUpstreams, r).(*view.Upstream)
-	if !ok || !u.SameRegistration(known) {
+	if !ok || !u.SameRegistration(known) || f.BoundsCold != nil && f.BoundsCold(u.Service) && u.ChangesColdness(known) {
 		return false
 	}
 	f.registrations.record(u)
--- a/internal/state/view/upstream.go
+++ b/internal/state/view/upstream.go
@@ -34,6 +34,8 @@
 	Weights map[ident.ModelID]int64
 	// ColdFor is how much longer the upstream expected to be cold when it wrote the registration; 0 if it was not.
 	ColdFor time.Duration
+	// ColdStated says that the registration tells whether the upstream is cold.
+	ColdStated bool
 	// Sequence numbers the registrations of this incarnation; 0 if the upstream doesn't number them.
 	Sequence int64
 	// Offset is the position of the registration in the topic.
@@ -49,6 +51,19 @@
 		maps.Equal(u.Weights, o.Weights)
 }
 
+// coldTolerance is by how much the end of coldness in registrations may differ without being a change: they take differently
+// long to arrive.
+const coldTolerance = 500 * time.Millisecond
+
+// ChangesColdness reports whether a registration that arrives now moves the end of coldness that the known one stated.
+func (u *Upstream) ChangesColdness(known *Upstream) bool {
+	if !u.ColdStated {
+		return false
+	}
+	left := max(0, time.Until(known.SeenAt.Add(known.ColdFor)))
+	return (u.ColdFor-left).Abs() > coldTolerance || u.ColdFor == 0 && left > 0
+}
+
 // Upstreams is the list of registered upstreams. It must not be changed once it is published.
 type Upstreams struct {
 	Offset    ident.Offset
