Keep what all daemons send a cold upstream below its bound

An upstream that has just started, or that turns cold, fell over under its share of the load: nothing knew that it was cold. Of the bound within a second, four fifths are now slots of one request within 1.1 s, divided over the active daemons by rendezvous hash. A choice of an upstream takes a slot, on every road, and holds it until the request is sent and for the window after that.

--- a/internal/coordination/place/placer.go
+++ b/internal/coordination/place/placer.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
+	"github.com/gooseberryway/gooseberryway/internal/coordination/cold"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/estim"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/fleet"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/reject"
@@ -46,6 +47,8 @@
 	UpstreamLimits *uprate.Table
 	// RejectionLimits holds how many rejections upstreams bear; nil for none.
 	RejectionLimits *reject.Table
+	// ColdLimits holds what cold upstreams bear; nil for no bound.
+	ColdLimits *cold.Table
 
 	mu             sync.Mutex
 	upstreamStates map[ident.UpstreamID]*upstreamState
@@ -182,9 +185,13 @@
 		blocked.addReason(BlockedFull, admission.Wait)
 		return false
 	}
+	if !p.takeCold(c, blocked) {
+		return false
+	}
 	if p.UpstreamLimits != nil {
 		ok, charged := p.UpstreamLimits.Take(c.Upstream)
 		if !ok {
+			p.returnCold(c)
 			blocked.addReason(BlockedLimited, blockedRetryAfter)
 			return false
 		}
@@ -199,6 +206,7 @@
 
 // Discard gives a choice back that is not followed by Begin.
 func (p *Placer) Discard(c *Choice) {
+	p.returnCold(c)
 	if c.chargedToLimit {
 		p.UpstreamLimits.Return(c.Upstream)
 	}
@@ -225,7 +233,7 @@
 // spaceRetries sets when the caller may retry of a request that only limits keep from running: after the callers that
 // were refused before, at the rate of the limits. All daemons refuse callers, who may return to any of them.
 func (p *Placer) spaceRetries(est *estimates, blocked *BlockedError, now time.Time) {
-	if blocked.Reason != BlockedLimited && blocked.Reason != BlockedFull || blocked.limits <= 0 {
+	if blocked.limits <= 0 || !slices.Contains([]BlockedReason{BlockedLimited, BlockedFull, BlockedCold}, blocked.Reason) {
 		return
 	}
 	daemons := 1
@@ -306,6 +314,10 @@
 			blocked.addReason(BlockedLimited, wait)
 			continue
 		}
+		if wait := p.coldFor(u, blocked); wait > 0 {
+			blocked.addReason(BlockedCold, wait)
+			continue
+		}
 		if wait := p.fullFor(state, u, q, blocked); wait > 0 {
 			blocked.addReason(BlockedFull, wait)
 			continue
--- a/internal/coordination/place/request.go
+++ b/internal/coordination/place/request.go
@@ -93,6 +93,8 @@
 	Candidates   int
 	// chargedToLimit says that the request was taken out of the upstream's limit.
 	chargedToLimit bool
+	// chargedToCold says that the request holds a slot of its cold upstream.
+	chargedToCold bool
 	// reserved says that the request is counted at its upstream until Begin, as one beyond this daemon's places there if
 	// risky is set.
 	reserved, risky bool
--- a/internal/coordination/place/tracker.go
+++ b/internal/coordination/place/tracker.go
@@ -72,6 +72,7 @@
 
 // Begin accounts for an attempt that is about to be sent.
 func (p *Placer) Begin(c *Choice, r *Request) *Tracker {
+	p.beginCold(c)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	state, now := p.upstreamState(c.Upstream), time.Now()
--- a/internal/program/entry/daemon.go
+++ b/internal/program/entry/daemon.go
@@ -18,6 +18,7 @@
 
 	"github.com/gooseberryway/gooseberryway/internal/coordination/admit"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/canary"
+	"github.com/gooseberryway/gooseberryway/internal/coordination/cold"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/detour"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/feed"
 	"github.com/gooseberryway/gooseberryway/internal/coordination/fleet"
@@ -62,6 +63,9 @@
 	upstreamLimits uprate.Table
 	// rejectionLimits holds how many rejections upstreams bear.
 	rejectionLimits reject.Table
+	// coldLimits holds what cold upstreams bear.
+	coldLimits cold.Table
+	hearing    hearing
 	// detector finds prompt parts that crash upstreams.
 	detector     *poison.Detector
 	follower     *feed.Follower
@@ -132,6 +136,8 @@
 	d.upstreamLimits.OnChange = func() { d.peers.SendSoon() }
 	d.rejectionLimits.Self = s.DaemonID
 	d.rejectionLimits.OnChange = func() { d.peers.SendSoon() }
+	d.coldLimits.Self, d.coldLimits.Snapshots = s.DaemonID, &d.snapshots
+	d.coldLimits.Overage, d.coldLimits.Slack = s.Limits.ColdOverage, s.Limits.ColdSlack
 	d.seeds.Store(&s.Seeds)
 	d.limiter.FleetSize = d.meshSize
 	d.limiter.Lookup = func(id ident.OrganisationID) *view.Organisation {
@@ -152,13 +158,16 @@
 		FleetSize:       d.meshSize,
 		UpstreamLimits:  &d.upstreamLimits,
 		RejectionLimits: &d.rejectionLimits,
+		ColdLimits:      &d.coldLimits,
 		OldWeightsGrace: oldWeightsGrace(time.Duration(s.Limits.WeightsMs) * time.Millisecond),
 	}
 	d.follower = &feed.Follower{
-		Store:     d.store,
-		Decoder:   platform.Decoder{},
-		Snapshots: &d.snapshots,
+		Store:      d.store,
+		Decoder:    platform.Decoder{},
+		Snapshots:  &d.snapshots,
+		BoundsCold: d.coldLimits.Bounds,
 		OnChange: func() {
+			d.coldLimits.ApplyList()
 			d.placer.RemoveUnlisted()
 			d.detector.ApplyList(d.snapshots.Upstreams())
 			d.upstreamLimits.RemoveUnlisted(d.snapshots.Upstreams().ByID)
--- a/internal/program/entry/fleetview.go
+++ b/internal/program/entry/fleetview.go
@@ -76,6 +76,8 @@
 	members := d.limitMembers(v)
 	d.upstreamLimits.SetMembers(members)
 	d.rejectionLimits.SetMembers(members)
+	d.coldLimits.SetMembers(members, d.hearsMost())
+	d.reportCold()
 	return v
 }
 
--- a/internal/program/entry/helpers_test.go
+++ b/internal/program/entry/helpers_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"strings"
 	"sync"
@@ -34,9 +35,13 @@
 	weightsMs int64
 	// cuttable gives each daemon a link to the upstreams that can be cut.
 	cuttable bool
-	t        *testing.T
-	store    *standin.Store
-	daemons  []*testDaemon
+	// limits, if set, changes the limits of daemons that start.
+	limits func(*setup.EntryLimits)
+	// serviceFields are added to the configuration of each service.
+	serviceFields map[string]any
+	t             *testing.T
+	store         *standin.Store
+	daemons       []*testDaemon
 }
 
 type testDaemon struct {
@@ -83,6 +88,9 @@
 			DirectoryTTLS: 5,
 		},
 	}
+	if f.limits != nil {
+		f.limits(&s.Limits)
+	}
 	ctx, cancel := context.WithCancel(f.t.Context())
 	r := &testDaemon{Daemon: &Daemon{Settings: s}, cancel: cancel, done: make(chan struct{})}
 	if f.cuttable {
@@ -117,16 +125,17 @@
 			"target-latency-ms": 300, "attempts": attempts, "service": service, "resumable": resumable,
 		}
 	}
+	llm := map[string]any{"name": "llm", "engine": map[string]any{"slots": 8, "models": []any{map[string]any{"name": "m"}}}}
+	app := map[string]any{"name": "app"}
+	maps.Copy(llm, f.serviceFields)
+	maps.Copy(app, f.serviceFields)
 	f.store.Put("keyed.op", "config", map[string]any{
 		"version": version,
 		"routes": []any{
 			route("draft", "streaming", "llm", 1, false), route("note", "streaming", "llm", 2, true),
 			route("order", "non_idempotent", "app", 1, false), route("lookup", "idempotent", "app", 2, false),
 		},
-		"services": []any{
-			map[string]any{"name": "llm", "engine": map[string]any{"slots": 8, "models": []any{map[string]any{"name": "m"}}}},
-			map[string]any{"name": "app"},
-		},
+		"services": []any{llm, app},
 		"tenants": []any{map[string]any{
 			"name": "acme", "keys": keys, "unit": "tokens", "requests-per-s": rate, "burst": rate, "uncached-tokens": 10,
 		}},
--- a/internal/program/entry/listeners.go
+++ b/internal/program/entry/listeners.go
@@ -65,7 +65,9 @@
 	// UnreachableServices are those to none of whose upstreams this daemon can connect.
 	UnreachableServices []string `json:"unreachableServices"`
 	// Limits are the rates that upstreams limit all daemons to, Rollouts the shifts of traffic to new releases.
-	Limits   []limitStatus   `json:"limits"`
+	Limits []limitStatus `json:"limits"`
+	// Cold are the cold upstreams.
+	Cold     []coldStatus    `json:"cold,omitempty"`
 	Rollouts []rolloutStatus `json:"rollouts"`
 	// RejectionLimits tells how many rejections upstreams bear.
 	RejectionLimits []rejectionLimitStatus `json:"rejectionLimits"`
@@ -154,6 +156,7 @@
 	for _, l := range d.rejectionLimits.Limits() {
 		s.RejectionLimits = append(s.RejectionLimits, rejectionLimitStatus{Upstream: string(l.Upstream), PerSecond: l.PerSecond, Places: l.Places})
 	}
+	s.Cold = d.coldStatus()
 	for _, r := range d.rollouts.Stages() {
 		s.Rollouts = append(s.Rollouts, rolloutStatus{
 			Service: string(r.Service), Release: r.Release, State: r.State.String(), SharePermille: int(r.Share), Reason: r.Reason,
