Stop naming lost daemons to callers after 5 s where the store is reached

A daemon that hears no other one names all that it has heard within 20 s, as it may be cut off itself. If it is the last one, callers are sent to daemons that ended up to 20 s before; the users allow 7. TestLastDaemonNamesNoLostDaemons failed without this with two lost addresses after 7 s.

--- a/internal/coordination/fleet/active_test.go
+++ b/internal/coordination/fleet/active_test.go
@@ -170,7 +170,20 @@
 		table := &Table{Self: all[0].ID}
 		applyHeartbeats(table, all, 1)
 		time.Sleep(4 * minIdleHeartbeatPeriod)
-		require.ElementsMatch(t, []string{"10.0.0.0:2", "10.0.0.1:2", "10.0.0.2:2"}, table.CallerAddresses(all[0]))
+		require.ElementsMatch(t, []string{"10.0.0.0:2", "10.0.0.1:2", "10.0.0.2:2"}, table.CallerAddresses(all[0], false))
+		require.Len(t, table.CallerAddresses(all[0], true), 3, "it may be cut off from its peers alone")
+	})
+}
+
+// Guards against callers who are sent for long to daemons that have ended, by one that is not cut off.
+func TestLastDaemonNamesNoLostDaemons(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all := newPeers(3, 3)
+		table := &Table{Self: all[0].ID}
+		applyHeartbeats(table, all, 1)
+		time.Sleep(7 * time.Second)
+		require.Equal(t, []string{"10.0.0.0:2"}, table.CallerAddresses(all[0], true))
+		require.Len(t, table.CallerAddresses(all[0], false), 3, "without the store it may be cut off itself")
 	})
 }
 
--- a/internal/coordination/fleet/table.go
+++ b/internal/coordination/fleet/table.go
@@ -26,6 +26,9 @@
 	aliveHeartbeats = 3.5
 	// peerRetention is how long a silent daemon is kept. It is longer than any expected network partition.
 	peerRetention = 20 * time.Second
+	// lostAfter is how long a silent daemon is named to callers by a daemon that hears no other one and reaches the platform
+	// store. The users allow 7 s.
+	lostAfter = 5 * time.Second
 	// addressRetention is how long the address of a daemon without heartbeats is kept.
 	addressRetention = 5 * time.Minute
 	// minIdleHeartbeatPeriod is the shortest time between heartbeats to and from daemons without traffic. It is half of
@@ -253,8 +256,9 @@
 }
 
 // CallerAddresses returns the addresses of the active daemons, to which callers should connect. If there are no others,
-// this daemon may be partitioned itself, and the result includes all ready daemons that it knows.
-func (t *Table) CallerAddresses(own Peer) []string {
+// this daemon may be partitioned itself, and the result includes all ready daemons that it has heard within peerRetention, or
+// within lostAfter if hasStore says that it still reaches the platform store, so that the silent ones have ended.
+func (t *Table) CallerAddresses(own Peer, hasStore bool) []string {
 	var out []string
 	for _, p := range t.Active(own) {
 		if p.CallerAddress != "" {
@@ -264,7 +268,11 @@
 	if len(out) > 1 {
 		return out[:min(len(out), maxCallerAddresses)]
 	}
+	now := time.Now()
 	for _, p := range t.All() {
+		if hasStore && now.Sub(p.LastHeartbeatAt) > lostAfter {
+			continue
+		}
 		if p.CallerAddress != "" && !p.Leaving && p.Ready {
 			out = append(out, p.CallerAddress)
 		}
--- a/internal/program/entry/listeners.go
+++ b/internal/program/entry/listeners.go
@@ -33,7 +33,7 @@
 
 // serveDirectory responds with the addresses that callers should connect to.
 func (d *Daemon) serveDirectory(w http.ResponseWriter, _ *http.Request) {
-	addresses := d.table.CallerAddresses(d.self())
+	addresses := d.table.CallerAddresses(d.self(), d.follower.StoreAge() < maxEligibleStoreAge)
 	if len(addresses) == 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
