Free no slots of cold upstreams by stale knowledge

A daemon that was frozen for longer than others remember it would have used its slots once more before its first heartbeat. An older registration of another incarnation, or one that could not be read and was listed again, would have had it forget what it sent. TestColdUpstreamGetsWhatItBears had two idle upstreams to choose from and found the cold one used or not as the list fell; the other one is now always the busier one.

--- a/internal/coordination/cold/consts.go
+++ b/internal/coordination/cold/consts.go
@@ -14,6 +14,9 @@
 	// memberMemory is how long a daemon that is no longer active keeps its slots. It is the time for which the fleet
 	// remembers silent daemons.
 	memberMemory = 20 * time.Second
+	// lostAfter is how long after it last heard most of the others a daemon gives its slots up, before these take them. It
+	// also binds a daemon that was frozen for longer.
+	lostAfter = memberMemory - settleTime
 	// settleTime is how long a daemon waits before it uses slots that it takes over: a heartbeat in a large fleet, and the
 	// window of the daemon that held them.
 	settleTime = 2 * time.Second
--- a/internal/coordination/cold/members.go
+++ b/internal/coordination/cold/members.go
@@ -34,7 +34,7 @@
 	switch {
 	case hearsMost:
 		t.heardAt = now
-	case now.Sub(t.heardAt) > memberMemory-settleTime:
+	case now.Sub(t.heardAt) > lostAfter:
 		t.divide(nil, now)
 		return
 	default:
@@ -91,6 +91,9 @@
 
 // held returns how many of an upstream's slots this daemon may use. The caller holds t.mu.
 func (t *Table) held(id ident.UpstreamID, s *upstream, slots int, now time.Time) int {
+	if now.Sub(t.heardAt) > lostAfter {
+		return 0
+	}
 	t.endSettled(now)
 	if s.share.version == t.version && s.share.slots == slots {
 		return s.share.held
--- a/internal/coordination/cold/table.go
+++ b/internal/coordination/cold/table.go
@@ -74,7 +74,8 @@
 	return max(1, int(bound*usableShare))
 }
 
-// ApplyList applies the published list of upstreams and forgets those that it lacks.
+// ApplyList applies the published list of upstreams and forgets those that it lacks, unless they have requests: one whose
+// registration can't be read may be listed again at once.
 func (t *Table) ApplyList() {
 	if !t.bounded() {
 		return
@@ -93,20 +94,25 @@
 			delete(t.upstreams, id)
 		}
 	}
-	for id := range t.upstreams {
-		if list.ByID[id] == nil {
+	for id, s := range t.upstreams {
+		if list.ByID[id] == nil && s.idle(now) {
 			delete(t.upstreams, id)
 		}
 	}
 }
 
+// idle reports whether no request of this daemon is chosen or was sent within the window.
+func (s *upstream) idle(now time.Time) bool {
+	return s.chosen == 0 && !slices.ContainsFunc(s.sent, func(at time.Time) bool { return now.Sub(at) < window })
+}
+
 // upstream returns the state of an upstream, updated from the registration if that is newer than the known one. The caller
 // holds t.mu.
 func (t *Table) upstream(u *view.Upstream, service *view.Service) *upstream {
 	s := t.upstreams[u.ID]
 	known := s != nil && s.registration.Incarnation == u.Incarnation
 	switch {
-	case known && (s.registration == u || u.Offset < s.registration.Offset):
+	case s != nil && u.Offset < s.registration.Offset, known && s.registration == u:
 		return s
 	case !known:
 		s = &upstream{}
--- a/internal/coordination/cold/table_test.go
+++ b/internal/coordination/cold/table_test.go
@@ -139,3 +139,27 @@
 		require.True(t, ok)
 	})
 }
+
+// Guards against a daemon that wakes after others have taken its slots over, and against an older registration of another
+// incarnation or a lost one that has it forget what it sent.
+func TestStaleKnowledgeFreesNoSlots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newSoleTable()
+		before := list(table, view.Upstream{Incarnation: 1, Offset: 1, ColdStated: true})
+		u := list(table, view.Upstream{Incarnation: 2, Offset: 2, ColdFor: time.Minute, ColdStated: true})
+		for range 16 {
+			ok, charged := table.Take(u)
+			require.True(t, ok && charged)
+			table.Begin(u, true)
+		}
+		table.Begin(before, false)
+		table.Snapshots.SetUpstreams(view.NewUpstreams(nil, 3))
+		table.ApplyList()
+		u = list(table, view.Upstream{Incarnation: 2, Offset: 4, ColdFor: time.Minute, ColdStated: true})
+		ok, _ := table.Take(u)
+		require.False(t, ok)
+		time.Sleep(lostAfter + time.Millisecond)
+		ok, _ = table.Take(u)
+		require.False(t, ok, "the daemon was frozen")
+	})
+}
--- a/internal/program/entry/cold_upstream_test.go
+++ b/internal/program/entry/cold_upstream_test.go
@@ -20,6 +20,8 @@
 	coldRate  = 2.0
 	coldBound = 5
 	coldSlots = 4
+	// busyTime is how long the other upstream takes for a request, so that it has always more of them than the cold one.
+	busyTime = 200 * time.Millisecond
 	// slotsTakenAfter is when daemons that have started hold slots: they wait for heartbeats and for the holders before.
 	slotsTakenAfter = 4 * time.Second
 )
@@ -45,7 +47,10 @@
 		return false
 	}})
 	f.registerCold(cold, 60000)
-	other := f.startUpstream("app", &standin.Upstream{ID: "other"})
+	other := f.startUpstream("app", &standin.Upstream{ID: "other", Intercept: func(http.ResponseWriter, *http.Request) bool {
+		time.Sleep(busyTime)
+		return false
+	}})
 	f.registerCold(other, 0)
 	for i := range 3 {
 		f.start(fmt.Sprint("d", i), nil)
--- a/internal/state/view/upstream.go
+++ b/internal/state/view/upstream.go
@@ -61,7 +61,7 @@
 		return false
 	}
 	left := max(0, time.Until(known.SeenAt.Add(known.ColdFor)))
-	return (u.ColdFor-left).Abs() > coldTolerance || u.ColdFor == 0 && left > 0
+	return (u.ColdFor - left).Abs() > coldTolerance
 }
 
 // Upstreams is the list of registered upstreams. It must not be changed once it is published.
