--- a/internal/program/entry/homes.go
+++ b/internal/program/entry/homes.go
@@ -10,9 +10,10 @@
 // several regions, a daemon in the caller's region is named, or if there is none one in a home of the host's routes: other daemons may not
 // get the bodies of requests with homes.
 func (d *Daemon) callerAddresses(host string, region ident.Region) []string {
+	hasStore := d.follower.StoreAge() < maxEligibleStoreAge
 	regions, c := view.Regions(d.Settings.Regions), d.snapshots.Config()
 	if c == nil || region == "" || !regions.Several() || !c.HasHomes() {
-		return d.table.CallerAddresses(d.self())
+		return d.table.CallerAddresses(d.self(), hasStore)
 	}
 	for _, homes := range []view.Homes{{region}, c.HomesAt(host)} {
 		if len(homes) == 0 {
@@ -23,5 +24,5 @@
 			return among
 		}
 	}
-	return d.table.CallerAddresses(d.self())
+	return d.table.CallerAddresses(d.self(), hasStore)
 }
