--- a/internal/coordination/place/placer.go
+++ b/internal/coordination/place/placer.go
@@ -53,7 +53,6 @@
 	EvacuationTime time.Duration
 	// Regions maps failure domains to regions; homes bind only where it is set.
 	Regions view.Regions
-
 	// ColdLimits holds what cold upstreams bear; nil for no bound.
 	ColdLimits *cold.Table
 
--- a/internal/program/entry/daemon.go
+++ b/internal/program/entry/daemon.go
@@ -165,7 +165,6 @@
 		RejectionLimits: &d.rejectionLimits,
 		Regions:         view.Regions(s.Regions),
 		EvacuationTime:  evacuationTime(s.Limits.EvacuationMs),
-
 		ColdLimits:      &d.coldLimits,
 		OldWeightsGrace: oldWeightsGrace(time.Duration(s.Limits.WeightsMs) * time.Millisecond),
 	}
