--- a/internal/coordination/place/homes_test.go
+++ b/internal/coordination/place/homes_test.go
@@ -59,6 +59,31 @@
 	})
 }
 
+// Guards against a fetch from an engine abroad that a peer with other settings was seen to send the prompt to.
+func TestPartsAreNotFetchedFromEnginesAbroad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := placerInDomains()
+		p.Regions = testRegions
+		r := requestWithHomes(1, "south")
+		abroad := engineAt(0)
+		for _, u := range p.Snapshots.Upstreams().ByID {
+			// None is assumed to have anything cached.
+			p.upstreamState(u).weightsChangedAt = time.Now()
+		}
+		salt := CacheSalt(1, r.CacheScope)
+		p.ApplySentChains([]SentChain{{Chain: newChainKey(salt, "sys"), Engine: abroad.ID}, {Chain: newChainKey(salt, "chain1"), Engine: abroad.ID}})
+		time.Sleep(time.Second)
+		c, err := p.Choose(r)
+		require.NoError(t, err)
+		require.NotEqual(t, abroad.Address, c.SourceAddress)
+		p.Regions = nil
+		r.Homes = nil
+		c, err = p.Choose(r)
+		require.NoError(t, err)
+		require.True(t, c.Upstream.ID == abroad.ID || c.SourceAddress == abroad.Address, "the report counts where homes don't bind")
+	})
+}
+
 // regionalStores are one KV cache store in each of some failure domains.
 type regionalStores []*kvdir.Store
 
