Name all ready daemons of a region that has at most one active one

A caller that gets the address of a single daemon can't go on when that fails. Whether a configuration has homes is found out once, not for each call of the directory.

--- a/internal/coordination/fleet/table.go
+++ b/internal/coordination/fleet/table.go
@@ -252,22 +252,24 @@
 	return n
 }
 
-// CallerAddressesAmong returns the addresses of the active daemons that are selected, or of all ready ones if no active one is; empty if none is.
+// CallerAddressesAmong returns the addresses of the active daemons that are selected, or of all ready ones if at most one active one is; empty if
+// none is.
 func (t *Table) CallerAddressesAmong(own Peer, selected func(*Peer) bool) []string {
 	now := time.Now()
 	ready := slices.DeleteFunc(append(t.All(), own), func(p Peer) bool { return !p.Ready || p.Leaving || p.ID != own.ID && !p.Alive(now) })
+	var out []string
 	for _, peers := range [][]Peer{t.Active(own), ready} {
-		var out []string
+		out = out[:0]
 		for i := range peers {
 			if p := &peers[i]; p.CallerAddress != "" && selected(p) {
 				out = append(out, p.CallerAddress)
 			}
 		}
-		if len(out) > 0 {
-			return out[:min(len(out), maxCallerAddresses)]
+		if len(out) > 1 {
+			break
 		}
 	}
-	return nil
+	return out[:min(len(out), maxCallerAddresses)]
 }
 
 // CallerAddresses returns the addresses of the active daemons, to which callers should connect. If there are no others,
--- a/internal/coordination/place/cost.go
+++ b/internal/coordination/place/cost.go
@@ -172,7 +172,10 @@
 		return nil
 	}
 	u, state := p.Snapshots.Upstreams().ByID[last.engine], p.upstreamStates[last.engine]
-	if u == nil || !p.Regions.Allows(q.request.Homes, u.FailureDomain) || state == nil || state.down || state.incarnation != last.incarnation || state.weights[q.request.Model] != version {
+	if u == nil || !p.Regions.Allows(q.request.Homes, u.FailureDomain) {
+		return nil
+	}
+	if state == nil || state.down || state.incarnation != last.incarnation || state.weights[q.request.Model] != version {
 		return nil
 	}
 	return u
--- a/internal/program/entry/daemon.go
+++ b/internal/program/entry/daemon.go
@@ -230,11 +230,14 @@
 		Shedders:        &view.PerService[shed.Controller]{},
 		Pool:            upstreams,
 		CanConnect:      d.canConnect,
-		Peers:           &detour.Chooser{Self: s.DaemonID, Peers: d.table.All, IsAlive: d.table.IsAlive, IsActive: d.isActivePeer, ConfigVersion: d.configVersion, EvacuationOffset: d.evacuationOffset, Regions: view.Regions(s.Regions)},
-		PeerPool:        &httpc.Pool{DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout},
-		Bodies:          &proxy.BodyBudget{MaxBytes: int64(s.Resources.MemoryMB * bytesPerMB / bodyMemoryDivisor)},
-		Stop:            &d.requestStop,
-		IsDraining:      d.leaving.Load,
+		Peers: &detour.Chooser{
+			Self: s.DaemonID, Peers: d.table.All, IsAlive: d.table.IsAlive, IsActive: d.isActivePeer, ConfigVersion: d.configVersion,
+			EvacuationOffset: d.evacuationOffset, Regions: view.Regions(s.Regions),
+		},
+		PeerPool:   &httpc.Pool{DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout},
+		Bodies:     &proxy.BodyBudget{MaxBytes: int64(s.Resources.MemoryMB * bytesPerMB / bodyMemoryDivisor)},
+		Stop:       &d.requestStop,
+		IsDraining: d.leaving.Load,
 	}
 }
 
--- a/internal/state/view/config.go
+++ b/internal/state/view/config.go
@@ -152,9 +152,10 @@
 	byKey  map[ident.Digest]*Organisation
 	// sharedScope is the cache scope of the organisations that aren't isolated.
 	sharedScope CacheScope
+	hasHomes    bool
 }
 
-// BuildIndex builds what Route, OrganisationByKey and CacheScope use.
+// BuildIndex builds what Route, OrganisationByKey, CacheScope and HasHomes use.
 func (c *Config) BuildIndex() {
 	c.byHost = map[string][]*Route{}
 	for i := range c.Routes {
@@ -171,6 +172,7 @@
 		}
 	}
 	c.sharedScope = sharedScope(c.Organisations)
+	c.hasHomes = c.listsHomes()
 }
 
 // Route returns the host's route with the longest matching path prefix, or nil.
--- a/internal/state/view/homes.go
+++ b/internal/state/view/homes.go
@@ -77,7 +77,9 @@
 }
 
 // HasHomes reports whether a route or an organisation has homes.
-func (c *Config) HasHomes() bool {
+func (c *Config) HasHomes() bool { return c.hasHomes }
+
+func (c *Config) listsHomes() bool {
 	for i := range c.Routes {
 		if len(c.Routes[i].Homes) > 0 {
 			return true
