Show crowds of clients without limits that exceed a machine

Cause: nothing bounds what the connections of all clients hold together. A header line costs many times its bytes once parsed, and a head stays while its body is awaited.

Change: tests only. They start the program's own processes, let 300 connections come to each listener, and check that the process lives, that its peak memory stays within the machine's 112 MB, its sockets within the descriptors that are left for them, and that an ordinary request is answered. `make test` runs the package after all others, by itself, as other tests would share the machine's memory and processors with it; the race detector stays on, but not in the program that is started, as it multiplies memory.

The crowds of a test follow each other in one process, so that its peak is that of all its listeners.

--- a/Makefile
+++ b/Makefile
@@ -10,12 +10,16 @@
 SEEDS ?= 2000
 SOAKTIME ?= 2h
 SOAKTESTS ?= .
+# Its tests measure the memory of processes and must not share the machine with other tests.
+APART := /internal/program/crowd$$
 
 export TOOLS_BIN
 
 # Tests of faults that are known and open.
 RED := $(shell sed -n 's/^ *skipped: \(Test[A-Za-z0-9]*\)$$/\1/p' KNOWN-RED.txt | paste -sd '|')
 
+TEST := $(GO) test -race -shuffle=on -timeout $(TESTTIME) $(if $(RED),-skip '^($(RED))$$')
+
 .PHONY: all build test bench lint format race fuzz soak capacity tools generate check-generated demo
 
 all: build lint test
@@ -24,7 +28,8 @@
 	$(GO) build -o $(BIN)/gooseberryway .
 
 test:
-	$(GO) test -race -shuffle=on -timeout $(TESTTIME) $(if $(RED),-skip '^($(RED))$$') $(PACKAGES)
+	packages=$$($(GO) list $(PACKAGES) | grep -v '$(APART)'); if [ -n "$$packages" ]; then $(TEST) $$packages; fi
+	packages=$$($(GO) list $(PACKAGES) | grep '$(APART)'); if [ -n "$$packages" ]; then $(TEST) -p 1 $$packages; fi
 
 race: test
 
