Bound what connections of clients hold before it is parsed

Cause: net/http parses heads as they arrive. A line of a few bytes becomes an entry of a map, a slice and strings, some twenty times its bytes, and nothing counts them, nor the connections, over all clients.

Change: package intake wraps listeners. It finds the end of each head as bytes arrive and passes none of it on before that. Without room the connection that holds most is closed if the server waits for its client, or the newcomer gets 503; a head that is too long gets 431. The body's length tells where the next head begins; after chunked bodies and pipelined requests, where it doesn't, what net/http may read as a head is counted without being held back, and refused by closing.

--- /dev/null
+++ b/internal/transport/intake/conn.go
@@ -0,0 +1,293 @@
+package intake
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Responses to heads that aren't parsed. Their requests have not run and never will.
+var (
+	unavailable = []byte("HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n")
+	tooLarge    = []byte("HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+)
+
+// Conn is the connection of a client. It counts the heads that it reads until they end.
+type Conn struct {
+	net.Conn
+	gate     *Gate
+	listener string
+	// scans says that the connection carries HTTP/1.1 without TLS.
+	scans bool
+	since time.Time
+	// held is the memory of the head, leaving that memory once the gate has dropped the connection. The gate's lock guards them.
+	held, leaving int64
+
+	// maxHeadBytes is how much the server reads of a head, headTimeout how long a head may take from its first byte on; 0 for no limit.
+	maxHeadBytes int64
+	headTimeout  time.Duration
+
+	// One goroutine of the server at a time uses the following. scanner is that of the current head. head holds the bytes of a head that hasn't
+	// ended, or what of them was not passed on.
+	scanner headScanner
+	head    []byte
+	// bodyLeft is the number of bytes until the next head. blind says that it isn't known where the current head began: all is counted that
+	// the server may take for a part of it.
+	bodyLeft int64
+	blind    bool
+
+	// reading says that a read waits for the client, other than the one that watches for the end of the connection while a request is served.
+	reading atomic.Bool
+	// expelled says that the connection was closed to make room.
+	expelled atomic.Bool
+
+	// mu guards the deadlines. readTimed and writeTimed say that the server has set one; stallTimed says that the deadline of reads is the
+	// connection's own.
+	mu                                sync.Mutex
+	readTimed, writeTimed, stallTimed bool
+}
+
+// Read reads from the client. No byte of a head is returned before the head has ended, so that nothing parses what there is no memory for. The error is
+// a *RefusedError in a *net.OpError if the connection is closed for want of room.
+func (c *Conn) Read(p []byte) (int, error) {
+	if !c.scans {
+		return c.Conn.Read(p)
+	}
+	for {
+		if c.scanner.ended && len(c.head) > 0 {
+			return c.passOn(p), nil
+		}
+		n, err := c.readOnce(p)
+		if n == 0 {
+			return 0, err
+		}
+		whole, refusal := c.take(p[:n])
+		switch {
+		case refusal != nil:
+			return 0, refusal
+		case whole:
+			return n, err
+		case err != nil && !c.scanner.ended:
+			return 0, err
+		}
+	}
+}
+
+// passOn returns bytes of a head that has ended, and what came with it.
+func (c *Conn) passOn(p []byte) int {
+	n := copy(p, c.head)
+	if c.head = c.head[n:]; len(c.head) == 0 {
+		c.head = nil
+	}
+	return n
+}
+
+// readOnce reads what has arrived.
+func (c *Conn) readOnce(p []byte) (int, error) {
+	watches := len(p) == 1
+	if err := c.beginRead(watches); err != nil {
+		return 0, err
+	}
+	c.reading.Store(!watches)
+	n, err := c.Conn.Read(p)
+	c.reading.Store(false)
+	if c.expelled.Load() {
+		// The server would wait before it closes the connection.
+		_ = c.Conn.Close()
+		return 0, opError("read", ReasonWorst)
+	}
+	return n, err
+}
+
+// take counts bytes that were read, and reports whether they may be passed on; if not, they are kept.
+func (c *Conn) take(p []byte) (whole bool, refusal error) {
+	if c.blind {
+		return true, c.takeBlindly(p)
+	}
+	if c.scanner.ended {
+		c.takeBody(p)
+		return true, nil
+	}
+	n := c.scanner.scan(p)
+	if c.scanner.bytes > c.maxHeadBytes {
+		return false, c.refuse(tooLarge, ReasonLongHead)
+	}
+	// A head that hasn't ended is not parsed.
+	size := c.scanner.bytes
+	if c.scanner.ended {
+		size = headMemory(c.scanner.bytes, c.scanner.lines)
+	}
+	if !c.gate.charge(c, size) {
+		return false, c.refuse(unavailable, ReasonHeads)
+	}
+	if len(c.head) == 0 && c.scanner.ended {
+		c.bodyLeft = bodyLength(p[:n])
+		c.takeBody(p[n:])
+		return true, nil
+	}
+	if len(c.head) == 0 && c.headTimeout > 0 {
+		_ = c.SetReadDeadline(time.Now().Add(c.headTimeout))
+	}
+	c.head = append(c.head, p...)
+	if c.scanner.ended {
+		c.bodyLeft = bodyLength(c.head[:len(c.head)-len(p)+n])
+		c.takeBody(p[n:])
+	}
+	return false, nil
+}
+
+// takeBody counts bytes that follow a head.
+func (c *Conn) takeBody(p []byte) {
+	if c.bodyLeft == unknownLength {
+		return
+	}
+	if c.bodyLeft -= int64(len(p)); c.bodyLeft < 0 {
+		c.bodyLeft = unknownLength
+	}
+}
+
+// takeBlindly counts bytes of which it isn't known what they belong to. A response may be in progress, so that there is no refusal to be sent.
+func (c *Conn) takeBlindly(p []byte) error {
+	p = p[:min(int64(len(p)), max(0, c.maxHeadBytes-c.scanner.bytes))]
+	c.scanner.bytes += int64(len(p))
+	c.scanner.lines += int64(bytes.Count(p, []byte{'\n'}))
+	if !c.gate.charge(c, headMemory(c.scanner.bytes, c.scanner.lines)) {
+		c.gate.refuse(c, ReasonHeads)
+		return opError("read", ReasonHeads)
+	}
+	return nil
+}
+
+// beginRead sets a deadline of its own unless the server has set one or the read only watches.
+func (c *Conn) beginRead(watches bool) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.readTimed {
+		return nil
+	}
+	if !watches {
+		c.stallTimed = true
+		return c.Conn.SetReadDeadline(time.Now().Add(stallTimeout))
+	}
+	if c.stallTimed {
+		c.stallTimed = false
+		return c.Conn.SetReadDeadline(time.Time{})
+	}
+	return nil
+}
+
+// Write writes to the client, for as long as the client takes some of it within each stallTimeout unless the server has set a deadline.
+func (c *Conn) Write(p []byte) (int, error) {
+	if !c.scans {
+		return c.Conn.Write(p)
+	}
+	written := 0
+	for {
+		if c.expelled.Load() {
+			return written, opError("write", ReasonWorst)
+		}
+		timed, err := c.beginWrite()
+		if err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(p[written:])
+		written += n
+		if timed || n == 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return written, err
+		}
+	}
+}
+
+// beginWrite sets a deadline of its own unless the server has set one, and reports whether it has.
+func (c *Conn) beginWrite() (timed bool, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writeTimed {
+		return true, nil
+	}
+	return false, c.Conn.SetWriteDeadline(time.Now().Add(stallTimeout))
+}
+
+// headMemory estimates the memory of so many bytes and lines of a head once they are parsed.
+func headMemory(size, lines int64) int64 { return size*byteCopies + lines*lineBytes }
+
+// awaitHead begins to count the next head. The server calls it between two requests, when nothing reads.
+func (c *Conn) awaitHead() {
+	c.gate.release(c)
+	// What the server has read of another request is at most its buffer.
+	c.blind = c.blind || c.bodyLeft != 0
+	c.scanner = headScanner{}
+	if c.blind {
+		c.scanner.ended = true
+	}
+}
+
+// expel ends reads that wait for the client, after which the server closes the connection.
+func (c *Conn) expel() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.expelled.Store(true)
+	_ = c.Conn.SetReadDeadline(time.Now())
+}
+
+// refuse answers with a status and waits a short time for the client to read it: bytes that weren't read would reset the connection.
+func (c *Conn) refuse(response []byte, reason Reason) error {
+	c.gate.refuse(c, reason)
+	c.head = nil
+	_ = c.SetDeadline(time.Now().Add(refusalTimeout))
+	if _, err := c.Write(response); err == nil && c.CloseWrite() == nil {
+		_, _ = io.Copy(io.Discard, c.Conn)
+	}
+	return opError("read", reason)
+}
+
+// SetDeadline sets the deadline of reads and writes.
+func (c *Conn) SetDeadline(t time.Time) error {
+	if err := c.SetReadDeadline(t); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(t)
+}
+
+// SetReadDeadline sets the deadline of reads, unless the connection was closed to make room.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.expelled.Load() {
+		return nil
+	}
+	c.readTimed, c.stallTimed = !t.IsZero(), false
+	return c.Conn.SetReadDeadline(t)
+}
+
+// SetWriteDeadline sets the deadline of writes.
+func (c *Conn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeTimed = !t.IsZero()
+	return c.Conn.SetWriteDeadline(t)
+}
+
+// CloseWrite closes the sending side, if the connection can.
+func (c *Conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// Close closes the connection and frees its room.
+func (c *Conn) Close() error {
+	c.gate.remove(c)
+	return c.Conn.Close()
+}
+
+// opError returns the error of a read or write, in a form to which net/http gives no answer of its own.
+func opError(op string, reason Reason) error {
+	return &net.OpError{Op: op, Net: "tcp", Err: &RefusedError{Reason: reason}}
+}
