Seed the fuzz target of response heads with odd and endless fields

Short and repeated names, odd bytes, folded lines, long names, empty lines and heads that stop, as the crowds send them to the listeners. The seeds pass with -race.

--- a/internal/transport/httpc/head_scanner_test.go
+++ b/internal/transport/httpc/head_scanner_test.go
@@ -97,6 +97,13 @@
 func FuzzHeadScanner(f *testing.F) {
 	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-A: 1\r\nx-a: \t2 \r\n\r\nbody"), uint8(3))
 	f.Add([]byte("HTTP/1.0 204\nB:\n\n"), uint8(1))
+	for _, fields := range []string{
+		strings.Repeat("a:\n", 100), "ab:\r\ncd:e\r\n", "a: b\r\n c\r\n\td\r\n", "!#$%&'*+: \x80\xff\t\xc0\r\n", strings.Repeat("n", 5000) + ": v\r\n", "\r\n\r\n", "\r\r\n",
+	} {
+		f.Add([]byte("HTTP/1.1 200 OK\r\n"+fields+"\r\n"), uint8(7))
+		f.Add([]byte("HTTP/1.1 200 OK\r\n"+fields), uint8(0))
+	}
+	f.Add([]byte("\r\n\r\nHTTP/1.1 200 OK\r\n\r\n"), uint8(2))
 	f.Fuzz(func(t *testing.T, data []byte, piece uint8) {
 		length, err := scanHeads(data, int(piece)+1)
 		if err != nil || length < 0 {
