Keep crowds of clients within the memory of the machine

Cause: the servers of entry and serve bounded the head of one request, but neither the heads of all connections together nor their number, and readiness, directory, metrics and administration waited without limit for bodies that no handler reads.

Change: all listeners of a process share a gate of package intake, from resources.memoryMb and resources.fileDescriptors in entry and with its defaults in serve; behind TLS and HTTP/2 it bounds the number of connections. Requests and responses of readiness, directory, metrics and administration in entry take at most 10 s. The garbage collector of entry keeps below four fifths of the memory.

--- a/internal/program/cmds/entry.go
+++ b/internal/program/cmds/entry.go
@@ -1,6 +1,8 @@
 package cmds
 
 import (
+	"runtime/debug"
+
 	"github.com/spf13/cobra"
 	"k8s.io/klog/v2"
 
@@ -9,6 +11,13 @@
 	"github.com/gooseberryway/gooseberryway/internal/state/logbuf"
 )
 
+const (
+	bytesPerMB = 1e6
+	// collectorShare is the part of the process' memory from which on the garbage collector runs more often. The runtime doesn't count the binary
+	// itself and what the kernel holds for the process.
+	collectorShare = 0.8
+)
+
 func newEntry() *cobra.Command {
 	var file string
 	cmd := &cobra.Command{
@@ -25,6 +34,9 @@
 			if err != nil {
 				return printProblems(cmd, err)
 			}
+			if settings.Resources.MemoryMB > 0 {
+				debug.SetMemoryLimit(int64(settings.Resources.MemoryMB * bytesPerMB * collectorShare))
+			}
 			logs := &logbuf.Writer{Out: cmd.OutOrStdout()}
 			logs.Start()
 			defer logs.Close()
--- a/internal/program/daemon/daemon.go
+++ b/internal/program/daemon/daemon.go
@@ -15,7 +15,9 @@
 	"github.com/gooseberryway/gooseberryway/internal/coordination/serve"
 	"github.com/gooseberryway/gooseberryway/internal/program/setup"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/transport/intake"
 	"github.com/gooseberryway/gooseberryway/internal/transport/meter"
+	"github.com/gooseberryway/gooseberryway/internal/transport/rest"
 )
 
 // Daemon is one router process of the fleet. Set its fields before Run.
@@ -32,6 +34,8 @@
 	initOnce   sync.Once
 	killOnce   sync.Once
 	components *components
+	// gate bounds what the connections of all listeners hold.
+	gate intake.Gate
 }
 
 func (d *Daemon) init() {
@@ -118,12 +122,14 @@
 	group, groupCtx := errgroup.WithContext(context.WithoutCancel(ctx))
 	group.Go(func() (err error) {
 		meter.WithProfileLabel(ctx, func(context.Context) {
-			err = d.components.peers.Serve(&meter.Listener{Listener: sockets.peers, Link: meter.LinkPeers})
+			err = d.components.peers.Serve(&meter.Listener{Listener: d.gate.Limit(sockets.peers, "peers"), Link: meter.LinkPeers})
 		})
 		return err
 	})
-	group.Go(func() error { return d.components.admin.Serve(sockets.admin) })
-	group.Go(func() error { return d.components.callers.Serve(sockets.callers) })
+	group.Go(func() error { return d.components.admin.Serve(d.guard(d.components.admin, sockets.admin, "admin")) })
+	group.Go(func() error {
+		return d.components.callers.Serve(d.guard(d.components.callers, sockets.callers, "callers"))
+	})
 	select {
 	case <-ctx.Done():
 		d.leave()
@@ -141,6 +147,14 @@
 	return err
 }
 
+// guard returns a listener that bounds what the connections of a server hold. Behind TLS only their number is bounded.
+func (d *Daemon) guard(server *rest.Server, l net.Listener, name string) net.Listener {
+	if server.TLS != nil {
+		return d.gate.Limit(l, name)
+	}
+	return d.gate.Guard(server.HTTP, l, name)
+}
+
 // sockets are the listening sockets of a daemon.
 type sockets struct {
 	callers, peers, admin net.Listener
--- a/internal/program/entry/daemon.go
+++ b/internal/program/entry/daemon.go
@@ -36,6 +36,7 @@
 	"github.com/gooseberryway/gooseberryway/internal/state/view"
 	"github.com/gooseberryway/gooseberryway/internal/transport/gossip"
 	"github.com/gooseberryway/gooseberryway/internal/transport/httpc"
+	"github.com/gooseberryway/gooseberryway/internal/transport/intake"
 	"github.com/gooseberryway/gooseberryway/internal/transport/proxy"
 	"github.com/gooseberryway/gooseberryway/platform"
 )
@@ -76,6 +77,8 @@
 	// requestStop decides which requests can end before a planned stop.
 	requestStop shed.Stop
 
+	// gate bounds what the connections of all listeners hold.
+	gate    intake.Gate
 	seeds   atomic.Pointer[[]string]
 	leaving atomic.Bool
 	// inFlight counts the callers' requests in progress.
@@ -115,6 +118,8 @@
 	// long it may keep an idle connection. The platform's published limits are 3 s and 15 s.
 	callerHeaderTimeout = 5 * time.Second
 	callerIdleTimeout   = 20 * time.Second
+	// shortRequestTimeout bounds reading a request to another listener, and writing its response.
+	shortRequestTimeout = 10 * time.Second
 	bytesPerMB          = 1e6
 	// bodyMemoryDivisor is what part of a process' memory request bodies may take. The garbage collector lets the heap grow to twice
 	// of what is in use.
@@ -140,6 +145,7 @@
 		}
 		return nil
 	}
+	d.gate.MemoryBytes, d.gate.Descriptors = int64(s.Resources.MemoryMB*bytesPerMB), s.Resources.FileDescriptors
 	d.store = &instrumentedStore{Store: &platform.Store{Address: s.Store, Pool: httpc.Pool{DialTimeout: storeDialTimeout}}}
 	upstreams := &httpc.Pool{DialTimeout: upstreamDialTimeout, Dial: d.dialUpstream, IdleTimeout: upstreamIdleTimeout}
 	// Answers to reports and orders bear no id, so that they must not come on connections of requests.
@@ -177,6 +183,7 @@
 		HandleChanges: d.changesFor,
 		Requests:      http.HandlerFunc(d.servePassed),
 		IsRequest:     proxy.IsPassed,
+		Guard:         func(server *http.Server, l net.Listener) net.Listener { return d.gate.Guard(server, l, "peers") },
 	}
 	d.detector = d.newDetector()
 	d.elector = &leader.Elector{
@@ -335,6 +342,7 @@
 type servers struct {
 	httpServers []*http.Server
 	listeners   []net.Listener
+	names       []string
 	// busy are the callers' connections with a request.
 	busy busyConns
 	// lingerer lets the callers' connections deliver their last responses.
@@ -363,14 +371,14 @@
 	s := &servers{passed: &d.passedInFlight}
 	l := d.Settings.Listen
 	for _, endpoint := range []struct {
-		address string
-		handler http.Handler
+		name, address string
+		handler       http.Handler
 	}{
-		{l.Callers, http.HandlerFunc(d.serveCaller)},
-		{l.Ready, http.HandlerFunc(d.serveReady)},
-		{l.Directory, http.HandlerFunc(d.serveDirectory)},
-		{l.Metrics, d.metrics()},
-		{l.Admin, d.admin()},
+		{"callers", l.Callers, http.HandlerFunc(d.serveCaller)},
+		{"ready", l.Ready, http.HandlerFunc(d.serveReady)},
+		{"directory", l.Directory, http.HandlerFunc(d.serveDirectory)},
+		{"metrics", l.Metrics, d.metrics()},
+		{"admin", l.Admin, d.admin()},
 	} {
 		if endpoint.address == "" {
 			continue
@@ -382,6 +390,7 @@
 			return nil, &ListenError{Address: endpoint.address, Err: err}
 		}
 		s.listeners = append(s.listeners, listener)
+		s.names = append(s.names, endpoint.name)
 		s.httpServers = append(s.httpServers, &http.Server{
 			Handler:           endpoint.handler,
 			ReadHeaderTimeout: callerHeaderTimeout,
@@ -392,6 +401,12 @@
 	}
 	s.httpServers[callerServer].ConnState = s.busy.update
 	s.listeners[callerServer] = s.lingerer.listener(s.listeners[callerServer])
+	for i, server := range s.httpServers {
+		s.listeners[i] = d.gate.Guard(server, s.listeners[i], s.names[i])
+		if i != callerServer {
+			server.ReadTimeout, server.WriteTimeout = shortRequestTimeout, shortRequestTimeout
+		}
+	}
 	return s, nil
 }
 
--- a/internal/transport/gossip/gossip.go
+++ b/internal/transport/gossip/gossip.go
@@ -63,6 +63,8 @@
 	// Requests serves the calls of peers of which IsRequest says that they are callers' requests; nil for none.
 	Requests  http.Handler
 	IsRequest func(*http.Request) bool
+	// Guard returns a listener that bounds what the connections of the server hold; nil for none.
+	Guard func(*http.Server, net.Listener) net.Listener
 
 	socket        *net.UDPConn
 	server        *http.Server
@@ -115,6 +117,9 @@
 		ReadHeaderTimeout: callTimeout, IdleTimeout: serverIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: klog.NewStandardLogger("INFO"),
 	}
+	if n.Guard != nil {
+		l = n.Guard(n.server, l)
+	}
 	var wg sync.WaitGroup
 	wg.Go(func() {
 		if err := n.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
