Retain an evacuation also where a peer tells of the restored store

Cause: an evacuation that a restored store lacks is retained for 10 s by the daemon that reads the restored store first, and moved to the new era. A daemon that got it from there knew it at an offset of the new era, took its own complete read for the end, and passed that end on.

Change: a complete read within evacuationRetention of the restore retains what it lacks.

Evidence: TestEvacuationIsRetainedByDaemonThatPeerTellsOfRestore failed before (ended after 0.4 s) and passes with -race, with the tests of evacuations and restores in the package.

--- a/internal/coordination/feed/evacuation.go
+++ b/internal/coordination/feed/evacuation.go
@@ -81,7 +81,8 @@
 		}
 		until, retained := f.evacuationsUntil[key]
 		switch {
-		case next.Era() > r.Offset.Era():
+		case next.Era() > r.Offset.Era(), !retained && time.Since(f.restoredAt) < evacuationRetention:
+			// A peer that retains it has told of the new era, and passes it on at an offset of that.
 			f.retainEvacuation(s, key, r, next)
 			klog.InfoS("Evacuation is missing in the restored store, retaining it", "failureDomain", e.FailureDomain, "offset", r.Offset,
 				"next", next, "keptMs", evacuationRetention.Milliseconds())
--- a/internal/coordination/feed/evacuation_test.go
+++ b/internal/coordination/feed/evacuation_test.go
@@ -146,3 +146,27 @@
 		require.Equal(t, step.want, s.IsEvacuated("z"), "%+v", step.e)
 	}
 }
+
+// Guards against an evacuation that a restored store lacks and that ends at once at a daemon that hears of the restore from a peer.
+func TestEvacuationIsRetainedByDaemonThatPeerTellsOfRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		s.put(extern.TopicOperators, "config", "1")
+		first, second := startFollower(t, s), startFollower(t, s)
+		older := map[extern.Topic][]extern.KeyedRecord{extern.TopicOperators: s.copyOf(extern.TopicOperators)}
+		putEvacuation(s, marked)
+		s.setDown(true)
+		time.Sleep(time.Second)
+		s.restore(older)
+		s.setDown(false)
+		require.NoError(t, first.readNewest(t.Context(), extern.TopicOperators))
+		require.Zero(t, second.NextOffset(extern.TopicOperators).Era())
+		second.ApplyChanges(extern.TopicOperators, first.ChangesSince(extern.TopicOperators, second.NextOffset(extern.TopicOperators)))
+		time.Sleep(time.Second)
+		require.True(t, first.isEvacuated())
+		require.True(t, second.isEvacuated())
+		time.Sleep(evacuationRetention)
+		require.False(t, first.isEvacuated())
+		require.False(t, second.isEvacuated())
+	})
+}
