Lose no slot of a cold upstream to a choice by a replaced registration

Cause: a choice made with the registration of an older incarnation took a slot of the newer one, while Begin and Return look the slot up by the incarnation of the choice, so that it stayed taken while the upstream was cold.

Change: such a choice takes no slot and counts when it is sent, as one does whose upstream has turned cold since.

Evidence: TestChoiceOfReplacedIncarnationLosesNoSlot failed before; the package passes with -race.

--- a/internal/coordination/cold/table.go
+++ b/internal/coordination/cold/table.go
@@ -187,7 +187,7 @@
 }
 
 // Take takes a slot of the upstream for a choice. ok is false if this daemon has none left now. charged is false if
-// coldness sets no bound now; otherwise Begin or Return has to follow.
+// coldness sets no bound now, or if u is an older incarnation; otherwise Begin or Return has to follow.
 func (t *Table) Take(u *view.Upstream) (ok, charged bool) {
 	if !t.bounded() {
 		return true, false
@@ -202,6 +202,10 @@
 		metrics.GetOrCreateCounter(`gooseberrywayColdRequests{outcome="held"}`).Inc()
 		return false, false
 	}
+	if s.registration.Incarnation != u.Incarnation {
+		// The upstream was chosen by a registration that has been replaced since. Its request counts when it is sent.
+		return true, false
+	}
 	s.chosen++
 	return true, true
 }
--- a/internal/coordination/cold/table_test.go
+++ b/internal/coordination/cold/table_test.go
@@ -163,3 +163,24 @@
 		require.False(t, ok, "the daemon was frozen")
 	})
 }
+
+// Guards against a slot that is lost for good because the choice was made with a registration that was replaced meanwhile.
+func TestChoiceOfReplacedIncarnationLosesNoSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newSoleTable()
+		old := list(table, view.Upstream{Incarnation: 1, ColdFor: time.Minute, ColdStated: true, Offset: 1})
+		u := list(table, view.Upstream{Incarnation: 2, ColdFor: time.Minute, ColdStated: true, Offset: 2})
+		for range 16 {
+			ok, charged := table.Take(old)
+			require.True(t, ok)
+			table.Begin(old, charged)
+		}
+		ok, _ := table.Take(u)
+		require.False(t, ok)
+		time.Sleep(window)
+		for range 16 {
+			ok, charged := table.Take(u)
+			require.True(t, ok && charged)
+		}
+	})
+}
