Set no metric for evacuated failure domains without upstreams

Cause: the second report of an evacuation set the gauge of any name, as it had been logged by then. Names that operators write are without bound.

Change: the gauge is set where there are upstreams, or where requests ran at the last report.

Evidence: TestEvacuationOfUnknownFailureDomainIsNoMetric failed before; the tests of evacuations in the package pass with -race.

--- a/internal/program/entry/evacuation.go
+++ b/internal/program/entry/evacuation.go
@@ -98,7 +98,7 @@
 	case last > 0 && running == 0:
 		klog.InfoS("Nothing runs in evacuated failure domain", details...)
 	}
-	if upstreams > 0 || logged {
+	if upstreams > 0 || last > 0 {
 		// Names of failure domains without upstreams would be metrics without bound.
 		metrics.GetOrCreateGauge(fmt.Sprintf(`gooseberrywayEvacuatedRequests{failureDomain=%q}`, e.FailureDomain), nil).Set(float64(running))
 	}
--- a/internal/program/entry/evacuation_test.go
+++ b/internal/program/entry/evacuation_test.go
@@ -7,9 +7,11 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/stretchr/testify/require"
 
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/state/view"
 	"github.com/gooseberryway/gooseberryway/platform/standin"
 )
 
@@ -182,3 +184,18 @@
 	require.Len(t, f.daemons[0].snapshots.Evacuations(), 1)
 	require.Equal(t, map[int]int{200: 5}, f.lookups(5, "r"))
 }
+
+// Guards against a metric for each name that operators write, also of failure domains that don't exist.
+func TestEvacuationOfUnknownFailureDomainIsNoMetric(t *testing.T) {
+	d := &Daemon{}
+	_, begun := d.snapshots.SetEvacuation(view.Evacuation{FailureDomain: "no-such-domain", Offset: 1})
+	require.True(t, begun)
+	d.reportEvacuations()
+	d.reportEvacuations()
+	_, ended := d.snapshots.SetEvacuation(view.Evacuation{FailureDomain: "no-such-domain", Offset: 2, Ended: true})
+	require.True(t, ended)
+	d.reportEvacuations()
+	for _, name := range metrics.ListMetricNames() {
+		require.NotContains(t, name, "no-such-domain")
+	}
+}
