Count responses without events as occupying their slot to the end

Cause: the time in a slot counted from the first event less the request's own prompt. A response that isn't streamed has its first event, for the estimates, at its end, so that only the prompt counted and waits before late requests came out far too short.

Change: without an event before the end, the time counts from the sending, as it did for all requests before.

Evidence: TestResponseWithoutEventsOccupiesSlotUntilItsEnd measured 2 ms instead of 2 s before; the package's tests of waits, urgency, slots, homes, evacuations and cold upstreams pass with -race.

--- a/internal/coordination/place/tracker.go
+++ b/internal/coordination/place/tracker.go
@@ -344,6 +344,10 @@
 	t.placer.mu.Lock()
 	defer t.placer.mu.Unlock()
 	t.measuresPrefill, t.foundSlot, t.estimatedTTFT = false, false, 0
+	if t.slotAt.IsZero() {
+		// Without events nothing tells when the request got its slot.
+		t.slotAt = t.startedAt
+	}
 	t.recordFirstEvent()
 	t.endRisk()
 	state, now := t.upstreamState, time.Now()
--- a/internal/coordination/place/urgency_test.go
+++ b/internal/coordination/place/urgency_test.go
@@ -187,3 +187,20 @@
 	require.NoError(t, err)
 	return c
 }
+
+// Guards against responses without events, which come as a whole at their end, counting as if only their prompts had occupied slots.
+func TestResponseWithoutEventsOccupiesSlotUntilItsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newTestPlacer()
+		for range 16 {
+			r := &Request{Service: "llm", Model: "m", Input: 100}
+			c, err := p.Choose(r)
+			require.NoError(t, err)
+			tracker := p.Begin(c, r)
+			time.Sleep(2 * time.Second)
+			tracker.MarkActive()
+			tracker.End(OutcomeSucceeded)
+		}
+		require.InDelta(t, 2*time.Second, p.estimates("llm").slotTime.Median(), float64(10*time.Millisecond))
+	})
+}
