Remember that the attempt beside a silent one may have run the request

Cause: if the silent upstream answered that it had not run the request, and the attempt beside it had been sent without an answer, the request was refused as not run and its cost refunded.

Change: the attempt beside counts as one that may have run the request unless it was rejected.

Evidence: TestRequestMayHaveRunAtUpstreamBesideSilentOne failed before and passes with -race.

--- a/internal/transport/proxy/spare.go
+++ b/internal/transport/proxy/spare.go
@@ -125,8 +125,11 @@
 	if s.sent {
 		c.attempts++
 	}
-	if s.rejected {
+	switch {
+	case s.rejected:
 		c.rejections++
+	case s.sent:
+		c.markSent()
 	}
 	if step == stepDone || s.answer == nil || c.reply.begun() {
 		return false
