Rank the requests of large configurations without a walk for each route

Cause: the first requests after a change of the configuration each computed the ranks, on their way, by every organisation for every route. Requests that still have the configuration before and those with the new one made each other's ranks be computed again.

Change: organisations are walked through once, and one of each priority stands for the others.

The package passes with -race.

--- a/internal/coordination/shed/rank.go
+++ b/internal/coordination/shed/rank.go
@@ -40,13 +40,13 @@
 
 // NewRanks returns the ranks of a configuration. If those of a service are more than there are levels, neighbours share one.
 func NewRanks(c *view.Config) *Ranks {
-	levels := map[view.ServiceID]map[rank]int{}
+	levels, orgs := map[view.ServiceID]map[rank]int{}, onePerPriority(c)
 	for i := range c.Routes {
 		for _, share := range c.Routes[i].Shares {
 			if levels[share.Service] == nil {
 				levels[share.Service] = map[rank]int{}
 			}
-			addRanks(levels[share.Service], c, &c.Routes[i])
+			addRanks(levels[share.Service], c, &c.Routes[i], orgs)
 		}
 	}
 	for _, ofService := range levels {
@@ -55,12 +55,33 @@
 	return &Ranks{levels: levels}
 }
 
-// addRanks adds the ranks that requests on the route can have.
-func addRanks(levels map[rank]int, c *view.Config, route *view.Route) {
+// onePerPriority returns one organisation of each priority, and one without, so that large configurations are walked through only once.
+func onePerPriority(c *view.Config) []*view.Organisation {
+	type kind struct {
+		has      bool
+		priority int
+	}
+	seen := map[kind]bool{}
+	var out []*view.Organisation
+	for _, org := range c.Organisations {
+		key := kind{has: org.HasPriority}
+		if org.HasPriority {
+			key.priority = org.Priority
+		}
+		if !seen[key] {
+			seen[key] = true
+			out = append(out, org)
+		}
+	}
+	return out
+}
+
+// addRanks adds the ranks that requests of the organisations on the route can have.
+func addRanks(levels map[rank]int, c *view.Config, route *view.Route, orgs []*view.Organisation) {
 	if route.AllowsAnonymous || !c.RequiresKey() {
 		levels[rankOf(nil, route)] = 0
 	}
-	for _, org := range c.Organisations {
+	for _, org := range orgs {
 		levels[rankOf(org, route)] = 0
 	}
 }
--- a/internal/coordination/shed/rank_test.go
+++ b/internal/coordination/shed/rank_test.go
@@ -1,6 +1,7 @@
 package shed
 
 import (
+	"strconv"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -72,3 +73,18 @@
 	}
 	return c
 }
+
+// BenchmarkNewRanks is of a configuration with 17,000 organisations.
+func BenchmarkNewRanks(b *testing.B) {
+	c := &view.Config{Organisations: map[ident.OrganisationID]*view.Organisation{}}
+	for i := range 17_000 {
+		id := ident.OrganisationID(strconv.Itoa(i))
+		c.Organisations[id] = &view.Organisation{ID: id, HasPriority: true, Priority: i % 3}
+	}
+	for i := range 30 {
+		c.Routes = append(c.Routes, view.Route{Priority: i % 3, Shares: []view.Share{{Service: "s", Weight: 1}}})
+	}
+	for b.Loop() {
+		NewRanks(c)
+	}
+}
