Pass the age of an evacuation on to peers

Cause: the record that peers get bore the time when the daemon had learned of the evacuation. From a daemon that had started in its midst a peer that couldn't read the store took it for one that had just begun, and let prompts leave for half of evacuationMs more.

Change: the record bears when the evacuation began, or an hour ago where that isn't known, so that all prompts leave at once.

Evidence: TestAgeOfEvacuationIsPassedOn failed before (1 s instead of an hour); the package passes with -race.

--- a/internal/coordination/feed/evacuation.go
+++ b/internal/coordination/feed/evacuation.go
@@ -16,6 +16,10 @@
 // unless they have ended it, which the store has forgotten as well.
 const evacuationRetention = 10 * time.Second
 
+// unknownEvacuationAge is the age that peers are told of an evacuation that may have begun long ago. It is longer than the settings allow
+// prompts to stay.
+const unknownEvacuationAge = time.Hour
+
 // applyEvacuation applies a record that begins or ends an evacuation. The caller holds f.mu.
 func (f *Follower) applyEvacuation(e *view.Evacuation, r *extern.KeyedRecord, source *Changes) bool {
 	e.BegunAt, e.EndedAt = f.begunAt(r, source), time.Now()
@@ -31,6 +35,7 @@
 	}
 	if replaced {
 		delete(f.evacuationsUntil, r.Key)
+		f.setSeenAt(*r, e.FailureDomain)
 	}
 	now := time.Now()
 	age, observed := e.Age(now)
@@ -42,6 +47,18 @@
 	return replaced && event != "repeated"
 }
 
+// setSeenAt has peers that learn of an evacuation here count its age from when it began, not from when this daemon learned of it.
+func (f *Follower) setSeenAt(r extern.KeyedRecord, domain ident.FailureDomain) {
+	e, ok := f.Snapshots.Evacuation(domain)
+	if !ok {
+		return
+	}
+	if r.SeenAt = e.BegunAt; r.SeenAt.IsZero() {
+		r.SeenAt = time.Now().Add(-unknownEvacuationAge)
+	}
+	f.state(extern.TopicOperators).newest[r.Key] = r
+}
+
 // begunAt returns when an evacuation that is learnt now was asked for; zero if that may have been long ago.
 func (f *Follower) begunAt(r *extern.KeyedRecord, source *Changes) time.Time {
 	s := f.state(extern.TopicOperators)
--- a/internal/coordination/feed/evacuation_test.go
+++ b/internal/coordination/feed/evacuation_test.go
@@ -170,3 +170,29 @@
 		require.False(t, second.isEvacuated())
 	})
 }
+
+// Guards against an evacuation that seems to have just begun to a daemon that hears of it from a peer that has just started.
+func TestAgeOfEvacuationIsPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, other := newFakeStore(), newFakeStore()
+		s.put(extern.TopicOperators, "config", "1")
+		other.put(extern.TopicOperators, "config", "1")
+		witness, late := startFollower(t, s), startFollower(t, other)
+		putEvacuation(s, marked)
+		time.Sleep(time.Minute)
+		fresh := startFollower(t, s)
+		_, observed := age(fresh)
+		require.False(t, observed)
+		for _, c := range []struct {
+			peer *Follower
+			want time.Duration
+		}{{fresh, time.Hour}, {witness, time.Minute}} {
+			changes := c.peer.ChangesSince(extern.TopicOperators, late.NextOffset(extern.TopicOperators))
+			require.Len(t, changes.Records, 1)
+			require.InDelta(t, c.want, time.Since(changes.Records[0].SeenAt), float64(5*time.Second))
+		}
+		late.ApplyChanges(extern.TopicOperators, fresh.ChangesSince(extern.TopicOperators, late.NextOffset(extern.TopicOperators)))
+		lasted, _ := age(late)
+		require.Greater(t, lasted, time.Minute)
+	})
+}
