--- a/internal/coordination/feed/evacuation_test.go
+++ b/internal/coordination/feed/evacuation_test.go
@@ -146,3 +146,53 @@
 		require.Equal(t, step.want, s.IsEvacuated("z"), "%+v", step.e)
 	}
 }
+
+// Guards against an evacuation that a restored store lacks and that ends at once at a daemon that hears of the restore from a peer.
+func TestEvacuationIsRetainedByDaemonThatPeerTellsOfRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		s.put(extern.TopicOperators, "config", "1")
+		first, second := startFollower(t, s), startFollower(t, s)
+		older := map[extern.Topic][]extern.KeyedRecord{extern.TopicOperators: s.copyOf(extern.TopicOperators)}
+		putEvacuation(s, marked)
+		s.setDown(true)
+		time.Sleep(time.Second)
+		s.restore(older)
+		s.setDown(false)
+		require.NoError(t, first.readNewest(t.Context(), extern.TopicOperators))
+		require.Zero(t, second.NextOffset(extern.TopicOperators).Era())
+		second.ApplyChanges(extern.TopicOperators, first.ChangesSince(extern.TopicOperators, second.NextOffset(extern.TopicOperators)))
+		time.Sleep(time.Second)
+		require.True(t, first.isEvacuated())
+		require.True(t, second.isEvacuated())
+		time.Sleep(evacuationRetention)
+		require.False(t, first.isEvacuated())
+		require.False(t, second.isEvacuated())
+	})
+}
+
+// Guards against an evacuation that seems to have just begun to a daemon that hears of it from a peer that has just started.
+func TestAgeOfEvacuationIsPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, other := newFakeStore(), newFakeStore()
+		s.put(extern.TopicOperators, "config", "1")
+		other.put(extern.TopicOperators, "config", "1")
+		witness, late := startFollower(t, s), startFollower(t, other)
+		putEvacuation(s, marked)
+		time.Sleep(time.Minute)
+		fresh := startFollower(t, s)
+		_, observed := age(fresh)
+		require.False(t, observed)
+		for _, c := range []struct {
+			peer *Follower
+			want time.Duration
+		}{{fresh, time.Hour}, {witness, time.Minute}} {
+			changes := c.peer.ChangesSince(extern.TopicOperators, late.NextOffset(extern.TopicOperators))
+			require.Len(t, changes.Records, 1)
+			require.InDelta(t, c.want, time.Since(changes.Records[0].SeenAt), float64(5*time.Second))
+		}
+		late.ApplyChanges(extern.TopicOperators, fresh.ChangesSince(extern.TopicOperators, late.NextOffset(extern.TopicOperators)))
+		lasted, _ := age(late)
+		require.Greater(t, lasted, time.Minute)
+	})
+}
