--- a/internal/coordination/place/placer.go
+++ b/internal/coordination/place/placer.go
@@ -309,11 +309,7 @@
 		if slices.Contains(q.request.Tried, u.ID) || !q.request.Releases.allows(u) {
 			continue
 		}
-		if !state.down && state.isSilent(q.now, q.maxReportAge) {
-			state.markDown(q.now)
-			klog.InfoS("Upstream silent", "upstream", u.ID, "requests", state.own.Requests, "unread", state.own.PrefillTokens,
-				"silentMs", q.now.Sub(state.lastActiveAt).Milliseconds())
-		}
+		state.markDownIfSilent(q)
 		if reason := p.barred(q.request, q.chain, u, q.now); reason != "" {
 			blocked.addReason(reason, barredRetryAfter)
 			q.moved = q.moved || len(out) == 0 && p.wasLeftLately(u, q.now)
@@ -345,6 +341,16 @@
 	return out
 }
 
+// markDownIfSilent marks an upstream as down that has been silent for too long.
+func (s *upstreamState) markDownIfSilent(q *query) {
+	if s.down || !s.isSilent(q.now, q.maxReportAge) {
+		return
+	}
+	s.markDown(q.now)
+	klog.InfoS("Upstream silent", "upstream", s.id, "requests", s.own.Requests, "unread", s.own.PrefillTokens,
+		"silentMs", q.now.Sub(s.lastActiveAt).Milliseconds())
+}
+
 // exclusionReason returns why an upstream takes no work, and after which time it may; an empty reason if it does.
 func (p *Placer) exclusionReason(
 	state *upstreamState, u *view.Upstream, model ident.ModelID, named view.Weights, now time.Time,
