Let an expelled connection read nothing more

Cause: a connection that was told to end in the moment in which a read had just returned could begin another read, which waited up to 30 s for its client while it was no longer counted. Read in the code; no run showed it.

Change: a read of such a connection fails at once.

--- a/internal/transport/intake/conn.go
+++ b/internal/transport/intake/conn.go
@@ -167,6 +167,9 @@
 func (c *Conn) beginRead(watches bool) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.expelled.Load() {
+		return opError("read", ReasonWorst)
+	}
 	if c.readTimed {
 		return nil
 	}
