Pause between complete reads that look for ends of evacuations

Cause: while an evacuation is in force, records of a peer make a daemon read the store completely once. If the store answers less than the peer has read, the answer is ignored, and the daemon read again without a pause.

Change: at most one such read a second.

The package passes twice with -race, as do the tests of evacuations in program/entry.

--- a/internal/coordination/feed/evacuation.go
+++ b/internal/coordination/feed/evacuation.go
@@ -16,6 +16,10 @@
 // unless they have ended it, which the store has forgotten as well.
 const evacuationRetention = 10 * time.Second
 
+// endsReadPeriod is the shortest time between two complete reads that look for ends of evacuations. A store that has not read as far as a
+// peer answers them at once and to no effect.
+const endsReadPeriod = time.Second
+
 // unknownEvacuationAge is the age that peers are told of an evacuation that may have begun long ago. It is longer than the settings allow
 // prompts to stay.
 const unknownEvacuationAge = time.Hour
@@ -155,13 +159,14 @@
 	return f.applyRecord(extern.TopicOperators, removal, &Changes{})
 }
 
-// mayHaveMissedEnd reports whether the newest records have to be read to learn whether an evacuation has ended. The caller holds f.mu.
+// mayHaveMissedEnd reports whether the newest records have to be read now to learn whether an evacuation has ended. The caller holds f.mu.
 func (f *Follower) mayHaveMissedEnd(s *topicState) bool {
-	if s != f.topics[extern.TopicOperators] || !s.mayLackEnds {
+	if s != f.topics[extern.TopicOperators] || !s.mayLackEnds || time.Since(s.endsReadAt) < endsReadPeriod {
 		return false
 	}
 	for _, r := range s.newest {
 		if _, ok := f.inForce(&r); ok {
+			s.endsReadAt = time.Now()
 			return true
 		}
 	}
--- a/internal/coordination/feed/evacuation_test.go
+++ b/internal/coordination/feed/evacuation_test.go
@@ -1,6 +1,8 @@
 package feed
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -196,3 +198,39 @@
 		require.Greater(t, lasted, time.Minute)
 	})
 }
+
+// countingStore counts its complete reads.
+type countingStore struct {
+	*fakeStore
+	complete atomic.Int64
+}
+
+func (s *countingStore) Newest(ctx context.Context, topic extern.Topic) (extern.StoreBatch, error) {
+	s.complete.Add(1)
+	time.Sleep(time.Millisecond)
+	return s.fakeStore.Newest(ctx, topic)
+}
+
+// Guards against complete reads without a pause while a peer has read farther than the store answers. Such a store is read anew now and then
+// also without evacuations.
+func TestEndsOfEvacuationsAreNotReadWithoutPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reads := func(evacuated bool) int64 {
+			s := &countingStore{fakeStore: newFakeStore()}
+			s.put(extern.TopicOperators, "config", "1")
+			f := runFollower(t, &Follower{Store: s, Decoder: fakeDecoder{}, Snapshots: &view.Snapshots{}})
+			if evacuated {
+				putEvacuation(s.fakeStore, marked)
+			}
+			before := s.complete.Load()
+			f.ApplyChanges(extern.TopicOperators, Changes{From: "p", StoreBatch: extern.StoreBatch{Next: ident.NewOffset(0, 9)}})
+			time.Sleep(time.Minute)
+			require.Equal(t, evacuated, f.isEvacuated())
+			return s.complete.Load() - before
+		}
+		without, with := reads(false), reads(true)
+		t.Log("complete reads in a minute:", without, "without an evacuation,", with, "with one")
+		// One in each period, and the delays between retries start anew after it.
+		require.LessOrEqual(t, with-without, int64(3*time.Minute/endsReadPeriod))
+	})
+}
--- a/internal/coordination/feed/follower.go
+++ b/internal/coordination/feed/follower.go
@@ -110,6 +110,8 @@
 	// mayLackEnds says that records of a peer were applied while an evacuation was in force. A peer that started after its end doesn't
 	// know of that end.
 	mayLackEnds bool
+	// endsReadAt is when the newest records were last read for that reason.
+	endsReadAt time.Time
 	// knownSince is the offset from which on all changes are known, because the whole state was read there.
 	knownSince ident.Offset
 	// newest holds the newest record of each key for peers, without records that changed nothing. A record without a
