--- a/internal/coordination/place/cost.go
+++ b/internal/coordination/place/cost.go
@@ -172,8 +172,7 @@
 		return nil
 	}
 	u, state := p.Snapshots.Upstreams().ByID[last.engine], p.upstreamStates[last.engine]
-	if u == nil || state == nil || state.down || p.isDisplaced(u, q.now) || state.incarnation != last.incarnation ||
-		state.weights[q.request.Model] != version {
+	if u == nil || state == nil || state.down || state.incarnation != last.incarnation || state.weights[q.request.Model] != version {
 		return nil
 	}
 	return u
--- a/internal/coordination/place/placer.go
+++ b/internal/coordination/place/placer.go
@@ -327,8 +327,6 @@
 	switch {
 	case u.State != view.UpstreamReady, state.leaving:
 		return BlockedNoUpstream, blockedRetryAfter
-	case p.isDisplaced(u, now):
-		return BlockedNoUpstream, blockedRetryAfter
 	case now.Before(state.pausedUntil):
 		return BlockedPaused, state.pausedUntil.Sub(now)
 	case now.Before(state.loadingUntil):
--- a/internal/coordination/place/upstream_state.go
+++ b/internal/coordination/place/upstream_state.go
@@ -34,7 +34,6 @@
 	estimates *estimates
 	own       OutstandingWork
 	reservations
-	displaced
 	peerWork map[ident.DaemonID]peerReport
 
 	weights map[ident.ModelID]int64
@@ -172,7 +171,7 @@
 		s.recentChains = map[ChainKey]time.Time{}
 		s.failureRate.Reset()
 		s.firstTokenWait.Reset()
-		s.down, s.leaving, s.pausedUntil, s.displaced = false, false, time.Time{}, displaced{}
+		s.down, s.leaving, s.pausedUntil = false, false, time.Time{}
 		s.weightsChangedAt = time.Now()
 	}
 	for model, version := range u.Weights {
--- a/internal/coordination/reload/runner.go
+++ b/internal/coordination/reload/runner.go
@@ -191,8 +191,7 @@
 	var out []candidate
 	for _, u := range engines {
 		currentVersion := r.Placer.WeightVersion(u, model)
-		if u.State != view.UpstreamReady || r.jobs[u.ID] != nil || currentVersion >= version || r.isAvoided(u.ID) ||
-			r.Placer.HasNotice(u) || r.Placer.IsDisplaced(u) {
+		if u.State != view.UpstreamReady || r.jobs[u.ID] != nil || currentVersion >= version || r.isAvoided(u.ID) || r.Placer.HasNotice(u) {
 			continue
 		}
 		out = append(out, candidate{engine: u, currentVersion: currentVersion, version: version, requests: r.Placer.WorkAt(u.ID).Requests})
--- a/internal/program/entry/daemon.go
+++ b/internal/program/entry/daemon.go
@@ -228,7 +228,6 @@
 		PeerPool:        &httpc.Pool{DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout},
 		Bodies:          &proxy.BodyBudget{MaxBytes: int64(s.Resources.MemoryMB * bytesPerMB / bodyMemoryDivisor)},
 		Stop:            &d.requestStop,
-		OnDisplaced:     func() { d.peers.SendSoon() },
 		IsDraining:      d.leaving.Load,
 	}
 }
--- a/internal/program/entry/heartbeat.go
+++ b/internal/program/entry/heartbeat.go
@@ -137,7 +137,6 @@
 		b.ReachedServices = append(b.ReachedServices, string(service))
 	}
 	d.addLeaderState(b)
-	d.addDisplacements(b)
 	d.addUsage(b, v.inMesh())
 	if !v.inMesh() {
 		b.Prompts = encodeEvidence(d.detector.News(false))
--- a/internal/program/entry/leadership.go
+++ b/internal/program/entry/leadership.go
@@ -103,9 +103,6 @@
 		})
 	}
 	for _, l := range b.GetLoading() {
-		if d.applyDisplacement(l) {
-			continue
-		}
 		id := ident.UpstreamID(l.GetUpstream())
 		d.placer.SetLoading(id, min(time.Duration(l.GetForMs())*time.Millisecond, maxLoadingTime))
 		if u := d.snapshots.Upstreams().ByID[id]; u != nil && l.GetVersion() > 0 {
--- a/internal/state/view/upstream.go
+++ b/internal/state/view/upstream.go
@@ -57,28 +57,17 @@
 	// ByTag maps the hashes of ids that messages between daemons carry. If two upstreams have the same tag it holds one of
 	// them, and the load that peers report for it is too high or too low.
 	ByTag map[ident.UpstreamTag]*Upstream
-	// Displaced holds, for each upstream whose address another one has registered since, the one that registered it last.
-	Displaced map[ident.UpstreamID]ident.UpstreamID
 }
 
 // NewUpstreams returns a list of the upstreams, indexed by id, service and tag. The offset is the topic's.
 func NewUpstreams(byID map[ident.UpstreamID]*Upstream, offset ident.Offset) *Upstreams {
 	u := &Upstreams{
 		Offset: offset, ByID: byID, ByService: map[ServiceID][]*Upstream{},
-		ByTag: make(map[ident.UpstreamTag]*Upstream, len(byID)), Displaced: map[ident.UpstreamID]ident.UpstreamID{},
+		ByTag: make(map[ident.UpstreamTag]*Upstream, len(byID)),
 	}
-	newest := make(map[string]*Upstream, len(byID))
 	for _, up := range byID {
 		u.ByTag[up.ID.Tag()] = up
 		u.ByService[up.Service] = append(u.ByService[up.Service], up)
-		if other := newest[up.Address]; other == nil || up.Offset > other.Offset {
-			newest[up.Address] = up
-		}
-	}
-	for _, up := range byID {
-		if last := newest[up.Address]; last.Offset > up.Offset {
-			u.Displaced[up.ID] = last.ID
-		}
 	}
 	return u
 }
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -62,8 +62,6 @@
 	Bodies *BodyBudget
 	// Stop decides which requests can end before a planned stop of the daemon.
 	Stop *shed.Stop
-	// OnDisplaced is called when another upstream has answered at the address of a listed one; nil for nothing.
-	OnDisplaced func()
 	// IsDraining reports whether the daemon is shutting down; responses then close their connections.
 	IsDraining func() bool
 }
--- a/internal/transport/proxy/request.go
+++ b/internal/transport/proxy/request.go
@@ -61,9 +61,7 @@
 	NotRun bool
 	// Signed is true if the response bears its upstream's signature, without which it is no success.
 	Signed bool
-	// Responder is the upstream that has answered; empty if it doesn't say.
-	Responder ident.UpstreamID
-	// WeightVersion is the version of the upstream's weights, also if it did not run the request; 0 if the upstream doesn't say.
+	// WeightVersion is the version of the weights that produced the response; 0 if the upstream doesn't say.
 	WeightVersion int64
 	// Limit is what the response says about the rate at which the upstream takes requests.
 	Limit view.LimitStatement
--- a/internal/transport/proxy/response.go
+++ b/internal/transport/proxy/response.go
@@ -51,9 +51,7 @@
 	if isSuccess(resp.StatusCode) && !parsed.Signed {
 		return c.handleUnsigned(resp, &parsed, choice, tracker)
 	}
-	if resp.StatusCode != http.StatusMisdirectedRequest {
-		c.Placer.SetWeightVersion(choice.Upstream, placeReq.Model, parsed.WeightVersion)
-	}
+	c.Placer.SetWeightVersion(choice.Upstream, placeReq.Model, parsed.WeightVersion)
 	c.observeLimit(resp, &parsed, choice)
 	c.observeRejectionLimit(resp, &parsed, choice)
 	c.observeNotice(resp, &parsed, choice)
@@ -135,17 +133,6 @@
 	}
 }
 
-// observeMisdirection records what a misdirected response says of the upstream: that another one has its address, or which weights it has.
-func (c *call) observeMisdirection(parsed *Response, choice *place.Choice) {
-	if parsed.Responder != "" && parsed.Responder != choice.Upstream.ID {
-		if c.Placer.MarkDisplaced(choice.Upstream, parsed.Responder) && c.OnDisplaced != nil {
-			c.OnDisplaced()
-		}
-		return
-	}
-	c.Placer.SetWeightVersion(choice.Upstream, c.req.Model, parsed.WeightVersion)
-}
-
 // stepAfterRun returns the next step after an attempt that failed although the request may have run. Of a response that has begun only
 // a stream can go on, if it is known how much of it the caller has got. One that a peer passed on goes on from there: the peer knows how many
 // upstreams had run it when its response began.
@@ -187,17 +174,12 @@
 		outcome = place.OutcomeMisdirected
 	}
 	tracker.End(outcome)
-	if outcome == place.OutcomeMisdirected {
-		c.observeMisdirection(parsed, choice)
-	}
 	if resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests {
 		c.Placer.MarkFull(choice.Upstream)
 	}
 	c.rejections++
 	klog.InfoS("Upstream refused", "request", c.req.ID, "upstream", choice.Upstream.ID, "status", resp.StatusCode,
-		"weights", choice.WeightVersion, "statedWeights", parsed.WeightVersion, "responder", parsed.Responder,
-		"registeredWeights", choice.Upstream.Weights[c.req.Model], "registeredAgeMs", time.Since(choice.Upstream.SeenAt).Milliseconds(),
-		"named", parsed.ID != "", "reused", !httpc.IsFirst(resp),
+		"weights", choice.WeightVersion, "named", parsed.ID != "", "reused", !httpc.IsFirst(resp),
 		"sinceSentMs", time.Since(c.attemptAt).Milliseconds())
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, streamBufferBytes))
 	return stepRetryOther, ReasonUpstreamsRefused
