Count no body as a head on a kept connection

Cause: once the end of a body wasn't known, as after any chunked one, all bytes of further requests on the connection counted as a head, their lines at 256 bytes each. A chunked body of 60 KiB of short lines was reset although nothing else was connected, and larger bodies of 50 callers took all that large heads may have. Change: the count ends when net/http has parsed the head.

--- a/internal/transport/intake/conn.go
+++ b/internal/transport/intake/conn.go
@@ -36,10 +36,10 @@
 	// ended, or what of them was not passed on.
 	scanner headScanner
 	head    []byte
-	// bodyLeft is the number of bytes until the next head. blind says that it isn't known where the current head began: all is counted that
-	// the server may take for a part of it.
-	bodyLeft int64
-	blind    bool
+	// bodyLeft is the number of bytes until the next head. blind says that it isn't known where the current head began: until parsed says that
+	// the server has parsed it, all is counted that the server may take for a part of it.
+	bodyLeft      int64
+	blind, parsed bool
 
 	// reading says that a read waits for the client, other than the one that watches for the end of the connection while a request is served.
 	reading atomic.Bool
@@ -107,6 +107,9 @@
 // take counts bytes that were read, and reports whether they may be passed on; if not, they are kept.
 func (c *Conn) take(p []byte) (whole bool, refusal error) {
 	if c.blind {
+		if c.parsed {
+			return true, nil
+		}
 		return true, c.takeBlindly(p)
 	}
 	if c.scanner.ended {
@@ -223,7 +226,7 @@
 func (c *Conn) awaitHead() {
 	c.gate.release(c)
 	// What the server has read of another request is at most its buffer.
-	c.blind = c.blind || c.bodyLeft != 0
+	c.blind, c.parsed = c.blind || c.bodyLeft != 0, false
 	c.scanner = headScanner{}
 	if c.blind {
 		c.scanner.ended = true
--- a/internal/transport/intake/gate.go
+++ b/internal/transport/intake/gate.go
@@ -71,13 +71,19 @@
 	return max(limit, minConns)
 }
 
-// Guard makes a server tell the gate when its connections begin to wait for a request, and returns a listener for it. It is called before Serve, after
-// the server's ConnState is set.
+// Guard makes a server tell the gate when its connections begin to wait for a request and when they have one, and returns a listener for it. It is
+// called before Serve, after the server's ConnState is set.
 func (g *Gate) Guard(server *http.Server, l net.Listener, name string) net.Listener {
 	next := server.ConnState
 	server.ConnState = func(c net.Conn, state http.ConnState) {
-		if conn, ok := c.(*Conn); ok && state == http.StateIdle {
-			conn.awaitHead()
+		if conn, ok := c.(*Conn); ok {
+			switch state {
+			case http.StateIdle:
+				conn.awaitHead()
+			case http.StateActive:
+				conn.parsed = true
+			default:
+			}
 		}
 		if next != nil {
 			next(c, state)
