Count heads of pipelined requests

Cause: what net/http had in its buffer of the next request when it ended one was not counted. A connection could hold a parsed head of 4 KiB of short lines, estimated at 240 kB, without being charged: 40 of them passed a limit of 2 MiB. Change: where the bytes of a head can't be told from others the head is counted once it is parsed, before the handler. If there is no memory the request is refused with 503 and has not run.

--- a/internal/transport/intake/blind_test.go
+++ b/internal/transport/intake/blind_test.go
@@ -30,3 +30,35 @@
 	require.Equal(t, http.StatusOK, status)
 	require.Len(t, body, 64<<10+2)
 }
+
+func TestPipelinedHeadsAreCounted(t *testing.T) {
+	const lines = 900
+	g := &Gate{}
+	address := serve(t, g)
+	c := dial(t, address)
+	c.send("GET / HTTP/1.1\r\nHost: h\r\n\r\nPOST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n" + strings.Repeat("a:\r\n", lines) + "\r\nbo")
+	status, _ := c.answer()
+	require.Equal(t, http.StatusOK, status)
+	require.Eventually(t, func() bool { return g.held() >= lines*lineBytes }, 5*time.Second, 10*time.Millisecond)
+	c.send("dy")
+	status, body := c.answer()
+	require.Equal(t, http.StatusOK, status)
+	require.Contains(t, body, "body")
+	require.Eventually(t, func() bool { return g.held() < lines*lineBytes }, 5*time.Second, 10*time.Millisecond)
+}
+
+func TestPipelinedHeadsStayWithinMemory(t *testing.T) {
+	const lines = 900
+	g := &Gate{MemoryBytes: 16 << 20}
+	address := serve(t, g)
+	for range 40 {
+		c := dial(t, address)
+		c.send("GET / HTTP/1.1\r\nHost: h\r\n\r\nPOST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n" + strings.Repeat("a:\r\n", lines) + "\r\nbo")
+		status, _ := c.answer()
+		require.Equal(t, http.StatusOK, status)
+	}
+	require.LessOrEqual(t, g.held(), g.maxHeadBytes())
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	require.LessOrEqual(t, int64(len(g.conns)), g.maxHeadBytes()/(lines*lineBytes)+1)
+}
--- a/internal/transport/intake/conn.go
+++ b/internal/transport/intake/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -233,6 +234,26 @@
 	}
 }
 
+// admitParsed counts the head of a request that the server has parsed, if its bytes could not be counted alone as they arrived, and reports whether
+// there is as much memory.
+func (c *Conn) admitParsed(r *http.Request) bool {
+	if !c.blind {
+		return true
+	}
+	size, lines := int64(len(r.Method)+len(r.RequestURI)+len(r.Host)), int64(1)
+	for name, values := range r.Header {
+		lines += int64(len(values))
+		for _, value := range values {
+			size += int64(len(name) + len(value))
+		}
+	}
+	if !c.gate.charge(c, headMemory(size, lines)) {
+		c.gate.refuse(c, ReasonHeads)
+		return false
+	}
+	return true
+}
+
 // expel ends reads that wait for the client, after which the server closes the connection.
 func (c *Conn) expel() {
 	c.mu.Lock()
--- a/internal/transport/intake/gate.go
+++ b/internal/transport/intake/gate.go
@@ -4,6 +4,7 @@
 package intake
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -71,8 +72,8 @@
 	return max(limit, minConns)
 }
 
-// Guard makes a server tell the gate when its connections begin to wait for a request and when they have one, and returns a listener for it. It is
-// called before Serve, after the server's ConnState is set.
+// Guard makes a server tell the gate when its connections begin to wait for a request and which heads it has parsed, and returns a listener for it. It
+// is called before Serve, after the server's ConnState, ConnContext and Handler are set.
 func (g *Gate) Guard(server *http.Server, l net.Listener, name string) net.Listener {
 	next := server.ConnState
 	server.ConnState = func(c net.Conn, state http.ConnState) {
@@ -89,6 +90,7 @@
 			next(c, state)
 		}
 	}
+	g.guardHandler(server)
 	limit := int64(server.MaxHeaderBytes)
 	if limit <= 0 {
 		limit = http.DefaultMaxHeaderBytes
@@ -96,6 +98,28 @@
 	return &listener{Listener: l, gate: g, name: name, scans: true, maxHeadBytes: limit + slopBytes, headTimeout: server.ReadHeaderTimeout}
 }
 
+type connKey struct{}
+
+// guardHandler makes a server refuse requests for whose heads there is no memory, as far as that isn't known before they are parsed.
+func (g *Gate) guardHandler(server *http.Server) {
+	nextContext, handler := server.ConnContext, server.Handler
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if nextContext != nil {
+			ctx = nextContext(ctx, c)
+		}
+		return context.WithValue(ctx, connKey{}, c)
+	}
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(*Conn); ok && !c.admitParsed(r) {
+			w.Header().Set("Connection", "close")
+			w.Header().Set("Retry-After", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
 // Limit returns a listener that bounds the number of connections only, for servers with TLS or HTTP/2.
 func (g *Gate) Limit(l net.Listener, name string) net.Listener {
 	return &listener{Listener: l, gate: g, name: name}
@@ -144,7 +168,7 @@
 	return true
 }
 
-// charge sets the memory of c's head to size, which is not less than before, and reports whether there was as much. For a large head no other one is
+// charge sets the memory of c's head to size and reports whether there was as much. For a large head no other one is
 // closed: what was parsed stays for a while after its connection has been closed.
 func (g *Gate) charge(c *Conn, size int64) bool {
 	g.mu.Lock()
@@ -153,7 +177,7 @@
 		return false
 	}
 	grown := size - c.held
-	if size > largeHeadBytes && g.headBytes+g.leavingBytes+grown > g.maxHeadBytes()/2 {
+	if grown > 0 && size > largeHeadBytes && g.headBytes+g.leavingBytes+grown > g.maxHeadBytes()/2 {
 		return false
 	}
 	for g.headBytes+grown > g.maxHeadBytes() {
