Close no connection whose request has just been read

Cause: the gate looked whether a connection waited for its client, and closed it later without the connection's lock, after a scan of all others and a log line. A read that ended in between returned the end of a body: the request was passed on and its answer could not be written. Change: a read ends under the connection's lock; if there is none to end, the gate looks for another connection.

--- a/internal/transport/intake/conn.go
+++ b/internal/transport/intake/conn.go
@@ -47,7 +47,7 @@
 	// expelled says that the connection was closed to make room.
 	expelled atomic.Bool
 
-	// mu guards the deadlines. readTimed and writeTimed say that the server has set one; stallTimed says that the deadline of reads is the
+	// mu guards the deadlines, and changes of reading and expelled. readTimed and writeTimed say that the server has set one; stallTimed says that the deadline of reads is the
 	// connection's own.
 	mu                                sync.Mutex
 	readTimed, writeTimed, stallTimed bool
@@ -94,10 +94,8 @@
 	if err := c.beginRead(watches); err != nil {
 		return 0, err
 	}
-	c.reading.Store(!watches)
 	n, err := c.Conn.Read(p)
-	c.reading.Store(false)
-	if c.expelled.Load() {
+	if c.endRead() {
 		// The server would wait before it closes the connection.
 		_ = c.Conn.Close()
 		return 0, opError("read", ReasonWorst)
@@ -167,6 +165,14 @@
 	return nil
 }
 
+// endRead reports whether the connection was closed to make room while it waited for the client.
+func (c *Conn) endRead() (expelled bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading.Store(false)
+	return c.expelled.Load()
+}
+
 // beginRead sets a deadline of its own unless the server has set one or the read only watches.
 func (c *Conn) beginRead(watches bool) error {
 	c.mu.Lock()
@@ -174,6 +180,7 @@
 	if c.expelled.Load() {
 		return opError("read", ReasonWorst)
 	}
+	c.reading.Store(!watches)
 	if c.readTimed {
 		return nil
 	}
@@ -254,12 +261,17 @@
 	return true
 }
 
-// expel ends reads that wait for the client, after which the server closes the connection.
-func (c *Conn) expel() {
+// expel ends the read that waits for the client, after which the server closes the connection. It reports whether there was one: what was read may be a
+// request that is being served.
+func (c *Conn) expel() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.reading.Load() {
+		return false
+	}
 	c.expelled.Store(true)
 	_ = c.Conn.SetReadDeadline(time.Now())
+	return true
 }
 
 // refuse answers with a status and waits a short time for the client to read it: bytes that weren't read would reset the connection.
--- a/internal/transport/intake/gate.go
+++ b/internal/transport/intake/gate.go
@@ -228,6 +228,21 @@
 // closeWorst closes the connection that holds most, of several the one whose client has been silent longest, among those that wait for their clients and hold more than least bytes. It
 // reports whether there was one.
 func (g *Gate) closeWorst(newcomer *Conn, least int64) bool {
+	for {
+		worst := g.worst(newcomer, least)
+		if worst == nil {
+			return false
+		}
+		if worst.expel() {
+			g.drop(worst)
+			g.count(worst, ReasonWorst)
+			return true
+		}
+	}
+}
+
+// worst returns the connection that closeWorst closes if it still waits for its client; nil if there is none.
+func (g *Gate) worst(newcomer *Conn, least int64) *Conn {
 	var worst *Conn
 	for c := range g.conns {
 		if c == newcomer || c.held <= least || !c.reading.Load() {
@@ -237,13 +252,7 @@
 			worst = c
 		}
 	}
-	if worst == nil {
-		return false
-	}
-	g.drop(worst)
-	g.count(worst, ReasonWorst)
-	worst.expel()
-	return true
+	return worst
 }
 
 // count counts a connection that is refused or closed.
