--- a/internal/transport/intake/blind_test.go
+++ b/internal/transport/intake/blind_test.go
@@ -51,12 +51,17 @@
 	const lines = 900
 	g := &Gate{MemoryBytes: 16 << 20}
 	address := serve(t, g)
+	var last *client
 	for range 40 {
 		c := dial(t, address)
+		last = c
 		c.send("GET / HTTP/1.1\r\nHost: h\r\n\r\nPOST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n" + strings.Repeat("a:\r\n", lines) + "\r\nbo")
 		status, _ := c.answer()
 		require.Equal(t, http.StatusOK, status)
 	}
+	status, body := last.answer()
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.Empty(t, body)
 	require.LessOrEqual(t, g.held(), g.maxHeadBytes())
 	g.mu.Lock()
 	defer g.mu.Unlock()
