Fail make test when packages can't be listed

Cause: since the packages are split by a pipe, a failure of go list was lost. A package whose test file doesn't parse was left out and make test passed. Change: the packages are listed once, and make ends if that fails. Measured: make test on a package that can't be parsed and on one that doesn't exist exited with 0 before and exits with 2; a failing test exits with 2 and passing packages with 0.

--- a/Makefile
+++ b/Makefile
@@ -28,8 +28,9 @@
 	$(GO) build -o $(BIN)/gooseberryway .
 
 test:
-	packages=$$($(GO) list $(PACKAGES) | grep -v '$(APART)'); if [ -n "$$packages" ]; then $(TEST) $$packages; fi
-	packages=$$($(GO) list $(PACKAGES) | grep '$(APART)'); if [ -n "$$packages" ]; then $(TEST) -p 1 $$packages; fi
+	all=$$($(GO) list $(PACKAGES)) || exit; \
+	beside=$$(echo "$$all" | grep -v '$(APART)'); if [ -n "$$beside" ]; then $(TEST) $$beside || exit; fi; \
+	apart=$$(echo "$$all" | grep '$(APART)'); if [ -n "$$apart" ]; then $(TEST) -p 1 $$apart; fi
 
 race: test
 
