--- a/internal/transport/intake/conn.go
+++ b/internal/transport/intake/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -36,17 +37,17 @@
 	// ended, or what of them was not passed on.
 	scanner headScanner
 	head    []byte
-	// bodyLeft is the number of bytes until the next head. blind says that it isn't known where the current head began: all is counted that
-	// the server may take for a part of it.
-	bodyLeft int64
-	blind    bool
+	// bodyLeft is the number of bytes until the next head. blind says that it isn't known where the current head began: until parsed says that
+	// the server has parsed it, all is counted that the server may take for a part of it.
+	bodyLeft      int64
+	blind, parsed bool
 
 	// reading says that a read waits for the client, other than the one that watches for the end of the connection while a request is served.
 	reading atomic.Bool
 	// expelled says that the connection was closed to make room.
 	expelled atomic.Bool
 
-	// mu guards the deadlines. readTimed and writeTimed say that the server has set one; stallTimed says that the deadline of reads is the
+	// mu guards the deadlines, and changes of reading and expelled. readTimed and writeTimed say that the server has set one; stallTimed says that the deadline of reads is the
 	// connection's own.
 	mu                                sync.Mutex
 	readTimed, writeTimed, stallTimed bool
@@ -93,10 +94,8 @@
 	if err := c.beginRead(watches); err != nil {
 		return 0, err
 	}
-	c.reading.Store(!watches)
 	n, err := c.Conn.Read(p)
-	c.reading.Store(false)
-	if c.expelled.Load() {
+	if c.endRead() {
 		// The server would wait before it closes the connection.
 		_ = c.Conn.Close()
 		return 0, opError("read", ReasonWorst)
@@ -107,6 +106,9 @@
 // take counts bytes that were read, and reports whether they may be passed on; if not, they are kept.
 func (c *Conn) take(p []byte) (whole bool, refusal error) {
 	if c.blind {
+		if c.parsed {
+			return true, nil
+		}
 		return true, c.takeBlindly(p)
 	}
 	if c.scanner.ended {
@@ -163,6 +165,14 @@
 	return nil
 }
 
+// endRead reports whether the connection was closed to make room while it waited for the client.
+func (c *Conn) endRead() (expelled bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading.Store(false)
+	return c.expelled.Load()
+}
+
 // beginRead sets a deadline of its own unless the server has set one or the read only watches.
 func (c *Conn) beginRead(watches bool) error {
 	c.mu.Lock()
@@ -170,6 +180,7 @@
 	if c.expelled.Load() {
 		return opError("read", ReasonWorst)
 	}
+	c.reading.Store(!watches)
 	if c.readTimed {
 		return nil
 	}
@@ -223,19 +234,44 @@
 func (c *Conn) awaitHead() {
 	c.gate.release(c)
 	// What the server has read of another request is at most its buffer.
-	c.blind = c.blind || c.bodyLeft != 0
+	c.blind, c.parsed = c.blind || c.bodyLeft != 0, false
 	c.scanner = headScanner{}
 	if c.blind {
 		c.scanner.ended = true
 	}
 }
 
-// expel ends reads that wait for the client, after which the server closes the connection.
-func (c *Conn) expel() {
+// admitParsed counts the head of a request that the server has parsed, if its bytes could not be counted alone as they arrived, and reports whether
+// there is as much memory.
+func (c *Conn) admitParsed(r *http.Request) bool {
+	if !c.blind {
+		return true
+	}
+	size, lines := int64(len(r.Method)+len(r.RequestURI)+len(r.Host)), int64(1)
+	for name, values := range r.Header {
+		lines += int64(len(values))
+		for _, value := range values {
+			size += int64(len(name) + len(value))
+		}
+	}
+	if !c.gate.charge(c, headMemory(size, lines)) {
+		c.gate.refuse(c, ReasonHeads)
+		return false
+	}
+	return true
+}
+
+// expel ends the read that waits for the client, after which the server closes the connection. It reports whether there was one: what was read may be a
+// request that is being served.
+func (c *Conn) expel() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.reading.Load() {
+		return false
+	}
 	c.expelled.Store(true)
 	_ = c.Conn.SetReadDeadline(time.Now())
+	return true
 }
 
 // refuse answers with a status and waits a short time for the client to read it: bytes that weren't read would reset the connection.
