--- a/internal/program/crowd/crowd_test.go
+++ b/internal/program/crowd/crowd_test.go
@@ -27,11 +27,14 @@
 	fewDescriptors  = 400
 )
 
-// form is what each connection of a crowd sends: first once, then endless again and again.
+// form is what each connection of a crowd sends: first once, then endless again and again. If send is set, it does that instead.
 type form struct {
 	first, endless func(l listener) []byte
+	send           func(c net.Conn, l listener) error
 	// descriptors is the number of descriptors of the machine; manyDescriptors if 0.
 	descriptors int
+	// size is the number of connections; crowdSize if 0.
+	size int
 }
 
 // play lets a crowd of the form connect to each listener of both programs, one after the other.
@@ -49,21 +52,29 @@
 func (p *process) play(t *testing.T, f form) {
 	t.Helper()
 	for _, l := range p.listeners {
-		t.Run(l.name, func(t *testing.T) {
-			release := p.gather(l, f)
-			t.Cleanup(release)
-			p.requireWithinLimits(t)
-			release()
-			p.requireAnswer(t, l)
-			p.requireWithinLimits(t)
-		})
+		t.Run(l.name, func(t *testing.T) { p.playAt(t, l, f) })
+	}
+}
+
+// playAt lets a crowd of the form connect to one listener.
+func (p *process) playAt(t *testing.T, l listener, f form) {
+	t.Helper()
+	p.usage.reset()
+	release := gather(l, f)
+	t.Cleanup(release)
+	p.requireWithinLimits(t)
+	if l.serves {
+		p.requireAnswer(t, l)
 	}
+	release()
+	p.requireAnswer(t, l)
+	p.requireWithinLimits(t)
 }
 
 // gather connects a crowd and sends. The connections stay open until release is called.
-func (p *process) gather(l listener, f form) (release func()) {
+func gather(l listener, f form) (release func()) {
 	var wg sync.WaitGroup
-	conns := make([]net.Conn, crowdSize)
+	conns := make([]net.Conn, max(f.size, crowdSize))
 	for i := range conns {
 		wg.Go(func() {
 			c, err := net.DialTimeout("tcp4", l.address, sendTime)
@@ -72,15 +83,7 @@
 			}
 			conns[i] = c
 			_ = c.SetWriteDeadline(time.Now().Add(sendTime))
-			if _, err := c.Write(f.first(l)); err != nil || f.endless == nil {
-				return
-			}
-			part := f.endless(l)
-			for sent := 0; sent < endlessBytes; sent += len(part) {
-				if _, err := c.Write(part); err != nil {
-					return
-				}
-			}
+			_ = f.sendTo(c, l)
 		})
 	}
 	wg.Wait()
@@ -94,10 +97,32 @@
 	}
 }
 
+func (f form) sendTo(c net.Conn, l listener) error {
+	if f.send != nil {
+		return f.send(c, l)
+	}
+	if _, err := c.Write(f.first(l)); err != nil || f.endless == nil {
+		return err
+	}
+	part := f.endless(l)
+	for sent := 0; sent < endlessBytes; sent += len(part) {
+		if _, err := c.Write(part); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // start returns the request line and the first fields of an ordinary request.
 func start(l listener, fields ...string) []byte {
-	path, method := ordinaryRequest(l.name)
-	return fmt.Appendf(nil, "%s %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer key-a\r\n%s", method, path, host, strings.Join(fields, ""))
+	path, method := target(l)
+	if l.key != "" {
+		fields = append([]string{"Authorization: Bearer " + l.key + "\r\n"}, fields...)
+	}
+	if l.contentType != "" {
+		fields = append([]string{"Content-Type: " + l.contentType + "\r\n"}, fields...)
+	}
+	return fmt.Appendf(nil, "%s %s HTTP/1.1\r\nHost: %s\r\n%s", method, path, host, strings.Join(fields, ""))
 }
 
 // shortName returns the i-th of the distinct names of fields of at most three bytes.
--- a/internal/program/crowd/process_test.go
+++ b/internal/program/crowd/process_test.go
@@ -1,8 +1,11 @@
 package crowd
 
 import (
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -23,8 +26,12 @@
 	bytesPerMB = 1e6
 	// reservedDescriptors is the number of descriptors that the platform reserves for files; the others are left to sockets.
 	reservedDescriptors = 200
-	answerTimeout       = 15 * time.Second
-	answerTick          = 50 * time.Millisecond
+	// upstreamSlots lets the upstream run the requests of a whole crowd at once.
+	upstreamSlots = 4000
+	// ordinaryBytes is the size of the prompt of an ordinary request.
+	ordinaryBytes = 9200
+	answerTimeout = 15 * time.Second
+	answerTick    = 50 * time.Millisecond
 )
 
 // binary is the program under test, built without the race detector, which multiplies memory.
@@ -48,8 +55,12 @@
 // admits nothing without its platform.
 type listener struct {
 	name, address string
-	// http2 says that it speaks HTTP/2 without TLS only.
-	http2 bool
+	// path, key and contentType are those of the requests of crowds and of ordinary requests; empty for those of the listener's name and for none.
+	path, key, contentType string
+	// http2 says that it speaks HTTP/2 without TLS only, serves that an ordinary request has a body and is answered with 200.
+	http2, serves bool
+	// roots are the authorities of its certificate; nil without TLS.
+	roots *x509.CertPool
 }
 
 // process is the program under test with its listeners.
@@ -60,6 +71,7 @@
 	listeners []listener
 	// maxSockets is the number of sockets that it may have open.
 	maxSockets int
+	usage      usage
 }
 
 // startEntry starts "gooseberryway entry" on a machine with so many descriptors, beside an upstream of the service app.
@@ -67,7 +79,7 @@
 	t.Helper()
 	store := standin.NewStore()
 	t.Cleanup(store.Close)
-	upstream := &standin.Upstream{ID: "app-0"}
+	upstream := &standin.Upstream{ID: "app-0", Intercept: largeAnswer}
 	upstreamAddress := upstream.Start()
 	t.Cleanup(upstream.Close)
 	store.Put("keyed.op", "config", map[string]any{
@@ -78,9 +90,12 @@
 		"services": []any{map[string]any{"name": "app"}},
 		"tenants":  []any{map[string]any{"name": "acme", "keys": []any{"key-a"}, "unit": "requests", "requests-per-s": 1e6, "burst": 1e6}},
 	})
-	store.Put("keyed.servers", upstream.ID, upstream.Registration("app", upstreamAddress, "ready"))
+	registration := upstream.Registration("app", upstreamAddress, "ready")
+	registration["slots"] = upstreamSlots
+	store.Put("keyed.servers", upstream.ID, registration)
 	p := &process{t: t, maxSockets: descriptors - reservedDescriptors}
 	listen := p.listen("callers", "directory", "ready", "admin", "metrics", "peers")
+	p.listeners[0].path, p.listeners[0].key, p.listeners[0].serves = "/lookup/x", "key-a", true
 	p.start("entry", map[string]any{
 		"daemonId": "d0", "failureDomain": "z", "seeds": []string{}, "store": store.Serve(nil), "listen": listen,
 		"resources": map[string]any{"cpuShare": 1, "cores": 1, "linkMbps": 1000, "memoryMb": memoryMB, "fileDescriptors": descriptors},
@@ -94,7 +109,7 @@
 	t.Helper()
 	p := &process{t: t, maxSockets: descriptors - reservedDescriptors}
 	listen := p.listen("callers", "admin", "peers")
-	p.listeners[2].http2 = true
+	p.listeners[0].path, p.listeners[0].key, p.listeners[2].http2 = "/lookup/x", "key-a", true
 	service := map[string]any{"url": "http://" + standin.FreeAddress()}
 	p.start("serve", map[string]any{
 		"daemonId": "daemon-1", "failureDomain": "z", "listen": listen, "advertise": listen, "logService": service, "vmList": service, "weightStore": service,
@@ -139,41 +154,76 @@
 	for _, l := range p.listeners {
 		p.requireAnswer(p.t, l)
 	}
+	stop := p.usage.watch(p.cmd.Process.Pid)
+	p.t.Cleanup(stop)
 }
 
 // requireAnswer fails the test unless an ordinary request is answered.
 func (p *process) requireAnswer(t *testing.T, l listener) {
 	t.Helper()
-	transport := &http.Transport{DisableKeepAlives: true, Protocols: new(http.Protocols)}
+	transport := &http.Transport{DisableKeepAlives: true, Protocols: new(http.Protocols), TLSClientConfig: &tls.Config{RootCAs: l.roots, MinVersion: tls.VersionTLS12}}
 	transport.Protocols.SetHTTP1(!l.http2)
 	transport.Protocols.SetUnencryptedHTTP2(l.http2)
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport, Timeout: answerTimeout}
-	path, method := ordinaryRequest(l.name)
-	require.Eventually(t, func() bool {
-		req, err := http.NewRequestWithContext(t.Context(), method, "http://"+l.address+path, http.NoBody)
-		if err != nil {
-			return false
+	last := "none"
+	defer func() {
+		if t.Failed() {
+			t.Logf("the last answer of %s: %s", l.name, last)
 		}
-		req.Host = host
-		req.Header.Set("Authorization", "Bearer key-a")
-		resp, err := client.Do(req)
+	}()
+	require.Eventually(t, func() bool {
+		resp, err := client.Do(ordinaryRequest(t, l))
 		if err != nil {
+			last = err.Error()
 			return false
 		}
 		defer resp.Body.Close()
+		last = resp.Status
+		if l.serves {
+			return resp.StatusCode == http.StatusOK
+		}
 		return resp.StatusCode < http.StatusInternalServerError || resp.Header.Get("X-Request-Id") != ""
 	}, answerTimeout, answerTick, "an ordinary request is not answered by %s", l.name)
 }
 
-// ordinaryRequest returns the path and the method of a request that the listener of that name answers.
-func ordinaryRequest(name string) (path, method string) {
-	switch name {
-	case "callers":
-		return "/lookup/x", http.MethodPost
-	case "metrics":
+func ordinaryRequest(t *testing.T, l listener) *http.Request {
+	t.Helper()
+	path, method := target(l)
+	scheme := "http://"
+	if l.roots != nil {
+		scheme = "https://"
+	}
+	var body io.Reader = http.NoBody
+	if l.serves {
+		body = strings.NewReader(ordinaryBody(path))
+	}
+	req, err := http.NewRequestWithContext(t.Context(), method, scheme+l.address+path, body)
+	require.NoError(t, err)
+	req.Host = host
+	if l.key != "" {
+		req.Header.Set("Authorization", "Bearer "+l.key)
+	}
+	return req
+}
+
+// ordinaryBody returns the body of an ordinary request to a path.
+func ordinaryBody(path string) string {
+	text := strings.Repeat("w", ordinaryBytes)
+	if strings.HasSuffix(path, "/completions") {
+		return `{"model":"girth","max_tokens":2,"messages":[{"role":"user","content":"` + text + `"}]}`
+	}
+	return text
+}
+
+// target returns the path and the method of a request that the listener answers.
+func target(l listener) (path, method string) {
+	switch {
+	case l.path != "":
+		return l.path, http.MethodPost
+	case l.name == "metrics":
 		return "/metrics", http.MethodGet
-	case "admin":
+	case l.name == "admin":
 		return "/v1/status", http.MethodGet
 	}
 	return "/", http.MethodGet
@@ -187,13 +237,15 @@
 		require.Fail(t, "the process has ended")
 	default:
 	}
-	sockets, peakMB := p.sockets(t), float64(p.peakBytes(t))/bytesPerMB
-	t.Logf("peak %.0f MB, %d sockets", peakMB, sockets)
+	sockets, peakMB := len(socketsOf(p.cmd.Process.Pid)), float64(p.peakBytes(t))/bytesPerMB
+	together, unread := p.usage.peak()
+	t.Logf("peak %.0f MB, %.0f MB together with unread bytes, at most %.0f MB unread, %d sockets", peakMB, together, unread, sockets)
 	require.LessOrEqual(t, peakMB, float64(memoryMB), "resident memory in megabytes")
+	require.LessOrEqual(t, together, float64(memoryMB), "resident memory and unread bytes in megabytes")
 	require.LessOrEqual(t, sockets, p.maxSockets, "open sockets")
 }
 
-// peakBytes returns the largest resident memory that the process has had.
+// peakBytes returns the largest resident memory that the process has had since the last usage.reset.
 func (p *process) peakBytes(t *testing.T) int64 {
 	t.Helper()
 	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
@@ -204,17 +256,3 @@
 	require.NoError(t, err)
 	return kibibytes << 10
 }
-
-func (p *process) sockets(t *testing.T) int {
-	t.Helper()
-	dir := fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid)
-	entries, err := os.ReadDir(dir)
-	require.NoError(t, err)
-	n := 0
-	for _, e := range entries {
-		if target, err := os.Readlink(filepath.Join(dir, e.Name())); err == nil && strings.HasPrefix(target, "socket:") {
-			n++
-		}
-	}
-	return n
-}
