Count the bodies of peers' calls, and read no more than a call may have

The listener of peers knows no keys. Cause: connect reads messages of any size, and no account counted them. Change: calls have 64 KiB at most, and what is read is taken from the account. Evidence: TestCrowdOfBodiesToPeers failed before and passes.

--- a/internal/transport/gossip/gossip.go
+++ b/internal/transport/gossip/gossip.go
@@ -19,6 +19,7 @@
 
 	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
 	"github.com/gooseberryway/gooseberryway/internal/transport/httpc"
+	"github.com/gooseberryway/gooseberryway/internal/transport/intake"
 )
 
 const (
@@ -27,7 +28,9 @@
 	// urgentCoalesceDelay is the longest delay of an urgent round, so that it includes further changes.
 	urgentCoalesceDelay = 60 * time.Millisecond
 	callTimeout         = 600 * time.Millisecond
-	maxHeaderBytes      = 64 << 10
+	// maxCallBytes is the size of the largest call, which names offsets only.
+	maxCallBytes   = 64 << 10
+	maxHeaderBytes = 64 << 10
 	// clientIdleTimeout is how long the connection to a peer is kept.
 	clientIdleTimeout = 2 * time.Second
 	// serverIdleTimeout is how long the connection of a peer is kept, longer than peers keep idle ones.
@@ -104,7 +107,8 @@
 // Run exchanges heartbeats and serves calls of peers until ctx is done. It then closes both sockets.
 func (n *Node) Run(ctx context.Context, l net.Listener) {
 	mux := http.NewServeMux()
-	mux.Handle(wire.NewFleetServiceHandler(service{n}))
+	path, calls := wire.NewFleetServiceHandler(service{n}, connect.WithReadMaxBytes(maxCallBytes))
+	mux.Handle(path, intake.CountBody(calls))
 	n.server = &http.Server{
 		// The mux would redirect requests with a path that isn't in its shortest form.
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
