Close connections of strangers that speak HTTP/2, and bound their streams

Cause: each connection had up to 250 handlers and four times as many requests that wait for one, all before the token was looked at. Change: a call without the token ends its connection, 32 calls at a time instead of 250; the body of a call is counted. A peer opens another connection for more.

--- a/internal/transport/peer/httpserver.go
+++ b/internal/transport/peer/httpserver.go
@@ -11,8 +11,12 @@
 // headerTimeout bounds the time to read a request header.
 const headerTimeout = 5 * time.Second
 
-// maxHeaderBytes bounds the size of a request's header.
-const maxHeaderBytes = 64 << 10
+const (
+	// maxHeaderBytes bounds the size of a request's header.
+	maxHeaderBytes = 64 << 10
+	// maxStreams bounds the calls of a peer on one connection; it opens another one for more.
+	maxStreams = 32
+)
 
 // NewServer returns an HTTP/2 server for calls of other daemons. If cfg is nil, as on loopback, it does not use TLS.
 func NewServer(handler http.Handler, cfg *tls.Config) *rest.Server {
@@ -27,6 +31,7 @@
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
+			HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
 		},
 	}
 }
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -8,6 +8,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
+	"github.com/gooseberryway/gooseberryway/internal/transport/intake"
 	"github.com/gooseberryway/gooseberryway/internal/transport/meter"
 	"github.com/gooseberryway/gooseberryway/internal/transport/secure"
 )
@@ -32,7 +33,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(wire.NewPeerServiceHandler(&service{handlers: h}, connect.WithReadMaxBytes(maxMessageBytes),
 		connect.WithCompressMinBytes(minCompressBytes), countMessages()))
-	return withoutDate(secure.RequireToken(token, mux))
+	return withoutDate(secure.RequireToken(token, intake.CountBody(mux)))
 }
 
 // withoutDate omits the Date header from responses: it changes every second, and daemons never compare wall clocks.
--- a/internal/transport/secure/certs.go
+++ b/internal/transport/secure/certs.go
@@ -179,6 +179,8 @@
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if subtle.ConstantTimeCompare([]byte(r.Header.Get(tokenHeader)), []byte(token)) != 1 {
+			// A stranger may have further calls in progress on the connection.
+			w.Header().Set("Connection", "close")
 			http.Error(w, "credentials are needed", http.StatusUnauthorized)
 			return
 		}
