Read no body for a caller who isn't known, and count those that are read

Cause: serve read the whole body with io.ReadAll before it asked whose key it is, and before it counted open requests; plain paths copied up to 1 MiB of it once more for a repeat. Change: key, route, lease and the number of open requests, of plain paths too, are checked from the head alone; the body is read under the account, three times its size for completions, which are decoded and encoded; a repeat on a plain path uses the body as it was read.

--- a/internal/coordination/serve/service.go
+++ b/internal/coordination/serve/service.go
@@ -99,6 +99,38 @@
 	return completion, nil
 }
 
+// CheckCompletion checks what is known of a completion request before its body is read: whether the daemon accepts work, and whose key it is. pathPrefix is
+// that of its route; empty for none. The error is an *Error.
+func (s *Service) CheckCompletion(cred Credentials, pathPrefix string) error {
+	if pathPrefix != "" {
+		return s.checkPath(cred, pathPrefix, config.RouteModel, "no route serves this model under this path")
+	}
+	if err := s.checkAcceptsWork(); err != nil {
+		return err
+	}
+	_, err := authenticate(s.State(), cred)
+	return err
+}
+
+// CheckPlain does the same for a request to a plain service.
+func (s *Service) CheckPlain(cred Credentials, path string) error {
+	return s.checkPath(cred, path, config.RoutePlain, "there is nothing at this path")
+}
+
+// checkPath checks a request to a route that its path names.
+func (s *Service) checkPath(cred Credentials, path string, kind config.RouteKind, missing string) error {
+	if err := s.checkAcceptsWork(); err != nil {
+		return err
+	}
+	st := s.State()
+	route, ok := s.routes.tableFor(st).findByPath(path)
+	if !ok || route.Kind != kind {
+		return &Error{Code: CodeRouteNotFound, Message: missing}
+	}
+	_, err := authorise(st, cred, route)
+	return err
+}
+
 // admit takes a completion through all steps up to dispatch, or finds its stored response.
 func (s *Service) admit(ctx context.Context, completion *Completion) error {
 	st := s.State()
--- a/internal/transport/admin/consts.go
+++ b/internal/transport/admin/consts.go
@@ -18,6 +18,10 @@
 const (
 	// maxBodyBytes limits the body of a request.
 	maxBodyBytes = 1 << 20
+	// bodyCopies is how often a body is held: as it came, and decoded.
+	bodyCopies = 2
+	// memoryRetryAfter is the Retry-After when there was no memory for a body.
+	memoryRetryAfter = time.Second
 	// readBodyTimeout limits the time to read a request body.
 	readBodyTimeout = 10 * time.Second
 	// writeTimeout limits the time to write a response or one page update.
--- a/internal/transport/admin/errors.go
+++ b/internal/transport/admin/errors.go
@@ -29,6 +29,7 @@
 	CodePreconditionMissing Code = "preconditionMissing"
 	CodeLogUnavailable      Code = "logUnavailable"
 	CodeOutcomeUnknown      Code = "outcomeUnknown"
+	CodeOverloaded          Code = "overloaded"
 )
 
 // Error is the response to an operator's request that failed. Only with CodeOutcomeUnknown may the change still take
@@ -71,6 +72,7 @@
 	CodePreconditionMissing: http.StatusPreconditionRequired,
 	CodeLogUnavailable:      http.StatusServiceUnavailable,
 	CodeOutcomeUnknown:      http.StatusServiceUnavailable,
+	CodeOverloaded:          http.StatusServiceUnavailable,
 }
 
 // writeError is the error encoder of all operations. It reports an error that is no *Error as CodeInvalid.
--- a/internal/transport/admin/operations.go
+++ b/internal/transport/admin/operations.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 
 	"github.com/gooseberryway/gooseberryway/internal/state/config"
@@ -69,7 +70,11 @@
 
 // readBody reads the body of a request, at most maxBodyBytes within readBodyTimeout. The error is an *Error.
 func readBody(ctx context.Context, r *http.Request) ([]byte, error) {
-	body, err := rest.ReadBody(ctx, r, maxBodyBytes, readBodyTimeout)
+	body, err := rest.ReadBody(ctx, r, maxBodyBytes, readBodyTimeout, bodyCopies)
+	var bodyErr *rest.BodyError
+	if errors.As(err, &bodyErr) && bodyErr.Kind == rest.BodyNoMemory {
+		return nil, &Error{Code: CodeOverloaded, Message: err.Error(), RetryAfter: memoryRetryAfter, Err: err}
+	}
 	if err != nil {
 		return nil, &Error{Code: CodeInvalid, Message: err.Error(), Err: err}
 	}
--- a/internal/transport/caller/consts.go
+++ b/internal/transport/caller/consts.go
@@ -27,11 +27,20 @@
 	maxIdempotencyKeyBytes = 255
 	// maxCallerTimeout is the longest timeout that a caller can request.
 	maxCallerTimeout = time.Hour
+	// copyBufferBytes is the largest part of a response that is copied at once.
+	copyBufferBytes = 8 << 10
 	// maxStoredBodyBytes limits the response of a plain service that is stored for repeats under the same idempotency key.
 	maxStoredBodyBytes = 64 << 10
 	// overloadedRetryAfter is the Retry-After when the daemon has too many open requests or a route has no available
 	// upstream, and the minimum when an upstream did not run the request.
 	overloadedRetryAfter = 500 * time.Millisecond
+	// memoryRetryAfter is the Retry-After when there is no memory for a request: clients that have made no progress for as long are closed for others.
+	memoryRetryAfter = time.Second
+	// requestBytes is the memory of a request in progress beside its body.
+	requestBytes = 64 << 10
+	// completionCopies is how often the body of a completion is held: as it came, decoded, and encoded for an engine. plainCopies is that of other bodies.
+	completionCopies = 3
+	plainCopies      = 1
 	// requestIDRandomBytes is the length of the random part of a request id, before hex encoding.
 	requestIDRandomBytes = 12
 )
--- a/internal/transport/caller/decode.go
+++ b/internal/transport/caller/decode.go
@@ -13,6 +13,8 @@
 	"github.com/gooseberryway/gooseberryway/internal/coordination/serve"
 	"github.com/gooseberryway/gooseberryway/internal/protocol/openai"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/state/memory"
+	"github.com/gooseberryway/gooseberryway/internal/transport/intake"
 	"github.com/gooseberryway/gooseberryway/internal/transport/rest"
 )
 
@@ -33,7 +35,14 @@
 	kind openai.Kind, decode func([]byte) (*openai.Request, error),
 ) func(context.Context, *http.Request) (*completionRequest, error) {
 	return func(ctx context.Context, r *http.Request) (*completionRequest, error) {
-		params, body, err := s.readRequest(ctx, r)
+		params, err := decodeCommon(r)
+		if err != nil {
+			return nil, err
+		}
+		if err = s.Service.CheckCompletion(params.credentials, completionPrefix(r)); err != nil {
+			return nil, err
+		}
+		body, err := s.readBody(ctx, r, completionCopies)
 		if err != nil {
 			return nil, err
 		}
@@ -47,16 +56,20 @@
 	}
 }
 
+// completionPrefix returns the path prefix of the route of a completion request; empty for none.
+func completionPrefix(r *http.Request) string {
+	return strings.TrimSuffix(strings.TrimSuffix(r.URL.Path, pathChatCompletions), pathCompletions)
+}
+
 // newServiceRequest returns the request to the completion service. The digest of the body is needed only to recognise an
 // idempotency key that is reused for another request.
 func newServiceRequest(
 	ctx context.Context, r *http.Request, params commonParameters, req *openai.Request, body []byte,
 ) *serve.CompletionRequest {
-	pathPrefix := strings.TrimSuffix(strings.TrimSuffix(r.URL.Path, pathChatCompletions), pathCompletions)
 	request := &serve.CompletionRequest{
 		RequestID:      requestIDFromContext(ctx),
 		Credentials:    params.credentials,
-		PathPrefix:     pathPrefix,
+		PathPrefix:     completionPrefix(r),
 		Model:          req.Model,
 		Prompt:         req.Prompt,
 		MaxTokens:      req.MaxTokens,
@@ -129,26 +142,27 @@
 	return time.Duration(ms) * time.Millisecond, nil
 }
 
-// readRequest returns the common parameters and the body of a request. The error is a *serve.Error.
-func (s *Server) readRequest(ctx context.Context, r *http.Request) (commonParameters, []byte, error) {
-	params, err := decodeCommon(r)
-	if err != nil {
-		return params, nil, err
+// readBody reads a body of at most MaxBodyBytes within BodyTimeout, for a caller who is known, and takes the memory of the request. The error is a
+// *serve.Error.
+func (s *Server) readBody(ctx context.Context, r *http.Request, copies memory.Bytes) ([]byte, error) {
+	if s.Service.OpenRequests() >= s.MaxOpenRequests {
+		return nil, &serve.Error{Code: serve.CodeOverloaded, Message: "this daemon has too many open requests", RetryAfter: overloadedRetryAfter}
 	}
-	body, err := s.readBody(ctx, r)
-	return params, body, err
-}
-
-// readBody reads a body of at most MaxBodyBytes within BodyTimeout. The error is a *serve.Error.
-func (s *Server) readBody(ctx context.Context, r *http.Request) ([]byte, error) {
-	body, err := rest.ReadBody(ctx, r, s.MaxBodyBytes, s.BodyTimeout)
+	if !intake.HoldRequest(r, requestBytes) {
+		return nil, &serve.Error{Code: serve.CodeOverloaded, Message: "this daemon has no memory for the request now", RetryAfter: memoryRetryAfter}
+	}
+	body, err := rest.ReadBody(ctx, r, s.MaxBodyBytes, s.BodyTimeout, copies)
 	var bodyErr *rest.BodyError
 	if !errors.As(err, &bodyErr) {
 		return body, nil
 	}
-	code := serve.CodeInvalidRequest
-	if bodyErr.Kind == rest.BodyTooLarge {
-		code = serve.CodeBodyTooLarge
+	e := &serve.Error{Code: serve.CodeInvalidRequest, Message: bodyErr.Error(), Err: bodyErr.Err}
+	switch bodyErr.Kind {
+	case rest.BodyTooLarge:
+		e.Code = serve.CodeBodyTooLarge
+	case rest.BodyNoMemory:
+		e.Code, e.RetryAfter = serve.CodeOverloaded, memoryRetryAfter
+	default:
 	}
-	return nil, &serve.Error{Code: code, Message: bodyErr.Error(), Err: bodyErr.Err}
+	return nil, e
 }
--- a/internal/transport/caller/plain.go
+++ b/internal/transport/caller/plain.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"bytes"
 	"context"
 	"crypto/sha256"
 	"errors"
@@ -46,7 +45,14 @@
 }
 
 func (s *Server) decodePlain(ctx context.Context, r *http.Request) (*plainRequest, error) {
-	params, body, err := s.readRequest(ctx, r)
+	params, err := decodeCommon(r)
+	if err != nil {
+		return nil, err
+	}
+	if err = s.Service.CheckPlain(params.credentials, r.URL.Path); err != nil {
+		return nil, err
+	}
+	body, err := s.readBody(ctx, r, plainCopies)
 	if err != nil {
 		return nil, err
 	}
@@ -70,9 +76,7 @@
 		Header:        r.Header,
 		CallerKey:     strings.TrimSpace(key),
 		ContentLength: int64(len(body)),
-	}
-	if len(body) > 0 {
-		request.Body = bytes.NewReader(body)
+		Buffered:      body,
 	}
 	return &plainRequest{request: request, serviceRequest: serviceRequest, timeout: params.timeout}, nil
 }
@@ -184,7 +188,7 @@
 	w.WriteHeader(admitted.resp.Status)
 	recorder := &bodyRecorder{maxBytes: maxStoredBodyBytes, enabled: admitted.run.Claimed()}
 	writer := &deadlineWriter{w: w, controller: http.NewResponseController(w), timeout: s.WriteTimeout}
-	_, err := io.Copy(io.MultiWriter(recorder, writer), admitted.resp.Body)
+	_, err := io.CopyBuffer(io.MultiWriter(recorder, writer), struct{ io.Reader }{admitted.resp.Body}, make([]byte, copyBufferBytes))
 	if err != nil {
 		// Abort the connection: the missing bytes or the missing last chunk tell the caller that the body is truncated.
 		panic(http.ErrAbortHandler)
--- a/internal/transport/plain/body.go
+++ b/internal/transport/plain/body.go
@@ -26,6 +26,18 @@
 	sourceRead atomic.Bool
 }
 
+// newBody returns the body of a request. See the function newBody.
+func (r *Request) newBody(limitBytes, maxReplayBytes int64) (*body, error) {
+	if r.Buffered == nil {
+		return newBody(r.Body, r.ContentLength, limitBytes, maxReplayBytes)
+	}
+	length := int64(len(r.Buffered))
+	if length > limitBytes {
+		return nil, &BodyTooLargeError{LimitBytes: limitBytes}
+	}
+	return &body{buffered: r.Buffered, contentLength: length, limitBytes: limitBytes}, nil
+}
+
 // newBody buffers a body of up to maxReplayBytes, and streams one that is larger. A negative contentLength means that the
 // length is unknown. The error is a *BodyTooLargeError or a *BodyReadError.
 func newBody(r io.Reader, contentLength, limitBytes, maxReplayBytes int64) (*body, error) {
--- a/internal/transport/plain/client.go
+++ b/internal/transport/plain/client.go
@@ -26,7 +26,9 @@
 	Path, RawQuery string
 	// Header is the caller's header as received.
 	Header http.Header
-	// Body is nil if there is none. ContentLength is in bytes; negative means unknown.
+	// Buffered is the whole body if it was read before; otherwise Body is read, which is nil if there is none. ContentLength is in bytes; negative means
+	// unknown.
+	Buffered      []byte
 	Body          io.Reader
 	ContentLength int64
 	// CallerKey is the key that the caller presented, empty for none. It must not reach any upstream.
@@ -98,8 +100,7 @@
 	if c.RetryBudget != nil {
 		c.RetryBudget.Deposit()
 	}
-	b, err := newBody(req.Body, req.ContentLength, orDefault(c.MaxBodyBytes, defaultMaxBodyBytes),
-		orDefault(c.MaxReplayBytes, defaultMaxReplayBytes))
+	b, err := req.newBody(orDefault(c.MaxBodyBytes, defaultMaxBodyBytes), orDefault(c.MaxReplayBytes, defaultMaxReplayBytes))
 	if err != nil {
 		return nil, err
 	}
