Count reports that the process writes, and play ordinary callers beside a crowd that returns

What callers saw: nothing in the tests; the metrics and the status of a large fleet take tens of KiB for each client that doesn't read them, uncounted, where links hold less than those of loopback. Change: the metrics, and the status of entry, take 64 KiB from the account. Two tests: 1,200 clients that read no reports, and twenty ordinary requests one after the other beside 1,200 clients that stop a byte short of 4 MiB, 64 or 32 KiB and connect again.

--- a/internal/program/crowd/answer_test.go
+++ b/internal/program/crowd/answer_test.go
@@ -1,11 +1,14 @@
 package crowd
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 )
 
 // largeCrowd is the number of connections of a crowd that holds little by each.
@@ -83,3 +86,80 @@
 	l.path = largePath
 	p.playAt(t, l, form{send: requestThenBytes, size: largeCrowd})
 }
+
+// requests sends ordinary requests one after the other and reads no answer.
+func requests(c net.Conn, l listener) error {
+	for range 8 {
+		if err := request(c, l); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Answers that the process writes itself, to whoever asks.
+func TestLargeCrowdThatReadsNoReports(t *testing.T) {
+	f := form{send: requests, size: largeCrowd}
+	for _, p := range []*process{startEntry(t, manyDescriptors), startServe(t, manyDescriptors)} {
+		for _, l := range p.listeners {
+			if l.name != "metrics" && l.name != "admin" {
+				continue
+			}
+			for _, path := range []string{"", "/metrics", "/"} {
+				report := l
+				report.path, report.method = path, http.MethodGet
+				t.Run(p.cmd.Args[1]+" "+l.name+" "+path, func(t *testing.T) {
+					p.usage.reset()
+					release := gather(report, f)
+					t.Cleanup(release)
+					p.requireWithinLimits(t)
+					release()
+					p.requireAnswer(t, l)
+					p.requireWithinLimits(t)
+				})
+			}
+		}
+	}
+}
+
+// A crowd whose clients stop short of the end of their bodies and connect again as soon as they are refused or closed.
+func TestOrdinaryCallersBesideCrowdThatReturns(t *testing.T) {
+	for _, size := range []int{legalBody, pieceSize, pieceSize / 2} {
+		t.Run(strconv.Itoa(size), func(t *testing.T) {
+			p := startEntry(t, manyDescriptors)
+			l := p.listeners[0]
+			stop := make(chan struct{})
+			var wg sync.WaitGroup
+			for range largeCrowd {
+				wg.Go(func() { returnUntil(stop, l, body(size, 1)) })
+			}
+			for range 20 {
+				p.requireAnswer(t, l)
+			}
+			close(stop)
+			wg.Wait()
+			p.requireAnswer(t, l)
+			p.requireWithinLimits(t)
+		})
+	}
+}
+
+// returnUntil connects and sends, waits until the connection ends, and does so again until stop is closed.
+func returnUntil(stop <-chan struct{}, l listener, f form) {
+	for {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		c, err := net.DialTimeout("tcp4", l.address, sendTime)
+		if err != nil {
+			continue
+		}
+		_ = c.SetDeadline(time.Now().Add(sendTime))
+		if f.sendTo(c, l) == nil {
+			_, _ = io.Copy(io.Discard, c)
+		}
+		_ = c.Close()
+	}
+}
--- a/internal/program/crowd/process_test.go
+++ b/internal/program/crowd/process_test.go
@@ -1,6 +1,7 @@
 package crowd
 
 import (
+	"cmp"
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/json"
@@ -55,8 +56,8 @@
 // admits nothing without its platform.
 type listener struct {
 	name, address string
-	// path, key and contentType are those of the requests of crowds and of ordinary requests; empty for those of the listener's name and for none.
-	path, key, contentType string
+	// path, method, key and contentType are those of the requests of crowds and of ordinary requests; empty for those of the listener's name and for none.
+	path, method, key, contentType string
 	// http2 says that it speaks HTTP/2 without TLS only, serves that an ordinary request has a body and is answered with 200.
 	http2, serves bool
 	// roots are the authorities of its certificate; nil without TLS.
@@ -220,7 +221,7 @@
 func target(l listener) (path, method string) {
 	switch {
 	case l.path != "":
-		return l.path, http.MethodPost
+		return l.path, cmp.Or(l.method, http.MethodPost)
 	case l.name == "metrics":
 		return "/metrics", http.MethodGet
 	case l.name == "admin":
--- a/internal/program/entry/listeners.go
+++ b/internal/program/entry/listeners.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/transport/intake"
 	"github.com/gooseberryway/gooseberryway/internal/transport/rest"
 	"github.com/gooseberryway/gooseberryway/platform"
 )
@@ -51,7 +52,7 @@
 		d.gate.UpdateMetrics()
 		metrics.WritePrometheus(w, true)
 	})
-	return mux
+	return intake.HoldHandler(reportBytes, mux)
 }
 
 // status is a daemon's response to GET /v1/status.
@@ -122,8 +123,12 @@
 	Term    uint64 `json:"term"`
 }
 
-// adminWriteTimeout bounds writing a response to an operator.
-const adminWriteTimeout = 2 * time.Second
+const (
+	// adminWriteTimeout bounds writing a response to an operator.
+	adminWriteTimeout = 2 * time.Second
+	// reportBytes is the memory of a response with the metrics or the status.
+	reportBytes = 64 << 10
+)
 
 func (d *Daemon) admin() http.Handler {
 	mux := http.NewServeMux()
@@ -136,7 +141,7 @@
 		},
 		func(_ context.Context, w http.ResponseWriter, _ error) { w.WriteHeader(http.StatusInternalServerError) },
 	))
-	return mux
+	return intake.HoldHandler(reportBytes, mux)
 }
 
 func (d *Daemon) status() status {
--- a/internal/transport/admin/consts.go
+++ b/internal/transport/admin/consts.go
@@ -18,6 +18,8 @@
 const (
 	// maxBodyBytes limits the body of a request.
 	maxBodyBytes = 1 << 20
+	// reportBytes is the memory of a response with the metrics.
+	reportBytes = 64 << 10
 	// bodyCopies is how often a body is held: as it came, and decoded.
 	bodyCopies = 2
 	// memoryRetryAfter is the Retry-After when there was no memory for a body.
--- a/internal/transport/admin/server.go
+++ b/internal/transport/admin/server.go
@@ -13,6 +13,7 @@
 	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
 	"github.com/gooseberryway/gooseberryway/internal/state/config"
 	"github.com/gooseberryway/gooseberryway/internal/state/ident"
+	"github.com/gooseberryway/gooseberryway/internal/transport/intake"
 	"github.com/gooseberryway/gooseberryway/internal/transport/rest"
 )
 
@@ -78,12 +79,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	mux.HandleFunc("GET /readyz", s.serveReady)
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
-		if s.UpdateMetrics != nil {
-			s.UpdateMetrics()
-		}
-		metrics.WritePrometheus(w, true)
-	})
+	mux.Handle("GET /metrics", intake.HoldHandler(reportBytes, http.HandlerFunc(s.serveMetrics)))
 	for _, op := range s.operations() {
 		mux.Handle(op.method+" "+basePath+op.path, op.handler)
 	}
@@ -101,6 +97,13 @@
 	_, _ = w.Write([]byte("ready\n"))
 }
 
+func (s *Server) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	if s.UpdateMetrics != nil {
+		s.UpdateMetrics()
+	}
+	metrics.WritePrometheus(w, true)
+}
+
 // HTTPServer returns the HTTP server for operators; cfg is nil on loopback, where it serves plain text. Closing the server
 // ends the streams of page updates.
 func (s *Server) HTTPServer(cfg *tls.Config) *rest.Server {
--- a/internal/transport/intake/body.go
+++ b/internal/transport/intake/body.go
@@ -19,6 +19,17 @@
 	return h == nil || h.take(memory.Requests, n, n)
 }
 
+// HoldHandler returns a handler that takes the memory of a request in progress, and refuses the request if there is not as much.
+func HoldHandler(n memory.Bytes, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !HoldRequest(r, n) {
+			refuse(w)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // TakeAnswer takes n further bytes for what is read of the answer to a request, and reports whether there were as many.
 func TakeAnswer(r *http.Request, n memory.Bytes) bool {
 	h := holdsOf(r)
