--- a/internal/program/soak/fleet_test.go
+++ b/internal/program/soak/fleet_test.go
@@ -132,9 +132,9 @@
 		callerAddress: standin.FreeAddress(), directoryAddress: standin.FreeAddress(), storeProxy: startProxy(w.t, w.storeAddress),
 	}
 	reservePorts(w.t, p.callerAddress, p.directoryAddress)
-	resources := map[string]any{"cpuShare": 0.8, "cores": 1, "linkMbps": 200}
+	resources := map[string]any{"cpuShare": 0.8, "cores": 1, "linkMbps": 200, "memoryMb": memoryMB, "fileDescriptors": fileDescriptors}
 	if lowResources {
-		resources = map[string]any{"cpuShare": 0.2, "cores": 1, "linkMbps": 10}
+		resources["cpuShare"], resources["linkMbps"] = 0.2, 10
 	}
 	raw, err := json.Marshal(map[string]any{
 		"daemonId": id, "failureDomain": "z", "seeds": []string{}, "store": p.storeProxy.address(), "resources": resources,
--- a/internal/program/soak/soak_test.go
+++ b/internal/program/soak/soak_test.go
@@ -129,8 +129,10 @@
 	}
 	wg.Go(func() { c.injectFaults(ctx, w, rand.New(rand.NewPCG(seed, 1000))) })
 	wg.Go(func() { w.restoreStore(ctx, rand.New(rand.NewPCG(seed, 2000))) })
+	wg.Go(func() { w.misbehave(ctx, rand.New(rand.NewPCG(seed, 3000))) })
 	wg.Wait()
 	c.checkAfterRecovery(w)
+	c.checkMemory(w)
 	t.Logf("seed %d: %d requests served", seed, c.served.Load())
 }
 
