--- a/internal/state/memory/client.go
+++ b/internal/state/memory/client.go
@@ -1,7 +1,6 @@
 package memory
 
 import (
-	"context"
 	"sync/atomic"
 	"time"
 )
@@ -109,7 +108,7 @@
 // EndSending records that the client has taken the part.
 func (c *Client) EndSending() { c.sendingSince.Store(0) }
 
-// waits reports whether the connection waits for its client and may be closed.
+// waits reports whether the connection waits for its client and may be closed. One that sends may only when its client has stopped reading.
 func (c *Client) waits(now time.Time) bool { return Phase(c.phase.Load()) != Busy || c.stalled(now) }
 
 // stalled reports whether the client has stopped within a request or an answer.
@@ -135,16 +134,3 @@
 
 // Stalled reports whether the client has stopped within a request or an answer.
 func (c *Client) Stalled() bool { return c.stalled(time.Now()) }
-
-type clientKey struct{}
-
-// WithClient returns a context of the requests of a client.
-func WithClient(ctx context.Context, c *Client) context.Context {
-	return context.WithValue(ctx, clientKey{}, c)
-}
-
-// ClientOf returns the client of a request; nil if there is no account.
-func ClientOf(ctx context.Context) *Client {
-	c, _ := ctx.Value(clientKey{}).(*Client)
-	return c
-}
--- a/internal/transport/intake/conn.go
+++ b/internal/transport/intake/conn.go
@@ -26,10 +26,10 @@
 	gate     *Gate
 	client   *memory.Client
 	listener string
-	// scans says that the connection carries HTTP/1.1, which the connection below may do for it over TLS; http2 says that it carries HTTP/2. Neither is known
-	// during a TLS handshake.
+	// scans says that the connection carries HTTP/1.1, secured that it does so over TLS, http2 that it carries HTTP/2. One that carries TLS, or doesn't know
+	// yet what, has neither scans nor http2.
 	scans, secured, http2 bool
-	// upper is the connection that carries HTTP/1.1 over this one.
+	// upper is the connection that carries HTTP/1.1 over TLS over this one; nil for none.
 	upper atomic.Pointer[Conn]
 	// holds are those of the request in progress with HTTP/1.1.
 	holds holds
--- a/internal/transport/intake/gate.go
+++ b/internal/transport/intake/gate.go
@@ -155,7 +155,7 @@
 		if conn == nil {
 			return ctx
 		}
-		return memory.WithClient(context.WithValue(ctx, connKey{}, conn), conn.client)
+		return context.WithValue(ctx, connKey{}, conn)
 	}
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, ok := r.Context().Value(connKey{}).(*Conn)
