--- a/internal/program/crowd/frame_test.go
+++ b/internal/program/crowd/frame_test.go
@@ -86,3 +86,11 @@
 func TestCrowdOfStreamsLeftOpen(t *testing.T) { playPeers(t, form{send: streamsOpened}) }
 
 func TestCrowdOfPingsWithUnreadAnswers(t *testing.T) { playPeers(t, form{send: pings}) }
+
+func TestLargeCrowdOfStreamsOpenedAndReset(t *testing.T) {
+	playPeers(t, form{send: streamsReset, size: largeCrowd})
+}
+
+func TestLargeCrowdOfStreamsLeftOpen(t *testing.T) {
+	playPeers(t, form{send: streamsOpened, size: largeCrowd})
+}
--- a/internal/transport/peer/httpserver.go
+++ b/internal/transport/peer/httpserver.go
@@ -15,7 +15,7 @@
 	// maxHeaderBytes bounds the size of a request's header.
 	maxHeaderBytes = 64 << 10
 	// maxStreams bounds the calls of a peer on one connection; it opens another one for more.
-	maxStreams = 32
+	maxStreams = 16
 )
 
 // NewServer returns an HTTP/2 server for calls of other daemons. If cfg is nil, as on loopback, it does not use TLS.
