Count the records that a peer's call returns, and outlast clients that leave in the estimate of the own state

Change: the size of the reply is taken from the account; the larger one of the last two estimates counts, with a test that fails without.

--- a/internal/state/memory/account_test.go
+++ b/internal/state/memory/account_test.go
@@ -132,6 +132,20 @@
 	require.Equal(t, processBytes/minRoomDivisor, a.room(), "clients get something however large the state is")
 }
 
+func TestOwnStateOutlastsClientsThatLeave(t *testing.T) {
+	o := ownState{}
+	o.peakHeld = 30e6
+	o.estimate(50e6)
+	require.Equal(t, Bytes(20e6), o.bytes)
+	o.estimate(20e6) // Clients have held 30 MB since the cycle before, and have left.
+	require.Equal(t, Bytes(20e6), o.bytes)
+	o.peakHeld = 0
+	o.estimate(20e6)
+	o.estimate(10e6)
+	o.estimate(10e6)
+	require.Equal(t, Bytes(10e6), o.bytes)
+}
+
 // A single large request is served in calm whatever the share of large ones.
 func TestSingleLargeBodyIsRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/state/memory/own.go
+++ b/internal/state/memory/own.go
@@ -16,7 +16,8 @@
 // ownState estimates the memory that the process takes for other things than its clients, such as the configuration and the upstreams of a fleet: what the
 // garbage collector found alive beyond what was held then.
 type ownState struct {
-	bytes Bytes
+	// bytes is the larger one of the last two estimates, of which last is the later one: while clients leave, one may be too small.
+	bytes, last Bytes
 	// peakHeld is the most that clients have held since the last cycle of the collector that was seen.
 	peakHeld  Bytes
 	cycles    uint64
@@ -39,6 +40,12 @@
 	if cycles == o.cycles {
 		return
 	}
-	o.bytes = max(0, Bytes(o.samples[liveSample].Value.Uint64())-o.peakHeld)
+	o.estimate(Bytes(o.samples[liveSample].Value.Uint64()))
 	o.cycles, o.peakHeld = cycles, held
 }
+
+// estimate takes what the collector found alive into account.
+func (o *ownState) estimate(live Bytes) {
+	latest := max(0, live-o.peakHeld)
+	o.bytes, o.last = max(latest, o.last), latest
+}
--- a/internal/transport/gossip/gossip.go
+++ b/internal/transport/gossip/gossip.go
@@ -18,6 +18,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/gooseberryway/gooseberryway/internal/protocol/wire"
+	"github.com/gooseberryway/gooseberryway/internal/state/memory"
 	"github.com/gooseberryway/gooseberryway/internal/transport/httpc"
 	"github.com/gooseberryway/gooseberryway/internal/transport/intake"
 )
@@ -230,7 +231,11 @@
 
 // Changes returns the records that a peer is missing.
 func (s service) Changes(
-	_ context.Context, r *connect.Request[wire.ChangesRequest],
+	ctx context.Context, r *connect.Request[wire.ChangesRequest],
 ) (*connect.Response[wire.ChangesReply], error) {
-	return connect.NewResponse(s.node.HandleChanges(r.Msg)), nil
+	reply := s.node.HandleChanges(r.Msg)
+	if !intake.HoldResponse(ctx, memory.Bytes(proto.Size(reply))) {
+		return nil, connect.NewError(connect.CodeResourceExhausted, &intake.RefusedError{Reason: intake.ReasonMemory})
+	}
+	return connect.NewResponse(reply), nil
 }
--- a/internal/transport/intake/body.go
+++ b/internal/transport/intake/body.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -14,8 +15,11 @@
 func (e *NoMemoryError) Error() string { return "no memory for the body of the request" }
 
 // HoldRequest takes the memory of a request in progress from the account of its client, until its handler returns. It reports whether there was as much.
-func HoldRequest(r *http.Request, n memory.Bytes) bool {
-	h := holdsOf(r)
+func HoldRequest(r *http.Request, n memory.Bytes) bool { return HoldResponse(r.Context(), n) }
+
+// HoldResponse does the same for the response to the request with a context.
+func HoldResponse(ctx context.Context, n memory.Bytes) bool {
+	h := holdsOf(ctx)
 	return h == nil || h.take(memory.Requests, n, n)
 }
 
@@ -32,13 +36,13 @@
 
 // TakeAnswer takes n further bytes for what is read of the answer to a request, and reports whether there were as many.
 func TakeAnswer(r *http.Request, n memory.Bytes) bool {
-	h := holdsOf(r)
+	h := holdsOf(r.Context())
 	return h == nil || h.requests.Take(n, n)
 }
 
 // ReleaseAnswer gives back n bytes of those that were taken for an answer.
 func ReleaseAnswer(r *http.Request, n memory.Bytes) {
-	if h := holdsOf(r); h != nil {
+	if h := holdsOf(r.Context()); h != nil {
 		h.requests.Release(n)
 	}
 }
@@ -46,7 +50,7 @@
 // ReadBody reads the body of a request of up to limit+1 bytes, and takes as many times its size from the account of its client as copies says, until its
 // handler returns. The error is a *NoMemoryError if there is no memory.
 func ReadBody(r *http.Request, limit int64, copies memory.Bytes) ([]byte, error) {
-	h := holdsOf(r)
+	h := holdsOf(r.Context())
 	if h == nil {
 		h = &holds{}
 	}
@@ -103,7 +107,7 @@
 // CountBody returns a handler that takes the memory of bodies from the account as they are read, for handlers that read them by themselves.
 func CountBody(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if h := holdsOf(r); h != nil && r.Body != nil {
+		if h := holdsOf(r.Context()); h != nil && r.Body != nil {
 			r.Body = &countedBody{ReadCloser: r.Body, holds: h}
 		}
 		next.ServeHTTP(w, r)
--- a/internal/transport/intake/holds.go
+++ b/internal/transport/intake/holds.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 
 	"github.com/gooseberryway/gooseberryway/internal/state/memory"
 )
@@ -20,12 +19,12 @@
 	return &holds{conn: c, bodies: c.client.NewHold(memory.Bodies), requests: c.client.NewHold(memory.Requests)}
 }
 
-// holdsOf returns the holds of a request; nil if its connection has no account. A connection with HTTP/1.1 has one request at a time.
-func holdsOf(r *http.Request) *holds {
-	if h, ok := r.Context().Value(holdsKey{}).(*holds); ok {
+// holdsOf returns the holds of the request with a context; nil if its connection has no account. A connection with HTTP/1.1 has one request at a time.
+func holdsOf(ctx context.Context) *holds {
+	if h, ok := ctx.Value(holdsKey{}).(*holds); ok {
 		return h
 	}
-	if c, ok := r.Context().Value(connKey{}).(*Conn); ok && c.scans {
+	if c, ok := ctx.Value(connKey{}).(*Conn); ok && c.scans {
 		return &c.holds
 	}
 	return nil
