Give the test of memory for bodies a machine that leaves some for clients

Cause: the daemon of the test has 5 MB in its settings, and the process' own state now counts against them, which here is that of the whole test binary: the small request of the test was refused with noMemory rather than the large one with noMemoryForBody. Change: 40 MB and bodies of 3 MiB, of which two are more than large bodies may take whatever the own state is.

--- a/internal/program/entry/body_memory_test.go
+++ b/internal/program/entry/body_memory_test.go
@@ -16,9 +16,10 @@
 	f := newTestFleet(t)
 	f.configureRate(1, 1_000_000, "secret")
 	app := f.startUpstream("app", slowUpstream("a1", "", 500*time.Millisecond))
-	d := f.startOn("d1", setup.EntryResources{MemoryMB: 5}, nil)
+	d := f.startOn("d1", setup.EntryResources{MemoryMB: 40}, nil)
 	f.ready(1)
-	large := strings.Repeat("x", 500<<10)
+	// Two of them are more than large bodies may take, whatever this process takes for itself.
+	large := strings.Repeat("x", 3<<20)
 	first := make(chan int)
 	go func() { first <- f.call(d, "/order/x", "r1", "secret", large).StatusCode }()
 	f.eventually(func() bool { return d.placer.WorkAt("a1").Requests == 1 }, "the first request isn't sent")
