Close no connection whose client reads its answer, however slowly

Cause: progress of a write was known only once all of it was taken. Change: a write in progress is looked at every 400 ms and goes on until the server's deadline, or 30 s without a byte; over TLS the connection below does so. Evidence: TestSlowReaderMakesProgress fails without; tests of the deadlines of writes, which pass.

--- a/internal/transport/intake/body_test.go
+++ b/internal/transport/intake/body_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"io"
-	"net"
 	"testing"
 	"testing/iotest"
 
@@ -16,14 +15,7 @@
 // request returns the holds of a request on a connection of the gate.
 func request(t *testing.T, g *Gate) *holds {
 	t.Helper()
-	near, far := net.Pipe()
-	t.Cleanup(func() {
-		_ = near.Close()
-		_ = far.Close()
-	})
-	c := &Conn{Conn: near, gate: g, scans: true}
-	c.client = &memory.Client{Account: g.Account(), Conn: c}
-	require.True(t, g.admit(c, connBytes))
+	c, _ := pipeConn(t, g)
 	return newHolds(c)
 }
 
--- a/internal/transport/intake/conn.go
+++ b/internal/transport/intake/conn.go
@@ -57,13 +57,14 @@
 	// writing is held while a write is in progress.
 	writing sync.Mutex
 	// mu guards the following, and changes of expelled. reading says that a read waits for the client, other than the one that watches for the end of the
-	// connection while a request is served, sending that a write does. readTimed and writeTimed say that the server has set a deadline; stallTimed says that
-	// that of reads is the connection's own.
+	// connection while a request is served, sending that a write does. readTimed says that the server has set a deadline of reads, stallTimed that it is the
+	// connection's own; writeDeadline is the server's one of writes.
 	mu               sync.Mutex
 	reading, sending bool
 	// streams is the number of requests in progress with HTTP/2, receiving that of those whose bodies are being read.
-	streams, receiving                int
-	readTimed, writeTimed, stallTimed bool
+	streams, receiving    int
+	readTimed, stallTimed bool
+	writeDeadline         time.Time
 }
 
 // Read reads from the client. No byte of a head is returned before the head has ended, so that nothing parses what there is no memory for. The error is
@@ -225,43 +226,66 @@
 
 // Write writes to the client, for as long as the client takes some of it within each stallTimeout unless the server has set a deadline.
 func (c *Conn) Write(p []byte) (int, error) {
-	if !c.scans && !c.http2 {
+	if c.secured {
 		return c.Conn.Write(p)
 	}
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	defer c.endWrite()
-	written := 0
-	for {
-		timed, err := c.beginWrite()
-		if err != nil {
+	written, progressAt := 0, time.Now()
+	for now := progressAt; ; now = time.Now() {
+		if err := c.beginWrite(now, progressAt); err != nil {
 			return written, err
 		}
 		n, err := c.Conn.Write(p[written:])
 		written += n
-		if err != nil && c.expelled.Load() {
+		switch {
+		case err == nil:
+			return written, nil
+		case c.expelled.Load():
 			return written, opError("write", ReasonNoProgress)
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			return written, err
 		}
-		if timed || c.secured || n == 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		if n > 0 {
+			progressAt = time.Now()
+		}
+		if c.writeEnds(progressAt) {
 			return written, err
 		}
 	}
 }
 
-// beginWrite sets a deadline of its own unless the server has set one, and reports whether it has.
-func (c *Conn) beginWrite() (timed bool, err error) {
+// beginWrite records that the client has to read on since progressAt, and sets a deadline after which the progress is looked at.
+func (c *Conn) beginWrite(now, progressAt time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.expelled.Load() {
-		return false, opError("write", ReasonNoProgress)
+		return opError("write", ReasonNoProgress)
 	}
-	now := time.Now()
 	c.sending = true
-	c.client.BeginSending(now)
-	if c.writeTimed || c.secured {
-		return c.writeTimed, nil
+	c.client.BeginSending(progressAt)
+	return c.Conn.SetWriteDeadline(c.nextWriteCheck(now))
+}
+
+// nextWriteCheck returns when a write in progress is looked at.
+func (c *Conn) nextWriteCheck(now time.Time) time.Time {
+	check := now.Add(writeCheckPeriod)
+	if !c.writeDeadline.IsZero() && c.writeDeadline.Before(check) {
+		return c.writeDeadline
+	}
+	return check
+}
+
+// writeEnds reports whether the time for a write is over that has last made progress at progressAt.
+func (c *Conn) writeEnds(progressAt time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if !c.writeDeadline.IsZero() {
+		return !now.Before(c.writeDeadline)
 	}
-	return false, c.Conn.SetWriteDeadline(now.Add(stallTimeout))
+	return now.Sub(progressAt) >= stallTimeout
 }
 
 func (c *Conn) endWrite() {
@@ -304,9 +328,14 @@
 // Expel ends the read or the write that waits for the client, after which the server closes the connection. It reports whether there was one: what was
 // read may be a request that is being served.
 func (c *Conn) Expel() bool {
-	if upper := c.upper.Load(); upper != nil {
-		return upper.Expel()
+	if c.expel() {
+		return true
 	}
+	upper := c.upper.Load()
+	return upper != nil && upper.expel()
+}
+
+func (c *Conn) expel() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.waitsForClient() {
@@ -327,10 +356,16 @@
 
 // waitsForClient reports whether the connection may be closed now.
 func (c *Conn) waitsForClient() bool {
-	if !c.scans {
+	switch {
+	case c.sending && c.client.Stalled():
+		return true
+	case c.scans:
+		return c.reading
+	case c.upper.Load() != nil:
+		return false
+	default:
 		return c.streams == 0 || c.client.Stalled()
 	}
-	return c.reading || c.sending && c.client.Stalled()
 }
 
 // refuse answers with a status and waits a short time for the client to read it: bytes that weren't read would reset the connection.
@@ -365,10 +400,16 @@
 
 // SetWriteDeadline sets the deadline of writes.
 func (c *Conn) SetWriteDeadline(t time.Time) error {
+	if c.secured {
+		return c.Conn.SetWriteDeadline(t)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.writeTimed = !t.IsZero()
-	return c.Conn.SetWriteDeadline(t)
+	c.writeDeadline = t
+	if !c.sending || c.expelled.Load() {
+		return nil
+	}
+	return c.Conn.SetWriteDeadline(c.nextWriteCheck(time.Now()))
 }
 
 // CloseWrite closes the sending side, if the connection can.
--- a/internal/transport/intake/consts.go
+++ b/internal/transport/intake/consts.go
@@ -41,6 +41,8 @@
 	slopBytes = 4 << 10
 	// stallTimeout is how long a read or a write may go without a byte if the server sets no deadline of its own.
 	stallTimeout = 30 * time.Second
+	// writeCheckPeriod is how often a write in progress is looked at for progress, more often than clients without any are closed for others.
+	writeCheckPeriod = 400 * time.Millisecond
 	// refusalTimeout bounds how long a refused connection waits for its client to read the refusal.
 	refusalTimeout = 100 * time.Millisecond
 	// logInterval is the time between two log lines on refused and closed connections.
