--- a/internal/state/memory/account.go
+++ b/internal/state/memory/account.go
@@ -110,9 +110,12 @@
 	if a.ProcessBytes > 0 {
 		a.own.sample(now, a.held.sum())
 	}
-	if size > largeBytes {
+	switch {
+	case n <= 0:
+		ok = true
+	case size > largeBytes:
 		expelled, ok = a.makeLargeRoom(c, u, n, now)
-	} else {
+	default:
 		expelled, ok = a.makeRoom(c, u, n, size, now)
 	}
 	if ok {
--- a/internal/state/memory/account_test.go
+++ b/internal/state/memory/account_test.go
@@ -182,6 +182,9 @@
 	a := &Account{}
 	c, _ := open(t, a, Idle)
 	require.True(t, c.SetHead(1000))
+	a.ProcessBytes = 1
+	require.True(t, c.SetHead(800), "what shrinks needs no room")
+	a.ProcessBytes = 0
 	h := c.NewHold(Requests)
 	require.True(t, h.Take(500, 500))
 	c.Close()
