--- a/internal/program/crowd/process_test.go
+++ b/internal/program/crowd/process_test.go
@@ -77,6 +77,12 @@
 
 // startEntry starts "gooseberryway entry" on a machine with so many descriptors, beside an upstream of the service app.
 func startEntry(t *testing.T, descriptors int) *process {
+	t.Helper()
+	return startEntryInFleet(t, descriptors, 0)
+}
+
+// startEntryInFleet does the same in a fleet with so many further upstreams, none of which exists.
+func startEntryInFleet(t *testing.T, descriptors, upstreams int) *process {
 	t.Helper()
 	store := standin.NewStore()
 	t.Cleanup(store.Close)
@@ -94,6 +100,10 @@
 	registration := upstream.Registration("app", upstreamAddress, "ready")
 	registration["slots"] = upstreamSlots
 	store.Put("keyed.servers", upstream.ID, registration)
+	for i := range upstreams {
+		absent := &standin.Upstream{ID: fmt.Sprint("absent-", i), Model: "m", Version: 1}
+		store.Put("keyed.servers", absent.ID, absent.Registration("llm", fmt.Sprintf("127.1.%d.%d:1", i>>8&0xff, i&0xff), "ready"))
+	}
 	p := &process{t: t, maxSockets: descriptors - reservedDescriptors}
 	listen := p.listen("callers", "directory", "ready", "admin", "metrics", "peers")
 	p.listeners[0].path, p.listeners[0].key, p.listeners[0].serves = "/lookup/x", "key-a", true
