Bound HTTP/2 over TLS on the listeners of callers and operators

Cause: the bounds on HTTP/2 were set for the listener of peers only; elsewhere 250 streams ran on a connection and up to five times as many waited, and the connection's own memory wasn't counted once TLS had settled on HTTP/2. Change: 100 streams for callers, the smallest number that RFC 9113 recommends, 16 for operators; a caller whose key or route isn't known is refused and its connection ends; the connection takes its memory from the account. TestCrowdsOfFramesOverTLS plays three forms.

--- a/internal/program/crowd/secure_test.go
+++ b/internal/program/crowd/secure_test.go
@@ -42,6 +42,25 @@
 	p.playAt(t, p.listeners[0], f)
 }
 
+// framed returns a form that sends HTTP/2 frames over TLS.
+func framed(send func(c net.Conn, l listener) error) form {
+	return form{send: func(c net.Conn, l listener) error {
+		cfg := &tls.Config{RootCAs: l.roots, ServerName: "127.0.0.1", MinVersion: tls.VersionTLS12, NextProtos: []string{"h2"}}
+		conn := tls.Client(c, cfg)
+		if err := conn.Handshake(); err != nil {
+			return err
+		}
+		return send(conn, l)
+	}}
+}
+
+func TestCrowdsOfFramesOverTLS(t *testing.T) {
+	p := startServing(t, true)
+	for name, send := range map[string]func(c net.Conn, l listener) error{"reset": streamsReset, "left open": streamsOpened, "pings": pings} {
+		t.Run(name, func(t *testing.T) { p.playAt(t, p.listeners[0], framed(send)) })
+	}
+}
+
 func TestCrowdOfHandshakesThatStop(t *testing.T) {
 	playSecured(t, form{send: helloWithoutRest, size: largeCrowd})
 }
--- a/internal/state/memory/client.go
+++ b/internal/state/memory/client.go
@@ -69,6 +69,9 @@
 	}
 }
 
+// Grow takes n further bytes for the connection, until it is closed, and reports whether there were as many.
+func (c *Client) Grow(n Bytes) bool { return c.Account.take(c, Connections, n, n) }
+
 // Leave says that the connection will be closed. It gets no more memory, and what it holds is free soon.
 func (c *Client) Leave() {
 	c.Account.mu.Lock()
--- a/internal/transport/caller/consts.go
+++ b/internal/transport/caller/consts.go
@@ -23,6 +23,8 @@
 const (
 	// maxHeaderBytes limits the size of the request headers.
 	maxHeaderBytes = 64 << 10
+	// maxStreams limits the requests that are open on a connection with HTTP/2, at the smallest number that RFC 9113 recommends.
+	maxStreams = 100
 	// maxIdempotencyKeyBytes limits the length of an idempotency key.
 	maxIdempotencyKeyBytes = 255
 	// maxCallerTimeout is the longest timeout that a caller can request.
--- a/internal/transport/caller/errors.go
+++ b/internal/transport/caller/errors.go
@@ -107,11 +107,25 @@
 		seconds := (serveErr.RetryAfter + time.Second - 1) / time.Second
 		w.Header().Set(headerRetryAfter, strconv.FormatInt(int64(seconds), 10))
 	}
+	if isMultiplexed(ctx) && isOfStranger(serveErr.Code) {
+		// Many more requests of the same caller may wait on the connection.
+		w.Header().Set("Connection", "close")
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(openai.ErrorBody{Error: *errorBody(ctx, serveErr)})
 }
 
+// isOfStranger reports whether a request was refused because it isn't known whose it is.
+func isOfStranger(code serve.Code) bool {
+	switch code {
+	case serve.CodeKeyMissing, serve.CodeKeyInvalid, serve.CodeKeyWithdrawn, serve.CodeRouteNotFound:
+		return true
+	default:
+		return false
+	}
+}
+
 // recordRefusal counts and logs a failed request by its code.
 func recordRefusal(ctx context.Context, serveErr *serve.Error) {
 	metrics.GetOrCreateCounter(fmt.Sprintf(`gooseberrywayRefusals{code=%q}`, serveErr.Code)).Inc()
--- a/internal/transport/caller/server.go
+++ b/internal/transport/caller/server.go
@@ -58,7 +58,11 @@
 	locate := requireMethod(http.MethodGet, s.locateHandler())
 	plain := s.plainHandler()
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		r = r.WithContext(withRequestID(r.Context(), s.newRequestID()))
+		ctx := withRequestID(r.Context(), s.newRequestID())
+		if r.ProtoMajor >= 2 {
+			ctx = context.WithValue(ctx, multiplexedContextKey{}, true)
+		}
+		r = r.WithContext(ctx)
 		w.Header().Set(headerRequestID, string(requestIDFromContext(r.Context())))
 		switch path := r.URL.Path; {
 		case path == pathModels:
@@ -84,6 +88,7 @@
 			ReadHeaderTimeout: s.HeaderTimeout,
 			IdleTimeout:       s.IdleTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
+			HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
 		},
 	}
 }
@@ -109,6 +114,11 @@
 
 type requestIDContextKey struct{}
 
+// multiplexedContextKey is set for requests on connections that carry several at a time.
+type multiplexedContextKey struct{}
+
+func isMultiplexed(ctx context.Context) bool { return ctx.Value(multiplexedContextKey{}) != nil }
+
 func withRequestID(ctx context.Context, id ident.RequestID) context.Context {
 	return context.WithValue(ctx, requestIDContextKey{}, id)
 }
--- a/internal/transport/intake/consts.go
+++ b/internal/transport/intake/consts.go
@@ -13,6 +13,8 @@
 	tlsBytes    = 32 << 10
 	http2Bytes  = 32 << 10
 	streamBytes = 16 << 10
+	// http2Streams is the number of requests that may be open on a connection with HTTP/2. Up to five times as many wait on it before a handler sees them.
+	http2Streams = 16
 	// http2Window is how much of a body may be sent before it is read, http2FrameBytes the largest frame and http2TableBytes the size of the table of fields.
 	http2Window     = 64 << 10
 	http2FrameBytes = 16 << 10
@@ -41,6 +43,9 @@
 	slopBytes = 4 << 10
 	// stallTimeout is how long a read or a write may go without a byte if the server sets no deadline of its own.
 	stallTimeout = 30 * time.Second
+	// minRetryAfter is the shortest Retry-After in seconds, retryAfterSpread the number of those that are given at random.
+	minRetryAfter    = 1
+	retryAfterSpread = 3
 	// writeCheckPeriod is how often a write in progress is looked at for progress, more often than clients without any are closed for others.
 	writeCheckPeriod = 400 * time.Millisecond
 	// refusalTimeout bounds how long a refused connection waits for its client to read the refusal.
--- a/internal/transport/intake/secure.go
+++ b/internal/transport/intake/secure.go
@@ -92,8 +92,14 @@
 		_ = c.Close()
 		return
 	}
+	carrier, ok := l.carrier(c, secured)
+	if !ok {
+		l.gate.note(c, ReasonMemory)
+		_ = c.Close()
+		return
+	}
 	select {
-	case l.ready <- l.carrier(c, secured):
+	case l.ready <- carrier:
 	case <-l.ctx.Done():
 		_ = c.Close()
 	}
@@ -106,18 +112,18 @@
 	return stallTimeout
 }
 
-// carrier returns the connection that the server gets.
-func (l *tlsListener) carrier(c *Conn, secured *tls.Conn) net.Conn {
+// carrier returns the connection that the server gets, and whether there is memory for it.
+func (l *tlsListener) carrier(c *Conn, secured *tls.Conn) (carrier net.Conn, ok bool) {
 	c.client.SetPhase(memory.Idle)
 	c.client.Progress()
 	if secured.ConnectionState().NegotiatedProtocol == protocolHTTP2 {
 		c.http2 = true
-		return secured
+		return secured, c.client.Grow(http2Bytes)
 	}
 	upper := &Conn{
 		Conn: secured, gate: l.gate, client: c.client, listener: l.name, scans: true, secured: true, maxHeadBytes: l.maxHeadBytes, headTimeout: l.headTimeout,
 	}
 	upper.holds = *newHolds(upper)
 	c.upper.Store(upper)
-	return upper
+	return upper, true
 }
--- a/internal/transport/intake/stream.go
+++ b/internal/transport/intake/stream.go
@@ -11,6 +11,9 @@
 	if server.HTTP2 == nil {
 		server.HTTP2 = &http.HTTP2Config{}
 	}
+	if server.HTTP2.MaxConcurrentStreams == 0 {
+		server.HTTP2.MaxConcurrentStreams = http2Streams
+	}
 	server.HTTP2.MaxReceiveBufferPerConnection = http2Window
 	server.HTTP2.MaxReceiveBufferPerStream = http2Window
 	server.HTTP2.MaxReadFrameSize = http2FrameBytes
