Read a large body while only small ones are held

Cause, read in the code: a body above the share of large ones, such as a completion of 8 MiB on a machine with 112 MB, was read only if bodies of at most 64 KiB in all were held, so that ordinary traffic kept it out. Change: bodies that take less than an eighth of the budget keep none out, as long as there is room.

--- a/internal/state/memory/account.go
+++ b/internal/state/memory/account.go
@@ -153,7 +153,8 @@
 // progress, so that there is room when the newcomer returns.
 func (a *Account) makeLargeRoom(c *Client, u Use, n Bytes, now time.Time) (expelled []*Client, ok bool) {
 	missing := max(a.held[u]+n-a.Budget(u)*largeShares[u]/quarters, a.held.sum()+n-a.room()*largeShare/quarters)
-	alone := u == Bodies && a.held[u] <= largeBytes && a.held.sum()+n <= a.room()
+	// Any body is read when only small ones are held.
+	alone := u == Bodies && a.held[u] <= a.Budget(u)/smallBodiesDivisor && a.held.sum()+n <= a.room()
 	if missing <= 0 || alone {
 		return nil, true
 	}
--- a/internal/state/memory/consts.go
+++ b/internal/state/memory/consts.go
@@ -17,6 +17,8 @@
 	// largeShare is the part of all room for large pieces, in quarters.
 	largeShare = 3
 	quarters   = 4
+	// smallBodiesDivisor is what part of the budget bodies may take that keep no large one out.
+	smallBodiesDivisor = 8
 	// progressBytes is how much a client has to send for progress within a request.
 	progressBytes = 4 << 10
 	// stallTime is how long a client may make no progress before it is closed for another one. Refusals ask callers to return after as long.
