--- a/internal/transport/intake/conn.go
+++ b/internal/transport/intake/conn.go
@@ -3,10 +3,13 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,11 +18,17 @@
 )
 
 // Responses to heads that aren't parsed. Their requests have not run and never will.
-var (
-	unavailable = []byte("HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n")
-	tooLarge    = []byte("HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+const (
+	unavailable = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: %s\r\nContent-Length: 0\r\n\r\n"
+	tooLarge    = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 )
 
+// unavailableResponse returns the response to a head for which there is no memory.
+func unavailableResponse() []byte { return fmt.Appendf(nil, unavailable, retryAfter()) }
+
+// retryAfter returns the seconds after which a refused client may return: no sooner than stalled clients are closed, and not all at once.
+func retryAfter() string { return strconv.Itoa(minRetryAfter + rand.IntN(retryAfterSpread)) }
+
 // Conn is the connection of a client. It counts the heads that it reads until they end.
 type Conn struct {
 	net.Conn
@@ -134,7 +143,7 @@
 	}
 	n := c.scanner.scan(p)
 	if c.scanner.bytes > c.maxHeadBytes {
-		return false, c.refuse(tooLarge, ReasonLongHead)
+		return false, c.refuse([]byte(tooLarge), ReasonLongHead)
 	}
 	// A head that hasn't ended is not parsed.
 	size := memory.Bytes(c.scanner.bytes)
@@ -142,7 +151,7 @@
 		size = headMemory(c.scanner.bytes, c.scanner.lines)
 	}
 	if !c.client.SetHead(size) {
-		return false, c.refuse(unavailable, ReasonHeads)
+		return false, c.refuse(unavailableResponse(), ReasonHeads)
 	}
 	if len(c.head) == 0 && c.scanner.ended {
 		c.bodyLeft = bodyLength(p[:n])
--- a/internal/transport/intake/gate.go
+++ b/internal/transport/intake/gate.go
@@ -176,7 +176,7 @@
 
 // refuse refuses a request that no handler has seen.
 func refuse(w http.ResponseWriter) {
-	w.Header().Set("Retry-After", "1")
+	w.Header().Set("Retry-After", retryAfter())
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
@@ -215,7 +215,7 @@
 		}
 		if l.scans {
 			_ = inner.SetWriteDeadline(time.Now().Add(refusalTimeout))
-			_, _ = inner.Write(unavailable)
+			_, _ = inner.Write(unavailableResponse())
 		}
 		_ = inner.Close()
 	}
