--- a/internal/state/memory/account_test.go
+++ b/internal/state/memory/account_test.go
@@ -150,10 +150,17 @@
 func TestSingleLargeBodyIsRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		a := &Account{ProcessBytes: processBytes}
+		small, _ := open(t, a, Busy)
+		ordinary := small.NewHold(Bodies)
+		for range 20 {
+			require.True(t, ordinary.Take(largeBytes, largeBytes))
+		}
 		c, _ := open(t, a, Busy)
 		h := c.NewHold(Bodies)
 		size := a.Budget(Bodies) + mebibyte
 		require.True(t, h.Take(size, size))
+		require.False(t, h.Take(mebibyte, mebibyte), "only one such body is read")
+		ordinary.ReleaseAll()
 		h.ReleaseAll()
 		require.Zero(t, a.Held(Bodies))
 	})
