--- a/review/play/main.go
+++ b/review/play/main.go
@@ -14,6 +14,7 @@
 // cases are the cases by their names. Each reports whether the rule was broken; an error means that it couldn't run.
 var cases = map[string]func(dir string, rec *record, trouble bool) (broken bool, err error){
 	"burst":   playBurst,
+	"gone":    playGone,
 	"leaving": playLeaving,
 	"limit":   playLimit,
 	"repeat":  playRepeat,
--- a/review/play/worker.go
+++ b/review/play/worker.go
@@ -59,6 +59,15 @@
 	crashes  []time.Time
 	ended    bool
 	stopBeat chan struct{}
+	// stalledUntil is until when the worker does nothing, though its machine accepts connections.
+	stalledUntil time.Time
+	runs         []*streamRun
+}
+
+// streamRun is one run of a stream at a worker. It ends when the worker has sent all or drops it.
+type streamRun struct {
+	id, worker string
+	start, end time.Time
 }
 
 // path is a daemon's way to a worker, which can be cut.
@@ -194,6 +203,17 @@
 	w.register(id, born, paths)
 }
 
+// leaveUnreported makes the worker leave without a report: its entry is removed, and it serves on for a while.
+func (w *worker) leaveUnreported() {
+	w.mu.Lock()
+	w.leaving = true
+	id, stop := w.id, w.stopBeat
+	w.mu.Unlock()
+	close(stop)
+	w.fleet.record.logf("entry of worker %s is removed", id)
+	w.fleet.removeEntry(id)
+}
+
 // crash ends the worker as the end of its process would, and starts it again later.
 func (w *worker) crash(id string) {
 	w.mu.Lock()
@@ -233,6 +253,7 @@
 }
 
 func (w *worker) serve(id string, rw http.ResponseWriter, r *http.Request) {
+	w.waitStall()
 	h := rw.Header()
 	attempt := r.Header.Get("X-Gooseberryway-Attempt-Id")
 	if attempt != "" {
@@ -368,7 +389,42 @@
 	w.fleet.record.logf("worker %s names Server-Limit %s", w.id, limit)
 }
 
+// stall makes the worker do nothing for d, as one that is busy with something else.
+func (w *worker) stall(d time.Duration) {
+	w.mu.Lock()
+	w.stalledUntil = time.Now().Add(d)
+	id := w.id
+	w.mu.Unlock()
+	w.fleet.record.logf("worker %s is silent for %v", id, d)
+}
+
+// waitStall waits until the worker goes on.
+func (w *worker) waitStall() {
+	w.mu.Lock()
+	until := w.stalledUntil
+	w.mu.Unlock()
+	time.Sleep(time.Until(until))
+}
+
+// beginRun records a run, endRun its end.
+func (w *worker) beginRun(attempt string) *streamRun {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	run := &streamRun{id: attempt, worker: w.id, start: time.Now()}
+	w.runs = append(w.runs, run)
+	return run
+}
+
+func (w *worker) endRun(run *streamRun) {
+	w.waitStall()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	run.end = time.Now()
+}
+
 func (w *worker) stream(rw http.ResponseWriter, r *http.Request, attempt string) {
+	run := w.beginRun(attempt)
+	defer w.endRun(run)
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	h := rw.Header()
 	h.Set("Content-Type", "text/event-stream")
@@ -379,7 +435,9 @@
 	w.addNotices(h)
 	c := http.NewResponseController(rw)
 	for i := last + 1; i <= w.events; i++ {
-		if i > last+1 && !pause(r, w.gap) {
+		goesOn := i == last+1 || pause(r, w.gap)
+		w.waitStall()
+		if !goesOn {
 			panic(http.ErrAbortHandler)
 		}
 		if _, err := fmt.Fprintf(rw, "id: %d\ndata: piece %d of %s\n\n", i, i, attempt); err != nil {
