--- a/review/play/repeat.go
+++ b/review/play/repeat.go
@@ -22,9 +22,9 @@
 		return false, err
 	}
 	defer f.stop()
-	for range 8 {
+	for range 12 {
 		w := &worker{
-			service: "install-app", work: 15 * time.Millisecond, slots: 6, backAfter: 2500 * time.Millisecond,
+			service: "install-app", work: 200 * time.Millisecond, slots: 6, backAfter: 2500 * time.Millisecond,
 			crashesOn: func(r *http.Request, _ string) bool { return trouble && r.URL.Path == deadlyPath },
 		}
 		if err := f.addWorker(w); err != nil {
@@ -38,17 +38,21 @@
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	begin, length := time.Now(), 20*time.Second
-	lost, sound := 0, 0
+	lost, refused, sound := 0, 0, 0
 	wg.Go(func() {
 		for i := 0; time.Since(begin) < length; i++ {
-			time.Sleep(20 * time.Millisecond)
+			time.Sleep(10 * time.Millisecond)
 			wg.Go(func() {
-				a := c.send(f.daemons[i%3], &request{id: newID(), method: http.MethodPost, path: "/order/o", deadline: 600 * time.Millisecond, body: fmt.Sprintf("order %d", i)})
+				a := c.send(f.daemons[i%3], &request{id: newID(), method: http.MethodPost, path: "/order/o", deadline: 1500 * time.Millisecond, body: fmt.Sprintf("order %d", i)})
 				mu.Lock()
 				defer mu.Unlock()
 				sound++
-				if a.status != http.StatusOK || !a.whole {
+				switch {
+				case a.status == http.StatusServiceUnavailable || a.status == http.StatusTooManyRequests:
+					refused++
+				case a.status != http.StatusOK || !a.whole:
 					lost++
+					rec.logf("order sent at %.3f was lost: status %d", a.sentAt.Sub(rec.start).Seconds(), a.status)
 				}
 			})
 		}
@@ -58,7 +62,7 @@
 		time.Sleep(time.Until(begin.Add(2*time.Second + time.Duration(k)*4*time.Second)))
 		rec.logf("the same request comes from six callers, time %d", k+1)
 		for i := range 6 {
-			q := &request{id: newID(), method: http.MethodGet, path: deadlyPath, deadline: 600 * time.Millisecond}
+			q := &request{id: newID(), method: http.MethodGet, path: deadlyPath, deadline: 1500 * time.Millisecond}
 			isDeadly[q.id] = true
 			wg.Go(func() { c.send(f.daemons[i%3], q) })
 		}
@@ -69,9 +73,9 @@
 			return false, fmt.Errorf("%s has ended", d.name)
 		}
 	}
-	rec.logf("orders: %d, not answered whole: %d", sound, lost)
-	if !trouble && lost > 0 {
-		return false, fmt.Errorf("%d orders were lost without the disruption", lost)
+	rec.logf("orders: %d, lost: %d, refused: %d", sound, lost, refused)
+	if !trouble && lost+refused > 0 {
+		return false, fmt.Errorf("%d orders were lost or refused without the disruption", lost+refused)
 	}
 	crashes, arrivals := f.crashesUnder(isDeadly)
 	rec.logf("times that the request reached workers: %d, crashes: %d", len(arrivals), len(crashes))
