--- a/review/play/burst.go
+++ b/review/play/burst.go
@@ -24,7 +24,7 @@
 	defer f.stop()
 	for range 12 {
 		w := &worker{
-			service: "lm-pool", gap: 10 * time.Millisecond, events: 10, backAfter: 2500 * time.Millisecond,
+			service: "lm-pool", gap: 10 * time.Millisecond, events: 40, backAfter: 2500 * time.Millisecond,
 			crashesOn: func(r *http.Request, _ string) bool { return trouble && hasPart(r, deadlyPart) },
 		}
 		if err := f.addWorker(w); err != nil {
@@ -43,7 +43,7 @@
 	// Sound requests, which can't be resumed, share the other parts.
 	wg.Go(func() {
 		for i := 0; time.Since(begin) < length; i++ {
-			time.Sleep(50 * time.Millisecond)
+			time.Sleep(25 * time.Millisecond)
 			wg.Go(func() {
 				a := c.send(f.daemons[i%3], &request{
 					id: newID(), method: http.MethodPost, path: "/draft/n", deadline: 4 * time.Second, body: fmt.Sprintf("sound %d", i),
