--- a/review/play/limit.go
+++ b/review/play/limit.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// requestSpacing makes 240 orders a second, of which the three workers can run 300.
+	// requestSpacing makes 240 orders a second, of which the five workers can run 300.
 	requestSpacing = time.Second / 240
 	// limitRate is the rate that a worker in need names, limitWindow the time in which its requests are counted.
 	limitRate   = 1
@@ -28,13 +28,8 @@
 		return false, err
 	}
 	defer f.stop()
-	for range 3 {
-		if err := f.addWorker(&worker{service: "install-app", work: 60 * time.Millisecond, slots: 6}); err != nil {
-			return false, err
-		}
-	}
-	for range 3 {
-		if err := f.addWorker(&worker{service: "lm-pool", gap: 10 * time.Millisecond, events: 10}); err != nil {
+	for range 5 {
+		if err := f.addWorker(&worker{service: "install-app", work: 100 * time.Millisecond, slots: 6}); err != nil {
 			return false, err
 		}
 	}
@@ -61,7 +56,7 @@
 	at := func(s float64) { time.Sleep(time.Until(begin.Add(time.Duration(s * float64(time.Second))))) }
 	at(1)
 	limited := f.workers[0]
-	limited.setDelay(400 * time.Millisecond)
+	limited.setDelay(600 * time.Millisecond)
 	limited.setLimit(fmt.Sprint(limitRate))
 	at(7)
 	if trouble {
@@ -120,15 +115,18 @@
 	rec.logf("requests: %d, answered whole: %d; daemons that passed on an answer with the limit: %d", len(all), whole, len(toldAt))
 	rec.logf("worker first named its limit at %.3f; most requests that it got in 4 s: %d from %.3f on, allowed: %d",
 		w.limitAt.Sub(rec.start).Seconds(), most, since.Sub(rec.start).Seconds(), maxInWindow)
-	lost := 0
+	lost, timedOut := 0, 0
 	for _, a := range all {
 		for _, b := range w.arrivals {
 			if a.id == b.id && b.at.Sub(since) >= 0 && b.at.Sub(since) < limitWindow && (a.status != http.StatusOK || !a.whole) {
 				lost++
+				if a.status != http.StatusServiceUnavailable && a.status != http.StatusTooManyRequests {
+					timedOut++
+				}
 			}
 		}
 	}
-	rec.logf("of the orders that it got in that time, not answered with success: %d", lost)
+	rec.logf("of the orders that it got in that time, run but ended by their time limit, or not answered: %d; all that failed: %d", timedOut, lost)
 	for _, at := range counted {
 		if at.Sub(since) >= 0 && at.Sub(since) < limitWindow {
 			rec.logf("a request reached the limited worker at %.3f", at.Sub(rec.start).Seconds())
