--- a/review/play/fleet.go
+++ b/review/play/fleet.go
@@ -94,7 +94,7 @@
 
 // freeBase returns a port below which the fixed ports of all machines are free.
 func freeBase(machines int) (int, error) {
-	for base := 21000 + os.Getpid()%5000*2; base < 32000; base += 10 {
+	for base := 21000 + os.Getpid()%1000*10; base < 32000; base += 10 {
 		if isFreeBase(base, machines) {
 			return base, nil
 		}
--- a/review/play/gone.go
+++ b/review/play/gone.go
@@ -90,6 +90,7 @@
 	}
 	since := func(t time.Time) float64 { return t.Sub(rec.start).Seconds() }
 	twice := 0
+	delete(runs, "")
 	for id, list := range runs {
 		for i := range list {
 			for j := range list {
--- a/review/play/main.go
+++ b/review/play/main.go
@@ -5,9 +5,12 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"runtime"
 	"slices"
+	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -32,12 +35,28 @@
 	}
 	time.AfterFunc(longestRun, func() {
 		fmt.Fprintln(os.Stderr, "the case takes too long")
-		// The daemons end with this process.
-		os.Exit(2)
+		giveUp()
 	})
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-ended
+		giveUp()
+	}()
 	os.Exit(run(os.Args[1], os.Args[2]))
 }
 
+// folderOfRun is the temporary folder of the run.
+var folderOfRun atomic.Value
+
+// giveUp ends the process, and with it the daemons.
+func giveUp() {
+	if dir, ok := folderOfRun.Load().(string); ok && os.Getenv("KEEP") == "" {
+		_ = os.RemoveAll(dir)
+	}
+	os.Exit(2)
+}
+
 func run(name, folder string) int {
 	rec, err := newRecord(filepath.Join(folder, "record.txt"))
 	if err != nil {
@@ -49,6 +68,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
+	folderOfRun.Store(dir)
 	if os.Getenv("KEEP") == "" {
 		defer os.RemoveAll(dir)
 	}
--- a/review/play/repeat.go
+++ b/review/play/repeat.go
@@ -39,6 +39,7 @@
 	var mu sync.Mutex
 	begin, length := time.Now(), 20*time.Second
 	lost, refused, sound := 0, 0, 0
+	var lostAt []time.Time
 	wg.Go(func() {
 		for i := 0; time.Since(begin) < length; i++ {
 			time.Sleep(10 * time.Millisecond)
@@ -52,6 +53,7 @@
 					refused++
 				case a.status != http.StatusOK || !a.whole:
 					lost++
+					lostAt = append(lostAt, a.sentAt)
 					rec.logf("order sent at %.3f was lost: status %d", a.sentAt.Sub(rec.start).Seconds(), a.status)
 				}
 			})
@@ -89,6 +91,13 @@
 			rec.logf("retry %s reached worker %s %.1f s after the third crash", a.id, a.worker, a.at.Sub(crashes[2]).Seconds())
 		}
 	}
+	lateLost := 0
+	for _, at := range lostAt {
+		if at.After(crashes[2].Add(stabilityWindow)) {
+			lateLost++
+		}
+	}
+	rec.logf("orders lost that were sent later than 3 s after the third crash: %d", lateLost)
 	rec.logf("retries that reached workers later than 3 s after the third crash: %d, allowed: %d", late, maxRetries)
 	return late > maxRetries, nil
 }
--- a/review/play/worker.go
+++ b/review/play/worker.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -150,6 +151,12 @@
 	}
 }
 
+func (w *worker) bornAt() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.born
+}
+
 func (w *worker) isStoreCut() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -274,6 +281,18 @@
 	case "/api/order":
 		rw.WriteHeader(http.StatusOK)
 		return
+	case "/api/kv-events":
+		wait, _ := strconv.Atoi(r.Header.Get("Wait-Ms"))
+		pause(r, time.Duration(wait)*time.Millisecond)
+		h.Set("Content-Type", "application/json")
+		_, _ = fmt.Fprintf(rw, `{"boot-epoch":%d,"next":0,"lost":false,"events":[]}`, w.bornAt())
+		return
+	}
+	// The worker stops work when the time that it was given has passed.
+	if ms, err := strconv.Atoi(r.Header.Get("X-Gooseberryway-Deadline-Milliseconds")); err == nil {
+		ctx, cancel := context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
+		defer cancel()
+		r = r.WithContext(ctx)
 	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -305,9 +324,13 @@
 			rw.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		pause(r, w.work+w.currentDelay())
+		done := pause(r, w.work+w.currentDelay())
 		w.freeSlot()
 		w.addNotices(h)
+		if !done {
+			rw.WriteHeader(http.StatusGatewayTimeout)
+			return
+		}
 		_, _ = io.WriteString(rw, "answer to "+attempt)
 		return
 	}
